--- /dev/null
+++ b/crates/agent/src/lib.rs
@@ -0,0 +1,1 @@
+//! Agent decisions without I/O: lease, fencing, admission, remembered requests, hand-over.
--- /dev/null
+++ b/crates/api/src/lib.rs
@@ -0,0 +1,1 @@
+//! Operator API: schema, generated code and service.
--- /dev/null
+++ b/crates/control/src/lib.rs
@@ -0,0 +1,3 @@
+//! Control group decisions without I/O: leases, assignments, hand-over, configuration.
+
+pub mod operator;
--- /dev/null
+++ b/crates/ctl/src/lib.rs
@@ -0,0 +1,1 @@
+//! Operators' command line.
--- /dev/null
+++ b/crates/dataplane/src/lib.rs
@@ -0,0 +1,1 @@
+//! HTTP request path of router and agent.
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,1 @@
+//! One machine's process: composes router, agent and control.
--- /dev/null
+++ b/crates/rehearse/src/main.rs
@@ -0,0 +1,3 @@
+//! Rehearsal kit: demo, experiments, soak, hollow nodes, reports.
+
+fn main() {}
--- /dev/null
+++ b/crates/routing/src/lib.rs
@@ -0,0 +1,1 @@
+//! Routing decisions without I/O: resolution, slice table, outcomes, retries, limits.
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! Checked node settings.
--- /dev/null
+++ b/crates/simulator/src/lib.rs
@@ -0,0 +1,1 @@
+//! Deterministic simulator of the shipped state machines, with invariant checking.
--- /dev/null
+++ b/crates/telemetry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Counters, structured logs and the operator-only HTTP address.
--- /dev/null
+++ b/crates/transport/src/lib.rs
@@ -0,0 +1,1 @@
+//! UDP and TCP transport of wire messages.
--- /dev/null
+++ b/crates/wingspar/src/main.rs
@@ -0,0 +1,3 @@
+//! The wingspar process and command line.
+
+fn main() {}
--- /dev/null
+++ b/crates/xtask/src/main.rs
@@ -0,0 +1,3 @@
+//! Maintenance tasks: regenerates committed code.
+
+fn main() {}
