--- a/crates/store/src/key.rs
+++ b/crates/store/src/key.rs
@@ -52,6 +52,9 @@
     /// A deletion must name the version that it deletes.
     #[error("a deletion must expect an existing version, not 0")]
     DeleteExpectsAbsent,
+    /// A change that must be recognised later has no string field `change_id`.
+    #[error("the value has no string field change_id")]
+    NoChangeId,
     /// The store refused the request for a reason of its own.
     #[error("refused by the store: {reason}")]
     Refused {
