--- /dev/null
+++ b/crates/standins/src/net/mod.rs
@@ -0,0 +1,14 @@
+//! A small HTTP server for stand-ins: connections without Nagle's delay, that can be frozen and
+//! that cost something to set up.
+
+mod acceptor;
+mod gate;
+mod respond;
+mod server;
+mod stream;
+
+pub use acceptor::{ConnectionSettings, StandInAcceptor};
+pub use gate::Gate;
+pub use respond::{ErrorBody, connection, query_value, read_json, render_error, render_json};
+pub use server::RunningServer;
+pub use stream::StandInStream;
