--- /dev/null
+++ b/crates/routing/src/targets.rs
@@ -0,0 +1,247 @@
+//! The targets that a router knows: what the control group says of them and what the router saw.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use wingspar_wire::{Availability, TargetEntry};
+use wingspar_world::{Configuration, MonotonicTime, ServiceName, TargetName};
+
+use crate::outlier::Outlier;
+use crate::settings::OutlierSettings;
+use crate::table::TargetId;
+
+/// Weight of the newest sample in the moving average of latencies.
+const LATENCY_WEIGHT: f64 = 0.1;
+/// Slots assumed of a target that the configuration does not describe yet.
+const DEFAULT_SLOTS: u32 = 20;
+/// Shortest and longest time for which a refusal for load keeps unkeyed work away.
+const SHED_BOUNDS: (Duration, Duration) = (Duration::from_millis(10), Duration::from_secs(5));
+
+/// One target.
+#[derive(Debug, Clone)]
+pub(crate) struct TargetState {
+    pub(crate) name: TargetName,
+    pub(crate) service: ServiceName,
+    pub(crate) agent: Option<SocketAddr>,
+    availability: Availability,
+    draining_by_configuration: bool,
+    slots: u32,
+    region_weight: f64,
+    in_flight: u32,
+    latency_micros: Option<f64>,
+    outlier: Outlier,
+    shedding_until: MonotonicTime,
+}
+
+/// All targets by number, and by service.
+#[derive(Debug, Default)]
+pub(crate) struct Targets {
+    states: BTreeMap<TargetId, TargetState>,
+    by_service: HashMap<ServiceName, Vec<TargetId>>,
+}
+
+/// A change of a target's standing that is worth a log line.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Standing {
+    Unchanged,
+    Ejected,
+    Returned,
+}
+
+impl TargetState {
+    /// Whether new work may be sent: the control group and the configuration allow it.
+    pub(crate) fn is_available(&self) -> bool {
+        let allowed = self.availability == Availability::Serving && !self.draining_by_configuration;
+        allowed && self.agent.is_some()
+    }
+
+    /// Whether it takes unkeyed work now.
+    pub(crate) fn is_eligible(&self, now: MonotonicTime) -> bool {
+        self.is_available() && !self.outlier.is_ejected(now) && now >= self.shedding_until
+    }
+
+    /// Relative share of unkeyed work that it is to get.
+    pub(crate) fn weight(&self) -> f64 {
+        f64::from(self.slots.max(1)) * self.region_weight
+    }
+
+    /// Expected time until one more request is answered, in microseconds; a target never tried
+    /// counts as `unknown_latency`.
+    pub(crate) fn cost(&self, unknown_latency: f64) -> f64 {
+        let latency = self.latency_micros.unwrap_or(unknown_latency).max(1.0);
+        let load = f64::from(self.in_flight + 1) / f64::from(self.slots.max(1));
+        load * latency
+    }
+
+    /// When it is expected to take work again, if it is only shedding or ejected.
+    pub(crate) fn back_at(&self, now: MonotonicTime) -> Option<MonotonicTime> {
+        if !self.is_available() {
+            return None;
+        }
+        let ejected_until = self.outlier.ejected_until(now).unwrap_or(now);
+        Some(ejected_until.max(self.shedding_until))
+    }
+
+    pub(crate) fn latency_micros(&self) -> Option<f64> {
+        self.latency_micros
+    }
+
+    fn shed(&mut self, now: MonotonicTime, retry_after: Option<Duration>) {
+        let (least, most) = SHED_BOUNDS;
+        let pause = retry_after.unwrap_or(least).clamp(least, most);
+        self.shedding_until = self.shedding_until.max(now + pause);
+    }
+}
+
+impl Targets {
+    /// Takes over what a table update says of targets. `entries` come with their numbers.
+    pub(crate) fn update(&mut self, entries: &[(TargetId, TargetEntry)], replace_all: bool) {
+        if replace_all {
+            let listed = |id: &TargetId| entries.iter().any(|(one, _)| one == id);
+            self.states.retain(|id, _| listed(id));
+        }
+        for (id, entry) in entries {
+            if entry.availability == Availability::Removed {
+                self.states.remove(id);
+                continue;
+            }
+            let state = self.states.entry(*id);
+            let state = state.or_insert_with(|| TargetState::new(entry));
+            state.service = entry.service.clone();
+            state.agent = entry.agent;
+            state.availability = entry.availability;
+        }
+        self.index();
+    }
+
+    /// Takes over slots, weights and drains from the configuration.
+    pub(crate) fn configure(&mut self, configuration: &Configuration) {
+        for state in self.states.values_mut() {
+            let Some((_, target)) = configuration.targets.get(&state.name) else {
+                continue;
+            };
+            state.slots = target.slots;
+            state.draining_by_configuration = target.draining;
+            let service = configuration.service(&target.service);
+            let policy = service.and_then(|service| configuration.policy_of(service));
+            let weights = policy.map(|policy| &policy.region_weights);
+            let weights = weights.filter(|weights| !weights.is_empty());
+            state.region_weight = match weights {
+                Some(weights) => weights.get(&target.region).copied().unwrap_or(0.0),
+                None => 1.0,
+            };
+        }
+    }
+
+    pub(crate) fn get(&self, id: TargetId) -> Option<&TargetState> {
+        self.states.get(&id)
+    }
+
+    /// Targets of a service with their numbers.
+    pub(crate) fn of_service<'a>(
+        &'a self,
+        service: &ServiceName,
+    ) -> impl Iterator<Item = (TargetId, &'a TargetState)> {
+        let ids = self.by_service.get(service).into_iter().flatten();
+        ids.filter_map(|id| Some((*id, self.states.get(id)?)))
+    }
+
+    /// Slots of a service's available targets.
+    pub(crate) fn slots(&self, service: &ServiceName) -> u32 {
+        let available = self
+            .of_service(service)
+            .filter(|(_, one)| one.is_available());
+        available.map(|(_, one)| one.slots).sum()
+    }
+
+    pub(crate) fn started(&mut self, id: TargetId) {
+        if let Some(state) = self.states.get_mut(&id) {
+            state.in_flight += 1;
+        }
+    }
+
+    pub(crate) fn ended(&mut self, id: TargetId) {
+        if let Some(state) = self.states.get_mut(&id) {
+            state.in_flight = state.in_flight.saturating_sub(1);
+        }
+    }
+
+    /// Notes an answer and how long it took.
+    pub(crate) fn succeeded(&mut self, id: TargetId, latency: Duration) -> Standing {
+        let Some(state) = self.states.get_mut(&id) else {
+            return Standing::Unchanged;
+        };
+        let sample = latency.as_micros() as f64;
+        let average = state.latency_micros.unwrap_or(sample);
+        state.latency_micros = Some(average + LATENCY_WEIGHT * (sample - average));
+        if state.outlier.succeeded() {
+            Standing::Returned
+        } else {
+            Standing::Unchanged
+        }
+    }
+
+    /// Notes a failure that is the target's or its agent's.
+    pub(crate) fn failed(
+        &mut self,
+        now: MonotonicTime,
+        id: TargetId,
+        settings: &OutlierSettings,
+    ) -> Standing {
+        let may_eject = self.may_eject(now, id, settings);
+        let Some(state) = self.states.get_mut(&id) else {
+            return Standing::Unchanged;
+        };
+        if state.outlier.failed(now, settings, may_eject) {
+            Standing::Ejected
+        } else {
+            Standing::Unchanged
+        }
+    }
+
+    /// Notes a refusal for load.
+    pub(crate) fn shed(&mut self, now: MonotonicTime, id: TargetId, retry_after: Option<Duration>) {
+        if let Some(state) = self.states.get_mut(&id) {
+            state.shed(now, retry_after);
+        }
+    }
+
+    /// Whether ejecting one more target keeps the ejected ones within their share.
+    fn may_eject(&self, now: MonotonicTime, id: TargetId, settings: &OutlierSettings) -> bool {
+        let Some(state) = self.states.get(&id) else {
+            return false;
+        };
+        let available = |one: &&TargetState| one.is_available();
+        let peers = || self.of_service(&state.service).map(|(_, one)| one);
+        let count = peers().filter(available).count();
+        let ejected = peers().filter(|one| one.outlier.is_ejected(now)).count();
+        (ejected + 1) as f64 <= count as f64 * settings.max_share
+    }
+
+    fn index(&mut self) {
+        self.by_service.clear();
+        for (id, state) in &self.states {
+            let ids = self.by_service.entry(state.service.clone()).or_default();
+            ids.push(*id);
+        }
+    }
+}
+
+impl TargetState {
+    fn new(entry: &TargetEntry) -> Self {
+        Self {
+            name: entry.target.clone(),
+            service: entry.service.clone(),
+            agent: entry.agent,
+            availability: entry.availability,
+            draining_by_configuration: false,
+            slots: DEFAULT_SLOTS,
+            region_weight: 1.0,
+            in_flight: 0,
+            latency_micros: None,
+            outlier: Outlier::default(),
+            shedding_until: MonotonicTime::ZERO,
+        }
+    }
+}
