--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -4,21 +4,17 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use wingspar_wire::{
-    GrantList, Message, Outbound, Pull, Remember, RememberReply, Renewal, RenewalReply,
-    RenewalVerdict, SessionId, StateVersion, TargetLoad,
-};
+use wingspar_wire::{Message, Outbound, SessionId, StateVersion};
 use wingspar_world::{
-    ConfigVersion, Configuration, Lease, Machine, MonotonicTime, NodeId, ServiceName, Target,
-    TargetName,
+    ConfigVersion, Configuration, Lease, Machine, MonotonicTime, NodeId, Target, TargetName,
 };
 
 use crate::grants::{Grants, Holding};
 use crate::guard::Guards;
-use crate::handover::{HandOvers, Surroundings};
+use crate::handover::HandOvers;
 use crate::load::LoadMeter;
 use crate::remembered::Remembered;
-use crate::session::{ReplyEffect, Session};
+use crate::session::Session;
 use crate::target::TargetState;
 use crate::work::WorkTable;
 use crate::{AgentEvent, AgentSettings, Counters, Input, Output, SessionEnd, Ticket};
@@ -32,8 +28,8 @@
 #[derive(Debug)]
 pub struct Agent {
     pub(crate) settings: AgentSettings,
-    node: NodeId,
-    machine: Machine,
+    pub(crate) node: NodeId,
+    pub(crate) machine: Machine,
     pub(crate) session: Session,
     pub(crate) grants: Grants,
     pub(crate) configuration: Arc<Configuration>,
@@ -47,8 +43,8 @@
     pub(crate) hand_overs: HandOvers,
     pub(crate) counters: Counters,
     pub(crate) leaving_since: Option<MonotonicTime>,
-    drained: bool,
-    table_version: Option<StateVersion>,
+    pub(crate) drained: bool,
+    pub(crate) table_version: Option<StateVersion>,
     /// Outputs of calls other than `step`, handed out by the next `step`.
     pub(crate) pending: Vec<Output>,
     /// Something changed that `step` must look at.
@@ -196,7 +192,7 @@
 
     /// Drops session and grants; what runs under them is cancelled, what waits is woken to be
     /// refused.
-    fn end_session(&mut self, now: MonotonicTime, cause: SessionEnd) {
+    pub(crate) fn end_session(&mut self, now: MonotonicTime, cause: SessionEnd) {
         self.session.drop_session(now);
         self.grants.clear();
         self.hand_overs.clear();
@@ -240,307 +236,10 @@
         }
     }
 
-    fn on_renewal_reply(&mut self, now: MonotonicTime, from: SocketAddr, reply: &RenewalReply) {
-        if reply.group != self.settings.group {
-            self.counters.messages_ignored += 1;
-            return;
-        }
-        match self.session.on_reply(now, from, reply) {
-            ReplyEffect::Ignored => self.counters.messages_ignored += 1,
-            ReplyEffect::Begun(session) => {
-                self.counters.renewals_granted += 1;
-                let event = AgentEvent::SessionBegun { session };
-                self.pending.push(Output::Event(event));
-                self.pull_what_is_behind(from, &reply.verdict);
-            }
-            ReplyEffect::Renewed => {
-                self.counters.renewals_granted += 1;
-                self.pull_what_is_behind(from, &reply.verdict);
-            }
-            ReplyEffect::Over => {
-                self.counters.sessions_ended += 1;
-                self.end_session(now, SessionEnd::EndedByLeader);
-            }
-            ReplyEffect::ConfigurationBehind => self.pull_configuration(from),
-            ReplyEffect::TryAgain => {}
-        }
-    }
-
-    fn pull_what_is_behind(&mut self, from: SocketAddr, verdict: &RenewalVerdict) {
-        let RenewalVerdict::Renewed {
-            session,
-            config,
-            grants,
-            table,
-            ..
-        } = verdict
-        else {
-            return;
-        };
-        if *config > self.configuration.version {
-            self.pull_configuration(from);
-        }
-        if *grants > self.grants.version() || !self.grants.is_known() {
-            let node = self.node.clone();
-            let session = *session;
-            self.send(from, Message::Pull(Pull::Grants { node, session }));
-        }
-        if let Some(have) = self.table_version.filter(|have| table > have) {
-            self.send(from, Message::Pull(Pull::Table { have }));
-        }
-    }
-
-    fn pull_configuration(&mut self, from: SocketAddr) {
-        let have = self.configuration.version;
-        self.send(from, Message::Pull(Pull::Configuration { have }));
-    }
-
     pub(crate) fn send(&mut self, to: SocketAddr, message: Message) {
         self.pending.push(Output::Send(Outbound { to, message }));
     }
 
-    /// Takes in a newer configuration; an older one never replaces what is in force.
-    fn on_configuration(&mut self, now: MonotonicTime, configuration: Configuration) {
-        if configuration.version <= self.configuration.version {
-            self.counters.messages_ignored += 1;
-            return;
-        }
-        let version = configuration.version;
-        self.configuration = Arc::new(configuration);
-        self.follow_targets(now);
-        let event = AgentEvent::ConfigurationApplied { version };
-        self.pending.push(Output::Event(event));
-        self.wake_refused(now);
-        // The leader may hold the lease back until it hears that this version is in force.
-        self.session.hurry(now);
-    }
-
-    fn follow_targets(&mut self, now: MonotonicTime) {
-        let machine = &self.machine.name;
-        let targets = self.configuration.targets.values();
-        self.local = targets
-            .map(|(_, target)| target)
-            .filter(|target| target.machine == *machine)
-            .map(|target| (target.name.clone(), target.clone()))
-            .collect();
-        for target in self.local.values() {
-            let state = self.targets.entry(target.name.clone());
-            let state = state.or_insert_with(|| TargetState::new(target.slots));
-            state.set_slots(target.slots);
-            state.draining_since = target.draining.then(|| state.draining_since.unwrap_or(now));
-        }
-        let local = &self.local;
-        self.targets
-            .retain(|name, state| local.contains_key(name) || !state.is_idle());
-        self.loads.retain(|name, _| local.contains_key(name));
-    }
-
-    fn on_grants(&mut self, now: MonotonicTime, list: &GrantList) {
-        let session = self.session.running(now).map(|held| held.id);
-        let meant = list.group == self.settings.group && list.node == self.node;
-        let taken = session.filter(|_| meant);
-        if !taken.is_some_and(|session| self.grants.apply(session, list)) {
-            self.counters.messages_ignored += 1;
-            return;
-        }
-        self.raise_guards(now);
-        self.follow_hand_overs();
-        self.report_grants(list.version);
-        self.wake_refused(now);
-        self.session.hurry(now);
-    }
-
-    fn report_grants(&mut self, version: StateVersion) {
-        let owned = self.grants.owned().count();
-        let releasing = self
-            .grants
-            .owned()
-            .filter(|entry| matches!(entry.state, wingspar_wire::GrantState::Release { .. }));
-        let releasing = releasing.count();
-        self.pending.push(Output::Event(AgentEvent::GrantsChanged {
-            version,
-            held: owned - releasing,
-            releasing,
-            incoming: self.grants.incoming().count(),
-        }));
-    }
-
-    fn follow_hand_overs(&mut self) {
-        let own_address = self.machine.control_address;
-        let gone = self.hand_overs.follow(self.grants.owned(), own_address);
-        for slice in gone {
-            if !self.grants.serves_any(&slice.service, slice.range) {
-                self.remembered.forget_range(&slice.service, slice.range);
-                self.guards.lift(&slice.service, slice.range);
-            }
-        }
-    }
-
-    fn step_hand_overs(&mut self, now: MonotonicTime) {
-        let Some(held) = self.session.running(now) else {
-            return;
-        };
-        if self.hand_overs.is_empty() {
-            return;
-        }
-        let works = &self.works;
-        let is_running =
-            |service: &ServiceName, range| works.started_in(service, range).next().is_some();
-        let surroundings = Surroundings {
-            group: self.settings.group,
-            node: &self.node,
-            own_address: self.machine.control_address,
-            session: held.id,
-            leader: self.session.destination(),
-            repeat: self.settings.hand_over_repeat,
-            remember_timeout: self.settings.remember_timeout,
-            remembered: &self.remembered,
-            guards: &self.guards,
-            is_running: &is_running,
-        };
-        let mut outputs = Vec::new();
-        self.hand_overs.step(now, &surroundings, &mut outputs);
-        self.count_released(&outputs);
-        self.pending.append(&mut outputs);
-    }
-
-    fn count_released(&mut self, outputs: &[Output]) {
-        for output in outputs {
-            let Output::Event(AgentEvent::SliceReleased {
-                remembered_moved, ..
-            }) = output
-            else {
-                continue;
-            };
-            self.counters.slices_released += 1;
-            self.counters.remembered_lost += u64::from(!remembered_moved);
-        }
-    }
-
-    /// Takes in remembered requests of a slice that this agent expects.
-    fn on_remember(&mut self, now: MonotonicTime, reply_to: SocketAddr, remember: &Remember) {
-        let ordered = remember.range.first <= remember.range.last;
-        if !ordered || !self.expects(remember) || !self.take_in(now, remember) {
-            self.counters.messages_ignored += 1;
-            return;
-        }
-        let reply = RememberReply {
-            hand_over: remember.hand_over,
-            service: remember.service.clone(),
-            range: remember.range,
-            part: remember.part,
-        };
-        self.send(reply_to, Message::RememberReply(reply));
-    }
-
-    fn expects(&self, remember: &Remember) -> bool {
-        self.grants.incoming().any(|entry| {
-            entry.grant.service == remember.service
-                && entry.grant.fence == remember.fence
-                && entry.grant.range.covers(&remember.range)
-        })
-    }
-
-    fn take_in(&mut self, now: MonotonicTime, remember: &Remember) -> bool {
-        if remember.guard_remaining_ms > 0 {
-            let rest = std::time::Duration::from_millis(remember.guard_remaining_ms);
-            self.guards
-                .raise(&remember.service, remember.range, now + rest);
-        }
-        let window = self.window(&remember.service);
-        for request in &remember.requests {
-            if !remember.range.contains(request.key) {
-                return false;
-            }
-            let ended_at = now - std::time::Duration::from_millis(request.age_ms);
-            let id = (request.key, request.id);
-            let outcome = request.outcome.clone();
-            let taken = self
-                .remembered
-                .end(&remember.service, id, outcome, ended_at, window);
-            if !taken {
-                return false;
-            }
-            self.counters.remembered_taken_in += 1;
-        }
-        true
-    }
-
-    fn on_leave(&mut self, now: MonotonicTime) {
-        if self.leaving_since.is_some() {
-            return;
-        }
-        self.leaving_since = Some(now);
-        self.pending.push(Output::Event(AgentEvent::Leaving));
-        self.session.hurry(now);
-        self.wake_refused(now);
-    }
-
-    fn renew_if_due(&mut self, now: MonotonicTime) {
-        if self.drained || !self.session.is_due(now) {
-            return;
-        }
-        self.send_renewal(now);
-    }
-
-    fn send_renewal(&mut self, now: MonotonicTime) {
-        let session = self.session.held().map(|held| held.id);
-        let Some(to) = self.session.begin_renewal(now) else {
-            return;
-        };
-        let renewal = Renewal {
-            group: self.settings.group,
-            node: self.node.clone(),
-            machine: self.machine.clone(),
-            session,
-            sent_at: now,
-            config: self.configuration.version,
-            grants: self.grants.version(),
-            table: self.table_version,
-            leaving: self.leaving_since.is_some(),
-            finished: self.drained,
-            targets: self.target_loads(now),
-        };
-        self.counters.renewals_sent += 1;
-        self.send(to, Message::Renewal(renewal));
-    }
-
-    fn target_loads(&mut self, now: MonotonicTime) -> Vec<TargetLoad> {
-        let count = self.local.len().max(1);
-        let slices = (self.settings.reported_slices / count).max(1);
-        let hot_keys = (self.settings.reported_hot_keys / count).max(1);
-        let mut reported = Vec::with_capacity(self.local.len());
-        for name in self.local.keys() {
-            let mut load = TargetLoad::idle(name.clone());
-            if let Some(state) = self.targets.get(name) {
-                load.in_flight = state.running();
-                load.queued = state.queued() as u32;
-                load.healthy = state.is_healthy();
-            }
-            if let Some(meter) = self.loads.get_mut(name) {
-                meter.decay(now);
-                load.requests_per_second = meter.requests_per_second();
-                load.slices = meter.busiest_slices(slices);
-                load.hot_keys = meter.hot_keys(hot_keys);
-            }
-            reported.push(load);
-        }
-        reported
-    }
-
-    /// Ends the session once nothing is left after a `Leave`.
-    fn finish_leaving(&mut self, now: MonotonicTime) {
-        let idle = self.works.is_empty() && self.grants.is_empty();
-        if self.leaving_since.is_none() || self.drained || !idle {
-            return;
-        }
-        self.drained = true;
-        if self.session.running(now).is_some() {
-            self.send_renewal(now);
-        }
-        self.pending.push(Output::Drained);
-    }
-
     /// Version of the configuration in force.
     pub fn config_version(&self) -> ConfigVersion {
         self.configuration.version
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -5,16 +5,23 @@
 //! admits requests to the targets' slots, remembers what must not run twice, and gives slices up
 //! in order. It does no I/O and reads no clock; the node's loop and the simulator drive it.
 
+mod admit;
+mod advice;
 mod agent;
+mod check;
 mod counters;
-mod decide;
 mod event;
+mod finish;
+mod follow;
 mod grants;
 mod guard;
 mod handover;
 mod load;
 mod range_map;
+mod recall;
+mod release;
 mod remembered;
+mod renew;
 mod request;
 mod session;
 mod settings;
