--- a/crates/routing/src/reason.rs
+++ b/crates/routing/src/reason.rs
@@ -58,6 +58,33 @@
         &self.0
     }
 
+    /// One sentence for people.
+    pub fn detail(&self) -> &'static str {
+        match self.as_str() {
+            "not_ready" => "the router has no slice table yet",
+            "unserved" => "nobody serves this key at the moment",
+            "handing_over" => "the key is being handed over to another server",
+            "not_owner" | "not_yet_owner" | "stale_fence" => "the key has just moved",
+            "waiting_room_full" => "too many requests wait for moving keys",
+            "no_target" => "no server of the service takes work",
+            "overloaded" | "shed" => "the servers have no room for more work",
+            "class_limit" => "too many requests of this class are in flight",
+            "router_limit" => "the router handles as many requests as it may",
+            "deadline" | "deadline_passed" => "the deadline has passed",
+            "unreachable" => "the server's agent can't be reached",
+            "connection_lost" => "the connection to the server's agent was lost",
+            "bad_answer" => "the server's answer does not tell how the request ended",
+            "body_cut_short" => "the request's body ended early",
+            "draining" | "leaving" => "the server is leaving",
+            "in_progress" => "the same request is running now",
+            "no_lease" => "the server's lease has run out",
+            "back_end_down" => "the server does not answer",
+            "previous_owner_lost" => "an earlier attempt may have run on a server that was lost",
+            "earlier_unknown" => "an earlier attempt may have run",
+            _ => "the request was refused",
+        }
+    }
+
     pub(crate) const fn fixed(word: &'static str) -> Self {
         Self(Cow::Borrowed(word))
     }
--- a/crates/routing/src/route.rs
+++ b/crates/routing/src/route.rs
@@ -89,6 +89,7 @@
         match back_at {
             Some(at) => self.refuse(attempt, Reason::OVERLOADED, now.until(at)),
             None => {
+                self.want_pull(now, self.table.version());
                 let estimate = self.settings.no_target_estimate;
                 self.refuse(attempt, Reason::NO_TARGET, estimate)
             }
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -2,7 +2,7 @@
 //!
 //! `route.rs` decides where a request goes, `after.rs` what follows from the result.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -24,6 +24,8 @@
 
 /// How long the router waits for the answer to a pull before it repeats it.
 const PULL_TIMEOUT: Duration = Duration::from_millis(500);
+/// The same for a pull of the whole table, which may be large.
+const FULL_PULL_TIMEOUT: Duration = Duration::from_secs(2);
 /// `Retry-After` of a router that is at its own limit.
 const ROUTER_LIMIT_PAUSE: Duration = Duration::from_millis(200);
 
@@ -91,6 +93,8 @@
     pub(crate) counters: Counters,
     configuration: Arc<Configuration>,
     pending: Vec<Output>,
+    /// Targets named so far by the full table of this version, which arrives in parts.
+    listed_targets: (StateVersion, BTreeSet<TargetId>),
     pulled_at: Option<MonotonicTime>,
     /// Version from which a pull is wanted and not answered yet.
     pull_wanted: Option<StateVersion>,
@@ -111,6 +115,7 @@
             counters: Counters::default(),
             configuration: Arc::default(),
             pending: Vec::new(),
+            listed_targets: Default::default(),
             pulled_at: None,
             pull_wanted: None,
         }
@@ -130,7 +135,7 @@
     /// When to step at the latest.
     pub fn next_wake(&self) -> MonotonicTime {
         match (self.pull_wanted, self.pulled_at) {
-            (Some(_), Some(at)) => at + PULL_TIMEOUT,
+            (Some(have), Some(at)) => at + pull_timeout(have),
             (Some(_), None) => MonotonicTime::ZERO,
             (None, _) => MonotonicTime::MAX,
         }
@@ -261,7 +266,11 @@
     pub(crate) fn want_pull(&mut self, now: MonotonicTime, have: StateVersion) {
         let wanted = self.pull_wanted.map_or(have, |wanted| wanted.min(have));
         self.pull_wanted = Some(wanted);
-        let interval = self.settings.pull_interval;
+        let interval = if wanted == StateVersion::default() {
+            self.settings.full_pull_interval
+        } else {
+            self.settings.pull_interval
+        };
         let recently = self.pulled_at.is_some_and(|at| now.since(at) < interval);
         if !recently {
             self.pull(now, wanted);
@@ -331,16 +340,23 @@
         self.apply_targets(update, applied);
     }
 
-    /// Targets of a full table in parts only add up: which are gone is known when the last part
-    /// is the only one.
+    /// A full table names every target that there is, spread over its parts.
     fn apply_targets(&mut self, update: &TableUpdate, applied: Applied) {
         let mut entries = Vec::with_capacity(update.targets.len());
         for entry in &update.targets {
             entries.push((self.table.target_id(&entry.target), entry.clone()));
         }
-        let whole = update.since.is_none() && matches!(applied, Applied::Complete(_));
-        let replace_all = whole && !entries.is_empty();
-        self.targets.update(&entries, replace_all);
+        self.targets.update(&entries);
+        if update.since.is_none() {
+            if self.listed_targets.0 != update.version {
+                self.listed_targets = (update.version, BTreeSet::new());
+            }
+            let listed = &mut self.listed_targets.1;
+            listed.extend(entries.iter().map(|(id, _)| *id));
+            if matches!(applied, Applied::Complete(_)) {
+                self.targets.retain(&std::mem::take(listed));
+            }
+        }
         self.targets.configure(&self.configuration);
     }
 
@@ -356,3 +372,11 @@
         self.configuration = configuration;
     }
 }
+
+fn pull_timeout(have: StateVersion) -> Duration {
+    if have == StateVersion::default() {
+        FULL_PULL_TIMEOUT
+    } else {
+        PULL_TIMEOUT
+    }
+}
--- a/crates/routing/src/settings.rs
+++ b/crates/routing/src/settings.rs
@@ -21,6 +21,8 @@
     pub no_target_estimate: Duration,
     /// Shortest time between two pulls of the table.
     pub pull_interval: Duration,
+    /// Shortest time between two pulls of the whole table.
+    pub full_pull_interval: Duration,
     /// Limits per class.
     pub limits: LimitSettings,
     /// Retry budget and backoff.
@@ -85,6 +87,7 @@
             hand_over_estimate: Duration::from_millis(500),
             no_target_estimate: Duration::from_millis(1_000),
             pull_interval: Duration::from_millis(100),
+            full_pull_interval: Duration::from_secs(2),
             limits: LimitSettings::default(),
             retry: RetrySettings::default(),
             outlier: OutlierSettings::default(),
--- a/crates/routing/src/targets.rs
+++ b/crates/routing/src/targets.rs
@@ -1,6 +1,6 @@
 //! The targets that a router knows: what the control group says of them and what the router saw.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -96,11 +96,7 @@
 
 impl Targets {
     /// Takes over what a table update says of targets. `entries` come with their numbers.
-    pub(crate) fn update(&mut self, entries: &[(TargetId, TargetEntry)], replace_all: bool) {
-        if replace_all {
-            let listed = |id: &TargetId| entries.iter().any(|(one, _)| one == id);
-            self.states.retain(|id, _| listed(id));
-        }
+    pub(crate) fn update(&mut self, entries: &[(TargetId, TargetEntry)]) {
         for (id, entry) in entries {
             if entry.availability == Availability::Removed {
                 self.states.remove(id);
@@ -115,6 +111,12 @@
         self.index();
     }
 
+    /// Forgets all targets but these.
+    pub(crate) fn retain(&mut self, listed: &BTreeSet<TargetId>) {
+        self.states.retain(|id, _| listed.contains(id));
+        self.index();
+    }
+
     /// Takes over slots, weights and drains from the configuration.
     pub(crate) fn configure(&mut self, configuration: &Configuration) {
         for state in self.states.values_mut() {
