--- a/crates/consensus/src/apply.rs
+++ b/crates/consensus/src/apply.rs
@@ -6,6 +6,9 @@
 use crate::replica::{Phase, Replica};
 use crate::{EntryId, Output, Payload, StateMachine};
 
+/// How many times the snapshot threshold the log may grow while a snapshot is on its way.
+const THRESHOLDS_KEPT_FOR_SNAPSHOT: u64 = 4;
+
 impl<S: StateMachine> Replica<S> {
     /// Applies entries up to an index known to be committed.
     pub(crate) fn commit_to(&mut self, index: u64, out: &mut Vec<Output<S>>) {
@@ -70,22 +73,23 @@
         out.push(Output::Removed);
     }
 
-    /// Cuts the log once it is long; half the threshold stays for followers a little behind.
+    /// Cuts the log once it is long; half the threshold stays for followers a little behind, and
+    /// what a snapshot on its way needs to be followed by, within reason.
     fn compact(&mut self) {
         let threshold = self.config.snapshot_threshold_entries;
         if self.applied - self.log.base().index < threshold {
             return;
         }
-        let base = self.applied - threshold / 2;
+        let mut base = self.applied - threshold / 2;
+        let needed = threshold.saturating_mul(THRESHOLDS_KEPT_FOR_SNAPSHOT);
+        let applied = self.applied;
+        self.image
+            .take_if(|image| applied - image.last.index > needed);
+        if let Some(image) = &self.image {
+            base = base.min(image.last.index);
+        }
         self.log.compact_to(base);
         self.memberships.compact_to(base);
-        if self
-            .image
-            .as_ref()
-            .is_some_and(|image| image.last.index < base)
-        {
-            self.image = None;
-        }
     }
 
     /// A snapshot that the entries held can follow; made anew only if the last one can't serve.
--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -23,6 +23,7 @@
 mod output;
 mod progress;
 mod propose;
+mod receive;
 mod replica;
 mod replication;
 mod state_machine;
--- a/crates/consensus/src/progress.rs
+++ b/crates/consensus/src/progress.rs
@@ -82,7 +82,9 @@
                 self.next = self.matched + 1;
                 self.mode = Mode::Replicate;
             }
-            Mode::Snapshot if self.matched >= base => {
+            // Once the snapshot has arrived, entries follow it; should the log have been cut beyond
+            // it meanwhile, sending them finds that out and sends a newer snapshot.
+            Mode::Snapshot if self.matched >= base || self.matched + 1 >= self.next => {
                 self.next = self.matched + 1;
                 self.mode = Mode::Replicate;
             }
@@ -100,8 +102,8 @@
                 }
             }
             Mode::Probe { .. } => {
-                if previous + 1 == self.next && previous > self.matched {
-                    self.next = (hint + 1).min(previous).max(self.matched + 1);
+                if previous.saturating_add(1) == self.next && previous > self.matched {
+                    self.next = hint.saturating_add(1).min(previous).max(self.matched + 1);
                     self.mode = Mode::Probe { awaiting: false };
                 }
             }
--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -3,7 +3,7 @@
 use wingspar_world::{MonotonicTime, NodeId};
 
 use crate::message::{AppendOutcome, Body};
-use crate::progress::Progress;
+use crate::progress::{Mode, Progress};
 use crate::replica::{Leadership, Replica};
 use crate::{Output, Payload, StateMachine};
 
@@ -70,9 +70,14 @@
         let Some(leadership) = self.leadership_mut() else {
             return;
         };
+        let mut snapshot_needed = false;
         for progress in leadership.progress.values_mut() {
+            snapshot_needed |= progress.mode == Mode::Snapshot;
             progress.retry(now, probe_after, snapshot_after);
         }
+        if !snapshot_needed {
+            self.image = None;
+        }
     }
 
     fn replicate_to_all(&mut self, out: &mut Vec<Output<S>>) {
