--- a/crates/consensus/tests/support/chaos.rs
+++ b/crates/consensus/tests/support/chaos.rs
@@ -25,6 +25,8 @@
     pub drift_ppm: i64,
     /// Killed nodes come back at once under their old id without their memory.
     pub amnesia: bool,
+    /// Whether every message is encoded and decoded on its way.
+    pub through_cbor: bool,
 }
 
 impl Scenario {
@@ -36,12 +38,14 @@
             forgery: Forgery::None,
             drift_ppm: ALLOWED_DRIFT_PPM,
             amnesia: false,
+            through_cbor: false,
         }
     }
 
     /// Runs the troubles, heals, and demands progress.
     pub fn run(&self) -> Result<Counters, String> {
-        let cluster = Cluster::new(self.seed, self.voters, self.forgery, self.drift_ppm);
+        let mut cluster = Cluster::new(self.seed, self.voters, self.forgery, self.drift_ppm);
+        cluster.network.through_cbor = self.through_cbor;
         let mut run = Run {
             cluster,
             scenario: self.clone(),
--- a/crates/consensus/tests/support/network.rs
+++ b/crates/consensus/tests/support/network.rs
@@ -29,6 +29,8 @@
     pub duplication: f64,
     pub slow: f64,
     pub forgery: Forgery,
+    /// Whether every message is encoded and decoded on its way.
+    pub through_cbor: bool,
     pub cuts: BTreeSet<(NodeId, NodeId)>,
     due: BinaryHeap<Reverse<(u64, u64)>>,
     packets: BTreeMap<u64, Packet>,
@@ -42,6 +44,7 @@
             duplication: 0.0,
             slow: 0.0,
             forgery,
+            through_cbor: false,
             cuts: BTreeSet::new(),
             due: BinaryHeap::new(),
             packets: BTreeMap::new(),
@@ -62,6 +65,9 @@
             return;
         }
         self.forge(&mut packet.2);
+        if self.through_cbor {
+            packet.2 = round_trip(&packet.2);
+        }
         let copies = 1 + u32::from(random.random_bool(self.duplication));
         for _ in 0..copies {
             let delay = match random.random_bool(self.slow) {
@@ -105,3 +111,11 @@
         }
     }
 }
+
+fn round_trip(message: &Message<u64, Ledger>) -> Message<u64, Ledger> {
+    let mut bytes = Vec::new();
+    ciborium::into_writer(message, &mut bytes).expect("a message can be encoded");
+    let decoded = ciborium::from_reader(bytes.as_slice()).expect("and decoded");
+    assert_eq!(message, &decoded);
+    decoded
+}
