--- a/crates/routing/src/route.rs
+++ b/crates/routing/src/route.rs
@@ -70,8 +70,6 @@
             OwnerStatus::HandingOver { .. } => self.wait(now, attempt, Reason::HANDING_OVER),
             OwnerStatus::Served(target) => {
                 if attempt.refused_grant == Some((target, owner.fence)) {
-                    let have = self.table.version();
-                    self.want_pull(now, have);
                     return self.wait(now, attempt, Reason::NOT_OWNER);
                 }
                 self.forward(now, attempt, target, Some(owner.fence))
@@ -177,6 +175,9 @@
             self.waiting += 1;
             self.counters.add(Counter::Waits);
         }
+        if reason == Reason::NOT_OWNER {
+            self.want_pull(now, self.table.version());
+        }
         Decision::Wait { until }
     }
 
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -300,10 +300,9 @@
         let Some(have) = self.pull_wanted else {
             return;
         };
-        if self
-            .pulled_at
-            .is_none_or(|at| now.since(at) >= PULL_TIMEOUT)
-        {
+        let timeout = pull_timeout(have);
+        let is_due = |at: MonotonicTime| now.since(at) >= timeout;
+        if self.pulled_at.is_none_or(is_due) {
             self.pull(now, have);
         }
     }
