--- /dev/null
+++ b/crates/dataplane/src/router_front/answer.rs
@@ -0,0 +1,169 @@
+//! Passing a back end's answer on to the caller.
+
+use std::pin::Pin;
+use std::sync::{Arc, Mutex};
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, Method};
+use http_body::{Body, Frame, SizeHint};
+use salvo::BoxedError;
+use salvo::http::ResBody;
+use thiserror::Error;
+use tokio::task::AbortHandle;
+use wingspar_wire::headers;
+
+use crate::answer::whole_body;
+use crate::forward::remove_hop_by_hop;
+use crate::router_front::call::OpenCall;
+use crate::router_front::request::{CallerRequest, insert_text, remove_prefixed};
+
+/// Headers of ours that go on to the caller.
+const TO_CALLER: [&str; 2] = [headers::OUTCOME, headers::REASON];
+
+/// Why an answer's body ends early. The caller's connection (or HTTP/2 stream) is cut with it, so
+/// that a part never looks like the whole.
+#[derive(Debug, Error)]
+enum AnswerCut {
+    #[error("the request's deadline passed while its answer was passed on")]
+    Deadline,
+    #[error("the answer was cut short: {0}")]
+    Source(reqwest::Error),
+}
+
+/// Writes an agent's answer into the caller's response; the body follows as it comes.
+pub(crate) fn pass_on(
+    answer: reqwest::Response,
+    caller: &CallerRequest,
+    call: OpenCall,
+    response: &mut salvo::Response,
+) {
+    let answer: http::Response<reqwest::Body> = answer.into();
+    let (head, body) = answer.into_parts();
+    response.status_code(head.status);
+    response.set_headers(cleaned(head.headers, &caller.id));
+    let has_body = caller.method != Method::HEAD && !body.is_end_stream();
+    if has_body {
+        response.body(PassedBody::new(body, call).into_response_body());
+    } else {
+        call.finish();
+        response.body(whole_body(Bytes::new()));
+    }
+}
+
+fn cleaned(mut map: HeaderMap, request_id: &str) -> HeaderMap {
+    remove_hop_by_hop(&mut map);
+    remove_prefixed(&mut map, headers::PREFIX, &TO_CALLER);
+    insert_text(&mut map, headers::REQUEST_ID, request_id);
+    map
+}
+
+/// An answer that is being passed on, until its end or its deadline.
+struct Open {
+    body: reqwest::Body,
+    call: OpenCall,
+}
+
+/// The body of an answer. Its call is finished when it is over, cancelled when the caller leaves.
+///
+/// At the deadline the agent's side is dropped by a timer of its own: a caller that reads slowly
+/// may not ask for more for a long time, and must not hold a slot meanwhile.
+struct PassedBody {
+    open: Arc<Mutex<Option<Open>>>,
+    is_whole: bool,
+    timer: AbortHandle,
+}
+
+impl PassedBody {
+    fn new(body: reqwest::Body, call: OpenCall) -> Self {
+        let remaining = call.remaining();
+        let open = Arc::new(Mutex::new(Some(Open { body, call })));
+        let timer = tokio::spawn(close_after(remaining, open.clone()));
+        Self {
+            open,
+            is_whole: false,
+            timer: timer.abort_handle(),
+        }
+    }
+
+    fn into_response_body(self) -> ResBody {
+        ResBody::Boxed(Box::pin(self))
+    }
+
+    /// Ends the call in order.
+    fn finish(&mut self) {
+        if let Some(open) = take(&self.open) {
+            open.call.finish();
+        }
+    }
+}
+
+impl Body for PassedBody {
+    type Data = Bytes;
+    type Error = BoxedError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BoxedError>>> {
+        if self.is_whole {
+            return Poll::Ready(None);
+        }
+        let polled = {
+            let mut open = self.open.lock().expect("no panic while locked");
+            let Some(open) = open.as_mut() else {
+                return Poll::Ready(Some(Err(AnswerCut::Deadline.into())));
+            };
+            let polled = Pin::new(&mut open.body).poll_frame(context);
+            std::task::ready!(polled).map(|frame| (frame, open.body.is_end_stream()))
+        };
+        match polled {
+            Some((Ok(frame), is_last)) => {
+                if is_last {
+                    self.is_whole = true;
+                    self.finish();
+                }
+                Poll::Ready(Some(Ok(frame)))
+            }
+            Some((Err(error), _)) => {
+                self.finish();
+                Poll::Ready(Some(Err(AnswerCut::Source(error).into())))
+            }
+            None => {
+                self.is_whole = true;
+                self.finish();
+                Poll::Ready(None)
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.is_whole
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        let open = self.open.lock().expect("no panic while locked");
+        open.as_ref()
+            .map_or_else(SizeHint::default, |open| open.body.size_hint())
+    }
+}
+
+impl Drop for PassedBody {
+    fn drop(&mut self) {
+        self.timer.abort();
+        // What is still open is cancelled by being dropped.
+        drop(take(&self.open));
+    }
+}
+
+async fn close_after(remaining: Duration, open: Arc<Mutex<Option<Open>>>) {
+    tokio::time::sleep(remaining).await;
+    if let Some(open) = take(&open) {
+        open.call.finish();
+    }
+}
+
+fn take(open: &Mutex<Option<Open>>) -> Option<Open> {
+    open.lock().expect("no panic while locked").take()
+}
