--- a/crates/standins/src/net/stream.rs
+++ b/crates/standins/src/net/stream.rs
@@ -56,6 +56,14 @@
         }
     }
 
+    /// Whether small writes are sent at once, without Nagle's delay.
+    ///
+    /// # Errors
+    /// When the socket can't be asked.
+    pub fn nodelay(&self) -> Result<bool> {
+        self.inner.nodelay()
+    }
+
     fn poll_setup(&mut self, context: &mut Context<'_>) -> Poll<()> {
         if let Some(sleep) = self.setup.as_mut() {
             ready!(sleep.as_mut().poll(context));
