--- a/crates/standins/src/backend/fencing.rs
+++ b/crates/standins/src/backend/fencing.rs
@@ -31,6 +31,9 @@
 
     /// Takes note of a fence for a range. Floors never sink.
     pub fn raise(&mut self, range: SliceRange, fence: Fence) {
+        if self.lowest(range) >= fence {
+            return;
+        }
         self.cut_at(range.first.0);
         if let Some(after) = range.last.0.checked_add(1) {
             self.cut_at(after);
@@ -47,6 +50,14 @@
         self.stretches.len()
     }
 
+    fn lowest(&self, range: SliceRange) -> Fence {
+        let inside = self
+            .stretches
+            .range(range.first.0..=range.last.0)
+            .map(|(_, fence)| *fence);
+        inside.fold(self.floor(range.first), Fence::min)
+    }
+
     fn floor_at(&self, hash: u64) -> Fence {
         self.stretches
             .range(..=hash)
--- a/crates/standins/src/backend/state.rs
+++ b/crates/standins/src/backend/state.rs
@@ -177,10 +177,10 @@
             if keyed.grant.fence < floors.floor(keyed.key) {
                 return Err(RefusalReason::StaleFence);
             }
+            floors.raise(keyed.grant.range, keyed.grant.fence);
             if keyed.grant.is_over() {
                 return Err(RefusalReason::GrantExpired);
             }
-            floors.raise(keyed.grant.range, keyed.grant.fence);
         }
         if terms.deadline_is_over() {
             return Err(RefusalReason::Deadline);
