--- /dev/null
+++ b/crates/placement/examples/compare.rs
@@ -0,0 +1,81 @@
+//! Prints the comparison of placements, and with `sweep` that of policies.
+//!
+//! `cargo run --release -p wingspar-placement --example compare [sweep]`
+
+use std::time::{Duration, Instant};
+
+use wingspar_placement::compare::{
+    Costs, HEADS, Row, Workload, caroni, caroni_policy, sweep, table, tegid, tegid_policy,
+};
+use wingspar_world::PlacementPolicy;
+
+/// Time for which a key cannot be served in a planned hand-over; supposed.
+const HAND_OVER: Duration = Duration::from_millis(100);
+
+/// Time for which a key cannot be served after a loss: the budget.
+const LOSS: Duration = Duration::from_secs(4);
+
+const COSTS: Costs = Costs {
+    hand_over: HAND_OVER,
+    loss: LOSS,
+};
+
+/// Seeds over which the measures are averaged.
+const SEEDS: std::ops::Range<u64> = 1..6;
+
+fn main() {
+    let started = Instant::now();
+    let wants_sweep = std::env::args().any(|argument| argument == "sweep");
+    for (workload, policy) in [
+        (tegid as fn(u64) -> Workload, tegid_policy()),
+        (caroni, caroni_policy()),
+    ] {
+        let policies = policies(&policy);
+        let measure = |seed| match wants_sweep {
+            true => sweep(&workload(seed), &policies, COSTS),
+            false => table(&workload(seed), &policy, COSTS),
+        };
+        print(workload(1).name, &SEEDS.map(measure).collect::<Vec<_>>());
+    }
+    println!("\n{SEEDS:?} seeds, {:.1?}", started.elapsed());
+}
+
+/// Policies around one.
+fn policies(base: &PlacementPolicy) -> Vec<PlacementPolicy> {
+    let mut policies = Vec::new();
+    for (high, low) in [(1.1, 1.05), (1.25, 1.1), (1.5, 1.2), (2.0, 1.5)] {
+        for churn in [0.01, 0.05, 0.1, 0.5] {
+            for slices in [16, 64, 256] {
+                policies.push(PlacementPolicy {
+                    imbalance_high: high,
+                    imbalance_low: low,
+                    churn_per_hour: churn,
+                    slices_per_target: slices,
+                    ..base.clone()
+                });
+            }
+        }
+    }
+    policies
+}
+
+fn print(name: &str, runs: &[Vec<Row>]) {
+    println!("\n{name}\n\n{HEADS}\n|---|---|---|---|---|---|");
+    for position in 0..runs[0].len() {
+        let rows: Vec<&Row> = runs.iter().map(|rows| &rows[position]).collect();
+        println!("{}", mean(&rows));
+    }
+}
+
+fn mean(rows: &[&Row]) -> Row {
+    let mean =
+        |value: fn(&Row) -> f64| rows.iter().map(|row| value(row)).sum::<f64>() / rows.len() as f64;
+    Row {
+        placer: rows[0].placer.clone(),
+        imbalance_mean: mean(|row| row.imbalance_mean),
+        imbalance_max: mean(|row| row.imbalance_max),
+        churn: mean(|row| row.churn),
+        elective_churn: mean(|row| row.elective_churn),
+        unavailable_seconds: mean(|row| row.unavailable_seconds),
+    }
+}
--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -1,79 +1,65 @@
 //! Elective decisions: moves, splits and merges of a service's slices.
+//!
+//! A call sweeps over a bounded stretch of the slices. Hot slices are split and cold ones merged as
+//! they are met; moves are decided when a sweep has reached the end of the ring, since only then
+//! every target's load is known.
 
-use std::time::Duration;
+mod input;
+mod moves;
+mod reshape;
+mod sweep;
+mod trigger;
+mod view;
 
-use wingspar_world::{KeyHash, MonotonicTime, PlacementPolicy};
+use wingspar_world::{KeyHash, MonotonicTime, TargetName};
 
-use crate::{Action, ChurnBudget, HotKey, SliceState, TargetState};
+use crate::{Action, ChurnBudget, SliceState};
 
-/// What a call of [`Planner::step`] sees besides the slices.
-#[derive(Debug, Clone, Copy)]
-pub struct PlanInput<'a> {
-    /// Present time.
-    pub now: MonotonicTime,
-    /// Minute of the day (UTC), 0 to 1439. While it is not known, a policy with quiet windows makes
-    /// no elective change.
-    pub minute_of_day: Option<u16>,
-    /// The service's policy.
-    pub policy: &'a PlacementPolicy,
-    /// All targets of the service, in order of name.
-    pub targets: &'a [TargetState],
-    /// Keys that stand out, in any order.
-    pub hot_keys: &'a [HotKey],
-    /// Hand-overs of the service that go on now, for whatever reason.
-    pub hand_overs: usize,
-    /// Bounds on the work of a call and the pace of changes.
-    pub limits: PlanLimits,
-}
+pub use input::{PlanInput, PlanLimits};
 
-/// Bounds on the work of a call and the pace of changes.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct PlanLimits {
-    /// Slices looked at in one call; a larger service is swept over several calls.
-    pub slices_per_call: usize,
-    /// Splits and merges made in one call.
-    pub reshapes_per_call: usize,
-    /// Hand-overs that may go on at once before no further move is planned.
-    pub hand_overs: usize,
-    /// Time for which a slice stays with its owner at least.
-    pub minimum_dwell: Duration,
-    /// Time from a batch of moves to the next, so that loads show the first one's effect.
-    pub settle: Duration,
-    /// Time for which the imbalance must last before moves begin.
-    pub sustain: Duration,
-}
-
-impl Default for PlanLimits {
-    fn default() -> Self {
-        Self {
-            slices_per_call: 65_536,
-            reshapes_per_call: 32,
-            hand_overs: 16,
-            minimum_dwell: Duration::from_secs(30),
-            settle: Duration::from_secs(3),
-            sustain: Duration::from_secs(5),
-        }
-    }
-}
+use moves::Mover;
+use reshape::Reshaper;
+use sweep::Sweep;
+use trigger::Trigger;
+use view::View;
 
 /// Plans one service. Its memory is soft: a new leader starts with a new planner.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct Planner {
-    cursor: KeyHash0,
+    /// Start of the next stretch.
+    cursor: KeyHash,
+    /// What the present sweep has seen since the ring's start.
+    sweep: Sweep,
+    /// Targets of the present sweep, which names them by position.
+    targets: Vec<TargetName>,
+    reshaper: Reshaper,
+    trigger: Trigger,
+    /// No move is planned before.
+    settled_at: MonotonicTime,
 }
 
-/// Position of the sweep.
-type KeyHash0 = u64;
+impl Default for Planner {
+    fn default() -> Self {
+        Self::new()
+    }
+}
 
 impl Planner {
     /// A planner that knows nothing yet.
     pub fn new() -> Self {
-        Self::default()
+        Self {
+            cursor: KeyHash(0),
+            sweep: Sweep::default(),
+            targets: Vec::new(),
+            reshaper: Reshaper::default(),
+            trigger: Trigger::default(),
+            settled_at: MonotonicTime::ZERO,
+        }
     }
 
     /// First hash of the slice from which the next call wants to read.
     pub fn cursor(&self) -> KeyHash {
-        KeyHash(self.cursor)
+        self.cursor
     }
 
     /// Looks at slices and decides. `slices` yields the service's slices in order of range from
@@ -86,7 +72,84 @@
         slices: impl Iterator<Item = SliceState<'a>>,
         budget: &mut ChurnBudget,
     ) -> Vec<Action> {
-        let _ = (input, slices, budget);
-        Vec::new()
+        let view = View::new(input);
+        self.forget_other_targets(input);
+        if input.is_held() || !view.any_accepts() {
+            self.restart_sweep();
+            self.trigger.hold();
+            return Vec::new();
+        }
+        let mut actions = Vec::new();
+        let finished = self.read(&view, slices, &mut actions);
+        if finished {
+            self.decide_moves(&view, budget, &mut actions);
+            self.reshaper.finish_sweep(self.sweep.slices(), input.now);
+            self.restart_sweep();
+        }
+        actions
+    }
+
+    /// Reads a stretch; true when it reached the end of the ring.
+    fn read<'a>(
+        &mut self,
+        view: &View<'_>,
+        slices: impl Iterator<Item = SliceState<'a>>,
+        actions: &mut Vec<Action>,
+    ) -> bool {
+        let limit = view.input.limits.slices_per_call.max(1);
+        let mut stretch = self.reshaper.start_stretch(view);
+        let mut read = 0;
+        for slice in slices.take(limit) {
+            let slice = view.read(&slice);
+            stretch.look_at(&slice, actions);
+            self.sweep.add(&slice, view);
+            self.cursor = KeyHash(slice.range.last.0.wrapping_add(1));
+            read += 1;
+        }
+        read < limit || self.cursor == KeyHash(0)
+    }
+
+    fn decide_moves(
+        &mut self,
+        view: &View<'_>,
+        budget: &mut ChurnBudget,
+        actions: &mut Vec<Action>,
+    ) {
+        let loads = self.sweep.loads(view);
+        let wanted = self.trigger.update(view, &loads);
+        if view.input.now < self.settled_at {
+            return;
+        }
+        let mut mover = Mover::new(view, &self.sweep, &self.reshaper, loads, budget);
+        mover.consolidate();
+        mover.shift(wanted);
+        mover.balance(wanted);
+        let planned = mover.finish();
+        self.note(&planned, view.input);
+        actions.extend(planned);
+    }
+
+    fn note(&mut self, planned: &[Action], input: &PlanInput<'_>) {
+        for action in planned {
+            match action {
+                Action::Move { .. } => self.settled_at = input.now + input.limits.settle,
+                Action::Split { range, .. } => self.reshaper.rest(range, input.now),
+                Action::Merge { .. } => {}
+            }
+        }
+    }
+
+    fn forget_other_targets(&mut self, input: &PlanInput<'_>) {
+        let names = || input.targets.iter().map(|target| &target.name);
+        if !names().eq(&self.targets) {
+            self.targets = names().cloned().collect();
+            self.restart_sweep();
+        }
+    }
+
+    fn restart_sweep(&mut self) {
+        self.cursor = KeyHash(0);
+        self.sweep = Sweep::default();
+        self.reshaper.start_sweep();
     }
 }
--- /dev/null
+++ b/crates/placement/src/plan/trigger.rs
@@ -0,0 +1,104 @@
+//! When moves begin and when they stop.
+
+use std::collections::BTreeMap;
+
+use wingspar_world::{MonotonicTime, RegionName};
+
+use super::view::View;
+use crate::imbalance;
+
+/// Deviation of a region's share of the load from its due share at which a shift begins of itself.
+const SHIFT_START: f64 = 0.05;
+
+/// Deviation at which a shift is complete.
+pub(super) const SHIFT_DONE: f64 = 0.01;
+
+/// Hysteresis of a service's moves.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Trigger {
+    balancing: bool,
+    /// Since when the imbalance has been too high.
+    high_since: Option<MonotonicTime>,
+    shifting: bool,
+    /// Since when a region has deviated too far.
+    shift_since: Option<MonotonicTime>,
+    /// Region weights at the last look; changed weights begin a shift at once.
+    weights: Option<BTreeMap<RegionName, f64>>,
+}
+
+/// Kinds of moves that are wanted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct Wanted {
+    /// Moves from target to target.
+    pub(super) balance: bool,
+    /// Moves from region to region.
+    pub(super) shift: bool,
+}
+
+impl Trigger {
+    /// No moves are wanted now; an imbalance must last anew afterwards.
+    pub(super) fn hold(&mut self) {
+        self.balancing = false;
+        self.high_since = None;
+        self.shift_since = None;
+    }
+
+    /// Looks at the targets' loads.
+    pub(super) fn update(&mut self, view: &View<'_>, loads: &[f64]) -> Wanted {
+        self.update_balance(view, imbalance(loads, &view.shares));
+        self.update_shift(view, region_deviation(view, loads));
+        Wanted {
+            balance: self.balancing,
+            shift: self.shifting,
+        }
+    }
+
+    fn update_balance(&mut self, view: &View<'_>, imbalance: f64) {
+        let policy = view.input.policy;
+        let is_high = imbalance > policy.imbalance_high;
+        if imbalance <= policy.imbalance_low {
+            self.balancing = false;
+        }
+        if lasts(&mut self.high_since, is_high, view) {
+            self.balancing = true;
+        }
+    }
+
+    fn update_shift(&mut self, view: &View<'_>, deviation: f64) {
+        let weights = &view.input.policy.region_weights;
+        let changed = self.weights.as_ref() != Some(weights);
+        if changed {
+            self.weights = Some(weights.clone());
+        }
+        let lasts = lasts(&mut self.shift_since, deviation > SHIFT_START, view);
+        if weights.is_empty() || deviation <= SHIFT_DONE {
+            self.shifting = false;
+        } else if changed || lasts {
+            self.shifting = true;
+        }
+    }
+}
+
+/// Whether something has been so for the sustain time; `since` keeps when it began.
+fn lasts(since: &mut Option<MonotonicTime>, is_so: bool, view: &View<'_>) -> bool {
+    if !is_so {
+        *since = None;
+        return false;
+    }
+    let now = view.input.now;
+    let began = *since.get_or_insert(now);
+    now.since(began) >= view.input.limits.sustain
+}
+
+/// Largest difference between a region's share of the load and its due share.
+fn region_deviation(view: &View<'_>, loads: &[f64]) -> f64 {
+    let total: f64 = loads.iter().sum();
+    if total <= 0.0 {
+        return 0.0;
+    }
+    let mut deviations: BTreeMap<&RegionName, f64> = BTreeMap::new();
+    for (at, target) in view.input.targets.iter().enumerate() {
+        *deviations.entry(&target.region).or_insert(0.0) += loads[at] / total - view.shares[at];
+    }
+    deviations.values().map(|one| one.abs()).fold(0.0, f64::max)
+}
