control: sessions, leases, assignments, hand-over, configuration, operators

First version that bootstraps through the store, elects, registers agents, renews leases, assigns slices, publishes grants and tables, and takes operators' writes.

Presence gets a nonce and its echo, so that a process can be shown to run after a given moment.

--- a/crates/control/src/event.rs
+++ b/crates/control/src/event.rs
@@ -53,8 +53,6 @@
     },
     /// A node's session ended.
     SessionEnded {
-        /// The node.
-        node: NodeId,
         /// The session.
         session: SessionId,
         /// Whether it ran out rather than being given up.
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -4,17 +4,48 @@
 //! store answers, operator requests and the passing of time, and returns what is to be sent, asked
 //! and told. All times are of the caller's monotonic clock.
 
+#![allow(dead_code)]
+
+mod assignment;
+mod candidates;
+mod command;
+mod config_watch;
 mod control;
 mod counters;
 mod event;
+mod group;
+mod group_object;
+mod hand_over;
 mod input;
+mod intent;
+mod leading;
+mod leave;
+mod member;
+mod membership;
+mod observed;
 pub mod operator;
+mod operators;
 mod output;
+mod presence;
+mod publish;
+mod recovery;
+mod sessions;
 mod settings;
+mod snapshot;
+mod state;
+mod store_io;
+mod validate;
+mod writes;
 
+pub use command::{Assignment, Command, ConfigureChange, HandOverOrder, SessionEnd, SliceOwner};
 pub use control::Control;
 pub use counters::ControlCounters;
 pub use event::ControlEvent;
+pub use group_object::{GroupObject, Member, Origin, RecordedChange};
 pub use input::{Input, StoreReply};
 pub use output::{Output, StoreRequest};
 pub use settings::ControlSettings;
+pub use state::{
+    ChangeMemory, ChangeResult, GroupSnapshot, GroupState, HandOver, Session, Slice, SliceMap,
+    StateViolation, TableHistory, TakeoverKind, Touched,
+};
--- /dev/null
+++ b/crates/control/src/presence.rs
@@ -0,0 +1,84 @@
+//! Announcements among candidates.
+
+use rand::RngExt;
+use wingspar_consensus::{Replica, Role};
+use wingspar_wire::{Message, Presence, PresenceRole};
+use wingspar_world::NodeId;
+
+use crate::{Control, Output};
+
+impl Control {
+    /// Announces this process to all candidates known.
+    pub(crate) fn announce(&mut self, out: &mut Vec<Output>) {
+        let members = self.member_ids();
+        self.candidates.forget_silent(self.now, &members);
+        let own = self.machine.control_address;
+        let mut destinations = self.candidates.destinations();
+        destinations.extend(self.group.member_addresses());
+        destinations.remove(&own);
+        let presence = self.presence();
+        for to in destinations {
+            let there = self.candidates.at_address(to);
+            let mut presence = presence.clone();
+            presence.echo = there.map_or(0, |(_, candidate)| candidate.nonce);
+            Self::send(to, Message::Presence(presence), out);
+        }
+    }
+
+    fn presence(&self) -> Presence {
+        let removed = self.role() == Some(Role::Removed);
+        Presence {
+            group: self.settings.group,
+            node: self.node.clone(),
+            machine: self.machine.clone(),
+            role: self.presence_role(),
+            generation: self.group.generation,
+            leader: self.known_leader(),
+            leaving: self.leaving_since.is_some() || removed,
+            nonce: self.group.nonce,
+            echo: 0,
+        }
+    }
+
+    fn presence_role(&self) -> PresenceRole {
+        match self.role() {
+            None | Some(Role::Removed) => PresenceRole::Spare,
+            Some(Role::Learner) => PresenceRole::Learner,
+            Some(_) => PresenceRole::Voter,
+        }
+    }
+
+    /// The leader as far as known.
+    pub(crate) fn known_leader(&self) -> Option<NodeId> {
+        let leader = self.replica.as_ref().and_then(Replica::leader);
+        leader.or_else(|| self.group.hinted_leader(self.now))
+    }
+
+    pub(crate) fn on_presence(&mut self, presence: &Presence, out: &mut Vec<Output>) {
+        if presence.group != self.settings.group {
+            self.counters.malformed += 1;
+            return;
+        }
+        let first = self.candidates.get(&presence.node).is_none();
+        self.candidates.hear(self.now, presence);
+        if presence.echo == self.group.nonce {
+            let machine = presence.machine.clone();
+            self.group.note_echo(self.now, &presence.node, machine);
+        }
+        if presence.role != PresenceRole::Spare {
+            self.learn_generation(presence.generation, out);
+            if presence.generation == self.group.generation {
+                self.group.hint_leader(self.now, presence.leader.clone());
+            }
+        }
+        if first {
+            self.next_presence = self
+                .next_presence
+                .min(self.now + self.settings.presence_interval / 8);
+        }
+    }
+
+    pub(crate) fn draw_seed(&mut self) -> u64 {
+        self.random.random_range(0..u64::MAX)
+    }
+}
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -32,6 +32,10 @@
     pub store_retry: Duration,
     /// Time without an answer after which a store request counts as lost.
     pub store_timeout: Duration,
+    /// The same for a watch, which the caller may hold for a few seconds.
+    pub watch_timeout: Duration,
+    /// Silence of every leader after which the store is asked whether the group lives elsewhere.
+    pub leaderless_after: Duration,
     /// Time after which an operator's write that can't be settled is answered `Unknown`.
     pub write_deadline: Duration,
     /// Hand-overs that one session may be giving up at once.
@@ -61,7 +65,9 @@
             tick_interval: Duration::from_millis(50),
             snapshot_interval: Duration::from_secs(1),
             store_retry: Duration::from_millis(200),
-            store_timeout: Duration::from_secs(45),
+            store_timeout: Duration::from_secs(6),
+            watch_timeout: Duration::from_secs(8),
+            leaderless_after: Duration::from_secs(3),
             write_deadline: Duration::from_secs(10),
             hand_overs_per_source: 16,
             placement_interval: Duration::from_secs(2),
--- /dev/null
+++ b/crates/control/tests/harness/mod.rs
@@ -0,0 +1,505 @@
+//! A small deterministic world for control candidates: virtual time, a network that loses what is
+//! cut, the store's model, and simple agents that hold grants as told.
+#![allow(dead_code)]
+
+mod agent;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use wingspar_control::operator::{OperatorReply, OperatorRequest};
+use wingspar_control::{
+    Control, ControlEvent, ControlSettings, Input, Output, StoreReply, StoreRequest,
+};
+use wingspar_store::Answer;
+use wingspar_store::model::ObjectStore;
+use wingspar_store::operation::{Operation, Reply};
+use wingspar_wire::{Message, Outbound};
+use wingspar_world::*;
+
+pub use agent::Agent;
+
+const NETWORK_DELAY: Duration = Duration::from_millis(1);
+const WATCH_HOLD: Duration = Duration::from_secs(2);
+
+/// One machine: a control candidate and an agent behind one address.
+pub struct Host {
+    pub control: Control,
+    pub agent: Agent,
+    pub machine: Machine,
+    pub frozen: bool,
+}
+
+enum Event {
+    Deliver {
+        from: SocketAddr,
+        to: SocketAddr,
+        sender: NodeId,
+        message: Box<Message>,
+    },
+    StoreArrives {
+        host: SocketAddr,
+        request: StoreRequest,
+    },
+    StoreAnswers {
+        host: SocketAddr,
+        reply: StoreReply,
+    },
+}
+
+pub struct World {
+    pub now: MonotonicTime,
+    pub hosts: BTreeMap<SocketAddr, Host>,
+    pub store: ObjectStore,
+    pub store_down: bool,
+    /// Number of coming answers to writes that are lost after they took effect.
+    pub lose_write_answers: usize,
+    pub cut: BTreeSet<(SocketAddr, SocketAddr)>,
+    pub replies: BTreeMap<u64, OperatorReply>,
+    pub stopped: BTreeSet<SocketAddr>,
+    pub events: Vec<(MonotonicTime, SocketAddr, ControlEvent)>,
+    pub settings: ControlSettings,
+    watches: Vec<(MonotonicTime, SocketAddr, StoreRequest)>,
+    queue: BTreeMap<(MonotonicTime, u64), Event>,
+    sequence: u64,
+    last_request: u64,
+    incarnations: u64,
+    max_fence: BTreeMap<(ServiceName, KeyHash), Fence>,
+}
+
+pub fn address(number: u16) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, u8::try_from(number).unwrap()], 7000))
+}
+
+pub fn machine_name(number: u16) -> MachineName {
+    MachineName::new(&format!("m{number}")).unwrap()
+}
+
+impl World {
+    /// Hosts 1 to `count`, all candidates, three zones in turn.
+    pub fn new(count: u16) -> Self {
+        let mut world = Self {
+            now: MonotonicTime::from_millis(1_000_000),
+            hosts: BTreeMap::new(),
+            store: ObjectStore::default(),
+            store_down: false,
+            lose_write_answers: 0,
+            cut: BTreeSet::new(),
+            replies: BTreeMap::new(),
+            stopped: BTreeSet::new(),
+            events: Vec::new(),
+            settings: ControlSettings::new(GroupId(0)),
+            watches: Vec::new(),
+            queue: BTreeMap::new(),
+            sequence: 0,
+            last_request: 0,
+            incarnations: 0,
+            max_fence: BTreeMap::new(),
+        };
+        for number in 1..=count {
+            world.start(number);
+        }
+        world
+    }
+
+    /// Starts a process on a machine, in place of the one before.
+    pub fn start(&mut self, number: u16) {
+        self.incarnations += 1;
+        let incarnation = Incarnation(self.incarnations.wrapping_mul(0x9e37_79b9_7f4a_7c15));
+        let node = NodeId::new(machine_name(number), incarnation);
+        let machine = Machine {
+            name: machine_name(number),
+            region: RegionName::new("r").unwrap(),
+            zone: ZoneName::new(&format!("z{}", number % 3)).unwrap(),
+            control_address: address(number),
+            agent_address: Some(SocketAddr::from(([10, 0, 0, number as u8], 8000))),
+        };
+        let seeds: Vec<SocketAddr> = (1..=9).map(address).collect();
+        let control = Control::new(
+            self.settings.clone(),
+            node.clone(),
+            machine.clone(),
+            seeds.clone(),
+            self.incarnations,
+            self.now,
+        );
+        let agent = Agent::new(node, machine.clone(), seeds, self.now);
+        let host = Host {
+            control,
+            agent,
+            machine,
+            frozen: false,
+        };
+        self.hosts.insert(address(number), host);
+    }
+
+    pub fn kill(&mut self, number: u16) {
+        self.hosts.remove(&address(number));
+    }
+
+    pub fn isolate(&mut self, number: u16) {
+        let others: Vec<SocketAddr> = (1..=9).map(address).collect();
+        for other in others {
+            self.cut.insert((address(number), other));
+            self.cut.insert((other, address(number)));
+        }
+    }
+
+    pub fn leader(&self) -> Option<u16> {
+        let leads = |number: &u16| {
+            self.hosts
+                .get(&address(*number))
+                .is_some_and(|it| it.control.is_leader() && !it.frozen)
+        };
+        (1..=9).find(leads)
+    }
+
+    pub fn host(&self, number: u16) -> &Host {
+        &self.hosts[&address(number)]
+    }
+
+    /// Runs for a time.
+    pub fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.advance(end);
+        }
+    }
+
+    /// Runs until a condition holds; tells how long it took.
+    pub fn run_until(
+        &mut self,
+        what: &str,
+        limit: Duration,
+        mut condition: impl FnMut(&World) -> bool,
+    ) -> Duration {
+        let start = self.now;
+        while !condition(self) {
+            assert!(
+                self.now.since(start) < limit,
+                "not within {limit:?}: {what}"
+            );
+            self.advance(start + limit);
+        }
+        self.now.since(start)
+    }
+
+    fn advance(&mut self, end: MonotonicTime) {
+        let step = self.now + Duration::from_millis(5);
+        self.now = step.min(end);
+        while let Some(entry) = self.queue.first_entry() {
+            if entry.key().0 > self.now {
+                break;
+            }
+            let event = entry.remove();
+            self.handle(event);
+        }
+        let addresses: Vec<SocketAddr> = self.hosts.keys().copied().collect();
+        for host in addresses {
+            self.tick(host);
+        }
+        self.answer_watches();
+        self.check();
+    }
+
+    fn tick(&mut self, at: SocketAddr) {
+        let Some(host) = self.hosts.get_mut(&at).filter(|host| !host.frozen) else {
+            return;
+        };
+        if host.control.next_wake() <= self.now {
+            self.step(at, Input::Tick);
+        }
+        let Some(host) = self.hosts.get_mut(&at) else {
+            return;
+        };
+        let sends = host.agent.tick(self.now);
+        let sender = host.agent.node.clone();
+        self.send_all(at, &sender, sends);
+    }
+
+    pub fn step(&mut self, at: SocketAddr, input: Input) {
+        let now = self.now;
+        let Some(host) = self.hosts.get_mut(&at) else {
+            return;
+        };
+        let mut out = Vec::new();
+        host.control.step(now, input, &mut out);
+        let sender = host.agent.node.clone();
+        for output in out {
+            match output {
+                Output::Send(outbound) => self.send_all(at, &sender, vec![outbound]),
+                Output::Store(request) => {
+                    self.enqueue(NETWORK_DELAY, Event::StoreArrives { host: at, request });
+                }
+                Output::OperatorReply { id, reply } => {
+                    let before = self.replies.insert(id, reply);
+                    assert!(before.is_none(), "request {id} was answered twice");
+                }
+                Output::Event(event) => self.events.push((now, at, event)),
+                Output::Stopped => {
+                    self.stopped.insert(at);
+                }
+            }
+        }
+    }
+
+    fn send_all(&mut self, from: SocketAddr, sender: &NodeId, sends: Vec<Outbound>) {
+        for Outbound { to, message } in sends {
+            let sender = sender.clone();
+            let message = Box::new(message);
+            self.enqueue(
+                NETWORK_DELAY,
+                Event::Deliver {
+                    from,
+                    to,
+                    sender,
+                    message,
+                },
+            );
+        }
+    }
+
+    fn enqueue(&mut self, delay: Duration, event: Event) {
+        self.sequence += 1;
+        self.queue.insert((self.now + delay, self.sequence), event);
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Deliver {
+                from,
+                to,
+                sender,
+                message,
+            } => self.deliver(from, to, sender, *message),
+            Event::StoreArrives { host, request } => self.at_store(host, request),
+            Event::StoreAnswers { host, reply } => {
+                if self.hosts.get(&host).is_some_and(|it| !it.frozen) {
+                    self.step(host, Input::Store(reply));
+                }
+            }
+        }
+    }
+
+    fn deliver(&mut self, from: SocketAddr, to: SocketAddr, sender: NodeId, message: Message) {
+        if self.cut.contains(&(from, to)) {
+            return;
+        }
+        let Some(host) = self.hosts.get_mut(&to) else {
+            return;
+        };
+        if host.frozen {
+            return;
+        }
+        match message {
+            Message::RenewalReply(_)
+            | Message::Configuration(_)
+            | Message::Grants(_)
+            | Message::Table(_) => {
+                let sends = host.agent.receive(self.now, from, message);
+                let node = host.agent.node.clone();
+                self.send_all(to, &node, sends);
+            }
+            message => self.step(
+                to,
+                Input::Message {
+                    sender,
+                    reply_to: from,
+                    message,
+                },
+            ),
+        }
+    }
+
+    fn at_store(&mut self, host: SocketAddr, request: StoreRequest) {
+        if self.store_down {
+            let answer = Answer::Unavailable {
+                cause: "down".to_owned(),
+            };
+            return self.answer(host, request.id, answer);
+        }
+        if matches!(request.operation, Operation::Watch { .. }) {
+            self.watches.push((self.now + WATCH_HOLD, host, request));
+            return;
+        }
+        let is_write = request.operation.is_write();
+        let now = Duration::from_micros(self.now.as_micros());
+        let reply = self.store.apply(now, request.operation);
+        if is_write && self.lose_write_answers > 0 {
+            self.lose_write_answers -= 1;
+            return self.answer(
+                host,
+                request.id,
+                Answer::Unknown {
+                    cause: "lost".to_owned(),
+                },
+            );
+        }
+        self.answer(host, request.id, Answer::Reply(reply));
+    }
+
+    fn answer(&mut self, host: SocketAddr, id: u64, answer: Answer) {
+        let reply = StoreReply { id, answer };
+        self.enqueue(NETWORK_DELAY, Event::StoreAnswers { host, reply });
+    }
+
+    fn answer_watches(&mut self) {
+        for (until, host, request) in std::mem::take(&mut self.watches) {
+            if self.store_down {
+                self.answer(
+                    host,
+                    request.id,
+                    Answer::Unavailable {
+                        cause: "down".to_owned(),
+                    },
+                );
+                continue;
+            }
+            let now = Duration::from_micros(self.now.as_micros());
+            let reply = self.store.apply(now, request.operation.clone());
+            let empty = matches!(&reply, Reply::Changes(batch) if batch.events.is_empty());
+            if empty && self.now < until {
+                self.watches.push((until, host, request));
+            } else {
+                self.answer(host, request.id, Answer::Reply(reply));
+            }
+        }
+    }
+
+    /// Asks the leader, or the host given, and returns the id to look for in `replies`.
+    pub fn ask(&mut self, at: u16, request: OperatorRequest) -> u64 {
+        self.last_request += 1;
+        let id = self.last_request;
+        self.step(address(at), Input::Operator { id, request });
+        id
+    }
+
+    /// Asks the leader and waits for the answer.
+    pub fn call(&mut self, request: OperatorRequest) -> OperatorReply {
+        let leader = self.leader().expect("a leader");
+        let id = self.ask(leader, request);
+        self.run_until("answer", Duration::from_secs(15), |world| {
+            world.replies.contains_key(&id)
+        });
+        self.replies[&id].clone()
+    }
+
+    pub fn put(&mut self, change_id: &str, object: ConfigObject) -> OperatorReply {
+        let change_id = change_id.to_owned();
+        self.call(OperatorRequest::Put {
+            change_id,
+            object,
+            expect: None,
+        })
+    }
+
+    /// Who serves a key now under a running lease.
+    pub fn owner(&self, service: &str, key: KeyHash) -> Option<TargetName> {
+        let service = ServiceName::new(service).unwrap();
+        let serving = self.hosts.values().filter(|host| !host.frozen);
+        let mut owners = serving.filter_map(|host| host.agent.serves(self.now, &service, key));
+        owners.next()
+    }
+
+    /// Whether every key of a service has an owner under a running lease.
+    pub fn all_served(&self, service: &str) -> bool {
+        SliceRange::partition(512)
+            .iter()
+            .all(|range| self.owner(service, range.first).is_some())
+    }
+
+    /// No key has two owners under running leases, also on frozen hosts; state invariants hold.
+    fn check(&mut self) {
+        for host in self.hosts.values() {
+            if let Err(violation) = host.control.check_invariants() {
+                panic!("{violation}");
+            }
+        }
+        let mut held: Vec<(ServiceName, SliceRange, &NodeId, Fence)> = Vec::new();
+        for host in self.hosts.values() {
+            held.extend(host.agent.held(self.now).map(|grant| {
+                (
+                    grant.service.clone(),
+                    grant.range,
+                    &host.agent.node,
+                    grant.fence,
+                )
+            }));
+        }
+        held.sort_by_key(|(service, range, _, _)| (service.clone(), range.first));
+        for pair in held.windows(2) {
+            let overlap = pair[0].0 == pair[1].0 && pair[0].1.overlaps(&pair[1].1);
+            assert!(
+                !overlap,
+                "two owners at {}: {:?} {:?}",
+                self.now.as_micros(),
+                pair[0],
+                pair[1]
+            );
+        }
+        for (service, range, node, fence) in &held {
+            let newest = self
+                .max_fence
+                .entry((service.clone(), range.first))
+                .or_default();
+            assert!(
+                fence >= newest,
+                "{node} serves {range} under {fence} after {newest}"
+            );
+            *newest = *fence;
+        }
+    }
+
+    /// A keyed service with a target on each machine given, once the group leads.
+    pub fn with_service(count: u16, targets: &[u16]) -> Self {
+        let mut world = World::new(count);
+        world.run_until("leader", Duration::from_secs(10), |world| {
+            world.leader().is_some()
+        });
+        world.run(Duration::from_millis(500));
+        world.create_service(targets);
+        world.run_until("all served", Duration::from_secs(10), |world| {
+            world.all_served("stoc")
+        });
+        world
+    }
+
+    pub fn create_service(&mut self, targets: &[u16]) {
+        let written = |reply| assert!(matches!(reply, OperatorReply::Written { .. }), "{reply:?}");
+        let mut policy = PlacementPolicy::with_defaults(PolicyName::new("even").unwrap());
+        policy.slices_per_target = 8;
+        written(self.put("p", ConfigObject::Policy(policy.clone())));
+        written(self.put("s", ConfigObject::Service(keyed_service("stoc"))));
+        for number in targets {
+            written(self.put(&format!("t{number}"), ConfigObject::Target(target(*number))));
+        }
+    }
+}
+
+pub fn keyed_service(name: &str) -> Service {
+    let contract = Contract {
+        key: Some(KeySource::Header("key".to_owned())),
+        ..Contract::default()
+    };
+    Service {
+        name: ServiceName::new(name).unwrap(),
+        kind: ServiceKind::Keyed,
+        contract,
+        policy: Some(PolicyName::new("even").unwrap()),
+    }
+}
+
+pub fn target(number: u16) -> Target {
+    Target {
+        name: TargetName::new(&format!("stoc-{number}")).unwrap(),
+        service: ServiceName::new("stoc").unwrap(),
+        machine: machine_name(number),
+        region: RegionName::new("r").unwrap(),
+        zone: ZoneName::new(&format!("z{}", number % 3)).unwrap(),
+        address: SocketAddr::from(([10, 0, 0, number as u8], 9000)),
+        slots: 20,
+        connections: 100,
+        draining: false,
+    }
+}
--- a/crates/wire/src/replication.rs
+++ b/crates/wire/src/replication.rs
@@ -22,6 +22,11 @@
     pub leader: Option<NodeId>,
     /// The process is stopping and wants to be replaced.
     pub leaving: bool,
+    /// Random number of this sender, to be echoed by the receiver.
+    pub nonce: u64,
+    /// Nonce last received from the process at the address this is sent to: proves that the sender
+    /// was running after that process had sent it. Zero for none.
+    pub echo: u64,
 }
 
 /// Part that a control candidate plays in its group.
