--- a/crates/standins/src/backend/mod.rs
+++ b/crates/standins/src/backend/mod.rs
@@ -5,6 +5,7 @@
 //! it ran, so that double ownership and double runs are found.
 
 mod answer;
+mod audit;
 mod control_handler;
 mod fencing;
 mod journal;
@@ -25,6 +26,7 @@
 use crate::net::{ConnectionSettings, RunningServer};
 
 pub use answer::AnswerPattern;
+pub use audit::{Violation, audit};
 pub use control_handler::{DrainRequest, FenceOffer, FenceOfferAnswer};
 pub use fencing::FenceFloors;
 pub use journal::{Journal, JournalEntry, JournalOutcome};
--- a/crates/standins/tests/backend.rs
+++ b/crates/standins/tests/backend.rs
@@ -6,8 +6,8 @@
 use reqwest::{Client, RequestBuilder, Response};
 use serde_json::{Value, json};
 use wingspar_standins::backend::{
-    AnswerPattern, BackendSettings, BackendStandIn, Behaviour, HealthReport, JournalOutcome,
-    RefusalReason,
+    AnswerPattern, BackendSettings, BackendStandIn, Behaviour, HealthReport, JournalEntry,
+    JournalOutcome, RefusalReason, Violation, audit,
 };
 use wingspar_wire::headers;
 
@@ -313,13 +313,16 @@
     assert_eq!(send(scene.post("/")).await.status(), 200, "thaws by itself");
 }
 
-/// Freezes a server over the end of a request's grant and tells how the work ended.
-async fn freeze_over_the_end_of_a_grant(check_before_commit: bool) -> (u16, JournalOutcome) {
-    let scene = Scene::new(BackendSettings {
+/// Freezes a server over the end of a request's grant, lets a second server take the key over, and
+/// returns the status of the first answer and the journals of both.
+async fn freeze_over_a_takeover(check_before_commit: bool) -> (u16, Vec<JournalEntry>) {
+    let settings = |name: &str| BackendSettings {
+        name: name.into(),
         check_before_commit,
         ..BackendSettings::default()
-    });
-    let scene = scene.await;
+    };
+    let scene = Scene::new(settings("old")).await;
+    let successor = Scene::new(settings("new")).await;
     let working = tokio::spawn(scene.keyed("/?work_ms=500", "1.1", 700).send());
     scene.wait_for_started(1).await;
     scene.behave(Behaviour {
@@ -327,19 +330,60 @@
         ..Behaviour::default()
     });
     tokio::time::sleep(Duration::from_millis(800)).await;
+    assert_eq!(send(successor.keyed("/", "1.2", 5_000)).await.status(), 200);
     scene.behave(Behaviour::default());
     let answer = working.await.expect("ends").expect("an answer");
-    (answer.status().as_u16(), scene.server.journal()[0].outcome)
+    let journals = [scene.server.journal(), successor.server.journal()].concat();
+    (answer.status().as_u16(), journals)
 }
 
 #[tokio::test]
 async fn work_that_thaws_after_its_grant_has_no_effect_unless_the_check_is_left_out() {
-    let (checked, unchecked) = tokio::join!(
-        freeze_over_the_end_of_a_grant(true),
-        freeze_over_the_end_of_a_grant(false)
+    let (checked, unchecked) =
+        tokio::join!(freeze_over_a_takeover(true), freeze_over_a_takeover(false));
+    assert_eq!(
+        (checked.0, checked.1[0].outcome),
+        (409, JournalOutcome::Abandoned)
+    );
+    assert_eq!(audit(&checked.1, Duration::ZERO), []);
+
+    assert_eq!(
+        (unchecked.0, unchecked.1[0].outcome),
+        (200, JournalOutcome::Completed)
+    );
+    let found = audit(&unchecked.1, Duration::ZERO);
+    assert!(matches!(found[0], Violation::Overlap { .. }), "{found:?}");
+    assert!(
+        matches!(found[1], Violation::FenceWentBack { .. }),
+        "{found:?}"
+    );
+    assert_eq!(found.len(), 2);
+}
+
+#[tokio::test]
+async fn the_audit_finds_double_runs_and_shared_fences() {
+    let settings = |name: &str| BackendSettings {
+        name: name.into(),
+        ..BackendSettings::default()
+    };
+    let one = Scene::new(settings("one")).await;
+    let other = Scene::new(settings("other")).await;
+    for scene in [&one, &other] {
+        send(
+            scene
+                .keyed("/", "1.1", 5_000)
+                .header(headers::IDEMPOTENCY_KEY, "deposit"),
+        )
+        .await;
+    }
+    let journals = [one.server.journal(), other.server.journal()].concat();
+    let found = audit(&journals, Duration::ZERO);
+    assert!(
+        matches!(found[0], Violation::SharedFence { .. }),
+        "{found:?}"
     );
-    assert_eq!(checked, (409, JournalOutcome::Abandoned));
-    assert_eq!(unchecked, (200, JournalOutcome::Completed));
+    assert!(matches!(found[1], Violation::RanTwice { .. }), "{found:?}");
+    assert_eq!(found.len(), 2);
 }
 
 #[tokio::test]
