--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -240,6 +240,11 @@
         self.pending.push(Output::Send(Outbound { to, message }));
     }
 
+    /// Largest answer body that is kept for replay, in bytes.
+    pub fn kept_body_limit(&self) -> usize {
+        self.settings.remembered_body_bytes
+    }
+
     /// Version of the configuration in force.
     pub fn config_version(&self) -> ConfigVersion {
         self.configuration.version
