--- a/crates/agent/src/recall.rs
+++ b/crates/agent/src/recall.rs
@@ -97,10 +97,10 @@
                 continue;
             };
             let service = &entry.grant.service;
-            let lost_at = now - Duration::from_millis(age_ms);
-            let until = lost_at + self.window(service);
-            if until > now {
-                self.guards.raise(service, entry.grant.range, until);
+            let age = Duration::from_millis(age_ms);
+            let rest = self.window(service).saturating_sub(age);
+            if !rest.is_zero() {
+                self.guards.raise(service, entry.grant.range, now + rest);
             }
         }
     }
