--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -40,6 +40,8 @@
     pub(crate) leading: Option<Leading>,
     /// When this process was asked to stop.
     pub(crate) leaving_since: Option<MonotonicTime>,
+    /// When to try to pass leadership on again.
+    pub(crate) next_transfer: MonotonicTime,
     pub(crate) stopped: bool,
 }
 
@@ -75,6 +77,7 @@
             observed: Observed::default(),
             leading: None,
             leaving_since: None,
+            next_transfer: now,
             stopped: false,
         }
     }
--- a/crates/control/src/group.rs
+++ b/crates/control/src/group.rs
@@ -26,6 +26,8 @@
     /// When the store last said that there is no object.
     absent_at: Option<MonotonicTime>,
     next_read: MonotonicTime,
+    /// Voters and learners last committed, as far as the own replica knows.
+    pub(crate) committed: Option<(BTreeSet<NodeId>, BTreeSet<NodeId>)>,
     /// When this process became a member of its generation.
     pub(crate) member_since: MonotonicTime,
     leader_hint: Option<(NodeId, MonotonicTime)>,
@@ -50,6 +52,7 @@
             object: None,
             absent_at: None,
             next_read: now,
+            committed: None,
             member_since: now,
             leader_hint: None,
             leader_known_at: now,
@@ -90,6 +93,11 @@
             .find(|member| member.node == *node)
     }
 
+    /// Lets the object be read again at once.
+    pub(crate) fn read_again(&mut self, now: MonotonicTime) {
+        self.next_read = now;
+    }
+
     /// Notes that a process answered a number that was drawn after the object was read.
     pub(crate) fn note_echo(&mut self, _now: MonotonicTime, node: &NodeId, machine: Machine) {
         self.running.insert(node.clone(), machine);
--- a/crates/control/src/member.rs
+++ b/crates/control/src/member.rs
@@ -76,6 +76,8 @@
 
     pub(crate) fn install_replica(&mut self, replica: Replica<GroupState>) {
         self.group.member_since = self.now;
+        let members = (replica.voters().clone(), replica.learners().clone());
+        self.group.committed = Some(members);
         self.replica = Some(replica);
         self.observe_state();
     }
@@ -157,6 +159,7 @@
         learners: BTreeSet<NodeId>,
         out: &mut Vec<Output>,
     ) {
+        self.group.committed = Some((voters.clone(), learners.clone()));
         let event = ControlEvent::MembersChanged {
             voters: voters.into_iter().collect(),
             learners: learners.into_iter().collect(),
--- a/crates/control/tests/harness/mod.rs
+++ b/crates/control/tests/harness/mod.rs
@@ -453,7 +453,13 @@
 
     /// A keyed service with a target on each machine given, once the group leads.
     pub fn with_service(count: u16, targets: &[u16]) -> Self {
-        let mut world = World::new(count);
+        Self::with_settings(ControlSettings::new(GroupId(0)), count, targets)
+    }
+
+    pub fn with_settings(settings: ControlSettings, count: u16, targets: &[u16]) -> Self {
+        let mut world = World::new(0);
+        world.settings = settings;
+        (1..=count).for_each(|number| world.start(number));
         world.run_until("leader", Duration::from_secs(10), |world| {
             world.leader().is_some()
         });
