--- a/crates/standins/src/backend/journal.rs
+++ b/crates/standins/src/backend/journal.rs
@@ -132,7 +132,7 @@
         reason: Option<RefusalReason>,
     ) {
         let now = self.clock.now_us();
-        let first = self.next_sequence - self.entries.len() as u64;
+        let first = self.dropped();
         let position = sequence
             .checked_sub(first)
             .and_then(|place| usize::try_from(place).ok());
@@ -143,6 +143,12 @@
         }
     }
 
+    /// Number of old entries that were dropped; an audit of the rest is incomplete unless it is 0.
+    #[must_use]
+    pub fn dropped(&self) -> u64 {
+        self.next_sequence - self.entries.len() as u64
+    }
+
     /// The kept entries from a sequence number on.
     #[must_use]
     pub fn entries_from(&self, sequence: u64) -> Vec<JournalEntry> {
--- a/crates/standins/tests/platform.rs
+++ b/crates/standins/tests/platform.rs
@@ -3,7 +3,9 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
+use salvo::Router;
 use serde_json::{Value, json};
+use wingspar_standins::net::{ConnectionSettings, RunningServer};
 use wingspar_standins::platform::{Faults, MachineAction, PlatformStandIn, PlatformState};
 use wingspar_store::model::ModelSettings;
 use wingspar_store::object::{Current, MachineState};
@@ -103,6 +105,25 @@
     assert_eq!(platform.state().revision(), 0);
 }
 
+#[tokio::test]
+async fn a_server_that_is_not_the_store_proves_nothing() {
+    let server = RunningServer::start(ANY_PORT, ConnectionSettings::default(), Router::new());
+    let server = server.await.expect("a free port");
+    let store = client(server.local_addr());
+    assert!(matches!(
+        store.get("a").await,
+        Err(ReadError::Unavailable { .. })
+    ));
+    assert!(matches!(
+        store.list("").await,
+        Err(ReadError::Unavailable { .. })
+    ));
+    assert!(matches!(
+        store.put("a", json!(1), 0).await,
+        WriteOutcome::Unknown { .. }
+    ));
+}
+
 #[tokio::test]
 async fn a_watch_waits_for_the_next_change_and_tells_lost_history() {
     let settings = ModelSettings {
--- a/crates/store/src/http_exchange.rs
+++ b/crates/store/src/http_exchange.rs
@@ -98,7 +98,10 @@
 fn translate(operation: &Operation, status: StatusCode, body: &[u8]) -> Answer {
     let reply = match meaning(status) {
         Meaning::Success => success(operation, body),
-        Meaning::NotFound if matches!(operation, Operation::Get { .. }) => Ok(Reply::Object(None)),
+        // Only the store's own 404 proves that there is no such object.
+        Meaning::NotFound if matches!(operation, Operation::Get { .. }) => {
+            parse::<ErrorBody>(body).map(|_| Reply::Object(None))
+        }
         Meaning::Conflict => parse::<ConflictBody>(body).map(|body| Reply::Conflict {
             current: body.current,
         }),
