agent: quicker and quieter talk with the leader

Hand-over messages are first repeated after 25 ms, since a successor may get the first before its grant list. Renewals keep 20 ms apart, and a leader is given up for silence, not for the number of renewals sent within a round trip. News is pulled only when the leader's own message did not come. A short deadline no longer counts against the back end.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -14,6 +14,7 @@
 use crate::handover::HandOvers;
 use crate::load::LoadMeter;
 use crate::remembered::Remembered;
+use crate::renew::ToldOf;
 use crate::session::Session;
 use crate::target::TargetState;
 use crate::work::WorkTable;
@@ -45,6 +46,7 @@
     pub(crate) leaving_since: Option<MonotonicTime>,
     pub(crate) drained: bool,
     pub(crate) table_version: Option<StateVersion>,
+    pub(crate) told_of: ToldOf,
     /// Outputs of calls other than `step`, handed out by the next `step`.
     pub(crate) pending: Vec<Output>,
     /// Something changed that `step` must look at.
@@ -81,6 +83,7 @@
             leaving_since: None,
             drained: false,
             table_version: None,
+            told_of: ToldOf::default(),
             pending: Vec::new(),
             look_now: false,
         }
--- a/crates/agent/src/handover.rs
+++ b/crates/agent/src/handover.rs
@@ -16,6 +16,8 @@
 use crate::remembered::Remembered;
 use crate::{AgentEvent, Output};
 
+/// First pause before a message is repeated; it doubles up to the setting.
+const FIRST_REPEAT: Duration = Duration::from_millis(25);
 /// Estimated encoded size at which a part is closed, in bytes.
 const PART_BYTES: usize = 400 * 1024;
 /// Estimated encoded size of a request without content type and body, in bytes.
@@ -47,6 +49,8 @@
     hand_over: StateVersion,
     successor: Option<SocketAddr>,
     stage: Stage,
+    /// Next pause before a message is repeated.
+    pause: Duration,
 }
 
 /// What a step needs to know of the rest of the agent.
@@ -116,6 +120,7 @@
                     hand_over,
                     successor,
                     stage: Stage::Finishing,
+                    pause: FIRST_REPEAT,
                 },
             };
             self.active.push(active);
@@ -148,8 +153,12 @@
         };
         let before = parts.len();
         parts.retain(|part| part.part != reply.part);
-        *next_send = MonotonicTime::ZERO;
-        parts.len() < before
+        let confirmed = parts.len() < before;
+        if confirmed {
+            *next_send = MonotonicTime::ZERO;
+            one.pause = FIRST_REPEAT;
+        }
+        confirmed
     }
 
     pub(crate) fn next_wake(&self) -> MonotonicTime {
@@ -260,6 +269,7 @@
                 remembered_moved: parts.is_empty(),
                 next_send: now,
             };
+            self.pause = FIRST_REPEAT;
             return true;
         }
         let Some(to) = self.successor.filter(|_| now >= *next_send) else {
@@ -270,7 +280,8 @@
             let message = Message::Remember(part.clone());
             outputs.push(Output::Send(Outbound { to, message }));
         }
-        *next_send = now + surroundings.repeat;
+        *next_send = now + self.pause;
+        self.pause = (self.pause * 2).min(surroundings.repeat);
         false
     }
 
@@ -290,7 +301,8 @@
         if now < *next_send {
             return;
         }
-        *next_send = now + surroundings.repeat;
+        *next_send = now + self.pause;
+        self.pause = (self.pause * 2).min(surroundings.repeat);
         let Some(to) = surroundings.leader else {
             return;
         };
--- a/crates/agent/src/release.rs
+++ b/crates/agent/src/release.rs
@@ -128,12 +128,14 @@
 
     /// Ends the session once nothing is left after a `Leave`.
     pub(crate) fn finish_leaving(&mut self, now: MonotonicTime) {
-        let idle = self.works.is_empty() && self.grants.is_empty();
+        let has_session = self.session.running(now).is_some();
+        let knows_grants = self.grants.is_known() || !has_session;
+        let idle = self.works.is_empty() && self.grants.is_empty() && knows_grants;
         if self.leaving_since.is_none() || self.drained || !idle {
             return;
         }
         self.drained = true;
-        if self.session.running(now).is_some() {
+        if has_session {
             self.send_renewal(now);
         }
         self.pending.push(Output::Drained);
--- a/crates/agent/src/renew.rs
+++ b/crates/agent/src/renew.rs
@@ -2,12 +2,24 @@
 
 use std::net::SocketAddr;
 
-use wingspar_wire::{Message, Pull, Renewal, RenewalReply, RenewalVerdict, TargetLoad};
-use wingspar_world::MonotonicTime;
+use wingspar_wire::{
+    Message, Pull, Renewal, RenewalReply, RenewalVerdict, StateVersion, TargetLoad,
+};
+use wingspar_world::{ConfigVersion, MonotonicTime};
 
 use crate::session::ReplyEffect;
 use crate::{Agent, AgentEvent, Output, SessionEnd};
 
+/// Versions that the leader's last reply told of.
+#[derive(Debug, Default)]
+pub(crate) struct ToldOf {
+    configuration: ConfigVersion,
+    grants: StateVersion,
+    table: StateVersion,
+    /// It asked for a newer configuration before it renews.
+    configuration_behind: bool,
+}
+
 impl Agent {
     pub(crate) fn renew_if_due(&mut self, now: MonotonicTime) {
         if self.drained || !self.session.is_due(now) {
@@ -77,22 +89,28 @@
                 self.counters.renewals_granted += 1;
                 let event = AgentEvent::SessionBegun { session };
                 self.pending.push(Output::Event(event));
-                self.pull_what_is_behind(from, &reply.verdict);
+                self.pull_what_is_behind(from, &reply.verdict, true);
             }
             ReplyEffect::Renewed => {
                 self.counters.renewals_granted += 1;
-                self.pull_what_is_behind(from, &reply.verdict);
+                self.pull_what_is_behind(from, &reply.verdict, false);
             }
             ReplyEffect::Over => {
                 self.counters.sessions_ended += 1;
                 self.end_session(now, SessionEnd::EndedByLeader);
             }
-            ReplyEffect::ConfigurationBehind => self.pull_configuration(from),
+            ReplyEffect::ConfigurationBehind => {
+                if std::mem::replace(&mut self.told_of.configuration_behind, true) {
+                    self.pull_configuration(from);
+                }
+            }
             ReplyEffect::TryAgain => {}
         }
     }
 
-    fn pull_what_is_behind(&mut self, from: SocketAddr, verdict: &RenewalVerdict) {
+    /// Asks for what the leader has newer. The leader sends news on its own, so it is asked only
+    /// when an earlier reply told of the same already, or `at_once`.
+    fn pull_what_is_behind(&mut self, from: SocketAddr, verdict: &RenewalVerdict, at_once: bool) {
         let RenewalVerdict::Renewed {
             session,
             config,
@@ -103,15 +121,27 @@
         else {
             return;
         };
-        if *config > self.configuration.version {
+        let told = std::mem::replace(
+            &mut self.told_of,
+            ToldOf {
+                configuration: *config,
+                grants: *grants,
+                table: *table,
+                configuration_behind: false,
+            },
+        );
+        let due = |told_before| at_once || told_before;
+        if *config > self.configuration.version && due(told.configuration == *config) {
             self.pull_configuration(from);
         }
-        if *grants > self.grants.version() || !self.grants.is_known() {
+        let lacks_grants = *grants > self.grants.version() || !self.grants.is_known();
+        if lacks_grants && due(told.grants == *grants) {
             let node = self.node.clone();
             let session = *session;
             self.send(from, Message::Pull(Pull::Grants { node, session }));
         }
-        if let Some(have) = self.table_version.filter(|have| table > have) {
+        let behind = self.table_version.filter(|have| table > have);
+        if let Some(have) = behind.filter(|_| due(told.table == *table)) {
             self.send(from, Message::Pull(Pull::Table { have }));
         }
     }
--- a/crates/agent/src/session.rs
+++ b/crates/agent/src/session.rs
@@ -17,8 +17,12 @@
 const MAX_OUTSTANDING: usize = 32;
 /// Redirections followed at once before waiting like after a failure.
 const MAX_REDIRECTS: u32 = 3;
-/// Unanswered renewals after which another candidate is asked.
-const TRIES_PER_LEADER: u32 = 2;
+/// Silence of a leader, in retry intervals, after which another candidate is asked.
+const SILENT_RETRIES: u32 = 2;
+/// Shortest time between renewals, so that a burst of news makes no burst of them.
+const SHORTEST_PAUSE: Duration = Duration::from_millis(20);
+/// Pause while the group commits a registration.
+const REGISTRATION_PAUSE: Duration = Duration::from_millis(50);
 /// Doublings of the pause between tries, at most.
 const MAX_BACKOFF_STEPS: u32 = 5;
 
@@ -61,6 +65,8 @@
     outstanding: VecDeque<Outstanding>,
     last_sent: Option<MonotonicTime>,
     next_renewal: MonotonicTime,
+    /// When the first renewal was sent that nobody answered since.
+    silent_since: Option<MonotonicTime>,
     unanswered: u32,
     redirects: u32,
     random: u64,
@@ -85,6 +91,7 @@
             outstanding: VecDeque::new(),
             last_sent: None,
             next_renewal: now,
+            silent_since: None,
             unanswered: 0,
             redirects: 0,
             random,
@@ -120,12 +127,20 @@
     }
 
     pub(crate) fn is_due(&self, now: MonotonicTime) -> bool {
-        now >= self.next_renewal && self.last_sent.is_none_or(|last| last < now)
+        now >= self.next_renewal
     }
 
-    /// Asks for a renewal at the next look.
+    /// Asks for a renewal as soon as may be.
     pub(crate) fn hurry(&mut self, now: MonotonicTime) {
-        self.next_renewal = self.next_renewal.min(now);
+        let earliest = self.earliest(now);
+        self.next_renewal = self.next_renewal.min(earliest);
+    }
+
+    /// When the next renewal may be sent. Never at the instant of the last, for the time of
+    /// sending tells renewals apart.
+    fn earliest(&self, now: MonotonicTime) -> MonotonicTime {
+        let after_last = self.last_sent.map(|last| last + SHORTEST_PAUSE);
+        after_last.map_or(now, |earliest| earliest.max(now))
     }
 
     /// Drops the session and all outstanding renewals.
@@ -137,7 +152,9 @@
 
     /// Notes a renewal as sent now. Returns where it goes.
     pub(crate) fn begin_renewal(&mut self, now: MonotonicTime) -> Option<SocketAddr> {
-        if self.unanswered >= TRIES_PER_LEADER || self.leader.is_none() {
+        let limit = self.retry_interval * SILENT_RETRIES;
+        let silent = self.silent_since.is_some_and(|since| now >= since + limit);
+        if silent || self.leader.is_none() {
             self.leader = None;
             self.next_seed = self.next_seed.wrapping_add(1);
         }
@@ -149,7 +166,9 @@
             session: self.held.map(|held| held.id),
         });
         self.last_sent = Some(now);
-        self.next_renewal = now + self.pause();
+        let pause = self.pause().max(SHORTEST_PAUSE);
+        self.next_renewal = now + pause;
+        self.silent_since = self.silent_since.or(Some(now));
         self.unanswered = self.unanswered.saturating_add(1);
         self.destination()
     }
@@ -157,7 +176,7 @@
     /// Pause after a renewal: the interval, or shorter tries while a session is at stake, or
     /// growing ones without a session.
     fn pause(&mut self) -> Duration {
-        if self.unanswered == 0 && self.held.is_some() {
+        if self.silent_since.is_none() && self.held.is_some() {
             return self.renewal_interval;
         }
         if self.held.is_some() {
@@ -192,7 +211,7 @@
             RenewalVerdict::SessionOver => self.on_over(now, sent),
             RenewalVerdict::Registering => {
                 self.answered_by(from);
-                self.next_renewal = now + self.retry_interval;
+                self.next_renewal = now + self.jittered(REGISTRATION_PAUSE);
                 ReplyEffect::TryAgain
             }
             RenewalVerdict::ConfigurationBehind { .. } => {
@@ -214,6 +233,7 @@
 
     fn answered_by(&mut self, from: SocketAddr) {
         self.leader = Some(from);
+        self.silent_since = None;
         self.unanswered = 0;
         self.redirects = 0;
     }
@@ -264,15 +284,15 @@
         self.leader = leader;
         self.redirects = self.redirects.saturating_add(1);
         let at_once = leader.is_some() && self.redirects <= MAX_REDIRECTS;
-        let pause = if at_once {
-            Duration::ZERO
-        } else {
-            self.jittered(self.retry_interval)
-        };
-        if leader.is_some() {
+        if at_once {
+            self.silent_since = None;
             self.unanswered = 0;
+            let after_last = self.last_sent.map(|last| last + Duration::from_micros(1));
+            self.next_renewal = after_last.map_or(now, |earliest| earliest.max(now));
+        } else {
+            let pause = self.jittered(self.retry_interval);
+            self.next_renewal = now + pause.max(SHORTEST_PAUSE);
         }
-        self.next_renewal = now + pause;
         ReplyEffect::TryAgain
     }
 }
--- a/crates/agent/src/settings.rs
+++ b/crates/agent/src/settings.rs
@@ -17,7 +17,7 @@
     pub backoff_limit: Duration,
     /// How long a draining target still serves slices that were not yet called back.
     pub drain_grace: Duration,
-    /// Time between repeats of hand-over messages.
+    /// Longest time between repeats of hand-over messages; the first repeats come sooner.
     pub hand_over_repeat: Duration,
     /// How long remembered requests are offered to a successor that doesn't answer.
     pub remember_timeout: Duration,
@@ -52,7 +52,7 @@
             renewal_interval: Duration::from_millis(400),
             retry_interval: Duration::from_millis(200),
             backoff_limit: Duration::from_secs(2),
-            drain_grace: Duration::from_secs(2),
+            drain_grace: Duration::from_secs(1),
             hand_over_repeat: Duration::from_millis(200),
             remember_timeout: Duration::from_secs(3),
             remembered_requests: 200_000,
--- a/crates/agent/tests/lease.rs
+++ b/crates/agent/tests/lease.rs
@@ -5,7 +5,7 @@
 use common::*;
 use wingspar_agent::{Admit, Finish, Output, RefusalReason};
 use wingspar_wire::{Message, RenewalVerdict, SessionId, Takeover};
-use wingspar_world::{KeyHash, SliceRange};
+use wingspar_world::{ConfigVersion, KeyHash, SliceRange};
 
 fn reason(admit: Admit) -> RefusalReason {
     match admit {
@@ -194,6 +194,43 @@
     assert_eq!(reason(refused), RefusalReason::UnknownTarget);
 }
 
+#[test]
+fn burst_of_news_neither_floods_nor_loses_the_leader() {
+    let mut fixture = Fixture::serving();
+    fixture.outputs.clear();
+    for number in 2..102 {
+        fixture.grant(number, number, vec![]);
+    }
+    let renewals = fixture.renewals();
+    assert!((4..=6).contains(&renewals.len()), "{}", renewals.len());
+    assert_eq!(fixture.agent.leader(), Some(leader()));
+    fixture.tick(1_000);
+    assert_eq!(fixture.agent.leader(), None, "silent for too long");
+}
+
+#[test]
+fn pulls_what_the_leader_did_not_send_by_itself() {
+    let mut fixture = Fixture::serving();
+    let newer = RenewalVerdict::Renewed {
+        session: fixture.session,
+        lease_ms: LEASE_MS,
+        config: ConfigVersion(2),
+        grants: version(2),
+        table: version(1),
+    };
+    let mut pulls = |now: u64| {
+        fixture.outputs.clear();
+        fixture.tick(now);
+        let sent_at = fixture.renewals()[0].sent_at;
+        fixture.verdict(now, sent_at, newer.clone());
+        let sent = fixture.sent().into_iter();
+        sent.filter(|message| matches!(message, Message::Pull(_)))
+            .count()
+    };
+    assert_eq!(pulls(400), 0, "the leader's own message may be on its way");
+    assert_eq!(pulls(800), 2);
+}
+
 #[test]
 fn unknown_ticket_is_harmless() {
     let mut fixture = Fixture::serving();
--- a/crates/dataplane/src/agent_front/exchange.rs
+++ b/crates/dataplane/src/agent_front/exchange.rs
@@ -23,6 +23,9 @@
 
 /// Pause advised after a failure of a back end.
 const FAILURE_PAUSE: Duration = Duration::from_millis(500);
+/// A request that ran this long without an answer speaks against its back end; a shorter one only
+/// had a short deadline.
+const UNRESPONSIVE_AFTER: Duration = Duration::from_secs(1);
 /// Headers between router and agent that are no business of the back end.
 const ROUTER_ONLY: [&str; 3] = [headers::TARGET, headers::CONFIG, headers::REPEATABLE];
 /// Headers of wingspar that a back end may set on its answer.
@@ -32,6 +35,7 @@
 struct Started {
     request_id: String,
     keep_answer: bool,
+    started_at: Instant,
     deadline: Instant,
     ticket: RunningTicket,
     signals: Arc<Signals>,
@@ -101,6 +105,7 @@
         let started = Started {
             request_id,
             keep_answer,
+            started_at: Instant::now(),
             deadline: self.instant(clearance.deadline),
             ticket: guard,
             signals,
@@ -229,10 +234,21 @@
 }
 
 impl Started {
-    /// Ends the request as unknown.
+    /// Ends the request as unknown. `Cancelled` is so too, but does not count as a failure of the
+    /// back end.
     fn lose(mut self, counter: &AtomicU64, loss: Loss) -> SystemAnswer {
         count(counter);
-        self.ticket.finish(Finish::Unknown);
+        let failed = match loss {
+            Loss::Connection => true,
+            Loss::Deadline => self.started_at.elapsed() >= UNRESPONSIVE_AFTER,
+            Loss::Lease => false,
+        };
+        let finish = if failed {
+            Finish::Unknown
+        } else {
+            Finish::Cancelled
+        };
+        self.ticket.finish(finish);
         answers::lost(self.request_id, loss, FAILURE_PAUSE)
     }
 }
