Check every operation before it is sent

An operation passed on as it is could carry a key that names another object once it stands in a URL. Operations can also be sent with a wait for watches.

--- a/crates/store/src/http_store.rs
+++ b/crates/store/src/http_store.rs
@@ -11,7 +11,6 @@
 
 use crate::change::Change;
 use crate::http_exchange;
-use crate::key::{InvalidRequest, check_delete_expectation, check_key, check_prefix, check_value};
 use crate::object::{Listing, MachineList, Object, Revision, Version, WatchBatch};
 use crate::operation::{Operation, Reply};
 use crate::outcome::{Answer, ReadError, WriteOutcome};
@@ -93,7 +92,6 @@
     /// # Errors
     /// When the store can't be read, or the prefix breaks a rule.
     pub async fn list(&self, prefix: &str) -> Result<Listing, ReadError> {
-        check_prefix(prefix)?;
         match self
             .read(Operation::List {
                 prefix: prefix.to_owned(),
@@ -110,7 +108,6 @@
     /// # Errors
     /// When the store can't be read, or the key breaks a rule.
     pub async fn get(&self, key: &str) -> Result<Option<Object>, ReadError> {
-        check_key(key)?;
         match self
             .read(Operation::Get {
                 key: key.to_owned(),
@@ -124,9 +121,6 @@
 
     /// Creates (`expect` 0) or replaces one object.
     pub async fn put(&self, key: &str, value: Value, expect: Version) -> WriteOutcome {
-        if let Err(invalid) = check_key(key).and_then(|()| check_value(&value)) {
-            return WriteOutcome::Invalid(invalid);
-        }
         let operation = Operation::Put {
             key: key.to_owned(),
             value,
@@ -140,9 +134,6 @@
     /// After [`WriteOutcome::Unknown`], read the history: if the first change after `expect` is a
     /// deletion, the object of that version was deleted, by this call or by one to the same end.
     pub async fn delete(&self, key: &str, expect: Version) -> WriteOutcome {
-        if let Err(invalid) = check_key(key).and_then(|()| check_delete_expectation(expect)) {
-            return WriteOutcome::Invalid(invalid);
-        }
         let operation = Operation::Delete {
             key: key.to_owned(),
             expect,
@@ -160,12 +151,15 @@
         after: Revision,
         wait: Duration,
     ) -> Result<WatchBatch, ReadError> {
-        check_prefix(prefix)?;
         let operation = Operation::Watch {
             prefix: prefix.to_owned(),
             after,
         };
-        match self.exchange(&operation, wait).await.into_read_reply()? {
+        match self
+            .execute_waiting(&operation, wait)
+            .await
+            .into_read_reply()?
+        {
             Reply::Changes(batch) => Ok(batch),
             other => Err(unfitting(&other)),
         }
@@ -182,9 +176,24 @@
         }
     }
 
-    /// Sends one operation as it is and tells how the exchange ended. A watch does not wait.
+    /// Sends one operation and tells how the exchange ended. A watch does not wait.
     pub async fn execute(&self, operation: &Operation) -> Answer {
-        self.exchange(operation, Duration::ZERO).await
+        self.execute_waiting(operation, Duration::ZERO).await
+    }
+
+    /// Sends one operation and tells how the exchange ended. A watch without events is held by the
+    /// store for up to `wait`; other operations don't wait.
+    pub async fn execute_waiting(&self, operation: &Operation, wait: Duration) -> Answer {
+        // A key that breaks the rules could name another object once it stands in a URL.
+        if let Err(invalid) = operation.check() {
+            return Answer::Reply(Reply::Invalid(invalid));
+        }
+        let request = http_exchange::request(&self.client, &self.base, operation, wait)
+            .timeout(self.settings.request_timeout + wait);
+        match request.send().await {
+            Ok(response) => http_exchange::read(operation, response).await,
+            Err(error) => http_exchange::failed(&error),
+        }
     }
 
     /// Writes a change; if its answer is lost, reads back until the outcome is proved or `patience`
@@ -223,21 +232,6 @@
     async fn read(&self, operation: Operation) -> Result<Reply, ReadError> {
         self.execute(&operation).await.into_read_reply()
     }
-
-    async fn exchange(&self, operation: &Operation, wait: Duration) -> Answer {
-        let request = http_exchange::request(&self.client, &self.base, operation, wait)
-            .timeout(self.settings.request_timeout + wait);
-        match request.send().await {
-            Ok(response) => http_exchange::read(operation, response).await,
-            Err(error) => http_exchange::failed(&error),
-        }
-    }
-}
-
-impl From<InvalidRequest> for WriteOutcome {
-    fn from(invalid: InvalidRequest) -> Self {
-        WriteOutcome::Invalid(invalid)
-    }
 }
 
 fn unfitting(reply: &Reply) -> ReadError {
--- a/crates/store/src/model/mod.rs
+++ b/crates/store/src/model/mod.rs
@@ -11,7 +11,6 @@
 
 use serde_json::Value;
 
-use crate::key::{InvalidRequest, check_delete_expectation, check_key, check_prefix, check_value};
 use crate::object::{
     ABSENT, Current, Event, Listing, Machine, MachineState, Object, Revision, Version,
 };
@@ -69,15 +68,17 @@
     /// Carries out one operation. `now` is the time since any fixed start and never goes back.
     pub fn apply(&mut self, now: Duration, operation: Operation) -> Reply {
         self.machines.advance(now);
-        let result = match operation {
+        if let Err(invalid) = operation.check() {
+            return Reply::Invalid(invalid);
+        }
+        match operation {
             Operation::List { prefix } => self.list(&prefix),
             Operation::Get { key } => self.get(&key),
             Operation::Put { key, value, expect } => self.put(now, key, value, expect),
-            Operation::Delete { key, expect } => self.delete(now, key, expect),
-            Operation::Watch { prefix, after } => self.watch(&prefix, after),
-            Operation::Machines => Ok(Reply::Machines(self.machines.visible())),
-        };
-        result.unwrap_or_else(Reply::Invalid)
+            Operation::Delete { key, expect } => self.delete(now, &key, expect),
+            Operation::Watch { prefix, after } => self.history.after(&prefix, after, self.revision),
+            Operation::Machines => Reply::Machines(self.machines.visible()),
+        }
     }
 
     /// The revision of the last change.
@@ -116,62 +117,39 @@
         self.machines.truth()
     }
 
-    fn list(&self, prefix: &str) -> Result<Reply, InvalidRequest> {
-        check_prefix(prefix)?;
+    fn list(&self, prefix: &str) -> Reply {
         let items = self
             .objects
             .range(prefix.to_owned()..)
             .take_while(|(key, _)| key.starts_with(prefix))
             .map(|(key, current)| object(key, current))
             .collect();
-        Ok(Reply::Listing(Listing {
+        Reply::Listing(Listing {
             revision: self.revision,
             items,
-        }))
+        })
     }
 
-    fn get(&self, key: &str) -> Result<Reply, InvalidRequest> {
-        check_key(key)?;
-        let found = self.objects.get(key).map(|current| object(key, current));
-        Ok(Reply::Object(found))
+    fn get(&self, key: &str) -> Reply {
+        Reply::Object(self.objects.get(key).map(|current| object(key, current)))
     }
 
-    fn put(
-        &mut self,
-        now: Duration,
-        key: String,
-        value: Value,
-        expect: Version,
-    ) -> Result<Reply, InvalidRequest> {
-        check_key(&key)?;
-        check_value(&value)?;
+    fn put(&mut self, now: Duration, key: String, value: Value, expect: Version) -> Reply {
         if self.version_of(&key) != expect {
-            return Ok(self.conflict(&key));
+            return self.conflict(&key);
         }
         let version = self.record(now, &key, Some(value.clone()));
         self.objects.insert(key, Current { version, value });
-        Ok(Reply::Written { version })
+        Reply::Written { version }
     }
 
-    fn delete(
-        &mut self,
-        now: Duration,
-        key: String,
-        expect: Version,
-    ) -> Result<Reply, InvalidRequest> {
-        check_key(&key)?;
-        check_delete_expectation(expect)?;
-        if self.version_of(&key) != expect {
-            return Ok(self.conflict(&key));
+    fn delete(&mut self, now: Duration, key: &str, expect: Version) -> Reply {
+        if self.version_of(key) != expect {
+            return self.conflict(key);
         }
-        self.objects.remove(&key);
-        let version = self.record(now, &key, None);
-        Ok(Reply::Written { version })
-    }
-
-    fn watch(&self, prefix: &str, after: Revision) -> Result<Reply, InvalidRequest> {
-        check_prefix(prefix)?;
-        Ok(self.history.after(prefix, after, self.revision))
+        self.objects.remove(key);
+        let version = self.record(now, key, None);
+        Reply::Written { version }
     }
 
     fn version_of(&self, key: &str) -> Version {
--- a/crates/store/src/operation.rs
+++ b/crates/store/src/operation.rs
@@ -5,7 +5,7 @@
 
 use serde_json::Value;
 
-use crate::key::InvalidRequest;
+use crate::key::{InvalidRequest, check_delete_expectation, check_key, check_prefix, check_value};
 use crate::object::{Current, Listing, MachineList, Object, Revision, Version, WatchBatch};
 
 /// One request to the store.
@@ -49,6 +49,26 @@
 }
 
 impl Operation {
+    /// Checks the rules for keys, values and expectations, as the store does before anything else.
+    ///
+    /// # Errors
+    /// Tells the first rule that the operation breaks.
+    pub fn check(&self) -> Result<(), InvalidRequest> {
+        match self {
+            Operation::List { prefix } | Operation::Watch { prefix, .. } => check_prefix(prefix),
+            Operation::Get { key } => check_key(key),
+            Operation::Put { key, value, .. } => {
+                check_key(key)?;
+                check_value(value)
+            }
+            Operation::Delete { key, expect } => {
+                check_key(key)?;
+                check_delete_expectation(*expect)
+            }
+            Operation::Machines => Ok(()),
+        }
+    }
+
     /// Whether the operation can change the store, so that a lost answer leaves its effect unknown.
     #[must_use]
     pub fn is_write(&self) -> bool {
