agent: a slice is not given up while unknown work of it may still begin

A frozen back end can begin a request after the agent gave it up at its deadline; the grant sent along bounds that, so the hand-over waits for the grant's end. The front's tests now cover late, duplicate and foreign answers, half-closed connections, oversized heads and odd paths.

--- a/crates/agent/src/admit.rs
+++ b/crates/agent/src/admit.rs
@@ -119,7 +119,7 @@
             match work.phase {
                 Phase::Admitted => Ok(clearance),
                 Phase::Queued => Err(refusal(RefusalReason::Overloaded, ROUTE_AGAIN)),
-                Phase::Started(_) => Err(unknown),
+                Phase::Started { .. } => Err(unknown),
             }
         });
         match checked {
@@ -143,6 +143,10 @@
         let slice = slice.zip(work.admission.key);
         let target = work.admission.target.clone();
         self.loads.entry(target).or_default().count(slice);
-        self.works.set_phase(ticket, Phase::Started(now));
+        let started = Phase::Started {
+            at: now,
+            right_until: now + clearance.ttl,
+        };
+        self.works.set_phase(ticket, started);
     }
 }
--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -17,6 +17,7 @@
 use crate::renew::ToldOf;
 use crate::session::Session;
 use crate::target::TargetState;
+use crate::unsettled::Unsettled;
 use crate::work::WorkTable;
 use crate::{AgentEvent, AgentSettings, Counters, Input, Output, SessionEnd, Ticket};
 
@@ -42,6 +43,7 @@
     pub(crate) remembered: Remembered,
     pub(crate) guards: Guards,
     pub(crate) hand_overs: HandOvers,
+    pub(crate) unsettled: Unsettled,
     pub(crate) counters: Counters,
     pub(crate) leaving_since: Option<MonotonicTime>,
     pub(crate) drained: bool,
@@ -79,6 +81,7 @@
             remembered,
             guards: Guards::default(),
             hand_overs: HandOvers::default(),
+            unsettled: Unsettled::default(),
             counters: Counters::default(),
             leaving_since: None,
             drained: false,
@@ -101,6 +104,7 @@
         }
         self.look_now = false;
         self.remembered.expire(now);
+        self.unsettled.settle(now);
         self.step_hand_overs(now);
         self.renew_if_due(now);
         self.finish_leaving(now);
@@ -112,7 +116,11 @@
         if self.look_now || !self.pending.is_empty() {
             return MonotonicTime::ZERO;
         }
-        let hand_overs = self.hand_overs.next_wake();
+        let hand_overs = if self.hand_overs.is_empty() {
+            MonotonicTime::MAX
+        } else {
+            self.hand_overs.next_wake().min(self.unsettled.next_wake())
+        };
         if self.drained {
             return hand_overs;
         }
--- a/crates/agent/src/finish.rs
+++ b/crates/agent/src/finish.rs
@@ -14,6 +14,7 @@
             return Vec::new();
         };
         self.remember_end(now, ticket, &work, &finish);
+        self.note_unsettled(now, &work, &finish);
         self.count_end(&work, &finish);
         self.observe_end(now, &work, &finish);
         if !self.hand_overs.is_empty() || self.leaving_since.is_some() {
@@ -27,7 +28,7 @@
             return;
         };
         let service = &work.admission.service;
-        let was_started = matches!(work.phase, Phase::Started(_));
+        let was_started = matches!(work.phase, Phase::Started { .. });
         let outcome = match finish {
             Finish::NotRun(_) => None,
             Finish::Unknown | Finish::Cancelled => {
@@ -53,8 +54,21 @@
         self.remembered.end(service, id, outcome, now, window);
     }
 
+    /// Work that may still begin keeps its slice from being given up, unless it harms no one.
+    fn note_unsettled(&mut self, now: MonotonicTime, work: &Work, finish: &Finish) {
+        let Phase::Started { right_until, .. } = work.phase else {
+            return;
+        };
+        let is_unknown = matches!(finish, Finish::Unknown | Finish::Cancelled);
+        let harmless = work.admission.repeatable || right_until <= now;
+        if let Some(key) = work.admission.key.filter(|_| is_unknown && !harmless) {
+            let service = work.admission.service.clone();
+            self.unsettled.add(service, key, right_until);
+        }
+    }
+
     fn count_end(&mut self, work: &Work, finish: &Finish) {
-        let was_started = matches!(work.phase, Phase::Started(_));
+        let was_started = matches!(work.phase, Phase::Started { .. });
         match finish {
             Finish::Ran { .. } => self.counters.ran += 1,
             Finish::Unknown | Finish::Cancelled if was_started => self.counters.unknown += 1,
@@ -64,7 +78,8 @@
 
     fn observe_end(&mut self, now: MonotonicTime, work: &Work, finish: &Finish) {
         let name = &work.admission.target;
-        let (Phase::Started(at), Some(state)) = (work.phase, self.targets.get_mut(name)) else {
+        let (Phase::Started { at, .. }, Some(state)) = (work.phase, self.targets.get_mut(name))
+        else {
             return;
         };
         let changed = match finish {
@@ -94,7 +109,7 @@
             Phase::Queued => {
                 state.leave_queue(work.admission.class, ticket);
             }
-            Phase::Admitted | Phase::Started(_) => state.free_slot(work.admission.class),
+            Phase::Admitted | Phase::Started { .. } => state.free_slot(work.admission.class),
         }
         let mut runnable = Vec::new();
         while let Some(next) = state.promote(&self.settings) {
--- a/crates/agent/src/handover.rs
+++ b/crates/agent/src/handover.rs
@@ -64,7 +64,7 @@
     pub(crate) remember_timeout: Duration,
     pub(crate) remembered: &'a Remembered,
     pub(crate) guards: &'a Guards,
-    /// Ranges with started work.
+    /// Whether work of a range runs or may still begin.
     pub(crate) is_running: &'a dyn Fn(&ServiceName, SliceRange) -> bool,
 }
 
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -26,6 +26,7 @@
 mod session;
 mod settings;
 mod target;
+mod unsettled;
 mod work;
 
 pub use agent::Agent;
--- a/crates/agent/src/release.rs
+++ b/crates/agent/src/release.rs
@@ -28,9 +28,10 @@
         if self.hand_overs.is_empty() {
             return;
         }
-        let works = &self.works;
-        let is_running =
-            |service: &ServiceName, range| works.started_in(service, range).next().is_some();
+        let (works, unsettled) = (&self.works, &self.unsettled);
+        let is_running = |service: &ServiceName, range| {
+            works.started_in(service, range).next().is_some() || unsettled.any_in(service, range)
+        };
         let surroundings = Surroundings {
             group: self.settings.group,
             node: &self.node,
--- a/crates/agent/src/work.rs
+++ b/crates/agent/src/work.rs
@@ -14,7 +14,12 @@
     /// It has a slot and was not sent.
     Admitted,
     /// It was cleared to be sent.
-    Started(MonotonicTime),
+    Started {
+        /// When.
+        at: MonotonicTime,
+        /// When the right to begin it ends.
+        right_until: MonotonicTime,
+    },
 }
 
 #[derive(Debug)]
@@ -27,7 +32,7 @@
 
 impl Work {
     fn is_started(&self) -> bool {
-        matches!(self.phase, Phase::Started(_))
+        matches!(self.phase, Phase::Started { .. })
     }
 }
 
--- a/crates/agent/tests/hand_over.rs
+++ b/crates/agent/tests/hand_over.rs
@@ -222,6 +222,30 @@
     assert_eq!(told[0].range, halves[1]);
 }
 
+#[test]
+fn work_that_may_still_begin_holds_the_slice() {
+    let mut source = Fixture::serving();
+    let frozen = source.run(10, admission(b"rose", ms(9_000)));
+    source.agent.finish(ms(20), frozen, Finish::Unknown);
+    let mut lookup = admission(b"rose", ms(9_000));
+    lookup.repeatable = true;
+    let harmless = source.run(10, lookup);
+    source.agent.finish(ms(20), harmless, Finish::Unknown);
+    source.grant(30, 2, vec![release(SliceRange::FULL)]);
+    source.renew(400);
+    assert!(released(&mut source).is_empty());
+    assert!(source.agent.next_wake() <= ms(LEASE_MS));
+    source.renew(1_000);
+    source.tick(LEASE_MS - 1);
+    assert!(released(&mut source).is_empty());
+    source.tick(LEASE_MS);
+    assert_eq!(
+        released(&mut source).len(),
+        1,
+        "the grant sent along is over"
+    );
+}
+
 #[test]
 fn uninvited_or_wrong_memory_is_not_taken_in() {
     let mut target = Fixture::serving();
--- a/crates/dataplane/src/agent_front/counters.rs
+++ b/crates/dataplane/src/agent_front/counters.rs
@@ -13,6 +13,7 @@
     pub(super) lease_lost: AtomicU64,
     pub(super) refused_by_back_end: AtomicU64,
     pub(super) answers_cut: AtomicU64,
+    pub(super) wrong_answers: AtomicU64,
 }
 
 pub(super) fn count(counter: &AtomicU64) {
@@ -32,6 +33,7 @@
             ("lease_lost", read(&self.lease_lost)),
             ("refused_by_back_end", read(&self.refused_by_back_end)),
             ("answers_cut", read(&self.answers_cut)),
+            ("wrong_answers", read(&self.wrong_answers)),
         ]
         .into_iter()
     }
--- a/crates/dataplane/src/agent_front/exchange.rs
+++ b/crates/dataplane/src/agent_front/exchange.rs
@@ -159,6 +159,9 @@
             }
         };
         match result {
+            Ok(answer) if !is_own_answer(&answer, &started.request_id) => {
+                Err(started.lose(&self.counters.wrong_answers, Loss::Connection))
+            }
             Ok(answer) => {
                 self.pass_on(started, answer, control, response);
                 Ok(())
@@ -322,6 +325,12 @@
     outgoing
 }
 
+/// Whether an answer is for this request, as far as the back end names the request it answers.
+fn is_own_answer(answer: &reqwest::Response, request_id: &str) -> bool {
+    let named = answer.headers().get(headers::REQUEST_ID);
+    named.is_none_or(|named| named.as_bytes() == request_id.as_bytes())
+}
+
 /// What a back end says of the outcome: it ran, unless it says otherwise.
 fn back_end_outcome(headers: &HeaderMap) -> &'static str {
     let said = headers.get(headers::OUTCOME);
--- a/crates/dataplane/tests/agent_front.rs
+++ b/crates/dataplane/tests/agent_front.rs
@@ -242,3 +242,78 @@
     assert_eq!(response.bytes().await.unwrap().len(), BIG);
     assert_eq!(bed.in_flight(), 0);
 }
+
+#[tokio::test]
+async fn duplicate_and_foreign_answers_reach_no_other_request() {
+    let (bed, _back_end) = Bed::with_back_end(4).await;
+    for _ in 0..20 {
+        let first = bed.post("/twice").send().await.unwrap();
+        assert_eq!(first.text().await.unwrap(), "one");
+        let next = bed.post("/ok").send().await.unwrap();
+        assert_eq!(next.text().await.unwrap(), "ok");
+    }
+    let foreign = bed.post("/other").send().await.unwrap();
+    assert_eq!(ending(&foreign), ended("unknown", "connection_lost", 502));
+    assert_eq!(bed.count("wrong_answers"), 1);
+}
+
+#[tokio::test]
+async fn answer_of_a_thawed_back_end_reaches_nobody() {
+    let (bed, back_end) = Bed::with_back_end(1).await;
+    let mut request = bed.post("/frozen").build().unwrap();
+    let short = "200".parse().unwrap();
+    request.headers_mut().insert(headers::DEADLINE_MS, short);
+    let response = bed.client.execute(request).await.unwrap();
+    assert_eq!(ending(&response), ended("unknown", "deadline", 504));
+    let slow = tokio::spawn(bed.post("/slow").send());
+    wait_for("the next runs", || back_end.runs() == 2).await;
+    back_end.release.add_permits(2);
+    let answer = slow.await.unwrap().unwrap();
+    assert_eq!(answer.text().await.unwrap(), "ok");
+    let next = bed.post("/ok").send().await.unwrap();
+    assert_eq!(next.text().await.unwrap(), "ok");
+}
+
+#[tokio::test]
+async fn half_closed_connections_end_in_order() {
+    let (bed, back_end) = Bed::with_back_end(1).await;
+    for _ in 0..3 {
+        let answer = bed.post("/half").send().await.unwrap();
+        assert_eq!(answer.text().await.unwrap(), "ok");
+    }
+    let mut caller = TcpStream::connect(bed.address).await.unwrap();
+    let request = bed.post("/slow").build().unwrap();
+    let mut head = "POST /slow HTTP/1.1\r\nhost: stoc\r\n".to_owned();
+    for (name, value) in request.headers() {
+        head += &format!("{name}: {}\r\n", value.to_str().unwrap());
+    }
+    caller.write_all((head + "\r\n").as_bytes()).await.unwrap();
+    wait_for("it runs", || back_end.runs() == 4).await;
+    caller.shutdown().await.unwrap();
+    wait_for("the back end is told", || back_end.gone() == 1).await;
+    wait_for("the slot is free", || bed.in_flight() == 0).await;
+}
+
+#[tokio::test]
+async fn oversized_heads_are_refused_both_ways() {
+    let (bed, back_end) = Bed::with_back_end(4).await;
+    let large = bed.post("/ok").header("x-large", "x".repeat(40_000));
+    let refused = large.send().await.unwrap();
+    assert_eq!(refused.status(), 431);
+    assert_eq!(back_end.runs(), 0);
+    let answer = bed.post("/headers").send().await.unwrap();
+    assert_eq!(ending(&answer), ended("unknown", "connection_lost", 502));
+    assert_eq!(bed.in_flight(), 0);
+}
+
+#[tokio::test]
+async fn odd_paths_arrive_as_sent_or_are_refused() {
+    let (bed, back_end) = Bed::with_back_end(4).await;
+    for path in ["/%ff", "//x", "/a%2Fb", "/", "/a;b=c/?d=%20e"] {
+        let before = back_end.runs();
+        let response = bed.post(path).send().await.unwrap();
+        assert_eq!(ending(&response), ended("ran", "", 200), "{path}");
+        let head = back_end.heads().remove(before);
+        assert!(head.starts_with(&format!("POST {path} HTTP/1.1")), "{head}");
+    }
+}
--- a/crates/dataplane/tests/bed/back_end.rs
+++ b/crates/dataplane/tests/bed/back_end.rs
@@ -86,6 +86,28 @@
             "/packed" => {
                 "HTTP/1.1 200 OK\r\ncontent-encoding: gzip\r\ncontent-length: 3\r\n\r\nraw"
             }
+            "/twice" => {
+                "HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\none\
+                 HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\ntwo"
+            }
+            "/other" => {
+                "HTTP/1.1 200 OK\r\nwingspar-request-id: r-0\r\ncontent-length: 3\r\n\r\nnot"
+            }
+            "/half" => {
+                let answer = stream.write_all(simple.as_bytes()).await;
+                return answer.is_ok() && stream.shutdown().await.is_ok();
+            }
+            "/frozen" => {
+                // Sees neither the end of the connection nor the deadline until it thaws.
+                self.release.acquire().await.unwrap().forget();
+                simple.replace("ok", "ICE").leak()
+            }
+            "/headers" => {
+                let filler = "x".repeat(1_000);
+                let many = (0..500).map(|number| format!("x-{number}: {filler}\r\n"));
+                let head = format!("HTTP/1.1 200 OK\r\n{}\r\n", many.collect::<String>());
+                return stream.write_all(head.as_bytes()).await.is_ok();
+            }
             "/long" => {
                 let body = "x".repeat(5_000);
                 let head = "HTTP/1.1 201 Created\r\ncontent-length: 5000\r\n\r\n";
