--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -13,6 +13,7 @@
 use crate::group::GroupKnowledge;
 use crate::leading::Leading;
 use crate::observed::Observed;
+use crate::recovery::Recovery;
 use crate::store_io::{Purpose, StoreRequests, is_reply, lost_answer};
 use crate::{
     ControlCounters, ControlEvent, ControlSettings, GroupState, Input, Output, StoreReply,
@@ -33,6 +34,7 @@
     pub(crate) store: StoreRequests,
     pub(crate) store_reachable: bool,
     pub(crate) group: GroupKnowledge,
+    pub(crate) recovery: Recovery,
     pub(crate) replica: Option<Replica<GroupState>>,
     /// Something was proposed and not yet handed to the replication.
     pub(crate) proposed: bool,
@@ -72,6 +74,7 @@
             counters: ControlCounters::default(),
             store: StoreRequests::default(),
             store_reachable: true,
+            recovery: Recovery::default(),
             replica: None,
             proposed: false,
             observed: Observed::default(),
--- a/crates/control/src/group.rs
+++ b/crates/control/src/group.rs
@@ -11,7 +11,7 @@
 use wingspar_wire::PresenceRole;
 use wingspar_world::{Machine, MonotonicTime, NodeId, ZoneName};
 
-use crate::candidates::PRESENT_FOR;
+use crate::candidates::{Candidate, PRESENT_FOR};
 use crate::group_object::{GroupObject, Member};
 use crate::store_io::Purpose;
 use crate::{Control, ControlEvent, GroupState, Output};
@@ -37,12 +37,6 @@
     pub(crate) nonce: u64,
     /// Processes that were running after the object was last read.
     pub(crate) running: BTreeMap<NodeId, Machine>,
-    /// Machines that the platform lists as destroyed.
-    pub(crate) destroyed: BTreeSet<String>,
-    /// Members that an operator vouched for, and of which generation.
-    pub(crate) vouched: Option<(u32, BTreeSet<NodeId>)>,
-    /// When a majority was first found dead, with a view to waiting for more founders.
-    pub(crate) lost_since: Option<MonotonicTime>,
 }
 
 impl GroupKnowledge {
@@ -58,9 +52,6 @@
             leader_known_at: now,
             nonce,
             running: BTreeMap::new(),
-            destroyed: BTreeSet::new(),
-            vouched: None,
-            lost_since: None,
         }
     }
 
@@ -131,15 +122,16 @@
         if generation == 0 || object < Some(generation) && self.replica.is_none() {
             return true;
         }
-        let silence = self.now.since(self.group.leader_known_at);
-        silence >= self.settings.leaderless_after
+        self.is_leaderless()
     }
 
     pub(crate) fn read_group(&mut self, out: &mut Vec<Output>) {
         if self.now < self.group.next_read || self.store.is_pending(Purpose::ReadGroup) {
             return;
         }
-        self.group.next_read = self.now + self.settings.store_retry * 2;
+        // A group that exists and has no leader may stay so for long; the store has other readers.
+        let pause = if self.group.generation == 0 { 2 } else { 5 };
+        self.group.next_read = self.now + self.settings.store_retry * pause;
         let key = self.settings.group_key();
         self.ask_store(Purpose::ReadGroup, Operation::Get { key }, out);
     }
@@ -184,7 +176,6 @@
         // Proofs of death count only when they began after the members were read.
         self.group.nonce = self.random.random_range(1..u64::MAX);
         self.group.running.clear();
-        self.group.lost_since = None;
         let generation = object.generation;
         self.learn_generation(generation, out);
         for member in object.possible_members() {
@@ -252,7 +243,11 @@
         if !absent || self.store.is_pending(Purpose::FoundGroup) {
             return;
         }
-        let founders = self.choose_founders();
+        let in_group = |(_, candidate): (&NodeId, &Candidate)| candidate.generation > 0;
+        if self.candidates.present(self.now).any(in_group) {
+            return;
+        }
+        let founders = self.choose_founders(false);
         if founders.len() < self.settings.replicas || self.lowest_present() != self.node {
             return;
         }
@@ -289,7 +284,7 @@
         self.next_presence = self.now;
     }
 
-    fn lowest_present(&self) -> NodeId {
+    pub(crate) fn lowest_present(&self) -> NodeId {
         let present = self.candidates.present(self.now);
         let lowest = present
             .filter(|(_, it)| !it.leaving)
@@ -298,8 +293,8 @@
         lowest.map_or(self.node.clone(), |lowest| lowest.min(&self.node).clone())
     }
 
-    /// Present candidates outside any group, one of each zone in turn, this process among them.
-    pub(crate) fn choose_founders(&self) -> Vec<Member> {
+    /// Present candidates, one of each zone in turn; voters of the lost generation only if asked.
+    pub(crate) fn choose_founders(&self, also_voters: bool) -> Vec<Member> {
         let mut by_zone: BTreeMap<ZoneName, Vec<Member>> = BTreeMap::new();
         let mut add = |node: &NodeId, machine: &Machine| {
             let member = Member {
@@ -311,9 +306,12 @@
                 .or_default()
                 .push(member);
         };
-        add(&self.node, &self.machine);
+        if self.leaving_since.is_none() {
+            add(&self.node, &self.machine);
+        }
         for (node, candidate) in self.candidates.present(self.now) {
-            if candidate.role == PresenceRole::Spare && !candidate.leaving {
+            let spare = candidate.role == PresenceRole::Spare;
+            if (spare || also_voters) && !candidate.leaving {
                 add(node, &candidate.machine);
             }
         }
--- a/crates/control/src/leading.rs
+++ b/crates/control/src/leading.rs
@@ -15,8 +15,6 @@
 /// Soft state of a leader; the next one begins anew.
 #[derive(Debug)]
 pub(crate) struct Leading {
-    pub(crate) term: u64,
-    pub(crate) since: MonotonicTime,
     pub(crate) sessions: BTreeMap<SessionId, SessionView>,
     /// Log index of the registration proposed for a node.
     pub(crate) registering: BTreeMap<NodeId, u64>,
@@ -110,10 +108,8 @@
 }
 
 impl Leading {
-    pub(crate) fn new(now: MonotonicTime, term: u64) -> Self {
+    pub(crate) fn new() -> Self {
         Self {
-            term,
-            since: now,
             sessions: BTreeMap::new(),
             registering: BTreeMap::new(),
             barrier: 0,
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -4,8 +4,6 @@
 //! store answers, operator requests and the passing of time, and returns what is to be sent, asked
 //! and told. All times are of the caller's monotonic clock.
 
-#![allow(dead_code)]
-
 mod assignment;
 mod candidates;
 mod command;
--- a/crates/control/src/member.rs
+++ b/crates/control/src/member.rs
@@ -169,7 +169,7 @@
 
     fn begin_leading(&mut self, term: u64, out: &mut Vec<Output>) {
         let generation = self.group.generation;
-        self.leading = Some(Leading::new(self.now, term));
+        self.leading = Some(Leading::new());
         self.next_tick = self.now;
         let event = ControlEvent::BecameLeader { generation, term };
         out.push(Output::Event(event));
--- a/crates/control/src/membership.rs
+++ b/crates/control/src/membership.rs
@@ -174,7 +174,7 @@
             let lately = self.now.since(candidate.heard_at) < PRESENT_FOR;
             (lately && other != node && other.machine == node.machine).then_some(())
         });
-        let destroyed = self.group.destroyed.contains(node.machine.as_str());
+        let destroyed = self.recovery.destroyed.contains(node.machine.as_str());
         let proved = successor.is_some() || destroyed;
         silence >= self.settings.replace_after || proved && silence >= PRESENT_FOR / 2
     }
--- a/crates/control/src/operators.rs
+++ b/crates/control/src/operators.rs
@@ -22,13 +22,10 @@
     pub(crate) fn on_operator(&mut self, id: u64, request: OperatorRequest, out: &mut Vec<Output>) {
         self.counters.operator_requests += 1;
         if let OperatorRequest::ForceGeneration {
-            change_id,
-            generation,
-            dead,
+            generation, dead, ..
         } = request
         {
-            let reply = self.force_generation(&change_id, generation, dead);
-            out.push(Output::OperatorReply { id, reply });
+            self.force_generation(id, generation, dead, out);
             return;
         }
         if self.leading.is_none() || !self.holds_leader_lease() {
--- a/crates/control/src/presence.rs
+++ b/crates/control/src/presence.rs
@@ -33,14 +33,14 @@
             machine: self.machine.clone(),
             role: self.presence_role(),
             generation: self.group.generation,
-            leader: self.known_leader(),
+            leader: self.own_leader(),
             leaving: self.leaving_since.is_some() || removed,
             nonce: self.group.nonce,
             echo: 0,
         }
     }
 
-    fn presence_role(&self) -> PresenceRole {
+    pub(crate) fn presence_role(&self) -> PresenceRole {
         match self.role() {
             None | Some(Role::Removed) => PresenceRole::Spare,
             Some(Role::Learner) => PresenceRole::Learner,
@@ -48,10 +48,17 @@
         }
     }
 
-    /// The leader as far as known.
+    /// The leader as a voter knows it; it forgets one that falls silent, which a learner doesn't.
+    fn own_leader(&self) -> Option<NodeId> {
+        let voter = self.presence_role() == PresenceRole::Voter;
+        let replica = self.replica.as_ref().filter(|_| voter);
+        replica.and_then(Replica::leader)
+    }
+
+    /// The leader as far as known here or told by voters.
     pub(crate) fn known_leader(&self) -> Option<NodeId> {
-        let leader = self.replica.as_ref().and_then(Replica::leader);
-        leader.or_else(|| self.group.hinted_leader(self.now))
+        let own = self.own_leader();
+        own.or_else(|| self.group.hinted_leader(self.now))
     }
 
     pub(crate) fn on_presence(&mut self, presence: &Presence, out: &mut Vec<Output>) {
@@ -67,7 +74,8 @@
         }
         if presence.role != PresenceRole::Spare {
             self.learn_generation(presence.generation, out);
-            if presence.generation == self.group.generation {
+            let voter = presence.role == PresenceRole::Voter;
+            if voter && presence.generation == self.group.generation {
                 self.group.hint_leader(self.now, presence.leader.clone());
             }
         }
--- a/crates/control/src/state/mod.rs
+++ b/crates/control/src/state/mod.rs
@@ -22,6 +22,7 @@
 pub use slice::{HandOver, Slice, SliceMap, TakeoverKind};
 
 use crate::command::Command;
+use crate::operator::AssignmentReason;
 
 /// One session of a process.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -129,6 +130,24 @@
     }
 }
 
+impl GroupSnapshot {
+    /// The state that a new generation begins from: no session goes on, so no slice has an owner;
+    /// the targets that had them are the best next owners, for they remember requests.
+    pub fn for_generation(mut self, generation: u32) -> Self {
+        self.version.generation = generation;
+        self.version.sequence += 1;
+        let at = self.version;
+        self.sessions.clear();
+        let slices = self.services.iter_mut().flat_map(|(_, slices)| slices);
+        for slice in slices.filter(|slice| slice.owner.is_some()) {
+            let owner = slice.owner.take();
+            slice.orphan(at, AssignmentReason::OwnerLost);
+            slice.preferred = owner.map(|owner| owner.target);
+        }
+        self
+    }
+}
+
 impl GroupState {
     /// An empty state.
     pub fn new() -> Self {
