--- a/crates/placement/src/plan/moves.rs
+++ b/crates/placement/src/plan/moves.rs
@@ -1,19 +1,23 @@
 //! Which slices move, and where.
 //!
-//! A move never gives the destination more than its due plus half the tolerated imbalance, nor takes
-//! the source below its due. So a move never calls for its own reversal.
+//! A move never leaves the destination with more relative load than the source. So under a steady
+//! load no move calls for its own reversal, and moves come to an end.
 
 mod ledger;
 mod pool;
 
-use super::reshape::{Reshaper, middle};
+use super::reshape::{Reshaper, cuts};
 use super::sweep::Sweep;
-use super::trigger::{SHIFT_DONE, Wanted};
+use super::trigger::{SHIFT_DONE, Wanted, filled};
 use super::view::View;
 use crate::{Action, ChurnBudget, MoveReason};
 
 use ledger::Ledger;
-use pool::{Movable, Pool};
+use pool::{Movable, Pool, Wish};
+
+/// Load, as a multiple of the cold load, above which a slice may be split to make its parts movable:
+/// lighter parts would be merged again.
+const REFINED_PART: f64 = 2.0;
 
 /// Plans one batch of moves.
 pub(super) struct Mover<'a> {
@@ -81,8 +85,12 @@
             let Some(destination) = self.ledger.shift_destination(source) else {
                 return;
             };
-            let most = self.shift_amount(source, destination);
-            match self.pool.take(source, most, self.budget_left()) {
+            let wish = Wish {
+                most_load: self.shift_amount(source, destination),
+                least_load: self.ledger.least_useful(source),
+                most_charge: self.budget_left(),
+            };
+            match self.pool.take(source, &wish) {
                 Some(movable) => {
                     self.plan(source, destination, &movable, MoveReason::RegionShift);
                 }
@@ -117,15 +125,20 @@
     /// Moves load from targets above their due share to targets below it.
     pub(super) fn balance(&mut self, wanted: Wanted) {
         let is_shifting = self.actions.iter().any(is_shift);
-        if !wanted.balance || is_shifting {
+        if !(wanted.balance || wanted.fill) || is_shifting {
             return;
         }
         let mut too_coarse = None;
         while self.moves_left > 0 {
-            let Some((source, most, destination)) = self.balance_step() else {
+            let Some((source, most, destination)) = self.balance_step(wanted) else {
                 break;
             };
-            match self.pool.take(source, most, self.budget_left()) {
+            let wish = Wish {
+                most_load: most,
+                least_load: self.ledger.least_useful(source),
+                most_charge: self.budget_left(),
+            };
+            match self.pool.take(source, &wish) {
                 Some(movable) => {
                     self.plan(source, destination, &movable, MoveReason::Balance);
                 }
@@ -141,23 +154,22 @@
         }
     }
 
-    /// The most loaded source, the load that it may give, and the least loaded destination.
-    fn balance_step(&self) -> Option<(usize, f64, usize)> {
+    /// The most loaded source, the load that it may give, and the least loaded destination. With
+    /// region weights only a shift crosses regions, or the two would undo each other's work.
+    fn balance_step(&self, wanted: Wanted) -> Option<(usize, f64, usize)> {
+        let is_weighted = !self.view.input.policy.region_weights.is_empty();
+        let usable = |target| !self.pool.is_exhausted(target);
+        let source = self.ledger.most_loaded(usable)?;
+        let destination = self.ledger.least_loaded(is_weighted.then_some(source))?;
         let low = self.view.input.policy.imbalance_low.max(1.0);
-        let source = self
-            .ledger
-            .most_loaded(|target| !self.pool.is_exhausted(target))?;
-        if self.ledger.relative_load(source) <= low {
+        let is_high = wanted.balance && self.ledger.relative_load(source) > low;
+        let is_starved = wanted.fill && self.ledger.relative_load(destination) < filled(self.view);
+        if !is_high && !is_starved {
             return None;
         }
-        let destination = self.ledger.least_loaded()?;
-        let slack = 1.0 + (low - 1.0) / 2.0;
-        let most = self
-            .ledger
-            .excess(source)
-            .min(self.ledger.deficit(destination, slack))
-            .min(self.ledger.room(destination));
-        (most > 0.0 && source != destination).then_some((source, most, destination))
+        let even = self.ledger.evening_amount(source, destination);
+        let most = even.min(self.ledger.room(destination));
+        (most > 0.0).then_some((source, most, destination))
     }
 
     /// Splits the source's heaviest slice when every slice is too heavy to move.
@@ -167,9 +179,11 @@
         }
         let heaviest = self.pool.heaviest_divisible(source)?;
         let affordable = heaviest.charge <= self.budget_left();
-        (heaviest.load > most && affordable).then(|| Action::Split {
+        let lasts = heaviest.load > REFINED_PART * self.view.cold_load();
+        let hot_keys = self.view.hot_keys_in(&heaviest.range);
+        (heaviest.load > most && affordable && lasts).then(|| Action::Split {
             range: heaviest.range,
-            at: vec![middle(&heaviest.range)],
+            at: cuts(&heaviest.range, heaviest.load, hot_keys, self.view.hot_load),
         })
     }
 
--- a/crates/placement/src/plan/moves/ledger.rs
+++ b/crates/placement/src/plan/moves/ledger.rs
@@ -9,6 +9,9 @@
 /// fills over several batches. A single slice may exceed it.
 const MOST_INCOMING: f64 = 0.25;
 
+/// Load, as a part of the mean load of its owner's slices, below which a slice is not worth a move.
+const LEAST_USEFUL: f64 = 0.01;
+
 /// Loads of targets while a batch of moves is planned, in requests a second.
 pub(super) struct Ledger<'a> {
     shares: &'a [f64],
@@ -68,14 +71,18 @@
         self.loads[target] / self.due(target)
     }
 
-    /// Load above the target's due.
-    pub(super) fn excess(&self, target: usize) -> f64 {
-        self.loads[target] - self.due(target)
+    /// Load that a slice of the target must have to be worth a move.
+    pub(super) fn least_useful(&self, target: usize) -> f64 {
+        if self.must_empty(target) {
+            return 0.0;
+        }
+        LEAST_USEFUL * self.loads[target] / self.slices[target].max(1) as f64
     }
 
-    /// Load missing to `slack` times the target's due.
-    pub(super) fn deficit(&self, target: usize, slack: f64) -> f64 {
-        self.due(target) * slack - self.loads[target]
+    /// Load whose move leaves both targets with the same relative load.
+    pub(super) fn evening_amount(&self, source: usize, destination: usize) -> f64 {
+        let difference = self.relative_load(source) - self.relative_load(destination);
+        difference / (1.0 / self.due(source) + 1.0 / self.due(destination))
     }
 
     /// Load above its due of the region that the target is in.
@@ -97,9 +104,12 @@
         targets.max_by(|left, right| self.compare(*left, *right))
     }
 
-    /// The target with the lowest relative load that has room.
-    pub(super) fn least_loaded(&self) -> Option<usize> {
-        let targets = self.due_targets().filter(|target| self.room(*target) > 0.0);
+    /// The target with the lowest relative load that has room, in the region of `near` if given.
+    pub(super) fn least_loaded(&self, near: Option<usize>) -> Option<usize> {
+        let region = near.map(|target| self.regions[target]);
+        let is_near = |target: &usize| region.is_none_or(|one| one == self.regions[*target]);
+        let targets = self.due_targets().filter(is_near);
+        let targets = targets.filter(|target| self.room(*target) > 0.0);
         targets.min_by(|left, right| self.compare(*left, *right))
     }
 
--- a/crates/placement/src/plan/moves/pool.rs
+++ b/crates/placement/src/plan/moves/pool.rs
@@ -17,6 +17,14 @@
     pub(super) charge: f64,
 }
 
+/// What is asked of a slice to be moved.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Wish {
+    pub(super) most_load: f64,
+    pub(super) least_load: f64,
+    pub(super) most_charge: f64,
+}
+
 /// Slices that may be moved, by owner.
 pub(super) struct Pool {
     owners: Vec<Owned>,
@@ -56,19 +64,18 @@
         self.owners[owner].is_exhausted = true;
     }
 
-    /// Takes the owner's heaviest slice with at most this load and charge: the fewest moves.
-    pub(super) fn take(
-        &mut self,
-        owner: usize,
-        most_load: f64,
-        most_charge: f64,
-    ) -> Option<Movable> {
+    /// Takes the owner's heaviest slice that fits: the fewest moves.
+    pub(super) fn take(&mut self, owner: usize, wish: &Wish) -> Option<Movable> {
         let owned = &mut self.owners[owner];
         owned.sort();
-        let from = owned.slices.partition_point(|one| one.load > most_load);
-        let fitting = owned.slices[from..].iter();
-        let at = from + fitting.take_while(|one| one.charge > most_charge).count();
-        (at < owned.slices.len()).then(|| owned.slices.remove(at))
+        let from = owned
+            .slices
+            .partition_point(|one| one.load > wish.most_load);
+        let light_enough = owned.slices[from..].iter();
+        let skipped = light_enough.take_while(|one| one.charge > wish.most_charge);
+        let at = from + skipped.count();
+        let fits = owned.slices.get(at)?.load >= wish.least_load;
+        fits.then(|| owned.slices.remove(at))
     }
 
     /// Takes one slice of the owner, if it may be moved and its charge is at most this.
--- a/crates/placement/src/plan/reshape.rs
+++ b/crates/placement/src/plan/reshape.rs
@@ -8,10 +8,6 @@
 use super::view::{Slice, View};
 use crate::{Action, HotKey};
 
-/// Load of a slice or pair, as a part of the hot load, below which it counts as cold. Far below the
-/// hot load, so that a merged pair is not split again.
-const COLD_PART: f64 = 0.125;
-
 /// A service's slices may grow to this multiple of their regular number.
 const MOST_GROWTH: usize = 4;
 
@@ -148,24 +144,28 @@
     fn split(&mut self, slice: &Slice<'_>) -> Action {
         self.splits_left -= 1;
         self.reshaper.rest(&slice.range, self.view.input.now);
+        let load = slice.reported.unwrap_or(0.0);
         Action::Split {
             range: slice.range,
-            at: cuts(slice, self.view.hot_load),
+            at: cuts(&slice.range, load, slice.hot_keys, self.view.hot_load),
         }
     }
 
     fn may_merge(&self, left: &Slice<'_>, right: &Slice<'_>) -> bool {
+        self.merges_left > 0 && left.owner == right.owner && self.fit_together(left, right)
+    }
+
+    /// Whether two slices could be one, if they had the same owner.
+    fn fit_together(&self, left: &Slice<'_>, right: &Slice<'_>) -> bool {
         let now = self.view.input.now;
         let regular = 1.0 / self.view.regular_slices.max(1) as f64;
         let width = left.ring_share + right.ring_share;
         let load = left.reported.unwrap_or(0.0) + right.reported.unwrap_or(0.0);
-        self.merges_left > 0
-            && left.range.last.0.checked_add(1) == Some(right.range.first.0)
-            && left.owner == right.owner
+        left.range.last.0.checked_add(1) == Some(right.range.first.0)
             && self.is_free(left)
             && self.is_free(right)
             && width <= regular * (1.0 + WIDTH_TOLERANCE)
-            && load < self.cold_load()
+            && load < self.view.cold_load()
             && !self.reshaper.is_resting(&left.range, now)
             && !self.reshaper.is_resting(&right.range, now)
     }
@@ -187,44 +187,42 @@
             && self.reshaper.fragments.len() < MOST_FRAGMENTS
             && owner != neighbour
             && slice.ring_share < FRAGMENT_PART / regular
-            && slice.reported.unwrap_or(0.0) < self.cold_load()
             && slice.is_old
-            && self.is_free(slice)
-            && self.is_free(left)
-            && self.view.shares[neighbour] > 0.0;
+            && self.view.shares[neighbour] > 0.0
+            && self.fit_together(left, slice);
         is_wanted.then_some(Fragment {
             range: slice.range,
             owner,
             neighbour,
         })
     }
-
-    fn cold_load(&self) -> f64 {
-        self.view.hot_load * COLD_PART
-    }
 }
 
-/// Where a hot slice is cut: around its hot keys, or in the middle when no key explains its load.
-fn cuts(slice: &Slice<'_>, hot_load: f64) -> Vec<KeyHash> {
-    let load = slice.reported.unwrap_or(0.0);
+/// Where a slice is cut: around its hot keys, or in the middle when no key explains its load.
+pub(super) fn cuts(
+    range: &SliceRange,
+    load: f64,
+    hot_keys: &[HotKey],
+    hot_load: f64,
+) -> Vec<KeyHash> {
     let least = hot_load.min(load / 2.0);
     let stands_out = |hot: &&HotKey| hot.requests_per_second >= least;
     let mut at = BTreeSet::new();
-    for hot in slice.hot_keys.iter().filter(stands_out) {
-        if hot.key > slice.range.first {
+    for hot in hot_keys.iter().filter(stands_out) {
+        if hot.key > range.first {
             at.insert(hot.key);
         }
-        if hot.key < slice.range.last {
+        if hot.key < range.last {
             at.insert(KeyHash(hot.key.0 + 1));
         }
     }
     if at.is_empty() {
-        at.insert(middle(&slice.range));
+        at.insert(middle(range));
     }
     at.into_iter().collect()
 }
 
 /// First hash of the upper half of a range of at least two hashes.
-pub(super) fn middle(range: &SliceRange) -> KeyHash {
+fn middle(range: &SliceRange) -> KeyHash {
     KeyHash(range.first.0 + range.span() / 2 + 1)
 }
--- a/crates/placement/src/plan/trigger.rs
+++ b/crates/placement/src/plan/trigger.rs
@@ -13,12 +13,19 @@
 /// Deviation at which a shift is complete.
 pub(super) const SHIFT_DONE: f64 = 0.01;
 
+/// Relative load of a target below which it counts as starved, so that others fill it: one that
+/// joined, mostly, since among many targets that hardly raises the load of the others.
+const STARVED: f64 = 0.5;
+
 /// Hysteresis of a service's moves.
 #[derive(Debug, Clone, Default)]
 pub(super) struct Trigger {
     balancing: bool,
     /// Since when the imbalance has been too high.
     high_since: Option<MonotonicTime>,
+    filling: bool,
+    /// Since when a target has been starved.
+    starved_since: Option<MonotonicTime>,
     shifting: bool,
     /// Since when a region has deviated too far.
     shift_since: Option<MonotonicTime>,
@@ -31,6 +38,8 @@
 pub(super) struct Wanted {
     /// Moves from target to target.
     pub(super) balance: bool,
+    /// Moves from target to target for the sake of a starved one.
+    pub(super) fill: bool,
     /// Moves from region to region.
     pub(super) shift: bool,
 }
@@ -39,16 +48,20 @@
     /// No moves are wanted now; an imbalance must last anew afterwards.
     pub(super) fn hold(&mut self) {
         self.balancing = false;
+        self.filling = false;
         self.high_since = None;
+        self.starved_since = None;
         self.shift_since = None;
     }
 
     /// Looks at the targets' loads.
     pub(super) fn update(&mut self, view: &View<'_>, loads: &[f64]) -> Wanted {
         self.update_balance(view, imbalance(loads, &view.shares));
+        self.update_fill(view, lowest_relative_load(view, loads));
         self.update_shift(view, region_deviation(view, loads));
         Wanted {
             balance: self.balancing,
+            fill: self.filling,
             shift: self.shifting,
         }
     }
@@ -64,6 +77,15 @@
         }
     }
 
+    fn update_fill(&mut self, view: &View<'_>, lowest: f64) {
+        if lowest >= filled(view) {
+            self.filling = false;
+        }
+        if lasts(&mut self.starved_since, lowest < STARVED, view) {
+            self.filling = true;
+        }
+    }
+
     fn update_shift(&mut self, view: &View<'_>, deviation: f64) {
         let weights = &view.input.policy.region_weights;
         let changed = self.weights.as_ref() != Some(weights);
@@ -79,6 +101,22 @@
     }
 }
 
+/// Relative load from which a starved target counts as filled.
+pub(super) fn filled(view: &View<'_>) -> f64 {
+    (2.0 - view.input.policy.imbalance_low).clamp(STARVED, 1.0)
+}
+
+/// Lowest load of a target over its due load.
+fn lowest_relative_load(view: &View<'_>, loads: &[f64]) -> f64 {
+    let total: f64 = loads.iter().sum();
+    let due = loads
+        .iter()
+        .zip(&view.shares)
+        .filter(|(_, share)| **share > 0.0);
+    let relative = due.map(|(load, share)| load / (share * total));
+    relative.fold(1.0, f64::min)
+}
+
 /// Whether something has been so for the sustain time; `since` keeps when it began.
 fn lasts(since: &mut Option<MonotonicTime>, is_so: bool, view: &View<'_>) -> bool {
     if !is_so {
--- a/crates/placement/src/plan/view.rs
+++ b/crates/placement/src/plan/view.rs
@@ -48,6 +48,10 @@
     pub(super) hot_keys: &'a [HotKey],
 }
 
+/// Load of a slice or pair, as a part of the hot load, below which it counts as cold. Far below the
+/// hot load, so that a merged pair is not split again.
+const COLD_PART: f64 = 0.125;
+
 /// Minimum dwell times after which a cold fragment may return to a neighbour's owner.
 const DWELLS_UNTIL_OLD: u32 = 10;
 
@@ -77,9 +81,14 @@
         self.input.targets[target].accepts
     }
 
+    /// Load below which a slice or pair of slices is cold.
+    pub(super) fn cold_load(&self) -> f64 {
+        self.hot_load * COLD_PART
+    }
+
     /// Reads the next slice; slices are read in order of range.
     pub(super) fn read(&self, slice: &SliceState<'_>) -> Slice<'_> {
-        let hot_keys = self.hot_keys_in(&slice.range);
+        let hot_keys = self.next_hot_keys_in(&slice.range);
         let hot_load: f64 = hot_keys.iter().map(|hot| hot.requests_per_second).sum();
         let reported = match slice.requests_per_second {
             Some(load) => Some(load.max(hot_load)),
@@ -100,15 +109,23 @@
         }
     }
 
-    fn hot_keys_in(&self, range: &SliceRange) -> &[HotKey] {
+    /// Hot keys in a range that is read in its turn, which saves a search.
+    fn next_hot_keys_in(&self, range: &SliceRange) -> &[HotKey] {
         let rest = &self.hot_keys[self.next_hot_key.get()..];
         if rest.first().is_none_or(|hot| hot.key > range.last) {
             return &[];
         }
-        let from = rest.partition_point(|hot| hot.key < range.first);
-        let to = rest.partition_point(|hot| hot.key <= range.last);
-        self.next_hot_key.set(self.next_hot_key.get() + to);
-        &rest[from..to]
+        let found = self.hot_keys_in(range);
+        let passed = self.hot_keys.partition_point(|hot| hot.key <= range.last);
+        self.next_hot_key.set(passed);
+        found
+    }
+
+    /// Hot keys in any range.
+    pub(super) fn hot_keys_in(&self, range: &SliceRange) -> &[HotKey] {
+        let from = self.hot_keys.partition_point(|hot| hot.key < range.first);
+        let to = self.hot_keys.partition_point(|hot| hot.key <= range.last);
+        &self.hot_keys[from..to]
     }
 }
 
