--- a/crates/api/src/service/mod.rs
+++ b/crates/api/src/service/mod.rs
@@ -128,13 +128,14 @@
         }
     }
 
-    fn watch(&self, prefix: &'static str) -> Result<Watch<O>, Status> {
+    /// Starts a watch; a replica that can't serve it refuses the call at once.
+    async fn watch(&self, prefix: &'static str) -> Result<Watch<O>, Status> {
         let Ok(permit) = Arc::clone(&self.watches).try_acquire_owned() else {
             let reason = format!("{MAX_WATCHES} watches run already");
             return Err(Failure::Unavailable { reason }.into_status());
         };
         let operators = Arc::clone(&self.operators);
-        Ok(Watch::new(operators, prefix, self.stopped.clone(), permit))
+        Watch::start(operators, prefix, self.stopped.clone(), permit).await
     }
 }
 
--- a/crates/api/src/service/policies.rs
+++ b/crates/api/src/service/policies.rs
@@ -68,7 +68,7 @@
         &self,
         _request: Request<v1::WatchRequest>,
     ) -> Result<Response<Self::WatchStream>, Status> {
-        let watch = OperatorService::watch(self, POLICIES)?;
+        let watch = OperatorService::watch(self, POLICIES).await?;
         Ok(Response::new(watch.events(event)))
     }
 
--- a/crates/api/src/service/services.rs
+++ b/crates/api/src/service/services.rs
@@ -68,7 +68,7 @@
         &self,
         _request: Request<v1::WatchRequest>,
     ) -> Result<Response<Self::WatchStream>, Status> {
-        let watch = OperatorService::watch(self, SERVICES)?;
+        let watch = OperatorService::watch(self, SERVICES).await?;
         Ok(Response::new(watch.events(event)))
     }
 }
--- a/crates/api/src/service/targets.rs
+++ b/crates/api/src/service/targets.rs
@@ -71,7 +71,7 @@
         &self,
         _request: Request<v1::WatchRequest>,
     ) -> Result<Response<Self::WatchStream>, Status> {
-        let watch = OperatorService::watch(self, TARGETS)?;
+        let watch = OperatorService::watch(self, TARGETS).await?;
         Ok(Response::new(watch.events(event)))
     }
 
--- a/crates/api/src/watch.rs
+++ b/crates/api/src/watch.rs
@@ -44,14 +44,14 @@
 }
 
 impl<O: Operators> Watch<O> {
-    /// Starts a watch; it counts against the limit that the permit belongs to.
-    pub(crate) fn new(
+    /// Starts a watch with a first listing; it counts against the limit that the permit belongs to.
+    pub(crate) async fn start(
         operators: Arc<O>,
         prefix: &'static str,
         stopped: watch::Receiver<bool>,
         permit: OwnedSemaphorePermit,
-    ) -> Self {
-        Self {
+    ) -> Result<Self, Status> {
+        let mut watch = Self {
             operators,
             prefix,
             stopped,
@@ -60,7 +60,9 @@
             pending: VecDeque::new(),
             ended: false,
             _permit: permit,
-        }
+        };
+        watch.refill().await?;
+        Ok(watch)
     }
 
     /// Its events, in the form that `wrap` gives them.
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -13,6 +13,7 @@
 mod check;
 mod cross;
 mod document;
+mod leftover;
 mod mistake;
 mod overrides;
 mod parse;
--- a/crates/settings/src/reader.rs
+++ b/crates/settings/src/reader.rs
@@ -1,10 +1,9 @@
 //! Takes fields out of a document one by one, noting every mistake on the way.
 
-use std::collections::BTreeSet;
 use std::ops::RangeInclusive;
 use std::str::FromStr;
 
-use crate::document::{Document, Entry, SYNTAX, Value};
+use crate::document::{Document, Entry, Value};
 use crate::mistake::{Mistake, Place};
 use crate::overrides::Overrides;
 
@@ -22,10 +21,10 @@
 
 /// Takes fields out of a document and collects mistakes.
 pub(crate) struct Reader<'a> {
-    document: Document,
+    pub(crate) document: Document,
     overrides: &'a Overrides,
-    mistakes: Vec<Mistake>,
-    known: Vec<String>,
+    pub(crate) mistakes: Vec<Mistake>,
+    pub(crate) known: Vec<String>,
 }
 
 impl<'a> Reader<'a> {
@@ -221,59 +220,6 @@
         let written = found.is_some_and(|section| section.fields.contains_key(field));
         written || self.overrides.get(&path(section, field)).is_some()
     }
-
-    /// Notes every field that nobody took, then hands over all mistakes in order of place.
-    pub(crate) fn finish(mut self) -> Vec<Mistake> {
-        let sections = std::mem::take(&mut self.document.sections);
-        for (name, section) in sections {
-            if self.is_unknown_section(&name) {
-                let allowed = format!("one of the sections {}", self.section_names());
-                let place = section.place.unwrap_or(Place::File);
-                self.mistake(place, &name, &format!("[{name}]"), &allowed);
-                continue;
-            }
-            for (field, entry) in section.fields {
-                let allowed = format!("one of the fields {}", self.field_names(&name));
-                self.mistake(entry.place, &path(&name, &field), &entry.given, &allowed);
-            }
-        }
-        self.drop_echoes();
-        self.mistakes.sort();
-        self.mistakes
-    }
-
-    /// Drops what only echoes a fault of syntax: further mistakes on its line, and values that
-    /// recovery from it made up.
-    fn drop_echoes(&mut self) {
-        let mut broken = BTreeSet::new();
-        let syntax = |mistake: &Mistake| mistake.field == SYNTAX;
-        self.mistakes
-            .retain(|mistake| !syntax(mistake) || broken.insert(mistake.place.clone()));
-        if broken.is_empty() {
-            return;
-        }
-        self.mistakes.retain(|mistake| {
-            let echo = broken.contains(&mistake.place) || mistake.given.is_empty();
-            syntax(mistake) || !echo
-        });
-    }
-
-    fn is_unknown_section(&self, name: &str) -> bool {
-        !name.is_empty() && self.field_names(name).is_empty()
-    }
-
-    fn field_names(&self, section: &str) -> String {
-        let split = self.known.iter().map(|path| split_path(path));
-        let names = split.filter(|(of, _)| *of == section).map(|(_, name)| name);
-        names.collect::<Vec<_>>().join(", ")
-    }
-
-    fn section_names(&self) -> String {
-        let split = self.known.iter().map(|path| split_path(path).0);
-        let mut names = split.filter(|name| !name.is_empty()).collect::<Vec<_>>();
-        names.dedup();
-        names.join(", ")
-    }
 }
 
 fn list_items(entry: &Entry) -> Option<Vec<Entry>> {
@@ -295,13 +241,10 @@
         .collect()
 }
 
-fn path(section: &str, field: &str) -> String {
+/// Path of a field.
+pub(crate) fn path(section: &str, field: &str) -> String {
     if section.is_empty() {
         return field.to_owned();
     }
     format!("{section}.{field}")
 }
-
-fn split_path(path: &str) -> (&str, &str) {
-    path.split_once('.').unwrap_or(("", path))
-}
