--- a/crates/control/src/assignment.rs
+++ b/crates/control/src/assignment.rs
@@ -3,89 +3,66 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use wingspar_consensus::Replica;
+use wingspar_placement::{Successors, initial};
 use wingspar_world::{ServiceName, TargetName};
 
 use crate::command::{Assignment, Command, SliceOwner};
 use crate::operator::AssignmentReason;
+use crate::placement::{PlacementMemory, failing_zones, policy_of};
 use crate::state::{GroupState, Slice};
 use crate::{Control, ControlEvent, Output};
 
 /// Most slices given owners in one turn.
 const ASSIGNMENTS_PER_TURN: usize = 2_048;
-
 /// Rest of the configuration after which a new service's ring is cut.
 const RING_REST: Duration = Duration::from_secs(1);
 /// Time after which a new service's ring is cut though the configuration goes on changing.
 const RING_PATIENCE: Duration = Duration::from_secs(5);
 
-/// Targets of a service that may get slices, with the slices each has or is about to get.
+/// Chooses new owners for slices of one service, in one round.
 #[derive(Debug)]
-pub(crate) struct Candidates {
-    targets: Vec<(SliceOwner, f64, usize)>,
+pub(crate) struct NextOwners<'a> {
+    state: &'a GroupState,
+    memory: &'a PlacementMemory,
+    service: &'a ServiceName,
+    successors: Successors,
 }
 
-impl Candidates {
-    /// All serving targets of a service.
-    pub(crate) fn of_service(state: &GroupState, service: &ServiceName) -> Self {
-        let configuration = state.configuration();
-        let counts = slice_counts(state, service);
-        let weigh = |target: &wingspar_world::Target| {
-            let owner = state.owner_on(target)?;
-            let count = counts.get(&target.name).copied().unwrap_or(0);
-            Some((owner, f64::from(target.slots.max(1)), count))
-        };
+impl<'a> NextOwners<'a> {
+    pub(crate) fn new(
+        state: &'a GroupState,
+        memory: &'a PlacementMemory,
+        service: &'a ServiceName,
+    ) -> Self {
+        let policy = policy_of(state, service);
+        let targets = memory.target_states(state, service);
+        let failing = failing_zones(state, service);
         Self {
-            targets: configuration
-                .targets_of(service)
-                .filter_map(weigh)
-                .collect(),
+            state,
+            memory,
+            service,
+            successors: Successors::new(&policy, &targets, &failing),
         }
     }
 
-    pub(crate) fn is_empty(&self) -> bool {
-        self.targets.is_empty()
-    }
-
-    /// The least loaded target for its slots, other than `not`.
-    pub(crate) fn choose(
-        &mut self,
-        preferred: Option<&TargetName>,
-        not: Option<&SliceOwner>,
-    ) -> Option<SliceOwner> {
-        let fit = |owner: &SliceOwner| Some(owner) != not;
-        let wanted = self
-            .targets
-            .iter()
-            .position(|(owner, _, _)| Some(&owner.target) == preferred && fit(owner));
-        let load = |(_, slots, count): &(SliceOwner, f64, usize)| (*count as f64 + 1.0) / slots;
-        let indexed = self.targets.iter().enumerate().filter(|(_, it)| fit(&it.0));
-        let least = indexed.min_by(|(_, one), (_, other)| load(one).total_cmp(&load(other)));
-        let chosen = wanted.or(least.map(|(position, _)| position))?;
-        self.targets[chosen].2 += 1;
-        Some(self.targets[chosen].0.clone())
-    }
-}
-
-/// Slices that each target of a service has or is to get.
-pub(crate) fn slice_counts(
-    state: &GroupState,
-    service: &ServiceName,
-) -> BTreeMap<TargetName, usize> {
-    let mut counts = BTreeMap::new();
-    for slice in state.slices(service).into_iter().flat_map(|it| it.iter()) {
-        if let Some(owner) = next_owner(slice) {
-            *counts.entry(owner.target.clone()).or_insert(0) += 1;
+    /// The next owner of a slice: its preferred target if that serves, else by load.
+    pub(crate) fn choose(&mut self, slice: &Slice) -> Option<SliceOwner> {
+        let preferred = slice
+            .preferred
+            .as_ref()
+            .and_then(|name| self.owner_on(name));
+        if preferred.is_some() {
+            return preferred;
         }
+        let load = self.memory.slice_load(self.service, &slice.range);
+        let chosen = self.successors.choose(&slice.range, load)?;
+        self.owner_on(&chosen)
     }
-    counts
-}
 
-/// The owner of a slice once its hand-over is done.
-fn next_owner(slice: &Slice) -> Option<&SliceOwner> {
-    match &slice.hand_over {
-        Some(hand_over) => hand_over.to.as_ref(),
-        None => slice.owner.as_ref(),
+    fn owner_on(&self, target: &TargetName) -> Option<SliceOwner> {
+        let target = self.state.target(target)?;
+        (target.service == *self.service).then_some(())?;
+        self.state.owner_on(target)
     }
 }
 
@@ -95,30 +72,36 @@
         if !self.decisions_applied() || !self.may_assign() {
             return;
         }
-        let Some(state) = self.replica.as_ref().map(Replica::state) else {
+        let (Some(replica), Some(leading)) = (&self.replica, &self.leading) else {
             return;
         };
-        let new_ring = self.new_ring(state);
-        let commands = [new_ring, retired_rings(state), assignments(state)];
-        for command in commands.into_iter().flatten() {
+        let state = replica.state();
+        let memory = &leading.placement;
+        let mut commands = self.new_ring(state, memory);
+        commands.extend(retired_rings(state));
+        commands.extend(assignments(state, memory));
+        for command in commands {
             self.decide(command);
         }
     }
 
     /// Cuts the ring of one new service. Its targets are usually created right after it, so this
     /// waits until the configuration has been at rest for a moment, though not for long.
-    fn new_ring(&self, state: &GroupState) -> Option<Command> {
+    fn new_ring(&self, state: &GroupState, memory: &PlacementMemory) -> Vec<Command> {
         let configuration = state.configuration();
-        let newest = self.observed.configuration.seen_at(configuration.version)?;
-        let at_rest = self.now.since(newest) >= RING_REST;
-        let is_due = |version| {
-            let created = self.observed.configuration.seen_at(version);
-            at_rest || created.is_some_and(|it| self.now.since(it) >= RING_PATIENCE)
+        let seen_at = |version| self.observed.configuration.seen_at(version);
+        let waited = |version, wait| {
+            let seen = seen_at(version);
+            seen.is_some_and(|seen| self.now.since(seen) >= wait)
         };
+        let at_rest = waited(configuration.version, RING_REST);
         let services = configuration.services.iter();
         let new = services.filter(|(name, _)| state.is_keyed(name) && state.slices(name).is_none());
-        let mut due = new.filter(|(_, (version, _))| is_due(*version));
-        due.find_map(|(service, _)| new_ring(state, service))
+        let due = new.filter(|(_, (version, _))| at_rest || waited(*version, RING_PATIENCE));
+        let mut rings = due.map(|(service, _)| new_ring(state, memory, service));
+        rings
+            .find(|commands| !commands.is_empty())
+            .unwrap_or_default()
     }
 
     /// Proposes a decision; the next ones wait until it is applied.
@@ -149,20 +132,30 @@
     }
 }
 
-/// Cuts a new service's ring once a target can serve it.
-fn new_ring(state: &GroupState, service: &ServiceName) -> Option<Command> {
-    let configuration = state.configuration();
-    if Candidates::of_service(state, service).is_empty() {
-        return None;
+/// Cuts a new service's ring and gives all of it to its targets; nothing while none can serve it.
+fn new_ring(state: &GroupState, memory: &PlacementMemory, service: &ServiceName) -> Vec<Command> {
+    let policy = policy_of(state, service);
+    let placed = initial(&policy, &memory.target_states(state, service));
+    let Ok(count) = u32::try_from(placed.len()) else {
+        return Vec::new();
+    };
+    if count == 0 {
+        return Vec::new();
     }
-    let targets = configuration.targets_of(service).count();
-    let targets = u32::try_from(targets).unwrap_or(u32::MAX);
-    let policy = configuration.policy_of(configuration.service(service)?);
-    let per_target = policy.map_or(1, |policy| policy.slices_per_target.max(1));
-    Some(Command::CreateSlices {
+    let create = Command::CreateSlices {
         service: service.clone(),
-        count: targets.saturating_mul(per_target).clamp(1, 1 << 16),
-    })
+        count,
+    };
+    let assignment = |(range, target): (_, TargetName)| {
+        Some(Assignment {
+            service: service.clone(),
+            range,
+            owner: state.owner_on(state.target(&target)?)?,
+            reason: AssignmentReason::Initial,
+        })
+    };
+    let list = placed.into_iter().filter_map(assignment).collect();
+    vec![create, Command::Assign(list)]
 }
 
 fn retired_rings(state: &GroupState) -> Option<Command> {
@@ -174,7 +167,7 @@
     })
 }
 
-fn assignments(state: &GroupState) -> Option<Command> {
+fn assignments(state: &GroupState, memory: &PlacementMemory) -> Option<Command> {
     let mut list = Vec::new();
     for (service, slices) in state.services().filter(|(name, _)| state.is_keyed(name)) {
         let unowned = slices.iter().filter(|slice| slice.owner.is_none());
@@ -182,9 +175,9 @@
         if unowned.peek().is_none() {
             continue;
         }
-        let mut candidates = Candidates::of_service(state, service);
+        let mut owners = NextOwners::new(state, memory, service);
         for slice in unowned {
-            let Some(owner) = candidates.choose(slice.preferred.as_ref(), None) else {
+            let Some(owner) = owners.choose(slice) else {
                 break;
             };
             list.push(Assignment {
--- a/crates/control/src/command.rs
+++ b/crates/control/src/command.rs
@@ -4,6 +4,7 @@
 //! command proposed on an outdated view is harmless.
 
 use serde::{Deserialize, Serialize};
+use wingspar_placement::ChurnRecord;
 use wingspar_wire::{SessionId, StateVersion};
 use wingspar_world::{
     ConfigChange, ConfigVersion, Configuration, KeyHash, Machine, NodeId, ServiceName, SliceRange,
@@ -99,6 +100,13 @@
         /// The one after it.
         second: SliceRange,
     },
+    /// Remembers what a service's elective moves have spent of its churn budget.
+    RecordChurn {
+        /// The service.
+        service: ServiceName,
+        /// What is spent, as of this command.
+        record: ChurnRecord,
+    },
     /// An operator's order to move a range: splits at its ends and begins the hand-overs.
     Move {
         /// Names the order.
--- a/crates/control/src/hand_over.rs
+++ b/crates/control/src/hand_over.rs
@@ -2,15 +2,15 @@
 
 use std::collections::BTreeMap;
 
-use wingspar_consensus::Replica;
 use wingspar_wire::{Released, SessionId};
 use wingspar_world::ServiceName;
 
 use crate::Control;
-use crate::assignment::Candidates;
+use crate::assignment::NextOwners;
 use crate::command::{Command, HandOverOrder};
 use crate::operator::AssignmentReason;
-use crate::state::{GroupState, HandOver, Slice};
+use crate::placement::PlacementMemory;
+use crate::state::{GroupState, HandOver, Slice, SliceMap};
 
 impl Control {
     /// Begins hand-overs of slices whose owners must give them up, and calls off those whose next
@@ -20,11 +20,12 @@
             return;
         }
         let limit = self.settings.hand_overs_per_source;
-        let Some(state) = self.replica.as_ref().map(Replica::state) else {
+        let (Some(replica), Some(leading)) = (&self.replica, &self.leading) else {
             return;
         };
+        let state = replica.state();
         let unfit = unfit_hand_overs(state);
-        let orders = due_hand_overs(state, limit);
+        let orders = due_hand_overs(state, &leading.placement, limit);
         for command in unfit {
             self.decide(command);
         }
@@ -109,7 +110,11 @@
 }
 
 /// Hand-overs to begin, at most `limit` at once for each source.
-fn due_hand_overs(state: &GroupState, limit: usize) -> Vec<HandOverOrder> {
+fn due_hand_overs(
+    state: &GroupState,
+    memory: &PlacementMemory,
+    limit: usize,
+) -> Vec<HandOverOrder> {
     let mut running = running_hand_overs(state);
     let mut orders = Vec::new();
     for (service, slices) in state.services() {
@@ -121,7 +126,7 @@
             continue;
         }
         let keyed = state.is_keyed(service);
-        let mut candidates = Candidates::of_service(state, service);
+        let mut owners = NextOwners::new(state, memory, service);
         for slice in due {
             let Some(from) = slice.owner.clone() else {
                 continue;
@@ -130,7 +135,7 @@
             if *busy >= limit {
                 continue;
             }
-            let to = candidates.choose(None, Some(&from)).filter(|_| keyed);
+            let to = owners.choose(slice).filter(|to| keyed && *to != from);
             // Nobody else can take it: the owner keeps it, and the operator sees a draining owner.
             if keyed && to.is_none() {
                 break;
@@ -153,6 +158,14 @@
     slice.hand_over.is_none() && owner.is_some_and(|owner| !state.may_keep(service, owner))
 }
 
+/// Hand-overs under way in a service.
+pub(crate) fn running_in_service(slices: &SliceMap) -> usize {
+    slices
+        .iter()
+        .filter(|slice| slice.hand_over.is_some())
+        .count()
+}
+
 /// Hand-overs under way by the session that gives up.
 pub(crate) fn running_hand_overs(state: &GroupState) -> BTreeMap<SessionId, usize> {
     let mut running = BTreeMap::new();
--- a/crates/control/src/leading.rs
+++ b/crates/control/src/leading.rs
@@ -8,6 +8,7 @@
 use crate::config_watch::ConfigWatch;
 use crate::membership::MemberPlan;
 use crate::operators::PendingMove;
+use crate::placement::PlacementMemory;
 use crate::snapshot::SnapshotWriter;
 use crate::writes::PendingWrite;
 use crate::{Control, Output};
@@ -29,6 +30,7 @@
     /// Writes to be asked again at a time.
     pub(crate) paused_writes: BTreeMap<u64, MonotonicTime>,
     pub(crate) moves: Vec<PendingMove>,
+    pub(crate) placement: PlacementMemory,
     pub(crate) members: MemberPlan,
     pub(crate) snapshot: SnapshotWriter,
     /// Version of the state at the last round of decisions.
@@ -119,6 +121,7 @@
             last_write: 0,
             paused_writes: BTreeMap::new(),
             moves: Vec::new(),
+            placement: PlacementMemory::default(),
             members: MemberPlan::default(),
             snapshot: SnapshotWriter::default(),
             decided_at: StateVersion::default(),
@@ -152,6 +155,7 @@
             self.settle_moves(out);
         }
         if due {
+            self.tend_placement();
             self.tend_configuration_watch(out);
             self.tend_members(out);
             self.tend_snapshot(out);
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod operator;
 mod operators;
 mod output;
+mod placement;
 mod presence;
 mod publish;
 mod recovery;
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -70,7 +70,7 @@
             leaderless_after: Duration::from_secs(3),
             write_deadline: Duration::from_secs(10),
             hand_overs_per_source: 16,
-            placement_interval: Duration::from_secs(2),
+            placement_interval: Duration::from_secs(1),
             publish_interval: Duration::from_millis(10),
             push_retry: Duration::from_millis(300),
             leave_deadline: Duration::from_secs(10),
--- a/crates/control/src/state/apply.rs
+++ b/crates/control/src/state/apply.rs
@@ -61,6 +61,10 @@
                 first,
                 second,
             } => self.apply_merge(at, service, first, second),
+            Command::RecordChurn { service, record } => {
+                self.churn.insert(service.clone(), record.clone());
+                true
+            }
             Command::Move {
                 change_id,
                 service,
@@ -90,6 +94,7 @@
             return false;
         }
         self.services.remove(service);
+        self.churn.remove(service);
         self.touch_range(at, service, SliceRange::FULL);
         true
     }
--- a/crates/control/src/state/mod.rs
+++ b/crates/control/src/state/mod.rs
@@ -14,6 +14,7 @@
 
 use serde::{Deserialize, Serialize};
 use wingspar_consensus::{LogPosition, StateMachine};
+use wingspar_placement::ChurnRecord;
 use wingspar_wire::{SessionId, StateVersion};
 use wingspar_world::{Configuration, Machine, MachineName, NodeId, ServiceName};
 
@@ -49,6 +50,8 @@
     by_node: BTreeMap<NodeId, SessionId>,
     by_machine: BTreeMap<MachineName, BTreeSet<SessionId>>,
     services: BTreeMap<ServiceName, SliceMap>,
+    /// Spending of elective moves by service, as of the command that recorded it.
+    churn: BTreeMap<ServiceName, ChurnRecord>,
     changes: ChangeMemory,
     history: TableHistory,
 }
@@ -64,6 +67,9 @@
     pub sessions: Vec<Session>,
     /// Slices of each service.
     pub services: Vec<(ServiceName, Vec<Slice>)>,
+    /// Spending of elective moves by service.
+    #[serde(default)]
+    pub churn: Vec<(ServiceName, ChurnRecord)>,
     /// Remembered changes, oldest first.
     pub changes: Vec<(String, ChangeResult)>,
 }
@@ -93,6 +99,7 @@
             services: services
                 .map(|(name, map)| (name.clone(), slices(map)))
                 .collect(),
+            churn: self.churn.clone().into_iter().collect(),
             changes: self.changes.to_list(),
         }
     }
@@ -104,6 +111,7 @@
             version: snapshot.version,
             configuration: Arc::new(snapshot.configuration),
             services: services.collect(),
+            churn: snapshot.churn.into_iter().collect(),
             changes: snapshot.changes.into_iter().collect(),
             history: TableHistory::new(snapshot.version),
             ..Self::default()
--- a/crates/control/src/state/view.rs
+++ b/crates/control/src/state/view.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use wingspar_placement::ChurnRecord;
 use wingspar_wire::{Availability, SessionId, StateVersion};
 use wingspar_world::{
     Configuration, MachineName, NodeId, Service, ServiceKind, ServiceName, Target, TargetName,
@@ -58,6 +59,11 @@
         self.services.get(service)
     }
 
+    /// What elective moves of a service have spent, as of the command that recorded it.
+    pub fn churn(&self, service: &ServiceName) -> ChurnRecord {
+        self.churn.get(service).cloned().unwrap_or_default()
+    }
+
     /// Remembered changes of operators.
     pub fn changes(&self) -> &ChangeMemory {
         &self.changes
