--- a/crates/agent/src/handover.rs
+++ b/crates/agent/src/handover.rs
@@ -7,21 +7,18 @@
 use std::time::Duration;
 
 use wingspar_wire::{
-    GrantEntry, GrantState, Message, Outbound, Released, Remember, RememberReply,
-    RememberedOutcome, RememberedRequest, SessionId, StateVersion,
+    GrantEntry, GrantState, Message, Outbound, Released, Remember, RememberReply, SessionId,
+    StateVersion,
 };
 use wingspar_world::{Fence, GroupId, MonotonicTime, NodeId, ServiceName, SliceRange};
 
 use crate::guard::Guards;
+use crate::remember_parts;
 use crate::remembered::Remembered;
 use crate::{AgentEvent, Output};
 
 /// First pause before a message is repeated; it doubles up to the setting.
 const FIRST_REPEAT: Duration = Duration::from_millis(25);
-/// Estimated encoded size at which a part is closed, in bytes.
-const PART_BYTES: usize = 400 * 1024;
-/// Estimated encoded size of a request without content type and body, in bytes.
-const REQUEST_BYTES: usize = 96;
 
 /// How far a hand-over got.
 #[derive(Debug)]
@@ -328,7 +325,7 @@
         if requests.is_empty() && guard.is_none() {
             return Vec::new();
         }
-        let chunks = chunks(requests);
+        let chunks = remember_parts::cut(requests);
         let count = chunks.len() as u32;
         let guard_remaining = guard.map_or(Duration::ZERO, |until| now.until(until));
         chunks
@@ -348,35 +345,3 @@
             .collect()
     }
 }
-
-/// Cuts requests into parts of bounded size; at least one part.
-fn chunks(requests: Vec<RememberedRequest>) -> Vec<Vec<RememberedRequest>> {
-    let mut chunks = vec![Vec::new()];
-    let mut size = 0;
-    for request in requests {
-        let bytes = estimated_bytes(&request);
-        if size + bytes > PART_BYTES && size > 0 {
-            chunks.push(Vec::new());
-            size = 0;
-        }
-        size += bytes;
-        if let Some(chunk) = chunks.last_mut() {
-            chunk.push(request);
-        }
-    }
-    chunks
-}
-
-fn estimated_bytes(request: &RememberedRequest) -> usize {
-    match &request.outcome {
-        RememberedOutcome::Ran {
-            content_type, body, ..
-        } => {
-            let kind = content_type.as_ref().map_or(0, String::len);
-            let body = body.as_ref().map_or(0, bytes::Bytes::len);
-            // Byte strings may be written as arrays of numbers, two bytes for most of them.
-            REQUEST_BYTES + kind + 2 * body
-        }
-        RememberedOutcome::Unknown => REQUEST_BYTES,
-    }
-}
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -20,6 +20,7 @@
 mod range_map;
 mod recall;
 mod release;
+mod remember_parts;
 mod remembered;
 mod renew;
 mod request;
