--- a/crates/control/tests/harness/mod.rs
+++ b/crates/control/tests/harness/mod.rs
@@ -8,6 +8,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
 use wingspar_control::operator::{OperatorReply, OperatorRequest};
 use wingspar_control::{
     Control, ControlEvent, ControlSettings, Input, Output, StoreReply, StoreRequest,
@@ -60,6 +62,8 @@
     pub stopped: BTreeSet<SocketAddr>,
     pub events: Vec<(MonotonicTime, SocketAddr, ControlEvent)>,
     pub settings: ControlSettings,
+    /// Loss, repetition and further delay of messages, from a seed; none by default.
+    pub noise: Option<ChaCha8Rng>,
     watches: Vec<(MonotonicTime, SocketAddr, StoreRequest)>,
     queue: BTreeMap<(MonotonicTime, u64), Event>,
     sequence: u64,
@@ -90,6 +94,7 @@
             stopped: BTreeSet::new(),
             events: Vec::new(),
             settings: ControlSettings::new(GroupId(0)),
+            noise: None,
             watches: Vec::new(),
             queue: BTreeMap::new(),
             sequence: 0,
@@ -246,20 +251,36 @@
 
     fn send_all(&mut self, from: SocketAddr, sender: &NodeId, sends: Vec<Outbound>) {
         for Outbound { to, message } in sends {
-            let sender = sender.clone();
-            let message = Box::new(message);
-            self.enqueue(
-                NETWORK_DELAY,
-                Event::Deliver {
+            for delay in self.delays() {
+                let event = Event::Deliver {
                     from,
                     to,
-                    sender,
-                    message,
-                },
-            );
+                    sender: sender.clone(),
+                    message: Box::new(message.clone()),
+                };
+                self.enqueue(delay, event);
+            }
         }
     }
 
+    /// Delays of the copies of a message that arrive.
+    fn delays(&mut self) -> Vec<Duration> {
+        let Some(random) = &mut self.noise else {
+            return vec![NETWORK_DELAY];
+        };
+        let copies = match random.random_range(0..100) {
+            0..3 => 0,
+            3..6 => 2,
+            _ => 1,
+        };
+        let mut delay = || {
+            let late = random.random_range(0..50) == 0;
+            let most = if late { 1_500 } else { 20 };
+            Duration::from_millis(random.random_range(1..most))
+        };
+        (0..copies).map(|_| delay()).collect()
+    }
+
     fn enqueue(&mut self, delay: Duration, event: Event) {
         self.sequence += 1;
         self.queue.insert((self.now + delay, self.sequence), event);
