--- a/crates/placement/src/baseline/planned.rs
+++ b/crates/placement/src/baseline/planned.rs
@@ -8,6 +8,9 @@
 /// Keys that a service's agents report together as standing out.
 const REPORTED_HOT_KEYS: usize = 32;
 
+/// Slices of each target that its agent reports.
+const REPORTED_SLICES: usize = 8;
+
 /// A service under a [`Planner`].
 #[derive(Debug, Clone)]
 pub struct Planned {
@@ -17,6 +20,8 @@
     pub limits: PlanLimits,
     /// Churn budget.
     pub budget: ChurnBudget,
+    /// Slices of each target whose loads its agent reports: the most loaded ones.
+    pub reported_slices: usize,
     /// Actions that no longer fitted when they were to be carried out.
     pub rejected: usize,
     planner: Planner,
@@ -30,6 +35,7 @@
             policy,
             limits: PlanLimits::default(),
             budget: ChurnBudget::new(),
+            reported_slices: REPORTED_SLICES,
             rejected: 0,
             planner: Planner::new(),
             table: SliceTable::default(),
@@ -44,6 +50,7 @@
     /// Plans once and carries the actions out; returns them.
     pub fn plan(&mut self, observation: &Observation<'_>) -> Vec<Action> {
         self.table.set_loads(observation.keys);
+        self.table.forget_light_slices(self.reported_slices);
         let hot_keys = hottest(observation.keys);
         let input = PlanInput {
             now: observation.now,
--- a/crates/placement/src/baseline/table.rs
+++ b/crates/placement/src/baseline/table.rs
@@ -83,6 +83,24 @@
         }
     }
 
+    /// Keeps the loads of each target's most loaded slices only, as many as given.
+    pub fn forget_light_slices(&mut self, kept: usize) {
+        let mut loads: BTreeMap<TargetName, Vec<f64>> = BTreeMap::new();
+        for slice in self.slices.values() {
+            let of_owner = loads.entry(slice.owner.clone()).or_default();
+            of_owner.extend(slice.load);
+        }
+        for of_owner in loads.values_mut() {
+            of_owner.sort_by(|left, right| right.total_cmp(left));
+        }
+        for slice in self.slices.values_mut() {
+            let heavier = loads[&slice.owner].get(kept);
+            slice.load = slice
+                .load
+                .filter(|load| heavier.is_none_or(|least| load > least));
+        }
+    }
+
     /// Carries an action out. False, changing nothing, when it does not fit the table.
     pub fn apply(&mut self, now: MonotonicTime, action: &Action) -> bool {
         match action {
--- a/crates/placement/src/budget.rs
+++ b/crates/placement/src/budget.rs
@@ -13,7 +13,8 @@
 const ENTRY_WIDTH: Duration = Duration::from_secs(60);
 
 /// Least charge of a move as a share of the ring: a hand-over has a price however few keys it takes.
-const LEAST_CHARGE: f64 = 1.0e-4;
+/// About the width of a slice where there are a million.
+const LEAST_CHARGE: f64 = 1.0e-6;
 
 /// Keys on the ring.
 const RING: f64 = 18_446_744_073_709_551_616.0;
--- a/crates/placement/src/compare/samples.rs
+++ b/crates/placement/src/compare/samples.rs
@@ -10,6 +10,9 @@
 /// Slots of a target.
 const SLOTS: u32 = 20;
 
+/// Time over which agents count: twice the time constant of their decaying counts.
+const COUNTING: Duration = Duration::from_secs(6);
+
 /// Garden centres on a spring Saturday, 07:00 to 17:00: one line of plants gets popular, a target is
 /// patched (drained and back), one is lost and comes back, and the favourites of the day change.
 pub fn tegid(seed: u64) -> Workload {
@@ -28,7 +31,7 @@
         start_minute: 7 * 60,
         length: Duration::from_secs(10 * 3_600),
         step: Duration::from_secs(5),
-        counting: Duration::from_secs(10),
+        counting: COUNTING,
         seed,
         events: vec![
             at_minute(
@@ -85,7 +88,7 @@
         start_minute: 11 * 60,
         length: Duration::from_secs(24 * 3_600),
         step: Duration::from_secs(10),
-        counting: Duration::from_secs(10),
+        counting: COUNTING,
         seed,
         events: vec![
             at_minute(
--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -149,7 +149,7 @@
 
     fn restart_sweep(&mut self) {
         self.cursor = KeyHash(0);
-        self.sweep = Sweep::default();
+        self.sweep = self.sweep.next();
         self.reshaper.start_sweep();
     }
 }
--- a/crates/placement/src/plan/sweep.rs
+++ b/crates/placement/src/plan/sweep.rs
@@ -1,22 +1,24 @@
 //! What a sweep over the ring has seen.
 
-use wingspar_world::SliceRange;
+use wingspar_world::{KeyHash, SliceRange};
 
 use super::view::{Slice, View};
 
-/// Slices that a sweep remembers as candidates for moves; of more it keeps every second, then every
-/// fourth and so on, besides all hot ones.
+/// Slices that a sweep remembers as candidates for moves; of more it keeps half, then a quarter and so
+/// on, besides all hot ones.
 const MOST_CANDIDATES: usize = 16_384;
 
 /// What a sweep over the ring has seen.
 #[derive(Debug, Clone, Default)]
 pub(super) struct Sweep {
+    /// Number of the sweep; each samples other slices, so that every one gets its turn.
+    number: u64,
     /// By position of the target.
     targets: Vec<TargetSums>,
     slices: usize,
     candidates: Vec<Candidate>,
-    /// Every how many slices an ordinary one is kept; 0 stands for 1.
-    stride: usize,
+    /// Times that the kept part of the ordinary slices was halved.
+    halvings: u32,
 }
 
 /// Sums over one target's slices.
@@ -41,6 +43,14 @@
 }
 
 impl Sweep {
+    /// The sweep after this one.
+    pub(super) fn next(&self) -> Self {
+        Self {
+            number: self.number.wrapping_add(1),
+            ..Self::default()
+        }
+    }
+
     /// Counts a slice.
     pub(super) fn add(&mut self, slice: &Slice<'_>, view: &View<'_>) {
         self.slices += 1;
@@ -54,7 +64,7 @@
             return;
         }
         let is_hot = slice.reported.is_some_and(|load| load > view.hot_load);
-        if is_hot || self.slices.is_multiple_of(self.stride.max(1)) {
+        if is_hot || self.samples(&slice.range) {
             self.candidates.push(Candidate {
                 range: slice.range,
                 owner,
@@ -102,14 +112,22 @@
         candidate.reported.unwrap_or_else(supposed) + view.idle_load * candidate.ring_share
     }
 
-    /// Forgets every second ordinary candidate.
+    /// Forgets half of the ordinary candidates.
     fn thin_out(&mut self) {
-        self.stride = self.stride.max(1) * 2;
-        let mut position = 0;
-        self.candidates.retain(|candidate| {
-            position += 1;
-            candidate.is_hot || position % 2 == 0
-        });
+        self.halvings += 1;
+        let mut candidates = std::mem::take(&mut self.candidates);
+        candidates.retain(|candidate| candidate.is_hot || self.samples(&candidate.range));
+        self.candidates = candidates;
+    }
+
+    /// Whether an ordinary slice is among those kept. By hash, since owners often take turns along
+    /// the ring, so that every second slice would leave out whole targets.
+    fn samples(&self, range: &SliceRange) -> bool {
+        if self.halvings == 0 {
+            return true;
+        }
+        let mixed = KeyHash::of(&(range.first.0 ^ self.number).to_le_bytes());
+        mixed.0.trailing_zeros() >= self.halvings
     }
 }
 
--- a/crates/placement/tests/properties.rs
+++ b/crates/placement/tests/properties.rs
@@ -15,6 +15,8 @@
 struct Life {
     targets: usize,
     policy: PlacementPolicy,
+    /// Slices of a target whose loads are reported.
+    reported: usize,
     /// Each phase: rates of some keys, targets that accept, length in seconds.
     phases: Vec<(Vec<u8>, Vec<bool>, u8)>,
 }
@@ -46,6 +48,7 @@
         Self {
             targets: 1 + usize::arbitrary(generator) % 7,
             policy,
+            reported: usize::arbitrary(generator) % 20,
             phases: (0..4).map(|_| phase(generator)).collect(),
         }
     }
@@ -56,6 +59,7 @@
     fn live(&self) -> Vec<Action> {
         let targets = (0..self.targets).map(|one| target(one, &format!("region-{}", one % 3)));
         let mut service = Service::new(self.policy.clone(), targets.collect(), Vec::new());
+        service.planned.reported_slices = self.reported;
         let mut actions = Vec::new();
         for (rates, accepts, length) in &self.phases {
             let rate =
@@ -105,6 +109,7 @@
         let rate = |(number, rate): (usize, &u8)| (key(number), f64::from(*rate));
         service.set_keys(life.phases[0].0.iter().enumerate().map(rate).collect());
         service.planned.policy.churn_per_hour = 1.0;
+        service.planned.reported_slices = life.reported;
         service.seconds(1_500);
         let later = service.seconds(300);
         common::moves(&later) == 0
