--- a/crates/control/src/candidates.rs
+++ b/crates/control/src/candidates.rs
@@ -8,7 +8,7 @@
 use wingspar_world::{Machine, MonotonicTime, NodeId};
 
 /// Silence after which a candidate no longer counts as present.
-pub(crate) const PRESENT_FOR: Duration = Duration::from_secs(2);
+pub(crate) const PRESENT_FOR: Duration = Duration::from_millis(2_500);
 /// Silence after which a candidate is forgotten.
 const FORGET_AFTER: Duration = Duration::from_secs(60);
 
--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -28,6 +28,8 @@
     pub(crate) now: MonotonicTime,
     pub(crate) next_tick: MonotonicTime,
     pub(crate) next_presence: MonotonicTime,
+    /// Turns of announcing this process to others.
+    pub(crate) announcements: u64,
     pub(crate) minute_of_day: Option<u16>,
     pub(crate) counters: ControlCounters,
     pub(crate) candidates: Candidates,
@@ -70,6 +72,7 @@
             now,
             next_tick: now,
             next_presence: now,
+            announcements: 0,
             minute_of_day: None,
             counters: ControlCounters::default(),
             store: StoreRequests::default(),
--- a/crates/control/src/counters.rs
+++ b/crates/control/src/counters.rs
@@ -46,3 +46,33 @@
     /// Operator requests received.
     pub operator_requests: u64,
 }
+
+impl ControlCounters {
+    /// Names and values, in a fixed order.
+    pub fn entries(&self) -> impl Iterator<Item = (&'static str, u64)> + use<> {
+        [
+            ("renewals", self.renewals),
+            ("renewed", self.renewed),
+            ("session_over", self.session_over),
+            ("configuration_behind", self.configuration_behind),
+            ("not_leader", self.not_leader),
+            ("sessions_lost", self.sessions_lost),
+            ("sessions_finished", self.sessions_finished),
+            ("slices_assigned", self.slices_assigned),
+            ("hand_overs_begun", self.hand_overs_begun),
+            ("hand_overs_completed", self.hand_overs_completed),
+            ("hand_overs_cancelled", self.hand_overs_cancelled),
+            ("grant_lists_sent", self.grant_lists_sent),
+            ("table_updates_sent", self.table_updates_sent),
+            ("configurations_sent", self.configurations_sent),
+            ("configuration_changes", self.configuration_changes),
+            ("store_requests", self.store_requests),
+            ("store_failures", self.store_failures),
+            ("snapshots_written", self.snapshots_written),
+            ("malformed", self.malformed),
+            ("proposals_refused", self.proposals_refused),
+            ("operator_requests", self.operator_requests),
+        ]
+        .into_iter()
+    }
+}
--- a/crates/control/src/leading.rs
+++ b/crates/control/src/leading.rs
@@ -1,6 +1,7 @@
 //! What only a leader keeps, and what it does at each turn.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use wingspar_wire::{SessionId, StateVersion, TargetLoad};
 use wingspar_world::{ConfigVersion, KeyHash, MonotonicTime, NodeId, ServiceName};
@@ -13,6 +14,9 @@
 use crate::writes::PendingWrite;
 use crate::{Control, Output};
 
+/// Time between two searches for slices to assign or hand over while nothing changes.
+const SCAN_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Soft state of a leader; the next one begins anew.
 #[derive(Debug)]
 pub(crate) struct Leading {
@@ -35,10 +39,12 @@
     pub(crate) snapshot: SnapshotWriter,
     /// Version of the state at the last round of decisions.
     pub(crate) decided_at: StateVersion,
+    /// When to look through all slices although nothing changed.
+    next_scan: MonotonicTime,
     pub(crate) published_at: MonotonicTime,
     pub(crate) published: StateVersion,
     /// Versions of the configuration with the time from acceptance until in force.
-    pub(crate) in_force: Vec<(ConfigVersion, std::time::Duration)>,
+    pub(crate) in_force: Vec<(ConfigVersion, Duration)>,
 }
 
 /// What a leader knows of one session.
@@ -79,13 +85,7 @@
     }
 
     /// Whether `newest` is to be pushed to a node that is known to have `held`.
-    pub(crate) fn is_due(
-        &self,
-        now: MonotonicTime,
-        newest: V,
-        held: V,
-        retry: std::time::Duration,
-    ) -> bool {
+    pub(crate) fn is_due(&self, now: MonotonicTime, newest: V, held: V, retry: Duration) -> bool {
         held < newest && (self.version < newest || now.since(self.at) >= retry)
     }
 }
@@ -125,6 +125,7 @@
             members: MemberPlan::default(),
             snapshot: SnapshotWriter::default(),
             decided_at: StateVersion::default(),
+            next_scan: MonotonicTime::ZERO,
             published_at: MonotonicTime::ZERO,
             published: StateVersion::default(),
             in_force: Vec::new(),
@@ -148,8 +149,7 @@
         if due || changed {
             self.sync_sessions();
             self.expire_sessions();
-            self.assign();
-            self.tend_hand_overs();
+            self.decide_owners(changed);
             self.forget_completions();
             self.settle_writes(out);
             self.settle_moves(out);
@@ -167,6 +167,19 @@
         self.publish(due, out);
     }
 
+    /// Looks through all slices when something changed, and now and then for what time brings.
+    fn decide_owners(&mut self, changed: bool) {
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
+        if !changed && self.now < leading.next_scan {
+            return;
+        }
+        leading.next_scan = self.now + SCAN_INTERVAL;
+        self.assign();
+        self.tend_hand_overs();
+    }
+
     pub(crate) fn state_version(&self) -> StateVersion {
         let replica = self.replica.as_ref();
         replica.map_or(StateVersion::default(), |it| it.state().version())
--- a/crates/control/src/presence.rs
+++ b/crates/control/src/presence.rs
@@ -1,5 +1,8 @@
 //! Announcements among candidates.
 
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
 use rand::RngExt;
 use wingspar_consensus::{Replica, Role};
 use wingspar_wire::{Message, Presence, PresenceRole};
@@ -7,17 +10,18 @@
 
 use crate::{Control, Output};
 
+/// Of how many turns one tells also those who need it less often.
+const SLOW_ANNOUNCEMENT: u64 = 4;
+
 impl Control {
-    /// Announces this process to all candidates known.
+    /// Announces this process. While a leader is known only those who need it are told, so that a
+    /// group with many spares stays quiet; otherwise everybody is.
     pub(crate) fn announce(&mut self, out: &mut Vec<Output>) {
         let members = self.member_ids();
         self.candidates.forget_silent(self.now, &members);
-        let own = self.machine.control_address;
-        let mut destinations = self.candidates.destinations();
-        destinations.extend(self.group.member_addresses());
-        destinations.remove(&own);
+        self.announcements += 1;
         let presence = self.presence();
-        for to in destinations {
+        for to in self.announcement_destinations() {
             let there = self.candidates.at_address(to);
             let mut presence = presence.clone();
             presence.echo = there.map_or(0, |(_, candidate)| candidate.nonce);
@@ -25,6 +29,28 @@
         }
     }
 
+    /// Members tell each other at every turn, and the leader tells spares and is told by them at
+    /// every fourth.
+    fn announcement_destinations(&self) -> BTreeSet<SocketAddr> {
+        let slow_turn = self.announcements.is_multiple_of(SLOW_ANNOUNCEMENT);
+        let leader = self.known_leader();
+        let calm = leader.is_some() && !self.is_leaderless() && self.leaving_since.is_none();
+        let is_leader = leader.as_ref() == Some(&self.node);
+        let is_member = self.presence_role() != PresenceRole::Spare;
+        let mut destinations = BTreeSet::new();
+        if !calm || is_leader && slow_turn {
+            destinations = self.candidates.destinations();
+        }
+        if !calm || is_member || slow_turn {
+            destinations.extend(self.group.member_addresses());
+            let members = self.member_ids();
+            let known = members.iter().chain(&leader);
+            destinations.extend(known.filter_map(|node| self.address_of(node)));
+        }
+        destinations.remove(&self.machine.control_address);
+        destinations
+    }
+
     fn presence(&self) -> Presence {
         let removed = self.role() == Some(Role::Removed);
         Presence {
