--- a/crates/dataplane/src/agent_front/exchange.rs
+++ b/crates/dataplane/src/agent_front/exchange.rs
@@ -4,19 +4,20 @@
 use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
-use http::header::{CONTENT_TYPE, HeaderMap, HeaderName, HeaderValue};
+use http::header::{CONTENT_TYPE, HeaderValue};
 use salvo::conn::ConnCtrl;
 use salvo::{Request, Response};
 use tokio::time::Instant;
-use wingspar_agent::{Admission, Admit, Clearance, Finish, NotRunProof, Refusal, RefusalReason};
+use wingspar_agent::{Admission, Admit, Finish, NotRunProof, Refusal, RefusalReason};
 use wingspar_wire::headers;
 use wingspar_world::{MonotonicTime, Target};
 
-use super::answers::{self, Loss, NOT_RUN, RAN, UNKNOWN};
+use super::answers::{self, Loss, NOT_RUN, UNKNOWN};
 use super::counters::count;
+use super::cut::Cut;
 use super::running::{AnswerWatcher, Ended, RunningTicket};
 use super::shared::{Admitted, Signals};
-use super::{AgentFront, parse};
+use super::{AgentFront, heads, parse};
 use crate::answer::SystemAnswer;
 use crate::body::WatchedBody;
 use crate::forward::{self, SendFailure};
@@ -26,11 +27,6 @@
 /// A request that ran this long without an answer speaks against its back end; a shorter one only
 /// had a short deadline.
 const UNRESPONSIVE_AFTER: Duration = Duration::from_secs(1);
-/// Headers between router and agent that are no business of the back end.
-const ROUTER_ONLY: [&str; 3] = [headers::TARGET, headers::CONFIG, headers::REPEATABLE];
-/// Headers of wingspar that a back end may set on its answer.
-const BACK_END_MAY_SET: [&str; 1] = [headers::REASON];
-
 /// A started request and what is known of it.
 struct Started {
     request_id: String,
@@ -110,7 +106,7 @@
             ticket: guard,
             signals,
         };
-        let outgoing = cleared(outgoing, &clearance, now);
+        let outgoing = heads::cleared(outgoing, &clearance, now);
         let control = request.extensions().get::<ConnCtrl>().cloned();
         self.send(started, client, outgoing, control, response)
             .await
@@ -130,11 +126,7 @@
         let describe = |error: forward::ForwardError| error.to_string();
         let client = self.clients.get(target.connections).map_err(describe)?;
         let url = forward::url(target.address, request.uri()).map_err(describe)?;
-        let mut headers = request.headers().clone();
-        forward::remove_hop_by_hop(&mut headers);
-        for name in ROUTER_ONLY {
-            headers.remove(name);
-        }
+        let headers = heads::towards_back_end(request.headers());
         let body = forward::request_body(request.take_body());
         let outgoing = forward::request(request.method().clone(), url, headers, body);
         Ok((client, outgoing))
@@ -159,7 +151,7 @@
             }
         };
         match result {
-            Ok(answer) if !is_own_answer(&answer, &started.request_id) => {
+            Ok(answer) if !heads::is_own_answer(&answer, &started.request_id) => {
                 Err(started.lose(&self.counters.wrong_answers, Loss::Connection))
             }
             Ok(answer) => {
@@ -194,8 +186,8 @@
     ) {
         let (parts, body) = http::Response::<reqwest::Body>::from(answer).into_parts();
         let mut headers = parts.headers;
-        let outcome = back_end_outcome(&headers);
-        clean_answer(&mut headers);
+        let outcome = heads::back_end_outcome(&headers);
+        heads::clean_answer(&mut headers);
         headers.insert(headers::OUTCOME, HeaderValue::from_static(outcome));
         match outcome {
             NOT_RUN => {
@@ -256,31 +248,6 @@
     }
 }
 
-/// Watches an answer that is being streamed: at the deadline, or when the lease lapses, the
-/// caller's connection is cut, since a slow reader would otherwise hold the slot for ever.
-struct Cut {
-    deadline: Instant,
-    signals: Arc<Signals>,
-    ended: Ended,
-    control: Option<ConnCtrl>,
-    counters: Arc<super::FrontCounters>,
-}
-
-impl Cut {
-    async fn watch(self) {
-        let counter = tokio::select! {
-            () = self.ended.notified() => return,
-            () = tokio::time::sleep_until(self.deadline) => &self.counters.deadline_lapsed,
-            () = self.signals.cancelled.notified() => &self.counters.lease_lost,
-        };
-        count(counter);
-        count(&self.counters.answers_cut);
-        if let Some(control) = self.control {
-            control.abort();
-        }
-    }
-}
-
 /// Writes the answer to a request that needs no run.
 fn answered(
     request_id: String,
@@ -297,60 +264,3 @@
         Admit::Run(_) | Admit::Queue(_) => unreachable!("tickets are handled by the caller"),
     }
 }
-
-/// Adds fence, grant and the rest of the deadline.
-fn cleared(
-    mut outgoing: reqwest::Request,
-    clearance: &Clearance,
-    now: MonotonicTime,
-) -> reqwest::Request {
-    let headers = outgoing.headers_mut();
-    let remaining = now.until(clearance.deadline).as_millis() as u64;
-    headers.insert(headers::DEADLINE_MS, HeaderValue::from(remaining));
-    headers.remove(headers::FENCE);
-    headers.remove(headers::GRANT);
-    let Some(grant) = clearance.grant else {
-        return outgoing;
-    };
-    let ttl = clearance.ttl.as_millis();
-    let texts = [
-        (headers::FENCE, grant.fence.to_string()),
-        (headers::GRANT, format!("{};ttl-ms={ttl}", grant.range)),
-    ];
-    for (name, text) in texts {
-        if let Ok(value) = HeaderValue::try_from(text) {
-            headers.insert(name, value);
-        }
-    }
-    outgoing
-}
-
-/// Whether an answer is for this request, as far as the back end names the request it answers.
-fn is_own_answer(answer: &reqwest::Response, request_id: &str) -> bool {
-    let named = answer.headers().get(headers::REQUEST_ID);
-    named.is_none_or(|named| named.as_bytes() == request_id.as_bytes())
-}
-
-/// What a back end says of the outcome: it ran, unless it says otherwise.
-fn back_end_outcome(headers: &HeaderMap) -> &'static str {
-    let said = headers.get(headers::OUTCOME);
-    match said.and_then(|value| value.to_str().ok()) {
-        Some(NOT_RUN) => NOT_RUN,
-        Some(UNKNOWN) => UNKNOWN,
-        _ => RAN,
-    }
-}
-
-/// Removes what a back end must not say: headers of one connection, and wingspar's own.
-fn clean_answer(headers: &mut HeaderMap) {
-    forward::remove_hop_by_hop(headers);
-    let own: Vec<HeaderName> = headers
-        .keys()
-        .filter(|name| name.as_str().starts_with(headers::PREFIX))
-        .filter(|name| !BACK_END_MAY_SET.contains(&name.as_str()))
-        .cloned()
-        .collect();
-    for name in own {
-        headers.remove(name);
-    }
-}
--- a/crates/dataplane/src/agent_front/mod.rs
+++ b/crates/dataplane/src/agent_front/mod.rs
@@ -9,7 +9,9 @@
 mod answers;
 mod clients;
 mod counters;
+mod cut;
 mod exchange;
+mod heads;
 mod parse;
 mod running;
 mod shared;
