--- a/crates/dataplane/src/agent_front/parse.rs
+++ b/crates/dataplane/src/agent_front/parse.rs
@@ -14,6 +14,9 @@
 /// Longest accepted request id in bytes.
 const MAX_REQUEST_ID: usize = 128;
 
+/// Longest deadline that is taken at its word; the contract's bound is far below.
+const LONGEST_DEADLINE: Duration = Duration::from_secs(24 * 3_600);
+
 /// A request that no router of ours has sent.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
 pub(super) enum ParseError {
@@ -43,7 +46,7 @@
         key: optional(headers, headers::KEY_HASH, KeyHash::parse)?,
         router_config: ConfigVersion(config.unwrap_or_default()),
         class: optional(headers, headers::CLASS, class)?.unwrap_or_default(),
-        deadline: now + Duration::from_millis(remaining),
+        deadline: now + Duration::from_millis(remaining).min(LONGEST_DEADLINE),
         repeatable: optional(headers, headers::REPEATABLE, flag)?.unwrap_or(false),
         idempotency: idempotency(method, path, headers)?,
     })
--- a/crates/dataplane/tests/agent_front.rs
+++ b/crates/dataplane/tests/agent_front.rs
@@ -206,7 +206,12 @@
     let bent = bent.header(headers::IDEMPOTENCY_ATTEMPT, "first");
     assert_eq!(bent.send().await.unwrap().status(), 400);
     assert_eq!(bed.count("malformed"), 2);
-    assert_eq!(back_end.runs(), 0);
+    let mut endless = bed.post("/ok").build().unwrap();
+    let never = u64::MAX.to_string().parse().unwrap();
+    endless.headers_mut().insert(headers::DEADLINE_MS, never);
+    let bounded = bed.client.execute(endless).await.unwrap();
+    assert_eq!(ending(&bounded), ended("ran", "", 200));
+    assert_eq!(back_end.runs(), 1);
 }
 
 #[tokio::test]
