routing: windows per target and class, class limits that hold with several routers

Change: checks and bulk have limits of their own, restored with time and not with answers; instead of pausing, a router keeps a window of requests in flight per target and class, which refusals shrink and answers grow.

--- a/crates/dataplane/src/router_front/call.rs
+++ b/crates/dataplane/src/router_front/call.rs
@@ -7,7 +7,7 @@
 use reqwest::Url;
 use salvo::{Depot, FlowCtrl, Handler, Request, Response, async_trait};
 use wingspar_routing::{
-    Attempt, AttemptResult, Decision, Forward, GiveUp, Next, Reason, Rejection, Router,
+    Attempt, AttemptResult, Decision, Forward, GiveUp, Next, Rejection, Router,
 };
 use wingspar_wire::headers;
 use wingspar_world::MonotonicTime;
@@ -250,13 +250,8 @@
 }
 
 fn give_up(caller: &CallerRequest, refusal: &GiveUp, response: &mut Response) {
-    let code = if refusal.reason == Reason::BODY_CUT_SHORT {
-        StatusCode::BAD_REQUEST
-    } else {
-        status(refusal.status())
-    };
     let answer = SystemAnswer {
-        status: code,
+        status: status(refusal.status()),
         outcome: refusal.outcome.as_str(),
         reason: refusal.reason.to_string(),
         detail: refusal.reason.detail().to_owned(),
--- a/crates/dataplane/src/router_front/request.rs
+++ b/crates/dataplane/src/router_front/request.rs
@@ -71,6 +71,9 @@
 
     /// The URL to forward to, without an agent's address yet.
     pub(crate) fn url(&self) -> Result<Url, ForwardError> {
+        if self.method == Method::CONNECT {
+            return Err(ForwardError::Target(self.uri.to_string()));
+        }
         forward::url(NO_AGENT, &self.uri)
     }
 
--- a/crates/dataplane/tests/router_front.rs
+++ b/crates/dataplane/tests/router_front.rs
@@ -116,6 +116,12 @@
         system_answer(answer).await,
         ending(404, "not-run", "no_service")
     );
+    let mut tunnel = TcpStream::connect(bed.address).await.unwrap();
+    let request = b"CONNECT tal.example:80 HTTP/1.1\r\nhost: tal.example\r\n\r\n";
+    tunnel.write_all(request).await.unwrap();
+    let mut answer = [0; 12];
+    tunnel.read_exact(&mut answer).await.unwrap();
+    assert_eq!(&answer, b"HTTP/1.1 400");
     assert!(bed.agents[0].received().is_empty());
     let rejected = bed
         .router
--- a/crates/routing/src/after.rs
+++ b/crates/routing/src/after.rs
@@ -130,8 +130,10 @@
             let standing = self.targets.succeeded(current.target, latency);
             self.note_standing(current.target, standing);
         }
+        let class = attempt.resolved.class;
+        self.targets.answered(current.target, class);
         if let Some(state) = self.services.get_mut(&attempt.resolved.service) {
-            state.limits.answered(&self.settings.limits);
+            state.limits.answered(now, &self.settings.limits);
         }
         self.counters.add(Counter::Ran);
         Next::Answer
@@ -172,11 +174,14 @@
             RefusalKind::Ownership => {
                 attempt.refused_grant = current.fence.map(|fence| (current.target, fence));
                 let pause = refused.retry_after.unwrap_or(LEAVING_PAUSE);
-                self.targets.shed(now, current.target, Some(pause));
+                self.targets.pause(now, current.target, pause);
             }
             RefusalKind::Final => {}
             RefusalKind::Load => {
-                self.targets.shed(now, current.target, refused.retry_after);
+                let class = attempt.resolved.class;
+                let retry_after = refused.retry_after;
+                self.targets
+                    .refused(now, current.target, class, retry_after);
                 if let Some(state) = self.services.get_mut(&attempt.resolved.service) {
                     state.limits.refused(now, &self.settings.limits);
                 }
@@ -256,7 +261,7 @@
 
     fn end_try(&mut self, attempt: &mut Attempt, current: CurrentTry) {
         attempt.current = None;
-        self.targets.ended(current.target);
+        self.targets.ended(current.target, attempt.resolved.class);
     }
 
     fn note_failure(&mut self, now: MonotonicTime, current: CurrentTry) {
--- a/crates/routing/src/attempt.rs
+++ b/crates/routing/src/attempt.rs
@@ -10,6 +10,9 @@
 use crate::resolver::Resolved;
 use crate::table::TargetId;
 
+/// What agents say when another attempt under the same `Idempotency-Key` stands in the way.
+const OTHER_ATTEMPT_REASONS: [&str; 3] = ["in_progress", "previous_owner_lost", "earlier_unknown"];
+
 /// One request, from admission to its end. Hand it back to `Router::finish` when it is over.
 #[derive(Debug)]
 pub struct Attempt {
@@ -124,11 +127,17 @@
 }
 
 impl GiveUp {
-    /// HTTP status of the answer: 503 for *not run*, 504 for a passed deadline, else 502.
+    /// HTTP status of the answer: 400 when the caller's own body ended early, 503 for *not run*,
+    /// 504 for a passed deadline, 409 when another attempt under the same `Idempotency-Key` is or
+    /// may be at work, else 502.
     pub fn status(&self) -> u16 {
+        if self.reason == Reason::BODY_CUT_SHORT {
+            return 400;
+        }
         match self.outcome {
             Outcome::NotRun(_) => 503,
             _ if self.reason == Reason::DEADLINE => 504,
+            _ if OTHER_ATTEMPT_REASONS.contains(&self.reason.as_str()) => 409,
             _ => 502,
         }
     }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -31,6 +31,7 @@
 mod slice_map;
 mod table;
 mod targets;
+mod window;
 
 pub use attempt::{Attempt, AttemptResult, Decision, Forward, GiveUp, Next};
 pub use counters::{Counter, Counters};
--- a/crates/routing/src/limits.rs
+++ b/crates/routing/src/limits.rs
@@ -1,8 +1,8 @@
 //! Limits on requests in flight per service and class, so that checks and bulk can't starve the
 //! requests that people wait for.
 //!
-//! Interactive requests may use everything. Checks and bulk together stay below a share of the
-//! service's slots, and that share shrinks while agents refuse work for load: several routers
+//! Interactive requests may use everything. Checks and bulk each stay below a share of the
+//! service's slots, and these shares shrink while agents refuse work for load: several routers
 //! feed the same targets, and none knows what the others have in flight.
 
 use std::time::Duration;
@@ -17,7 +17,7 @@
 const RETRY_AFTER_BOUNDS: (Duration, Duration) =
     (Duration::from_millis(50), Duration::from_secs(5));
 /// Number of request classes.
-const CLASSES: usize = 3;
+pub(crate) const CLASSES: usize = 3;
 
 /// Requests of one service in flight at this router.
 #[derive(Debug, Clone)]
@@ -27,6 +27,7 @@
     hold_micros: [f64; CLASSES],
     pressure: f64,
     decreased_at: Option<MonotonicTime>,
+    increased_at: MonotonicTime,
 }
 
 impl Default for ServiceLimits {
@@ -36,11 +37,13 @@
             hold_micros: [0.0; CLASSES],
             pressure: 1.0,
             decreased_at: None,
+            increased_at: MonotonicTime::ZERO,
         }
     }
 }
 
-const fn index(class: RequestClass) -> usize {
+/// Position of a class, the most urgent first.
+pub(crate) const fn class_index(class: RequestClass) -> usize {
     match class {
         RequestClass::Interactive => 0,
         RequestClass::Checks => 1,
@@ -60,13 +63,13 @@
         if slots > 0 && !self.has_room(class, slots, settings) {
             return Err(self.retry_after(class));
         }
-        self.in_flight[index(class)] += 1;
+        self.in_flight[class_index(class)] += 1;
         Ok(())
     }
 
     /// Notes the end of an admitted request that stayed for `held`.
     pub(crate) fn release(&mut self, class: RequestClass, held: Duration) {
-        let position = index(class);
+        let position = class_index(class);
         self.in_flight[position] = self.in_flight[position].saturating_sub(1);
         let average = &mut self.hold_micros[position];
         *average += HOLD_WEIGHT * (held.as_micros() as f64 - *average);
@@ -74,7 +77,7 @@
 
     /// Notes that an agent refused work for load.
     pub(crate) fn refused(&mut self, now: MonotonicTime, settings: &LimitSettings) {
-        let recent = |at: MonotonicTime| now.since(at) < settings.decrease_interval;
+        let recent = |at: MonotonicTime| now.since(at) < settings.interval;
         if self.decreased_at.is_some_and(recent) {
             return;
         }
@@ -82,8 +85,13 @@
         self.pressure = (self.pressure * settings.decrease).max(settings.least_pressure);
     }
 
-    /// Notes that an agent ran work.
-    pub(crate) fn answered(&mut self, settings: &LimitSettings) {
+    /// Notes that an agent ran work. What it restores depends on time, not on the number of
+    /// answers: many quick interactive ones must not undo what slow checks brought about.
+    pub(crate) fn answered(&mut self, now: MonotonicTime, settings: &LimitSettings) {
+        if now.since(self.increased_at) < settings.interval {
+            return;
+        }
+        self.increased_at = now;
         self.pressure = (self.pressure + settings.increase).min(1.0);
     }
 
@@ -93,24 +101,22 @@
     }
 
     fn has_room(&self, class: RequestClass, slots: u32, settings: &LimitSettings) -> bool {
-        let bulk = self.in_flight[index(RequestClass::Bulk)];
-        let background = bulk + self.in_flight[index(RequestClass::Checks)];
         let room = |used: u32, share: f64| {
             let limit = (f64::from(slots) * share).floor().max(1.0);
             f64::from(used) < limit
         };
-        let total = room(self.total(), settings.total);
-        let checks = || room(background, settings.checks * self.pressure);
-        match class {
-            RequestClass::Interactive => total,
-            RequestClass::Checks => total && checks(),
-            RequestClass::Bulk => total && checks() && room(bulk, settings.bulk * self.pressure),
-        }
+        let share = match class {
+            RequestClass::Interactive => settings.total,
+            RequestClass::Checks => settings.checks * self.pressure,
+            RequestClass::Bulk => settings.bulk * self.pressure,
+        };
+        // Each class has a limit of its own, so that checks don't starve bulk either.
+        room(self.total(), settings.total) && room(self.in_flight[class_index(class)], share)
     }
 
     /// Mean time until one of the class's requests ends.
     fn retry_after(&self, class: RequestClass) -> Duration {
-        let position = index(class);
+        let position = class_index(class);
         let in_flight = f64::from(self.in_flight[position].max(1));
         let micros = self.hold_micros[position] / in_flight;
         let (least, most) = RETRY_AFTER_BOUNDS;
--- a/crates/routing/src/route.rs
+++ b/crates/routing/src/route.rs
@@ -82,8 +82,11 @@
         if let Some(target) = balance::pick(&candidates, &mut self.random) {
             return self.forward(now, attempt, target, None);
         }
+        let class = attempt.resolved.class;
         let targets = self.targets.of_service(&attempt.resolved.service);
-        let back_at = targets.filter_map(|(_, target)| target.back_at(now)).min();
+        let back_at = targets
+            .filter_map(|(_, target)| target.back_at(now, class))
+            .min();
         match back_at {
             Some(at) => self.refuse(attempt, Reason::OVERLOADED, now.until(at)),
             None => {
@@ -108,7 +111,8 @@
             latencies.iter().sum::<f64>() / latencies.len() as f64
         };
         let eligible = self.targets.of_service(service);
-        let eligible = eligible.filter(|(_, target)| target.is_eligible(now));
+        let eligible =
+            eligible.filter(|(_, target)| target.is_eligible(now, attempt.resolved.class));
         let candidates = eligible.map(|(id, target)| Candidate {
             id,
             weight: target.weight(),
@@ -137,7 +141,7 @@
             let estimate = self.settings.takeover_estimate;
             return self.refuse(attempt, Reason::UNREACHABLE, estimate);
         };
-        self.targets.started(target);
+        self.targets.started(target, attempt.resolved.class);
         attempt.tries += 1;
         attempt.tried.push(target);
         attempt.current = Some(CurrentTry {
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -221,7 +221,8 @@
     pub fn finish(&mut self, now: MonotonicTime, mut attempt: Attempt) {
         self.stop_waiting(&mut attempt);
         if let Some(current) = attempt.current.take() {
-            self.targets.ended(current.target);
+            let class = attempt.resolved.class;
+            self.targets.ended(current.target, class);
         }
         self.in_flight = self.in_flight.saturating_sub(1);
         if let Some(state) = self.services.get_mut(&attempt.resolved.service) {
--- a/crates/routing/src/settings.rs
+++ b/crates/routing/src/settings.rs
@@ -36,18 +36,18 @@
 pub struct LimitSettings {
     /// All classes together, as a multiple of the slots; what exceeds the slots queues at agents.
     pub total: f64,
-    /// Checks and bulk together; the rest is headroom for interactive requests.
+    /// Checks.
     pub checks: f64,
-    /// Bulk alone.
+    /// Bulk. What checks and bulk leave is headroom for interactive requests.
     pub bulk: f64,
     /// Least factor to which the shares of checks and bulk shrink while agents refuse work.
     pub least_pressure: f64,
     /// Factor applied to those shares when an agent refuses for load.
     pub decrease: f64,
-    /// Added to the factor by each answered request.
+    /// Added to the factor by an answered request.
     pub increase: f64,
-    /// Shortest time between two decreases.
-    pub decrease_interval: Duration,
+    /// Shortest time between two decreases, and between two increases.
+    pub interval: Duration,
 }
 
 /// Retry budget and backoff.
@@ -99,12 +99,12 @@
     fn default() -> Self {
         Self {
             total: 2.0,
-            checks: 0.5,
-            bulk: 0.3,
+            checks: 0.4,
+            bulk: 0.2,
             least_pressure: 0.1,
             decrease: 0.7,
             increase: 0.01,
-            decrease_interval: Duration::from_millis(100),
+            interval: Duration::from_millis(100),
         }
     }
 }
--- a/crates/routing/src/targets.rs
+++ b/crates/routing/src/targets.rs
@@ -5,18 +5,20 @@
 use std::time::Duration;
 
 use wingspar_wire::{Availability, TargetEntry};
-use wingspar_world::{Configuration, MonotonicTime, ServiceName, TargetName};
+use wingspar_world::{Configuration, MonotonicTime, RequestClass, ServiceName, TargetName};
 
+use crate::limits::{CLASSES, class_index};
 use crate::outlier::Outlier;
 use crate::settings::OutlierSettings;
 use crate::table::TargetId;
+use crate::window::Window;
 
 /// Weight of the newest sample in the moving average of latencies.
 const LATENCY_WEIGHT: f64 = 0.1;
 /// Slots assumed of a target that the configuration does not describe yet.
 const DEFAULT_SLOTS: u32 = 20;
-/// Shortest and longest time for which a refusal for load keeps unkeyed work away.
-const SHED_BOUNDS: (Duration, Duration) = (Duration::from_millis(10), Duration::from_secs(5));
+/// Longest time for which a target that gives its work up is left alone.
+const LONGEST_PAUSE: Duration = Duration::from_secs(5);
 
 /// One target.
 #[derive(Debug, Clone)]
@@ -28,10 +30,12 @@
     draining_by_configuration: bool,
     slots: u32,
     region_weight: f64,
-    in_flight: u32,
+    /// Requests in flight by class: a target that has no room for checks may have some for
+    /// interactive requests.
+    windows: [Window; CLASSES],
     latency_micros: Option<f64>,
     outlier: Outlier,
-    shedding_until: MonotonicTime,
+    paused_until: MonotonicTime,
 }
 
 /// All targets by number, and by service.
@@ -56,9 +60,11 @@
         allowed && self.agent.is_some()
     }
 
-    /// Whether it takes unkeyed work now.
-    pub(crate) fn is_eligible(&self, now: MonotonicTime) -> bool {
-        self.is_available() && !self.outlier.is_ejected(now) && now >= self.shedding_until
+    /// Whether it takes unkeyed work of a class now.
+    pub(crate) fn is_eligible(&self, now: MonotonicTime, class: RequestClass) -> bool {
+        let is_left_alone = self.outlier.is_ejected(now) || now < self.paused_until;
+        let has_room = self.windows[class_index(class)].has_room();
+        self.is_available() && !is_left_alone && has_room
     }
 
     /// Relative share of unkeyed work that it is to get.
@@ -70,27 +76,27 @@
     /// counts as `unknown_latency`.
     pub(crate) fn cost(&self, unknown_latency: f64) -> f64 {
         let latency = self.latency_micros.unwrap_or(unknown_latency).max(1.0);
-        let load = f64::from(self.in_flight + 1) / f64::from(self.slots.max(1));
+        let load = f64::from(self.in_flight() + 1) / f64::from(self.slots.max(1));
         load * latency
     }
 
-    /// When it is expected to take work again, if it is only shedding or ejected.
-    pub(crate) fn back_at(&self, now: MonotonicTime) -> Option<MonotonicTime> {
+    /// When it is expected to take work of a class again; `None` if that is not known.
+    pub(crate) fn back_at(&self, now: MonotonicTime, class: RequestClass) -> Option<MonotonicTime> {
         if !self.is_available() {
             return None;
         }
         let ejected_until = self.outlier.ejected_until(now).unwrap_or(now);
-        Some(ejected_until.max(self.shedding_until))
+        let window = &self.windows[class_index(class)];
+        let room_at = now + window.retry_after();
+        Some(ejected_until.max(self.paused_until).max(room_at))
     }
 
-    pub(crate) fn latency_micros(&self) -> Option<f64> {
-        self.latency_micros
+    fn in_flight(&self) -> u32 {
+        self.windows.iter().map(Window::in_flight).sum()
     }
 
-    fn shed(&mut self, now: MonotonicTime, retry_after: Option<Duration>) {
-        let (least, most) = SHED_BOUNDS;
-        let pause = retry_after.unwrap_or(least).clamp(least, most);
-        self.shedding_until = self.shedding_until.max(now + pause);
+    pub(crate) fn latency_micros(&self) -> Option<f64> {
+        self.latency_micros
     }
 }
 
@@ -157,15 +163,22 @@
         available.map(|(_, one)| one.slots).sum()
     }
 
-    pub(crate) fn started(&mut self, id: TargetId) {
+    pub(crate) fn started(&mut self, id: TargetId, class: RequestClass) {
+        if let Some(state) = self.states.get_mut(&id) {
+            state.windows[class_index(class)].started();
+        }
+    }
+
+    pub(crate) fn ended(&mut self, id: TargetId, class: RequestClass) {
         if let Some(state) = self.states.get_mut(&id) {
-            state.in_flight += 1;
+            state.windows[class_index(class)].ended();
         }
     }
 
-    pub(crate) fn ended(&mut self, id: TargetId) {
+    /// Notes that the target ran a request, whatever its answer.
+    pub(crate) fn answered(&mut self, id: TargetId, class: RequestClass) {
         if let Some(state) = self.states.get_mut(&id) {
-            state.in_flight = state.in_flight.saturating_sub(1);
+            state.windows[class_index(class)].answered();
         }
     }
 
@@ -203,9 +216,22 @@
     }
 
     /// Notes a refusal for load.
-    pub(crate) fn shed(&mut self, now: MonotonicTime, id: TargetId, retry_after: Option<Duration>) {
+    pub(crate) fn refused(
+        &mut self,
+        now: MonotonicTime,
+        id: TargetId,
+        class: RequestClass,
+        retry_after: Option<Duration>,
+    ) {
+        if let Some(state) = self.states.get_mut(&id) {
+            state.windows[class_index(class)].refused(now, retry_after);
+        }
+    }
+
+    /// Leaves a target alone that gives its work up.
+    pub(crate) fn pause(&mut self, now: MonotonicTime, id: TargetId, pause: Duration) {
         if let Some(state) = self.states.get_mut(&id) {
-            state.shed(now, retry_after);
+            state.paused_until = now + pause.min(LONGEST_PAUSE);
         }
     }
 
@@ -240,10 +266,10 @@
             draining_by_configuration: false,
             slots: DEFAULT_SLOTS,
             region_weight: 1.0,
-            in_flight: 0,
+            windows: Default::default(),
             latency_micros: None,
             outlier: Outlier::default(),
-            shedding_until: MonotonicTime::ZERO,
+            paused_until: MonotonicTime::ZERO,
         }
     }
 }
