--- a/crates/simulator/src/backend.rs
+++ b/crates/simulator/src/backend.rs
@@ -1,7 +1,6 @@
 //! Model of a back end: few slots, a fence check for each key, and a journal of what it ran.
 
 use std::collections::BTreeMap;
-use std::time::Duration;
 
 use wingspar_world::{Fence, KeyHash, MonotonicTime, NodeId, SliceRange, TargetName};
 
@@ -37,8 +36,9 @@
     pub fence: Fence,
     /// The granted slice.
     pub range: SliceRange,
-    /// Time that the grant still runs.
-    pub time_to_live: Duration,
+    /// When the grant or the request is over, on the machine's clock, which agent and back end
+    /// share. A back end that was frozen in between refuses what it reads too late.
+    pub until: MonotonicTime,
 }
 
 /// One line of a back end's journal.
@@ -110,6 +110,12 @@
         self.running
     }
 
+    /// Requests that run now on behalf of one agent process.
+    pub fn running_for(&self, agent: &NodeId) -> usize {
+        let entries = self.journal.iter().filter(|entry| entry.finished.is_none());
+        entries.filter(|entry| &entry.work.agent == agent).count()
+    }
+
     /// Stops it until a time; whatever it runs or is offered waits.
     pub fn freeze(&mut self, until: MonotonicTime) {
         self.frozen_until = self.frozen_until.max(until);
@@ -120,9 +126,10 @@
         (now < self.frozen_until).then_some(self.frozen_until)
     }
 
-    /// Starts work, or refuses it before anything happened.
-    pub fn offer(&mut self, now: MonotonicTime, work: Work) -> Offer {
-        if let Some(refusal) = self.refusal(&work) {
+    /// Starts work, or refuses it before anything happened. `now` is true time, `local` what the
+    /// machine's clock shows.
+    pub fn offer(&mut self, now: MonotonicTime, local: MonotonicTime, work: Work) -> Offer {
+        if let Some(refusal) = self.refusal(local, &work) {
             return refusal;
         }
         if let (Some(key), Some(grant)) = (work.key, work.grant) {
@@ -146,9 +153,9 @@
         entry
     }
 
-    fn refusal(&self, work: &Work) -> Option<Offer> {
+    fn refusal(&self, local: MonotonicTime, work: &Work) -> Option<Offer> {
         if let (Some(key), Some(grant)) = (work.key, work.grant) {
-            if grant.time_to_live.is_zero() || !grant.range.contains(key) {
+            if local >= grant.until || !grant.range.contains(key) {
                 return Some(Offer::NoGrant);
             }
             if self
--- a/crates/simulator/src/checker/availability.rs
+++ b/crates/simulator/src/checker/availability.rs
@@ -88,10 +88,18 @@
         self.check_bound(key, now.since(from))
     }
 
-    /// Keys that are unserved now, or were never served.
-    pub fn unserved<'a>(&'a self, keys: &'a [KeyHash]) -> impl Iterator<Item = KeyHash> + 'a {
-        let is_unserved =
-            |key: &&KeyHash| self.open.contains_key(key) || !self.ever_served.contains_key(key);
+    /// Keys that have been unserved for at least some time, or were never served.
+    pub fn unserved<'a>(
+        &'a self,
+        now: MonotonicTime,
+        keys: &'a [KeyHash],
+        at_least: Duration,
+    ) -> impl Iterator<Item = KeyHash> + 'a {
+        let is_unserved = move |key: &&KeyHash| {
+            let since = self.open.get(*key);
+            let is_open = since.is_some_and(|since| now.since(*since) >= at_least);
+            is_open || !self.ever_served.contains_key(*key)
+        };
         keys.iter().filter(is_unserved).copied()
     }
 
--- a/crates/simulator/src/checker/violation.rs
+++ b/crates/simulator/src/checker/violation.rs
@@ -159,6 +159,14 @@
         /// Requests that were cut off.
         in_flight: usize,
     },
+    /// A state machine says that it is broken.
+    #[error("{node} breaks an invariant of its own: {what}")]
+    Machine {
+        /// The process.
+        node: NodeId,
+        /// Which invariant.
+        what: String,
+    },
     /// A key was unserved for too long.
     #[error("key {key} was unserved for {unserved_ms} ms (bound {bound_ms} ms)")]
     Unserved {
--- /dev/null
+++ b/crates/simulator/src/simulation/observe.rs
@@ -0,0 +1,162 @@
+//! What the checker sees of the machines after each step, and of the whole at the end.
+
+use std::collections::BTreeSet;
+
+use wingspar_control::Control;
+use wingspar_wire::StateVersion;
+use wingspar_world::{KeyHash, MonotonicTime};
+
+use super::event::Event;
+use super::{SAMPLE_INTERVAL, Simulation};
+use crate::checker::{Holding, Violation};
+use crate::network::MachineIndex;
+use crate::process::Process;
+use crate::scenario::LOSS_BOUND;
+
+impl Simulation {
+    /// Shows the checker a process after a step; `local` is the time by its own clock.
+    pub(super) fn observe(&mut self, index: MachineIndex, local: MonotonicTime) {
+        let now = self.now();
+        let Some(process) = &self.machines[index].process else {
+            return;
+        };
+        let node = process.node().clone();
+        let held = self.holdings(index, process, local);
+        let version = process.agent().config_version();
+        let leads = process.control().and_then(leading_version);
+        let broken = process.control().map(Control::check_invariants);
+        let outcome = self.checker.configuration.applied(&node, version);
+        self.check(outcome);
+        let outcome = self.checker.ownership.update(now, &node, held);
+        self.check(outcome);
+        if let Some(version) = leads {
+            let outcome = self.checker.configuration.leads(&node, version);
+            self.check(outcome);
+        }
+        if let Some(Err(what)) = broken {
+            self.check(Err(Violation::Machine { node, what }));
+        }
+    }
+
+    fn holdings(
+        &self,
+        index: MachineIndex,
+        process: &Process,
+        local: MonotonicTime,
+    ) -> Vec<Holding> {
+        let Some(lease) = process.agent().lease(local) else {
+            return Vec::new();
+        };
+        let until = self.machines[index].clock.true_time(lease.expires_at());
+        let mut held = Vec::new();
+        for grant in process.agent().served(local) {
+            if grant.service != self.scenario.topology.keyed {
+                continue;
+            }
+            let keys = self.keys.iter().filter(|key| grant.range.contains(**key));
+            held.extend(keys.map(|key| Holding {
+                key: *key,
+                target: grant.target.clone(),
+                fence: grant.fence,
+                until,
+            }));
+        }
+        held
+    }
+
+    /// The machine whose control candidate leads its group with a valid lease.
+    pub(super) fn leader(&self) -> Option<MachineIndex> {
+        let leads = |index: &MachineIndex| {
+            let machine = &self.machines[*index];
+            let process = machine.process.as_ref().filter(|_| machine.is_running());
+            let control = process.and_then(Process::control);
+            control.is_some_and(Control::is_leader)
+        };
+        (0..self.machines.len()).find(leads)
+    }
+
+    /// The machine that owns a key now.
+    pub(super) fn owner(&self, key: KeyHash) -> Option<MachineIndex> {
+        let (owner, _) = self.checker.ownership.holder(self.now(), key)?;
+        self.machines
+            .iter()
+            .position(|one| one.machine.name == owner.machine)
+    }
+
+    /// Machines whose processes vote, as the leader knows.
+    pub(super) fn voters(&self) -> BTreeSet<MachineIndex> {
+        let leader = self
+            .leader()
+            .and_then(|index| self.machines[index].process.as_ref());
+        let replica = leader.and_then(Process::control).and_then(Control::replica);
+        let Some(replica) = replica else {
+            return BTreeSet::new();
+        };
+        let is_voter = |index: &MachineIndex| {
+            let process = self.machines[*index].process.as_ref();
+            process.is_some_and(|process| replica.voters().contains(process.node()))
+        };
+        (0..self.machines.len()).filter(is_voter).collect()
+    }
+
+    pub(super) fn sample(&mut self) {
+        let now = self.now();
+        for key in self.keys.clone() {
+            let owner = self.owner(key);
+            let is_served = owner.is_some_and(|index| self.machines[index].is_running());
+            let outcome = self.checker.availability.sample(now, key, is_served);
+            self.check(outcome);
+        }
+        self.push_after(SAMPLE_INTERVAL, Event::Sample);
+    }
+
+    /// What must hold at the end, long after everything was mended.
+    pub(super) fn check_settled(&self) -> Result<(), Violation> {
+        let now = self.now();
+        self.checker
+            .configuration
+            .compare(now, self.platform.store())?;
+        // A planned hand-over may be under way at the very end.
+        let availability = &self.checker.availability;
+        if let Some(key) = availability.unserved(now, &self.keys, LOSS_BOUND).next() {
+            return Err(not_settled(format!("key {key} is unserved")));
+        }
+        if self.leader().is_none() {
+            return Err(not_settled("the group has no leader".to_owned()));
+        }
+        if !self.operators.is_done() {
+            return Err(not_settled("an operator's change hangs".to_owned()));
+        }
+        self.check_versions()
+    }
+
+    /// Every running node has the store's newest configuration.
+    fn check_versions(&self) -> Result<(), Violation> {
+        let processes = self.machines.iter().filter_map(|one| one.process.as_ref());
+        let versions = processes.map(|process| {
+            let version = process.agent().config_version();
+            (process.node(), version)
+        });
+        let versions: Vec<_> = versions.collect();
+        let newest = versions.iter().map(|(_, version)| *version).max();
+        let behind = versions.iter().find(|(_, version)| Some(*version) < newest);
+        match behind {
+            Some((node, version)) => {
+                let what = format!("{node} has {version}, others have {newest:?}");
+                Err(not_settled(what))
+            }
+            None => Ok(()),
+        }
+    }
+}
+
+fn leading_version(control: &Control) -> Option<StateVersion> {
+    if !control.is_leader() {
+        return None;
+    }
+    control.replica().map(|replica| replica.state().version())
+}
+
+fn not_settled(what: String) -> Violation {
+    Violation::NotSettled { what }
+}
--- a/crates/simulator/tests/checker.rs
+++ b/crates/simulator/tests/checker.rs
@@ -54,14 +54,14 @@
         grant: Some(WorkGrant {
             fence: fence(sequence),
             range: SliceRange::FULL,
-            time_to_live: Duration::from_secs(1),
+            until: MonotonicTime::MAX,
         }),
     }
 }
 
 fn run(checker: &mut Checker, name: &str, now: u64, work: Work) -> Result<(), Violation> {
     let mut back_end = BackEnd::new(target(name), 4);
-    let Offer::Started(execution) = back_end.offer(at(now), work) else {
+    let Offer::Started(execution) = back_end.offer(at(now), at(now), work) else {
         panic!("an idle back end starts work");
     };
     let entry = back_end.finish(at(now + 5), execution).clone();
@@ -210,7 +210,9 @@
     availability.sample(at(10), KEY, true).unwrap();
     availability.sample(at(20), KEY, false).unwrap();
     availability.sample(at(4_020), KEY, false).unwrap();
-    assert_eq!(availability.unserved(&[KEY]).count(), 1);
+    let unserved = |millis| availability.unserved(at(4_020), &[KEY], Duration::from_millis(millis));
+    assert_eq!(unserved(4_000).count(), 1);
+    assert_eq!(unserved(4_001).count(), 0);
     assert!(availability.sample(at(4_021), KEY, false).is_err());
     availability.sample(at(4_022), KEY, true).unwrap();
     assert_eq!(availability.gaps()[0].length, Duration::from_millis(4_002));
