--- a/crates/routing/src/after.rs
+++ b/crates/routing/src/after.rs
@@ -16,9 +16,10 @@
 
 /// Statuses of 5xx answers that count against a target.
 const FAILURE_STATUSES: [u16; 4] = [500, 502, 503, 504];
-/// What agents say when another process owns the slice, or is about to.
-const OWNERSHIP_REASONS: [&str; 7] = [
+/// What agents and back ends say when another process owns the slice, or is about to.
+const OWNERSHIP_REASONS: [&str; 8] = [
     "not_owner",
+    "not_granted",
     "not_yet_owner",
     "handing_over",
     "stale_fence",
@@ -26,10 +27,17 @@
     "draining",
     "leaving",
 ];
-/// What agents say when they have no room.
-const LOAD_REASONS: [&str; 3] = ["overloaded", "memory_full", "shed"];
-/// What agents say when sending the request again at once can't help.
-const FINAL_REASONS: [&str; 3] = ["in_progress", "key_missing", "deadline_passed"];
+/// What agents and back ends say when they have no room, or not yet.
+const LOAD_REASONS: [&str; 4] = ["overloaded", "memory_full", "shed", "cold_start"];
+/// What agents and back ends say when sending the request again at once can't help.
+const FINAL_REASONS: [&str; 6] = [
+    "in_progress",
+    "key_missing",
+    "deadline",
+    "deadline_passed",
+    "bad_request",
+    "malformed",
+];
 /// Forwardings of a keyed request whose one owner can't be reached or refuses.
 const MAX_TRIES_AT_OWNER: u32 = 2;
 /// How long an unkeyed target is left alone that gives its work up.
--- a/crates/routing/src/reason.rs
+++ b/crates/routing/src/reason.rs
@@ -64,7 +64,9 @@
             "not_ready" => "the router has no slice table yet",
             "unserved" => "nobody serves this key at the moment",
             "handing_over" => "the key is being handed over to another server",
-            "not_owner" | "not_yet_owner" | "stale_fence" => "the key has just moved",
+            "not_owner" | "not_yet_owner" | "not_granted" | "stale_fence" => {
+                "the key has just moved"
+            }
             "waiting_room_full" => "too many requests wait for moving keys",
             "no_target" => "no server of the service takes work",
             "overloaded" | "shed" => "the servers have no room for more work",
@@ -76,6 +78,9 @@
             "bad_answer" => "the server's answer does not tell how the request ended",
             "body_cut_short" => "the request's body ended early",
             "draining" | "leaving" => "the server is leaving",
+            "grant_expired" => "the server's right to this key had run out",
+            "cold_start" => "the server is starting",
+            "malformed" | "bad_request" => "the server can't read the request",
             "in_progress" => "the same request is running now",
             "no_lease" => "the server's lease has run out",
             "back_end_down" => "the server does not answer",
