--- a/crates/consensus/src/inspect.rs
+++ b/crates/consensus/src/inspect.rs
@@ -161,7 +161,9 @@
             before = entry.id;
         }
         let membership_at = self.memberships.latest_at();
-        ensure(membership_at <= last, "the membership lies beyond the log")?;
+        let in_log = membership_at.index <= base.index
+            || self.log.id_at(membership_at.index) == Some(membership_at);
+        ensure(in_log, "the membership in force is not in the log")?;
         if let Some(leadership) = self.leadership() {
             ensure(
                 last.term == self.term,
