--- a/crates/control/src/group.rs
+++ b/crates/control/src/group.rs
@@ -8,10 +8,9 @@
 use wingspar_store::Answer;
 use wingspar_store::object::Version;
 use wingspar_store::operation::{Operation, Reply};
-use wingspar_wire::PresenceRole;
-use wingspar_world::{Machine, MonotonicTime, NodeId, ZoneName};
+use wingspar_world::{Machine, MonotonicTime, NodeId};
 
-use crate::candidates::{Candidate, PRESENT_FOR};
+use crate::candidates::PRESENT_FOR;
 use crate::group_object::{GroupObject, Member};
 use crate::store_io::Purpose;
 use crate::{Control, ControlEvent, GroupState, Output};
@@ -24,8 +23,8 @@
     /// The group's object as last read, with its version.
     pub(crate) object: Option<(Version, GroupObject)>,
     /// When the store last said that there is no object.
-    absent_at: Option<MonotonicTime>,
-    next_read: MonotonicTime,
+    pub(crate) absent_at: Option<MonotonicTime>,
+    pub(crate) next_read: MonotonicTime,
     /// Voters and learners last committed, as far as the own replica knows.
     pub(crate) committed: Option<(BTreeSet<NodeId>, BTreeSet<NodeId>)>,
     /// When this process became a member of its generation.
@@ -235,33 +234,6 @@
         out.push(Output::Event(ControlEvent::Joined { generation }));
     }
 
-    /// Founds the group when the store has none and enough candidates are present. Any of them may
-    /// try: only one creation succeeds.
-    fn found_group(&mut self, out: &mut Vec<Output>) {
-        let absent = self.group.absent_at;
-        let absent = absent.is_some_and(|at| self.now.since(at) < PRESENT_FOR);
-        if !absent || self.store.is_pending(Purpose::FoundGroup) {
-            return;
-        }
-        let in_group = |(_, candidate): (&NodeId, &Candidate)| candidate.generation > 0;
-        if self.candidates.present(self.now).any(in_group) {
-            return;
-        }
-        let founders = self.choose_founders(false);
-        if founders.len() < self.settings.replicas || self.lowest_present() != self.node {
-            return;
-        }
-        let object = GroupObject {
-            change_id: format!("found-{}-1", self.node),
-            generation: 1,
-            voters: founders.clone(),
-            founders,
-            change: None,
-            origin: None,
-        };
-        self.put_group(Purpose::FoundGroup, &object, 0, out);
-    }
-
     pub(crate) fn put_group(
         &mut self,
         purpose: Purpose,
@@ -277,61 +249,6 @@
         self.ask_store(purpose, Operation::Put { key, value, expect }, out);
     }
 
-    /// Whatever the answer, the object itself tells what happened.
-    pub(crate) fn on_group_founded(&mut self) {
-        self.group.next_read = self.now;
-        self.group.absent_at = None;
-        self.next_presence = self.now;
-    }
-
-    pub(crate) fn lowest_present(&self) -> NodeId {
-        let present = self.candidates.present(self.now);
-        let lowest = present
-            .filter(|(_, it)| !it.leaving)
-            .map(|(node, _)| node)
-            .min();
-        lowest.map_or(self.node.clone(), |lowest| lowest.min(&self.node).clone())
-    }
-
-    /// Present candidates, one of each zone in turn; voters of the lost generation only if asked.
-    pub(crate) fn choose_founders(&self, also_voters: bool) -> Vec<Member> {
-        let mut by_zone: BTreeMap<ZoneName, Vec<Member>> = BTreeMap::new();
-        let mut add = |node: &NodeId, machine: &Machine| {
-            let member = Member {
-                node: node.clone(),
-                machine: machine.clone(),
-            };
-            by_zone
-                .entry(machine.zone.clone())
-                .or_default()
-                .push(member);
-        };
-        if self.leaving_since.is_none() {
-            add(&self.node, &self.machine);
-        }
-        for (node, candidate) in self.candidates.present(self.now) {
-            let spare = candidate.role == PresenceRole::Spare;
-            if (spare || also_voters) && !candidate.leaving {
-                add(node, &candidate.machine);
-            }
-        }
-        let mut chosen = Vec::new();
-        while chosen.len() < self.settings.replicas {
-            let before = chosen.len();
-            for members in by_zone.values_mut() {
-                if chosen.len() < self.settings.replicas
-                    && let Some(member) = members.pop()
-                {
-                    chosen.push(member);
-                }
-            }
-            if chosen.len() == before {
-                break;
-            }
-        }
-        chosen
-    }
-
     /// Internal address of a process.
     pub(crate) fn address_of(&self, node: &NodeId) -> Option<SocketAddr> {
         if *node == self.node {
--- a/crates/control/src/intent.rs
+++ b/crates/control/src/intent.rs
@@ -6,9 +6,9 @@
     ConfigObject, ConfigVersion, Configuration, PolicyName, RegionName, TargetName,
 };
 
+use crate::objects::lookup;
 use crate::operator::OperatorReply;
 use crate::validate;
-use crate::writes::lookup;
 
 /// What an operator wants changed.
 #[derive(Debug, Clone, PartialEq)]
--- a/crates/control/src/leading.rs
+++ b/crates/control/src/leading.rs
@@ -8,7 +8,7 @@
 
 use crate::config_watch::ConfigWatch;
 use crate::membership::MemberPlan;
-use crate::operators::PendingMove;
+use crate::moves::PendingMove;
 use crate::placement::PlacementMemory;
 use crate::snapshot::SnapshotWriter;
 use crate::writes::PendingWrite;
--- a/crates/control/src/writes.rs
+++ b/crates/control/src/writes.rs
@@ -3,9 +3,8 @@
 use wingspar_store::object::Current;
 use wingspar_store::operation::Operation;
 use wingspar_store::{Answer, Change, Resolver, Step, WriteOutcome};
-use wingspar_world::{ConfigObject, ConfigVersion, Configuration, MonotonicTime};
+use wingspar_world::{ConfigObject, ConfigVersion, MonotonicTime};
 
-use crate::command::Command;
 use crate::config_watch::{OBJECT_FIELD, parse_object};
 use crate::intent::{Intent, Prepared};
 use crate::operator::OperatorReply;
@@ -20,14 +19,14 @@
     pub(crate) requests: Vec<u64>,
     pub(crate) change_id: String,
     intent: Intent,
-    stage: Stage,
+    pub(crate) stage: Stage,
     /// A request was sent whose effect is not known.
     in_doubt: bool,
-    deadline: MonotonicTime,
+    pub(crate) deadline: MonotonicTime,
 }
 
 #[derive(Debug)]
-enum Stage {
+pub(crate) enum Stage {
     /// The store is asked to put the object.
     Putting(Box<Resolver>),
     /// The store is asked to delete the object.
@@ -88,12 +87,12 @@
         })
     }
 
-    fn write_mut(&mut self, token: u64) -> Option<&mut PendingWrite> {
+    pub(crate) fn write_mut(&mut self, token: u64) -> Option<&mut PendingWrite> {
         self.leading.as_mut()?.writes.get_mut(&token)
     }
 
     /// Prepares the write on the present configuration and sends it.
-    fn start_write(&mut self, token: u64, out: &mut Vec<Output>) {
+    pub(crate) fn start_write(&mut self, token: u64, out: &mut Vec<Output>) {
         let Some(write) = self.leading.as_ref().and_then(|it| it.writes.get(&token)) else {
             return;
         };
@@ -265,91 +264,7 @@
         }
     }
 
-    /// Goes on with writes that wait for the configuration, a pause, or their deadline.
-    pub(crate) fn settle_writes(&mut self, out: &mut Vec<Output>) {
-        let Some(leading) = &self.leading else {
-            return;
-        };
-        let tokens: Vec<u64> = leading.writes.keys().copied().collect();
-        for token in tokens {
-            self.settle_write(token, out);
-        }
-    }
-
-    fn settle_write(&mut self, token: u64, out: &mut Vec<Output>) {
-        let (now, reached) = (self.now, self.configuration_version());
-        let Some(write) = self.leading.as_ref().and_then(|it| it.writes.get(&token)) else {
-            return;
-        };
-        if let Some(reply) = self.first_answer(&write.change_id) {
-            self.finish_write(token, reply, out);
-            return;
-        }
-        if now >= write.deadline {
-            let reply = write.give_up();
-            self.finish_write(token, reply, out);
-            return;
-        }
-        match &write.stage {
-            Stage::Committing {
-                version,
-                remembered,
-            } if *version <= reached && !remembered => {
-                self.remember_write(token, *version);
-            }
-            Stage::Rebasing { after } if *after <= reached => self.start_write(token, out),
-            Stage::Pausing { until } if *until <= now => self.start_write(token, out),
-            Stage::Putting(resolver) => {
-                let operation = resolver.operation();
-                self.resume_write(token, operation, out);
-            }
-            Stage::Deleting { key, expect } => {
-                let (key, expect) = (key.clone(), *expect);
-                self.resume_write(token, Operation::Delete { key, expect }, out);
-            }
-            _ => {}
-        }
-    }
-
-    fn resume_write(&mut self, token: u64, operation: Operation, out: &mut Vec<Output>) {
-        let now = self.now;
-        let Some(leading) = &mut self.leading else {
-            return;
-        };
-        if leading
-            .paused_writes
-            .get(&token)
-            .is_some_and(|until| *until <= now)
-        {
-            leading.paused_writes.remove(&token);
-            self.ask_store(Purpose::Write(token), operation, out);
-        }
-    }
-
-    /// Replicates what the change came to, when the watch has passed it without telling: it was a
-    /// deletion, or is replaced by now.
-    fn remember_write(&mut self, token: u64, version: ConfigVersion) {
-        let Some(write) = self.write_mut(token) else {
-            return;
-        };
-        let change_id = write.change_id.clone();
-        write.stage = Stage::Committing {
-            version,
-            remembered: true,
-        };
-        if self
-            .propose(Command::RememberChange { change_id, version })
-            .is_none()
-            && let Some(write) = self.write_mut(token)
-        {
-            write.stage = Stage::Committing {
-                version,
-                remembered: false,
-            };
-        }
-    }
-
-    fn finish_write(&mut self, token: u64, reply: OperatorReply, out: &mut Vec<Output>) {
+    pub(crate) fn finish_write(&mut self, token: u64, reply: OperatorReply, out: &mut Vec<Output>) {
         let Some(leading) = &mut self.leading else {
             return;
         };
@@ -381,7 +296,7 @@
 
 impl PendingWrite {
     /// The answer when nothing more is done: what is known to this moment.
-    fn give_up(&self) -> OperatorReply {
+    pub(crate) fn give_up(&self) -> OperatorReply {
         match &self.stage {
             Stage::Putting(_) | Stage::Deleting { .. } | Stage::Committing { .. } => {
                 OperatorReply::Unknown {
@@ -399,25 +314,3 @@
         }
     }
 }
-
-/// Version and object of a key in the configuration.
-pub(crate) fn lookup(
-    configuration: &Configuration,
-    key: &str,
-) -> Option<(ConfigVersion, ConfigObject)> {
-    let mut all = all_objects(configuration);
-    all.find(|(_, object)| object.store_key() == key)
-}
-
-/// All objects of a configuration, in order of key.
-pub(crate) fn all_objects(
-    configuration: &Configuration,
-) -> impl Iterator<Item = (ConfigVersion, ConfigObject)> + '_ {
-    let policies = configuration.policies.values();
-    let policies = policies.map(|(version, it)| (*version, ConfigObject::Policy(it.clone())));
-    let services = configuration.services.values();
-    let services = services.map(|(version, it)| (*version, ConfigObject::Service(it.clone())));
-    let targets = configuration.targets.values();
-    let targets = targets.map(|(version, it)| (*version, ConfigObject::Target(it.clone())));
-    policies.chain(services).chain(targets)
-}
