Rules for single objects stand in world, and readers do not apply them

A client refused to read an object that broke a rule of its own version, such as one written by another tool.

--- a/crates/api/src/convert/policy.rs
+++ b/crates/api/src/convert/policy.rs
@@ -2,19 +2,15 @@
 
 use std::collections::BTreeMap;
 
-use wingspar_world::{ConfigObject, PlacementPolicy, QuietWindow, RegionName};
+use wingspar_world::{PlacementPolicy, QuietWindow, RegionName};
 
 use super::Mistakes;
 use crate::v1;
-use crate::validate::validate;
 
 /// Reads a policy.
 pub fn policy_from_proto(message: v1::PlacementPolicy) -> Result<PlacementPolicy, Vec<String>> {
     let mut mistakes = Mistakes::default();
     let policy = read(&mut mistakes, message);
-    if let Some(policy) = &policy {
-        mistakes.extend(validate(&ConfigObject::Policy(policy.clone())));
-    }
     mistakes.finish(policy)
 }
 
--- a/crates/api/src/convert/request.rs
+++ b/crates/api/src/convert/request.rs
@@ -3,7 +3,10 @@
 use std::collections::BTreeMap;
 
 use wingspar_control::operator::{Durability, OperatorRequest};
-use wingspar_world::{ConfigVersion, KeyHash, PolicyName, RegionName, ServiceName, SliceRange};
+use wingspar_world::{
+    ConfigVersion, KeyHash, MAX_KEY_BYTES, PolicyName, RegionName, ServiceName, SliceRange,
+    weight_mistakes,
+};
 
 use super::Mistakes;
 use super::group::nodes_from_proto;
@@ -11,7 +14,6 @@
 use super::policy::weights;
 use crate::v1;
 use crate::v1::move_request::What;
-use crate::validate::{MAX_KEY_BYTES, validate_weights};
 
 /// Longest change id in bytes.
 const MAX_CHANGE_ID: usize = 64;
@@ -139,7 +141,7 @@
     given: BTreeMap<String, f64>,
 ) -> BTreeMap<RegionName, f64> {
     let read = weights(mistakes, "region_weights", given);
-    mistakes.extend(validate_weights("region_weights", &read));
+    mistakes.extend(weight_mistakes("region_weights", &read));
     read
 }
 
--- a/crates/api/src/convert/service.rs
+++ b/crates/api/src/convert/service.rs
@@ -1,13 +1,12 @@
 //! Services and their contracts.
 
 use wingspar_world::{
-    ConfigObject, Contract, KeySource, PolicyName, RequestClass, RequestRule, Service, ServiceKind,
+    Contract, KeySource, PolicyName, RequestClass, RequestRule, Service, ServiceKind,
 };
 
 use super::Mistakes;
 use crate::v1;
 use crate::v1::contract::KeySource as ProtoKeySource;
-use crate::validate::validate;
 
 /// Reads a service.
 pub fn service_from_proto(message: v1::Service) -> Result<Service, Vec<String>> {
@@ -17,9 +16,6 @@
     let policy = read_policy(&mut mistakes, &message.policy);
     let contract = read_contract(&mut mistakes, message.contract.unwrap_or_default());
     let service = build(name, kind, contract, policy);
-    if let Some(service) = &service {
-        mistakes.extend(validate(&ConfigObject::Service(service.clone())));
-    }
     mistakes.finish(service)
 }
 
--- a/crates/api/src/convert/target.rs
+++ b/crates/api/src/convert/target.rs
@@ -2,11 +2,10 @@
 
 use std::net::SocketAddr;
 
-use wingspar_world::{ConfigObject, Target};
+use wingspar_world::Target;
 
 use super::Mistakes;
 use crate::v1;
-use crate::validate::validate;
 
 /// Slots of a target that names none.
 const DEFAULT_SLOTS: u32 = 20;
@@ -17,9 +16,6 @@
 pub fn target_from_proto(message: v1::Target) -> Result<Target, Vec<String>> {
     let mut mistakes = Mistakes::default();
     let target = read(&mut mistakes, &message);
-    if let Some(target) = &target {
-        mistakes.extend(validate(&ConfigObject::Target(target.clone())));
-    }
     mistakes.finish(target)
 }
 
--- a/crates/api/src/lib.rs
+++ b/crates/api/src/lib.rs
@@ -10,12 +10,10 @@
 mod serve;
 mod service;
 pub mod status;
-mod validate;
 mod watch;
 
 pub use operators::Operators;
 pub use serve::{ServeError, serve};
-pub use validate::validate;
 
 /// Messages, servers and clients generated from the schema.
 #[allow(missing_docs, clippy::all)]
--- a/crates/api/src/service/mod.rs
+++ b/crates/api/src/service/mod.rs
@@ -171,7 +171,10 @@
     expect: ConfigVersion,
 ) -> Result<OperatorRequest, Vec<String>> {
     let object = match object {
-        Ok(object) => Some(object),
+        Ok(object) => {
+            mistakes.extend(object.mistakes());
+            Some(object)
+        }
         Err(lines) => {
             mistakes.extend(lines);
             None
--- a/crates/ctl/src/session.rs
+++ b/crates/ctl/src/session.rs
@@ -4,7 +4,6 @@
 
 use tokio::time::{Instant, sleep};
 use wingspar_api::status::Failure;
-use wingspar_api::validate;
 use wingspar_world::{ConfigObject, ConfigVersion, ServiceName};
 
 use crate::client::{Client, Versioned};
@@ -178,7 +177,7 @@
 }
 
 fn check(object: &ConfigObject) -> Result<(), Failure> {
-    let mistakes = validate(object);
+    let mistakes = object.mistakes();
     match mistakes.is_empty() {
         true => Ok(()),
         false => Err(Failure::Invalid(mistakes)),
--- a/crates/ctl/tests/ctl/commands.rs
+++ b/crates/ctl/tests/ctl/commands.rs
@@ -5,8 +5,10 @@
 use crate::support::{Mode, Running, ctl};
 use serde_json::json;
 use wingspar_control::operator::{Durability, OperatorRequest};
-use wingspar_ctl::ExitStatus;
-use wingspar_world::{ConfigObject, ConfigVersion, KeyHash, SliceRange};
+use wingspar_ctl::{Client, ExitStatus, Failure};
+use wingspar_world::{
+    ConfigObject, ConfigVersion, Contract, KeyHash, Service, ServiceKind, SliceRange,
+};
 
 const CREATE_SERVICE: &str =
     "service create stoc --kind keyed --policy even --key-path /stock/{key} --host stoc.example";
@@ -179,6 +181,25 @@
     assert!(group.shared.lock().unwrap().requests.is_empty());
 }
 
+#[tokio::test]
+async fn the_service_itself_refuses_wrong_objects_and_change_ids() {
+    let group = Running::leader().await;
+    let service = Service {
+        name: "stoc".parse().unwrap(),
+        kind: ServiceKind::Keyed,
+        contract: Contract::default(),
+        policy: None,
+    };
+    let mut client = Client::new(vec![group.address]);
+    let refused = client.create("a b", &ConfigObject::Service(service)).await;
+    let Err(Failure::Invalid(mistakes)) = refused else {
+        panic!("not refused: {refused:?}");
+    };
+    assert_eq!(mistakes.len(), 3, "{mistakes:?}");
+    assert!(mistakes[0].starts_with("change_id: given \"a b\"; allowed: "));
+    assert!(group.shared.lock().unwrap().requests.is_empty());
+}
+
 #[tokio::test]
 async fn placement_orders_are_sent_as_given() {
     let group = Running::leader().await;
--- a/crates/world/src/lib.rs
+++ b/crates/world/src/lib.rs
@@ -19,6 +19,7 @@
 mod machine;
 mod name;
 mod placement;
+mod rules;
 mod time;
 
 pub use config::{ConfigChange, ConfigObject, ConfigVersion, Configuration};
@@ -32,4 +33,5 @@
     ZoneName,
 };
 pub use placement::{GroupId, PlacementPolicy, QuietWindow};
+pub use rules::{MAX_KEY_BYTES, weight_mistakes};
 pub use time::MonotonicTime;
