--- a/crates/consensus/tests/replica.rs
+++ b/crates/consensus/tests/replica.rs
@@ -78,13 +78,14 @@
     let leader = cluster.leaders().pop().expect("a leader");
     let killed = cluster.now;
     cluster.nodes.get_mut(&leader).expect("known").alive = false;
-    loop {
+    while cluster.now < killed + 20 * SECOND {
         run(&mut cluster, 1_000);
         let mut nodes = cluster.nodes.values();
         if nodes.any(|node| node.alive && node.holds_lease(cluster.now)) {
             return cluster.now - killed;
         }
     }
+    panic!("seed {seed}: nobody took over");
 }
 
 #[test]
