placement: no balancing by the few requests of a night; Poisson counts in the comparison

Truncated noise raised the sum of many cold keys by 40 percent in the model, so that policies with more moves measured worse; counts are Poisson now. A service below a quarter of its decaying peak is not balanced.

--- a/crates/placement/examples/compare.rs
+++ b/crates/placement/examples/compare.rs
@@ -35,27 +35,44 @@
             true => sweep(&workload(seed), &policies, COSTS),
             false => table(&workload(seed), &policy, COSTS),
         };
-        print(workload(1).name, &SEEDS.map(measure).collect::<Vec<_>>());
+        print(workload(1).name, &for_each_seed(measure));
     }
     println!("\n{SEEDS:?} seeds, {:.1?}", started.elapsed());
 }
 
-/// Policies around one.
+/// Runs one thread a seed.
+fn for_each_seed(measure: impl Fn(u64) -> Vec<Row> + Sync) -> Vec<Vec<Row>> {
+    let measure = &measure;
+    std::thread::scope(|scope| {
+        let threads: Vec<_> = SEEDS
+            .map(|seed| scope.spawn(move || measure(seed)))
+            .collect();
+        let rows = threads.into_iter().map(|thread| thread.join());
+        rows.map(|rows| rows.expect("a run ends")).collect()
+    })
+}
+
+/// A grid of thresholds and budgets, then one other term at a time.
 fn policies(base: &PlacementPolicy) -> Vec<PlacementPolicy> {
     let mut policies = Vec::new();
     for (high, low) in [(1.1, 1.05), (1.25, 1.1), (1.5, 1.2), (2.0, 1.5)] {
-        for churn in [0.01, 0.05, 0.1, 0.5] {
-            for slices in [16, 64, 256] {
-                policies.push(PlacementPolicy {
-                    imbalance_high: high,
-                    imbalance_low: low,
-                    churn_per_hour: churn,
-                    slices_per_target: slices,
-                    ..base.clone()
-                });
-            }
+        for churn in [0.01, 0.05, 0.2, 0.5] {
+            policies.push(PlacementPolicy {
+                imbalance_high: high,
+                imbalance_low: low,
+                churn_per_hour: churn,
+                ..base.clone()
+            });
         }
     }
+    policies.extend([16, 32, 128, 256].map(|slices_per_target| PlacementPolicy {
+        slices_per_target,
+        ..base.clone()
+    }));
+    policies.extend([0.1, 0.5].map(|hot_slice_share| PlacementPolicy {
+        hot_slice_share,
+        ..base.clone()
+    }));
     policies
 }
 
--- a/crates/placement/examples/plan_cost.rs
+++ b/crates/placement/examples/plan_cost.rs
@@ -17,7 +17,11 @@
 const RATE: f64 = 200_000.0;
 
 /// Calls measured.
-const CALLS: u64 = 200;
+const CALLS: u64 = 100;
+
+/// Times that each call is repeated from the same memory; the shortest counts, so that a busy machine
+/// doesn't show.
+const REPEATS: usize = 7;
 
 fn main() {
     let slices = std::env::args().nth(1).and_then(|text| text.parse().ok());
@@ -89,20 +93,28 @@
             hand_overs: 0,
             limits: PlanLimits::default(),
         };
-        let slices = table.states(planner.cursor());
-        let began = Instant::now();
-        actions += planner.step(&input, slices, &mut budget).len();
-        times.push(began.elapsed());
+        let mut least = Duration::MAX;
+        let before = (planner.clone(), budget.clone());
+        for _ in 0..REPEATS {
+            (planner, budget) = before.clone();
+            let slices = table.states(planner.cursor());
+            let began = Instant::now();
+            let planned = std::hint::black_box(planner.step(&input, slices, &mut budget));
+            least = least.min(began.elapsed());
+            actions += planned.len();
+        }
+        times.push(least);
     }
     times.sort();
     let total: Duration = times.iter().sum();
     let read = table.len().min(PlanLimits::default().slices_per_call) as f64;
     println!(
         "{} slices, {TARGETS} targets, {CALLS} calls: median {:.2?}, highest {:.2?}, \
-         {:.0} ns a slice read, {actions} actions",
+         {:.0} ns a slice read, {} actions",
         table.len(),
         times[times.len() / 2],
         times[times.len() - 1],
         total.as_secs_f64() * 1e9 / CALLS as f64 / read,
+        actions / REPEATS,
     );
 }
--- a/crates/placement/src/compare.rs
+++ b/crates/placement/src/compare.rs
@@ -5,6 +5,7 @@
 //! the true rates.
 
 mod model;
+mod noise;
 mod report;
 mod samples;
 mod workload;
--- a/crates/placement/src/compare/model.rs
+++ b/crates/placement/src/compare/model.rs
@@ -4,6 +4,7 @@
 
 use wingspar_world::{KeyHash, MonotonicTime, TargetName};
 
+use super::noise::poisson;
 use super::workload::{Event, Workload};
 use crate::baseline::{Observation, Placer};
 use crate::{TargetState, churn, imbalance};
@@ -204,15 +205,14 @@
             .map(move |key| (key.zipf + key.extra) / sum)
     }
 
-    /// Rates as they would be counted: a count's variance is its mean.
+    /// Rates as they would be counted.
     fn noisy_rates(&self) -> Vec<(KeyHash, f64)> {
         let rate = self.workload.rate_at(self.elapsed);
         let counting = self.workload.counting.as_secs_f64();
         let step = u64::from(self.steps) ^ self.workload.seed.rotate_left(32);
         let noisy = |(key, share): (&KeyShare, f64)| {
-            let mean = share * rate;
-            let deviation = (mean / counting).sqrt() * unit_noise(key.key, step);
-            (key.key, (mean + deviation).max(0.0))
+            let count = poisson(share * rate * counting, key.key, step);
+            (key.key, count / counting)
         };
         self.keys.iter().zip(self.key_shares()).map(noisy).collect()
     }
@@ -278,15 +278,3 @@
         }
     }
 }
-
-/// Standard deviation of a uniform variable from 0 to 1.
-const UNIFORM_DEVIATION: f64 = 0.288_675_134_594_812_9;
-
-/// A deterministic random number of mean 0 and variance 1.
-fn unit_noise(key: KeyHash, step: u64) -> f64 {
-    let mut bytes = [0; 16];
-    bytes[..8].copy_from_slice(&key.0.to_le_bytes());
-    bytes[8..].copy_from_slice(&step.to_le_bytes());
-    let uniform = KeyHash::of(&bytes).0 as f64 / u64::MAX as f64;
-    (uniform - 0.5) / UNIFORM_DEVIATION
-}
--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -6,6 +6,7 @@
 
 mod input;
 mod moves;
+mod peak;
 mod reshape;
 mod sweep;
 mod trigger;
--- a/crates/placement/src/plan/input.rs
+++ b/crates/placement/src/plan/input.rs
@@ -73,7 +73,7 @@
 impl Default for PlanLimits {
     fn default() -> Self {
         Self {
-            slices_per_call: 65_536,
+            slices_per_call: 32_768,
             reshapes_per_call: 32,
             hand_overs: 16,
             minimum_dwell: Duration::from_secs(30),
--- a/crates/placement/src/plan/trigger.rs
+++ b/crates/placement/src/plan/trigger.rs
@@ -4,6 +4,7 @@
 
 use wingspar_world::{MonotonicTime, RegionName};
 
+use super::peak::Peak;
 use super::view::View;
 use crate::imbalance;
 
@@ -31,6 +32,7 @@
     shift_since: Option<MonotonicTime>,
     /// Region weights at the last look; changed weights begin a shift at once.
     weights: Option<BTreeMap<RegionName, f64>>,
+    peak: Peak,
 }
 
 /// Kinds of moves that are wanted.
@@ -54,14 +56,18 @@
         self.shift_since = None;
     }
 
-    /// Looks at the targets' loads.
+    /// Looks at the targets' loads. While the service is not busy only a shift of weights goes on.
     pub(super) fn update(&mut self, view: &View<'_>, loads: &[f64]) -> Wanted {
+        let busy = self.peak.is_busy(view.input.now, loads.iter().sum());
+        if !busy {
+            self.hold();
+        }
         self.update_balance(view, imbalance(loads, &view.shares));
         self.update_fill(view, lowest_relative_load(view, loads));
         self.update_shift(view, region_deviation(view, loads));
         Wanted {
-            balance: self.balancing,
-            fill: self.filling,
+            balance: busy && self.balancing,
+            fill: busy && self.filling,
             shift: self.shifting,
         }
     }
