--- a/crates/simulator/src/checker/configuration.rs
+++ b/crates/simulator/src/checker/configuration.rs
@@ -34,6 +34,7 @@
     verdicts: BTreeMap<String, ChangeVerdict>,
     in_force: ConfigVersion,
     assigned: StateVersion,
+    moves: BTreeMap<String, StateVersion>,
 }
 
 impl ConfigurationLedger {
@@ -90,8 +91,34 @@
     }
 
     /// Takes in that a change of assignment was acknowledged.
-    pub fn assignment_acknowledged(&mut self, version: StateVersion) {
+    pub fn assignment_acknowledged(&mut self, change_id: &str, version: StateVersion) {
         self.assigned = self.assigned.max(version);
+        self.moves.insert(change_id.to_owned(), version);
+    }
+
+    /// Compares the acknowledged changes of assignment with what the group's state remembers of
+    /// them. A generation that began later may lack those that only the lost majority had.
+    ///
+    /// # Errors
+    /// When one is missing.
+    pub fn remembered(
+        &self,
+        leader: &NodeId,
+        generation: u32,
+        lookup: impl Fn(&str) -> Option<StateVersion>,
+    ) -> Result<(), Violation> {
+        let of_generation = |version: &StateVersion| version.generation == generation;
+        for (change_id, version) in self.moves.iter().filter(|(_, it)| of_generation(it)) {
+            let found = lookup(change_id).unwrap_or_default();
+            if found != *version {
+                return Err(Violation::AssignmentLost {
+                    leader: leader.clone(),
+                    version: found,
+                    acknowledged: *version,
+                });
+            }
+        }
+        Ok(())
     }
 
     /// Takes in the state by which a node leads its group, lease included.
--- a/crates/simulator/src/simulation/effects.rs
+++ b/crates/simulator/src/simulation/effects.rs
@@ -54,6 +54,7 @@
                     target,
                     ticket,
                     work,
+                    is_written: false,
                 };
                 self.push_after(BACK_END_DELAY, Event::BackEndOffer(Box::new(exchange)));
             }
--- a/crates/simulator/src/simulation/event.rs
+++ b/crates/simulator/src/simulation/event.rs
@@ -36,6 +36,8 @@
     pub(super) target: TargetName,
     pub(super) ticket: Ticket,
     pub(super) work: Work,
+    /// It has left the agent's process.
+    pub(super) is_written: bool,
 }
 
 /// One event.
--- a/crates/simulator/src/simulation/observe.rs
+++ b/crates/simulator/src/simulation/observe.rs
@@ -1,8 +1,9 @@
 //! What the checker sees of the machines after each step, and of the whole at the end.
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
-use wingspar_control::Control;
+use wingspar_control::{ChangeResult, Control};
 use wingspar_wire::StateVersion;
 use wingspar_world::{KeyHash, MonotonicTime};
 
@@ -12,6 +13,10 @@
 use crate::network::MachineIndex;
 use crate::process::Process;
 use crate::scenario::LOSS_BOUND;
+use crate::topology::Topology;
+
+/// At the end of a run every key was answered to some caller within this time.
+const ANSWERED_WITHIN: Duration = Duration::from_millis(8_000);
 
 impl Simulation {
     /// Shows the checker a process after a step; `local` is the time by its own clock.
@@ -127,9 +132,43 @@
         if !self.operators.is_done() {
             return Err(not_settled("an operator's change hangs".to_owned()));
         }
+        self.check_moves()?;
+        self.check_answers()?;
         self.check_versions()
     }
 
+    /// The leader's state remembers every acknowledged move.
+    fn check_moves(&self) -> Result<(), Violation> {
+        let leader = self
+            .leader()
+            .and_then(|index| self.machines[index].process.as_ref());
+        let replica = leader.and_then(Process::control).and_then(Control::replica);
+        let (Some(process), Some(replica)) = (leader, replica) else {
+            return Ok(());
+        };
+        let changes = replica.state().changes();
+        let lookup = |change_id: &str| match changes.get(change_id) {
+            Some(ChangeResult::Moved(version)) => Some(version),
+            _ => None,
+        };
+        let ledger = &self.checker.configuration;
+        ledger.remembered(process.node(), replica.generation(), lookup)
+    }
+
+    /// Callers get answers for every key again.
+    fn check_answers(&self) -> Result<(), Violation> {
+        if !self.machines.iter().any(|one| one.takes_requests()) {
+            return Ok(());
+        }
+        for key in Topology::keys() {
+            let last = self.last_ran.get(&key).copied().unwrap_or_default();
+            if self.now().since(last) > ANSWERED_WITHIN {
+                return Err(not_settled(format!("no answer for {key} since {last:?}")));
+            }
+        }
+        Ok(())
+    }
+
     /// Every running node has the store's newest configuration.
     fn check_versions(&self) -> Result<(), Violation> {
         let processes = self.machines.iter().filter_map(|one| one.process.as_ref());
--- a/crates/simulator/src/simulation/work.rs
+++ b/crates/simulator/src/simulation/work.rs
@@ -13,6 +13,8 @@
 const SERVICE_MILLIS: std::ops::Range<u64> = 2..60;
 /// Service times of the few slow requests, in milliseconds.
 const SLOW_SERVICE_MILLIS: std::ops::Range<u64> = 200..2_500;
+/// Time between two looks at whether a stopped process writes on.
+const WRITE_POLL: Duration = Duration::from_millis(1);
 /// Share of slow requests.
 const SLOW_SHARE: f64 = 0.02;
 
@@ -22,6 +24,16 @@
         if self.machines[exchange.process.machine].is_destroyed {
             return;
         }
+        if !exchange.is_written {
+            if self.place(exchange.process.machine) != Some(exchange.process) {
+                return;
+            }
+            if self.machines[exchange.process.machine].is_paused {
+                // The process was stopped between its last look at the clock and the write.
+                return self.push_after(WRITE_POLL, Event::BackEndOffer(Box::new(exchange)));
+            }
+            exchange.is_written = true;
+        }
         let Some(back_end) = self.back_ends.get_mut(&exchange.target) else {
             return;
         };
