placement: smooth the targets' loads

Loads are smoothed over 15 s; a change beyond a quarter of the mean load and beyond four standard deviations counts at once, without which hot keys took more than a minute to part.

--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -8,6 +8,7 @@
 mod moves;
 mod peak;
 mod reshape;
+mod smooth;
 mod sweep;
 mod trigger;
 mod view;
@@ -20,6 +21,7 @@
 
 use moves::Mover;
 use reshape::Reshaper;
+use smooth::SmoothLoads;
 use sweep::Sweep;
 use trigger::Trigger;
 use view::View;
@@ -35,6 +37,7 @@
     targets: Vec<TargetName>,
     reshaper: Reshaper,
     trigger: Trigger,
+    smooth: SmoothLoads,
     /// No move is planned before.
     settled_at: MonotonicTime,
 }
@@ -54,6 +57,7 @@
             targets: Vec::new(),
             reshaper: Reshaper::default(),
             trigger: Trigger::default(),
+            smooth: SmoothLoads::default(),
             settled_at: MonotonicTime::ZERO,
         }
     }
@@ -78,6 +82,7 @@
         if input.is_held() || !view.any_accepts() {
             self.restart_sweep();
             self.trigger.hold();
+            self.smooth.forget();
             return Vec::new();
         }
         let mut actions = Vec::new();
@@ -116,7 +121,7 @@
         budget: &mut ChurnBudget,
         actions: &mut Vec<Action>,
     ) {
-        let loads = self.sweep.loads(view);
+        let loads = self.smooth.update(view, &self.sweep.loads(view));
         let wanted = self.trigger.update(view, &loads);
         if view.input.now < self.settled_at {
             return;
@@ -125,7 +130,8 @@
         mover.consolidate();
         mover.shift(wanted);
         mover.balance(wanted);
-        let planned = mover.finish();
+        let (planned, loads) = mover.finish();
+        self.smooth.expect(loads);
         self.note(&planned, view.input);
         actions.extend(planned);
     }
--- a/crates/placement/src/plan/moves.rs
+++ b/crates/placement/src/plan/moves.rs
@@ -50,9 +50,9 @@
         }
     }
 
-    /// The planned actions.
-    pub(super) fn finish(self) -> Vec<Action> {
-        self.actions
+    /// The planned actions, and the targets' loads after them.
+    pub(super) fn finish(self) -> (Vec<Action>, Vec<f64>) {
+        (self.actions, self.ledger.into_loads())
     }
 
     /// Returns cold fragments to the owner of the slice before them.
--- a/crates/placement/src/plan/moves/ledger.rs
+++ b/crates/placement/src/plan/moves/ledger.rs
@@ -56,6 +56,11 @@
         }
     }
 
+    /// Load of each target.
+    pub(super) fn into_loads(self) -> Vec<f64> {
+        self.loads
+    }
+
     /// Load of all targets.
     pub(super) fn total(&self) -> f64 {
         self.total
