--- a/crates/control/src/leading.rs
+++ b/crates/control/src/leading.rs
@@ -136,13 +136,13 @@
 impl Control {
     /// One turn of the leader. Without a valid leader lease it decides nothing: another may lead.
     pub(crate) fn lead(&mut self, out: &mut Vec<Output>) {
-        if !self.holds_leader_lease() {
-            return;
-        }
         let due = self.now >= self.next_tick;
         if due {
             self.next_tick = self.now + self.settings.tick_interval;
         }
+        if !self.holds_leader_lease() {
+            return;
+        }
         let version = self.state_version();
         let decided = self.leading.as_ref().map(|leading| leading.decided_at);
         let changed = decided != Some(version);
