--- a/crates/agent/src/follow.rs
+++ b/crates/agent/src/follow.rs
@@ -35,8 +35,10 @@
             .collect();
         for target in self.local.values() {
             let state = self.targets.entry(target.name.clone());
-            let state = state.or_insert_with(|| TargetState::new(target.slots));
-            state.set_slots(target.slots);
+            // Each running request takes a connection of its own.
+            let slots = target.slots.min(target.connections);
+            let state = state.or_insert_with(|| TargetState::new(slots));
+            state.set_slots(slots);
             state.draining_since = target.draining.then(|| state.draining_since.unwrap_or(now));
         }
         let local = &self.local;
