dataplane: tell the back end the grant's end by the wall clock too

A back end that was stopped counts the rest of time from when it reads the request. The wall clock is read before the decision, so that a stop of the agent in between only shortens the grant.

--- a/crates/dataplane/src/agent_front/exchange.rs
+++ b/crates/dataplane/src/agent_front/exchange.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use http::header::{CONTENT_TYPE, HeaderValue};
 use salvo::conn::ConnCtrl;
@@ -94,6 +94,8 @@
             };
             return Err(answers::refused(request_id, refusal));
         };
+        // Read first: a stop between the two readings then only shortens the grant.
+        let wall_clock = SystemTime::now();
         let now = (self.clock)();
         let clearance = self.agent.start(now, ticket).map_err(|refusal| {
             guard.finish(Finish::NotRun(NotRunProof::NotStarted));
@@ -107,7 +109,7 @@
             ticket: guard,
             signals,
         };
-        let outgoing = heads::cleared(outgoing, &clearance, now);
+        let outgoing = heads::cleared(outgoing, &clearance, now, wall_clock);
         let control = request.extensions().get::<ConnCtrl>().cloned();
         self.send(started, client, outgoing, control, response)
             .await
--- a/crates/dataplane/src/agent_front/heads.rs
+++ b/crates/dataplane/src/agent_front/heads.rs
@@ -1,7 +1,9 @@
 //! Heads of the request to the back end and of its answer.
 
+use std::time::{Duration, SystemTime};
+
 use http::header::{HeaderMap, HeaderName, HeaderValue};
-use wingspar_agent::Clearance;
+use wingspar_agent::{Clearance, ClearedGrant};
 use wingspar_wire::headers;
 use wingspar_world::MonotonicTime;
 
@@ -23,11 +25,12 @@
     headers
 }
 
-/// Adds fence, grant and the rest of the deadline.
+/// Adds fence, grant and the rest of the deadline. `wall_clock` was read no later than `now`.
 pub(super) fn cleared(
     mut outgoing: reqwest::Request,
     clearance: &Clearance,
     now: MonotonicTime,
+    wall_clock: SystemTime,
 ) -> reqwest::Request {
     let headers = outgoing.headers_mut();
     let remaining = now.until(clearance.deadline).as_millis() as u64;
@@ -37,10 +40,12 @@
     let Some(grant) = clearance.grant else {
         return outgoing;
     };
-    let ttl = clearance.ttl.as_millis();
     let texts = [
         (headers::FENCE, grant.fence.to_string()),
-        (headers::GRANT, format!("{};ttl-ms={ttl}", grant.range)),
+        (
+            headers::GRANT,
+            grant_text(&grant, clearance.ttl, wall_clock),
+        ),
     ];
     for (name, text) in texts {
         if let Ok(value) = HeaderValue::try_from(text) {
@@ -50,6 +55,17 @@
     outgoing
 }
 
+/// The grant as the back end reads it. The end by the wall clock is for a back end that was stopped
+/// and reads late, which would count the rest of time too long.
+fn grant_text(grant: &ClearedGrant, ttl: Duration, wall_clock: SystemTime) -> String {
+    let rest = ttl.as_millis();
+    let text = format!("{};ttl-ms={rest}", grant.range);
+    match (wall_clock + ttl).duration_since(SystemTime::UNIX_EPOCH) {
+        Ok(end) => format!("{text};until-unix-ms={}", end.as_millis()),
+        Err(_) => text,
+    }
+}
+
 /// Whether an answer is for this request, as far as the back end names the request it answers.
 pub(super) fn is_own_answer(answer: &reqwest::Response, request_id: &str) -> bool {
     let named = answer.headers().get(headers::REQUEST_ID);
--- a/crates/dataplane/tests/agent_front.rs
+++ b/crates/dataplane/tests/agent_front.rs
@@ -2,7 +2,7 @@
 
 mod bed;
 
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use bed::back_end::{BIG, header};
 use bed::{Bed, ended, ending, wait_for, word};
@@ -24,6 +24,17 @@
     assert!(head.starts_with("POST /ok?size=2 HTTP/1.1\r\n"), "{head}");
     assert_eq!(header(head, headers::FENCE).unwrap(), "1.42");
     let grant = header(head, headers::GRANT).unwrap();
+    let until: u128 = grant
+        .split_once(";until-unix-ms=")
+        .unwrap()
+        .1
+        .parse()
+        .unwrap();
+    let now = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap()
+        .as_millis();
+    assert!((now..=now + 3_600_000).contains(&until));
     assert!(grant.starts_with("0000000000000000-ffffffffffffffff;ttl-ms="));
     let deadline: u64 = header(head, headers::DEADLINE_MS).unwrap().parse().unwrap();
     assert!((1..=30_000).contains(&deadline));
