--- a/crates/agent/src/handover.rs
+++ b/crates/agent/src/handover.rs
@@ -17,6 +17,8 @@
 use crate::remembered::Remembered;
 use crate::{AgentEvent, Output};
 
+/// Due time of a part that follows a confirmed one.
+const AT_ONCE: MonotonicTime = MonotonicTime::ZERO;
 /// First pause before a message is repeated; it doubles up to the setting.
 const FIRST_REPEAT: Duration = Duration::from_millis(25);
 
@@ -152,7 +154,7 @@
         parts.retain(|part| part.part != reply.part);
         let confirmed = parts.len() < before;
         if confirmed {
-            *next_send = MonotonicTime::ZERO;
+            *next_send = AT_ONCE;
             one.pause = FIRST_REPEAT;
         }
         confirmed
@@ -261,6 +263,9 @@
         else {
             return false;
         };
+        if *next_send == AT_ONCE {
+            *give_up_at = now + surroundings.remember_timeout;
+        }
         if parts.is_empty() || now >= *give_up_at {
             self.stage = Stage::Telling {
                 remembered_moved: parts.is_empty(),
--- a/crates/agent/src/settings.rs
+++ b/crates/agent/src/settings.rs
@@ -19,7 +19,7 @@
     pub drain_grace: Duration,
     /// Longest time between repeats of hand-over messages; the first repeats come sooner.
     pub hand_over_repeat: Duration,
-    /// How long remembered requests are offered to a successor that doesn't answer.
+    /// How long a part of the remembered requests is offered to a successor that doesn't answer.
     pub remember_timeout: Duration,
     /// Largest number of remembered requests.
     pub remembered_requests: usize,
--- a/crates/agent/tests/hand_over.rs
+++ b/crates/agent/tests/hand_over.rs
@@ -189,21 +189,26 @@
     source.grant(20, 2, vec![release(SliceRange::FULL)]);
     let mut target = successor(SliceRange::FULL);
     let mut moved = 0;
+    let mut now = 30;
     while let Some(part) = remembers(&mut source).pop() {
+        // Progress is slow, but there is some: together longer than the bound for one part.
+        now += 1_400;
         let message = Message::Remember(part.clone());
         let envelope = wingspar_wire::Envelope::new(node("m1"), leader(), message);
         assert!(wingspar_wire::encode(&envelope).unwrap().len() <= 500 * 1024);
         target.receive(30, Message::Remember(part.clone()));
         moved += 1;
+        source.renew(now);
+        source.outputs.clear();
         let reply = RememberReply {
             hand_over: HAND_OVER,
             service: stoc(),
             range: part.range,
             part: part.part,
         };
-        source.receive(30, Message::RememberReply(reply));
+        source.receive(now, Message::RememberReply(reply));
     }
-    assert!(moved >= 2);
+    assert!(moved >= 4, "{moved} parts");
     assert_eq!(target.agent.remembered(), 200);
     assert_eq!(target.agent.counters().remembered_taken_in, 200);
 }
