control: an id is added to a group once only; a lost voter goes before the new one joins

It found its removal in the log and fell silent after it had been promoted; with a dead voter still counted, two of four voters were left and no leader could be elected for good. Ruled out: lost messages and the store (all healed for 60 s by then). Change: ids ever added are replicated and never added again; a removed process, a learner left out unheard and a long-waiting spare take a new id; a lost voter is removed before the promotion; learners that are not needed stay as warm spares. The new test in members.rs covers the rejoining under a new id; it passes on the old code, too, so it is no proof of the fix by itself.

--- a/crates/control/src/candidates.rs
+++ b/crates/control/src/candidates.rs
@@ -43,12 +43,21 @@
         }
     }
 
+    /// This process goes by another id.
+    pub(crate) fn set_own(&mut self, own: NodeId) {
+        self.own = own;
+    }
+
     /// Takes in an announcement.
     pub(crate) fn hear(&mut self, now: MonotonicTime, presence: &Presence) {
         if presence.node == self.own || presence.node.machine != presence.machine.name {
             return;
         }
         let address = presence.machine.control_address;
+        // One process listens at an address; what was there before is gone.
+        self.known.retain(|node, candidate| {
+            *node == presence.node || candidate.machine.control_address != address
+        });
         self.addresses.insert(presence.node.clone(), address);
         let candidate = Candidate {
             machine: presence.machine.clone(),
--- a/crates/control/src/command.rs
+++ b/crates/control/src/command.rs
@@ -32,6 +32,11 @@
         /// Version that it wrote.
         version: ConfigVersion,
     },
+    /// Notes that a process is to be a member, so that it is never added again under this id.
+    RecordMember {
+        /// The process.
+        node: NodeId,
+    },
     /// Begins a session of a process.
     RegisterSession {
         /// The process.
--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -38,6 +38,10 @@
     pub(crate) group: GroupKnowledge,
     pub(crate) recovery: Recovery,
     pub(crate) replica: Option<Replica<GroupState>>,
+    /// When the present id was taken.
+    pub(crate) id_since: MonotonicTime,
+    /// When the replica last received anything.
+    pub(crate) replication_at: MonotonicTime,
     /// Something was proposed and not yet handed to the replication.
     pub(crate) proposed: bool,
     pub(crate) observed: Observed,
@@ -79,6 +83,8 @@
             store_reachable: true,
             recovery: Recovery::default(),
             replica: None,
+            id_since: now,
+            replication_at: now,
             proposed: false,
             observed: Observed::default(),
             leading: None,
@@ -93,10 +99,8 @@
         self.now = self.now.max(now);
         match input {
             Input::Message {
-                sender,
-                reply_to,
-                message,
-            } => self.on_message(&sender, reply_to, message, out),
+                reply_to, message, ..
+            } => self.on_message(reply_to, message, out),
             Input::Tick => {}
             Input::Store(reply) => self.on_store_reply(reply, out),
             Input::Operator { id, request } => self.on_operator(id, request, out),
@@ -114,6 +118,12 @@
         own.min(replica).min(self.store.next_expiry())
     }
 
+    /// Id under which this process is a candidate or member. It begins as the process's own; one
+    /// that was removed from a group goes on under a new id, for the old one can't come back.
+    pub fn id(&self) -> &NodeId {
+        &self.node
+    }
+
     /// Running totals.
     pub fn counters(&self) -> &ControlCounters {
         &self.counters
@@ -152,20 +162,14 @@
             .map_or(ConfigVersion::default(), version)
     }
 
-    fn on_message(
-        &mut self,
-        sender: &NodeId,
-        reply_to: SocketAddr,
-        message: Message,
-        out: &mut Vec<Output>,
-    ) {
+    fn on_message(&mut self, reply_to: SocketAddr, message: Message, out: &mut Vec<Output>) {
         match message {
             Message::Renewal(renewal) => self.on_renewal(renewal, reply_to, out),
             Message::Pull(pull) => self.on_pull(pull, reply_to, out),
             Message::Released(released) => self.on_released(&released),
             Message::Presence(presence) => self.on_presence(&presence, out),
             Message::Replication(replication) => {
-                self.candidates.note_address(sender, reply_to);
+                self.candidates.note_address(&replication.from, reply_to);
                 self.on_replication(replication, out);
             }
             Message::RenewalReply(_)
@@ -217,6 +221,7 @@
         if self.now >= self.next_presence {
             self.next_presence = self.now + self.settings.presence_interval;
             self.announce(out);
+            self.tend_id();
             self.tend_group(out);
         }
         if self.leading.is_some() {
--- a/crates/control/src/group_object.rs
+++ b/crates/control/src/group_object.rs
@@ -75,18 +75,23 @@
     /// Every set of voters that may be in force.
     pub fn possible_voter_sets(&self) -> Vec<BTreeSet<NodeId>> {
         let before = self.voter_ids();
-        let mut sets = vec![before.clone()];
-        let Some(change) = &self.change else {
-            return sets;
-        };
-        let mut after = before;
-        if let Some(member) = &change.adding {
-            after.insert(member.node.clone());
-            sets.push(after.clone());
+        let mut sets = vec![before];
+        let change = self.change.as_ref();
+        if let Some(member) = change.and_then(|change| change.adding.as_ref()) {
+            let with = |set: &BTreeSet<NodeId>| {
+                let mut set = set.clone();
+                set.insert(member.node.clone());
+                set
+            };
+            sets.extend(sets.iter().map(with).collect::<Vec<_>>());
         }
-        if let Some(node) = &change.removing {
-            after.remove(node);
-            sets.push(after);
+        if let Some(node) = change.and_then(|change| change.removing.as_ref()) {
+            let without = |set: &BTreeSet<NodeId>| {
+                let mut set = set.clone();
+                set.remove(node);
+                set
+            };
+            sets.extend(sets.iter().map(without).collect::<Vec<_>>());
         }
         sets
     }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -51,6 +51,6 @@
 pub use output::{Output, StoreRequest};
 pub use settings::ControlSettings;
 pub use state::{
-    ChangeMemory, ChangeResult, GroupSnapshot, GroupState, HandOver, Session, Slice, SliceMap,
-    StateViolation, TableHistory, TakeoverKind, Touched,
+    ChangeMemory, ChangeResult, GroupSnapshot, GroupState, HandOver, MemberMemory, Session, Slice,
+    SliceMap, StateViolation, TableHistory, TakeoverKind, Touched,
 };
--- a/crates/control/src/member.rs
+++ b/crates/control/src/member.rs
@@ -3,10 +3,11 @@
 use std::collections::BTreeSet;
 
 use bytes::Bytes;
+use rand::RngExt;
 use serde::{Deserialize, Serialize};
 use wingspar_consensus::{LogPosition, Output as ReplicaOutput, Replica, Role};
 use wingspar_wire::{Message, Replication};
-use wingspar_world::NodeId;
+use wingspar_world::{Incarnation, NodeId};
 
 use crate::leading::Leading;
 use crate::{Command, Control, ControlEvent, GroupSnapshot, GroupState, Output};
@@ -48,6 +49,9 @@
         let Some(replica) = &mut self.replica else {
             return;
         };
+        if replica.generation() == generation {
+            self.replication_at = self.now;
+        }
         let mut outputs = ReplicaOutputs::new();
         replica.receive(self.now, replication.from, payload.message, &mut outputs);
         self.carry_out(outputs, out);
@@ -74,8 +78,37 @@
         out.push(Output::Event(ControlEvent::Learning { generation }));
     }
 
+    /// Becomes a candidate under an id that no group has known. The one before is given up for good,
+    /// so it counts as dead wherever it is still listed.
+    pub(crate) fn take_new_id(&mut self) {
+        let incarnation = Incarnation(self.random.random_range(0..u64::MAX));
+        self.node = NodeId::new(self.machine.name.clone(), incarnation);
+        self.candidates.set_own(self.node.clone());
+        self.group.nonce = self.random.random_range(1..u64::MAX);
+        self.id_since = self.now;
+        self.next_presence = self.now;
+    }
+
+    /// Renews the id of a learner that the group left out without its knowledge, and now and then
+    /// that of a spare, which may have been invited and dropped without its knowledge.
+    pub(crate) fn tend_id(&mut self) {
+        if self.known_leader().is_none() || self.leaving_since.is_some() {
+            return;
+        }
+        let patience = self.settings.replace_after * 2;
+        match self.role() {
+            Some(Role::Learner) if self.now.since(self.replication_at) >= patience => {
+                self.replica = None;
+                self.take_new_id();
+            }
+            None if self.now.since(self.id_since) >= patience * 2 => self.take_new_id(),
+            _ => {}
+        }
+    }
+
     pub(crate) fn install_replica(&mut self, replica: Replica<GroupState>) {
         self.group.member_since = self.now;
+        self.replication_at = self.now;
         let members = (replica.voters().clone(), replica.learners().clone());
         self.group.committed = Some(members);
         self.replica = Some(replica);
@@ -99,6 +132,7 @@
     }
 
     pub(crate) fn carry_out(&mut self, outputs: ReplicaOutputs, out: &mut Vec<Output>) {
+        let mut removed = false;
         for output in outputs {
             match output {
                 ReplicaOutput::Send { to, message } => self.send_to_replica(to, message, out),
@@ -112,9 +146,14 @@
                 ReplicaOutput::Removed => {
                     let generation = self.group.generation;
                     out.push(Output::Event(ControlEvent::Removed { generation }));
+                    removed = true;
                 }
             }
         }
+        if removed {
+            self.replica = None;
+            self.take_new_id();
+        }
         self.observe_state();
     }
 
--- a/crates/control/src/membership.rs
+++ b/crates/control/src/membership.rs
@@ -13,6 +13,7 @@
 use wingspar_world::{Machine, MonotonicTime, NodeId, ZoneName};
 
 use crate::candidates::PRESENT_FOR;
+use crate::command::Command;
 use crate::group_object::{GroupObject, Member, RecordedChange};
 use crate::store_io::Purpose;
 use crate::{Control, Output};
@@ -20,6 +21,8 @@
 /// The leader's progress with a change of members.
 #[derive(Debug, Default)]
 pub(crate) struct MemberPlan {
+    /// The spare whose id is being noted before it is added.
+    invited: Option<NodeId>,
     /// The object being written.
     recording: Option<GroupObject>,
     /// Version that this leader itself wrote; another leader's late write makes it a conflict.
@@ -91,12 +94,23 @@
         recorded.is_some() && recorded == current
     }
 
-    /// Carries a recorded change out: the joining voter first, then the one that goes.
+    /// Carries a recorded change out: a lost voter goes before the new one joins, because it only
+    /// makes majorities larger; one that leaves in order goes after.
     fn carry_on(&mut self, change: &RecordedChange, out: &mut Vec<Output>) {
         let Some(replica) = &self.replica else {
             return;
         };
         let (voters, learners) = (replica.voters(), replica.learners());
+        let removing = change
+            .removing
+            .as_ref()
+            .filter(|node| voters.contains(*node));
+        if let Some(node) = removing.filter(|node| self.silence(node) >= PRESENT_FOR)
+            && self.can_lose(node)
+        {
+            self.change_members(MembershipChange::Remove(node.clone()));
+            return;
+        }
         let adding = change.adding.as_ref().map(|member| &member.node);
         let joins = adding.filter(|node| !voters.contains(*node));
         if let Some(node) = joins {
@@ -107,8 +121,8 @@
             }
             return;
         }
-        match &change.removing {
-            Some(node) if voters.contains(node) && self.can_lose(node) => {
+        match removing {
+            Some(node) if self.can_lose(node) => {
                 self.change_members(MembershipChange::Remove(node.clone()));
             }
             _ => self.record(None, out),
@@ -134,9 +148,8 @@
             }
             return;
         }
-        if let Some(learner) = learner {
-            self.change_members(MembershipChange::Remove(learner));
-        } else if object.voter_ids() != voters {
+        // A learner that is not needed any more stays: it is at hand for the next loss.
+        if object.voter_ids() != voters {
             self.record(None, out);
         }
     }
@@ -144,7 +157,7 @@
     /// Without a spare, a voter that leaves goes if the others can do without it.
     fn invite_spare_or_shrink(&mut self, removing: Option<NodeId>, out: &mut Vec<Output>) {
         if let Some(spare) = self.best_spare() {
-            self.change_members(MembershipChange::AddLearner(spare));
+            self.invite(spare);
             return;
         }
         let leaving = removing.filter(|node| self.is_leaving(node) && self.can_lose(node));
@@ -153,6 +166,25 @@
         }
     }
 
+    /// Adds a spare as a learner, once it is noted that its id is used up: a process that was ever
+    /// removed finds that in the log and would stay silent under the same id.
+    fn invite(&mut self, spare: NodeId) {
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
+        let members = self
+            .replica
+            .as_ref()
+            .map(|replica| replica.state().members());
+        let noted = members.is_some_and(|members| members.contains(&spare));
+        if leading.members.invited.as_ref() == Some(&spare) && noted {
+            self.change_members(MembershipChange::AddLearner(spare));
+        } else if !noted {
+            leading.members.invited = Some(spare.clone());
+            self.propose(Command::RecordMember { node: spare });
+        }
+    }
+
     fn voter_to_remove(&self, voters: &BTreeSet<NodeId>) -> Option<NodeId> {
         let others = voters.iter().filter(|node| **node != self.node);
         let gone = |node: &&NodeId| self.is_lost(node) || self.is_leaving(node);
@@ -221,11 +253,17 @@
     /// A learner that went away is dropped; another is invited.
     fn remove_lost_learner(&mut self) -> bool {
         let learners = self.replica.as_ref().map(|it| it.learners().clone());
-        let lost = learners.unwrap_or_default().into_iter().find(|node| {
-            let patience = self.settings.replace_after / 2;
-            self.is_leaving(node) || self.is_lost(node) || self.silence(node) >= patience
-        });
-        lost.is_some_and(|node| self.change_members(MembershipChange::Remove(node)))
+        let lost = learners
+            .unwrap_or_default()
+            .into_iter()
+            .find(|node| self.is_leaving(node) || self.is_lost(node));
+        let Some(node) = lost else {
+            return false;
+        };
+        if let Some(leading) = &mut self.leading {
+            leading.members.invited = None;
+        }
+        self.change_members(MembershipChange::Remove(node))
     }
 
     /// The present spare whose zone has the fewest voters.
@@ -237,10 +275,15 @@
             .filter_map(|it| self.zone_of(it))
             .collect();
         let present = self.candidates.present(self.now);
+        let invited = self
+            .leading
+            .as_ref()
+            .and_then(|it| it.members.invited.as_ref());
+        let is_new =
+            |node: &NodeId| invited == Some(node) || !replica.state().members().contains(node);
         let spares = present.filter(|(node, candidate)| {
-            candidate.role == PresenceRole::Spare
-                && !candidate.leaving
-                && !replica.voters().contains(*node)
+            let ready = candidate.role == PresenceRole::Spare && !candidate.leaving;
+            ready && !replica.voters().contains(*node) && is_new(node)
         });
         let crowd = |zone: &ZoneName| zones.iter().filter(|one| *one == zone).count();
         let best = spares
--- a/crates/control/src/state/apply.rs
+++ b/crates/control/src/state/apply.rs
@@ -22,6 +22,7 @@
                 self.changes.remember(change_id, result);
                 true
             }
+            Command::RecordMember { node } => self.members.remember(node.clone()),
             Command::RegisterSession { node, machine } => {
                 self.apply_registration(at, node, machine)
             }
--- a/crates/control/src/state/history.rs
+++ b/crates/control/src/state/history.rs
@@ -1,10 +1,10 @@
 //! Bounded memory of what changed in the slice table, and of operators' change ids.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use serde::{Deserialize, Serialize};
 use wingspar_wire::StateVersion;
-use wingspar_world::{ConfigVersion, ServiceName, SliceRange, TargetName};
+use wingspar_world::{ConfigVersion, NodeId, ServiceName, SliceRange, TargetName};
 
 /// Changes of the table that deltas can be made from.
 const TABLE_HISTORY_ENTRIES: usize = 16_384;
@@ -67,6 +67,52 @@
     }
 }
 
+/// Processes that are remembered as members.
+const REMEMBERED_MEMBERS: usize = 4_096;
+
+/// Processes that were added to the group, latest last.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct MemberMemory {
+    nodes: BTreeSet<NodeId>,
+    order: VecDeque<NodeId>,
+}
+
+impl MemberMemory {
+    /// Whether a process was added before.
+    pub fn contains(&self, node: &NodeId) -> bool {
+        self.nodes.contains(node)
+    }
+
+    /// Remembers a process; false when it is known already.
+    pub(crate) fn remember(&mut self, node: NodeId) -> bool {
+        if !self.nodes.insert(node.clone()) {
+            return false;
+        }
+        if self.order.len() >= REMEMBERED_MEMBERS
+            && let Some(oldest) = self.order.pop_front()
+        {
+            self.nodes.remove(&oldest);
+        }
+        self.order.push_back(node);
+        true
+    }
+
+    /// Remembered processes, oldest first.
+    pub(crate) fn to_list(&self) -> Vec<NodeId> {
+        self.order.iter().cloned().collect()
+    }
+}
+
+impl FromIterator<NodeId> for MemberMemory {
+    fn from_iter<I: IntoIterator<Item = NodeId>>(nodes: I) -> Self {
+        let mut memory = Self::default();
+        for node in nodes {
+            memory.remember(node);
+        }
+        memory
+    }
+}
+
 /// What an operator's change came to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ChangeResult {
--- a/crates/control/src/state/mod.rs
+++ b/crates/control/src/state/mod.rs
@@ -18,7 +18,7 @@
 use wingspar_wire::{SessionId, StateVersion};
 use wingspar_world::{Configuration, Machine, MachineName, NodeId, ServiceName};
 
-pub use history::{ChangeMemory, ChangeResult, TableHistory, Touched};
+pub use history::{ChangeMemory, ChangeResult, MemberMemory, TableHistory, Touched};
 pub use invariants::StateViolation;
 pub use slice::{HandOver, Slice, SliceMap, TakeoverKind};
 
@@ -52,6 +52,7 @@
     services: BTreeMap<ServiceName, SliceMap>,
     /// Spending of elective moves by service, as of the command that recorded it.
     churn: BTreeMap<ServiceName, ChurnRecord>,
+    members: MemberMemory,
     changes: ChangeMemory,
     history: TableHistory,
 }
@@ -70,6 +71,9 @@
     /// Spending of elective moves by service.
     #[serde(default)]
     pub churn: Vec<(ServiceName, ChurnRecord)>,
+    /// Processes that were added to the group, oldest first.
+    #[serde(default)]
+    pub members: Vec<NodeId>,
     /// Remembered changes, oldest first.
     pub changes: Vec<(String, ChangeResult)>,
 }
@@ -100,6 +104,7 @@
                 .map(|(name, map)| (name.clone(), slices(map)))
                 .collect(),
             churn: self.churn.clone().into_iter().collect(),
+            members: self.members.to_list(),
             changes: self.changes.to_list(),
         }
     }
@@ -112,6 +117,7 @@
             configuration: Arc::new(snapshot.configuration),
             services: services.collect(),
             churn: snapshot.churn.into_iter().collect(),
+            members: snapshot.members.into_iter().collect(),
             changes: snapshot.changes.into_iter().collect(),
             history: TableHistory::new(snapshot.version),
             ..Self::default()
--- a/crates/control/src/state/view.rs
+++ b/crates/control/src/state/view.rs
@@ -9,7 +9,7 @@
     Configuration, MachineName, NodeId, Service, ServiceKind, ServiceName, Target, TargetName,
 };
 
-use super::{ChangeMemory, GroupState, Session, Slice, SliceMap, TableHistory};
+use super::{ChangeMemory, GroupState, MemberMemory, Session, Slice, SliceMap, TableHistory};
 use crate::command::SliceOwner;
 
 impl GroupState {
@@ -69,6 +69,11 @@
         &self.changes
     }
 
+    /// Processes that were added to the group.
+    pub fn members(&self) -> &MemberMemory {
+        &self.members
+    }
+
     /// Changes of the slice table.
     pub fn history(&self) -> &TableHistory {
         &self.history
--- a/crates/control/tests/generations.rs
+++ b/crates/control/tests/generations.rs
@@ -131,7 +131,7 @@
     let (mut world, voters) = five();
     let dead: Vec<NodeId> = voters[..2]
         .iter()
-        .map(|number| world.host(*number).agent.node.clone())
+        .map(|number| world.host(*number).control.id().clone())
         .collect();
     let force = || OperatorRequest::ForceGeneration {
         change_id: "force".to_owned(),
--- a/crates/control/tests/members.rs
+++ b/crates/control/tests/members.rs
@@ -45,7 +45,7 @@
         let alive = report
             .voters
             .iter()
-            .all(|node| world.hosts.values().any(|host| host.agent.node == *node));
+            .all(|node| world.hosts.values().any(|host| host.control.id() == node));
         if report.voters.len() == 3 && alive && report.learners.is_empty() {
             return;
         }
@@ -130,6 +130,30 @@
     assert_eq!(numbers_of_voters(&mut world), [1, 2]);
 }
 
+#[test]
+fn a_spare_that_was_invited_and_dropped_unheard_joins_later_under_a_new_id() {
+    let mut world = World::with_service(4, &[1]);
+    let voters = numbers_of_voters(&mut world);
+    let spare = (1..=4).find(|number| !voters.contains(number)).unwrap();
+    for voter in &voters {
+        world.cut.insert((address(*voter), address(spare)));
+    }
+    let leader = world.leader().unwrap();
+    let lost = voters.into_iter().find(|number| *number != leader).unwrap();
+    world.kill(lost);
+    // Long enough to be added, found silent and removed, more than once if that were possible.
+    world.run(Duration::from_secs(45));
+    assert_eq!(group(&mut world).voters.len(), 3);
+    world.cut.clear();
+    let deadline = world.now + Duration::from_secs(90);
+    while !numbers_of_voters(&mut world).contains(&spare) {
+        assert!(world.now < deadline, "the spare never joined");
+        world.run_until("a leader", SOON, |world| world.leader().is_some());
+        world.run(Duration::from_millis(500));
+    }
+    wait_for_three_live_voters(&mut world);
+}
+
 #[test]
 fn a_spare_stops_at_once() {
     let mut world = World::with_service(5, &[4, 5]);
