dataplane: the router reads small answers whole before it passes them on

A small answer that is cut short becomes a clear unknown (or a retry of repeatable work) instead of a cut connection.

--- a/crates/dataplane/src/router_front/answer.rs
+++ b/crates/dataplane/src/router_front/answer.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method};
 use http_body::{Body, Frame, SizeHint};
+use http_body_util::BodyExt;
 use salvo::BoxedError;
 use salvo::http::ResBody;
 use thiserror::Error;
@@ -32,24 +33,57 @@
     Source(reqwest::Error),
 }
 
-/// Writes an agent's answer into the caller's response; the body follows as it comes.
+/// A back end's answer as its agent passed it on.
+pub(crate) enum BackEndAnswer {
+    /// Read whole.
+    Whole(http::response::Parts, Bytes),
+    /// To be read as it is passed on.
+    Streamed(reqwest::Response),
+}
+
+impl BackEndAnswer {
+    /// Reads an answer whole.
+    pub(crate) async fn read(answer: reqwest::Response) -> Result<Self, reqwest::Error> {
+        let answer: http::Response<reqwest::Body> = answer.into();
+        let (head, body) = answer.into_parts();
+        let whole = body.collect().await?;
+        Ok(Self::Whole(head, whole.to_bytes()))
+    }
+}
+
+/// Writes a back end's answer into the caller's response; a streamed body follows as it comes.
 pub(crate) fn pass_on(
-    answer: reqwest::Response,
+    answer: BackEndAnswer,
     caller: &CallerRequest,
     call: OpenCall,
     response: &mut salvo::Response,
 ) {
-    let answer: http::Response<reqwest::Body> = answer.into();
-    let (head, body) = answer.into_parts();
-    response.status_code(head.status);
-    response.set_headers(cleaned(head.headers, &caller.id));
-    let has_body = caller.method != Method::HEAD && !body.is_end_stream();
-    if has_body {
-        response.body(PassedBody::new(body, call).into_response_body());
-    } else {
+    match answer {
+        BackEndAnswer::Whole(head, body) => {
+            call.finish();
+            write_head(head, caller, response);
+            response.body(whole_body(body));
+        }
+        BackEndAnswer::Streamed(answer) => {
+            let answer: http::Response<reqwest::Body> = answer.into();
+            let (head, body) = answer.into_parts();
+            write_head(head, caller, response);
+            response.body(stream(caller, body, call));
+        }
+    }
+}
+
+fn stream(caller: &CallerRequest, body: reqwest::Body, call: OpenCall) -> ResBody {
+    if caller.method == Method::HEAD || body.is_end_stream() {
         call.finish();
-        response.body(whole_body(Bytes::new()));
+        return whole_body(Bytes::new());
     }
+    PassedBody::new(body, call).into_response_body()
+}
+
+fn write_head(head: http::response::Parts, caller: &CallerRequest, response: &mut salvo::Response) {
+    response.status_code(head.status);
+    response.set_headers(cleaned(head.headers, &caller.id));
 }
 
 fn cleaned(mut map: HeaderMap, request_id: &str) -> HeaderMap {
--- a/crates/dataplane/src/router_front/call.rs
+++ b/crates/dataplane/src/router_front/call.rs
@@ -16,13 +16,14 @@
 use crate::clock::sleep_until;
 use crate::forward::{self, ForwardError};
 use crate::router_front::Front;
-use crate::router_front::answer;
+use crate::router_front::answer::{self, BackEndAnswer};
 use crate::router_front::body::RequestBody;
 use crate::router_front::request::{CallerRequest, at_agent, insert_text};
 use crate::router_front::result;
 
-/// Largest refusal that is read whole, so that its connection can be used again.
-const MAX_REFUSAL_BYTES: u64 = 8 * 1024;
+/// Largest answer of known length that is read whole before it is passed on. If it is cut short, the
+/// caller gets a clear outcome in place of a cut connection; and it is written in one piece.
+const MAX_WHOLE_BYTES: u64 = 16 * 1024;
 
 /// Takes callers' requests.
 pub(crate) struct CallHandler(Arc<Front>);
@@ -30,7 +31,7 @@
 /// How the decisions about a call ended.
 enum End {
     /// A back end's answer, to be passed on.
-    Answer(reqwest::Response),
+    Answer(BackEndAnswer),
     /// The system's own answer.
     GiveUp(GiveUp),
 }
@@ -151,7 +152,7 @@
         url: &Url,
         body: &RequestBody,
         forward: &Forward,
-    ) -> (AttemptResult, Option<reqwest::Response>) {
+    ) -> (AttemptResult, Option<BackEndAnswer>) {
         let attempt = self.attempt.as_ref().expect("an open call has its attempt");
         let headers = caller.headers_for(attempt.resolved(), forward);
         let method = caller.method.clone();
@@ -164,18 +165,15 @@
             Some(Ok(answer)) => answer,
         };
         let result = result::of_answer(answer.status().as_u16(), answer.headers());
-        if matches!(result, AttemptResult::Answered { .. }) {
-            return (result, Some(answer));
+        let is_small = |length: u64| length <= MAX_WHOLE_BYTES;
+        if !answer.content_length().is_some_and(is_small) {
+            return (result, Some(BackEndAnswer::Streamed(answer)));
         }
-        self.drain(answer).await;
-        (result, None)
-    }
-
-    /// Reads the rest of a refusal, so that its connection goes back to the pool.
-    async fn drain(&self, answer: reqwest::Response) {
-        let is_small = |length: u64| length <= MAX_REFUSAL_BYTES;
-        if answer.content_length().is_some_and(is_small) {
-            let _ = self.within_deadline(answer.bytes()).await;
+        // Refusals are read too, so that their connections go back to the pool.
+        match self.within_deadline(BackEndAnswer::read(answer)).await {
+            Some(Ok(answer)) => (result, Some(answer)),
+            Some(Err(_)) => (result::of_broken_answer(result), None),
+            None => (AttemptResult::DeadlinePassed, None),
         }
     }
 
@@ -221,7 +219,7 @@
     }
 }
 
-fn answered(answer: Option<reqwest::Response>) -> End {
+fn answered(answer: Option<BackEndAnswer>) -> End {
     End::Answer(answer.expect("only an answered forwarding is passed on"))
 }
 
--- a/crates/dataplane/src/router_front/result.rs
+++ b/crates/dataplane/src/router_front/result.rs
@@ -37,6 +37,15 @@
     }
 }
 
+/// Result of a forwarding whose answer had this meaning by its head, but broke off. A refusal is
+/// proved by its head alone.
+pub(crate) fn of_broken_answer(by_head: AttemptResult) -> AttemptResult {
+    match by_head {
+        AttemptResult::Answered { .. } => AttemptResult::Lost,
+        refused_or_unknown => refused_or_unknown,
+    }
+}
+
 /// When to come back by an answer's `retry-after-ms`, else by its `Retry-After` in seconds.
 fn retry_after(map: &HeaderMap) -> Option<Duration> {
     let number = |name: &HeaderName| map.get(name)?.to_str().ok()?.parse::<u64>().ok();
