--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -18,6 +18,7 @@
 mod attempt;
 mod balance;
 mod counters;
+mod follow;
 mod limits;
 mod outcome;
 mod outlier;
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -1,6 +1,7 @@
 //! The router as one state machine: what it knows, and the beginning and end of each request.
 //!
-//! `route.rs` decides where a request goes, `after.rs` what follows from the result.
+//! `route.rs` decides where a request goes, `after.rs` what follows from the result, `follow.rs`
+//! keeps table and configuration up to date.
 
 use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
@@ -13,19 +14,16 @@
 
 use crate::attempt::{Attempt, GiveUp};
 use crate::counters::{Counter, Counters};
+use crate::follow::pull_timeout;
 use crate::limits::ServiceLimits;
 use crate::outcome::{Outcome, Proof};
 use crate::reason::Reason;
 use crate::resolver::{Rejection, RequestHead, Resolved, Resolver};
 use crate::retry::RetryBudget;
 use crate::settings::RouterSettings;
-use crate::table::{Applied, SliceTable, TargetId};
+use crate::table::{SliceTable, TargetId};
 use crate::targets::{Standing, Targets};
 
-/// How long the router waits for the answer to a pull before it repeats it.
-const PULL_TIMEOUT: Duration = Duration::from_millis(500);
-/// The same for a pull of the whole table, which may be large.
-const FULL_PULL_TIMEOUT: Duration = Duration::from_secs(2);
 /// `Retry-After` of a router that is at its own limit.
 const ROUTER_LIMIT_PAUSE: Duration = Duration::from_millis(200);
 
@@ -91,13 +89,13 @@
     pub(crate) in_flight: u32,
     pub(crate) waiting: u32,
     pub(crate) counters: Counters,
-    configuration: Arc<Configuration>,
-    pending: Vec<Output>,
+    pub(crate) configuration: Arc<Configuration>,
+    pub(crate) pending: Vec<Output>,
     /// Targets named so far by the full table of this version, which arrives in parts.
-    listed_targets: (StateVersion, BTreeSet<TargetId>),
-    pulled_at: Option<MonotonicTime>,
+    pub(crate) listed_targets: (StateVersion, BTreeSet<TargetId>),
+    pub(crate) pulled_at: Option<MonotonicTime>,
     /// Version from which a pull is wanted and not answered yet.
-    pull_wanted: Option<StateVersion>,
+    pub(crate) pull_wanted: Option<StateVersion>,
 }
 
 impl Router {
@@ -263,21 +261,6 @@
         }
     }
 
-    /// Asks for the table from `have` on, unless that was done just now.
-    pub(crate) fn want_pull(&mut self, now: MonotonicTime, have: StateVersion) {
-        let wanted = self.pull_wanted.map_or(have, |wanted| wanted.min(have));
-        self.pull_wanted = Some(wanted);
-        let interval = if wanted == StateVersion::default() {
-            self.settings.full_pull_interval
-        } else {
-            self.settings.pull_interval
-        };
-        let recently = self.pulled_at.is_some_and(|at| now.since(at) < interval);
-        if !recently {
-            self.pull(now, wanted);
-        }
-    }
-
     pub(crate) fn note_standing(&mut self, id: TargetId, standing: Standing) {
         let target = || self.table.target_name(id).clone();
         let event = match standing {
@@ -290,93 +273,4 @@
         }
         self.pending.push(Output::Event(event));
     }
-
-    fn pull(&mut self, now: MonotonicTime, have: StateVersion) {
-        self.pulled_at = Some(now);
-        self.counters.add(Counter::Pulls);
-        self.pending.push(Output::Pull { have });
-    }
-
-    fn repeat_pull(&mut self, now: MonotonicTime) {
-        let Some(have) = self.pull_wanted else {
-            return;
-        };
-        let timeout = pull_timeout(have);
-        let is_due = |at: MonotonicTime| now.since(at) >= timeout;
-        if self.pulled_at.is_none_or(is_due) {
-            self.pull(now, have);
-        }
-    }
-
-    fn apply_table(&mut self, now: MonotonicTime, update: &TableUpdate) {
-        let was_ready = self.table.is_ready();
-        let applied = self.table.apply(now, update);
-        match applied {
-            Applied::Gap { have } => {
-                self.counters.add(Counter::TableGaps);
-                let same_line = update.version.generation == have.generation && was_ready;
-                let from = if same_line {
-                    have
-                } else {
-                    StateVersion::default()
-                };
-                self.want_pull(now, from);
-                return;
-            }
-            Applied::Stale => {
-                self.pull_wanted = None;
-                return;
-            }
-            Applied::Partial => {}
-            Applied::Complete(version) => {
-                self.counters.add(Counter::TableUpdates);
-                self.pull_wanted = None;
-                if !was_ready {
-                    let event = RoutingEvent::TableReady { version };
-                    self.pending.push(Output::Event(event));
-                }
-            }
-        }
-        self.apply_targets(update, applied);
-    }
-
-    /// A full table names every target that there is, spread over its parts.
-    fn apply_targets(&mut self, update: &TableUpdate, applied: Applied) {
-        let mut entries = Vec::with_capacity(update.targets.len());
-        for entry in &update.targets {
-            entries.push((self.table.target_id(&entry.target), entry.clone()));
-        }
-        self.targets.update(&entries);
-        if update.since.is_none() {
-            if self.listed_targets.0 != update.version {
-                self.listed_targets = (update.version, BTreeSet::new());
-            }
-            let listed = &mut self.listed_targets.1;
-            listed.extend(entries.iter().map(|(id, _)| *id));
-            if matches!(applied, Applied::Complete(_)) {
-                self.targets.retain(&std::mem::take(listed));
-            }
-        }
-        self.targets.configure(&self.configuration);
-    }
-
-    fn apply_configuration(&mut self, configuration: Arc<Configuration>) {
-        // An accepted configuration never goes back.
-        if configuration.version < self.resolver.version() {
-            return;
-        }
-        self.resolver = Resolver::new(&configuration);
-        self.targets.configure(&configuration);
-        self.services
-            .retain(|name, _| configuration.services.contains_key(name));
-        self.configuration = configuration;
-    }
-}
-
-fn pull_timeout(have: StateVersion) -> Duration {
-    if have == StateVersion::default() {
-        FULL_PULL_TIMEOUT
-    } else {
-        PULL_TIMEOUT
-    }
 }
