--- a/crates/rehearse/src/main.rs
+++ b/crates/rehearse/src/main.rs
@@ -1,3 +1,8 @@
-//! Rehearsal kit: demo, experiments, soak, hollow nodes, reports.
+//! The rehearsal kit's command line.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let words = std::env::args_os().skip(1).collect();
+    wingspar_rehearse::command::run(words)
+}
