--- a/crates/control/src/assignment.rs
+++ b/crates/control/src/assignment.rs
@@ -1,16 +1,15 @@
 //! Owners for slices that have none.
 
-use std::collections::BTreeMap;
 use std::time::Duration;
 
 use wingspar_placement::{Successors, initial};
 use wingspar_world::{ServiceName, TargetName};
 
+use crate::Control;
 use crate::command::{Assignment, Command, SliceOwner};
 use crate::operator::AssignmentReason;
 use crate::placement::{PlacementMemory, failing_zones, policy_of};
 use crate::state::{GroupState, Slice};
-use crate::{Control, ControlEvent, Output};
 
 /// Most slices given owners in one turn.
 const ASSIGNMENTS_PER_TURN: usize = 2_048;
@@ -111,25 +110,6 @@
             leading.barrier = position.index;
         }
     }
-
-    pub(crate) fn report_assignments(&mut self, list: &[Assignment], out: &mut Vec<Output>) {
-        let mut counts: BTreeMap<(&ServiceName, &TargetName), (usize, AssignmentReason)> =
-            BTreeMap::new();
-        for one in list {
-            let key = (&one.service, &one.owner.target);
-            counts.entry(key).or_insert((0, one.reason)).0 += 1;
-        }
-        self.counters.slices_assigned += list.len() as u64;
-        for ((service, target), (slices, reason)) in counts {
-            let (service, target) = (service.clone(), target.clone());
-            out.push(Output::Event(ControlEvent::Assigned {
-                service,
-                target,
-                slices,
-                reason,
-            }));
-        }
-    }
 }
 
 /// Cuts a new service's ring and gives all of it to its targets; nothing while none can serve it.
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -4,6 +4,7 @@
 //! store answers, operator requests and the passing of time, and returns what is to be sent, asked
 //! and told. All times are of the caller's monotonic clock.
 
+mod applied;
 mod assignment;
 mod candidates;
 mod command;
--- a/crates/control/src/sessions.rs
+++ b/crates/control/src/sessions.rs
@@ -4,11 +4,11 @@
 
 use wingspar_consensus::Replica;
 use wingspar_wire::{Message, Renewal, RenewalReply, RenewalVerdict, SessionId};
-use wingspar_world::{ConfigVersion, MonotonicTime, NodeId};
+use wingspar_world::{ConfigVersion, MonotonicTime};
 
 use crate::command::{Command, SessionEnd};
 use crate::leading::SessionView;
-use crate::{Control, ControlEvent, Output};
+use crate::{Control, Output};
 
 impl Control {
     /// Answers a renewal. A lease is given only under a valid leader lease, only for a committed
@@ -226,50 +226,6 @@
         }
     }
 
-    /// Reports and counts what a command changed.
-    pub(crate) fn on_applied(&mut self, command: &Command, out: &mut Vec<Output>) {
-        match command {
-            Command::RegisterSession { node, .. } => self.report_session(node, out),
-            Command::ExpireSessions(ends) => self.report_ends(ends, out),
-            Command::Configure(_) | Command::ReplaceConfiguration { .. } => {
-                self.counters.configuration_changes += 1;
-                let version = self.configuration_version();
-                out.push(Output::Event(ControlEvent::Configured { version }));
-            }
-            Command::Assign(list) => self.report_assignments(list, out),
-            Command::CompleteHandOver { .. } => self.counters.hand_overs_completed += 1,
-            Command::CancelHandOver { .. } => self.counters.hand_overs_cancelled += 1,
-            Command::BeginHandOver(orders) => {
-                self.counters.hand_overs_begun += orders.len() as u64;
-            }
-            _ => {}
-        }
-    }
-
-    fn report_session(&mut self, node: &NodeId, out: &mut Vec<Output>) {
-        let state = self.replica.as_ref().map(Replica::state);
-        let Some(session) = state.and_then(|state| state.session_of(node)) else {
-            return;
-        };
-        let event = ControlEvent::SessionBegan {
-            node: node.clone(),
-            session: session.id,
-        };
-        out.push(Output::Event(event));
-    }
-
-    fn report_ends(&mut self, ends: &[SessionEnd], out: &mut Vec<Output>) {
-        for end in ends {
-            if end.lost {
-                self.counters.sessions_lost += 1;
-            } else {
-                self.counters.sessions_finished += 1;
-            }
-            let (session, lost) = (end.session, end.lost);
-            out.push(Output::Event(ControlEvent::SessionEnded { session, lost }));
-        }
-    }
-
     /// Latest time until which a session's lease may run, by this leader's clock.
     pub(crate) fn lease_may_run_until(&self, view: &SessionView) -> MonotonicTime {
         view.answered_at + self.settings.lease_with_drift()
