simulator: a process that asks to be called at once again and again is a broken invariant

A loop over real sockets spun where the virtual clock hid it. Four ticks in a row after which a process still wants the next one at once end the run.

--- a/crates/simulator/src/checker/violation.rs
+++ b/crates/simulator/src/checker/violation.rs
@@ -167,6 +167,12 @@
         /// Which invariant.
         what: String,
     },
+    /// A process asks to be called at once, again and again.
+    #[error("{node} spins: after a tick it wants the next one at once")]
+    Spins {
+        /// The process.
+        node: NodeId,
+    },
     /// A key was unserved for too long.
     #[error("key {key} was unserved for {unserved_ms} ms (bound {bound_ms} ms)")]
     Unserved {
--- a/crates/simulator/src/machine.rs
+++ b/crates/simulator/src/machine.rs
@@ -31,6 +31,8 @@
     pub is_destroyed: bool,
     /// True time of the wake that is scheduled.
     pub wake_at: Option<MonotonicTime>,
+    /// Ticks in a row after which the process asked to be called at once again.
+    pub spins: u32,
     inbound: VecDeque<(Option<Incarnation>, Arrival)>,
 }
 
@@ -47,6 +49,7 @@
             is_leaving: false,
             is_destroyed: false,
             wake_at: None,
+            spins: 0,
             inbound: VecDeque::new(),
         }
     }
@@ -79,6 +82,7 @@
         self.is_paused = false;
         self.is_leaving = false;
         self.wake_at = None;
+        self.spins = 0;
         self.inbound.clear();
         self.process.take()
     }
--- a/crates/simulator/src/simulation/deliver.rs
+++ b/crates/simulator/src/simulation/deliver.rs
@@ -8,13 +8,15 @@
 
 use super::Simulation;
 use super::event::{Event, ProcessPlace};
-use crate::checker::CallerOutcome;
+use crate::checker::{CallerOutcome, Violation};
 use crate::network::MachineIndex;
 use crate::process::{Arrival, Process, Timer};
 use crate::request::ForwardResult;
 
 /// Most lateness of a wake: a process drains its sockets on a tick.
 const WAKE_LATENESS_MICROS: u64 = 3_000;
+/// Ticks in a row that may leave something to do at once.
+const MOST_SPINS: u32 = 3;
 /// Time between the calls to a process that asks to be called at once.
 const LEAST_WAKE_PAUSE: Duration = Duration::from_micros(50);
 
@@ -120,8 +122,12 @@
             arrival,
             Arrival::Message { .. } | Arrival::Tick | Arrival::Leave | Arrival::Store(_)
         );
+        let is_tick = matches!(arrival, Arrival::Tick);
         let mut effects = Vec::new();
         process.handle(local, arrival, &mut effects);
+        if is_tick {
+            self.check_rest(index, local);
+        }
         if may_change_grants {
             self.observe(index, local);
         }
@@ -129,6 +135,20 @@
         self.schedule_wake(index);
     }
 
+    /// A process that was ticked has nothing to do until later.
+    fn check_rest(&mut self, index: MachineIndex, local: MonotonicTime) {
+        let machine = &mut self.machines[index];
+        let Some(process) = &machine.process else {
+            return;
+        };
+        let wants_more = process.next_wake() <= local;
+        machine.spins = if wants_more { machine.spins + 1 } else { 0 };
+        if machine.spins > MOST_SPINS {
+            let node = process.node().clone();
+            self.check(Err(Violation::Spins { node }));
+        }
+    }
+
     fn schedule_wake(&mut self, index: MachineIndex) {
         let lateness = self.random.random_range(0..WAKE_LATENESS_MICROS);
         let earliest = self.now() + LEAST_WAKE_PAUSE;
