settings: the platform's URL names an IP and a port, as the node needs it; replication totals in metrics

A host name passed the check and then stopped the node at its start. The check now refuses it with the line and what is allowed; processes find each other by IP numbers alone.

--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -131,6 +131,19 @@
             "Committed entries.",
             replica.commit_index(),
         ));
+        let help = "Replication total of the current membership.";
+        let totals = replica.counters();
+        let entries = [
+            ("elections_started", totals.elections_started),
+            ("elections_won", totals.elections_won),
+            ("quorum_losses", totals.quorum_losses),
+            ("transfers", totals.transfers),
+            ("snapshots_sent", totals.snapshots_sent),
+            ("snapshots_installed", totals.snapshots_installed),
+            ("excluded_sender", totals.excluded_sender),
+            ("malformed", totals.malformed),
+        ];
+        families.extend(Family::counters("replication", help, entries));
     }
 }
 
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -19,7 +19,7 @@
 const LISTEN: &str = "\"IP:PORT\", such as \"127.0.0.1:8080\"";
 const ANNOUNCED: &str = "\"IP:PORT\" that other machines can reach, not 0.0.0.0 or [::]";
 const SEED: &str = "\"IP:PORT\" of a control candidate, port 1 to 65535";
-const URL: &str = "\"http://HOST[:PORT][/PATH]\" without query, user or fragment";
+const URL: &str = "\"http://IP:PORT\", such as \"http://127.0.0.1:7500\"";
 const LEVELS: &str = "\"error\", \"warn\", \"info\" or \"debug\"";
 
 const MAX_REPLICAS: u64 = 7;
--- a/crates/settings/src/parse.rs
+++ b/crates/settings/src/parse.rs
@@ -19,28 +19,12 @@
     announced_address(text).filter(|address| address.port() != 0)
 }
 
-/// An `http://` URL without query or fragment. A trailing slash is dropped.
+/// An `http://` URL of an IP address and a port, without a path: processes find each other by IP
+/// numbers alone. A trailing slash is dropped.
 pub(crate) fn url(text: &str) -> Option<String> {
-    let rest = text.strip_prefix("http://")?;
-    let printable = rest.bytes().all(|byte| byte.is_ascii_graphic());
-    if !printable || rest.contains(['?', '#', '@', '"', '<', '>', '\\']) {
-        return None;
-    }
-    let authority = rest.split('/').next().unwrap_or_default();
-    has_host(authority).then(|| text.trim_end_matches('/').to_owned())
-}
-
-fn has_host(authority: &str) -> bool {
-    if authority.parse::<SocketAddr>().is_ok() {
-        return true;
-    }
-    let (host, port) = match authority.split_once(':') {
-        Some((host, port)) => (host, Some(port)),
-        None => (authority, None),
-    };
-    let allowed = |byte: u8| byte.is_ascii_alphanumeric() || byte == b'-' || byte == b'.';
-    let port_fits = port.is_none_or(|port| port.parse::<u16>().is_ok_and(|port| port != 0));
-    !host.is_empty() && host.bytes().all(allowed) && port_fits
+    let authority = text.strip_prefix("http://")?.trim_end_matches('/');
+    let address = remote_address(authority)?;
+    Some(format!("http://{address}"))
 }
 
 /// A log level by its name.
--- a/crates/settings/src/settings.rs
+++ b/crates/settings/src/settings.rs
@@ -67,7 +67,7 @@
 /// The platform's object API.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PlatformSettings {
-    /// Its base URL, without a trailing slash.
+    /// Its base URL, `http://IP:PORT` without a trailing slash.
     pub url: String,
 }
 
--- a/crates/settings/tests/check.rs
+++ b/crates/settings/tests/check.rs
@@ -107,9 +107,18 @@
     let control = "[control]\noperator_listen = \"10.0.0.1:7401\"\n";
     assert_eq!(fields(&format!("{SMALL}{control}")), ["platform.url"]);
     let alone = no_seeds.replace("[router]\nlisten = \"0.0.0.0:80\"", "");
-    let alone = format!("{alone}{control}replicas = 1\n[platform]\nurl = \"http://p:80/\"");
+    let alone = format!("{alone}{control}replicas = 1\n[platform]\nurl = \"http://10.0.0.9:80/\"");
     let settings = check(&alone).unwrap();
-    assert_eq!(settings.platform.unwrap().url, "http://p:80");
+    assert_eq!(settings.platform.unwrap().url, "http://10.0.0.9:80");
+    for wrong in [
+        "http://p:80",
+        "http://10.0.0.9",
+        "http://10.0.0.9:80/v1",
+        "https://10.0.0.9:80",
+    ] {
+        let named = alone.replace("http://10.0.0.9:80/", wrong);
+        assert_eq!(fields(&named), ["platform.url"], "{wrong}");
+    }
     let even = alone.replace("replicas = 1", "replicas = 2");
     assert_eq!(fields(&even), ["control.replicas"]);
 }
