--- a/crates/placement/tests/planner.rs
+++ b/crates/placement/tests/planner.rs
@@ -6,9 +6,9 @@
 use std::time::Duration;
 
 use common::{Service, key, moves, policy, region, target, targets, zipf};
-use wingspar_placement::baseline::Placer;
-use wingspar_placement::{Action, ring_share};
-use wingspar_world::{PlacementPolicy, QuietWindow, SliceRange};
+use wingspar_placement::baseline::{Placer, SliceTable};
+use wingspar_placement::{Action, ChurnBudget, PlanInput, PlanLimits, Planner, ring_share};
+use wingspar_world::{KeyHash, MonotonicTime, PlacementPolicy, QuietWindow, SliceRange};
 
 const RATE: f64 = 400.0;
 
@@ -246,3 +246,36 @@
         service.imbalance()
     );
 }
+
+#[test]
+fn unknown_minute_holds_a_policy_with_quiet_windows() {
+    let window = QuietWindow {
+        from_minute: 0,
+        to_minute: 1,
+    };
+    let quiet = PlacementPolicy {
+        quiet_windows: vec![window],
+        ..policy()
+    };
+    assert!(plan_at_unknown_minute(&quiet).is_empty());
+    assert!(!plan_at_unknown_minute(&policy()).is_empty());
+}
+
+/// Actions on a hot slice while the minute of the day is not known.
+fn plan_at_unknown_minute(policy: &PlacementPolicy) -> Vec<Action> {
+    let mut targets = targets(2);
+    targets[0].requests_per_second = RATE;
+    let mut table = SliceTable::place(MonotonicTime::ZERO, policy, &targets);
+    table.set_loads(&[(key(1), RATE)]);
+    let input = PlanInput {
+        now: MonotonicTime::from_millis(3_600_000),
+        minute_of_day: None,
+        policy,
+        targets: &targets,
+        hot_keys: &[],
+        hand_overs: 0,
+        limits: PlanLimits::default(),
+    };
+    let slices = table.states(KeyHash(0));
+    Planner::new().step(&input, slices, &mut ChurnBudget::new())
+}
