control: a survivor resigns when only its own membership stands against a new generation

Ruled out: the store (up) and cuts (healed for 60 s by then). Change: the judging process may count itself out, having given up replica and id first.

--- a/crates/control/src/recovery.rs
+++ b/crates/control/src/recovery.rs
@@ -57,7 +57,7 @@
         if object.generation != self.group.generation {
             return;
         }
-        if !object.majority_is_dead(|node| self.is_proved_dead(node)) {
+        if !self.is_majority_lost(object) && !self.is_majority_lost_without_this(object) {
             self.report_blocked(out);
             return;
         }
@@ -86,6 +86,19 @@
         silence >= self.settings.leaderless_after
     }
 
+    /// Whether no majority of the group can be alive.
+    fn is_majority_lost(&self, object: &GroupObject) -> bool {
+        object.majority_is_dead(|node| self.is_proved_dead(node))
+    }
+
+    /// Whether no majority can be alive if this process gives up its own membership first. It is
+    /// tried only when elections have failed for longer, since they would restore the group whole.
+    fn is_majority_lost_without_this(&self, object: &GroupObject) -> bool {
+        let silence = self.now.since(self.group.leader_known_at);
+        silence >= self.settings.leaderless_after * 2
+            && object.majority_is_dead(|node| *node == self.node || self.is_proved_dead(node))
+    }
+
     /// Whether a member can never act again: its machine is destroyed, another process was running
     /// at its address after it had been a member, or an operator vouches for it.
     fn is_proved_dead(&self, node: &NodeId) -> bool {
@@ -166,8 +179,10 @@
         let Some((version, object)) = self.group.object.clone() else {
             return;
         };
-        let lost = object.majority_is_dead(|node| self.is_proved_dead(node));
-        if !lost || !self.is_leaderless() || object.generation != self.group.generation {
+        let lost = self.is_majority_lost(&object);
+        let lost_without_this = lost || self.is_majority_lost_without_this(&object);
+        if !lost_without_this || !self.is_leaderless() || object.generation != self.group.generation
+        {
             return;
         }
         let stored = match snapshot {
@@ -184,6 +199,11 @@
             },
         };
         let origin = self.newest_origin(stored);
+        if !lost {
+            // Given up before the next generation is written, whether or not that succeeds.
+            self.replica = None;
+            self.take_new_id();
+        }
         self.found_generation(version, &object, origin, out);
     }
 
