--- a/crates/rehearse/src/command/help.rs
+++ b/crates/rehearse/src/command/help.rs
@@ -8,6 +8,16 @@
   wingspar-rehearse demo [--verbose]           a deployment, load and faults in under a minute
   wingspar-rehearse run FILE [--json FILE] [--html FILE] [--seed N] [--verbose]
                                                run an experiment; see docs/experiments.md
+  wingspar-rehearse compare A.json B.json      figures of two runs side by side
+  wingspar-rehearse bench                      ratios with bounds, measured in one run
+  wingspar-rehearse soak [--seeds N] [--from S] [--scenario NAME] [--threads N]
+                                               play seeds in the simulator
+  wingspar-rehearse replay --seed N [--scenario NAME]
+                                               play one seed, printing each change of state
+  wingspar-rehearse placement [--seed N]       compare ways to place keys, in virtual time
+  wingspar-rehearse platform --listen IP:PORT  the platform's stand-in as a process
+  wingspar-rehearse backend --listen IP:PORT [--admin IP:PORT] [--name NAME] [--slots N] [--work-ms N]
+                                               a back end's stand-in as a process
   wingspar-rehearse --help
 
 Exit codes:
@@ -18,4 +28,7 @@
 Examples:
   wingspar-rehearse demo
   wingspar-rehearse run crates/rehearse/experiments/tegid.toml --html tegid.html --json tegid.json
+  wingspar-rehearse compare before.json after.json
+  wingspar-rehearse soak --seeds 200 --from 1
+  wingspar-rehearse replay --seed 17 --scenario zone-loss
 ";
--- a/crates/rehearse/src/command/mod.rs
+++ b/crates/rehearse/src/command/mod.rs
@@ -2,6 +2,8 @@
 
 mod help;
 mod rehearse;
+mod simulate;
+mod standins;
 
 use std::ffi::OsString;
 use std::process::ExitCode;
@@ -59,6 +61,13 @@
     match arguments.subcommand()?.as_deref() {
         Some("demo") => rehearse::demo(arguments),
         Some("run") => rehearse::run(arguments),
+        Some("compare") => rehearse::compare(arguments),
+        Some("bench") => rehearse::bench(arguments),
+        Some("soak") => simulate::soak(arguments),
+        Some("replay") => simulate::replay(arguments),
+        Some("placement") => simulate::placement(arguments),
+        Some("platform") => standins::platform(arguments),
+        Some("backend") => standins::backend(arguments),
         Some(other) => Err(CommandError::Usage(format!("unknown command {other:?}"))),
         None => Err(CommandError::Usage("a command is missing".to_owned())),
     }
--- a/crates/rehearse/src/command/rehearse.rs
+++ b/crates/rehearse/src/command/rehearse.rs
@@ -1,4 +1,4 @@
-//! `demo` and `run`.
+//! `demo`, `run`, `compare` and `bench`.
 
 use std::fs;
 use std::future::Future;
@@ -9,7 +9,7 @@
 
 use super::{CommandError, nothing_left};
 use crate::experiment::{self, Experiment, Results, TimedNote};
-use crate::{demo, panics, report};
+use crate::{bench, demo, panics, report};
 
 /// Runs the demonstration.
 pub(super) fn demo(mut arguments: Arguments) -> Result<(), CommandError> {
@@ -42,11 +42,50 @@
     verdict(&results)
 }
 
+/// Shows the figures of two runs side by side.
+pub(super) fn compare(mut arguments: Arguments) -> Result<(), CommandError> {
+    let first: PathBuf = arguments.free_from_str()?;
+    let second: PathBuf = arguments.free_from_str()?;
+    nothing_left(arguments)?;
+    print!("{}", report::comparison(&read(&first)?, &read(&second)?));
+    Ok(())
+}
+
+fn read(path: &PathBuf) -> Result<Results, CommandError> {
+    let wrong = |error: String| CommandError::Usage(format!("{}: {error}", path.display()));
+    let text = fs::read_to_string(path).map_err(|error| wrong(error.to_string()))?;
+    serde_json::from_str(&text).map_err(|error| wrong(error.to_string()))
+}
+
 fn write(path: &PathBuf, text: &str) -> Result<(), CommandError> {
     let failed = |error| CommandError::Failed(format!("{}: {error}", path.display()));
     fs::write(path, text).map_err(failed)
 }
 
+/// Measures ratios against their bounds.
+pub(super) fn bench(arguments: Arguments) -> Result<(), CommandError> {
+    nothing_left(arguments)?;
+    prepare(false)?;
+    let rows = block_on(bench::run(&|row| println!("{row}")))?;
+    let rows = rows.map_err(|error| CommandError::Failed(error.to_string()))?;
+    match rows.iter().all(bench::Row::holds) {
+        true => Ok(()),
+        false => Err(CommandError::Broken),
+    }
+}
+
+/// Sets up the log, and counts panics from now on.
+fn prepare(verbose: bool) -> Result<(), CommandError> {
+    let level = if verbose {
+        Level::Info
+    } else {
+        Level::Critical
+    };
+    setup(level, false).map_err(|error| CommandError::Failed(error.to_string()))?;
+    panics::watch();
+    Ok(())
+}
+
 fn rehearse(experiment: &Experiment, verbose: bool) -> Result<Results, CommandError> {
     let level = if verbose {
         Level::Info
--- a/crates/rehearse/src/experiment/director.rs
+++ b/crates/rehearse/src/experiment/director.rs
@@ -169,8 +169,8 @@
         let owner = self.owner(service, rank).await?;
         let spec = self.cluster.spec().service(service);
         let spec = spec.ok_or_else(|| ClusterError::Unknown(format!("service {service}")))?;
-        let others = spec.target_names().into_iter();
-        let to = others.filter(|target| target != &owner).next_back();
+        let mut others = spec.target_names().into_iter();
+        let to = others.rfind(|target| target != &owner);
         let to = to.ok_or_else(|| ClusterError::Unknown("second target".to_owned()))?;
         self.cluster.move_key(service, &key, &to).await?;
         Ok(format!("operator moves {key} from {owner} to {to}"))
--- a/crates/rehearse/src/lib.rs
+++ b/crates/rehearse/src/lib.rs
@@ -3,6 +3,7 @@
 //! `wingspar-rehearse` is its command line.
 
 pub mod audit;
+pub mod bench;
 pub mod cluster;
 pub mod command;
 mod demo;
--- a/crates/rehearse/src/report/mod.rs
+++ b/crates/rehearse/src/report/mod.rs
@@ -1,10 +1,10 @@
-//! Reports of runs.
+//! Reports of runs: a table, an HTML page, and two runs side by side.
 
+mod comparison;
+mod html;
+mod plots;
 mod text;
 
+pub use comparison::comparison;
+pub use html::html;
 pub use text::table;
-
-/// Self-contained HTML page.
-pub fn html(results: &crate::experiment::Results) -> String {
-    table(results)
-}
