control: a lease that begins has every configuration that may have been reported in force

A node whose lease had ended registered anew within the bound of 5 s, got a lease at once with the older version, and started unkeyed work under it. Ruled out: agents going back (versions only rise) and late pushes (the lease came before the push). Leases that begin now need the newest version; running ones need at least the version at the leader's takeover, since the leader before may have reported it. The new test failed before.

--- a/crates/control/src/leading.rs
+++ b/crates/control/src/leading.rs
@@ -45,6 +45,9 @@
     pub(crate) published: StateVersion,
     /// Versions of the configuration with the time from acceptance until in force.
     pub(crate) in_force: Vec<(ConfigVersion, Duration)>,
+    /// Version when the leader lease was first held, with everything committed before applied: the
+    /// leader before may have reported it in force.
+    pub(crate) configuration_floor: Option<ConfigVersion>,
 }
 
 /// What a leader knows of one session.
@@ -129,6 +132,7 @@
             published_at: MonotonicTime::ZERO,
             published: StateVersion::default(),
             in_force: Vec::new(),
+            configuration_floor: None,
         }
     }
 }
@@ -143,6 +147,10 @@
         if !self.holds_leader_lease() {
             return;
         }
+        let configuration = self.configuration_version();
+        if let Some(leading) = &mut self.leading {
+            leading.configuration_floor.get_or_insert(configuration);
+        }
         let version = self.state_version();
         let decided = self.leading.as_ref().map(|leading| leading.decided_at);
         let changed = decided != Some(version);
--- a/crates/control/src/sessions.rs
+++ b/crates/control/src/sessions.rs
@@ -47,7 +47,7 @@
             let leader = leader.and_then(|leader| self.address_of(&leader));
             return RenewalVerdict::NotLeader { leader };
         }
-        if let Some(required) = self.configuration_missing(renewal.config) {
+        if let Some(required) = self.configuration_missing(&renewal) {
             self.counters.configuration_behind += 1;
             self.push_configuration(reply_to, renewal.session, out);
             return RenewalVerdict::ConfigurationBehind { required };
@@ -64,11 +64,25 @@
     }
 
     /// The version that a node must have before it gets a lease, if it lacks it.
-    fn configuration_missing(&self, held: ConfigVersion) -> Option<ConfigVersion> {
+    ///
+    /// A lease that runs is counted in every report of what is in force, so its holder may lag by
+    /// the bound. One that begins must not fall behind a report that was made without it.
+    fn configuration_missing(&self, renewal: &Renewal) -> Option<ConfigVersion> {
+        let leading = self.leading.as_ref()?;
+        let newest = self.configuration_version();
+        let session = self.committed_session(renewal);
+        let view = session.and_then(|session| leading.sessions.get(&session));
+        let is_running = view.is_some_and(|view| self.now < self.lease_may_run_until(view));
+        let reported = if is_running {
+            leading.configuration_floor.unwrap_or(newest)
+        } else {
+            newest
+        };
         let bound = self.settings.configuration_bound;
         let accepted = &self.observed.configuration;
-        let required = accepted.newest_at(self.now - bound)?;
-        (held < required).then_some(required)
+        let accepted_in_time = accepted.newest_at(self.now - bound).unwrap_or_default();
+        let required = reported.max(accepted_in_time);
+        (renewal.config < required).then_some(required)
     }
 
     /// The session that a renewal is for, if it is committed and not about to end.
--- a/crates/control/tests/configuration.rs
+++ b/crates/control/tests/configuration.rs
@@ -208,3 +208,37 @@
         "{report:?}"
     );
 }
+
+#[test]
+fn a_lease_that_begins_does_not_fall_behind_what_was_reported_in_force() {
+    let mut world = World::with_service(5, &[4, 5]);
+    world.kill(5);
+    world.run_until("served by the other", Duration::from_secs(4), |world| {
+        world.all_served("stoc")
+    });
+    let version = written(&world.put("new", policy(0.8)));
+    let rollout = OperatorRequest::Rollout {
+        version: Some(version),
+    };
+    world.run(Duration::from_millis(600));
+    let OperatorReply::Rollout(report) = world.call(rollout) else {
+        panic!()
+    };
+    assert!(report.in_force, "{report:?}");
+    world.start(5);
+    let host = world.hosts.get_mut(&address(5)).unwrap();
+    host.agent.deaf_to_configuration = true;
+    world.run(Duration::from_secs(2));
+    let verdicts = &world.host(5).agent.verdicts;
+    let is_leased = |verdict: &RenewalVerdict| matches!(verdict, RenewalVerdict::Renewed { .. });
+    assert!(!verdicts.iter().any(is_leased), "{verdicts:?}");
+    world
+        .hosts
+        .get_mut(&address(5))
+        .unwrap()
+        .agent
+        .deaf_to_configuration = false;
+    world.run_until("a lease", Duration::from_secs(2), |world| {
+        world.host(5).agent.verdicts.iter().any(is_leased)
+    });
+}
