--- a/crates/hollow/src/command.rs
+++ b/crates/hollow/src/command.rs
@@ -3,6 +3,7 @@
 use std::ffi::OsString;
 use std::path::Path;
 
+use crate::ramp::Size;
 use crate::{memory, ramp, sizes, wire_leader};
 
 /// Everything was done.
@@ -17,21 +18,32 @@
 
   ramp [JSON-FILE [ROUTERS [SIZE...]]]
                        hollow nodes at rising sizes: messages, bytes, processor time, lines;
-                       by default 4 routers and 50 100 200 400 800 1600 agents
+                       by default 4 routers and 50 100 200 400 800 1600 agents; a size is
+                       AGENTS or AGENTSxSLICES, by default 64 slices an agent
   sizes                encoded sizes and processor time of tables, configurations, snapshots
   memory [PART COUNT]  resident memory of one part; without a part, of all, each in a process
                        of its own
-  leader SECONDS DRAIN-MS AGENTS...
+  leader SECONDS DRAIN-MS SIZE...
                        a leader behind real sockets: processor time of its thread
-  leader-batched SECONDS DRAIN-MS AGENTS...
+  leader-batched SECONDS DRAIN-MS SIZE...
                        the same with a loop that takes all waiting messages in one turn
 ";
 
 /// Sizes of the ramp when none are given.
 const SIZES: [usize; 6] = [50, 100, 200, 400, 800, 1_600];
+/// Slices of an agent when none are given.
+const SLICES_PER_TARGET: u32 = 64;
 /// Routers of the ramp when none are given.
 const ROUTERS: usize = 4;
 
+fn all_sizes() -> Vec<Size> {
+    let size = |agents| Size {
+        agents,
+        slices_per_target: SLICES_PER_TARGET,
+    };
+    SIZES.into_iter().map(size).collect()
+}
+
 /// Runs the command line; `args` are the words after `hollow`. Returns the exit code.
 pub fn run(args: Vec<OsString>) -> u8 {
     let words: Vec<String> = args
@@ -71,19 +83,32 @@
     }
 }
 
-fn numbers(words: &[&str]) -> Option<Vec<usize>> {
-    words.iter().map(|word| word.parse().ok()).collect()
+/// Reads `AGENTS` or `AGENTSxSLICES`.
+fn size(word: &str) -> Option<Size> {
+    let (agents, slices) = match word.split_once('x') {
+        Some((agents, slices)) => (agents, slices.parse().ok()?),
+        None => (word, SLICES_PER_TARGET),
+    };
+    let agents = agents.parse().ok()?;
+    Some(Size {
+        agents,
+        slices_per_target: slices,
+    })
+}
+
+fn sizes(words: &[&str]) -> Option<Vec<Size>> {
+    words.iter().map(|word| size(word)).collect()
 }
 
 fn run_ramp(words: &[&str]) -> u8 {
-    let Some(given) = numbers(words.get(1..).unwrap_or_default()) else {
+    let routers = words.get(1).map_or(Some(ROUTERS), |word| word.parse().ok());
+    let given = sizes(words.get(2..).unwrap_or_default());
+    let (Some(routers), Some(given)) = (routers, given) else {
         return usage();
     };
-    let routers = given.first().copied().unwrap_or(ROUTERS);
-    let sizes = given.get(1..).filter(|sizes| !sizes.is_empty());
-    let sizes = sizes.unwrap_or(&SIZES);
+    let sizes = if given.is_empty() { all_sizes() } else { given };
     let done = |point: &crate::PointReport| eprintln!("{} agents done", point.agents);
-    let report = ramp::ramp(sizes, routers, done);
+    let report = ramp::ramp(&sizes, routers, done);
     print!("{}", report.table());
     let Some(file) = words.first() else {
         return SUCCESS;
@@ -95,8 +120,7 @@
 }
 
 fn run_leader(seconds: &str, drain: &str, agents: &[&str], batched: bool) -> u8 {
-    let (Ok(seconds), Ok(drain_ms), Some(agents)) =
-        (seconds.parse(), drain.parse(), numbers(agents))
+    let (Ok(seconds), Ok(drain_ms), Some(agents)) = (seconds.parse(), drain.parse(), sizes(agents))
     else {
         return usage();
     };
@@ -105,8 +129,8 @@
         drain_ms,
         batched,
     };
-    for count in agents {
-        if let Err(error) = wire_leader::report(terms, count) {
+    for size in agents {
+        if let Err(error) = wire_leader::report(terms, size) {
             return report(Err(error));
         }
     }
--- a/crates/hollow/src/lib.rs
+++ b/crates/hollow/src/lib.rs
@@ -24,4 +24,4 @@
 pub use command::run;
 pub use fit::{Line, fit};
 pub use phases::{PhaseReport, PointReport, run_point};
-pub use ramp::{RampReport, ramp};
+pub use ramp::{RampReport, Size, ramp};
--- a/crates/hollow/src/phases.rs
+++ b/crates/hollow/src/phases.rs
@@ -1,5 +1,5 @@
-//! One point of the ramp: start, steady state, moves, a configuration change, an owner's and a
-//! leader's loss.
+//! One point of the ramp: start, steady state, moves, a configuration change, and the loss of an
+//! owner, of the leader, and of a whole zone.
 
 use std::time::Duration;
 
@@ -81,12 +81,14 @@
     phases.push(lose_owner(&mut cluster));
     let before: u64 = lost_leases(&cluster);
     phases.push(lose_leader(&mut cluster));
+    let leases_lost_with_leader = lost_leases(&cluster) - before;
+    phases.push(lose_zone(settings));
     PointReport {
         agents: settings.agents,
         routers: settings.routers,
         slices,
         phases,
-        leases_lost_with_leader: lost_leases(&cluster) - before,
+        leases_lost_with_leader,
     }
 }
 
@@ -200,3 +202,23 @@
         done
     })
 }
+
+/// A new cluster loses the zone of its leader: the leader and a third of the agents at once. It is
+/// over when the agents left hold all slices.
+fn lose_zone(settings: ClusterSettings) -> PhaseReport {
+    let mut cluster = Cluster::new(settings);
+    start(&mut cluster);
+    cluster.run_for(SETTLE);
+    phase(&mut cluster, "zone_lost", |cluster| {
+        let leader = cluster.leader()?;
+        let zone = cluster.hosts[leader].machine.zone.clone();
+        for index in 0..cluster.hosts.len() {
+            if cluster.hosts[index].machine.zone == zone {
+                cluster.kill(index);
+            }
+        }
+        let done = cluster.run_until(LIMIT, LOOK, Cluster::all_held);
+        cluster.run_for(OTHER);
+        done
+    })
+}
--- a/crates/hollow/src/ramp.rs
+++ b/crates/hollow/src/ramp.rs
@@ -12,13 +12,14 @@
 /// All roles.
 const ROLES: [Role; 4] = [Role::Leader, Role::Follower, Role::Agent, Role::Router];
 /// The phases that lines are fitted for.
-const FITTED: [&str; 6] = [
+const FITTED: [&str; 7] = [
     "start",
     "steady",
     "moves",
     "configuration",
     "owner_lost",
     "leader_lost",
+    "zone_lost",
 ];
 
 /// A line fitted over the ramp; x is the number of agents.
@@ -47,11 +48,24 @@
     pub lines: Vec<RoleLine>,
 }
 
+/// Size of one point.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Size {
+    /// Agents.
+    pub agents: usize,
+    /// Slices that the service starts with for each agent's target.
+    pub slices_per_target: u32,
+}
+
 /// Runs the ramp; `done` is told of each point.
-pub fn ramp(sizes: &[usize], routers: usize, mut done: impl FnMut(&PointReport)) -> RampReport {
+pub fn ramp(sizes: &[Size], routers: usize, mut done: impl FnMut(&PointReport)) -> RampReport {
     let mut points = Vec::new();
-    for agents in sizes {
-        let point = run_point(ClusterSettings::new(*agents, routers));
+    for size in sizes {
+        let settings = ClusterSettings {
+            slices_per_target: size.slices_per_target,
+            ..ClusterSettings::new(size.agents, routers)
+        };
+        let point = run_point(settings);
         done(&point);
         points.push(point);
     }
--- a/crates/hollow/src/wire_leader.rs
+++ b/crates/hollow/src/wire_leader.rs
@@ -17,6 +17,7 @@
 use crate::configuration::control_machine;
 use crate::cpu::thread_time;
 use crate::platform::Platform;
+use crate::ramp::Size;
 use generator::Generator;
 
 mod generator;
@@ -25,8 +26,6 @@
 const MEMBERS: usize = 3;
 /// Time until sessions and grants have settled.
 const WARM_UP: Duration = Duration::from_secs(6);
-/// Slices of each target.
-const SLICES_PER_TARGET: u32 = 64;
 /// Shortest time between two ticks, as in the node's loop.
 const SHORTEST_TICK: Duration = Duration::from_millis(1);
 
@@ -66,14 +65,15 @@
 }
 
 /// Runs a leader with so many nodes and prints what its thread used.
-pub(crate) fn report(terms: Terms, nodes: usize) -> Result<(), String> {
+pub(crate) fn report(terms: Terms, size: Size) -> Result<(), String> {
+    let nodes = size.agents;
     let Terms {
         seconds,
         drain_ms,
         batched,
     } = terms;
     let failed = |error: std::io::Error| error.to_string();
-    let platform = Arc::new(Mutex::new(Platform::new(nodes, SLICES_PER_TARGET)));
+    let platform = Arc::new(Mutex::new(Platform::new(nodes, size.slices_per_target)));
     let stop = Arc::new(AtomicBool::new(false));
     let measuring = Arc::new(AtomicBool::new(false));
     let settings = Settings {
@@ -125,7 +125,7 @@
             member.run(&runtime)
         }));
     }
-    let mut generator = Generator::new(nodes, seeds, origin).map_err(failed)?;
+    let mut generator = Generator::new(size, seeds, origin).map_err(failed)?;
     generator.run(WARM_UP);
     measuring.store(true, Ordering::SeqCst);
     generator.run(Duration::from_secs(seconds));
@@ -133,18 +133,19 @@
     stop.store(true, Ordering::SeqCst);
     for thread in threads {
         let member = thread.join().map_err(|_| "a member panicked".to_owned())?;
-        print(&member, nodes, terms);
+        print(&member, size, terms);
     }
     Ok(())
 }
 
-fn print(member: &MemberReport, nodes: usize, terms: Terms) {
+fn print(member: &MemberReport, size: Size, terms: Terms) {
+    let (nodes, slices) = (size.agents, size.slices_per_target);
     let Terms { drain_ms, .. } = terms;
     let loops = if terms.batched { "batched" } else { "single" };
     let role = if member.led { "leader" } else { "follower" };
     let wall = member.wall.as_secs_f64().max(f64::EPSILON);
     println!(
-        "{role} {loops} drain {drain_ms} ms, {nodes} nodes: {:.2}% of a core, {:.0} renewals/s, {} changes of state, {} sessions lost",
+        "{role} {loops} drain {drain_ms} ms, {nodes} nodes of {slices} slices: {:.2}% of a core, {:.0} renewals/s, {} changes of state, {} sessions lost",
         member.cpu.as_secs_f64() / wall * 100.0,
         member.renewed as f64 / wall,
         member.changes,
--- a/crates/hollow/src/wire_leader/generator.rs
+++ b/crates/hollow/src/wire_leader/generator.rs
@@ -15,6 +15,7 @@
 
 use super::{Waiting, renewal_reply};
 use crate::configuration::{agent_machine, target_name};
+use crate::ramp::Size;
 
 /// Time between two renewals of a node.
 const RENEWAL_INTERVAL: Duration = Duration::from_millis(400);
@@ -44,10 +45,12 @@
     waiting: Waiting,
     origin: Instant,
     sent_at: MonotonicTime,
+    size: Size,
 }
 
 impl Generator {
-    pub(super) fn new(count: usize, members: Vec<SocketAddr>, origin: Instant) -> io::Result<Self> {
+    pub(super) fn new(size: Size, members: Vec<SocketAddr>, origin: Instant) -> io::Result<Self> {
+        let count = size.agents;
         let listener = TcpListener::bind(("127.0.0.1", 0))?;
         let address = listener.local_addr()?;
         let socket = UdpSocket::bind(address)?;
@@ -78,6 +81,7 @@
             waiting: Waiting::new(),
             origin,
             sent_at: MonotonicTime::ZERO,
+            size,
         })
     }
 
@@ -116,7 +120,7 @@
             table: None,
             leaving: false,
             finished: false,
-            targets: vec![load(number, self.nodes.len())],
+            targets: vec![load(number, self.size)],
         };
         let message = Message::Renewal(renewal);
         let envelope = Envelope::new(node.node.clone(), self.address, message);
@@ -174,20 +178,21 @@
 }
 
 /// A load that is the same for all targets, over slices in turn and with keys spread evenly.
-fn load(number: usize, nodes: usize) -> TargetLoad {
+fn load(number: usize, size: Size) -> TargetLoad {
+    let nodes = size.agents;
     let mut load = TargetLoad::idle(target_name(number));
     load.in_flight = 3;
     load.requests_per_second = REQUESTS_PER_SECOND;
-    let slices = nodes as u64 * u64::from(super::SLICES_PER_TARGET);
+    let slices = nodes as u64 * u64::from(size.slices_per_target);
     let width = u64::MAX / slices;
     let slice = |step: u64| (step * nodes as u64 + number as u64) * width;
-    load.slices = (0..REPORTED_SLICES)
+    load.slices = (0..REPORTED_SLICES.min(u64::from(size.slices_per_target)))
         .map(|step| SliceLoad {
             range: SliceRange {
                 first: KeyHash(slice(step)),
                 last: KeyHash(slice(step) + width - 1),
             },
-            requests_per_second: REQUESTS_PER_SECOND / super::SLICES_PER_TARGET as f32,
+            requests_per_second: REQUESTS_PER_SECOND / size.slices_per_target as f32,
         })
         .collect();
     load.hot_keys = (0..REPORTED_KEYS)
