--- a/crates/hollow/src/wire_leader.rs
+++ b/crates/hollow/src/wire_leader.rs
@@ -14,7 +14,7 @@
 use wingspar_wire::{Envelope, Message};
 use wingspar_world::{GroupId, Incarnation, Machine, MonotonicTime, NodeId};
 
-use crate::configuration::control_machine;
+use crate::configuration::{control_machine, service_name};
 use crate::cpu::thread_time;
 use crate::platform::Platform;
 use crate::ramp::Size;
@@ -38,6 +38,7 @@
     renewed: u64,
     changes: u64,
     lost: u64,
+    served: usize,
 }
 
 struct Member {
@@ -145,9 +146,10 @@
     let role = if member.led { "leader" } else { "follower" };
     let wall = member.wall.as_secs_f64().max(f64::EPSILON);
     println!(
-        "{role} {loops} drain {drain_ms} ms, {nodes} nodes of {slices} slices: {:.2}% of a core, {:.0} renewals/s, {} changes of state, {} sessions lost",
+        "{role} {loops} drain {drain_ms} ms, {nodes} nodes of {slices} slices: {:.2}% of a core, {:.0} renewals/s, {} slices served, {} changes of state, {} sessions lost",
         member.cpu.as_secs_f64() / wall * 100.0,
         member.renewed as f64 / wall,
+        member.served,
         member.changes,
         member.lost
     );
@@ -164,6 +166,7 @@
                 renewed: 0,
                 changes: 0,
                 lost: 0,
+                served: 0,
             };
             while !self.stop.load(Ordering::Relaxed) {
                 self.turn().await;
@@ -186,10 +189,20 @@
                     _ => {}
                 }
             }
+            report.served = self.served();
             report
         })
     }
 
+    /// Slices with an owner.
+    fn served(&self) -> usize {
+        let state = self.control.replica().map(|replica| replica.state());
+        let slices = state.and_then(|state| state.slices(&service_name()));
+        slices.map_or(0, |slices| {
+            slices.iter().filter(|slice| slice.owner.is_some()).count()
+        })
+    }
+
     fn now(&self) -> MonotonicTime {
         MonotonicTime::from_millis(1_000) + self.origin.elapsed()
     }
