--- a/crates/simulator/tests/seeds.rs
+++ b/crates/simulator/tests/seeds.rs
@@ -48,6 +48,12 @@
     }
 }
 
+#[test]
+fn a_node_that_returns_does_not_serve_by_an_older_configuration() {
+    assert_clean(Preset::ReturningNodes, 64..68);
+    assert_clean(Preset::Mix, 201_442..201_443);
+}
+
 #[test]
 fn a_majority_that_is_lost_is_replaced() {
     assert_clean(Preset::MajorityLoss, 400..404);
