settings: refuse a second control group

Services are not divided among groups yet, so two groups on one store would each own the whole ring (found by reading, hollow nodes). Until they are, the number of the group can only be 0; the new test showed group 1 accepted before.

--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -23,6 +23,9 @@
 const LEVELS: &str = "\"error\", \"warn\", \"info\" or \"debug\"";
 
 const MAX_REPLICAS: u64 = 7;
+/// Highest group number. Services are not yet divided among groups, so two groups on one store would
+/// each own every key: a second group is refused until they are.
+const MAX_GROUP: u64 = 0;
 const DEFAULT_REPLICAS: u64 = 3;
 /// Bounds on every time in milliseconds.
 const MILLISECONDS: std::ops::RangeInclusive<u64> = 1..=60_000;
@@ -135,7 +138,7 @@
         Some(Self {
             operator_listen: reader.required("control", known[0], LISTEN, parse::address),
             replicas: read_replicas(reader),
-            group: reader.integer("control", "group", 0..=u64::from(u32::MAX), 0),
+            group: reader.integer("control", "group", 0..=MAX_GROUP, 0),
         })
     }
 
--- a/crates/settings/tests/check.rs
+++ b/crates/settings/tests/check.rs
@@ -223,3 +223,10 @@
         .tests(2_000)
         .quickcheck(property as fn(usize, u8, String) -> TestResult);
 }
+
+#[test]
+fn a_second_control_group_is_refused() {
+    let control = "[control]\noperator_listen = \"10.0.0.1:7401\"\ngroup = 1\n";
+    let text = format!("{SMALL}{control}[platform]\nurl = \"http://10.0.0.9:80\"\n");
+    assert_eq!(fields(&text), ["control.group"]);
+}
