control: voters are spread over zones

Cause: a group was founded by the first three candidates present. A replacement also counted the voter that goes as still holding its zone. Ruled out: the choice among candidates present; it already took one of each zone in turn.

Change: - Enough candidates of too few zones wait up to 1 s for others. - A replacement goes to the least crowded zone without the voter that goes. - A voter of a zone with two more than a present spare's or learner's gives way, by the same recorded steps as any replacement; after 3 s with nothing else to change, all voters in touch and the store answering. A learner that wouldn't help is dropped first.

--- a/crates/control/src/founding.rs
+++ b/crates/control/src/founding.rs
@@ -1,6 +1,7 @@
 //! The first start of a group, and the choice of a generation's founders.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 use wingspar_wire::PresenceRole;
 use wingspar_world::{Machine, NodeId, ZoneName};
@@ -10,6 +11,9 @@
 use crate::store_io::Purpose;
 use crate::{Control, Output};
 
+/// How long enough candidates wait for others in further zones.
+const ZONES_PATIENCE: Duration = Duration::from_secs(1);
+
 impl Control {
     /// Founds the group when the store has none and enough candidates are present. Any of them may
     /// try: only one creation succeeds.
@@ -24,7 +28,11 @@
             return;
         }
         let founders = self.choose_founders(false);
-        if founders.len() < self.settings.replicas || self.lowest_present() != self.node {
+        if founders.len() < self.settings.replicas {
+            self.group.enough_since = None;
+            return;
+        }
+        if self.may_gain_zones(&founders) || self.lowest_present() != self.node {
             return;
         }
         let object = GroupObject {
@@ -38,6 +46,13 @@
         self.put_group(Purpose::FoundGroup, &object, 0, out);
     }
 
+    /// Whether founders share a zone and candidates of further zones may yet turn up.
+    fn may_gain_zones(&mut self, founders: &[Member]) -> bool {
+        let since = *self.group.enough_since.get_or_insert(self.now);
+        let zones: BTreeSet<&ZoneName> = founders.iter().map(|it| &it.machine.zone).collect();
+        zones.len() < founders.len() && self.now.since(since) < ZONES_PATIENCE
+    }
+
     /// Whatever the answer, the object itself tells what happened.
     pub(crate) fn on_group_founded(&mut self) {
         self.group.next_read = self.now;
--- a/crates/control/src/group.rs
+++ b/crates/control/src/group.rs
@@ -25,6 +25,8 @@
     /// When the store last said that there is no object.
     pub(crate) absent_at: Option<MonotonicTime>,
     pub(crate) next_read: MonotonicTime,
+    /// Since when enough candidates are present to found the group.
+    pub(crate) enough_since: Option<MonotonicTime>,
     /// Voters and learners last committed, as far as the own replica knows.
     pub(crate) committed: Option<(BTreeSet<NodeId>, BTreeSet<NodeId>)>,
     /// When this process became a member of its generation.
@@ -45,6 +47,7 @@
             object: None,
             absent_at: None,
             next_read: now,
+            enough_since: None,
             committed: None,
             member_since: now,
             leader_hint: None,
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -42,6 +42,7 @@
 mod validate;
 mod write_progress;
 mod writes;
+mod zones;
 
 pub use command::{Assignment, Command, ConfigureChange, HandOverOrder, SessionEnd, SliceOwner};
 pub use control::Control;
--- a/crates/control/src/membership.rs
+++ b/crates/control/src/membership.rs
@@ -9,8 +9,7 @@
 use wingspar_consensus::{MembershipChange, Replica};
 use wingspar_store::object::Version;
 use wingspar_store::{Answer, WriteOutcome};
-use wingspar_wire::PresenceRole;
-use wingspar_world::{Machine, MonotonicTime, NodeId, ZoneName};
+use wingspar_world::{Machine, MonotonicTime, NodeId};
 
 use crate::candidates::PRESENT_FOR;
 use crate::command::Command;
@@ -22,13 +21,15 @@
 #[derive(Debug, Default)]
 pub(crate) struct MemberPlan {
     /// The spare whose id is being noted before it is added.
-    invited: Option<NodeId>,
+    pub(crate) invited: Option<NodeId>,
     /// The object being written.
     recording: Option<GroupObject>,
     /// Version that this leader itself wrote; another leader's late write makes it a conflict.
     recorded: Option<Version>,
     /// When each other member was first one under this leader.
     first_seen: BTreeMap<NodeId, MonotonicTime>,
+    /// Since when the voters could be spread better over zones, with nothing else to change.
+    pub(crate) uneven_since: Option<MonotonicTime>,
     /// When to look again.
     next: MonotonicTime,
     writes: u64,
@@ -136,8 +137,13 @@
         };
         let voters = replica.voters().clone();
         let learner = replica.learners().iter().next().cloned();
-        let removing = self.voter_to_remove(&voters);
         let short = voters.len() < self.settings.replicas;
+        let needed = self.voter_to_remove(&voters);
+        let crowded = self.crowded_voter(needed.is_some() || short);
+        if crowded.is_some() && self.drop_learner_of_no_use(crowded.as_ref()) {
+            return;
+        }
+        let removing = needed.or(crowded);
         if removing.is_some() || short {
             let Some(learner) = learner else {
                 self.invite_spare_or_shrink(removing, out);
@@ -156,7 +162,7 @@
 
     /// Without a spare, a voter that leaves goes if the others can do without it.
     fn invite_spare_or_shrink(&mut self, removing: Option<NodeId>, out: &mut Vec<Output>) {
-        if let Some(spare) = self.best_spare() {
+        if let Some(spare) = self.best_spare(removing.as_ref()) {
             self.invite(spare);
             return;
         }
@@ -234,11 +240,14 @@
             return false;
         };
         let rest: Vec<&NodeId> = replica.voters().iter().filter(|it| *it != node).collect();
-        let in_touch = |it: &&&NodeId| **it == &self.node || self.silence(it) < PRESENT_FOR / 2;
-        let live = rest.iter().filter(in_touch).count();
+        let live = rest.iter().filter(|it| self.is_in_touch(it)).count();
         live > rest.len() / 2
     }
 
+    pub(crate) fn is_in_touch(&self, node: &NodeId) -> bool {
+        *node == self.node || self.silence(node) < PRESENT_FOR / 2
+    }
+
     fn is_caught_up(&self, learner: &NodeId) -> bool {
         let Some(replica) = &self.replica else {
             return false;
@@ -260,41 +269,16 @@
         let Some(node) = lost else {
             return false;
         };
+        self.drop_learner(node)
+    }
+
+    pub(crate) fn drop_learner(&mut self, node: NodeId) -> bool {
         if let Some(leading) = &mut self.leading {
             leading.members.invited = None;
         }
         self.change_members(MembershipChange::Remove(node))
     }
 
-    /// The present spare whose zone has the fewest voters.
-    fn best_spare(&self) -> Option<NodeId> {
-        let replica = self.replica.as_ref()?;
-        let zones: Vec<ZoneName> = replica
-            .voters()
-            .iter()
-            .filter_map(|it| self.zone_of(it))
-            .collect();
-        let present = self.candidates.present(self.now);
-        let invited = self
-            .leading
-            .as_ref()
-            .and_then(|it| it.members.invited.as_ref());
-        let is_new =
-            |node: &NodeId| invited == Some(node) || !replica.state().members().contains(node);
-        let spares = present.filter(|(node, candidate)| {
-            let ready = candidate.role == PresenceRole::Spare && !candidate.leaving;
-            ready && !replica.voters().contains(*node) && is_new(node)
-        });
-        let crowd = |zone: &ZoneName| zones.iter().filter(|one| *one == zone).count();
-        let best = spares
-            .min_by_key(|(node, candidate)| (crowd(&candidate.machine.zone), (*node).clone()));
-        best.map(|(node, _)| node.clone())
-    }
-
-    fn zone_of(&self, node: &NodeId) -> Option<ZoneName> {
-        self.machine_of(node).map(|machine| machine.zone)
-    }
-
     /// Where a member or candidate stands.
     pub(crate) fn machine_of(&self, node: &NodeId) -> Option<Machine> {
         if *node == self.node {
