--- a/crates/rehearse/src/cluster/host.rs
+++ b/crates/rehearse/src/cluster/host.rs
@@ -1,8 +1,8 @@
-//! One machine of a rehearsal: a thread with a single-threaded runtime of its own, which runs a node
-//! and its back ends as processes would.
+//! One machine of a rehearsal: a thread for its node and one for its back ends, each with a
+//! single-threaded runtime of its own, as processes have.
 //!
-//! Dropping the runtime ends everything on the machine at once, as a crash does. Blocking the
-//! runtime's thread stops everything on it while the clocks run on, as a frozen machine does.
+//! Dropping the runtimes ends everything on the machine at once, as a crash does. Blocking their
+//! threads stops everything while the clocks run on, as a frozen machine does.
 
 use std::io;
 use std::net::SocketAddr;
@@ -49,24 +49,69 @@
     Ended,
 }
 
+/// What a machine's threads are told.
+#[derive(Debug, Clone, Copy)]
 enum Command {
     Stop,
     Kill,
     Freeze(Duration),
 }
 
-struct Started {
-    addresses: Addresses,
-    backends: Vec<HostedBackend>,
+/// One of a machine's threads.
+#[derive(Debug)]
+struct Worker {
+    commands: mpsc::UnboundedSender<Command>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Worker {
+    /// Starts a thread that runs `serve` on a runtime of its own, and waits for its report.
+    async fn start<T, F>(
+        name: &str,
+        serve: impl FnOnce(Inbox, Report<T>) -> F + Send + 'static,
+    ) -> Result<(Self, T), HostError>
+    where
+        T: Send + 'static,
+        F: Future<Output = ()>,
+    {
+        let (commands, inbox) = mpsc::unbounded_channel();
+        let (report, started) = oneshot::channel();
+        let thread = std::thread::Builder::new()
+            .name(name.to_owned())
+            .spawn(move || run_on_runtime(|| serve(inbox, report)))?;
+        let worker = Self {
+            commands,
+            thread: Some(thread),
+        };
+        let started = started.await.map_err(|_| HostError::Ended)??;
+        Ok((worker, started))
+    }
+
+    fn send(&self, command: Command) {
+        // A thread that has ended needs no more commands.
+        let _ = self.commands.send(command);
+    }
 }
 
+impl Drop for Worker {
+    fn drop(&mut self) {
+        self.send(Command::Kill);
+        if let Some(thread) = self.thread.take() {
+            // A panic in there was counted and printed by the panic hook.
+            let _ = thread.join();
+        }
+    }
+}
+
+type Inbox = mpsc::UnboundedReceiver<Command>;
+type Report<T> = oneshot::Sender<Result<T, HostError>>;
+
 /// A running machine.
 #[derive(Debug)]
 pub struct Host {
     addresses: Addresses,
     backends: Vec<HostedBackend>,
-    commands: mpsc::UnboundedSender<Command>,
-    thread: Option<JoinHandle<()>>,
+    workers: Vec<Worker>,
 }
 
 impl Host {
@@ -75,17 +120,23 @@
     /// # Errors
     /// When an address can't be bound or the node refuses its settings.
     pub async fn start(plan: HostPlan) -> Result<Self, HostError> {
-        let (commands, inbox) = mpsc::unbounded_channel();
-        let (report, started) = oneshot::channel();
-        let thread = std::thread::Builder::new()
-            .name(plan.settings.machine.name.to_string())
-            .spawn(move || run_machine(plan, inbox, report))?;
-        let started = started.await.map_err(|_| HostError::Ended)??;
+        let HostPlan { settings, backends } = plan;
+        let name = settings.machine.name.to_string();
+        let mut workers = Vec::new();
+        let mut hosted = Vec::new();
+        if !backends.is_empty() {
+            let serve = |inbox, report| serve_backends(backends, inbox, report);
+            let (worker, started) = Worker::start(&format!("{name}-back"), serve).await?;
+            workers.push(worker);
+            hosted = started;
+        }
+        let serve = |inbox, report| serve_node(settings, inbox, report);
+        let (worker, addresses) = Worker::start(&name, serve).await?;
+        workers.push(worker);
         Ok(Self {
-            addresses: started.addresses,
-            backends: started.backends,
-            commands,
-            thread: Some(thread),
+            addresses,
+            backends: hosted,
+            workers,
         })
     }
 
@@ -106,118 +157,107 @@
         self.send(Command::Freeze(duration));
     }
 
-    /// Asks the node for a planned stop; the machine ends when that is done.
+    /// Asks the node for a planned stop; its back ends go on.
     pub fn stop(&self) {
         self.send(Command::Stop);
     }
 
-    /// Whether the machine has ended.
-    #[must_use]
-    pub fn has_ended(&self) -> bool {
-        self.thread.as_ref().is_none_or(JoinHandle::is_finished)
-    }
-
     /// Ends the machine as a crash would, and waits until its addresses are free.
-    pub fn kill(mut self) {
-        self.end();
+    pub fn kill(self) {
+        self.send(Command::Kill);
+        drop(self);
     }
 
     fn send(&self, command: Command) {
-        // A machine that has ended needs no more commands.
-        let _ = self.commands.send(command);
-    }
-
-    fn end(&mut self) {
-        self.send(Command::Kill);
-        if let Some(thread) = self.thread.take() {
-            // A panic in there was counted and printed by the panic hook.
-            let _ = thread.join();
+        for worker in &self.workers {
+            worker.send(command);
         }
     }
 }
 
 impl Drop for Host {
     fn drop(&mut self) {
-        self.end();
+        // All are told before the first is waited for.
+        self.send(Command::Kill);
     }
 }
 
-fn run_machine(
-    plan: HostPlan,
-    inbox: mpsc::UnboundedReceiver<Command>,
-    report: oneshot::Sender<Result<Started, HostError>>,
-) {
+fn run_on_runtime<F: Future<Output = ()>>(serve: impl FnOnce() -> F) {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build();
-    match runtime {
-        // Dropping the runtime afterwards drops every task that is left.
-        Ok(runtime) => runtime.block_on(serve(plan, inbox, report)),
-        Err(error) => {
-            let _nobody_waits = report.send(Err(error.into()));
+    // Without a runtime the report is never made, which the waiting side takes as its end. Dropping
+    // the runtime afterwards drops every task that is left.
+    if let Ok(runtime) = runtime {
+        runtime.block_on(serve());
+    }
+}
+
+/// Carries commands out until one of them ends the thread's work.
+async fn attend(inbox: &mut Inbox) -> Command {
+    while let Some(command) = inbox.recv().await {
+        match command {
+            Command::Kill | Command::Stop => return command,
+            // Blocks the whole runtime on purpose.
+            Command::Freeze(duration) => std::thread::sleep(duration),
         }
     }
+    Command::Kill
 }
 
-async fn serve(
-    plan: HostPlan,
-    mut inbox: mpsc::UnboundedReceiver<Command>,
-    report: oneshot::Sender<Result<Started, HostError>>,
-) {
-    let (node, servers, started) = match start(plan).await {
-        Ok(parts) => parts,
+async fn serve_node(settings: Settings, mut inbox: Inbox, report: Report<Addresses>) {
+    let node = match Node::start(settings).await {
+        Ok(node) => node,
         Err(error) => {
-            let _nobody_waits = report.send(Err(error));
+            let _nobody_waits = report.send(Err(error.into()));
             return;
         }
     };
-    if report.send(Ok(started)).is_err() {
+    if report.send(Ok(node.addresses().clone())).is_err() {
         return;
     }
-    while let Some(command) = inbox.recv().await {
-        match command {
-            Command::Kill => return,
-            // Blocks the whole runtime on purpose.
-            Command::Freeze(duration) => std::thread::sleep(duration),
-            Command::Stop => break,
-        }
+    if matches!(attend(&mut inbox).await, Command::Kill) {
+        return;
     }
     node.stop();
     tokio::select! {
         () = node.stopped() => {}
-        () = killed(&mut inbox) => {}
+        _ = attend(&mut inbox) => {}
     }
-    drop(servers);
 }
 
-async fn killed(inbox: &mut mpsc::UnboundedReceiver<Command>) {
-    while let Some(command) = inbox.recv().await {
-        match command {
-            Command::Kill => return,
-            Command::Freeze(duration) => std::thread::sleep(duration),
-            Command::Stop => {}
+async fn serve_backends(
+    plans: Vec<(SocketAddr, BackendSettings)>,
+    mut inbox: Inbox,
+    report: Report<Vec<HostedBackend>>,
+) {
+    let names = plans.iter().map(|(_, settings)| settings.name.clone());
+    let names = names.collect::<Vec<_>>();
+    let servers = match start_backends(plans).await {
+        Ok(servers) => servers,
+        Err(error) => {
+            let _nobody_waits = report.send(Err(error.into()));
+            return;
         }
+    };
+    let hosted = names.into_iter().zip(&servers);
+    let hosted = hosted.map(|(name, server)| HostedBackend {
+        name,
+        address: server.local_addr(),
+        state: Arc::clone(server.backend()),
+    });
+    if report.send(Ok(hosted.collect())).is_err() {
+        return;
     }
+    while matches!(attend(&mut inbox).await, Command::Stop) {}
 }
 
-async fn start(plan: HostPlan) -> Result<(Node, Vec<BackendStandIn>, Started), HostError> {
+async fn start_backends(
+    plans: Vec<(SocketAddr, BackendSettings)>,
+) -> io::Result<Vec<BackendStandIn>> {
     let mut servers = Vec::new();
-    let mut backends = Vec::new();
-    for (address, settings) in plan.backends {
-        let name = settings.name.clone();
-        let server = BackendStandIn::start(address, settings).await?;
-        backends.push(HostedBackend {
-            name,
-            address: server.local_addr(),
-            state: Arc::clone(server.backend()),
-        });
-        servers.push(server);
-    }
-    let node = Node::start(plan.settings).await?;
-    let addresses = node.addresses().clone();
-    let started = Started {
-        addresses,
-        backends,
-    };
-    Ok((node, servers, started))
+    for (address, settings) in plans {
+        servers.push(BackendStandIn::start(address, settings).await?);
+    }
+    Ok(servers)
 }
--- a/crates/rehearse/tests/processes/deployment.rs
+++ b/crates/rehearse/tests/processes/deployment.rs
@@ -5,7 +5,7 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::process::{Command, Output};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use rand::SeedableRng;
@@ -40,6 +40,9 @@
 const ADMIN: u16 = 7450;
 const TELEMETRY: u16 = 7460;
 
+/// Deployments run one at a time: a dozen processes of each would starve the others of their leases.
+static TURN: Mutex<()> = Mutex::new(());
+
 pub struct Deployment {
     ip: IpAddr,
     directory: PathBuf,
@@ -49,11 +52,14 @@
     caller: Caller,
     records: Arc<Mutex<Vec<Record>>>,
     next_call: u64,
+    _turn: MutexGuard<'static, ()>,
 }
 
 impl Deployment {
     /// Starts all processes, creates the services by `wingspar ctl`, and waits until they answer.
     pub async fn start(number: u8) -> Self {
+        // A test that failed in its turn leaves nothing behind.
+        let turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
         let id = std::process::id();
         let ip = Ipv4Addr::new(127, 64 + (id >> 8) as u8 % 64, id as u8, number);
         let directory = format!("processes-{id}-{number}");
@@ -74,6 +80,7 @@
             caller: Caller::new(settings, Instant::now()).unwrap(),
             records: Arc::default(),
             next_call: 1_000_000,
+            _turn: turn,
         };
         deployment.start_processes();
         deployment.create_services();
