agent: the guard of a slice that was never served goes along when it is given up

Cause: an agent raised the guard of a lost slice only from a grant that says to serve it. Under heavy message loss an agent's session began at the leader 2.5 s before the agent heard of it. Meanwhile the slices of a lost owner were assigned to it (unplanned) and its target was drained, so its first list asked to give them up. It remembered nothing and knew of no guard, so it reported that all was moved; the leader made the next owner's takeover planned, and that owner ran the numbered repeat.

Change: `Release` in a grant list says how the slice came to the agent, as `Hold` does, and the agent raises the guard from both. It then goes to the successor with the Remember parts, or the takeover stays unplanned.

Figures: the new agent test failed before ("the successor must know first") and passes.

Conclusion: what a node must know of a slice's past may not hang on a list that it can miss.

--- a/crates/agent/src/handover.rs
+++ b/crates/agent/src/handover.rs
@@ -99,6 +99,7 @@
             let GrantState::Release {
                 hand_over,
                 successor,
+                ..
             } = entry.state
             else {
                 continue;
--- a/crates/agent/src/recall.rs
+++ b/crates/agent/src/recall.rs
@@ -86,16 +86,19 @@
         refusal(RefusalReason::MemoryFull, wait.min(MEMORY_WAIT_LIMIT))
     }
 
-    /// Guards the slices that came by loss of their owner.
+    /// Guards the slices that came by loss of their owner, also those to be given up at once: the
+    /// list that said to serve them may never have arrived, and the next owner needs the guard.
     pub(crate) fn raise_guards(&mut self, now: MonotonicTime) {
         self.guards.expire(now);
         for entry in self.grants.owned() {
-            let GrantState::Hold {
-                takeover: Takeover::Unplanned { age_ms },
-            } = entry.state
+            let (GrantState::Hold { takeover } | GrantState::Release { takeover, .. }) =
+                entry.state
             else {
                 continue;
             };
+            let Takeover::Unplanned { age_ms } = takeover else {
+                continue;
+            };
             let service = &entry.grant.service;
             let age = Duration::from_millis(age_ms);
             let rest = self.window(service).saturating_sub(age);
--- a/crates/agent/tests/hand_over.rs
+++ b/crates/agent/tests/hand_over.rs
@@ -16,11 +16,14 @@
 };
 
 fn release(range: SliceRange) -> GrantEntry {
-    let successor = Some(address(7_200));
-    let hand_over = HAND_OVER;
+    release_after(range, Takeover::First)
+}
+
+fn release_after(range: SliceRange, takeover: Takeover) -> GrantEntry {
     let state = GrantState::Release {
-        hand_over,
-        successor,
+        hand_over: HAND_OVER,
+        successor: Some(address(7_200)),
+        takeover,
     };
     entry(range, 10, state)
 }
@@ -178,6 +181,23 @@
     assert!(matches!(repeat, Admit::Unknown(_)), "{repeat:?}");
 }
 
+#[test]
+fn guard_of_a_slice_that_was_never_served_goes_along() {
+    let mut source = Fixture::new(AgentSettings::default());
+    source.renew(0);
+    source.receive(0, Message::Configuration(Box::new(configuration(1))));
+    let takeover = Takeover::Unplanned { age_ms: 1_000 };
+    source.grant(1, 2, vec![release_after(SliceRange::FULL, takeover)]);
+    let sent = source.sent();
+    let tells = |message: &Message| matches!(message, Message::Released(_));
+    assert!(!sent.iter().any(tells), "the successor must know first");
+    let guard = sent.iter().find_map(|message| match message {
+        Message::Remember(part) => Some(part.guard_remaining_ms),
+        _ => None,
+    });
+    assert_eq!(guard, Some(599_000));
+}
+
 #[test]
 fn large_memory_moves_in_parts_that_fit_a_frame() {
     let mut source = Fixture::serving();
@@ -322,6 +342,7 @@
     let state = GrantState::Release {
         hand_over: HAND_OVER,
         successor: Some(address(7_100)),
+        takeover: Takeover::First,
     };
     let mut to = incoming(SliceRange::FULL);
     to.grant.target = target_name("s2");
--- a/crates/agent/tests/random.rs
+++ b/crates/agent/tests/random.rs
@@ -143,6 +143,7 @@
         let release = GrantState::Release {
             hand_over: StateVersion::default(),
             successor: None,
+            takeover: Takeover::Planned,
         };
         let states = [
             Some(hold(Takeover::Planned)),
--- a/crates/control/src/publish.rs
+++ b/crates/control/src/publish.rs
@@ -203,6 +203,7 @@
     }
 
     fn grant_state(&self, state: &GroupState, slice: &Slice) -> GrantState {
+        let takeover = self.takeover(slice);
         match &slice.hand_over {
             Some(hand_over) => {
                 let to = hand_over
@@ -212,11 +213,10 @@
                 GrantState::Release {
                     hand_over: hand_over.id,
                     successor: to.map(|to| to.machine.control_address),
+                    takeover,
                 }
             }
-            None => GrantState::Hold {
-                takeover: self.takeover(slice),
-            },
+            None => GrantState::Hold { takeover },
         }
     }
 
--- a/crates/control/tests/hand_over.rs
+++ b/crates/control/tests/hand_over.rs
@@ -138,6 +138,33 @@
     assert!(report.slices.iter().filter(unplanned).count() > 0);
 }
 
+#[test]
+fn a_lost_slice_to_be_given_up_still_says_how_it_came() {
+    let mut world = World::with_service(5, &[3, 4, 5]);
+    world.kill(5);
+    world.run_until("served again", Duration::from_secs(4), |world| {
+        world.all_served("stoc")
+    });
+    drain(&mut world, 4, true);
+    let (mut first, mut unplanned) = (0, 0);
+    world.run_until("drained", Duration::from_secs(10), |world| {
+        let agent = &world.host(4).agent;
+        for entry in agent.grants.iter().flat_map(|list| &list.entries) {
+            match entry.state {
+                GrantState::Release {
+                    takeover: Takeover::Unplanned { .. },
+                    ..
+                } => unplanned += 1,
+                GrantState::Release { .. } => first += 1,
+                _ => {}
+            }
+        }
+        agent.held(world.now).count() == 0
+    });
+    assert!(unplanned > 0, "slices of the lost owner");
+    assert!(first > 0, "slices that were always here");
+}
+
 #[test]
 fn remembered_requests_that_did_not_move_make_a_takeover_unplanned() {
     let mut world = World::with_service(5, &[4, 5]);
--- a/crates/simulator/tests/seeds.rs
+++ b/crates/simulator/tests/seeds.rs
@@ -54,6 +54,11 @@
     assert_clean(Preset::Mix, 201_442..201_443);
 }
 
+#[test]
+fn a_slice_given_up_before_it_was_ever_served_passes_its_guard_on() {
+    assert_clean(Preset::ReturningNodes, 225..226);
+}
+
 #[test]
 fn a_majority_that_is_lost_is_replaced() {
     assert_clean(Preset::MajorityLoss, 400..404);
--- a/crates/wire/src/state.rs
+++ b/crates/wire/src/state.rs
@@ -63,6 +63,8 @@
         hand_over: StateVersion,
         /// Internal-protocol address of the next owner's agent, if one is chosen.
         successor: Option<SocketAddr>,
+        /// How it came to the agent, which may never have seen it as one to serve.
+        takeover: Takeover,
     },
 }
 
