--- /dev/null
+++ b/crates/ownership/src/balance.rs
@@ -0,0 +1,117 @@
+//! Load observed over the keys of one service.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{KeyRange, NodeName};
+
+/// Parts that the keys are counted in.
+pub const BUCKETS: usize = 1024;
+/// Keys of one part.
+pub const KEYS_PER_BUCKET: u32 = 65_536 / BUCKETS as u32;
+/// Weight of a new report against what was known.
+const SMOOTHING: f64 = 0.4;
+/// Share of the load that is spread evenly over all keys, so that idle ones are dealt too.
+const EVEN_SHARE: f64 = 0.05;
+/// Service time of a target that hasn't been seen at work, in seconds.
+const DEFAULT_SERVICE_TIME: f64 = 0.1;
+/// Requests in a report below which its service time isn't believed.
+const FEWEST_FOR_SERVICE_TIME: f64 = 8.0;
+
+/// The part that a key is counted in.
+pub fn bucket_of(key: u16) -> usize {
+    (u32::from(key) / KEYS_PER_BUCKET) as usize
+}
+
+/// What one owner has seen since its last report.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct LoadReport {
+    /// The owner.
+    pub node: NodeName,
+    /// The service.
+    pub service: String,
+    /// Time covered, in milliseconds.
+    pub span_ms: u64,
+    /// Requests that arrived, by bucket; empty ones left out.
+    pub arrivals: Vec<(u16, u32)>,
+    /// Requests that the target finished.
+    pub finished: u32,
+    /// Sum of the times that slots were in use, in milliseconds.
+    pub busy_ms: u64,
+}
+
+/// Smoothed load of one service.
+#[derive(Debug, Clone)]
+pub struct Load {
+    rates: Vec<f64>,
+    service_times: BTreeMap<NodeName, f64>,
+}
+
+impl Default for Load {
+    fn default() -> Self {
+        Self {
+            rates: vec![0.0; BUCKETS],
+            service_times: BTreeMap::new(),
+        }
+    }
+}
+
+impl Load {
+    /// Takes in a report of the owner of `ranges`.
+    pub fn record(&mut self, report: &LoadReport, ranges: &[KeyRange]) {
+        if report.span_ms == 0 {
+            return;
+        }
+        let span = report.span_ms as f64 / 1000.0;
+        let mut seen = BTreeMap::new();
+        for (bucket, count) in &report.arrivals {
+            seen.insert(usize::from(*bucket), f64::from(*count) / span);
+        }
+        for range in ranges {
+            for bucket in bucket_of(range.from)..=bucket_of(range.to) {
+                seen.entry(bucket).or_insert(0.0);
+            }
+        }
+        for (bucket, rate) in seen {
+            if let Some(known) = self.rates.get_mut(bucket) {
+                *known += SMOOTHING * (rate - *known);
+            }
+        }
+        let finished = f64::from(report.finished);
+        if finished >= FEWEST_FOR_SERVICE_TIME {
+            let time = report.busy_ms as f64 / 1000.0 / finished;
+            let known = self
+                .service_times
+                .entry(report.node.clone())
+                .or_insert(time);
+            *known += SMOOTHING * 0.5 * (time - *known);
+        }
+    }
+
+    /// Requests a second in each bucket, idle ones included.
+    pub fn weights(&self) -> Vec<f64> {
+        let total = self.rates.iter().sum::<f64>().max(1.0);
+        let even = total * EVEN_SHARE / BUCKETS as f64;
+        self.rates.iter().map(|rate| rate + even).collect()
+    }
+
+    /// Requests a second that a node's target can finish.
+    pub fn capacity(&self, node: &NodeName, slots: u32) -> f64 {
+        let known = self.service_times.get(node).copied();
+        let time = known.unwrap_or_else(|| self.typical_service_time());
+        f64::from(slots.max(1)) / time.max(0.001)
+    }
+
+    fn typical_service_time(&self) -> f64 {
+        if self.service_times.is_empty() {
+            return DEFAULT_SERVICE_TIME;
+        }
+        self.service_times.values().sum::<f64>() / self.service_times.len() as f64
+    }
+
+    /// Forgets how fast a node's target was, after it was replaced.
+    pub fn forget(&mut self, node: &NodeName) {
+        self.service_times.remove(node);
+    }
+}
--- /dev/null
+++ b/crates/ownership/src/election.rs
@@ -0,0 +1,233 @@
+//! When a node takes the leadership, and when it leaves it alone.
+
+use std::time::Duration;
+
+use crate::{LeaderReference, Life, NodeName, Time, Timing};
+
+/// How long peers are given to say whom they hear.
+const PEERS_ANSWER_WITHIN: Duration = Duration::from_millis(180);
+/// A peer that has heard the leader within this shows that it lives.
+const FRESH: Duration = Duration::from_millis(900);
+/// A node that no peer answers waits this much longer, since it is likely to be the one cut off.
+const ISOLATED_EXTRA: Duration = Duration::from_millis(2_500);
+/// Pause after a look at the object that told nothing.
+const LOOK_AGAIN: Duration = Duration::from_millis(350);
+/// Steps between the waits of nodes that contend.
+const RANK_STEP: Duration = Duration::from_millis(70);
+/// Number of such steps.
+const RANKS: u64 = 6;
+
+/// Whom a peer hears.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PeerView {
+    /// The leader that it knows.
+    pub leader: Option<LeaderReference>,
+    /// How long ago it heard it.
+    pub heard_ago: Duration,
+}
+
+/// What to do next.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Step {
+    /// Ask some peers whom they hear.
+    AskPeers,
+    /// Read the leader's object.
+    ReadObject,
+    /// Replace the object that was read, or create it, with the next epoch.
+    Claim,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Phase {
+    Following,
+    Asking { since: Time, answers: u32 },
+    Waiting { until: Time },
+    Reading { since: Time },
+    Claiming { since: Time },
+}
+
+/// Calls to the store that take longer are given up.
+const CALL_GIVEN_UP: Duration = Duration::from_millis(1_500);
+
+/// A node's view of the leadership.
+#[derive(Debug)]
+pub struct Election {
+    node: NodeName,
+    life: Life,
+    timing: Timing,
+    leader: Option<LeaderReference>,
+    heard_at: Time,
+    phase: Phase,
+}
+
+impl Election {
+    /// A node that knows no leader.
+    pub fn new(node: NodeName, life: Life, timing: Timing, now: Time) -> Self {
+        let jitter = Duration::from_millis(life.0 % 250);
+        Self {
+            node,
+            life,
+            timing,
+            leader: None,
+            heard_at: now,
+            phase: Phase::Waiting {
+                until: now + jitter,
+            },
+        }
+    }
+
+    /// The leader that the node follows.
+    pub fn leader(&self) -> Option<&LeaderReference> {
+        self.leader.as_ref()
+    }
+
+    /// Whether this process is that leader.
+    pub fn is_self(&self) -> bool {
+        self.leader
+            .as_ref()
+            .is_some_and(|leader| leader.node == self.node && leader.life == self.life)
+    }
+
+    /// When the leader was last heard.
+    pub fn heard_at(&self) -> Time {
+        self.heard_at
+    }
+
+    /// Follows a leader unless one of a later epoch is known. Returns whether it is new.
+    pub fn learn(&mut self, now: Time, leader: &LeaderReference) -> bool {
+        let known = self
+            .leader
+            .as_ref()
+            .map(|leader| leader.epoch)
+            .unwrap_or_default();
+        if leader.epoch <= known {
+            return false;
+        }
+        self.leader = Some(leader.clone());
+        self.heard_at = now;
+        self.phase = Phase::Following;
+        true
+    }
+
+    /// The leader answered.
+    pub fn heard(&mut self, now: Time) {
+        self.heard_at = now;
+        self.phase = Phase::Following;
+    }
+
+    /// The leader's address answered that it doesn't lead, or the leader asks this node to take over.
+    pub fn vacant(&mut self, now: Time, at_once: bool) {
+        if !matches!(self.phase, Phase::Following | Phase::Asking { .. }) {
+            return;
+        }
+        let wait = if at_once {
+            Duration::ZERO
+        } else {
+            self.rank_wait()
+        };
+        self.phase = Phase::Waiting { until: now + wait };
+    }
+
+    /// A peer told whom it hears.
+    pub fn peer(&mut self, now: Time, view: &PeerView) {
+        if let Some(leader) = &view.leader {
+            if self.learn(now, leader) {
+                return;
+            }
+            let same = self
+                .leader
+                .as_ref()
+                .is_some_and(|known| known.epoch == leader.epoch);
+            if same
+                && view.heard_ago < FRESH
+                && matches!(self.phase, Phase::Asking { .. } | Phase::Waiting { .. })
+            {
+                // The leader lives; only this node doesn't reach it. Look again later.
+                self.heard_at = now;
+                self.phase = Phase::Following;
+                return;
+            }
+        }
+        if let Phase::Asking { answers, .. } = &mut self.phase {
+            *answers += 1;
+        }
+    }
+
+    /// What is due now. `peers` is how many other nodes are known.
+    pub fn tick(&mut self, now: Time, peers: usize) -> Option<Step> {
+        match self.phase {
+            Phase::Following => {
+                if self.is_self() || now.since(self.heard_at) < self.timing.suspect_after {
+                    return None;
+                }
+                self.phase = Phase::Asking {
+                    since: now,
+                    answers: 0,
+                };
+                Some(Step::AskPeers)
+            }
+            Phase::Asking { since, answers } => {
+                if now.since(since) < PEERS_ANSWER_WITHIN {
+                    return None;
+                }
+                let isolated = answers == 0 && peers > 0;
+                let extra = if isolated {
+                    ISOLATED_EXTRA
+                } else {
+                    Duration::ZERO
+                };
+                self.phase = Phase::Waiting {
+                    until: now + self.rank_wait() + extra,
+                };
+                None
+            }
+            Phase::Waiting { until } => {
+                if now < until {
+                    return None;
+                }
+                self.phase = Phase::Reading { since: now };
+                Some(Step::ReadObject)
+            }
+            Phase::Reading { since } | Phase::Claiming { since } => {
+                if now.since(since) >= CALL_GIVEN_UP {
+                    self.look_again(now);
+                }
+                None
+            }
+        }
+    }
+
+    /// The object was read: whom it names, if it exists. Returns the claim to make.
+    pub fn object_read(&mut self, now: Time, named: Option<&LeaderReference>) -> Option<Step> {
+        if !matches!(self.phase, Phase::Reading { .. }) {
+            if let Some(named) = named {
+                self.learn(now, named);
+            }
+            return None;
+        }
+        if let Some(named) = named
+            && self.learn(now, named)
+        {
+            return None;
+        }
+        self.phase = Phase::Claiming { since: now };
+        Some(Step::Claim)
+    }
+
+    /// The object couldn't be read, or a claim ended without a clear answer.
+    pub fn look_again(&mut self, now: Time) {
+        if matches!(self.phase, Phase::Reading { .. } | Phase::Claiming { .. }) {
+            self.phase = Phase::Waiting {
+                until: now + LOOK_AGAIN,
+            };
+        }
+    }
+
+    /// Nodes contend one after the other, in an order that differs by epoch.
+    fn rank_wait(&self) -> Duration {
+        let epoch = self.leader.as_ref().map_or(0, |leader| leader.epoch.0);
+        let mixed = (self.life.0 ^ epoch.wrapping_mul(0x9E37_79B9_7F4A_7C15))
+            .wrapping_mul(0xD6E8_FEB8_6659_FD93);
+        RANK_STEP * u32::try_from((mixed >> 32) % RANKS).unwrap_or(0)
+    }
+}
--- /dev/null
+++ b/crates/ownership/src/fence.rs
@@ -0,0 +1,46 @@
+//! Names and numbers that order what happens.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+/// A node's name in its settings.
+pub type NodeName = Arc<str>;
+
+/// One start of a node's process, drawn at random.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Life(pub u64);
+
+/// One taking of the leadership; rises with each.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
+)]
+pub struct Epoch(pub u64);
+
+/// Orders grants of the same key.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
+)]
+pub struct Fence(pub u64);
+
+/// Fences of one epoch; a product with an epoch stays below 2^53, so that it survives any JSON.
+const FENCES_PER_EPOCH: u64 = 1 << 24;
+
+impl Fence {
+    /// The first fence of an epoch, above all of earlier epochs.
+    pub fn first_of(epoch: Epoch) -> Self {
+        Self(epoch.0 * FENCES_PER_EPOCH)
+    }
+
+    /// The next fence for a grant. One number is left out between two grants: see
+    /// [`Fence::for_release`].
+    pub fn next_grant(self) -> Self {
+        Self(self.0 + 2)
+    }
+
+    /// The fence that a release of this grant carries: above the grant, so that a late copy of the
+    /// grant is refused, and below the next grant.
+    pub fn for_release(self) -> Self {
+        Self(self.0 + 1)
+    }
+}
--- /dev/null
+++ b/crates/ownership/src/leader.rs
@@ -0,0 +1,475 @@
+//! The node that decides who owns what.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::partition::{Partition, State};
+use crate::plan::{Candidate, Plan};
+use crate::{
+    Epoch, Fence, LeaseReply, Life, LoadReport, MemberView, NodeName, Renewal, ServiceTable, Table,
+    TargetState, Time, Timing, Wanted,
+};
+
+/// How often the leader looks for a better plan.
+const REBALANCE_EVERY_MS: u64 = 1_000;
+
+/// A node that renews with the leader.
+#[derive(Debug, Clone)]
+pub struct Member {
+    /// Its process.
+    pub life: Life,
+    /// What others see of it.
+    pub view: MemberView,
+    /// Until when it may hold keys, on the leader's clock.
+    pub lease_until: Time,
+    /// Whether nothing of its earlier processes is left at its target.
+    pub clean: bool,
+    /// Number of its assignment; rises with its changes.
+    assignment: u64,
+    /// When its registration was first known to be in the store.
+    registered_at: Option<Time>,
+    /// Whether its last call to the store succeeded.
+    pub store_reachable: bool,
+    /// Version of its configuration.
+    pub configuration_version: u64,
+    /// When it was last heard.
+    pub heard_at: Time,
+    /// The process before, whose late renewals don't count.
+    previous_life: Option<Life>,
+    /// When it sent the newest renewal, on its own clock.
+    newest_sent_at: Time,
+}
+
+impl Member {
+    /// Whether a renewal was overtaken by a newer one.
+    fn is_overtaken(&self, renewal: &Renewal) -> bool {
+        if renewal.life == self.life {
+            return renewal.sent_at < self.newest_sent_at;
+        }
+        self.previous_life == Some(renewal.life)
+    }
+}
+
+/// The state of a leader in its epoch.
+#[derive(Debug)]
+pub struct Leader {
+    epoch: Epoch,
+    timing: Timing,
+    elected_at: Time,
+    confirmed_at: Time,
+    next_fence: Fence,
+    /// Registered nodes that haven't reported in this epoch.
+    silent: BTreeSet<NodeName>,
+    members: BTreeMap<NodeName, Member>,
+    partitions: BTreeMap<String, Partition>,
+    rebalanced_at: Time,
+    known: Table,
+    table: Table,
+}
+
+impl Leader {
+    /// A leader whose claim was sent at `claimed_at` and answered at `now`. `registered` are all
+    /// nodes that the store knew after that; `known` is the last table of an earlier leader.
+    pub fn new(
+        epoch: Epoch,
+        timing: Timing,
+        claimed_at: Time,
+        now: Time,
+        registered: BTreeSet<NodeName>,
+        known: Table,
+    ) -> Self {
+        Self {
+            epoch,
+            timing,
+            elected_at: now,
+            confirmed_at: claimed_at,
+            next_fence: Fence::first_of(epoch),
+            silent: registered,
+            members: BTreeMap::new(),
+            partitions: BTreeMap::new(),
+            rebalanced_at: now,
+            known,
+            table: Table {
+                epoch,
+                ..Table::default()
+            },
+        }
+    }
+
+    /// The leader's epoch.
+    pub fn epoch(&self) -> Epoch {
+        self.epoch
+    }
+
+    /// When the last successful confirmation was sent.
+    pub fn confirmed_at(&self) -> Time {
+        self.confirmed_at
+    }
+
+    /// The store still named this leader in the answer to a call sent at `sent_at`.
+    pub fn confirm(&mut self, sent_at: Time) {
+        self.confirmed_at = self.confirmed_at.max(sent_at);
+    }
+
+    /// Whether leases may be given now.
+    pub fn may_lease(&self, now: Time) -> bool {
+        now < self.confirmed_at + self.timing.leadership
+    }
+
+    /// Whether a node waits for a confirmation to be admitted.
+    pub fn wants_confirmation(&self) -> bool {
+        self.members.values().any(|member| {
+            member
+                .registered_at
+                .is_some_and(|at| at >= self.confirmed_at)
+        })
+    }
+
+    /// All nodes that the leader has heard.
+    pub fn members(&self) -> &BTreeMap<NodeName, Member> {
+        &self.members
+    }
+
+    /// Registered nodes that haven't reported in this epoch.
+    pub fn silent(&self) -> &BTreeSet<NodeName> {
+        &self.silent
+    }
+
+    /// What routers see.
+    pub fn table(&self) -> &Table {
+        &self.table
+    }
+
+    /// Names the services whose keys have owners.
+    pub fn set_keyed_services(&mut self, services: &BTreeSet<String>) {
+        self.partitions
+            .retain(|service, _| services.contains(service));
+        for service in services {
+            if self.partitions.contains_key(service) {
+                continue;
+            }
+            let arcs = self
+                .known
+                .services
+                .iter()
+                .find(|known| known.service == *service);
+            let plan = arcs
+                .map(|known| Plan::from_arcs(known.plan.clone()))
+                .unwrap_or_default();
+            self.partitions
+                .insert(service.clone(), Partition::new(plan));
+        }
+    }
+
+    /// Answers a renewal; no answer if the leader may not lease, or the node obeys a later epoch.
+    pub fn renewal(&mut self, now: Time, renewal: &Renewal) -> Option<LeaseReply> {
+        if renewal.epoch > self.epoch {
+            return None;
+        }
+        if self
+            .members
+            .get(&renewal.node)
+            .is_some_and(|member| member.is_overtaken(renewal))
+        {
+            return None;
+        }
+        self.silent.remove(&renewal.node);
+        self.meet(now, renewal);
+        // A report of an earlier epoch tells what is held, but its assignment number isn't ours.
+        let mut report = renewal.clone();
+        if renewal.epoch < self.epoch {
+            report.applied = 0;
+        }
+        for partition in self.partitions.values_mut() {
+            partition.report(&report);
+        }
+        self.tick(now);
+        if !self.may_lease(now) {
+            return None;
+        }
+        let lease = if renewal.clean {
+            self.timing.lease
+        } else {
+            std::time::Duration::ZERO
+        };
+        let member = self.members.get_mut(&renewal.node)?;
+        if renewal.clean {
+            member.lease_until = now + lease;
+        }
+        let assignment = member.assignment;
+        let target = member.view.target.as_ref().map(|target| target.id.clone());
+        let clean_fence = (!renewal.clean).then(|| self.take_fence());
+        Some(LeaseReply {
+            epoch: self.epoch,
+            renewal_sent_at: renewal.sent_at,
+            lease_ms: u64::try_from(lease.as_millis()).unwrap_or(0),
+            assignment,
+            wanted: target
+                .as_ref()
+                .map_or_else(Vec::new, |target| self.wanted(&renewal.node, target)),
+            target,
+            clean_fence,
+            table_version: self.table.version,
+            configuration_version: 0,
+        })
+    }
+
+    /// Brings what is known of a node up to date.
+    fn meet(&mut self, now: Time, renewal: &Renewal) {
+        let lease_until = now + self.timing.lease;
+        let member = self
+            .members
+            .entry(renewal.node.clone())
+            .or_insert_with(|| Member {
+                life: renewal.life,
+                view: view_of(renewal),
+                lease_until,
+                clean: renewal.clean,
+                assignment: 0,
+                registered_at: None,
+                store_reachable: true,
+                configuration_version: 0,
+                heard_at: now,
+                previous_life: None,
+                newest_sent_at: renewal.sent_at,
+            });
+        let restarted = member.life != renewal.life;
+        let before = member.view.target.as_ref().map(|target| target.id.clone());
+        let replaced = match (&before, &renewal.target) {
+            (Some(before), Some(target)) => *before != target.id,
+            _ => false,
+        };
+        if restarted {
+            member.previous_life = Some(member.life);
+        }
+        member.newest_sent_at = renewal.sent_at;
+        member.life = renewal.life;
+        member.view = view_of(renewal);
+        member.clean = renewal.clean;
+        member.store_reachable = renewal.store_reachable;
+        member.configuration_version = renewal.configuration_version;
+        member.heard_at = now;
+        if renewal.registered && member.registered_at.is_none() {
+            member.registered_at = Some(now);
+        }
+        for partition in self.partitions.values_mut() {
+            if restarted {
+                partition.revoke_all_of(&renewal.node);
+            }
+            if replaced && !restarted {
+                // The earlier life of the target has ended: another answers at its address.
+                partition.free_all_of(&renewal.node);
+            }
+            if replaced {
+                partition.load.forget(&renewal.node);
+            }
+        }
+    }
+
+    /// Takes in an owner's load.
+    pub fn load(&mut self, report: &LoadReport) {
+        if let Some(partition) = self.partitions.get_mut(&report.service) {
+            let ranges = partition.owned_by(&report.node);
+            partition.load.record(report, &ranges);
+        }
+    }
+
+    /// Lets time pass: leases end, ranges are given and taken back.
+    pub fn tick(&mut self, now: Time) {
+        if !self.may_lease(now) {
+            return;
+        }
+        self.end_leases(now);
+        let unknown_until =
+            self.elected_at + self.timing.leadership + self.timing.lease + self.timing.lease_margin;
+        let all_reported =
+            self.silent.is_empty() && now >= self.elected_at + self.timing.renew_every;
+        let rebalance = now.0 >= self.rebalanced_at.0 + REBALANCE_EVERY_MS;
+        if rebalance {
+            self.rebalanced_at = now;
+        }
+        let services = self.partitions.keys().cloned().collect::<Vec<_>>();
+        for service in services {
+            let candidates = self.candidates(&service, now);
+            let Some(mut partition) = self.partitions.remove(&service) else {
+                continue;
+            };
+            if all_reported || now >= unknown_until {
+                partition.free_unknown();
+            }
+            let fresh = partition.plan.is_empty();
+            if !fresh || now >= self.elected_at + self.timing.settle {
+                partition.repair_plan(&candidates);
+            }
+            if rebalance {
+                partition.rebalance(&candidates);
+            }
+            self.follow_plan(&mut partition, &candidates);
+            self.partitions.insert(service, partition);
+        }
+        self.refresh_table(now);
+    }
+
+    /// Frees what nodes held whose leases have ended.
+    fn end_leases(&mut self, now: Time) {
+        let margin = self.timing.lease_margin;
+        let ended = self
+            .members
+            .iter()
+            .filter(|(_, member)| member.lease_until + margin <= now)
+            .map(|(node, _)| node.clone())
+            .collect::<Vec<_>>();
+        for partition in self.partitions.values_mut() {
+            for node in &ended {
+                partition.free_all_of(node);
+            }
+        }
+    }
+
+    /// Nodes that can own keys of a service, with the slots of their targets.
+    fn candidates(&self, service: &str, now: Time) -> Vec<Candidate> {
+        self.members
+            .iter()
+            .filter(|(_, member)| member.clean && !member.view.leaving && now < member.lease_until)
+            .filter(|(_, member)| {
+                member
+                    .registered_at
+                    .is_some_and(|at| at < self.confirmed_at)
+            })
+            .filter_map(|(node, member)| {
+                let target = member.view.target.as_ref()?;
+                (target.service == service && target.accepting)
+                    .then(|| (node.clone(), target.slots))
+            })
+            .collect()
+    }
+
+    /// Takes back ranges that are planned elsewhere and gives free ones to their planned owners.
+    fn follow_plan(&mut self, partition: &mut Partition, candidates: &[Candidate]) {
+        if partition.plan.is_empty() {
+            return;
+        }
+        partition.cut_along_plan();
+        for index in 0..partition.slices.len() {
+            let range = partition.slices[index].range;
+            let Some(planned) = partition.planned(range).cloned() else {
+                continue;
+            };
+            let state = partition.slices[index].state.clone();
+            partition.slices[index].state = self.next_state(state, &planned, candidates);
+        }
+        partition.merge();
+    }
+
+    fn next_state(&mut self, state: State, planned: &NodeName, candidates: &[Candidate]) -> State {
+        let can_own = candidates.iter().any(|(node, _)| node == planned);
+        match state {
+            State::Owned { node, .. } if node != *planned && can_own => {
+                let since = self.next_assignment(&node);
+                State::Revoked { node, since }
+            }
+            State::Free { handover } if can_own => {
+                let Some(target) = self.target_of(planned) else {
+                    return State::Free { handover };
+                };
+                let since = self.next_assignment(planned);
+                State::Owned {
+                    node: planned.clone(),
+                    target: target.id,
+                    fence: self.take_fence(),
+                    handover,
+                    since,
+                }
+            }
+            other => other,
+        }
+    }
+
+    fn target_of(&self, node: &NodeName) -> Option<TargetState> {
+        self.members.get(node)?.view.target.clone()
+    }
+
+    fn next_assignment(&mut self, node: &NodeName) -> u64 {
+        let Some(member) = self.members.get_mut(node) else {
+            return 0;
+        };
+        member.assignment += 1;
+        member.assignment
+    }
+
+    fn take_fence(&mut self) -> Fence {
+        self.next_fence = self.next_fence.next_grant();
+        self.next_fence
+    }
+
+    /// All that a node's target is to hold.
+    fn wanted(&self, node: &NodeName, target_id: &str) -> Vec<Wanted> {
+        let slices = self
+            .partitions
+            .values()
+            .flat_map(|partition| &partition.slices);
+        slices
+            .filter_map(|slice| match &slice.state {
+                State::Owned {
+                    node: owner,
+                    target,
+                    fence,
+                    handover,
+                    ..
+                } if owner == node && target == target_id => Some(Wanted {
+                    range: slice.range,
+                    fence: *fence,
+                    handover: handover.clone(),
+                }),
+                _ => None,
+            })
+            .collect()
+    }
+
+    /// Writes the table anew and raises its version if anything in it changed.
+    fn refresh_table(&mut self, now: Time) {
+        let members = self
+            .members
+            .values()
+            .filter(|member| {
+                now < member.lease_until || now.since(member.heard_at) < self.timing.lease
+            })
+            .map(|member| member.view.clone())
+            .collect();
+        let services = self
+            .partitions
+            .iter()
+            .map(|(service, partition)| ServiceTable {
+                service: service.clone(),
+                owners: partition
+                    .slices
+                    .iter()
+                    .map(|slice| (slice.range.to, owner_of(&slice.state)))
+                    .collect(),
+                plan: partition.plan.arcs().to_vec(),
+            })
+            .collect();
+        if self.table.members != members || self.table.services != services {
+            self.table.members = members;
+            self.table.services = services;
+            self.table.version += 1;
+        }
+    }
+}
+
+/// The node that requests for a range are to go to.
+fn owner_of(state: &State) -> Option<NodeName> {
+    match state {
+        State::Owned { node, .. } => Some(node.clone()),
+        _ => None,
+    }
+}
+
+fn view_of(renewal: &Renewal) -> MemberView {
+    MemberView {
+        node: renewal.node.clone(),
+        zone: renewal.zone.clone(),
+        address: renewal.address,
+        target: renewal.target.clone(),
+        leaving: renewal.leaving,
+    }
+}
--- /dev/null
+++ b/crates/ownership/src/lib.rs
@@ -0,0 +1,37 @@
+//! Who owns which keys, as state machines without I/O.
+//!
+//! Every node runs a [`Holder`] beside its target and an [`Election`]; one node at a time runs a
+//! [`Leader`]. The leader is named by one object in the platform's store, replaced only under its
+//! revision; each replacement is a new [`Epoch`]. What keeps one owner a key:
+//!
+//! * A holder obeys the highest epoch that it has seen and tells what it holds with each renewal.
+//! * A holder's lease is counted from when it *sent* its renewal, the leader's view of the same lease
+//!   from when it *answered*, so the leader never thinks a lease ended before its holder does.
+//! * A leader stops answering renewals when it hasn't confirmed its object for
+//!   [`Timing::leadership`]. A new leader gives away keys that nobody reported only after all
+//!   registered nodes have reported, or after that time and a lease have passed.
+//! * Every grant carries a fence made of epoch and counter, so later grants outrank earlier ones.
+
+mod balance;
+mod election;
+mod fence;
+mod holder;
+mod leader;
+mod message;
+mod partition;
+mod plan;
+mod range;
+mod time;
+
+pub use balance::{BUCKETS, KEYS_PER_BUCKET, LoadReport, bucket_of};
+pub use election::{Election, PeerView, Step};
+pub use fence::{Epoch, Fence, Life, NodeName};
+pub use holder::{Admission, GrantResult, Holder, Order};
+pub use leader::{Leader, Member};
+pub use message::{
+    Holding, LeaderReference, LeaseReply, MemberView, Released, Renewal, ServiceTable, Table,
+    TargetState, Wanted,
+};
+pub use plan::Plan;
+pub use range::KeyRange;
+pub use time::{Time, Timing};
--- /dev/null
+++ b/crates/ownership/src/message.rs
@@ -0,0 +1,159 @@
+//! What nodes tell each other about ownership.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{Epoch, Fence, KeyRange, Life, NodeName, Time};
+
+/// Names the leader of an epoch.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaderReference {
+    /// The epoch it was elected for.
+    pub epoch: Epoch,
+    /// Its node.
+    pub node: NodeName,
+    /// The process that was elected.
+    pub life: Life,
+    /// Where it listens for other nodes.
+    pub address: SocketAddr,
+}
+
+/// Keys that a node's target may hold.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Holding {
+    /// The keys.
+    pub range: KeyRange,
+    /// Fence of the grant.
+    pub fence: Fence,
+}
+
+/// Keys that a target has given back.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Released {
+    /// The keys.
+    pub range: KeyRange,
+    /// What the target hands to the next holder.
+    pub handover: Option<String>,
+}
+
+/// Keys that a node is to hold.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Wanted {
+    /// The keys.
+    pub range: KeyRange,
+    /// Fence of the grant.
+    pub fence: Fence,
+    /// What the last holder handed over.
+    pub handover: Option<String>,
+}
+
+/// A node's view of the target beside it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetState {
+    /// Id of the target's life.
+    pub id: String,
+    /// The service that it belongs to.
+    pub service: String,
+    /// Whether it takes new work.
+    pub accepting: bool,
+    /// Requests that it works on at once.
+    pub slots: u32,
+}
+
+/// A node asks its leader for a lease and tells what it holds.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Renewal {
+    /// The node.
+    pub node: NodeName,
+    /// Its process.
+    pub life: Life,
+    /// Its zone.
+    pub zone: String,
+    /// Where it listens for other nodes.
+    pub address: SocketAddr,
+    /// Its clock when it sent this.
+    pub sent_at: Time,
+    /// The epoch that it obeys.
+    pub epoch: Epoch,
+    /// The last assignment of that epoch that it has taken on.
+    pub applied: u64,
+    /// Whether nothing of an earlier process of this node is left at the target.
+    pub clean: bool,
+    /// Everything that its target may hold.
+    pub held: Vec<Holding>,
+    /// What its target gave back lately.
+    pub released: Vec<Released>,
+    /// The target beside it, if it knows one.
+    pub target: Option<TargetState>,
+    /// Whether the node is about to stop.
+    pub leaving: bool,
+    /// Whether the store has acknowledged the node's registration.
+    pub registered: bool,
+    /// Version of its configuration.
+    pub configuration_version: u64,
+    /// Whether its last call to the store succeeded.
+    pub store_reachable: bool,
+}
+
+/// A leader's answer to a renewal.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaseReply {
+    /// The leader's epoch.
+    pub epoch: Epoch,
+    /// The renewal's `sent_at`.
+    pub renewal_sent_at: Time,
+    /// How long the node may hold keys, from when it sent the renewal, in milliseconds.
+    pub lease_ms: u64,
+    /// Number of the assignment below; rises with its changes.
+    pub assignment: u64,
+    /// The target's life that the assignment is for.
+    pub target: Option<String>,
+    /// All that the node is to hold.
+    pub wanted: Vec<Wanted>,
+    /// If the node isn't clean, the fence to clear its target under.
+    pub clean_fence: Option<Fence>,
+    /// The leader's table.
+    pub table_version: u64,
+    /// The leader's configuration.
+    pub configuration_version: u64,
+}
+
+/// A node as others see it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberView {
+    /// The node.
+    pub node: NodeName,
+    /// Its zone.
+    pub zone: String,
+    /// Where it listens for other nodes.
+    pub address: SocketAddr,
+    /// Its target, if it takes work.
+    pub target: Option<TargetState>,
+    /// Whether it is about to stop.
+    pub leaving: bool,
+}
+
+/// The owners of one service's keys.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceTable {
+    /// The service.
+    pub service: String,
+    /// Ranges in order: last key and owner.
+    pub owners: Vec<(u16, Option<NodeName>)>,
+    /// Where the ranges are to go: last key and owner.
+    pub plan: Vec<(u16, NodeName)>,
+}
+
+/// All that a router needs to find targets.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct Table {
+    /// The leader's epoch.
+    pub epoch: Epoch,
+    /// Rises with changes within an epoch.
+    pub version: u64,
+    /// All nodes that the leader hears.
+    pub members: Vec<MemberView>,
+    /// Owners of keyed services.
+    pub services: Vec<ServiceTable>,
+}
--- /dev/null
+++ b/crates/ownership/src/partition.rs
@@ -0,0 +1,278 @@
+//! The keys of one service as their leader knows them.
+
+use crate::balance::Load;
+use crate::plan::{Candidate, Plan};
+use crate::{Fence, KeyRange, NodeName, Renewal};
+
+/// What a leader knows of a range of keys.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum State {
+    /// Nobody has reported it since the leader was elected; a silent node may hold it.
+    Unknown,
+    /// Nobody holds it.
+    Free {
+        /// What the last holder handed over.
+        handover: Option<String>,
+    },
+    /// A node is to hold it.
+    Owned {
+        /// The node.
+        node: NodeName,
+        /// The life of its target that it was given to.
+        target: String,
+        /// Fence of the grant.
+        fence: Fence,
+        /// What the last holder handed over.
+        handover: Option<String>,
+        /// The node's assignment that first named it.
+        since: u64,
+    },
+    /// A node is to give it back.
+    Revoked {
+        /// The node.
+        node: NodeName,
+        /// The node's assignment that first left it out.
+        since: u64,
+    },
+}
+
+impl State {
+    /// The node that may hold the range.
+    pub fn holder(&self) -> Option<&NodeName> {
+        match self {
+            Self::Owned { node, .. } | Self::Revoked { node, .. } => Some(node),
+            Self::Unknown | Self::Free { .. } => None,
+        }
+    }
+}
+
+/// A range and its state.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Slice {
+    /// The keys.
+    pub range: KeyRange,
+    /// What is known of them.
+    pub state: State,
+}
+
+/// The keys of one service.
+#[derive(Debug, Clone)]
+pub struct Partition {
+    /// Consecutive slices that cover all keys.
+    pub slices: Vec<Slice>,
+    /// Where the keys should be.
+    pub plan: Plan,
+    /// Load over the keys.
+    pub load: Load,
+}
+
+impl Partition {
+    /// A partition of which nothing is known but an earlier plan.
+    pub fn new(plan: Plan) -> Self {
+        Self {
+            slices: vec![Slice {
+                range: KeyRange::ALL,
+                state: State::Unknown,
+            }],
+            plan,
+            load: Load::default(),
+        }
+    }
+
+    /// Ranges that a node owns.
+    pub fn owned_by(&self, node: &NodeName) -> Vec<KeyRange> {
+        self.slices
+            .iter()
+            .filter(
+                |slice| matches!(&slice.state, State::Owned { node: owner, .. } if owner == node),
+            )
+            .map(|slice| slice.range)
+            .collect()
+    }
+
+    /// Takes in what a node reports: ranges it holds are its own, ranges that it was told to give
+    /// back, or lost, are free. Returns whether anything changed.
+    pub fn report(&mut self, renewal: &Renewal) -> bool {
+        let before = self.slices.clone();
+        if let Some(target) = &renewal.target {
+            self.adopt_reported(renewal, &target.id);
+        }
+        for slice in &mut self.slices {
+            slice.state = reported_state(slice, renewal);
+        }
+        self.merge();
+        self.slices != before
+    }
+
+    /// Unknown ranges that a node reports become its own, under the fence that it reports.
+    fn adopt_reported(&mut self, renewal: &Renewal, target: &str) {
+        for holding in &renewal.held {
+            self.cut(holding.range);
+            for slice in &mut self.slices {
+                if slice.state == State::Unknown && holding.range.overlaps(slice.range) {
+                    slice.state = State::Owned {
+                        node: renewal.node.clone(),
+                        target: target.to_owned(),
+                        fence: holding.fence,
+                        handover: None,
+                        since: 0,
+                    };
+                }
+            }
+        }
+    }
+
+    /// Frees what a node may have held: its lease has ended, or its target's life has.
+    pub fn free_all_of(&mut self, node: &NodeName) -> bool {
+        let mut changed = false;
+        for slice in &mut self.slices {
+            if slice.state.holder() == Some(node) {
+                slice.state = State::Free { handover: None };
+                changed = true;
+            }
+        }
+        self.merge();
+        changed
+    }
+
+    /// Takes back what a node owned in an earlier life of its process.
+    pub fn revoke_all_of(&mut self, node: &NodeName) {
+        for slice in &mut self.slices {
+            if matches!(&slice.state, State::Owned { node: owner, .. } if owner == node) {
+                slice.state = State::Revoked {
+                    node: node.clone(),
+                    since: 0,
+                };
+            }
+        }
+        self.merge();
+    }
+
+    /// Frees ranges that nobody reported.
+    pub fn free_unknown(&mut self) -> bool {
+        let mut changed = false;
+        for slice in &mut self.slices {
+            if slice.state == State::Unknown {
+                slice.state = State::Free { handover: None };
+                changed = true;
+            }
+        }
+        changed
+    }
+
+    /// Brings the plan up to date with the nodes that can own keys.
+    pub fn repair_plan(&mut self, candidates: &[Candidate]) -> bool {
+        if self.plan.is_empty() {
+            self.plan = self.plan_of_owners();
+        }
+        self.plan.repair(candidates, &self.load)
+    }
+
+    /// Looks for a plan that spreads the load better, unless ranges are on their way.
+    pub fn rebalance(&mut self, candidates: &[Candidate]) -> bool {
+        let settled = self
+            .slices
+            .iter()
+            .all(|slice| matches!(slice.state, State::Owned { .. }));
+        settled && self.plan.rebalance(candidates, &self.load)
+    }
+
+    /// A plan that leaves everything where it is; ranges without owner go to the owner before them.
+    fn plan_of_owners(&self) -> Plan {
+        let mut arcs = Vec::<(u16, NodeName)>::new();
+        let first = self
+            .slices
+            .iter()
+            .find_map(|slice| slice.state.holder().cloned());
+        let Some(mut last) = first else {
+            return Plan::default();
+        };
+        for slice in &self.slices {
+            if let Some(holder) = slice.state.holder() {
+                last = holder.clone();
+            }
+            match arcs.last_mut() {
+                Some((to, node)) if *node == last => *to = slice.range.to,
+                _ => arcs.push((slice.range.to, last.clone())),
+            }
+        }
+        Plan::from_arcs(arcs)
+    }
+
+    /// Cuts slices along the plan.
+    pub fn cut_along_plan(&mut self) {
+        let ranges = self
+            .plan
+            .ranges()
+            .map(|(range, _)| range)
+            .collect::<Vec<_>>();
+        for range in ranges {
+            self.cut(range);
+        }
+    }
+
+    /// The planned owner of a range that lies within one arc of the plan.
+    pub fn planned(&self, range: KeyRange) -> Option<&NodeName> {
+        self.plan
+            .ranges()
+            .find(|(arc, _)| arc.contains(range.from))
+            .map(|(_, node)| node)
+    }
+
+    /// Makes the ends of a range ends of slices.
+    fn cut(&mut self, range: KeyRange) {
+        let mut cut = Vec::with_capacity(self.slices.len() + 2);
+        for slice in self.slices.drain(..) {
+            let Some(inner) = slice.range.intersection(range) else {
+                cut.push(slice);
+                continue;
+            };
+            let mut parts = slice.range.without(range);
+            parts.push(inner);
+            parts.sort();
+            cut.extend(parts.into_iter().map(|range| Slice {
+                range,
+                state: slice.state.clone(),
+            }));
+        }
+        self.slices = cut;
+    }
+
+    /// Joins neighbours in the same state.
+    pub fn merge(&mut self) {
+        let mut merged = Vec::<Slice>::with_capacity(self.slices.len());
+        for slice in self.slices.drain(..) {
+            match merged.last_mut() {
+                Some(last) if last.state == slice.state => last.range.to = slice.range.to,
+                _ => merged.push(slice),
+            }
+        }
+        self.slices = merged;
+    }
+}
+
+/// The state of a slice after a node's report.
+fn reported_state(slice: &Slice, renewal: &Renewal) -> State {
+    let since = match &slice.state {
+        State::Owned { node, since, .. } | State::Revoked { node, since }
+            if *node == renewal.node =>
+        {
+            *since
+        }
+        _ => return slice.state.clone(),
+    };
+    let still_held = renewal
+        .held
+        .iter()
+        .any(|holding| holding.range.overlaps(slice.range));
+    if !renewal.clean || renewal.applied < since || still_held {
+        return slice.state.clone();
+    }
+    let handover = renewal
+        .released
+        .iter()
+        .rev()
+        .find(|released| released.range.overlaps(slice.range))
+        .and_then(|released| released.handover.clone());
+    State::Free { handover }
+}
--- /dev/null
+++ b/crates/routes/src/configuration.rs
@@ -0,0 +1,112 @@
+//! Plain values of one version of the configuration.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// One whole version of what the operator wants.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Configuration {
+    /// Rises with every change; a node never goes back to a lower one.
+    pub version: u64,
+    /// All routes, in no order.
+    pub routes: Vec<Route>,
+    /// All services that routes name.
+    pub services: Vec<Service>,
+    /// What a client may send and how long it may rest.
+    pub limits: Limits,
+}
+
+impl Configuration {
+    /// The service of that name.
+    pub fn service(&self, name: &str) -> Option<&Service> {
+        self.services.iter().find(|service| service.name == name)
+    }
+}
+
+/// What a request may be repeated for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Repeatability {
+    /// May run more than once.
+    Idempotent,
+    /// Runs at most once for each attempt of a client.
+    AtMostOnce,
+    /// Large answers; may run more than once.
+    Download,
+}
+
+impl Repeatability {
+    /// Whether a request may be sent again after it may have run.
+    pub fn may_repeat(self) -> bool {
+        self != Self::AtMostOnce
+    }
+}
+
+/// One route: which requests it takes and where they go.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Route {
+    /// The operator's name for it.
+    pub name: String,
+    /// The host it belongs to, in lower case.
+    pub host: String,
+    /// Requests whose path begins with this take the route.
+    pub path_prefix: String,
+    /// What may be repeated.
+    pub repeatability: Repeatability,
+    /// The longest time a client's attempt is held.
+    pub timeout: Option<Duration>,
+    /// An answer within this time earns its full credit.
+    pub objective: Option<Duration>,
+    /// 0 is the most urgent.
+    pub priority: u8,
+    /// Most targets that one attempt of a client may be sent to.
+    pub max_attempts: u32,
+    /// The services it goes to, by weight; one entry without a split.
+    pub destinations: Vec<WeightedService>,
+}
+
+/// One part of a split.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct WeightedService {
+    /// The service's name.
+    pub service: String,
+    /// Its share is this over the sum of all weights.
+    pub weight: u32,
+}
+
+/// One service.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Service {
+    /// Its name.
+    pub name: String,
+    /// Path of its health check.
+    pub health_path: String,
+    /// Most connections that one target takes from all callers.
+    pub max_connections: u32,
+    /// Whether each key has one owner among the targets.
+    pub keyed: bool,
+}
+
+/// What a client may send and how long it may rest.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Limits {
+    /// Most bytes of a request's head.
+    pub header_bytes: usize,
+    /// Most bytes of a request's body.
+    pub body_bytes: u64,
+    /// Longest time for a request's head to arrive.
+    pub header_time: Duration,
+    /// Longest time a connection may rest between requests.
+    pub idle_time: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            header_bytes: 16 * 1024,
+            body_bytes: 64 * 1024 * 1024,
+            header_time: Duration::from_secs(3),
+            idle_time: Duration::from_secs(15),
+        }
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/agent.rs
@@ -0,0 +1,82 @@
+//! The agent beside a target: may this request start there now?
+
+use std::rc::Rc;
+
+use tokio::time::Instant;
+use wingspar_ownership::Admission;
+use wingspar_platform::headers;
+
+use crate::hop::{HopAnswer, HopRequest, Occupancy, Refusal};
+use crate::logs::Event;
+use crate::node::Node;
+use crate::stop::Stop;
+use crate::target_calls::{lease_left_ms, run};
+
+/// Runs a request at the target, or says why it hasn't.
+pub async fn serve(node: &Rc<Node>, hop: HopRequest) -> HopAnswer {
+    let id = hop.headers.get(headers::REQUEST_ID).cloned();
+    if let Some(key) = hop.key {
+        node.key_load.borrow_mut().arrived(key);
+    }
+    let answer = admit(node, hop).await;
+    let reason = match &answer {
+        HopAnswer::Answered(_) => return answer,
+        HopAnswer::Refused(refusal) => refusal.name(),
+        HopAnswer::MayHaveRun(_) => "may_have_run",
+    };
+    node.metrics.count(&node.metrics.refusals, reason);
+    node.log.write_request(Event::Refused {
+        id: id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or(""),
+        reason,
+        running: node.slots.running(),
+        waiting: node.slots.waiting(),
+        lease_left_ms: lease_left_ms(node),
+        epoch: node.holder.borrow().epoch().0,
+    });
+    answer
+}
+
+async fn admit(node: &Rc<Node>, hop: HopRequest) -> HopAnswer {
+    if let Err(refusal) = check(node, &hop) {
+        return HopAnswer::Refused(refusal);
+    }
+    let Ok(slot) = node.slots.acquire(hop.priority, hop.patience).await else {
+        return HopAnswer::Refused(Refusal::Full);
+    };
+    // Time has passed while it waited, perhaps much of it: everything is checked anew.
+    if let Err(refusal) = check(node, &hop) {
+        return HopAnswer::Refused(refusal);
+    }
+    run(node, hop, slot).await
+}
+
+/// Whether a request may start now.
+fn check(node: &Node, hop: &HopRequest) -> Result<(), Refusal> {
+    let now = node.now();
+    if Instant::now() >= hop.deadline {
+        return Err(Refusal::Late);
+    }
+    let target = node.target.borrow();
+    if target.id().is_none() || target.service() != hop.service {
+        return Err(Refusal::NoTarget);
+    }
+    if !target.may_start(now) || *node.stop.borrow() == Stop::Closing {
+        return Err(Refusal::Leaving);
+    }
+    let Some(key) = hop.key else {
+        return Ok(());
+    };
+    match node.holder.borrow().admission(now, key) {
+        Admission::Granted => Ok(()),
+        Admission::Arriving => Err(Refusal::Arriving),
+        Admission::NotOwner => Err(Refusal::NotOwner),
+    }
+}
+
+/// How full the target is.
+pub fn occupancy(node: &Node) -> Occupancy {
+    Occupancy {
+        running: u32::try_from(node.slots.running()).unwrap_or(u32::MAX),
+        waiting: u32::try_from(node.slots.waiting()).unwrap_or(u32::MAX),
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/body.rs
@@ -0,0 +1,136 @@
+//! Bodies of requests and answers.
+
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use bytes::{Bytes, BytesMut};
+use http_body::{Body as HttpBody, Frame, SizeHint};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+
+/// Reading a body failed; what was read isn't whole.
+pub type BodyError = Box<dyn std::error::Error + Send + Sync>;
+
+/// A body whose bytes are all here, or arrive as a stream.
+pub enum Body {
+    /// All bytes.
+    Whole(Full<Bytes>),
+    /// Bytes that are still to come.
+    Stream(Pin<Box<dyn HttpBody<Data = Bytes, Error = BodyError>>>),
+}
+
+impl Body {
+    /// No bytes.
+    pub fn empty() -> Self {
+        Self::whole(Bytes::new())
+    }
+
+    /// All bytes.
+    pub fn whole(bytes: impl Into<Bytes>) -> Self {
+        Self::Whole(Full::new(bytes.into()))
+    }
+
+    /// A stream.
+    pub fn stream(body: impl HttpBody<Data = Bytes, Error = BodyError> + 'static) -> Self {
+        Self::Stream(Box::pin(body))
+    }
+}
+
+impl HttpBody for Body {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        match self.get_mut() {
+            Self::Whole(body) => Pin::new(body)
+                .poll_frame(context)
+                .map_err(|never| match never {}),
+            Self::Stream(body) => body.as_mut().poll_frame(context),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Self::Whole(body) => body.is_end_stream(),
+            Self::Stream(body) => body.is_end_stream(),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(body) => body.size_hint(),
+            Self::Stream(body) => body.size_hint(),
+        }
+    }
+}
+
+/// A request's body: kept whole if it is small, so that it can be sent again.
+pub enum RequestBody {
+    /// All bytes.
+    Whole(Bytes),
+    /// Too large to keep; can be sent once.
+    Stream(Option<Body>),
+}
+
+impl RequestBody {
+    /// Reads a body of up to `keep` bytes whole; a larger one stays a stream.
+    pub async fn read(incoming: Incoming, keep: usize) -> Result<Self, BodyError> {
+        let mut incoming = incoming;
+        if incoming.is_end_stream() {
+            return Ok(Self::Whole(Bytes::new()));
+        }
+        let mut kept = BytesMut::new();
+        while let Some(frame) = incoming.frame().await {
+            if let Ok(data) = frame?.into_data() {
+                kept.extend_from_slice(&data);
+            }
+            if kept.len() > keep {
+                let rest = Prefixed {
+                    prefix: Some(kept.freeze()),
+                    rest: incoming,
+                };
+                return Ok(Self::Stream(Some(Body::stream(rest))));
+            }
+        }
+        Ok(Self::Whole(kept.freeze()))
+    }
+
+    /// Whether the body can be sent now.
+    pub fn is_available(&self) -> bool {
+        !matches!(self, Self::Stream(None))
+    }
+
+    /// The body to send; a stream is gone afterwards.
+    pub fn take(&mut self) -> Body {
+        match self {
+            Self::Whole(bytes) => Body::whole(bytes.clone()),
+            Self::Stream(body) => body.take().unwrap_or_else(Body::empty),
+        }
+    }
+}
+
+/// Bytes that were read already, and what follows.
+struct Prefixed {
+    prefix: Option<Bytes>,
+    rest: Incoming,
+}
+
+impl HttpBody for Prefixed {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        if let Some(prefix) = self.prefix.take() {
+            return Poll::Ready(Some(Ok(Frame::data(prefix))));
+        }
+        Pin::new(&mut self.rest)
+            .poll_frame(context)
+            .map_err(BodyError::from)
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/connections.rs
@@ -0,0 +1,241 @@
+//! Kept connections to one address, each for one request at a time.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::header::CONNECTION;
+use http::{HeaderMap, Request, Response};
+use http_body::{Body as HttpBody, Frame, SizeHint};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use socket2::SockRef;
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+use tokio::time::timeout;
+
+use crate::body::{Body, BodyError};
+
+/// A kept connection isn't used again after resting this long, unless its server says less.
+const IDLE_LIMIT: Duration = Duration::from_millis(6_000);
+/// A server's own idle time is cut by this, so that its close and our request don't cross.
+const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(1_500);
+/// Unacknowledged bytes end a connection after this.
+const USER_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// Why nothing whole came back.
+#[derive(Debug, thiserror::Error)]
+pub enum SendError {
+    /// No connection came up, or it ended before the request was on it. The request has not run.
+    #[error("not sent: {0}")]
+    NotSent(String),
+    /// The connection failed after the request was on it. It may have run.
+    #[error("may have run: {0}")]
+    MayHaveRun(String),
+}
+
+/// Kept connections to one address.
+pub struct Connections {
+    address: SocketAddr,
+    connect_timeout: Duration,
+    idle: RefCell<Vec<Connection>>,
+    opened: Cell<u64>,
+}
+
+/// One connection and the task that drives it.
+struct Connection {
+    sender: SendRequest<Body>,
+    driver: JoinHandle<()>,
+    rested_since: Instant,
+    idle_limit: Duration,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+impl Connections {
+    /// Connections to an address; each has `connect_timeout` to come up.
+    pub fn new(address: SocketAddr, connect_timeout: Duration) -> Rc<Self> {
+        Rc::new(Self {
+            address,
+            connect_timeout,
+            idle: RefCell::new(Vec::new()),
+            opened: Cell::new(0),
+        })
+    }
+
+    /// Connections opened so far.
+    pub fn opened(&self) -> u64 {
+        self.opened.get()
+    }
+
+    /// Ends all resting connections.
+    pub fn close_idle(&self) {
+        self.idle.borrow_mut().clear();
+    }
+
+    /// Sends a request. Dropping the future, or the answer's body before its end, closes the
+    /// connection.
+    pub async fn send(
+        self: &Rc<Self>,
+        request: Request<Body>,
+    ) -> Result<Response<ConnectionBody>, SendError> {
+        let mut request = request;
+        loop {
+            let (mut connection, kept) = match self.take_idle() {
+                Some(connection) => (connection, true),
+                None => (self.open().await?, false),
+            };
+            match connection.sender.try_send_request(request).await {
+                Ok(response) => return Ok(self.wrap(response, connection)),
+                Err(mut failure) => match failure.take_message() {
+                    // A kept connection that its server has closed meanwhile: take another.
+                    Some(unsent) if kept => request = unsent,
+                    Some(_) => return Err(SendError::NotSent(failure.into_error().to_string())),
+                    None => return Err(SendError::MayHaveRun(failure.into_error().to_string())),
+                },
+            }
+        }
+    }
+
+    fn take_idle(&self) -> Option<Connection> {
+        let mut idle = self.idle.borrow_mut();
+        idle.retain(|connection| {
+            !connection.sender.is_closed()
+                && connection.rested_since.elapsed() < connection.idle_limit
+        });
+        let position = idle
+            .iter()
+            .rposition(|connection| connection.sender.is_ready())?;
+        Some(idle.remove(position))
+    }
+
+    async fn open(&self) -> Result<Connection, SendError> {
+        let not_sent = |error: &dyn std::fmt::Display| SendError::NotSent(error.to_string());
+        let stream = timeout(self.connect_timeout, TcpStream::connect(self.address))
+            .await
+            .map_err(|_| SendError::NotSent("no connection in time".to_owned()))?
+            .map_err(|error| not_sent(&error))?;
+        set_options(&stream);
+        self.opened.set(self.opened.get() + 1);
+        let (sender, driver) = http1::Builder::new()
+            .handshake::<_, Body>(TokioIo::new(stream))
+            .await
+            .map_err(|error| not_sent(&error))?;
+        let driver = tokio::task::spawn_local(async move {
+            let _ended = driver.await;
+        });
+        Ok(Connection {
+            sender,
+            driver,
+            rested_since: Instant::now(),
+            idle_limit: IDLE_LIMIT,
+        })
+    }
+
+    fn wrap(
+        self: &Rc<Self>,
+        response: Response<Incoming>,
+        mut connection: Connection,
+    ) -> Response<ConnectionBody> {
+        let reusable = !says_close(response.headers());
+        if let Some(rest) = keep_alive(response.headers()) {
+            connection.idle_limit = rest.saturating_sub(KEEP_ALIVE_MARGIN).min(IDLE_LIMIT);
+        }
+        response.map(|incoming| ConnectionBody {
+            incoming,
+            connection: Some(connection),
+            home: reusable.then(|| self.clone()),
+            ended: false,
+        })
+    }
+
+    fn give_back(&self, mut connection: Connection) {
+        connection.rested_since = Instant::now();
+        self.idle.borrow_mut().push(connection);
+    }
+}
+
+/// Options of every connection: no delay, and an end if the other side falls silent.
+pub fn set_options(stream: &TcpStream) {
+    let socket = SockRef::from(stream);
+    let _nodelay = socket.set_tcp_nodelay(true);
+    let _user_timeout = socket.set_tcp_user_timeout(Some(USER_TIMEOUT));
+}
+
+/// Whether a peer announces the end of the connection.
+fn says_close(headers: &HeaderMap) -> bool {
+    headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .any(|word| word.trim().eq_ignore_ascii_case("close"))
+}
+
+/// The idle time in a `Keep-Alive` header.
+fn keep_alive(headers: &HeaderMap) -> Option<Duration> {
+    let value = headers.get("keep-alive")?.to_str().ok()?;
+    let seconds = value
+        .split(',')
+        .find_map(|part| part.trim().strip_prefix("timeout="))?
+        .parse::<u64>()
+        .ok()?;
+    Some(Duration::from_secs(seconds))
+}
+
+/// An answer's body. At its end the connection goes back to rest; dropped earlier, it closes.
+pub struct ConnectionBody {
+    incoming: Incoming,
+    connection: Option<Connection>,
+    home: Option<Rc<Connections>>,
+    ended: bool,
+}
+
+impl ConnectionBody {
+    /// The connection isn't used again, whatever comes.
+    pub fn never_reuse(&mut self) {
+        self.home = None;
+    }
+
+    fn end(&mut self) {
+        self.ended = true;
+        if let (Some(connection), Some(home)) = (self.connection.take(), self.home.take()) {
+            home.give_back(connection);
+        }
+    }
+}
+
+impl HttpBody for ConnectionBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        let polled = Pin::new(&mut self.incoming).poll_frame(context);
+        match &polled {
+            Poll::Ready(None) => self.end(),
+            Poll::Ready(Some(Ok(_))) if self.incoming.is_end_stream() => self.end(),
+            _ => {}
+        }
+        polled.map_err(BodyError::from)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.ended
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.incoming.size_hint()
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/directory.rs
@@ -0,0 +1,97 @@
+//! The nodes and owners that a router finds targets with.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use wingspar_ownership::{NodeName, Table};
+
+/// A node whose target could run a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Destination {
+    /// The node.
+    pub node: NodeName,
+    /// Its zone.
+    pub zone: String,
+    /// Where it listens for other nodes.
+    pub address: SocketAddr,
+    /// Slots of its target.
+    pub slots: u32,
+}
+
+/// A leader's table, prepared for look-ups.
+#[derive(Debug, Default)]
+pub struct Directory {
+    table: Table,
+    by_service: HashMap<String, Vec<Destination>>,
+    by_node: HashMap<NodeName, Destination>,
+}
+
+impl Directory {
+    /// Prepares a table.
+    pub fn new(table: Table) -> Self {
+        let mut by_service = HashMap::<String, Vec<Destination>>::new();
+        let mut by_node = HashMap::new();
+        for member in &table.members {
+            let Some(target) = &member.target else {
+                continue;
+            };
+            let destination = Destination {
+                node: member.node.clone(),
+                zone: member.zone.clone(),
+                address: member.address,
+                slots: target.slots,
+            };
+            if target.accepting && !member.leaving {
+                by_service
+                    .entry(target.service.clone())
+                    .or_default()
+                    .push(destination.clone());
+            }
+            by_node.insert(member.node.clone(), destination);
+        }
+        Self {
+            table,
+            by_service,
+            by_node,
+        }
+    }
+
+    /// The table behind it.
+    pub fn table(&self) -> &Table {
+        &self.table
+    }
+
+    /// Nodes known, at least one.
+    pub fn nodes(&self) -> usize {
+        self.table.members.len().max(1)
+    }
+
+    /// Nodes whose targets of a service take work.
+    pub fn destinations(&self, service: &str) -> &[Destination] {
+        self.by_service.get(service).map_or(&[], Vec::as_slice)
+    }
+
+    /// The node that owns a key, or that is about to.
+    pub fn owner(&self, service: &str, key: u16) -> Option<&Destination> {
+        let owners = self
+            .table
+            .services
+            .iter()
+            .find(|known| known.service == service)?;
+        let owned = owners.owners.iter().find(|(to, _)| key <= *to);
+        let planned = || {
+            owners
+                .plan
+                .iter()
+                .find(|(to, _)| key <= *to)
+                .map(|(_, node)| node)
+        };
+        let node = owned.and_then(|(_, node)| node.as_ref()).or_else(planned)?;
+        self.by_node.get(node)
+    }
+
+    /// A node by name.
+    pub fn node(&self, node: &NodeName) -> Option<&Destination> {
+        self.by_node.get(node)
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/follow.rs
@@ -0,0 +1,108 @@
+//! Follows the operator's configuration in the store.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use rand::RngExt;
+use wingspar_platform::objects::{self, Call, Object, Outcome};
+use wingspar_platform::{CONFIGURATION_KIND, CONFIGURATION_NAME, parse_configuration};
+
+use crate::logs::Event;
+use crate::node::Node;
+use crate::store::Reply;
+
+/// How long a watch waits at the store, in milliseconds.
+const WATCH_MS: u64 = 8_000;
+/// A watch is given up this long after it should have ended.
+const WATCH_SLACK: Duration = Duration::from_millis(1_500);
+/// First pause after a call that failed; it doubles up to the longest.
+const FIRST_PAUSE: Duration = Duration::from_millis(150);
+/// Longest such pause.
+const LONGEST_PAUSE: Duration = Duration::from_millis(1_200);
+
+/// Follows the configuration until the process ends.
+pub async fn run(node: Rc<Node>) {
+    let mut pause = FIRST_PAUSE;
+    loop {
+        if let Some(revision) = list(&node).await {
+            pause = FIRST_PAUSE;
+            watch(&node, revision).await;
+            continue;
+        }
+        let jitter = rand::rng().random_range(0.5..1.5);
+        tokio::time::sleep(pause.mul_f64(jitter)).await;
+        pause = (pause * 2).min(LONGEST_PAUSE);
+    }
+}
+
+/// Reads the configuration; the store's revision if that succeeded.
+async fn list(node: &Node) -> Option<u64> {
+    let reply = call(node, &objects::list(CONFIGURATION_KIND, None), None).await?;
+    let page = objects::parse_page(&reply.body).ok()?;
+    for object in &page.objects {
+        take(node, object);
+    }
+    Some(page.revision)
+}
+
+/// Watches from a revision until a call fails or the store has forgotten it.
+async fn watch(node: &Node, mut revision: u64) {
+    let time = Duration::from_millis(WATCH_MS) + WATCH_SLACK;
+    loop {
+        let request = objects::watch(CONFIGURATION_KIND, revision, WATCH_MS);
+        let Some(reply) = call(node, &request, Some(time)).await else {
+            return;
+        };
+        let Ok(changes) = objects::parse_changes(&reply.body) else {
+            return;
+        };
+        for (object, gone) in &changes.events {
+            if !gone {
+                take(node, object);
+            }
+        }
+        revision = changes.revision;
+    }
+}
+
+/// Puts a stored configuration in force; one that can't be read is passed over.
+fn take(node: &Node, object: &Object) {
+    if object.name != CONFIGURATION_NAME {
+        return;
+    }
+    match parse_configuration(&object.content) {
+        Ok(configuration) => {
+            node.configure(configuration, "store");
+        }
+        Err(error) => node.log.write(Event::ConfigurationRefused {
+            problem: error.to_string(),
+        }),
+    }
+}
+
+/// Makes a call and counts it; nothing unless it was done.
+pub async fn call(node: &Node, call: &Call, time: Option<Duration>) -> Option<Reply> {
+    let reply = match time {
+        Some(time) => node.store.call_within(call, time).await,
+        None => node.store.call(call).await,
+    };
+    let outcome = match &reply {
+        Err(_) => "no_answer",
+        Ok(reply) => match reply.outcome {
+            Outcome::Done => "done",
+            Outcome::Missing => "missing",
+            Outcome::Conflict => "conflict",
+            Outcome::HistoryGone => "history_gone",
+            Outcome::Throttled => "throttled",
+            Outcome::Unavailable => "unavailable",
+            Outcome::Unexpected(_) => "unexpected",
+        },
+    };
+    node.metrics.count(&node.metrics.store_calls, outcome);
+    let refused = matches!(
+        outcome,
+        "no_answer" | "throttled" | "unavailable" | "unexpected"
+    );
+    node.store_answered(!refused, outcome);
+    reply.ok().filter(|reply| reply.outcome == Outcome::Done)
+}
--- /dev/null
+++ b/crates/sidecar/src/heartbeats.rs
@@ -0,0 +1,58 @@
+//! Heartbeats of the target beside the node.
+
+use std::rc::Rc;
+
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use wingspar_platform::{acknowledgement, parse_heartbeat, paths};
+
+use crate::answer::plain;
+use crate::body::Body;
+use crate::node::Node;
+use crate::target_calls::heard_of_target;
+
+/// Largest heartbeat, in bytes.
+const LARGEST: usize = 4096;
+
+/// Answers a heartbeat or a leave.
+pub async fn answer(node: Rc<Node>, request: Request<Incoming>) -> Response<Body> {
+    let (parts, body) = request.into_parts();
+    let Some(id) = paths::target_id(parts.uri.path()) else {
+        return plain(StatusCode::NOT_FOUND, "text/plain", "no such path");
+    };
+    match parts.method {
+        Method::PUT => {
+            let Ok(body) = Limited::new(body, LARGEST).collect().await else {
+                return plain(
+                    StatusCode::PAYLOAD_TOO_LARGE,
+                    "text/plain",
+                    "too large, or cut",
+                );
+            };
+            let heartbeat = match parse_heartbeat(&body.to_bytes()) {
+                Ok(heartbeat) => heartbeat,
+                Err(error) => {
+                    return plain(StatusCode::BAD_REQUEST, "text/plain", error.to_string());
+                }
+            };
+            let heard = node
+                .target
+                .borrow_mut()
+                .heartbeat(node.now(), id, &heartbeat);
+            heard_of_target(&node, heard);
+        }
+        Method::DELETE => {
+            let heard = node.target.borrow_mut().leave(node.now(), id);
+            heard_of_target(&node, heard);
+        }
+        _ => {
+            return plain(
+                StatusCode::METHOD_NOT_ALLOWED,
+                "text/plain",
+                "PUT or DELETE",
+            );
+        }
+    }
+    plain(StatusCode::OK, "application/json", acknowledgement())
+}
--- /dev/null
+++ b/crates/sidecar/src/hop.rs
@@ -0,0 +1,370 @@
+//! A request on its way from the node that took it to the node beside its target.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::{CONNECTION, CONTENT_LENGTH, HOST, TE, TRAILER, TRANSFER_ENCODING, UPGRADE};
+use http::uri::PathAndQuery;
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode};
+use http_body_util::BodyExt;
+use tokio::time::{Instant, timeout_at};
+use wingspar_platform::headers;
+
+use crate::body::{Body, BodyError};
+use crate::connections::{Connections, SendError};
+use crate::target_calls::KEEP_WHOLE;
+
+const SERVICE: HeaderName = HeaderName::from_static("wingspar-service");
+const LEFT_MS: HeaderName = HeaderName::from_static("wingspar-left-ms");
+const PATIENCE_MS: HeaderName = HeaderName::from_static("wingspar-patience-ms");
+const PRIORITY: HeaderName = HeaderName::from_static("wingspar-priority");
+const OUTCOME: HeaderName = HeaderName::from_static("wingspar-outcome");
+const LOAD: HeaderName = HeaderName::from_static("wingspar-load");
+/// Begins the names of headers that only nodes set.
+const OWN_PREFIX: &str = "wingspar-";
+
+/// A request for the agent of a node.
+pub struct HopRequest {
+    /// Method, as the client sent it.
+    pub method: Method,
+    /// Path and query, as the client sent them.
+    pub path: PathAndQuery,
+    /// Headers to pass on.
+    pub headers: HeaderMap,
+    /// Body to pass on.
+    pub body: Body,
+    /// The service that is to run it.
+    pub service: String,
+    /// When the client, or the route, gives it up.
+    pub deadline: Instant,
+    /// How long it may wait for a slot.
+    pub patience: Instant,
+    /// 0 is the most urgent.
+    pub priority: u8,
+    /// The key, if the service's keys have owners.
+    pub key: Option<u16>,
+}
+
+/// Why an agent didn't pass a request on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Refusal {
+    /// The node has no target of that service.
+    NoTarget,
+    /// Its target is leaving, or the node is.
+    Leaving,
+    /// Its target doesn't hold the key.
+    NotOwner,
+    /// Its target is about to hold the key.
+    Arriving,
+    /// No slot in time.
+    Full,
+    /// The deadline has passed.
+    Late,
+    /// No connection to the node, or from it to its target.
+    Unreachable,
+    /// The target itself rejected it and said so; this counts as a send.
+    Rejected,
+}
+
+impl Refusal {
+    const ALL: [Self; 8] = [
+        Self::NoTarget,
+        Self::Leaving,
+        Self::NotOwner,
+        Self::Arriving,
+        Self::Full,
+        Self::Late,
+        Self::Unreachable,
+        Self::Rejected,
+    ];
+
+    /// Stable name for the wire, logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::NoTarget => "no_target",
+            Self::Leaving => "leaving",
+            Self::NotOwner => "not_owner",
+            Self::Arriving => "arriving",
+            Self::Full => "full",
+            Self::Late => "late",
+            Self::Unreachable => "unreachable",
+            Self::Rejected => "rejected",
+        }
+    }
+}
+
+/// What became of a request at an agent.
+pub enum HopAnswer {
+    /// The target's answer.
+    Answered(Response<Body>),
+    /// It has not run.
+    Refused(Refusal),
+    /// It may have run, and there is no answer.
+    MayHaveRun(String),
+}
+
+/// Requests that run and wait at a node's target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Occupancy {
+    /// In slots.
+    pub running: u32,
+    /// Waiting.
+    pub waiting: u32,
+}
+
+/// Takes out headers that belong to one connection, and those that only nodes set.
+pub fn strip(headers: &mut HeaderMap) {
+    let named = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|word| HeaderName::try_from(word.trim()).ok())
+        .filter(|name| !name.as_str().starts_with("x-wingspar-") && *name != HOST)
+        .collect::<Vec<_>>();
+    for name in named {
+        headers.remove(name);
+    }
+    for name in [
+        CONNECTION,
+        TE,
+        TRAILER,
+        TRANSFER_ENCODING,
+        UPGRADE,
+        CONTENT_LENGTH,
+    ] {
+        headers.remove(name);
+    }
+    headers.remove("keep-alive");
+    headers.remove("proxy-connection");
+    headers.remove("proxy-authorization");
+    headers.remove("proxy-authenticate");
+    let own = headers
+        .keys()
+        .filter(|name| name.as_str().starts_with(OWN_PREFIX))
+        .cloned()
+        .collect::<Vec<_>>();
+    for name in own {
+        headers.remove(name);
+    }
+}
+
+/// Whether a request on the internal address comes from a router.
+pub fn is_hop(headers: &HeaderMap) -> bool {
+    headers.contains_key(SERVICE)
+}
+
+/// Writes a request for another node.
+fn encode(request: HopRequest) -> Request<Body> {
+    let now = Instant::now();
+    let mut headers = request.headers;
+    insert_number(
+        &mut headers,
+        LEFT_MS,
+        millis(request.deadline.saturating_duration_since(now)),
+    );
+    insert_number(
+        &mut headers,
+        PATIENCE_MS,
+        millis(request.patience.saturating_duration_since(now)),
+    );
+    insert_number(&mut headers, PRIORITY, u64::from(request.priority));
+    if let Ok(service) = HeaderValue::from_str(&request.service) {
+        headers.insert(SERVICE, service);
+    }
+    let mut encoded = Request::new(request.body);
+    *encoded.method_mut() = request.method;
+    *encoded.uri_mut() = request.path.into();
+    *encoded.headers_mut() = headers;
+    encoded
+}
+
+/// Reads a request of another node; nothing if it isn't whole.
+pub fn decode(
+    parts: http::request::Parts,
+    body: Body,
+    keyed: impl Fn(&str) -> bool,
+) -> Option<HopRequest> {
+    let now = Instant::now();
+    let service = parts.headers.get(SERVICE)?.to_str().ok()?.to_owned();
+    let left = read_number(&parts.headers, &LEFT_MS)?;
+    let patience = read_number(&parts.headers, &PATIENCE_MS)?;
+    let priority = read_number(&parts.headers, &PRIORITY)?;
+    let mut headers = parts.headers;
+    strip(&mut headers);
+    let key = if keyed(&service) {
+        key_of(&headers)
+    } else {
+        None
+    };
+    Some(HopRequest {
+        method: parts.method,
+        path: parts.uri.path_and_query()?.clone(),
+        headers,
+        body,
+        service,
+        deadline: now + Duration::from_millis(left),
+        patience: now + Duration::from_millis(patience),
+        priority: u8::try_from(priority).unwrap_or(u8::MAX),
+        key,
+    })
+}
+
+/// Writes an agent's answer for the router of another node.
+pub fn encode_answer(answer: HopAnswer, occupancy: Occupancy) -> Response<Body> {
+    let (outcome, mut response) = match answer {
+        HopAnswer::Answered(response) => ("answered", response),
+        HopAnswer::Refused(refusal) => (refusal.name(), bare(StatusCode::SERVICE_UNAVAILABLE)),
+        HopAnswer::MayHaveRun(_) => ("may_have_run", bare(StatusCode::BAD_GATEWAY)),
+    };
+    let headers = response.headers_mut();
+    headers.insert(OUTCOME, HeaderValue::from_static(outcome));
+    if let Ok(load) = HeaderValue::from_str(&format!("{},{}", occupancy.running, occupancy.waiting))
+    {
+        headers.insert(LOAD, load);
+    }
+    response
+}
+
+fn bare(status: StatusCode) -> Response<Body> {
+    let mut response = Response::new(Body::empty());
+    *response.status_mut() = status;
+    response
+}
+
+/// Sends a request to another node and reads its answer; small bodies are read whole.
+pub async fn send(
+    connections: &std::rc::Rc<Connections>,
+    request: HopRequest,
+) -> (HopAnswer, Option<Occupancy>) {
+    let deadline = request.deadline;
+    let sent = timeout_at(deadline, connections.send(encode(request))).await;
+    let response = match sent {
+        Err(_) => return (HopAnswer::MayHaveRun("no answer in time".to_owned()), None),
+        Ok(Err(SendError::NotSent(_))) => return (HopAnswer::Refused(Refusal::Unreachable), None),
+        Ok(Err(SendError::MayHaveRun(detail))) => return (HopAnswer::MayHaveRun(detail), None),
+        Ok(Ok(response)) => response,
+    };
+    let occupancy = read_occupancy(response.headers());
+    let outcome = response
+        .headers()
+        .get(OUTCOME)
+        .and_then(|value| value.to_str().ok());
+    let answer = match outcome {
+        Some("answered") => return (receive(response, deadline).await, occupancy),
+        Some(name) => match Refusal::ALL
+            .into_iter()
+            .find(|refusal| refusal.name() == name)
+        {
+            Some(refusal) => HopAnswer::Refused(refusal),
+            None => HopAnswer::MayHaveRun("the node lost the answer".to_owned()),
+        },
+        None => HopAnswer::MayHaveRun("the answer isn't of an agent".to_owned()),
+    };
+    // The small rest of the answer is read, so that its connection can be kept.
+    let _rest = timeout_at(deadline, response.into_body().collect()).await;
+    (answer, occupancy)
+}
+
+async fn receive(
+    response: Response<crate::connections::ConnectionBody>,
+    deadline: Instant,
+) -> HopAnswer {
+    let (mut parts, body) = response.into_parts();
+    parts.headers.remove(OUTCOME);
+    parts.headers.remove(LOAD);
+    match whole_or_stream(body, deadline).await {
+        Ok(body) => HopAnswer::Answered(Response::from_parts(parts, body)),
+        Err(error) => HopAnswer::MayHaveRun(error.to_string()),
+    }
+}
+
+/// Reads a body whole if its length is known and small; leaves it a stream otherwise.
+pub async fn whole_or_stream<Incoming>(body: Incoming, deadline: Instant) -> Result<Body, BodyError>
+where
+    Incoming: http_body::Body<Data = Bytes, Error = BodyError> + 'static,
+{
+    let small = body
+        .size_hint()
+        .upper()
+        .is_some_and(|length| length <= KEEP_WHOLE);
+    if !small {
+        return Ok(Body::stream(Timed::new(body, deadline)));
+    }
+    let collected = timeout_at(deadline, body.collect()).await??;
+    Ok(Body::whole(collected.to_bytes()))
+}
+
+/// A body that fails at its deadline, so that a stream doesn't outlast its request.
+struct Timed<Inner> {
+    inner: std::pin::Pin<Box<Inner>>,
+    deadline: std::pin::Pin<Box<tokio::time::Sleep>>,
+}
+
+impl<Inner> Timed<Inner> {
+    fn new(inner: Inner, deadline: Instant) -> Self {
+        Self {
+            inner: Box::pin(inner),
+            deadline: Box::pin(tokio::time::sleep_until(deadline)),
+        }
+    }
+}
+
+impl<Inner> http_body::Body for Timed<Inner>
+where
+    Inner: http_body::Body<Data = Bytes, Error = BodyError>,
+{
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: std::pin::Pin<&mut Self>,
+        context: &mut std::task::Context<'_>,
+    ) -> std::task::Poll<Option<Result<http_body::Frame<Bytes>, BodyError>>> {
+        use std::future::Future;
+        let polled = self.inner.as_mut().poll_frame(context);
+        if polled.is_pending() && self.deadline.as_mut().poll(context).is_ready() {
+            return std::task::Poll::Ready(Some(Err("the deadline has passed".into())));
+        }
+        polled
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.inner.is_end_stream()
+    }
+
+    fn size_hint(&self) -> http_body::SizeHint {
+        self.inner.size_hint()
+    }
+}
+
+/// The key that a request carries.
+pub fn key_of(headers: &HeaderMap) -> Option<u16> {
+    headers
+        .get(headers::KEY)?
+        .to_str()
+        .ok()?
+        .trim()
+        .parse()
+        .ok()
+}
+
+fn read_occupancy(headers: &HeaderMap) -> Option<Occupancy> {
+    let (running, waiting) = headers.get(LOAD)?.to_str().ok()?.split_once(',')?;
+    Some(Occupancy {
+        running: running.parse().ok()?,
+        waiting: waiting.parse().ok()?,
+    })
+}
+
+fn read_number(headers: &HeaderMap, name: &HeaderName) -> Option<u64> {
+    headers.get(name)?.to_str().ok()?.parse().ok()
+}
+
+fn insert_number(headers: &mut HeaderMap, name: HeaderName, value: u64) {
+    headers.insert(name, HeaderValue::from(value));
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/sidecar/src/internal.rs
@@ -0,0 +1,127 @@
+//! The address that other nodes use: requests for the target, the table, the configuration, load.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::time::timeout;
+use wingspar_ownership::LoadReport;
+
+use crate::agent;
+use crate::answer::plain;
+use crate::body::{Body, BodyError};
+use crate::hop;
+use crate::node::Node;
+
+const CBOR: &str = "application/cbor";
+const TABLE_PATH: &str = "/table";
+const CONFIGURATION_PATH: &str = "/configuration";
+const LOAD_PATH: &str = "/load";
+/// Calls between nodes without an answer for this long are given up.
+const CALL_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Answers another node.
+pub async fn answer(node: Rc<Node>, request: Request<Incoming>) -> Response<Body> {
+    if hop::is_hop(request.headers()) {
+        return answer_hop(&node, request).await;
+    }
+    match (request.method(), request.uri().path()) {
+        (&Method::GET, TABLE_PATH) => {
+            let table = match node.leader.borrow().as_ref() {
+                Some(leader) => encode(leader.table()),
+                None => encode(node.directory.borrow().table()),
+            };
+            plain(StatusCode::OK, CBOR, table)
+        }
+        (&Method::GET, CONFIGURATION_PATH) => {
+            let bytes = node.configuration_bytes.borrow().clone();
+            let status = if bytes.is_empty() {
+                StatusCode::NOT_FOUND
+            } else {
+                StatusCode::OK
+            };
+            plain(status, CBOR, bytes)
+        }
+        (&Method::POST, LOAD_PATH) => {
+            let Ok(body) = request.into_body().collect().await else {
+                return plain(StatusCode::BAD_REQUEST, "text/plain", "cut");
+            };
+            let Ok(report) = ciborium::from_reader::<LoadReport, _>(body.to_bytes().as_ref())
+            else {
+                return plain(StatusCode::BAD_REQUEST, "text/plain", "not a load report");
+            };
+            if let Some(leader) = node.leader.borrow_mut().as_mut() {
+                leader.load(&report);
+            }
+            plain(StatusCode::OK, CBOR, Bytes::new())
+        }
+        _ => plain(StatusCode::NOT_FOUND, "text/plain", "no such path"),
+    }
+}
+
+async fn answer_hop(node: &Rc<Node>, request: Request<Incoming>) -> Response<Body> {
+    let (parts, incoming) = request.into_parts();
+    let body = Body::stream(incoming.map_err(BodyError::from));
+    let Some(request) = hop::decode(parts, body, |service| node.is_keyed(service)) else {
+        return plain(StatusCode::BAD_REQUEST, "text/plain", "not a whole request");
+    };
+    let answer = agent::serve(node, request).await;
+    hop::encode_answer(answer, agent::occupancy(node))
+}
+
+/// Writes a value for another node.
+pub fn encode(value: &impl Serialize) -> Bytes {
+    let mut bytes = Vec::new();
+    match ciborium::into_writer(value, &mut bytes) {
+        Ok(()) => Bytes::from(bytes),
+        Err(_) => Bytes::new(),
+    }
+}
+
+/// Fetches another node's table.
+pub async fn fetch_table(node: &Node, from: SocketAddr) -> Option<wingspar_ownership::Table> {
+    fetch(node, from, TABLE_PATH).await
+}
+
+/// Fetches another node's configuration.
+pub async fn fetch_configuration(
+    node: &Node,
+    from: SocketAddr,
+) -> Option<wingspar_routes::Configuration> {
+    fetch(node, from, CONFIGURATION_PATH).await
+}
+
+async fn fetch<Value: DeserializeOwned>(
+    node: &Node,
+    from: SocketAddr,
+    path: &'static str,
+) -> Option<Value> {
+    let mut request = Request::new(Body::empty());
+    *request.uri_mut() = http::Uri::from_static(path);
+    let body = call(node, from, request).await?;
+    ciborium::from_reader(body.as_ref()).ok()
+}
+
+/// Tells the leader what the node's target has seen.
+pub async fn send_load(node: &Node, to: SocketAddr, report: &LoadReport) {
+    let mut request = Request::new(Body::whole(encode(report)));
+    *request.method_mut() = Method::POST;
+    *request.uri_mut() = http::Uri::from_static(LOAD_PATH);
+    let _answer = call(node, to, request).await;
+}
+
+async fn call(node: &Node, to: SocketAddr, request: Request<Body>) -> Option<Bytes> {
+    let exchange = async {
+        let response = node.peer(to).send(request).await.ok()?;
+        let done = response.status().is_success();
+        let body = response.into_body().collect().await.ok()?.to_bytes();
+        done.then_some(body)
+    };
+    timeout(CALL_TIMEOUT, exchange).await.ok().flatten()
+}
--- /dev/null
+++ b/crates/sidecar/src/lib.rs
@@ -0,0 +1,37 @@
+//! The node beside a target on the users' platform: router, agent and control candidate in one process.
+//!
+//! A request's life: [`router`] takes it from a client, picks route, service and node, and hands it to
+//! that node's [`agent`], over [`hop`] if it is another machine. The agent checks the target's life,
+//! whether it is leaving, who owns the key and whether a slot is free, right before the request goes
+//! out. [`control`] keeps leases, the leadership and the table of nodes; [`store`] and [`follow`] keep
+//! the configuration current. Everything runs on one loop on one thread.
+
+mod agent;
+mod answer;
+mod body;
+mod budget;
+mod clock;
+mod connections;
+mod control;
+mod directory;
+mod follow;
+mod heartbeats;
+mod hop;
+mod internal;
+mod listen;
+mod logs;
+mod metrics;
+mod node;
+mod registration;
+mod router;
+mod run;
+mod selection;
+mod settings;
+mod slots;
+mod stop;
+mod store;
+mod target;
+mod target_calls;
+
+pub use run::{RunError, run};
+pub use settings::{Settings, SettingsError};
--- /dev/null
+++ b/crates/sidecar/src/listen.rs
@@ -0,0 +1,96 @@
+//! Listening sockets and their connections.
+
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use http::{Request, Response};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use socket2::{Domain, Protocol, Socket, Type};
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::body::Body;
+use crate::connections::set_options;
+use crate::node::Node;
+use crate::stop::Stop;
+
+/// Connections that wait to be accepted.
+const BACKLOG: i32 = 1024;
+/// Pause after accepting failed, so that a lack of descriptors doesn't take the processor.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// A connection may rest this long if no configuration says otherwise, and a bit longer if one does.
+const IDLE_MARGIN: Duration = Duration::from_secs(4);
+/// The smallest buffer that the HTTP library takes, in bytes.
+const LEAST_BUFFER: usize = 8192;
+
+/// Opens a listening socket.
+pub fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = Socket::new(
+        Domain::for_address(address),
+        Type::STREAM,
+        Some(Protocol::TCP),
+    )?;
+    socket.set_reuse_address(true)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(BACKLOG)?;
+    TcpListener::from_std(socket.into())
+}
+
+/// Serves a socket's connections until the process closes. The service gets each request.
+pub async fn serve<Handler, Answer>(node: Rc<Node>, listener: TcpListener, handler: Handler)
+where
+    Handler: Fn(Rc<Node>, Request<Incoming>) -> Answer + Copy + 'static,
+    Answer: Future<Output = Response<Body>> + 'static,
+{
+    let mut stop = node.stop.subscribe();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stop.wait_for(|stop| *stop == Stop::Closing) => return,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                tokio::task::spawn_local(connection(node.clone(), stream, handler));
+            }
+            Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+        }
+    }
+}
+
+async fn connection<Handler, Answer>(node: Rc<Node>, stream: TcpStream, handler: Handler)
+where
+    Handler: Fn(Rc<Node>, Request<Incoming>) -> Answer + Copy + 'static,
+    Answer: Future<Output = Response<Body>> + 'static,
+{
+    set_options(&stream);
+    let limits = node
+        .routes
+        .borrow()
+        .as_ref()
+        .map(|routes| routes.configuration().limits.clone());
+    let limits = limits.unwrap_or_default();
+    let mut stop = node.stop.subscribe();
+    let service = service_fn(move |request| {
+        let answer = handler(node.clone(), request);
+        async move { Ok::<_, std::convert::Infallible>(answer.await) }
+    });
+    let mut builder = http1::Builder::new();
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.idle_time.max(limits.header_time) + IDLE_MARGIN)
+        .max_buf_size((limits.header_bytes * 2).max(LEAST_BUFFER));
+    let mut connection = std::pin::pin!(builder.serve_connection(TokioIo::new(stream), service));
+    tokio::select! {
+        _ended = connection.as_mut() => return,
+        _ = stop.wait_for(|stop| *stop == Stop::Closing) => {}
+    }
+    // The answer in progress announces the close; a resting connection ends at once.
+    connection.as_mut().graceful_shutdown();
+    let _ended = connection.await;
+}
--- /dev/null
+++ b/crates/sidecar/src/logs.rs
@@ -0,0 +1,259 @@
+//! Structured log lines: one JSON object a line on standard output.
+//!
+//! Lines go through a bounded queue to a thread of their own; when its reader falls behind, lines are
+//! dropped and counted, so that logging never holds a request up.
+
+use std::cell::Cell;
+use std::sync::Arc;
+
+use serde::Serialize;
+use spdlog::formatter::{PatternFormatter, pattern};
+use spdlog::sink::{AsyncPoolSink, OverflowPolicy, StdStream, StdStreamSink};
+use spdlog::{Level, LevelFilter, Logger, ThreadPool};
+
+use crate::clock::Clock;
+
+/// Lines that wait for the writer at most.
+const QUEUE: usize = 4096;
+
+/// Sets the process's log up.
+///
+/// Errors: the writer can't be built.
+pub fn setup() -> Result<(), spdlog::Error> {
+    let capacity = std::num::NonZeroUsize::new(QUEUE).unwrap_or(std::num::NonZeroUsize::MIN);
+    let pool = Arc::new(ThreadPool::builder().capacity(capacity).build()?);
+    let output = StdStreamSink::builder()
+        .std_stream(StdStream::Stdout)
+        .formatter(PatternFormatter::new(pattern!("{payload}{eol}")))
+        .build_arc()?;
+    let sink = AsyncPoolSink::builder()
+        .thread_pool(pool)
+        .overflow_policy(OverflowPolicy::DropIncoming)
+        .sink(output)
+        .build_arc()?;
+    let logger = Logger::builder()
+        .sink(sink)
+        .level_filter(LevelFilter::All)
+        .flush_level_filter(LevelFilter::Off)
+        .build_arc()?;
+    spdlog::set_default_logger(logger);
+    Ok(())
+}
+
+/// Writes out what waits; called once at the end.
+pub fn flush() {
+    spdlog::default_logger().flush();
+}
+
+/// What is logged. The names of variants and fields are stable; `docs/OPERATIONS.md` lists them.
+#[derive(Debug, Clone, Serialize)]
+#[serde(tag = "event", rename_all = "snake_case")]
+pub enum Event<'a> {
+    /// The process starts.
+    Started {
+        /// Service of the target beside it.
+        service: &'a str,
+        /// Zone.
+        zone: &'a str,
+        /// Its version.
+        version: &'static str,
+    },
+    /// The process has been told to stop.
+    Stopping {
+        /// What told it.
+        signal: &'a str,
+    },
+    /// The process ends as planned.
+    Stopped {
+        /// Requests that were still running.
+        unfinished: usize,
+    },
+    /// The settings were read again.
+    Reloaded {
+        /// Whether they could be used.
+        accepted: bool,
+        /// What was wrong with them.
+        problem: String,
+    },
+    /// A configuration is in force.
+    ConfigurationInForce {
+        /// Its version.
+        version: u64,
+        /// Where it came from.
+        source: &'a str,
+        /// Routes in it.
+        routes: usize,
+    },
+    /// A configuration couldn't be read and is passed over.
+    ConfigurationRefused {
+        /// What is wrong with it.
+        problem: String,
+    },
+    /// A dependency was lost.
+    Lost {
+        /// Which: store, leader, target.
+        dependency: &'a str,
+        /// How that showed.
+        detail: String,
+    },
+    /// A dependency is back.
+    Regained {
+        /// Which.
+        dependency: &'a str,
+        /// What is known of it.
+        detail: String,
+    },
+    /// Another leader is followed.
+    LeaderKnown {
+        /// Its node.
+        leader: &'a str,
+        /// Its epoch.
+        epoch: u64,
+    },
+    /// This node leads.
+    LeadershipTaken {
+        /// Its epoch.
+        epoch: u64,
+        /// Registered nodes that have yet to report.
+        registered: usize,
+    },
+    /// This node leads no longer.
+    LeadershipLost {
+        /// Its epoch.
+        epoch: u64,
+        /// Why.
+        detail: &'a str,
+    },
+    /// The target's life or state changed.
+    TargetChanged {
+        /// Its id.
+        target: &'a str,
+        /// How: new_life, leaves, changed.
+        change: &'a str,
+        /// Sequence of the heartbeat.
+        sequence: u64,
+    },
+    /// A grant or release at the target has ended.
+    Keys {
+        /// grant, release or clear.
+        order: &'a str,
+        /// First key.
+        from: u16,
+        /// Last key.
+        to: u16,
+        /// Fence.
+        fence: u64,
+        /// How it ended.
+        outcome: &'a str,
+        /// What is left of the lease, in milliseconds.
+        lease_left_ms: u64,
+    },
+    /// A request was decided on at this node.
+    Request {
+        /// The client's id of it.
+        id: &'a str,
+        /// Its route; empty if none.
+        route: &'a str,
+        /// Its service; empty if none.
+        service: &'a str,
+        /// Its key.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        key: Option<u16>,
+        /// Version of the configuration that decided.
+        configuration: u64,
+        /// The node that was tried last.
+        node: &'a str,
+        /// Sends that reached, or may have reached, a target.
+        sends: u32,
+        /// How it ended.
+        outcome: &'a str,
+        /// Time since it arrived, in milliseconds.
+        took_ms: u64,
+        /// Last thing that went wrong.
+        detail: &'a str,
+    },
+    /// The agent refused a request or lost its answer.
+    Refused {
+        /// The client's id of it.
+        id: &'a str,
+        /// Why.
+        reason: &'a str,
+        /// Requests in slots.
+        running: usize,
+        /// Requests that wait.
+        waiting: usize,
+        /// What is left of the lease, in milliseconds.
+        lease_left_ms: u64,
+        /// The leader's epoch.
+        epoch: u64,
+    },
+    /// Lines of one kind that were left out to bound the volume.
+    LinesLeftOut {
+        /// How many.
+        count: u64,
+    },
+}
+
+#[derive(Serialize)]
+struct Line<'a> {
+    at_ms: u64,
+    node: &'a str,
+    #[serde(flatten)]
+    event: Event<'a>,
+}
+
+/// Lines about requests that a second may bring.
+const REQUEST_LINES_A_SECOND: u64 = 40;
+
+/// Writes the lines of one node.
+pub struct Log {
+    node: String,
+    clock: Clock,
+    second: Cell<u64>,
+    lines: Cell<u64>,
+    left_out: Cell<u64>,
+}
+
+impl Log {
+    /// A log of that node.
+    pub fn new(node: &str, clock: Clock) -> Self {
+        Self {
+            node: node.to_owned(),
+            clock,
+            second: Cell::new(0),
+            lines: Cell::new(0),
+            left_out: Cell::new(0),
+        }
+    }
+
+    /// Writes a line about what the process believes.
+    pub fn write(&self, event: Event<'_>) {
+        let line = Line {
+            at_ms: u64::try_from(self.clock.uptime().as_millis()).unwrap_or(0),
+            node: &self.node,
+            event,
+        };
+        if let Ok(text) = serde_json::to_string(&line) {
+            spdlog::log!(Level::Info, "{}", text);
+        }
+    }
+
+    /// Writes a line about a request, unless this second has had its share.
+    pub fn write_request(&self, event: Event<'_>) {
+        let second = self.clock.uptime().as_secs();
+        if second != self.second.get() {
+            self.second.set(second);
+            self.lines.set(0);
+            let left_out = self.left_out.replace(0);
+            if left_out > 0 {
+                self.write(Event::LinesLeftOut { count: left_out });
+            }
+        }
+        if self.lines.get() >= REQUEST_LINES_A_SECOND {
+            self.left_out.set(self.left_out.get() + 1);
+            return;
+        }
+        self.lines.set(self.lines.get() + 1);
+        self.write(event);
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/metrics.rs
@@ -0,0 +1,151 @@
+//! Counters and latency histograms in the Prometheus text format.
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::Registry;
+
+/// Upper bounds of the latency buckets, in seconds.
+const LATENCY_BOUNDS: [f64; 10] = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4];
+
+/// Labels of a request's end.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct RequestLabels {
+    /// The service it was for; empty if none.
+    pub service: String,
+    /// How it ended.
+    pub outcome: &'static str,
+}
+
+/// One label for what happened.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct OutcomeLabel {
+    /// What happened.
+    pub outcome: &'static str,
+}
+
+/// One label for a service.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ServiceLabel {
+    /// The service.
+    pub service: String,
+}
+
+/// All figures of a node.
+pub struct Metrics {
+    registry: Registry,
+    /// Requests taken from clients, by service and outcome.
+    pub requests: Family<RequestLabels, Counter>,
+    /// Time from a request's arrival to the head of its answer, by service.
+    pub latency: Family<ServiceLabel, Histogram>,
+    /// Requests that the agent refused or lost, by reason.
+    pub refusals: Family<OutcomeLabel, Counter>,
+    /// Sends beyond a request's first.
+    pub repeats: Counter,
+    /// Calls to the store, by outcome.
+    pub store_calls: Family<OutcomeLabel, Counter>,
+    /// Grants and releases at the target, by outcome.
+    pub key_orders: Family<OutcomeLabel, Counter>,
+    /// Requests in the target's slots.
+    pub running: Gauge,
+    /// Requests that wait for a slot.
+    pub waiting: Gauge,
+    /// Version of the configuration in force.
+    pub configuration: Gauge,
+    /// Epoch of the leader that is followed.
+    pub epoch: Gauge,
+}
+
+impl Metrics {
+    /// Figures that are all zero.
+    pub fn new() -> Self {
+        let mut registry = Registry::with_prefix("wingspar");
+        let latency = Family::<ServiceLabel, Histogram>::new_with_constructor(|| {
+            Histogram::new(LATENCY_BOUNDS)
+        });
+        let metrics = Self {
+            requests: Family::default(),
+            latency,
+            refusals: Family::default(),
+            repeats: Counter::default(),
+            store_calls: Family::default(),
+            key_orders: Family::default(),
+            running: Gauge::default(),
+            waiting: Gauge::default(),
+            configuration: Gauge::default(),
+            epoch: Gauge::default(),
+            registry: Registry::default(),
+        };
+        registry.register(
+            "requests",
+            "Requests taken from clients",
+            metrics.requests.clone(),
+        );
+        registry.register(
+            "latency_seconds",
+            "Time to the head of an answer",
+            metrics.latency.clone(),
+        );
+        registry.register(
+            "refusals",
+            "Requests that the agent refused or lost",
+            metrics.refusals.clone(),
+        );
+        registry.register(
+            "repeats",
+            "Sends beyond a request's first",
+            metrics.repeats.clone(),
+        );
+        registry.register(
+            "store_calls",
+            "Calls to the store",
+            metrics.store_calls.clone(),
+        );
+        registry.register(
+            "key_orders",
+            "Grants and releases at the target",
+            metrics.key_orders.clone(),
+        );
+        registry.register(
+            "slots_running",
+            "Requests in the target's slots",
+            metrics.running.clone(),
+        );
+        registry.register(
+            "slots_waiting",
+            "Requests that wait for a slot",
+            metrics.waiting.clone(),
+        );
+        registry.register(
+            "configuration_version",
+            "Configuration in force",
+            metrics.configuration.clone(),
+        );
+        registry.register(
+            "leader_epoch",
+            "Epoch of the leader followed",
+            metrics.epoch.clone(),
+        );
+        Self {
+            registry,
+            ..metrics
+        }
+    }
+
+    /// Counts one thing that happened.
+    pub fn count(&self, family: &Family<OutcomeLabel, Counter>, outcome: &'static str) {
+        family.get_or_create(&OutcomeLabel { outcome }).inc();
+    }
+
+    /// All figures as text; empty if one can't be encoded, which is a defect.
+    pub fn encode(&self) -> String {
+        let mut text = String::new();
+        if encode(&mut text, &self.registry).is_err() {
+            text.clear();
+        }
+        text
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/node.rs
@@ -0,0 +1,219 @@
+//! The state that the parts of a node share; all of it lives on one thread.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use tokio::sync::{Notify, watch};
+use wingspar_ownership::{Election, Holder, Leader, Life, NodeName, Table, Time, Timing};
+use wingspar_routes::{Configuration, RouteTable};
+
+use crate::budget::Budget;
+use crate::clock::Clock;
+use crate::connections::Connections;
+use crate::directory::Directory;
+use crate::logs::{Event, Log};
+use crate::metrics::Metrics;
+use crate::selection::Selection;
+use crate::settings::Settings;
+use crate::slots::Slots;
+use crate::stop::Stop;
+use crate::store::Store;
+use crate::target::Target;
+use crate::target_calls::KeyLoad;
+
+/// Time for a connection to another node to come up.
+const PEER_CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time for a connection to the target, on the same machine, to come up.
+const TARGET_CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// One node.
+pub struct Node {
+    /// Its settings.
+    pub settings: Settings,
+    /// Its name.
+    pub name: NodeName,
+    /// This process.
+    pub life: Life,
+    /// Its clock.
+    pub clock: Clock,
+    /// Bounds of ownership.
+    pub timing: Timing,
+    /// Its log.
+    pub log: Log,
+    /// Its figures.
+    pub metrics: Metrics,
+    /// The store.
+    pub store: Store,
+    /// Whether the last call to the store succeeded.
+    pub store_reachable: Cell<bool>,
+    /// Whether the store has acknowledged the node's registration.
+    pub registered: Cell<bool>,
+    /// The configuration in force.
+    pub routes: RefCell<Option<Rc<RouteTable>>>,
+    /// The same, as others are given it.
+    pub configuration_bytes: RefCell<Bytes>,
+    /// Nodes and owners.
+    pub directory: RefCell<Rc<Directory>>,
+    /// Told when the directory changes.
+    pub directory_changed: Notify,
+    /// The target beside the node.
+    pub target: RefCell<Target>,
+    /// Connections to it for requests.
+    pub target_connections: Rc<Connections>,
+    /// Connections to it for orders about keys.
+    pub target_orders: Rc<Connections>,
+    /// Its slots.
+    pub slots: Rc<Slots>,
+    /// Requests by key since the last report.
+    pub key_load: RefCell<KeyLoad>,
+    /// What the target holds.
+    pub holder: RefCell<Holder>,
+    /// Whom the node follows.
+    pub election: RefCell<Election>,
+    /// The leader, if it is this node.
+    pub leader: RefCell<Option<Leader>>,
+    /// Told when the control loop has something to do at once.
+    pub control_wakes: Notify,
+    /// Connections to other nodes.
+    peers: RefCell<HashMap<SocketAddr, Rc<Connections>>>,
+    /// What is known of targets elsewhere.
+    pub selection: Selection,
+    /// Extra sends.
+    pub budget: RefCell<Budget>,
+    /// Whether the process is about to stop.
+    pub stop: watch::Sender<Stop>,
+    /// Requests of clients that are being answered.
+    pub in_flight: Cell<usize>,
+}
+
+impl Node {
+    /// A node that has just started.
+    pub fn new(settings: Settings, life: Life) -> Rc<Self> {
+        let clock = Clock::start();
+        let now = clock.now();
+        let max_hold = Duration::from_secs_f64(settings.bounds.max_hold_s);
+        let timing = Timing {
+            max_hold,
+            ..Timing::default()
+        };
+        let name = NodeName::from(settings.node.name.as_str());
+        let probe_until = (!settings.node.first_start).then(|| now + Duration::from_millis(1_200));
+        Rc::new(Self {
+            log: Log::new(&settings.node.name, clock),
+            metrics: Metrics::new(),
+            store: Store::new(settings.store.address),
+            store_reachable: Cell::new(true),
+            registered: Cell::new(false),
+            routes: RefCell::new(None),
+            configuration_bytes: RefCell::new(Bytes::new()),
+            directory: RefCell::new(Rc::new(Directory::default())),
+            directory_changed: Notify::new(),
+            target: RefCell::new(Target::unknown(&settings.node.service, probe_until)),
+            target_connections: Connections::new(settings.node.target, TARGET_CONNECT_TIMEOUT),
+            target_orders: Connections::new(settings.node.target, TARGET_CONNECT_TIMEOUT),
+            slots: Slots::new(),
+            key_load: RefCell::new(KeyLoad::new(now)),
+            holder: RefCell::new(Holder::new(timing, settings.node.first_start)),
+            election: RefCell::new(Election::new(name.clone(), life, timing, now)),
+            leader: RefCell::new(None),
+            control_wakes: Notify::new(),
+            peers: RefCell::new(HashMap::new()),
+            selection: Selection::default(),
+            budget: RefCell::new(Budget::new(
+                settings.bounds.budget_ratio,
+                settings.bounds.budget_extra,
+            )),
+            stop: watch::Sender::new(Stop::No),
+            in_flight: Cell::new(0),
+            name,
+            life,
+            clock,
+            timing,
+            settings,
+        })
+    }
+
+    /// The time now.
+    pub fn now(&self) -> Time {
+        self.clock.now()
+    }
+
+    /// Whether the process is about to stop.
+    pub fn is_stopping(&self) -> bool {
+        *self.stop.borrow() != Stop::No
+    }
+
+    /// Kept connections to another node.
+    pub fn peer(&self, address: SocketAddr) -> Rc<Connections> {
+        let mut peers = self.peers.borrow_mut();
+        let peer = peers
+            .entry(address)
+            .or_insert_with(|| Connections::new(address, PEER_CONNECT_TIMEOUT));
+        peer.clone()
+    }
+
+    /// Version of the configuration in force; 0 if there is none.
+    pub fn configuration_version(&self) -> u64 {
+        self.routes
+            .borrow()
+            .as_ref()
+            .map_or(0, |routes| routes.configuration().version)
+    }
+
+    /// Puts a configuration in force unless a later one is. Returns whether it did.
+    pub fn configure(&self, configuration: Configuration, source: &'static str) -> bool {
+        if configuration.version <= self.configuration_version() {
+            return false;
+        }
+        let mut bytes = Vec::new();
+        if ciborium::into_writer(&configuration, &mut bytes).is_err() {
+            return false;
+        }
+        self.log.write(Event::ConfigurationInForce {
+            version: configuration.version,
+            source,
+            routes: configuration.routes.len(),
+        });
+        self.metrics
+            .configuration
+            .set(i64::try_from(configuration.version).unwrap_or(i64::MAX));
+        *self.configuration_bytes.borrow_mut() = Bytes::from(bytes);
+        *self.routes.borrow_mut() = Some(Rc::new(RouteTable::new(configuration)));
+        self.control_wakes.notify_one();
+        true
+    }
+
+    /// Whether a service's keys have owners.
+    pub fn is_keyed(&self, service: &str) -> bool {
+        let routes = self.routes.borrow();
+        routes
+            .as_ref()
+            .and_then(|routes| routes.configuration().service(service))
+            .is_some_and(|service| service.keyed)
+    }
+
+    /// Takes on a leader's table unless a later one is known.
+    pub fn set_table(&self, table: Table) {
+        let directory = Directory::new(table);
+        self.selection.retain(|node| directory.node(node).is_some());
+        *self.directory.borrow_mut() = Rc::new(directory);
+        self.directory_changed.notify_waiters();
+    }
+
+    /// Notes whether a call to the store succeeded; logs when that changes.
+    pub fn store_answered(&self, answered: bool, detail: &str) {
+        if self.store_reachable.replace(answered) == answered {
+            return;
+        }
+        let (dependency, detail) = ("store", detail.to_owned());
+        self.log.write(if answered {
+            Event::Regained { dependency, detail }
+        } else {
+            Event::Lost { dependency, detail }
+        });
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/router.rs
@@ -0,0 +1,477 @@
+//! Requests of clients and of the target: from their arrival to their final answer.
+//!
+//! Phases: *read* the request and pick its route, *choose* a node, *send* it there, *judge* what came
+//! back, and answer or choose again. A request that was given up on is answered at once.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use http::header::{EXPECT, HOST};
+use http::uri::PathAndQuery;
+use http::{HeaderMap, HeaderValue, Method, Request, Response};
+use hyper::body::Incoming;
+use tokio::time::{Instant, timeout, timeout_at};
+use wingspar_ownership::NodeName;
+use wingspar_platform::headers;
+use wingspar_routes::{Repeatability, Route, RouteTable};
+
+use crate::agent;
+use crate::answer::{Reason, own};
+use crate::body::{Body, RequestBody};
+use crate::directory::Destination;
+use crate::hop::{self, HopAnswer, HopRequest, Refusal};
+use crate::logs::Event;
+use crate::metrics::{RequestLabels, ServiceLabel};
+use crate::node::Node;
+
+/// Bodies up to this many bytes are kept, so that they can be sent again.
+const KEEP_BODY: usize = 64 * 1024;
+/// A client that names no deadline waits this long.
+const DEFAULT_DEADLINE: Duration = Duration::from_secs(10);
+/// Part of the objective after which a request that hasn't started is refused.
+const PATIENCE_SHARE: f64 = 0.24;
+/// A caller whose deadline is within this many objectives has no time to come back; it may wait for
+/// [`URGENT_PATIENCE_SHARE`] of its deadline.
+const URGENT_OBJECTIVES: f64 = 3.2;
+const URGENT_PATIENCE_SHARE: f64 = 0.55;
+/// Pause before a key's owner is looked up again, unless the directory changes before.
+const OWNER_PAUSE: Duration = Duration::from_millis(20);
+/// The final answer is given this much before the deadline, so that it arrives in time.
+const ANSWER_MARGIN: Duration = Duration::from_millis(5);
+/// Most nodes that are asked while nothing has been sent.
+const MOST_REFUSALS: usize = 4;
+
+/// Answers a request.
+pub async fn answer(node: Rc<Node>, request: Request<Incoming>) -> Response<Body> {
+    let arrived = Instant::now();
+    let table = node.routes.borrow().clone();
+    let mut record = Record::new(&request);
+    let response = match table {
+        Some(table) => {
+            record.configuration = table.configuration().version;
+            take(&node, &table, request, arrived, &mut record).await
+        }
+        None => Err(Reason::NoConfiguration),
+    };
+    record.finish(&node, arrived, response.as_ref().err().copied());
+    response.unwrap_or_else(own)
+}
+
+/// What is logged and counted of a request.
+struct Record {
+    id: String,
+    route: String,
+    service: String,
+    key: Option<u16>,
+    configuration: u64,
+    node: String,
+    sends: u32,
+    may_have_run: bool,
+    detail: String,
+}
+
+impl Record {
+    fn new(request: &Request<Incoming>) -> Self {
+        let id = request
+            .headers()
+            .get(headers::REQUEST_ID)
+            .and_then(|id| id.to_str().ok());
+        Self {
+            id: id.unwrap_or("").to_owned(),
+            route: String::new(),
+            service: String::new(),
+            key: None,
+            configuration: 0,
+            node: String::new(),
+            sends: 0,
+            may_have_run: false,
+            detail: String::new(),
+        }
+    }
+
+    fn finish(&self, node: &Node, arrived: Instant, reason: Option<Reason>) {
+        let took = arrived.elapsed();
+        let labels = RequestLabels {
+            service: self.service.clone(),
+            outcome: reason.map_or("answered", Reason::name),
+        };
+        node.metrics.requests.get_or_create(&labels).inc();
+        let service = ServiceLabel {
+            service: self.service.clone(),
+        };
+        node.metrics
+            .latency
+            .get_or_create(&service)
+            .observe(took.as_secs_f64());
+        if reason.is_none() && self.sends <= 1 {
+            return;
+        }
+        node.log.write_request(Event::Request {
+            id: &self.id,
+            route: &self.route,
+            service: &self.service,
+            key: self.key,
+            configuration: self.configuration,
+            node: &self.node,
+            sends: self.sends,
+            outcome: labels.outcome,
+            took_ms: u64::try_from(took.as_millis()).unwrap_or(0),
+            detail: &self.detail,
+        });
+    }
+}
+
+/// A request that has its route.
+struct Routed<'a> {
+    route: &'a Route,
+    service: &'a str,
+    key: Option<u16>,
+    method: Method,
+    path: PathAndQuery,
+    headers: HeaderMap,
+    body: RequestBody,
+    deadline: Instant,
+    patience: Instant,
+}
+
+async fn take(
+    node: &Rc<Node>,
+    table: &RouteTable,
+    request: Request<Incoming>,
+    arrived: Instant,
+    record: &mut Record,
+) -> Result<Response<Body>, Reason> {
+    let (parts, incoming) = request.into_parts();
+    only_one_id(&parts.headers)?;
+    let host = host_of(&parts).ok_or(Reason::Malformed)?;
+    let route = table.find(&host, parts.uri.path()).ok_or(Reason::NoRoute)?;
+    record.route.clone_from(&route.name);
+    let service = table
+        .choose_service(route, record.id.as_bytes())
+        .ok_or(Reason::NoTarget)?;
+    record.service = service.to_owned();
+    let keyed = table
+        .configuration()
+        .service(service)
+        .is_some_and(|service| service.keyed);
+    let key = if keyed {
+        hop::key_of(&parts.headers)
+    } else {
+        None
+    };
+    record.key = key;
+    node.budget.borrow_mut().request(node.now(), service);
+    let (deadline, patience) = times(route, &parts.headers, arrived);
+    check_length(&parts.headers, table.configuration().limits.body_bytes)?;
+    let path = parts
+        .uri
+        .path_and_query()
+        .cloned()
+        .ok_or(Reason::Malformed)?;
+    let body = match timeout_at(deadline, RequestBody::read(incoming, KEEP_BODY)).await {
+        Err(_) => return Err(Reason::NotSentInTime),
+        Ok(Err(_)) => return Err(Reason::BodyCut),
+        Ok(Ok(body)) => body,
+    };
+    let mut routed = Routed {
+        route,
+        service,
+        key,
+        method: parts.method,
+        path,
+        headers: forwarded_headers(node, parts.headers, &host),
+        body,
+        deadline,
+        patience,
+    };
+    send(node, &mut routed, record).await
+}
+
+fn only_one_id(headers: &HeaderMap) -> Result<(), Reason> {
+    let mut ids = headers.get_all(headers::REQUEST_ID).iter();
+    match (ids.next(), ids.next()) {
+        (Some(_), None) => Ok(()),
+        _ => Err(Reason::Malformed),
+    }
+}
+
+fn host_of(parts: &http::request::Parts) -> Option<String> {
+    if let Some(authority) = parts.uri.authority() {
+        return Some(authority.as_str().to_owned());
+    }
+    let mut hosts = parts.headers.get_all(HOST).iter();
+    match (hosts.next(), hosts.next()) {
+        (Some(host), None) => host.to_str().ok().map(str::to_owned),
+        _ => None,
+    }
+}
+
+fn check_length(headers: &HeaderMap, limit: u64) -> Result<(), Reason> {
+    let length = headers
+        .get(http::header::CONTENT_LENGTH)
+        .and_then(|length| length.to_str().ok()?.parse::<u64>().ok());
+    match length {
+        Some(length) if length > limit => Err(Reason::TooLarge),
+        _ => Ok(()),
+    }
+}
+
+/// When the request is given up, and until when it may wait for its start.
+fn times(route: &Route, headers: &HeaderMap, arrived: Instant) -> (Instant, Instant) {
+    let asked = headers
+        .get(headers::DEADLINE_MS)
+        .and_then(|value| value.to_str().ok()?.trim().parse::<f64>().ok())
+        .and_then(|millis| Duration::try_from_secs_f64(millis / 1000.0).ok())
+        .unwrap_or(DEFAULT_DEADLINE);
+    let held = route.timeout.map_or(asked, |timeout| timeout.min(asked));
+    let objective = route.objective.unwrap_or(asked);
+    let patience = if asked <= objective.mul_f64(URGENT_OBJECTIVES) {
+        asked.mul_f64(URGENT_PATIENCE_SHARE)
+    } else {
+        objective.mul_f64(PATIENCE_SHARE)
+    };
+    let deadline = arrived + held.saturating_sub(ANSWER_MARGIN);
+    (deadline, deadline.min(arrived + patience))
+}
+
+/// Headers for the target.
+fn forwarded_headers(node: &Node, mut headers: HeaderMap, host: &str) -> HeaderMap {
+    hop::strip(&mut headers);
+    headers.remove(EXPECT);
+    headers.remove(headers::EXPECT_INSTANCE);
+    if let Ok(caller) = HeaderValue::from_str(&node.settings.node.service) {
+        headers.insert(headers::CALLER_SERVICE, caller);
+    }
+    if let Ok(host) = HeaderValue::from_str(host) {
+        headers.insert(HOST, host);
+    }
+    headers
+}
+
+/// What to do after a node's answer.
+enum Next {
+    /// Ask another node, or the same again.
+    Again,
+    /// Give up.
+    GiveUp(Reason),
+}
+
+async fn send(
+    node: &Rc<Node>,
+    routed: &mut Routed<'_>,
+    record: &mut Record,
+) -> Result<Response<Body>, Reason> {
+    let mut tried = Vec::<NodeName>::new();
+    let mut refusals = 0;
+    loop {
+        let Some(destination) = choose(node, routed, &tried) else {
+            if record.sends > 0 {
+                return Err(given_up(routed, record));
+            }
+            wait_for_directory(node, routed).await?;
+            tried.clear();
+            continue;
+        };
+        record.node = destination.node.to_string();
+        let answer = send_to(node, routed, &destination).await;
+        let next = match answer {
+            HopAnswer::Answered(response) => {
+                record.sends += 1;
+                return Ok(response);
+            }
+            HopAnswer::Refused(Refusal::Rejected) => {
+                record.sends += 1;
+                record.detail = "rejected by the target".to_owned();
+                let reason = if record.may_have_run {
+                    given_up(routed, record)
+                } else {
+                    Reason::Full
+                };
+                after_send(node, routed, record, reason)
+            }
+            HopAnswer::Refused(refusal) => {
+                refusals += 1;
+                refused(node, routed, record, &destination, refusal, refusals).await
+            }
+            HopAnswer::MayHaveRun(detail) => {
+                record.sends += 1;
+                record.may_have_run = true;
+                record.detail = detail;
+                let reason = given_up(routed, record);
+                if routed.route.repeatability == Repeatability::AtMostOnce {
+                    Next::GiveUp(reason)
+                } else {
+                    after_send(node, routed, record, reason)
+                }
+            }
+        };
+        if let Next::GiveUp(reason) = next {
+            return Err(reason);
+        }
+        if routed.key.is_none() {
+            tried.push(destination.node);
+        }
+    }
+}
+
+/// The reason to give when a request that was sent is given up.
+fn given_up(routed: &Routed<'_>, record: &Record) -> Reason {
+    let over = Instant::now() + Duration::from_millis(2) >= routed.deadline;
+    match (record.may_have_run, over) {
+        (false, true) => Reason::NotSentInTime,
+        (false, false) => Reason::NoTarget,
+        (true, true) => Reason::NoAnswerInTime,
+        (true, false) => Reason::MayHaveRun,
+    }
+}
+
+fn choose(node: &Node, routed: &Routed<'_>, tried: &[NodeName]) -> Option<Destination> {
+    let directory = node.directory.borrow().clone();
+    if let Some(key) = routed.key {
+        return directory.owner(routed.service, key).cloned();
+    }
+    let destinations = directory.destinations(routed.service);
+    node.selection
+        .choose(node.now(), &node.settings.node.zone, destinations, tried)
+        .cloned()
+}
+
+/// Waits for the directory to change, or a moment; an error when patience has ended.
+async fn wait_for_directory(node: &Node, routed: &Routed<'_>) -> Result<(), Reason> {
+    if Instant::now() >= routed.patience {
+        return Err(if routed.key.is_some() {
+            Reason::NoOwner
+        } else {
+            Reason::NoTarget
+        });
+    }
+    let _changed = timeout(OWNER_PAUSE, node.directory_changed.notified()).await;
+    Ok(())
+}
+
+async fn send_to(node: &Rc<Node>, routed: &mut Routed<'_>, destination: &Destination) -> HopAnswer {
+    let request = HopRequest {
+        method: routed.method.clone(),
+        path: routed.path.clone(),
+        headers: routed.headers.clone(),
+        body: routed.body.take(),
+        service: routed.service.to_owned(),
+        deadline: routed.deadline,
+        patience: routed.patience,
+        priority: routed.route.priority,
+        key: routed.key,
+    };
+    let outstanding = Outstanding::begin(node, &destination.node);
+    let (answer, occupancy) = if destination.node == node.name {
+        let answer = agent::serve(node, request).await;
+        (answer, Some(agent::occupancy(node)))
+    } else {
+        hop::send(&node.peer(destination.address), request).await
+    };
+    if let Some(occupancy) = occupancy {
+        let now = node.now();
+        node.selection
+            .reported(now, &destination.node, occupancy.running, occupancy.waiting);
+    }
+    outstanding.end(matches!(answer, HopAnswer::Answered(_)));
+    answer
+}
+
+/// Counts a request as outstanding at a node until it ends, also if its client leaves.
+struct Outstanding<'a> {
+    node: &'a Node,
+    destination: NodeName,
+    since: Instant,
+    useful: bool,
+}
+
+impl<'a> Outstanding<'a> {
+    fn begin(node: &'a Node, destination: &NodeName) -> Self {
+        node.selection.sent(destination);
+        Self {
+            node,
+            destination: destination.clone(),
+            since: Instant::now(),
+            useful: false,
+        }
+    }
+
+    fn end(mut self, useful: bool) {
+        self.useful = useful;
+    }
+}
+
+impl Drop for Outstanding<'_> {
+    fn drop(&mut self) {
+        let took = self.useful.then(|| self.since.elapsed());
+        self.node.selection.ended(&self.destination, took);
+    }
+}
+
+/// A node refused: the request hasn't run.
+async fn refused(
+    node: &Node,
+    routed: &Routed<'_>,
+    record: &mut Record,
+    destination: &Destination,
+    refusal: Refusal,
+    refusals: usize,
+) -> Next {
+    record.detail = refusal.name().to_owned();
+    if matches!(
+        refusal,
+        Refusal::Unreachable | Refusal::Leaving | Refusal::NoTarget
+    ) {
+        node.selection.avoid(node.now(), &destination.node);
+    }
+    if !routed.body.is_available() {
+        return Next::GiveUp(given_up(routed, record));
+    }
+    let reason = match refusal {
+        Refusal::Full => Reason::Full,
+        Refusal::Late => Reason::NotSentInTime,
+        Refusal::NotOwner | Refusal::Arriving => Reason::NoOwner,
+        _ => Reason::NoTarget,
+    };
+    // Once a send may have run, "not run" would be untrue.
+    let reason = if record.may_have_run {
+        given_up(routed, record)
+    } else {
+        reason
+    };
+    if Instant::now() >= routed.patience {
+        return Next::GiveUp(reason);
+    }
+    if routed.key.is_none() {
+        let enough = refusals >= MOST_REFUSALS;
+        return if enough {
+            Next::GiveUp(reason)
+        } else {
+            Next::Again
+        };
+    }
+    if refusal == Refusal::Full {
+        return Next::GiveUp(reason);
+    }
+    let _changed = timeout(OWNER_PAUSE, node.directory_changed.notified()).await;
+    Next::Again
+}
+
+/// A send reached a target: whether another may follow.
+fn after_send(node: &Node, routed: &Routed<'_>, record: &Record, reason: Reason) -> Next {
+    let left = routed.deadline.saturating_duration_since(Instant::now());
+    let worth_it = left > routed.route.objective.unwrap_or_default().mul_f64(0.3);
+    if record.sends >= routed.route.max_attempts || !routed.body.is_available() || !worth_it {
+        return Next::GiveUp(reason);
+    }
+    let nodes = node.directory.borrow().nodes();
+    if !node
+        .budget
+        .borrow_mut()
+        .spend(node.now(), routed.service, nodes)
+    {
+        return Next::GiveUp(reason);
+    }
+    node.metrics.repeats.inc();
+    Next::Again
+}
--- /dev/null
+++ b/crates/sidecar/src/settings.rs
@@ -0,0 +1,155 @@
+//! Settings of a sidecar node, read from TOML.
+
+use std::net::{IpAddr, SocketAddr};
+use std::path::Path;
+use std::time::Duration;
+
+use serde::Deserialize;
+
+/// The settings can't be used.
+#[derive(Debug, thiserror::Error)]
+pub enum SettingsError {
+    /// The file can't be read.
+    #[error("settings can't be read: {0}")]
+    Read(#[from] std::io::Error),
+    /// The text isn't TOML, a field is missing or has the wrong shape.
+    #[error("settings are wrong: {0}")]
+    Parse(#[from] toml::de::Error),
+    /// A value is out of its bounds.
+    #[error("settings are wrong: {field} {problem}")]
+    Value {
+        /// The field, with its table.
+        field: &'static str,
+        /// What is wrong with it.
+        problem: &'static str,
+    },
+}
+
+/// Settings of one node. Fields that aren't known are passed over.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+pub struct Settings {
+    /// The node itself.
+    pub node: NodeSettings,
+    /// Where it listens.
+    pub listen: ListenSettings,
+    /// The store that lasts.
+    pub store: StoreSettings,
+    /// Bounds that others rely on.
+    pub bounds: Bounds,
+}
+
+/// The node and the target beside it.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+pub struct NodeSettings {
+    /// Name, alone of its kind among all nodes.
+    pub name: String,
+    /// Zone of the machine.
+    pub zone: String,
+    /// Service of the target beside the node.
+    pub service: String,
+    /// Address of the machine.
+    pub address: IpAddr,
+    /// Where the target listens.
+    pub target: SocketAddr,
+    /// Whether the whole system starts for the first time.
+    #[serde(default)]
+    pub first_start: bool,
+}
+
+/// Where the node listens.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+pub struct ListenSettings {
+    /// Requests of clients and of the target.
+    pub outbound: SocketAddr,
+    /// Readiness questions.
+    pub ready: SocketAddr,
+    /// Heartbeats of the target.
+    pub heartbeats: SocketAddr,
+    /// Other nodes, over TCP and UDP.
+    pub internal_port: u16,
+    /// Metrics.
+    pub metrics_port: u16,
+}
+
+/// The store that lasts.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+pub struct StoreSettings {
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
+/// Bounds that others rely on; times in seconds.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+pub struct Bounds {
+    /// A target gets nothing new this long after its leaving was acknowledged.
+    pub drain_s: f64,
+    /// The process is killed this long after SIGTERM.
+    pub grace_s: f64,
+    /// Extra sends to a service, in parts of its requests.
+    pub budget_ratio: f64,
+    /// The span over which extra sends are counted.
+    pub budget_window_s: f64,
+    /// Extra sends allowed beyond the ratio, by all nodes together.
+    pub budget_extra: f64,
+    /// Longest hold of keys that a target takes.
+    pub max_hold_s: f64,
+}
+
+impl Settings {
+    /// Reads and checks a file.
+    pub fn load(path: &Path) -> Result<Self, SettingsError> {
+        Self::parse(&std::fs::read_to_string(path)?)
+    }
+
+    /// Reads and checks a text.
+    pub fn parse(text: &str) -> Result<Self, SettingsError> {
+        let settings = toml::from_str::<Self>(text)?;
+        settings.check()?;
+        Ok(settings)
+    }
+
+    /// Where other nodes reach this one.
+    pub fn internal(&self) -> SocketAddr {
+        SocketAddr::new(self.node.address, self.listen.internal_port)
+    }
+
+    fn check(&self) -> Result<(), SettingsError> {
+        let name = &self.node.name;
+        let plain = name
+            .bytes()
+            .all(|byte| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte));
+        if name.is_empty() || !plain {
+            return wrong("node.name", "must be letters, digits, '-', '_' or '.'");
+        }
+        if self.node.service.is_empty() {
+            return wrong("node.service", "is empty");
+        }
+        if self.listen.internal_port == self.listen.metrics_port {
+            return wrong("listen.metrics_port", "is the same as listen.internal_port");
+        }
+        let times = [
+            ("bounds.drain_s", self.bounds.drain_s),
+            ("bounds.grace_s", self.bounds.grace_s),
+            ("bounds.budget_window_s", self.bounds.budget_window_s),
+            ("bounds.max_hold_s", self.bounds.max_hold_s),
+        ];
+        for (field, value) in times {
+            if Duration::try_from_secs_f64(value).is_err() || value <= 0.0 {
+                return wrong(field, "must be a time above 0, in seconds");
+            }
+        }
+        for (field, value) in [
+            ("bounds.budget_ratio", self.bounds.budget_ratio),
+            ("bounds.budget_extra", self.bounds.budget_extra),
+        ] {
+            if !value.is_finite() || value < 0.0 {
+                return wrong(field, "must be a number, 0 or more");
+            }
+        }
+        Ok(())
+    }
+}
+
+fn wrong(field: &'static str, problem: &'static str) -> Result<(), SettingsError> {
+    Err(SettingsError::Value { field, problem })
+}
--- /dev/null
+++ b/crates/sidecar/src/target_calls.rs
@@ -0,0 +1,408 @@
+//! Calls to the target beside the node: requests, orders about keys, health checks.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use http::header::{CONTENT_ENCODING, CONTENT_TYPE, HOST};
+use http::{HeaderValue, Method, Request, Response, StatusCode};
+use http_body_util::BodyExt;
+use tokio::time::{Instant, timeout};
+use wingspar_ownership::{GrantResult, LoadReport, Order, Time, bucket_of};
+use wingspar_platform::{GrantOrder, ReleaseOrder, headers};
+
+use crate::body::Body;
+use crate::connections::{ConnectionBody, SendError};
+use crate::hop::{HopAnswer, HopRequest, Refusal, whole_or_stream};
+use crate::logs::Event;
+use crate::node::Node;
+use crate::slots::Slot;
+use crate::target::Heard;
+
+/// Answers up to this length, in bytes, are read whole before they are passed on.
+pub const KEEP_WHOLE: u64 = 64 * 1024;
+/// A grant without an answer for this long is given up and tried again.
+const GRANT_TIMEOUT: Duration = Duration::from_millis(500);
+/// A release is answered when the work on its keys has ended; without an answer for this long it is
+/// sent again.
+const RELEASE_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// A health check without an answer for this long has failed.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Requests by key since the last report.
+#[derive(Debug)]
+pub struct KeyLoad {
+    since: Time,
+    arrivals: BTreeMap<u16, u32>,
+    totals: (u64, u64),
+}
+
+impl KeyLoad {
+    /// No requests yet.
+    pub fn new(now: Time) -> Self {
+        Self {
+            since: now,
+            arrivals: BTreeMap::new(),
+            totals: (0, 0),
+        }
+    }
+
+    /// A request for a key has arrived.
+    pub fn arrived(&mut self, key: u16) {
+        let bucket = u16::try_from(bucket_of(key)).unwrap_or(0);
+        *self.arrivals.entry(bucket).or_default() += 1;
+    }
+
+    /// What came in since the last report; `totals` are requests finished and slot time so far.
+    pub fn take(
+        &mut self,
+        now: Time,
+        node: &Node,
+        service: &str,
+        totals: (u64, u64),
+    ) -> LoadReport {
+        let before = std::mem::replace(&mut self.totals, totals);
+        let report = LoadReport {
+            node: node.name.clone(),
+            service: service.to_owned(),
+            span_ms: now.0 - self.since.0,
+            arrivals: std::mem::take(&mut self.arrivals).into_iter().collect(),
+            finished: u32::try_from(totals.0 - before.0).unwrap_or(u32::MAX),
+            busy_ms: totals.1 - before.1,
+        };
+        self.since = now;
+        report
+    }
+}
+
+/// Sends a request to the target; the caller has checked that it may start. The slot stays in use
+/// until the answer has ended.
+pub async fn run(node: &Rc<Node>, hop: HopRequest, slot: Slot) -> HopAnswer {
+    let Some(expected) = node.target.borrow().id().map(str::to_owned) else {
+        return HopAnswer::Refused(Refusal::NoTarget);
+    };
+    let deadline = hop.deadline;
+    let id = hop.headers.get(headers::REQUEST_ID).cloned();
+    let key = hop.key;
+    let request = target_request(hop, &expected);
+    let sent = tokio::time::timeout_at(deadline, node.target_connections.send(request)).await;
+    let response = match sent {
+        Err(_) => return HopAnswer::MayHaveRun("the target didn't answer in time".to_owned()),
+        Ok(Err(SendError::NotSent(_))) => {
+            target_failed(node);
+            return HopAnswer::Refused(Refusal::Unreachable);
+        }
+        Ok(Err(SendError::MayHaveRun(detail))) => return HopAnswer::MayHaveRun(detail),
+        Ok(Ok(response)) => response,
+    };
+    if response
+        .headers()
+        .get(headers::REQUEST_ID)
+        .is_some_and(|answered| Some(answered) != id.as_ref())
+    {
+        return HopAnswer::MayHaveRun("an answer to another request".to_owned());
+    }
+    if has_not_run(&response) {
+        return rejected(node, response, &expected, key).await;
+    }
+    if response.status().is_success() && !is_targets_own(&response) {
+        return HopAnswer::MayHaveRun("an answer without the target's signature".to_owned());
+    }
+    slot.worked();
+    pass_on(response, deadline, slot).await
+}
+
+fn target_request(hop: HopRequest, expected: &str) -> Request<Body> {
+    let left = hop.deadline.saturating_duration_since(Instant::now());
+    let mut request = Request::new(hop.body);
+    *request.method_mut() = hop.method;
+    *request.uri_mut() = hop.path.into();
+    let mut own = hop.headers;
+    own.insert(
+        headers::DEADLINE_MS,
+        HeaderValue::from(u64::try_from(left.as_millis()).unwrap_or(0)),
+    );
+    if let Ok(expected) = HeaderValue::from_str(expected) {
+        own.insert(headers::EXPECT_INSTANCE, expected);
+    }
+    *request.headers_mut() = own;
+    request
+}
+
+/// Whether the target says that it didn't run the request.
+fn has_not_run(response: &Response<ConnectionBody>) -> bool {
+    response.headers().contains_key(headers::NOT_EXECUTED)
+        || response.status() == StatusCode::MISDIRECTED_REQUEST
+}
+
+fn is_targets_own(response: &Response<ConnectionBody>) -> bool {
+    response.headers().contains_key(headers::SIGNATURE)
+        && !response.headers().contains_key(CONTENT_ENCODING)
+}
+
+async fn rejected(
+    node: &Rc<Node>,
+    response: Response<ConnectionBody>,
+    expected: &str,
+    key: Option<u16>,
+) -> HopAnswer {
+    let misdirected = response.status() == StatusCode::MISDIRECTED_REQUEST;
+    let instance = response
+        .headers()
+        .get(headers::INSTANCE)
+        .and_then(|value| value.to_str().ok());
+    if let Some(instance) = instance
+        && instance != expected
+    {
+        let heard = node.target.borrow_mut().other_answered(instance);
+        heard_of_target(node, heard);
+    } else if let (true, Some(key)) = (misdirected, key) {
+        node.holder.borrow_mut().denied_by_target(node.now(), key);
+        node.control_wakes.notify_one();
+    }
+    let _rest = timeout(PROBE_TIMEOUT, response.into_body().collect()).await;
+    HopAnswer::Refused(Refusal::Rejected)
+}
+
+async fn pass_on(response: Response<ConnectionBody>, deadline: Instant, slot: Slot) -> HopAnswer {
+    let (mut parts, body) = response.into_parts();
+    crate::hop::strip(&mut parts.headers);
+    let body = WithSlot { body, _slot: slot };
+    match whole_or_stream(body, deadline).await {
+        Ok(body) => HopAnswer::Answered(Response::from_parts(parts, body)),
+        Err(error) => HopAnswer::MayHaveRun(error.to_string()),
+    }
+}
+
+/// A body that keeps its slot until it ends.
+struct WithSlot {
+    body: ConnectionBody,
+    _slot: Slot,
+}
+
+impl http_body::Body for WithSlot {
+    type Data = bytes::Bytes;
+    type Error = crate::body::BodyError;
+
+    fn poll_frame(
+        mut self: std::pin::Pin<&mut Self>,
+        context: &mut std::task::Context<'_>,
+    ) -> std::task::Poll<Option<Result<http_body::Frame<Self::Data>, Self::Error>>> {
+        std::pin::Pin::new(&mut self.body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> http_body::SizeHint {
+        self.body.size_hint()
+    }
+}
+
+/// A connection to the target failed: others shouldn't send it work until it is heard again.
+fn target_failed(node: &Node) {
+    if node.target.borrow().accepting(node.now()) {
+        node.log.write(Event::Lost {
+            dependency: "target",
+            detail: "no connection".to_owned(),
+        });
+    }
+    node.target.borrow_mut().failed();
+    node.control_wakes.notify_one();
+}
+
+/// Passes on what was heard of the target to the parts that rest on it.
+pub fn heard_of_target(node: &Node, heard: Heard) {
+    let target = node.target.borrow();
+    let change = match heard {
+        Heard::Nothing => return,
+        Heard::NewLife => "new_life",
+        Heard::Leaves => "leaves",
+        Heard::Changed => "changed",
+    };
+    let Some(id) = target.id() else {
+        return;
+    };
+    node.log.write(Event::TargetChanged {
+        target: id,
+        change,
+        sequence: 0,
+    });
+    if node.holder.borrow_mut().target_is(id) {
+        node.target_connections.close_idle();
+        node.target_orders.close_idle();
+    }
+    node.slots.set_capacity(target.slots() as usize);
+    node.control_wakes.notify_one();
+}
+
+/// Carries an order about keys out and tells the holder how it ended.
+pub async fn carry_out(node: Rc<Node>, order: Order) {
+    let sent_at = node.now();
+    match order {
+        Order::Grant {
+            range,
+            fence,
+            hold,
+            handover,
+        } => {
+            let body = GrantOrder {
+                from: range.from,
+                to: range.to,
+                fence: fence.0,
+                hold: hold.as_secs_f64(),
+                handover,
+            };
+            let answer = post(&node, GrantOrder::PATH, body.body(), GRANT_TIMEOUT).await;
+            let result = match answer.as_ref().map(Response::status) {
+                Some(status) if status.is_success() => GrantResult::Granted,
+                Some(StatusCode::CONFLICT) => GrantResult::Outranked,
+                _ => GrantResult::Failed,
+            };
+            let now = node.now();
+            node.holder
+                .borrow_mut()
+                .granted(now, range, fence, sent_at, hold, result);
+            let outcome = match result {
+                GrantResult::Granted => "granted",
+                GrantResult::Outranked => "outranked",
+                GrantResult::Failed => "failed",
+            };
+            note(&node, "grant", range, fence.0, outcome);
+        }
+        Order::Release { range, fence } => {
+            let (answered, handover) = release(&node, range, fence.0).await;
+            node.holder
+                .borrow_mut()
+                .release_ended(node.now(), range, fence, answered, handover);
+            note(
+                &node,
+                "release",
+                range,
+                fence.0,
+                if answered { "released" } else { "failed" },
+            );
+        }
+        Order::Clear { fence } => {
+            let range = wingspar_ownership::KeyRange::ALL;
+            let (answered, handover) = release(&node, range, fence.0).await;
+            node.holder
+                .borrow_mut()
+                .clear_ended(node.now(), answered, handover);
+            note(
+                &node,
+                "clear",
+                range,
+                fence.0,
+                if answered { "released" } else { "failed" },
+            );
+        }
+    }
+    node.control_wakes.notify_one();
+}
+
+fn note(
+    node: &Node,
+    order: &'static str,
+    range: wingspar_ownership::KeyRange,
+    fence: u64,
+    outcome: &'static str,
+) {
+    node.metrics.count(&node.metrics.key_orders, outcome);
+    if order == "grant" && outcome == "granted" {
+        // Renewals would fill the log; a grant that fails is told, and so is every end of one.
+        return;
+    }
+    node.log.write(Event::Keys {
+        order,
+        from: range.from,
+        to: range.to,
+        fence,
+        outcome,
+        lease_left_ms: lease_left_ms(node),
+    });
+}
+
+/// What is left of the node's lease, in milliseconds.
+pub fn lease_left_ms(node: &Node) -> u64 {
+    let left = node.holder.borrow().lease_until().since(node.now());
+    u64::try_from(left.as_millis()).unwrap_or(0)
+}
+
+async fn release(
+    node: &Rc<Node>,
+    range: wingspar_ownership::KeyRange,
+    fence: u64,
+) -> (bool, Option<String>) {
+    let body = ReleaseOrder {
+        from: range.from,
+        to: range.to,
+        fence,
+    };
+    match post(node, ReleaseOrder::PATH, body.body(), RELEASE_TIMEOUT).await {
+        Some(answer) if answer.status().is_success() => {
+            let handover = answer
+                .headers()
+                .get(headers::HANDOVER)
+                .and_then(|value| value.to_str().ok());
+            (true, handover.map(str::to_owned))
+        }
+        _ => (false, None),
+    }
+}
+
+async fn post(
+    node: &Rc<Node>,
+    path: &'static str,
+    body: bytes::Bytes,
+    time: Duration,
+) -> Option<Response<()>> {
+    let mut request = Request::new(Body::whole(body));
+    *request.method_mut() = Method::POST;
+    *request.uri_mut() = http::Uri::from_static(path);
+    request
+        .headers_mut()
+        .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    call(node, request, time).await
+}
+
+async fn call(node: &Rc<Node>, mut request: Request<Body>, time: Duration) -> Option<Response<()>> {
+    let host = HeaderValue::from_str(&node.settings.node.target.to_string()).ok()?;
+    request.headers_mut().insert(HOST, host);
+    let exchange = async {
+        let response = node.target_orders.send(request).await.ok()?;
+        let (parts, body) = response.into_parts();
+        let _rest = body.collect().await.ok()?;
+        Some(Response::from_parts(parts, ()))
+    };
+    timeout(time, exchange).await.ok().flatten()
+}
+
+/// Asks the target how it is.
+pub async fn probe(node: &Rc<Node>, path: &str) {
+    let Ok(uri) = path.parse() else {
+        return;
+    };
+    let mut request = Request::new(Body::empty());
+    *request.uri_mut() = uri;
+    let Some(answer) = call(node, request, PROBE_TIMEOUT).await else {
+        return;
+    };
+    let text = |name| {
+        answer
+            .headers()
+            .get(name)
+            .and_then(|value: &HeaderValue| value.to_str().ok())
+    };
+    let Some(id) = text(headers::INSTANCE) else {
+        return;
+    };
+    let slots = text(headers::LOAD).and_then(|load| load.rsplit(',').next()?.trim().parse().ok());
+    let healthy = answer.status().is_success();
+    let heard = node
+        .target
+        .borrow_mut()
+        .probed(node.now(), id, healthy, slots);
+    heard_of_target(node, heard);
+}
--- a/crates/wingspar/src/main.rs
+++ b/crates/wingspar/src/main.rs
@@ -20,6 +20,7 @@
 
 Usage:
   wingspar node --settings FILE [FLAGS]  run this machine's node until SIGTERM or SIGINT
+  wingspar sidecar --settings FILE       run this machine's node on the users' platform until SIGTERM
   wingspar check FILE [FLAGS]            check settings; report every mistake
   wingspar ctl COMMAND                   operators' commands; see wingspar ctl --help
   wingspar --version
@@ -47,6 +48,7 @@
     };
     match command.to_str() {
         Some("node") => node(words),
+        Some("sidecar") => sidecar(words),
         Some("check") => check(words),
         Some("ctl") => ExitCode::from(wingspar_ctl::run(words)),
         Some("--version" | "-V") => {
@@ -88,6 +90,31 @@
     }
 }
 
+fn sidecar(words: Vec<OsString>) -> ExitCode {
+    let mut arguments = Arguments::from_vec(words);
+    if arguments.contains(["-h", "--help"]) {
+        return help();
+    }
+    let path = match arguments.value_from_str::<_, PathBuf>("--settings") {
+        Ok(path) => path,
+        Err(error) => return usage(&error.to_string()),
+    };
+    if let Err(code) = nothing_left(arguments) {
+        return code;
+    }
+    match wingspar_sidecar::run(&path) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error @ wingspar_sidecar::RunError::Settings(_)) => {
+            eprintln!("error: {}: {error}", path.display());
+            ExitCode::from(WRONG_SETTINGS)
+        }
+        Err(error) => {
+            eprintln!("error: {error}");
+            ExitCode::from(FAILED)
+        }
+    }
+}
+
 fn run(settings: Settings) -> ExitCode {
     match wingspar_node::run(settings) {
         Ok(()) => ExitCode::SUCCESS,
