ownership: a lease's end counts only once the store has confirmed the leadership after it

An isolated node took the leadership through the store, renewed what it still listed as held though its lease had ended, while the old leader, within its time, had given the keys away. Ruled out: late grants (both worked, for as long as the cut lasted). Change: holders forget everything at the end of their lease; a leader frees an expired holder's keys only after a confirmation that was sent after the lease's end; an answer about another life of the target gives no lease; isolated nodes wait 6 s before they contend.

--- a/crates/ownership/src/election.rs
+++ b/crates/ownership/src/election.rs
@@ -9,7 +9,7 @@
 /// A peer that has heard the leader within this shows that it lives.
 const FRESH: Duration = Duration::from_millis(900);
 /// A node that no peer answers waits this much longer, since it is likely to be the one cut off.
-const ISOLATED_EXTRA: Duration = Duration::from_millis(2_500);
+const ISOLATED_EXTRA: Duration = Duration::from_millis(6_000);
 /// Pause after a look at the object that told nothing.
 const LOOK_AGAIN: Duration = Duration::from_millis(350);
 /// Steps between the waits of nodes that contend.
--- a/crates/ownership/src/holder.rs
+++ b/crates/ownership/src/holder.rs
@@ -137,8 +137,17 @@
         self.lease_until
     }
 
+    /// Forgets everything when the lease has ended: the target's holds have too, and the keys may be
+    /// another's by now.
+    fn drop_expired(&mut self, now: Time) {
+        if now >= self.lease_until {
+            self.entries.clear();
+        }
+    }
+
     /// Everything that the target may hold.
-    pub fn held(&self) -> Vec<Holding> {
+    pub fn held(&mut self, now: Time) -> Vec<Holding> {
+        self.drop_expired(now);
         self.entries
             .iter()
             .map(|entry| Holding {
@@ -185,7 +194,12 @@
         if reply.epoch < self.epoch {
             return false;
         }
+        self.drop_expired(now);
         self.promise(reply.epoch);
+        if reply.target != self.target {
+            // The answer is about another life of the target.
+            return true;
+        }
         let until = reply.renewal_sent_at + Duration::from_millis(reply.lease_ms);
         self.lease_until = self.lease_until.max(until);
         if let Some(fence) = reply.clean_fence
@@ -298,6 +312,7 @@
 
     /// Calls that are due at the target.
     pub fn orders(&mut self, now: Time) -> Vec<Order> {
+        self.drop_expired(now);
         self.released
             .retain(|(_, _, at)| now.since(*at) < RELEASED_TOLD);
         self.entries.retain(|entry| {
--- a/crates/ownership/src/leader.rs
+++ b/crates/ownership/src/leader.rs
@@ -115,15 +115,28 @@
         now < self.confirmed_at + self.timing.leadership
     }
 
-    /// Whether a node waits for a confirmation to be admitted.
-    pub fn wants_confirmation(&self) -> bool {
-        self.members.values().any(|member| {
-            member
+    /// Whether a node waits for a confirmation to be admitted, or keys wait for one after their
+    /// holder's lease has ended.
+    pub fn wants_confirmation(&self, now: Time) -> bool {
+        self.members.iter().any(|(node, member)| {
+            let admission = member
                 .registered_at
-                .is_some_and(|at| at >= self.confirmed_at)
+                .is_some_and(|at| at >= self.confirmed_at);
+            let ended = member.lease_until + self.timing.lease_margin;
+            let expiry = ended <= now && self.confirmed_at < ended && self.may_hold(node);
+            admission || expiry
         })
     }
 
+    /// Whether any keys are a node's, or are to be given back by it.
+    fn may_hold(&self, node: &NodeName) -> bool {
+        let mut slices = self
+            .partitions
+            .values()
+            .flat_map(|partition| &partition.slices);
+        slices.any(|slice| slice.state.holder() == Some(node))
+    }
+
     /// All nodes that the leader has heard.
     pub fn members(&self) -> &BTreeMap<NodeName, Member> {
         &self.members
@@ -309,13 +322,15 @@
         self.refresh_table(now);
     }
 
-    /// Frees what nodes held whose leases have ended.
+    /// Frees what nodes held whose leases have ended. The store must have confirmed the leadership
+    /// after that: else a later leader may have renewed the node meanwhile, without this one knowing.
     fn end_leases(&mut self, now: Time) {
         let margin = self.timing.lease_margin;
+        let sure_until = now.min(self.confirmed_at);
         let ended = self
             .members
             .iter()
-            .filter(|(_, member)| member.lease_until + margin <= now)
+            .filter(|(_, member)| member.lease_until + margin <= sure_until)
             .map(|(node, _)| node.clone())
             .collect::<Vec<_>>();
         for partition in self.partitions.values_mut() {
--- a/crates/sidecar/src/control.rs
+++ b/crates/sidecar/src/control.rs
@@ -157,7 +157,8 @@
 
     fn renewal(&self, now: Time) -> Renewal {
         let node = &self.node;
-        let holder = node.holder.borrow();
+        let mut holder = node.holder.borrow_mut();
+        let held = holder.held(now);
         Renewal {
             node: node.name.clone(),
             life: node.life,
@@ -167,7 +168,7 @@
             epoch: holder.epoch(),
             applied: holder.applied(),
             clean: holder.is_clean(),
-            held: holder.held(),
+            held,
             released: holder.released(),
             target: node.target.borrow().state(now),
             leaving: node.is_stopping(),
@@ -562,7 +563,7 @@
             leader.set_keyed_services(&keyed);
         }
         leader.tick(now);
-        let hurried = leader.wants_confirmation()
+        let hurried = leader.wants_confirmation(now)
             && now.since(self.last_confirmation.get()) >= HURRIED_CONFIRMATION;
         let due = now.since(self.last_confirmation.get()) >= node.timing.confirm_every;
         let trouble = now.since(leader.confirmed_at()) >= CONFIRM_TROUBLE;
