sidecar: tests of the whole path on loopback, stand-ins of the users' platform; large answers stay in their zone

Change: downloads go to another zone only if it looks six times better (1.35 for others). The stand-ins (store with objects, revisions, watches, faults; target with grants and faults) follow the published protocol; 14 tests run four real processes against them.

--- a/crates/ownership/src/plan.rs
+++ b/crates/ownership/src/plan.rs
@@ -246,8 +246,9 @@
     let weights = load.weights();
     let half = weight_of(range, &weights) / 2.0;
     let mut passed = 0.0;
-    for bucket in bucket_of(range.from)..=bucket_of(range.to) {
-        passed += weights[bucket];
+    let buckets = bucket_of(range.from)..=bucket_of(range.to);
+    for (bucket, weight) in buckets.clone().zip(&weights[buckets]) {
+        passed += weight;
         if passed >= half {
             return last_key_of(bucket).min(range.to);
         }
--- a/crates/sidecar/src/connections.rs
+++ b/crates/sidecar/src/connections.rs
@@ -1,6 +1,6 @@
 //! Kept connections to one address, each for one request at a time.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -44,7 +44,6 @@
     address: SocketAddr,
     connect_timeout: Duration,
     idle: RefCell<Vec<Connection>>,
-    opened: Cell<u64>,
 }
 
 /// One connection and the task that drives it.
@@ -68,15 +67,9 @@
             address,
             connect_timeout,
             idle: RefCell::new(Vec::new()),
-            opened: Cell::new(0),
         })
     }
 
-    /// Connections opened so far.
-    pub fn opened(&self) -> u64 {
-        self.opened.get()
-    }
-
     /// Ends all resting connections.
     pub fn close_idle(&self) {
         self.idle.borrow_mut().clear();
@@ -125,7 +118,6 @@
             .map_err(|_| SendError::NotSent("no connection in time".to_owned()))?
             .map_err(|error| not_sent(&error))?;
         set_options(&stream);
-        self.opened.set(self.opened.get() + 1);
         let (sender, driver) = http1::Builder::new()
             .handshake::<_, Body>(TokioIo::new(stream))
             .await
@@ -201,11 +193,6 @@
 }
 
 impl ConnectionBody {
-    /// The connection isn't used again, whatever comes.
-    pub fn never_reuse(&mut self) {
-        self.home = None;
-    }
-
     fn end(&mut self) {
         self.ended = true;
         if let (Some(connection), Some(home)) = (self.connection.take(), self.home.take()) {
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -36,12 +36,8 @@
     pub settings: Settings,
     /// Its name.
     pub name: NodeName,
-    /// This process.
-    pub life: Life,
     /// Its clock.
     pub clock: Clock,
-    /// Bounds of ownership.
-    pub timing: Timing,
     /// Its log.
     pub log: Log,
     /// Its figures.
@@ -138,9 +134,7 @@
             stop: watch::Sender::new(Stop::No),
             in_flight: Cell::new(0),
             name,
-            life,
             clock,
-            timing,
             settings,
         })
     }
--- a/crates/sidecar/src/router.rs
+++ b/crates/sidecar/src/router.rs
@@ -23,6 +23,7 @@
 use crate::logs::Event;
 use crate::metrics::{RequestLabels, ServiceLabel};
 use crate::node::Node;
+use crate::selection::{ZONE_PREFERENCE, ZONE_PREFERENCE_LARGE};
 
 /// Bodies up to this many bytes are kept, so that they can be sent again.
 const KEEP_BODY: usize = 64 * 1024;
@@ -331,8 +332,13 @@
         return directory.owner(routed.service, key).cloned();
     }
     let destinations = directory.destinations(routed.service);
+    let preference = match routed.route.repeatability {
+        Repeatability::Download => ZONE_PREFERENCE_LARGE,
+        _ => ZONE_PREFERENCE,
+    };
+    let zone = &node.settings.node.zone;
     node.selection
-        .choose(node.now(), &node.settings.node.zone, destinations, tried)
+        .choose(node.now(), zone, preference, destinations, tried)
         .cloned()
 }
 
--- a/crates/sidecar/src/selection.rs
+++ b/crates/sidecar/src/selection.rs
@@ -14,7 +14,9 @@
 /// Time of a request, in seconds, before any was seen.
 const FIRST_TIME: f64 = 0.08;
 /// Another zone must look better by this factor to be preferred.
-const ZONE_PREFERENCE: f64 = 1.35;
+pub const ZONE_PREFERENCE: f64 = 1.35;
+/// The same for large answers, whose bytes between zones cost more than a little waiting.
+pub const ZONE_PREFERENCE_LARGE: f64 = 6.0;
 /// A node that couldn't be reached isn't tried first for this long.
 const AVOID: Duration = Duration::from_millis(1_000);
 /// What a node reported of its load fades over this time.
@@ -39,11 +41,12 @@
 
 impl Selection {
     /// Picks one of the destinations that aren't in `tried`: the one with the shortest expected time
-    /// of one in the own zone and one or two drawn from the rest.
+    /// of one in the own zone and two drawn from all. Another zone counts `preference` times.
     pub fn choose<'a>(
         &self,
         now: Time,
         zone: &str,
+        preference: f64,
         destinations: &'a [Destination],
         tried: &[NodeName],
     ) -> Option<&'a Destination> {
@@ -52,14 +55,14 @@
             .filter(|destination| !tried.contains(&destination.node))
             .collect::<Vec<_>>();
         let first = draw(&open)?;
-        let mut best = (first, self.cost(now, zone, first));
+        let mut best = (first, self.cost(now, zone, preference, first));
         let locals = open
             .iter()
             .copied()
             .filter(|destination| destination.zone == zone)
             .collect::<Vec<_>>();
         for candidate in [draw(&open), draw(&locals)].into_iter().flatten() {
-            let cost = self.cost(now, zone, candidate);
+            let cost = self.cost(now, zone, preference, candidate);
             if cost < best.1 {
                 best = (candidate, cost);
             }
@@ -67,8 +70,8 @@
         Some(best.0)
     }
 
-    /// Expected time of a request there, with a handicap for other zones.
-    fn cost(&self, now: Time, zone: &str, destination: &Destination) -> f64 {
+    /// Expected time of a request there; `preference` is the handicap of other zones.
+    fn cost(&self, now: Time, zone: &str, preference: f64, destination: &Destination) -> f64 {
         let seen = self.seen.borrow();
         let Some(seen) = seen.get(&destination.node) else {
             return FIRST_TIME;
@@ -79,7 +82,7 @@
         let load = (f64::from(seen.outstanding) + reported) / f64::from(destination.slots.max(1));
         let mut cost = seen.time.unwrap_or(FIRST_TIME) * (1.0 + load * load * 2.0);
         if destination.zone != zone {
-            cost *= ZONE_PREFERENCE;
+            cost *= preference;
         }
         if now < seen.avoid_until {
             cost += 10.0;
--- a/crates/sidecar/src/slots.rs
+++ b/crates/sidecar/src/slots.rs
@@ -58,11 +58,6 @@
         self.waiting.borrow().len()
     }
 
-    /// All slots.
-    pub fn capacity(&self) -> usize {
-        self.capacity.get()
-    }
-
     /// Requests finished and the time their slots were in use, in milliseconds, so far.
     pub fn totals(&self) -> (u64, u64) {
         (self.finished.get(), self.busy_ms.get())
--- a/crates/sidecar/src/target.rs
+++ b/crates/sidecar/src/target.rs
@@ -163,11 +163,6 @@
         self.id.is_some() && !drained && self.slots > 0
     }
 
-    /// Whether it is about to leave, or has.
-    pub fn is_leaving(&self) -> bool {
-        self.leaving_since.is_some()
-    }
-
     /// What other nodes are told.
     pub fn state(&self, now: Time) -> Option<TargetState> {
         Some(TargetState {
--- /dev/null
+++ b/crates/standins/src/fleet/store.rs
@@ -0,0 +1,299 @@
+//! The platform's metadata store.
+
+use std::collections::BTreeMap;
+use std::io::Result;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use salvo::http::Method;
+use salvo::{Depot, FlowCtrl, Handler, Request, Response, Router, async_trait};
+use serde_json::{Value, json};
+use tokio::sync::watch;
+use tokio::time::timeout;
+
+use super::answer;
+use crate::net::{ConnectionSettings, RunningServer, query_value};
+
+/// Objects on one page of a listing.
+const PAGE: usize = 50;
+
+/// What the store does wrong.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct StoreFaults {
+    /// Every call gets 503.
+    pub unavailable: bool,
+    /// Every call gets 429.
+    pub throttled: bool,
+    /// Calls are taken and never answered.
+    pub silent: bool,
+    /// Watches from a revision below this one get 410.
+    pub history_from: u64,
+}
+
+#[derive(Debug, Default)]
+struct Objects {
+    revision: u64,
+    objects: BTreeMap<(String, String), (u64, Value)>,
+    /// Revision, kind, name, whether it is gone.
+    changes: Vec<(u64, String, String, bool)>,
+    calls: u64,
+}
+
+#[derive(Debug)]
+struct Shared {
+    objects: Mutex<Objects>,
+    faults: Mutex<StoreFaults>,
+    changed: watch::Sender<u64>,
+}
+
+/// A running store.
+#[derive(Debug)]
+pub struct FleetStore {
+    server: RunningServer,
+    shared: Arc<Shared>,
+}
+
+impl FleetStore {
+    /// Starts an empty store.
+    ///
+    /// # Errors
+    /// When the address can't be bound.
+    pub async fn start(address: SocketAddr) -> Result<Self> {
+        let shared = Arc::new(Shared {
+            objects: Mutex::default(),
+            faults: Mutex::default(),
+            changed: watch::Sender::new(0),
+        });
+        let handler = StoreHandler(Arc::clone(&shared));
+        let router = Router::with_path("{**rest}").goal(handler);
+        let server = RunningServer::start(address, ConnectionSettings::default(), router).await?;
+        Ok(Self { server, shared })
+    }
+
+    /// Where it listens.
+    #[must_use]
+    pub fn local_addr(&self) -> SocketAddr {
+        self.server.local_addr()
+    }
+
+    /// Replaces what it does wrong.
+    pub fn set_faults(&self, faults: StoreFaults) {
+        *lock(&self.shared.faults) = faults;
+    }
+
+    /// Writes an object as the operator does.
+    pub fn write(&self, kind: &str, name: &str, spec: Value) {
+        self.shared.put(kind, name, spec);
+    }
+
+    /// What an object holds.
+    #[must_use]
+    pub fn read(&self, kind: &str, name: &str) -> Option<Value> {
+        let objects = lock(&self.shared.objects);
+        let key = (kind.to_owned(), name.to_owned());
+        objects.objects.get(&key).map(|(_, spec)| spec.clone())
+    }
+
+    /// Calls answered or swallowed so far.
+    #[must_use]
+    pub fn calls(&self) -> u64 {
+        lock(&self.shared.objects).calls
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn object(name: &str, revision: u64, spec: &Value) -> Value {
+    json!({
+        "meta": {"name": name, "rev": revision, "made": 1, "finalizers": [], "deleting": false},
+        "spec": spec,
+        "status": null,
+    })
+}
+
+impl Shared {
+    fn put(&self, kind: &str, name: &str, spec: Value) -> Value {
+        let mut objects = lock(&self.objects);
+        objects.revision += 1;
+        let revision = objects.revision;
+        let stored = object(name, revision, &spec);
+        let key = (kind.to_owned(), name.to_owned());
+        objects.objects.insert(key, (revision, spec));
+        objects
+            .changes
+            .push((revision, kind.to_owned(), name.to_owned(), false));
+        drop(objects);
+        self.changed.send_replace(revision);
+        stored
+    }
+
+    fn remove(&self, kind: &str, name: &str) -> bool {
+        let mut objects = lock(&self.objects);
+        let key = (kind.to_owned(), name.to_owned());
+        if objects.objects.remove(&key).is_none() {
+            return false;
+        }
+        objects.revision += 1;
+        let revision = objects.revision;
+        objects
+            .changes
+            .push((revision, kind.to_owned(), name.to_owned(), true));
+        drop(objects);
+        self.changed.send_replace(revision);
+        true
+    }
+
+    fn get(&self, kind: &str, name: &str) -> Option<(u64, Value)> {
+        let objects = lock(&self.objects);
+        let key = (kind.to_owned(), name.to_owned());
+        let (revision, spec) = objects.objects.get(&key)?;
+        Some((*revision, object(name, *revision, spec)))
+    }
+
+    fn list(&self, kind: &str, after: &str) -> Value {
+        let objects = lock(&self.objects);
+        let of_kind = objects
+            .objects
+            .iter()
+            .filter(|((of, name), _)| of == kind && name.as_str() > after)
+            .map(|((_, name), (revision, spec))| object(name, *revision, spec))
+            .collect::<Vec<_>>();
+        let more = of_kind.len() > PAGE;
+        let items = of_kind.into_iter().take(PAGE).collect::<Vec<_>>();
+        json!({"items": items, "more": more, "at": objects.revision})
+    }
+
+    fn events(&self, kind: &str, since: u64) -> (Vec<Value>, u64) {
+        let objects = lock(&self.objects);
+        let events = objects
+            .changes
+            .iter()
+            .filter(|(revision, of, _, _)| *revision > since && of == kind)
+            .map(|(revision, of, name, gone)| {
+                let key = (of.clone(), name.clone());
+                let spec = objects
+                    .objects
+                    .get(&key)
+                    .map_or(Value::Null, |(_, spec)| spec.clone());
+                json!({"gone": gone, "object": object(name, *revision, &spec)})
+            })
+            .collect();
+        (events, objects.revision)
+    }
+
+    async fn watch(&self, kind: &str, since: u64, wait: Duration) -> Value {
+        let mut changed = self.changed.subscribe();
+        let events = async {
+            loop {
+                let (events, at) = self.events(kind, since);
+                if !events.is_empty() {
+                    return json!({"events": events, "at": at});
+                }
+                if changed.changed().await.is_err() {
+                    return json!({"events": [], "at": at});
+                }
+            }
+        };
+        match timeout(wait, events).await {
+            Ok(answer) => answer,
+            Err(_) => json!({"events": [], "at": self.events(kind, since).1}),
+        }
+    }
+}
+
+struct StoreHandler(Arc<Shared>);
+
+#[async_trait]
+impl Handler for StoreHandler {
+    async fn handle(
+        &self,
+        request: &mut Request,
+        _depot: &mut Depot,
+        response: &mut Response,
+        _control: &mut FlowCtrl,
+    ) {
+        let shared = &self.0;
+        lock(&shared.objects).calls += 1;
+        let faults = *lock(&shared.faults);
+        if faults.silent {
+            std::future::pending::<()>().await;
+        }
+        if faults.unavailable {
+            return answer(response, 503, &Value::Null);
+        }
+        if faults.throttled {
+            return answer(response, 429, &Value::Null);
+        }
+        let path = request.uri().path().to_owned();
+        let words = path.trim_start_matches('/').split('/').collect::<Vec<_>>();
+        let method = request.method().clone();
+        let body = match request.payload().await {
+            Ok(bytes) => serde_json::from_slice::<Value>(bytes).unwrap_or(Value::Null),
+            Err(_) => Value::Null,
+        };
+        match words.as_slice() {
+            ["objects", kind] if method == Method::GET => {
+                self.read_kind(kind, faults, request, response).await
+            }
+            ["objects", kind] if method == Method::POST => {
+                let name = body["meta"]["name"].as_str().unwrap_or_default();
+                match shared.get(kind, name) {
+                    Some((_, known)) => answer(response, 409, &known),
+                    None => answer(response, 200, &shared.put(kind, name, body["spec"].clone())),
+                }
+            }
+            ["objects", kind, name] => self.one(method, kind, name, &body, response),
+            _ => answer(response, 404, &Value::Null),
+        }
+    }
+}
+
+impl StoreHandler {
+    async fn read_kind(
+        &self,
+        kind: &str,
+        faults: StoreFaults,
+        request: &Request,
+        response: &mut Response,
+    ) {
+        let since = query_value::<u64>(request, "watch").ok().flatten();
+        let Some(since) = since else {
+            let after = query_value::<String>(request, "after")
+                .ok()
+                .flatten()
+                .unwrap_or_default();
+            return answer(response, 200, &self.0.list(kind, &after));
+        };
+        if since < faults.history_from {
+            return answer(response, 410, &Value::Null);
+        }
+        let wait = query_value::<u64>(request, "wait_ms")
+            .ok()
+            .flatten()
+            .unwrap_or(0);
+        let changes = self.0.watch(kind, since, Duration::from_millis(wait)).await;
+        answer(response, 200, &changes);
+    }
+
+    fn one(&self, method: Method, kind: &str, name: &str, body: &Value, response: &mut Response) {
+        let shared = &self.0;
+        let known = shared.get(kind, name);
+        if method == Method::DELETE {
+            let status = if shared.remove(kind, name) { 200 } else { 404 };
+            return answer(response, status, &Value::Null);
+        }
+        let Some((revision, known)) = known else {
+            return answer(response, 404, &Value::Null);
+        };
+        if method == Method::GET {
+            return answer(response, 200, &known);
+        }
+        match body["meta"]["rev"].as_u64() {
+            Some(expected) if expected != revision => answer(response, 409, &known),
+            _ => answer(response, 200, &shared.put(kind, name, body["spec"].clone())),
+        }
+    }
+}
--- /dev/null
+++ b/crates/standins/src/fleet/target.rs
@@ -0,0 +1,269 @@
+//! A target that owns keys, with what it can do wrong.
+
+use std::io::Result;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use salvo::{Depot, FlowCtrl, Handler, Request, Response, Router, async_trait};
+use serde_json::{Value, json};
+
+use super::answer;
+use crate::net::{ConnectionSettings, RunningServer};
+
+/// What the target does wrong.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct TargetFaults {
+    /// Runs requests and answers with the id of another.
+    pub wrong_id: bool,
+    /// Runs requests and answers without its signature.
+    pub unsigned: bool,
+    /// Rejects requests and says so.
+    pub sheds: bool,
+    /// Runs requests and never answers.
+    pub silent: bool,
+    /// Works this long on each request.
+    pub work: Duration,
+}
+
+/// A request that the target has run.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Seen {
+    /// Its id.
+    pub id: String,
+    /// Its key.
+    pub key: Option<u16>,
+    /// Who called.
+    pub caller: String,
+    /// How long its caller waits, in milliseconds.
+    pub deadline_ms: u64,
+    /// Its body.
+    pub body: String,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Grant {
+    from: u64,
+    to: u64,
+    fence: u64,
+    until: Instant,
+}
+
+#[derive(Debug)]
+struct Shared {
+    id: String,
+    keyed: bool,
+    grants: Mutex<Vec<Grant>>,
+    seen: Mutex<Vec<Seen>>,
+    faults: Mutex<TargetFaults>,
+}
+
+/// A running target.
+#[derive(Debug)]
+pub struct FleetTarget {
+    server: RunningServer,
+    shared: Arc<Shared>,
+}
+
+impl FleetTarget {
+    /// Starts a target; `keyed` ones run requests only for keys they were granted.
+    ///
+    /// # Errors
+    /// When the address can't be bound.
+    pub async fn start(address: SocketAddr, id: &str, keyed: bool) -> Result<Self> {
+        let shared = Arc::new(Shared {
+            id: id.to_owned(),
+            keyed,
+            grants: Mutex::default(),
+            seen: Mutex::default(),
+            faults: Mutex::default(),
+        });
+        let router = Router::with_path("{**rest}").goal(TargetHandler(Arc::clone(&shared)));
+        let server = RunningServer::start(address, ConnectionSettings::default(), router).await?;
+        Ok(Self { server, shared })
+    }
+
+    /// Where it listens.
+    #[must_use]
+    pub fn local_addr(&self) -> SocketAddr {
+        self.server.local_addr()
+    }
+
+    /// Its id.
+    #[must_use]
+    pub fn id(&self) -> &str {
+        &self.shared.id
+    }
+
+    /// Replaces what it does wrong.
+    pub fn set_faults(&self, faults: TargetFaults) {
+        *lock(&self.shared.faults) = faults;
+    }
+
+    /// Requests that it has run.
+    #[must_use]
+    pub fn seen(&self) -> Vec<Seen> {
+        lock(&self.shared.seen).clone()
+    }
+
+    /// Whether it holds a key now.
+    #[must_use]
+    pub fn holds(&self, key: u16) -> bool {
+        self.shared.holds(key)
+    }
+
+    /// Ends it, with its connections.
+    pub async fn shutdown(self) {
+        self.server.shutdown().await;
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Shared {
+    fn holds(&self, key: u16) -> bool {
+        let key = u64::from(key);
+        let now = Instant::now();
+        lock(&self.grants)
+            .iter()
+            .any(|grant| grant.from <= key && key <= grant.to && now < grant.until)
+    }
+
+    fn grant(&self, order: &Value) -> u16 {
+        let (Some(from), Some(to), Some(fence), Some(hold)) = (
+            order["from"].as_u64(),
+            order["to_version"].as_u64(),
+            order["fence"].as_u64(),
+            order["hold_s"].as_f64(),
+        ) else {
+            return 400;
+        };
+        let mut grants = lock(&self.grants);
+        if grants
+            .iter()
+            .any(|grant| grant.from <= to && from <= grant.to && grant.fence > fence)
+        {
+            return 409;
+        }
+        grants.retain(|grant| grant.from < from || grant.to > to);
+        grants.push(Grant {
+            from,
+            to,
+            fence,
+            until: Instant::now() + Duration::from_secs_f64(hold),
+        });
+        200
+    }
+
+    fn release(&self, order: &Value) {
+        let (Some(from), Some(to)) = (order["from"].as_u64(), order["to_version"].as_u64()) else {
+            return;
+        };
+        let mut grants = lock(&self.grants);
+        let kept = grants
+            .iter()
+            .flat_map(|grant| grant.outside(from, to))
+            .collect();
+        *grants = kept;
+    }
+}
+
+impl Grant {
+    /// The parts of the grant before and behind a range.
+    fn outside(&self, from: u64, to: u64) -> Vec<Self> {
+        let before = (self.from, self.to.min(from.wrapping_sub(1)));
+        let behind = (self.from.max(to + 1), self.to);
+        let part = |(first, last): (u64, u64)| Self {
+            from: first,
+            to: last,
+            ..*self
+        };
+        let mut parts = Vec::new();
+        if self.from < from {
+            parts.push(part(before));
+        }
+        if self.to > to {
+            parts.push(part(behind));
+        }
+        parts
+    }
+}
+
+struct TargetHandler(Arc<Shared>);
+
+fn text(request: &Request, name: &str) -> String {
+    request.header::<String>(name).unwrap_or_default()
+}
+
+#[async_trait]
+impl Handler for TargetHandler {
+    async fn handle(
+        &self,
+        request: &mut Request,
+        _depot: &mut Depot,
+        response: &mut Response,
+        _control: &mut FlowCtrl,
+    ) {
+        let shared = &self.0;
+        let _id = response.add_header("x-wingspar-instance-id", &shared.id, true);
+        let path = request.uri().path().to_owned();
+        let body = request.payload().await.cloned().unwrap_or_default();
+        match path.as_str() {
+            "/healthz" => return answer(response, 200, &Value::Null),
+            "/grant" => {
+                let order = serde_json::from_slice(&body).unwrap_or(Value::Null);
+                return answer(response, shared.grant(&order), &Value::Null);
+            }
+            "/release" => {
+                shared.release(&serde_json::from_slice(&body).unwrap_or(Value::Null));
+                let _token = response.add_header("x-wingspar-handover", "token", true);
+                return answer(response, 200, &Value::Null);
+            }
+            _ => {}
+        }
+        self.run(request, response, &body).await;
+    }
+}
+
+impl TargetHandler {
+    async fn run(&self, request: &Request, response: &mut Response, body: &[u8]) {
+        let shared = &self.0;
+        let faults = *lock(&shared.faults);
+        let key = text(request, "x-wingspar-shard-key").parse::<u16>().ok();
+        let expected = text(request, "x-wingspar-expect-instance");
+        let misdirected = !expected.is_empty() && expected != shared.id;
+        let foreign = shared.keyed && !key.is_some_and(|key| shared.holds(key));
+        if misdirected || foreign {
+            let _not_run = response.add_header("x-wingspar-not-executed", "1", true);
+            return answer(response, 421, &Value::Null);
+        }
+        if faults.sheds {
+            let _not_run = response.add_header("x-wingspar-not-executed", "1", true);
+            return answer(response, 503, &Value::Null);
+        }
+        let id = text(request, "x-wingspar-request-id");
+        lock(&shared.seen).push(Seen {
+            id: id.clone(),
+            key,
+            caller: text(request, "x-wingspar-caller-service"),
+            deadline_ms: text(request, "x-wingspar-deadline-ms").parse().unwrap_or(0),
+            body: String::from_utf8_lossy(body).into_owned(),
+        });
+        tokio::time::sleep(faults.work).await;
+        if faults.silent {
+            std::future::pending::<()>().await;
+        }
+        let answered = if faults.wrong_id {
+            "another".to_owned()
+        } else {
+            id
+        };
+        let _id = response.add_header("x-wingspar-request-id", answered, true);
+        if !faults.unsigned {
+            let _signature = response.add_header("x-wingspar-response-signature", "s", true);
+        }
+        answer(response, 200, &json!({"ran_at": shared.id}));
+    }
+}
--- /dev/null
+++ b/crates/wingspar/tests/sidecar/deployment.rs
@@ -0,0 +1,322 @@
+//! Four machines: two targets of a keyed service, two of another, and their nodes.
+
+use std::future::Future;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+use serde_json::{Value, json};
+use wingspar_standins::fleet::{FleetStore, FleetTarget, Seen};
+
+/// How long something may take at most before a test fails.
+const PATIENCE: Duration = Duration::from_secs(40);
+/// Service of the first two machines; its keys have owners.
+const KEYED: &str = "stock";
+/// Service of the other two.
+const PLAIN: &str = "orders";
+
+/// One machine.
+pub struct Machine {
+    /// Where its clients send requests.
+    pub outbound: SocketAddr,
+    /// Service of its target.
+    pub service: String,
+    /// Its target, while that is up.
+    pub target: Option<FleetTarget>,
+    ready: SocketAddr,
+    heartbeats: SocketAddr,
+    settings: PathBuf,
+    process: Option<Child>,
+}
+
+impl Drop for Machine {
+    fn drop(&mut self) {
+        if let Some(process) = &mut self.process {
+            let _killed = process.kill();
+            let _reaped = process.wait();
+        }
+    }
+}
+
+/// A whole deployment.
+pub struct Deployment {
+    /// The metadata store.
+    pub store: FleetStore,
+    /// The machines.
+    pub nodes: Vec<Machine>,
+    client: reqwest::Client,
+    folder: PathBuf,
+}
+
+impl Drop for Deployment {
+    fn drop(&mut self) {
+        let _removed = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// A route of the operator.
+pub fn route(name: &str, prefix: &str, kind: &str, service: &str) -> Value {
+    json!({
+        "name": name, "host": "shop.example", "path_prefix": prefix, "kind": kind, "timeout_s": 1.2,
+        "slo_s": 0.4, "priority": 1, "service": service, "max_attempts": 2, "unheard_of": true,
+    })
+}
+
+/// Waits until something holds.
+pub async fn eventually<Check, Holds>(what: &str, check: Check)
+where
+    Check: Fn() -> Holds,
+    Holds: Future<Output = bool>,
+{
+    let waiting = async {
+        while !check().await {
+            tokio::time::sleep(Duration::from_millis(60)).await;
+        }
+    };
+    assert!(
+        tokio::time::timeout(PATIENCE, waiting).await.is_ok(),
+        "not in time: {what}"
+    );
+}
+
+/// The machine whose target holds a key.
+pub fn key_owned_by(deployment: &Deployment, key: u16) -> Option<usize> {
+    deployment
+        .nodes
+        .iter()
+        .position(|node| node.target.as_ref().is_some_and(|target| target.holds(key)))
+}
+
+impl Deployment {
+    /// Starts everything and waits until all keys are served. Each test has loopback addresses of
+    /// its own, by its number and the process's id.
+    pub async fn start(test: u8) -> Self {
+        let own = u8::try_from(std::process::id() % 200).expect("below 200") + 20;
+        let folder =
+            std::env::temp_dir().join(format!("wingspar-sidecar-{}-{test}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("a folder");
+        let store = FleetStore::start(SocketAddr::from(([127, own, test, 200], 0)))
+            .await
+            .expect("a store");
+        let mut nodes = Vec::new();
+        for index in 0..4_u8 {
+            nodes.push(
+                machine(
+                    Ipv4Addr::new(127, own, test, index + 1),
+                    index,
+                    &store,
+                    &folder,
+                )
+                .await,
+            );
+        }
+        let client = reqwest::Client::builder()
+            .no_proxy()
+            .build()
+            .expect("a client");
+        let mut deployment = Self {
+            store,
+            nodes,
+            client,
+            folder,
+        };
+        let routes = json!([
+            route("orders", "/orders/", "idempotent", PLAIN),
+            route("book", "/book/", "non_idempotent", PLAIN),
+            route("stock", "/stock/", "idempotent", KEYED),
+        ]);
+        deployment.configure(3, routes);
+        for node in 0..deployment.nodes.len() {
+            deployment.start_process(node);
+        }
+        deployment.heartbeats(1).await;
+        for node in 0..deployment.nodes.len() {
+            deployment.ready(node).await;
+        }
+        eventually("all keys are served", || async {
+            deployment.keyed(0, 0, "w1").await.status() == 200
+                && deployment.keyed(1, 65_535, "w2").await.status() == 200
+                && deployment.keyed(2, 32_000, "w3").await.status() == 200
+        })
+        .await;
+        deployment
+    }
+
+    /// Writes a configuration.
+    pub fn configure(&self, version: u64, routes: Value) {
+        let service = |name: &str, keyed: bool| {
+            json!({"name": name, "health_path": "/healthz", "max_conns": 100, "protocol": "h1", "tls": false,
+                "sharded": keyed, "warm_s": 3.0, "grants": "rpc"})
+        };
+        let limits =
+            json!({"header_bytes": 16384, "max_body_bytes": 1048576, "header_s": 3, "idle_s": 15});
+        let services = [service(KEYED, true), service(PLAIN, false)];
+        let spec =
+            json!({"version": version, "routes": routes, "services": services, "limits": limits});
+        self.store.write("config", "main", spec);
+    }
+
+    /// A request of a client of that machine.
+    pub fn request(&self, node: usize, path: &str, id: &str) -> reqwest::RequestBuilder {
+        self.client
+            .post(format!("http://{}{path}", self.nodes[node].outbound))
+            .header("host", "shop.example")
+            .header("x-wingspar-request-id", id)
+            .header("x-wingspar-deadline-ms", "2000")
+    }
+
+    /// The answer to a request for a key.
+    pub async fn keyed(&self, node: usize, key: u16, id: &str) -> reqwest::Response {
+        let request = self
+            .request(node, "/stock/1", id)
+            .header("x-wingspar-shard-key", key);
+        request.send().await.expect("an answer")
+    }
+
+    /// How often, and how, a request has run.
+    pub fn seen(&self, id: &str) -> Vec<Seen> {
+        let targets = self.nodes.iter().filter_map(|node| node.target.as_ref());
+        targets
+            .flat_map(FleetTarget::seen)
+            .filter(|seen| seen.id == id)
+            .collect()
+    }
+
+    /// Sends a heartbeat for a machine's target.
+    pub async fn heartbeat(&self, node: usize, state: &str, sequence: u64) {
+        let machine = &self.nodes[node];
+        let Some(target) = &machine.target else {
+            return;
+        };
+        let body = json!({
+            "address": target.local_addr().to_string(),
+            "info": {"service": machine.service, "version": "v1", "zone": "a", "capacity": 8},
+            "status": {"state": state, "seq": sequence, "warmup_left_s": 0},
+        });
+        eventually("the heartbeat is acknowledged", || async {
+            let url = format!("http://{}/instances/{}", machine.heartbeats, target.id());
+            let sent = self.client.put(url).body(body.to_string()).send().await;
+            sent.is_ok_and(|answer| answer.status() == 200)
+        })
+        .await;
+    }
+
+    /// Sends a heartbeat for each target.
+    pub async fn heartbeats(&self, sequence: u64) {
+        for node in 0..self.nodes.len() {
+            self.heartbeat(node, "ready", sequence).await;
+        }
+    }
+
+    /// Waits until a node is ready.
+    pub async fn ready(&self, node: usize) {
+        eventually("the node is ready", || async {
+            let url = format!("http://{}/readyz", self.nodes[node].ready);
+            self.client
+                .get(url)
+                .send()
+                .await
+                .is_ok_and(|answer| answer.status() == 200)
+        })
+        .await;
+    }
+
+    /// Starts a machine's process.
+    pub fn start_process(&mut self, node: usize) {
+        let machine = &mut self.nodes[node];
+        let process = Command::new(env!("CARGO_BIN_EXE_wingspar"))
+            .args(["sidecar", "--settings"])
+            .arg(&machine.settings)
+            .stdout(Stdio::null())
+            .spawn()
+            .expect("it starts");
+        machine.process = Some(process);
+        // From now on it isn't the system's first start.
+        let text = std::fs::read_to_string(&machine.settings).expect("settings");
+        let later = text.replace("first_start = true", "first_start = false");
+        if later != text {
+            std::thread::sleep(Duration::from_millis(300));
+            std::fs::write(&machine.settings, later).expect("settings");
+        }
+    }
+
+    /// Kills a machine's process.
+    pub fn kill(&mut self, node: usize) {
+        if let Some(mut process) = self.nodes[node].process.take() {
+            process.kill().expect("it is ours");
+            process.wait().expect("it ends");
+        }
+    }
+
+    /// Takes a machine away with its process and its target.
+    pub async fn lose(&mut self, node: usize) {
+        self.kill(node);
+        if let Some(target) = self.nodes[node].target.take() {
+            target.shutdown().await;
+        }
+    }
+
+    /// Asks a machine's process to stop.
+    pub fn terminate(&self, node: usize) {
+        let process = self.nodes[node].process.as_ref().expect("a process");
+        let id = process.id().to_string();
+        let told = Command::new("kill")
+            .args(["-TERM", &id])
+            .status()
+            .expect("kill");
+        assert!(told.success());
+    }
+
+    /// Waits for a machine's process to end; whether it did so as planned.
+    pub async fn exited_well(&mut self, node: usize) -> bool {
+        let mut process = self.nodes[node].process.take().expect("a process");
+        for _ in 0..400 {
+            if let Some(status) = process.try_wait().expect("a status") {
+                return status.success();
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        let _killed = process.kill();
+        false
+    }
+}
+
+async fn machine(
+    address: Ipv4Addr,
+    index: u8,
+    store: &FleetStore,
+    folder: &std::path::Path,
+) -> Machine {
+    let ip = IpAddr::V4(address);
+    let keyed = index < 2;
+    let service = if keyed { KEYED } else { PLAIN };
+    let id = format!("target-{index}");
+    let target = FleetTarget::start(SocketAddr::new(ip, 0), &id, keyed)
+        .await
+        .expect("a target");
+    let socket = |port| SocketAddr::new(ip, port);
+    let text = format!(
+        "[node]\nname = \"node-{index}\"\nzone = \"a\"\nservice = \"{service}\"\naddress = \"{ip}\"\n\
+         target = \"{}\"\nfirst_start = true\n\
+         [listen]\noutbound = \"{}\"\nready = \"{}\"\nheartbeats = \"{}\"\ninternal_port = 7620\nmetrics_port = 7621\n\
+         [store]\naddress = \"{}\"\n\
+         [bounds]\ndrain_s = 2\ngrace_s = 6\nbudget_ratio = 0.2\nbudget_window_s = 10\nbudget_extra = 60\nmax_hold_s = 10\n",
+        target.local_addr(),
+        socket(7600),
+        socket(7601),
+        socket(7602),
+        store.local_addr(),
+    );
+    let settings = folder.join(format!("node-{index}.toml"));
+    std::fs::write(&settings, text).expect("settings");
+    Machine {
+        outbound: socket(7600),
+        service: service.to_owned(),
+        target: Some(target),
+        ready: socket(7601),
+        heartbeats: socket(7602),
+        settings,
+        process: None,
+    }
+}
--- /dev/null
+++ b/crates/wingspar/tests/sidecar/main.rs
@@ -0,0 +1,372 @@
+//! The sidecar as real processes on loopback, against stand-ins of the users' platform.
+
+mod deployment;
+
+use std::time::Duration;
+
+use deployment::{Deployment, eventually, key_owned_by};
+use serde_json::json;
+use wingspar_standins::fleet::{StoreFaults, TargetFaults};
+
+#[tokio::test]
+async fn requests_reach_a_target_of_their_service_from_any_node() {
+    let deployment = Deployment::start(1).await;
+    for node in 0..deployment.nodes.len() {
+        let id = format!("plain-{node}");
+        let answer = deployment
+            .request(node, "/orders/1", &id)
+            .body("two")
+            .send()
+            .await
+            .expect("an answer");
+        assert_eq!(answer.status(), 200);
+        assert_eq!(answer.headers()["x-wingspar-request-id"], id.as_str());
+        assert_eq!(answer.headers()["x-wingspar-response-signature"], "s");
+        let seen = deployment.seen(&id);
+        assert_eq!(seen.len(), 1, "it ran once");
+        assert_eq!(seen[0].body, "two");
+        let caller = &deployment.nodes[node].service;
+        assert_eq!(
+            &seen[0].caller, caller,
+            "the caller is the service where it began"
+        );
+        assert!(seen[0].deadline_ms > 0 && seen[0].deadline_ms <= 2_000);
+    }
+}
+
+#[tokio::test]
+async fn what_a_client_says_of_the_inside_is_not_believed() {
+    let deployment = Deployment::start(2).await;
+    let request = deployment
+        .request(0, "/orders/1", "forged")
+        .header("x-wingspar-caller-service", "somebody")
+        .header("x-wingspar-expect-instance", "somebody")
+        .header("wingspar-service", "stock")
+        .header("connection", "x-wingspar-request-id");
+    let answer = request.send().await.expect("an answer");
+    assert_eq!(answer.status(), 200);
+    assert_eq!(
+        deployment.seen("forged")[0].caller,
+        deployment.nodes[0].service
+    );
+}
+
+#[tokio::test]
+async fn a_keyed_request_runs_where_its_key_is_held() {
+    let deployment = Deployment::start(3).await;
+    for key in [0_u16, 9_000, 30_000, 50_000, 65_535] {
+        let id = format!("keyed-{key}");
+        let answer = deployment.keyed(1, key, &id).await;
+        assert_eq!(answer.status(), 200);
+        assert_eq!(deployment.seen(&id).len(), 1);
+    }
+    let held = [0_u16, 9_000, 30_000, 50_000, 65_535].map(|key| {
+        deployment
+            .nodes
+            .iter()
+            .filter(|node| node.target.as_ref().is_some_and(|target| target.holds(key)))
+            .count()
+    });
+    assert_eq!(held, [1; 5], "each key is held by one target");
+}
+
+#[tokio::test]
+async fn no_route_no_id_and_a_configuration_that_changes() {
+    let deployment = Deployment::start(4).await;
+    let unknown = deployment
+        .request(0, "/nothing/1", "a")
+        .send()
+        .await
+        .expect("an answer");
+    assert_eq!(unknown.status(), 404);
+    let client = reqwest::Client::new();
+    let url = format!("http://{}/orders/1", deployment.nodes[0].outbound);
+    let without_id = client
+        .get(url)
+        .header("host", "shop.example")
+        .send()
+        .await
+        .expect("an answer");
+    assert_eq!(without_id.status(), 400);
+    deployment.configure(
+        9,
+        json!([deployment::route("late", "/late/", "idempotent", "orders")]),
+    );
+    eventually("the new route is served and the old one isn't", || async {
+        let late = deployment.request(2, "/late/1", "b").send().await;
+        let old = deployment.request(2, "/orders/1", "c").send().await;
+        late.is_ok_and(|answer| answer.status() == 200)
+            && old.is_ok_and(|answer| answer.status() == 404)
+    })
+    .await;
+    // A broken configuration is passed over, and the one in force stays.
+    deployment
+        .store
+        .write("config", "main", json!({"version": 10, "routes": "none"}));
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let still = deployment
+        .request(2, "/late/1", "d")
+        .send()
+        .await
+        .expect("an answer");
+    assert_eq!(still.status(), 200);
+}
+
+#[tokio::test]
+async fn the_keys_of_a_lost_machine_are_served_again() {
+    let mut deployment = Deployment::start(5).await;
+    let key = 100;
+    let owner = key_owned_by(&deployment, key).expect("an owner");
+    deployment.lose(owner).await;
+    let other = (owner + 1) % 2;
+    eventually("the key is served by another", || async {
+        deployment.keyed(other, key, "again").await.status() == 200
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn any_number_of_processes_may_be_killed_at_once() {
+    let mut deployment = Deployment::start(6).await;
+    for node in 0..deployment.nodes.len() {
+        deployment.kill(node);
+    }
+    for node in 0..deployment.nodes.len() {
+        deployment.start_process(node);
+    }
+    deployment.heartbeats(2).await;
+    eventually("all keys are served again", || async {
+        deployment.keyed(2, 40_000, "x").await.status() == 200
+            && deployment.keyed(3, 5, "y").await.status() == 200
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn a_store_that_is_down_stops_nobody() {
+    let deployment = Deployment::start(7).await;
+    deployment.store.set_faults(StoreFaults {
+        silent: true,
+        ..StoreFaults::default()
+    });
+    // Keys may be on their way to another owner for a moment; that isn't the store's doing.
+    let (mut refused, mut longest) = (0, 0);
+    for step in 0..40 {
+        let id = format!("outage-{step}");
+        let served = deployment.keyed(step % 4, 20_000, &id).await.status() == 200;
+        refused = if served { 0 } else { refused + 1 };
+        longest = longest.max(refused);
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    assert!(longest <= 4, "{longest} in a row were refused");
+}
+
+#[tokio::test]
+async fn a_node_that_the_store_refuses_learns_from_others() {
+    let mut deployment = Deployment::start(8).await;
+    deployment.kill(3);
+    deployment.start_process(3);
+    deployment.heartbeats(2).await;
+    deployment.ready(3).await;
+    deployment.store.set_faults(StoreFaults {
+        throttled: true,
+        ..StoreFaults::default()
+    });
+    let answer = deployment
+        .request(3, "/orders/1", "throttled")
+        .send()
+        .await
+        .expect("an answer");
+    assert_eq!(answer.status(), 200);
+}
+
+#[tokio::test]
+async fn work_that_may_have_run_is_not_repeated_unless_it_may_be() {
+    let deployment = Deployment::start(9).await;
+    let wrong = TargetFaults {
+        wrong_id: true,
+        ..TargetFaults::default()
+    };
+    for node in [2, 3] {
+        deployment.nodes[node]
+            .target
+            .as_ref()
+            .expect("a target")
+            .set_faults(wrong);
+    }
+    let once = deployment
+        .request(2, "/book/1", "once")
+        .send()
+        .await
+        .expect("an answer");
+    assert_eq!(once.status(), 502, "another request's answer is nobody's");
+    assert_eq!(deployment.seen("once").len(), 1);
+    let again = deployment
+        .request(2, "/orders/1", "again")
+        .send()
+        .await
+        .expect("an answer");
+    assert_eq!(again.status(), 502);
+    assert_eq!(deployment.seen("again").len(), 2, "max_attempts is 2");
+    let unsigned = TargetFaults {
+        unsigned: true,
+        ..TargetFaults::default()
+    };
+    for node in [2, 3] {
+        deployment.nodes[node]
+            .target
+            .as_ref()
+            .expect("a target")
+            .set_faults(unsigned);
+    }
+    let unsigned = deployment
+        .request(2, "/book/1", "unsigned")
+        .send()
+        .await
+        .expect("an answer");
+    assert_eq!(unsigned.status(), 502);
+}
+
+#[tokio::test]
+async fn a_rejected_request_is_told_not_run_and_when_to_come_back() {
+    let deployment = Deployment::start(10).await;
+    for node in [2, 3] {
+        let faults = TargetFaults {
+            sheds: true,
+            ..TargetFaults::default()
+        };
+        deployment.nodes[node]
+            .target
+            .as_ref()
+            .expect("a target")
+            .set_faults(faults);
+    }
+    let answer = deployment
+        .request(0, "/book/1", "shed")
+        .send()
+        .await
+        .expect("an answer");
+    assert_eq!(answer.status(), 503);
+    assert!(answer.headers().contains_key("retry-after"));
+    assert!(deployment.seen("shed").is_empty());
+}
+
+#[tokio::test]
+async fn a_silent_target_is_given_up_at_the_routes_timeout() {
+    let deployment = Deployment::start(11).await;
+    for node in [2, 3] {
+        let faults = TargetFaults {
+            silent: true,
+            ..TargetFaults::default()
+        };
+        deployment.nodes[node]
+            .target
+            .as_ref()
+            .expect("a target")
+            .set_faults(faults);
+    }
+    let answer = deployment
+        .request(0, "/book/1", "silent")
+        .send()
+        .await
+        .expect("an answer");
+    assert_eq!(answer.status(), 504);
+    assert_eq!(deployment.seen("silent").len(), 1);
+}
+
+#[tokio::test]
+async fn a_leaving_target_gets_nothing_new() {
+    let deployment = Deployment::start(12).await;
+    deployment.heartbeat(2, "draining", 100).await;
+    // A heartbeat that was overtaken doesn't bring it back.
+    deployment.heartbeat(2, "ready", 50).await;
+    eventually("everything goes to the other target", || async {
+        let id = "probe";
+        deployment
+            .request(2, "/orders/1", id)
+            .send()
+            .await
+            .is_ok_and(|answer| answer.status() == 200)
+            && deployment.nodes[3]
+                .target
+                .as_ref()
+                .is_some_and(|target| target.seen().iter().any(|seen| seen.id == id))
+    })
+    .await;
+    tokio::time::sleep(Duration::from_millis(900)).await;
+    let before = deployment.nodes[2]
+        .target
+        .as_ref()
+        .expect("a target")
+        .seen()
+        .len();
+    for step in 0..10 {
+        let answer = deployment
+            .request(2, "/orders/1", &format!("l{step}"))
+            .send()
+            .await
+            .expect("an answer");
+        assert_eq!(answer.status(), 200);
+    }
+    assert_eq!(
+        deployment.nodes[2]
+            .target
+            .as_ref()
+            .expect("a target")
+            .seen()
+            .len(),
+        before
+    );
+}
+
+#[tokio::test]
+async fn a_planned_stop_ends_what_runs_and_hands_keys_over() {
+    let mut deployment = Deployment::start(13).await;
+    let key = 60_000;
+    let owner = key_owned_by(&deployment, key).expect("an owner");
+    for node in 0..4 {
+        let faults = TargetFaults {
+            work: Duration::from_millis(600),
+            ..TargetFaults::default()
+        };
+        deployment.nodes[node]
+            .target
+            .as_ref()
+            .expect("a target")
+            .set_faults(faults);
+    }
+    let running = deployment.request(owner, "/orders/1", "running").send();
+    let stopping = async {
+        tokio::time::sleep(Duration::from_millis(200)).await;
+    };
+    let (answer, ()) = tokio::join!(running, async {
+        stopping.await;
+        deployment.terminate(owner);
+    });
+    assert_eq!(answer.expect("an answer").status(), 200);
+    assert!(
+        deployment.exited_well(owner).await,
+        "it ends by itself with code 0"
+    );
+    let other = (owner + 1) % 2;
+    eventually("another owns the key", || async {
+        deployment.keyed(other, key, "after").await.status() == 200
+    })
+    .await;
+}
+
+#[test]
+fn wrong_settings_are_told_and_end_with_their_own_code() {
+    let folder =
+        std::env::temp_dir().join(format!("wingspar-sidecar-settings-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let file = folder.join("node.toml");
+    std::fs::write(&file, "[node]\nname = 5\n").expect("a file");
+    let output = std::process::Command::new(env!("CARGO_BIN_EXE_wingspar"))
+        .args(["sidecar", "--settings"])
+        .arg(&file)
+        .output()
+        .expect("it starts");
+    assert_eq!(output.status.code(), Some(3));
+    assert!(String::from_utf8_lossy(&output.stderr).contains("settings are wrong"));
+}
