ownership: a new leader needn't wait out earlier leaders that have reported

Change: the leader's object names earlier leaders; once all of them have reported only a lease is waited for. Unregistering is repeated while there is time. A target that doesn't know the clearing call counts as clear.

--- a/crates/ownership/src/leader.rs
+++ b/crates/ownership/src/leader.rs
@@ -7,8 +7,8 @@
 use crate::partition::{Partition, State};
 use crate::plan::{Candidate, Plan};
 use crate::{
-    Epoch, Fence, LeaseReply, Life, LoadReport, MemberView, NodeName, Renewal, ServiceTable, Table,
-    TargetState, Time, Timing, Wanted,
+    Epoch, Fence, Leadership, LeaseReply, Life, LoadReport, MemberView, NodeName, Renewal,
+    ServiceTable, Table, TargetState, Time, Timing, Wanted,
 };
 
 /// A node is called about a changed assignment at most this often.
@@ -67,6 +67,10 @@
     registered: BTreeSet<NodeName>,
     /// Those of them that haven't reported in this epoch.
     silent: BTreeSet<NodeName>,
+    /// Earlier leaders that haven't reported in this epoch; nothing if they aren't known.
+    earlier: Option<BTreeSet<NodeName>>,
+    /// When the last of them reported: none of them leases to anybody since.
+    sole_since: Option<Time>,
     members: BTreeMap<NodeName, Member>,
     partitions: BTreeMap<String, Partition>,
     rebalanced_at: Time,
@@ -75,17 +79,28 @@
 }
 
 impl Leader {
-    /// A leader whose claim was sent at `claimed_at` and answered at `now`. `registered` are all
-    /// nodes that the store knew after that; `known` is the last table of an earlier leader.
+    /// A leader that won `leadership` by a claim sent at `claimed_at` and answered at `now`.
+    /// `registered` are all nodes that the store knew after that; `known` is the last table of an
+    /// earlier leader.
     pub fn new(
-        epoch: Epoch,
+        leadership: &Leadership,
         timing: Timing,
         claimed_at: Time,
         now: Time,
         registered: BTreeSet<NodeName>,
         known: Table,
     ) -> Self {
+        let epoch = leadership.leader.epoch;
+        let earlier = leadership.earlier.as_ref();
+        let mut earlier = earlier.map(|nodes| nodes.iter().cloned().collect::<BTreeSet<_>>());
+        if let Some(earlier) = &mut earlier {
+            earlier.remove(&leadership.leader.node);
+        }
         Self {
+            sole_since: earlier
+                .as_ref()
+                .and_then(|earlier| earlier.is_empty().then_some(now)),
+            earlier,
             epoch,
             timing,
             elected_at: now,
@@ -210,6 +225,7 @@
             return None;
         }
         self.silent.remove(&renewal.node);
+        self.heard_earlier_leader(now, &renewal.node);
         self.meet(now, renewal);
         // A report of an earlier epoch tells what is held, but its assignment number isn't ours.
         let mut report = renewal.clone();
@@ -251,6 +267,32 @@
         })
     }
 
+    /// An earlier leader that reports here leads no longer: it obeys this epoch, or is a new process.
+    fn heard_earlier_leader(&mut self, now: Time, node: &NodeName) {
+        if let Some(earlier) = &mut self.earlier
+            && earlier.remove(node)
+            && earlier.is_empty()
+        {
+            self.sole_since = Some(now);
+        }
+    }
+
+    /// When no silent node can hold anything any more: every lease that an earlier leader may have
+    /// given has ended.
+    fn unknown_until(&self) -> Time {
+        let lease = self.timing.lease + self.timing.lease_margin;
+        let at_the_latest = self.elected_at + self.timing.leadership + lease;
+        match self.sole_since {
+            Some(since) => at_the_latest.min(since + lease),
+            None => at_the_latest,
+        }
+    }
+
+    /// Whether every lease of earlier leaders has ended, so that later ones needn't wait for those.
+    pub fn is_settled(&self, now: Time) -> bool {
+        now >= self.unknown_until()
+    }
+
     /// Brings what is known of a node up to date.
     fn meet(&mut self, now: Time, renewal: &Renewal) {
         let lease_until = now + self.timing.lease;
--- a/crates/ownership/src/lib.rs
+++ b/crates/ownership/src/lib.rs
@@ -30,8 +30,8 @@
 pub use holder::{Admission, GrantResult, Holder, Order};
 pub use leader::{Leader, Member};
 pub use message::{
-    Holding, LeaderReference, LeaseReply, MemberView, Released, Renewal, ServiceTable, Table,
-    TargetState, Wanted,
+    Holding, LeaderReference, Leadership, LeaseReply, MemberView, Released, Renewal, ServiceTable,
+    Table, TargetState, Wanted,
 };
 pub use participant::{
     Action, ClaimResult, Datagram, Identity, Note, Participant, Stored, Surroundings,
--- a/crates/ownership/src/message.rs
+++ b/crates/ownership/src/message.rs
@@ -19,6 +19,35 @@
     pub address: SocketAddr,
 }
 
+/// What the leader's object in the store holds.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Leadership {
+    /// The leader.
+    pub leader: LeaderReference,
+    /// Nodes that led before it and may not have noticed yet; nothing if there were too many to tell.
+    pub earlier: Option<Vec<NodeName>>,
+}
+
+impl Leadership {
+    /// Most earlier leaders that are told.
+    const MOST_EARLIER: usize = 12;
+
+    /// What a node that takes over from this leadership writes.
+    pub fn succeeded_by(&self, leader: LeaderReference) -> Self {
+        let earlier = self.earlier.as_ref().map(|earlier| {
+            let mut earlier = earlier.clone();
+            if !earlier.contains(&self.leader.node) {
+                earlier.push(self.leader.node.clone());
+            }
+            earlier
+        });
+        Self {
+            leader,
+            earlier: earlier.filter(|earlier| earlier.len() <= Self::MOST_EARLIER),
+        }
+    }
+}
+
 /// Keys that a node's target may hold.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Holding {
--- a/crates/ownership/src/participant.rs
+++ b/crates/ownership/src/participant.rs
@@ -10,8 +10,9 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    Admission, Election, Epoch, GrantResult, Holder, Leader, LeaderReference, LeaseReply, Life,
-    LoadReport, NodeName, Order, PeerView, Renewal, Step, Table, TargetState, Time, Timing,
+    Admission, Election, Epoch, GrantResult, Holder, Leader, LeaderReference, Leadership,
+    LeaseReply, Life, LoadReport, NodeName, Order, PeerView, Renewal, Step, Table, TargetState,
+    Time, Timing,
 };
 
 /// Two renewals that something hurried on are at least this far apart.
@@ -58,7 +59,9 @@
     /// Read the leader's object; ends in [`Participant::leadership_read`].
     ReadLeadership,
     /// Replace the object of that revision, or create it; ends in [`Participant::claim_ended`].
-    Claim(Option<u64>, LeaderReference),
+    Claim(Option<u64>, Leadership),
+    /// Replace the object of that revision; it doesn't matter whether that succeeds.
+    Rewrite(u64, Leadership),
     /// List registered nodes; ends in [`Participant::registered_listed`].
     ListRegistered,
     /// Read the leader's object; ends in [`Participant::confirmed`].
@@ -104,7 +107,7 @@
 }
 
 /// The leader's object as it was read: its revision and whom it names.
-pub type Stored = Option<(u64, LeaderReference)>;
+pub type Stored = Option<(u64, Leadership)>;
 
 /// How a claim ended.
 #[derive(Debug, Clone, PartialEq)]
@@ -147,7 +150,9 @@
     fetching_table_since: Option<Time>,
     noticed: (Epoch, u64, u64),
     /// A claim that was won, and when it was sent, while registered nodes are listed.
-    won: Option<(LeaderReference, Time)>,
+    won: Option<(Leadership, Time)>,
+    /// Whether the object has been rewritten in this epoch, without earlier leaders.
+    rewritten: Epoch,
     counter: u64,
 }
 
@@ -174,6 +179,7 @@
             fetching_table_since: None,
             noticed: Default::default(),
             won: None,
+            rewritten: Epoch::default(),
             counter: 0,
         }
     }
@@ -583,45 +589,62 @@
             self.election.look_again(now);
             return actions;
         };
-        let named = stored.as_ref().map(|(_, leader)| leader);
-        if let Some(named) = named {
-            if self.is_own(named) && self.leader.is_none() {
+        if let Some((_, leadership)) = &stored {
+            if self.is_own(&leadership.leader) && self.leader.is_none() {
                 // An earlier claim was done after all: it held when this read was sent.
-                self.won = Some((named.clone(), sent_at));
+                self.won = Some((leadership.clone(), sent_at));
                 return vec![Action::ListRegistered];
             }
-            self.follow(now, named, &mut actions);
+            self.follow(now, &leadership.leader, &mut actions);
         }
+        let named = stored.as_ref().map(|(_, leadership)| &leadership.leader);
         if self.election.object_read(now, named) == Some(Step::Claim) {
-            let epoch = Epoch(named.map_or(1, |leader| leader.epoch.0 + 1));
-            let leader = LeaderReference {
-                epoch,
-                node: self.identity.node.clone(),
-                life: self.identity.life,
-                address: self.identity.address,
-            };
-            actions.push(Action::Claim(stored.map(|(revision, _)| revision), leader));
+            let (revision, leadership) = self.next_leadership(stored);
+            actions.push(Action::Claim(revision, leadership));
         }
         actions
     }
 
+    /// What to replace the stored leadership with.
+    fn next_leadership(&self, stored: Stored) -> (Option<u64>, Leadership) {
+        let leader = |epoch| LeaderReference {
+            epoch,
+            node: self.identity.node.clone(),
+            life: self.identity.life,
+            address: self.identity.address,
+        };
+        match stored {
+            Some((revision, before)) => {
+                let next = leader(Epoch(before.leader.epoch.0 + 1));
+                (Some(revision), before.succeeded_by(next))
+            }
+            None => {
+                let first = Leadership {
+                    leader: leader(Epoch(1)),
+                    earlier: Some(Vec::new()),
+                };
+                (None, first)
+            }
+        }
+    }
+
     /// A claim that was sent at `sent_at` has ended.
     pub fn claim_ended(
         &mut self,
         now: Time,
         around: &Surroundings,
         sent_at: Time,
-        leader: LeaderReference,
+        leadership: Leadership,
         result: ClaimResult,
     ) -> Vec<Action> {
         let mut actions = Vec::new();
         match result {
             ClaimResult::Won => {
-                self.won = Some((leader, sent_at));
+                self.won = Some((leadership, sent_at));
                 return vec![Action::ListRegistered];
             }
             ClaimResult::Conflict(Some((_, named))) => {
-                if self.follow(now, &named, &mut actions) {
+                if self.follow(now, &named.leader, &mut actions) {
                     self.renew(now, around, &mut actions);
                     return actions;
                 }
@@ -640,9 +663,10 @@
         registered: Option<Vec<(NodeName, SocketAddr)>>,
     ) -> Vec<Action> {
         let mut actions = Vec::new();
-        let Some((leader, claimed_at)) = self.won.take() else {
+        let Some((leadership, claimed_at)) = self.won.take() else {
             return actions;
         };
+        let leader = leadership.leader.clone();
         let Some(registered) = registered else {
             self.election.look_again(now);
             return actions;
@@ -663,7 +687,7 @@
         )));
         let known = self.table.clone();
         self.leader = Some(Leader::new(
-            leader.epoch,
+            &leadership,
             self.timing,
             claimed_at,
             now,
@@ -715,26 +739,36 @@
         self.tell_changes(now, around, actions);
     }
 
-    /// A confirmation that was sent at `sent_at` has ended: whom the store names, if it told.
-    pub fn confirmed(
-        &mut self,
-        now: Time,
-        sent_at: Time,
-        stored: Option<LeaderReference>,
-    ) -> Vec<Action> {
+    /// A confirmation that was sent at `sent_at` has ended: what the store holds, if it told.
+    pub fn confirmed(&mut self, now: Time, sent_at: Time, stored: Stored) -> Vec<Action> {
         self.confirming_since = None;
         let mut actions = Vec::new();
-        let Some(named) = stored else {
+        let Some((revision, leadership)) = stored else {
             return actions;
         };
-        if !self.is_own(&named) {
-            self.follow(now, &named, &mut actions);
+        if !self.is_own(&leadership.leader) {
+            self.follow(now, &leadership.leader, &mut actions);
             return actions;
         }
-        if let Some(leader) = &mut self.leader
-            && leader.epoch() == named.epoch
-        {
-            leader.confirm(sent_at);
+        let Some(leader) = &mut self.leader else {
+            return actions;
+        };
+        if leader.epoch() != leadership.leader.epoch {
+            return actions;
+        }
+        leader.confirm(sent_at);
+        let is_alone = leadership.earlier.as_ref().is_some_and(Vec::is_empty);
+        if leader.is_settled(now) && !is_alone && self.rewritten != leader.epoch() {
+            // Later leaders needn't wait for those before this one.
+            self.rewritten = leader.epoch();
+            let earlier = Some(Vec::new());
+            actions.push(Action::Rewrite(
+                revision,
+                Leadership {
+                    earlier,
+                    ..leadership
+                },
+            ));
         }
         actions
     }
--- a/crates/sidecar/src/control.rs
+++ b/crates/sidecar/src/control.rs
@@ -8,7 +8,7 @@
 use tokio::net::UdpSocket;
 use tokio::time::{MissedTickBehavior, interval};
 use wingspar_ownership::{
-    Action, ClaimResult, Datagram, LeaderReference, Note, Stored, Surroundings, Time,
+    Action, ClaimResult, Datagram, Leadership, Note, Stored, Surroundings, Time,
 };
 use wingspar_platform::objects::{self, Outcome};
 
@@ -147,6 +147,9 @@
                 Action::Claim(revision, leader) => {
                     tokio::task::spawn_local(control.claim(revision, leader));
                 }
+                Action::Rewrite(revision, leadership) => {
+                    tokio::task::spawn_local(control.rewrite(revision, leadership));
+                }
                 Action::ListRegistered => {
                     tokio::task::spawn_local(control.list_registered());
                 }
@@ -216,17 +219,17 @@
     async fn confirm(self: Rc<Self>) {
         let sent_at = self.node.now();
         let stored = self.read_stored().await;
-        let named = stored.ok().flatten().map(|(_, leader)| leader);
-        let actions = self
-            .node
-            .participant
-            .borrow_mut()
-            .confirmed(self.node.now(), sent_at, named);
+        let stored = stored.ok().flatten();
+        let actions =
+            self.node
+                .participant
+                .borrow_mut()
+                .confirmed(self.node.now(), sent_at, stored);
         self.carry_out(actions);
         self.hurry();
     }
 
-    async fn claim(self: Rc<Self>, revision: Option<u64>, leader: LeaderReference) {
+    async fn claim(self: Rc<Self>, revision: Option<u64>, leader: Leadership) {
         let call = match revision {
             Some(revision) => objects::replace(LEADER_KIND, LEADER_NAME, revision, &leader),
             None => objects::create(LEADER_KIND, LEADER_NAME, &leader),
@@ -250,6 +253,11 @@
         self.carry_out(actions);
     }
 
+    async fn rewrite(self: Rc<Self>, revision: u64, leadership: Leadership) {
+        let call = objects::replace(LEADER_KIND, LEADER_NAME, revision, &leadership);
+        let _reply = crate::follow::counted_call(&self.node, &call, None).await;
+    }
+
     async fn list_registered(self: Rc<Self>) {
         let registered = registration::list(&self.node).await;
         let around = self.around();
@@ -303,7 +311,7 @@
     }
 }
 
-fn read_leader(body: &[u8]) -> Option<(u64, LeaderReference)> {
+fn read_leader(body: &[u8]) -> Option<(u64, Leadership)> {
     let object = objects::parse_object(body).ok()?;
     let leader = serde_json::from_slice(&object.content).ok()?;
     Some((object.revision, leader))
--- a/crates/sidecar/src/registration.rs
+++ b/crates/sidecar/src/registration.rs
@@ -75,9 +75,10 @@
     replaced.is_ok_and(|reply| reply.outcome == Outcome::Done)
 }
 
-/// Removes the node's object; the node holds nothing any more.
-pub async fn unregister(node: &Node) {
-    let _reply = node.store.call(&objects::remove(KIND, &node.name)).await;
+/// Removes the node's object; the node holds nothing any more. Whether it is gone.
+pub async fn unregister(node: &Node) -> bool {
+    let reply = node.store.call(&objects::remove(KIND, &node.name)).await;
+    reply.is_ok_and(|reply| matches!(reply.outcome, Outcome::Done | Outcome::Missing))
 }
 
 /// All registered nodes; nothing if the store didn't tell.
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -259,8 +259,8 @@
     while asked_at.elapsed() < grace && (unfinished() > 0 || holds()) {
         tokio::time::sleep(END_STEP).await;
     }
-    if !holds() {
-        registration::unregister(node).await;
+    while !holds() && asked_at.elapsed() < grace && !registration::unregister(node).await {
+        tokio::time::sleep(END_STEP).await;
     }
     node.log.write(Event::Stopped {
         unfinished: unfinished(),
--- a/crates/sidecar/src/target_calls.rs
+++ b/crates/sidecar/src/target_calls.rs
@@ -281,9 +281,10 @@
         fence,
     };
     let answer = post(node, ReleaseOrder::PATH, body.body(), RELEASE_TIMEOUT).await;
+    // A target that doesn't know the call owns no keys.
     let answered = answer
         .as_ref()
-        .is_some_and(|answer| answer.status().is_success());
+        .is_some_and(|answer| !answer.status().is_server_error());
     let handover = answer
         .as_ref()
         .and_then(|answer| answer.headers().get(headers::HANDOVER)?.to_str().ok());
