--- a/crates/ownership/src/balance.rs
+++ b/crates/ownership/src/balance.rs
@@ -10,14 +10,16 @@
 pub const BUCKETS: usize = 1024;
 /// Keys of one part.
 pub const KEYS_PER_BUCKET: u32 = 65_536 / BUCKETS as u32;
-/// Weight of a new report against what was known.
-const SMOOTHING: f64 = 0.4;
+/// Rates are smoothed over about this time, in seconds.
+const RATE_MEMORY: f64 = 1.2;
+/// Weight of a new report's service time against what was known.
+const SERVICE_TIME_SMOOTHING: f64 = 0.15;
 /// Share of the load that is spread evenly over all keys, so that idle ones are dealt too.
 const EVEN_SHARE: f64 = 0.05;
 /// Service time of a target that hasn't been seen at work, in seconds.
 const DEFAULT_SERVICE_TIME: f64 = 0.1;
 /// Requests in a report below which its service time isn't believed.
-const FEWEST_FOR_SERVICE_TIME: f64 = 8.0;
+const FEWEST_FOR_SERVICE_TIME: f64 = 6.0;
 
 /// The part that a key is counted in.
 pub fn bucket_of(key: u16) -> usize {
@@ -45,6 +47,8 @@
 #[derive(Debug, Clone)]
 pub struct Load {
     rates: Vec<f64>,
+    /// Seconds of reports seen of each bucket, up to the memory.
+    seen: Vec<f64>,
     service_times: BTreeMap<NodeName, f64>,
 }
 
@@ -52,6 +56,7 @@
     fn default() -> Self {
         Self {
             rates: vec![0.0; BUCKETS],
+            seen: vec![0.0; BUCKETS],
             service_times: BTreeMap::new(),
         }
     }
@@ -73,10 +78,15 @@
                 seen.entry(bucket).or_insert(0.0);
             }
         }
+        let forgets = 1.0 - (-span / RATE_MEMORY).exp();
         for (bucket, rate) in seen {
-            if let Some(known) = self.rates.get_mut(bucket) {
-                *known += SMOOTHING * (rate - *known);
+            if bucket >= BUCKETS {
+                continue;
             }
+            // What little is known at first counts as much as each report that follows.
+            self.seen[bucket] = (self.seen[bucket] + span).min(RATE_MEMORY);
+            let weight = forgets.max(span / self.seen[bucket]).min(1.0);
+            self.rates[bucket] += weight * (rate - self.rates[bucket]);
         }
         let finished = f64::from(report.finished);
         if finished >= FEWEST_FOR_SERVICE_TIME {
@@ -85,7 +95,7 @@
                 .service_times
                 .entry(report.node.clone())
                 .or_insert(time);
-            *known += SMOOTHING * 0.5 * (time - *known);
+            *known += SERVICE_TIME_SMOOTHING * (time - *known);
         }
     }
 
--- a/crates/ownership/src/leader.rs
+++ b/crates/ownership/src/leader.rs
@@ -14,7 +14,7 @@
 /// A node is called about a changed assignment at most this often.
 const CALL_EVERY: Duration = Duration::from_millis(90);
 /// How often the leader looks for a better plan.
-const REBALANCE_EVERY_MS: u64 = 1_000;
+const REBALANCE_EVERY_MS: u64 = 400;
 
 /// A node that renews with the leader.
 #[derive(Debug, Clone)]
--- a/crates/sidecar/src/control.rs
+++ b/crates/sidecar/src/control.rs
@@ -25,7 +25,7 @@
 /// How often the loop looks at its clock.
 const TICK: Duration = Duration::from_millis(100);
 /// How often load is reported.
-const LOAD_EVERY: Duration = Duration::from_millis(1_000);
+const LOAD_EVERY: Duration = Duration::from_millis(400);
 /// Largest datagram.
 const DATAGRAM_BYTES: usize = 65_000;
 
--- a/crates/sidecar/src/logs.rs
+++ b/crates/sidecar/src/logs.rs
@@ -162,7 +162,7 @@
         /// Version of the configuration that decided.
         configuration: u64,
         /// The node that was tried last.
-        node: &'a str,
+        tried: &'a str,
         /// Sends that reached, or may have reached, a target.
         sends: u32,
         /// How it ended.
--- a/crates/sidecar/src/router.rs
+++ b/crates/sidecar/src/router.rs
@@ -113,7 +113,7 @@
             service: &self.service,
             key: self.key,
             configuration: self.configuration,
-            node: &self.node,
+            tried: &self.node,
             sends: self.sends,
             outcome: labels.outcome,
             took_ms: u64::try_from(took.as_millis()).unwrap_or(0),
