--- a/crates/ownership/src/lib.rs
+++ b/crates/ownership/src/lib.rs
@@ -24,7 +24,7 @@
 mod range;
 mod time;
 
-pub use balance::{BUCKETS, KEYS_PER_BUCKET, LoadReport, bucket_of};
+pub use balance::{BUCKETS, KEYS_PER_BUCKET, Load, LoadReport, bucket_of};
 pub use election::{Election, PeerView, Step};
 pub use fence::{Epoch, Fence, Life, NodeName};
 pub use holder::{Admission, GrantResult, Holder, Order};
@@ -36,6 +36,6 @@
 pub use participant::{
     Action, ClaimResult, Datagram, Identity, Note, Participant, Stored, Surroundings,
 };
-pub use plan::Plan;
+pub use plan::{Candidate, Plan};
 pub use range::KeyRange;
 pub use time::{Time, Timing};
--- /dev/null
+++ b/crates/sidecar/tests/limits.rs
@@ -0,0 +1,79 @@
+//! Slots, the queue for them, and the budget of extra sends.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+use wingspar_ownership::Time;
+use wingspar_sidecar::budget::Budget;
+use wingspar_sidecar::slots::Slots;
+
+fn soon(millis: u64) -> Instant {
+    Instant::now() + Duration::from_millis(millis)
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_full_target_refuses_when_patience_ends() {
+    let slots = Slots::new();
+    slots.set_capacity(1);
+    let held = slots.acquire(1, soon(0)).await.expect("a slot is free");
+    assert!(
+        slots.acquire(1, soon(0)).await.is_err(),
+        "no patience at all"
+    );
+    let started = Instant::now();
+    assert!(slots.acquire(1, soon(200)).await.is_err());
+    assert_eq!(started.elapsed(), Duration::from_millis(200));
+    assert_eq!((slots.running(), slots.waiting()), (1, 0));
+    drop(held);
+    assert_eq!(slots.running(), 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_most_urgent_comes_first() {
+    let slots = Slots::new();
+    slots.set_capacity(1);
+    let held = slots.acquire(1, soon(0)).await.expect("a slot is free");
+    let order = std::cell::RefCell::new(Vec::new());
+    let wait = async |priority: u8| {
+        let slot = slots.acquire(priority, soon(1_000)).await;
+        order.borrow_mut().push(priority);
+        tokio::time::sleep(Duration::from_millis(1)).await;
+        drop(slot);
+    };
+    tokio::join!(wait(2), wait(0), wait(1), async {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+        drop(held);
+    });
+    assert_eq!(*order.borrow(), [0, 1, 2]);
+    assert_eq!(slots.running(), 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn who_stops_waiting_leaves_no_trace() {
+    let slots = Slots::new();
+    slots.set_capacity(1);
+    let held = slots.acquire(1, soon(0)).await.expect("a slot is free");
+    let left = tokio::time::timeout(Duration::from_millis(10), slots.acquire(1, soon(1_000))).await;
+    assert!(left.is_err());
+    assert_eq!(slots.waiting(), 0);
+    drop(held);
+    assert!(slots.acquire(1, soon(0)).await.is_ok());
+}
+
+#[test]
+fn extra_sends_stay_within_the_shared_budget() {
+    let mut budget = Budget::new(0.2, 60.0);
+    let now = Time(50_000);
+    let nodes = 16;
+    let spent = (0..100).filter(|_| budget.spend(now, "s", nodes)).count();
+    assert!(spent * nodes <= 60, "{spent} on each of {nodes} nodes");
+    for _ in 0..100 {
+        budget.request(now, "s");
+    }
+    let more = (0..100).filter(|_| budget.spend(now, "s", nodes)).count();
+    assert!(more <= 20, "{more} for 100 requests");
+    // All of it is forgotten after the window.
+    let later = Time(75_000);
+    let again = (0..100).filter(|_| budget.spend(later, "s", nodes)).count();
+    assert_eq!(again, spent);
+}
--- /dev/null
+++ b/crates/sidecar/tests/target.rs
@@ -0,0 +1,103 @@
+//! What heartbeats, late ones among them, make of the target.
+
+use std::time::Duration;
+
+use wingspar_ownership::Time;
+use wingspar_platform::{Heartbeat, LifecycleState};
+use wingspar_sidecar::target::{Heard, Target};
+
+fn heartbeat(state: LifecycleState, sequence: u64) -> Heartbeat {
+    Heartbeat {
+        address: "10.0.0.1:80".to_owned(),
+        service: "s".to_owned(),
+        slots: 18,
+        state,
+        sequence,
+        warmup_left: 0.0,
+    }
+}
+
+const START: Time = Time(10_000);
+
+fn ready() -> Target {
+    let mut target = Target::unknown("s", None);
+    assert_eq!(
+        target.heartbeat(START, "a", &heartbeat(LifecycleState::Ready, 1)),
+        Heard::NewLife
+    );
+    target
+}
+
+#[test]
+fn a_target_that_leaves_gets_nothing_new_soon_and_a_late_heartbeat_changes_nothing() {
+    let mut target = ready();
+    assert!(target.accepting(START) && target.may_start(START));
+    assert_eq!(
+        target.heartbeat(START, "a", &heartbeat(LifecycleState::Draining, 5)),
+        Heard::Leaves
+    );
+    assert_eq!(
+        target.heartbeat(START, "a", &heartbeat(LifecycleState::Ready, 4)),
+        Heard::Nothing
+    );
+    assert!(!target.accepting(START));
+    assert!(target.may_start(START), "routers learn of it meanwhile");
+    assert!(!target.may_start(START + Duration::from_millis(1_000)));
+}
+
+#[test]
+fn leaving_without_draining_first_binds_all_the_same() {
+    let mut target = ready();
+    assert_eq!(target.leave(START, "a"), Heard::Leaves);
+    assert_eq!(
+        target.heartbeat(START, "a", &heartbeat(LifecycleState::Ready, 9)),
+        Heard::Nothing
+    );
+    assert!(!target.accepting(START));
+    assert!(!target.may_start(START + Duration::from_millis(1_000)));
+}
+
+#[test]
+fn an_earlier_life_does_not_come_back() {
+    let mut target = ready();
+    assert_eq!(
+        target.heartbeat(START, "b", &heartbeat(LifecycleState::Ready, 1)),
+        Heard::NewLife
+    );
+    assert_eq!(
+        target.heartbeat(START, "a", &heartbeat(LifecycleState::Ready, 7)),
+        Heard::Nothing
+    );
+    assert_eq!(target.leave(START, "a"), Heard::Nothing);
+    assert_eq!(target.id(), Some("b"));
+    assert!(target.accepting(START));
+}
+
+#[test]
+fn a_started_process_asks_before_it_trusts_a_heartbeat() {
+    let until = START + Duration::from_millis(1_200);
+    let mut target = Target::unknown("s", Some(until));
+    target.heartbeat(START, "a", &heartbeat(LifecycleState::Ready, 3));
+    assert!(!target.accepting(START));
+    assert!(
+        target.accepting(until),
+        "a target that doesn't answer is trusted in the end"
+    );
+    target.probed(START, "a", false, None);
+    assert!(
+        !target.accepting(until),
+        "an earlier process may have acknowledged that it leaves"
+    );
+}
+
+#[test]
+fn a_target_that_refused_a_connection_is_back_with_its_next_heartbeat() {
+    let mut target = ready();
+    target.failed();
+    assert!(!target.accepting(START));
+    assert_eq!(
+        target.heartbeat(START, "a", &heartbeat(LifecycleState::Ready, 2)),
+        Heard::Changed
+    );
+    assert!(target.accepting(START));
+}
