--- a/crates/ownership/src/participant.rs
+++ b/crates/ownership/src/participant.rs
@@ -11,8 +11,8 @@
 
 use crate::{
     Admission, Election, Epoch, GrantResult, Holder, Leader, LeaderReference, Leadership,
-    LeaseReply, Life, LoadReport, NodeName, Order, PeerView, Renewal, Step, Table, TargetState,
-    Time, Timing,
+    LeaseReply, Life, LoadReport, Member, NodeName, Order, PeerView, Renewal, Step, Table,
+    TargetState, Time, Timing,
 };
 
 /// Two renewals that something hurried on are at least this far apart.
@@ -553,6 +553,7 @@
         if around.leaving && self.leader.is_none() {
             return;
         }
+        self.election.set_owns_keys(Self::owns_keys(around));
         let peers = self.table.members.len().saturating_sub(1);
         match self.election.tick(now, peers) {
             Some(Step::AskPeers) => self.ask_peers(actions),
@@ -740,9 +741,11 @@
             self.confirming_since = Some(now);
             actions.push(Action::Confirm);
         }
-        if (trouble || around.leaving) && now >= self.next_take_over {
+        let burdened = leader.is_settled(now) && Self::owns_keys(around);
+        if (trouble || burdened || around.leaving) && now >= self.next_take_over {
             self.next_take_over = now + TAKE_OVER_EVERY;
-            self.ask_to_take_over(now, actions);
+            let must = trouble || around.leaving;
+            self.ask_to_take_over(now, around, must, actions);
         }
         self.tell_changes(now, around, actions);
     }
@@ -781,8 +784,21 @@
         actions
     }
 
-    /// Asks a node that reaches the store to lead, since this one doesn't, or stops.
-    fn ask_to_take_over(&mut self, now: Time, actions: &mut Vec<Action>) {
+    /// Whether the node's target owns keys, or may. Such a node leads only if no other can: a leader
+    /// and an owner lost together leave keys unserved for longer.
+    fn owns_keys(around: &Surroundings) -> bool {
+        let service = around.target.as_ref().map(|target| &target.service);
+        service.is_some_and(|service| around.keyed_services.contains(service))
+    }
+
+    /// Asks a node that reaches the store to lead, since this one doesn't, or stops, or owns keys.
+    fn ask_to_take_over(
+        &mut self,
+        now: Time,
+        around: &Surroundings,
+        must: bool,
+        actions: &mut Vec<Action>,
+    ) {
         let Some(leader) = &self.leader else {
             return;
         };
@@ -793,8 +809,22 @@
                 **name != self.identity.node && member.store_reachable && !member.view.leaving
             })
             .filter(|(_, member)| now.since(member.heard_at) < self.timing.suspect_after)
-            .map(|(_, member)| member.view.address)
+            .map(|(_, member)| member)
+            .collect::<Vec<_>>();
+        let owns_no_keys = |member: &&Member| {
+            let service = member.view.target.as_ref().map(|target| &target.service);
+            !service.is_some_and(|service| around.keyed_services.contains(service))
+        };
+        let lighter = heirs
+            .iter()
+            .copied()
+            .filter(owns_no_keys)
             .collect::<Vec<_>>();
+        let heirs = if must && lighter.is_empty() {
+            heirs
+        } else {
+            lighter
+        };
         if heirs.is_empty() {
             return;
         }
@@ -802,7 +832,7 @@
         let chosen =
             (self.identity.life.0.wrapping_add(self.counter) % heirs.len() as u64) as usize;
         actions.push(Action::Send(
-            heirs[chosen],
+            heirs[chosen].view.address,
             Datagram::TakeOver(leader.epoch()),
         ));
     }
