sidecar: requests for keys that are about to arrive wait at the agent; fewer questions for an owner

Change: 40 ms between questions unless the table changes; the agent holds a request while its keys arrive.

--- a/crates/sidecar/src/agent.rs
+++ b/crates/sidecar/src/agent.rs
@@ -1,6 +1,7 @@
 //! The agent beside a target: may this request start there now?
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use tokio::time::Instant;
 use wingspar_ownership::Admission;
@@ -12,6 +13,9 @@
 use crate::stop::Stop;
 use crate::target_calls::{lease_left_ms, run};
 
+/// How often the arrival of keys is looked for.
+const ARRIVAL_STEP: Duration = Duration::from_millis(5);
+
 /// Runs a request at the target, or says why it hasn't.
 pub async fn serve(node: &Rc<Node>, hop: HopRequest) -> HopAnswer {
     let id = hop.headers.get(headers::REQUEST_ID).cloned();
@@ -37,7 +41,7 @@
 }
 
 async fn admit(node: &Rc<Node>, hop: HopRequest) -> HopAnswer {
-    if let Err(refusal) = check(node, &hop) {
+    if let Err(refusal) = check_or_wait(node, &hop).await {
         return HopAnswer::Refused(refusal);
     }
     let Ok(slot) = node.slots.acquire(hop.priority, hop.patience).await else {
@@ -50,6 +54,18 @@
     run(node, hop, slot).await
 }
 
+/// As [`check`], but waits for keys that are about to arrive.
+async fn check_or_wait(node: &Node, hop: &HopRequest) -> Result<(), Refusal> {
+    loop {
+        match check(node, hop) {
+            Err(Refusal::Arriving) if Instant::now() < hop.patience => {
+                tokio::time::sleep(ARRIVAL_STEP).await;
+            }
+            checked => return checked,
+        }
+    }
+}
+
 /// Whether a request may start now.
 fn check(node: &Node, hop: &HopRequest) -> Result<(), Refusal> {
     let now = node.now();
--- a/crates/sidecar/src/router.rs
+++ b/crates/sidecar/src/router.rs
@@ -36,7 +36,7 @@
 const URGENT_OBJECTIVES: f64 = 3.2;
 const URGENT_PATIENCE_SHARE: f64 = 0.55;
 /// Pause before a key's owner is looked up again, unless the directory changes before.
-const OWNER_PAUSE: Duration = Duration::from_millis(20);
+const OWNER_PAUSE: Duration = Duration::from_millis(40);
 /// The final answer is given this much before the deadline, so that it arrives in time.
 const ANSWER_MARGIN: Duration = Duration::from_millis(5);
 /// Most nodes that are asked while nothing has been sent.
