ownership: the leader's work and the table's notices are bounded by the number of members

Change: a look at all members at most each members/8 ms, renewals repeated at doubling times, notices of a changed table at most each 2 ms a member (a configuration at once), a table is written once for all who ask, new plans only beyond what chance shows.

--- a/crates/ownership/src/balance.rs
+++ b/crates/ownership/src/balance.rs
@@ -106,6 +106,12 @@
         self.rates.iter().map(|rate| rate + even).collect()
     }
 
+    /// Requests that the known rate of one of several owners rests on, at least one.
+    pub fn requests_behind(&self, owners: usize) -> f64 {
+        let total = self.rates.iter().sum::<f64>();
+        (total * RATE_MEMORY / owners.max(1) as f64).max(1.0)
+    }
+
     /// Requests a second that a node's target can finish.
     pub fn capacity(&self, node: &NodeName, slots: u32) -> f64 {
         let known = self.service_times.get(node).copied();
--- a/crates/ownership/src/leader.rs
+++ b/crates/ownership/src/leader.rs
@@ -13,6 +13,9 @@
 
 /// A node is called about a changed assignment at most this often.
 const CALL_EVERY: Duration = Duration::from_millis(90);
+/// Between two looks at all members, caused by renewals, at least this part of them in milliseconds
+/// passes.
+const MEMBERS_A_MILLISECOND: u64 = 8;
 /// How often the leader looks for a better plan.
 const REBALANCE_EVERY_MS: u64 = 400;
 
@@ -78,6 +81,7 @@
     members: BTreeMap<NodeName, Member>,
     partitions: BTreeMap<String, Partition>,
     rebalanced_at: Time,
+    ticked_at: Time,
     known: Table,
     table: Table,
 }
@@ -116,6 +120,7 @@
             members: BTreeMap::new(),
             partitions: BTreeMap::new(),
             rebalanced_at: now,
+            ticked_at: Time::default(),
             known,
             table: Table {
                 epoch,
@@ -267,7 +272,11 @@
                 partition.report(renewal);
             }
         }
-        self.tick(now);
+        // With many members a renewal must not cost a look at all of them.
+        let gap = Duration::from_millis(self.members.len() as u64 / MEMBERS_A_MILLISECOND);
+        if now.since(self.ticked_at) >= gap {
+            self.tick(now);
+        }
         if !self.may_lease(now) {
             return None;
         }
@@ -393,6 +402,7 @@
 
     /// Lets time pass: leases end, ranges are given and taken back.
     pub fn tick(&mut self, now: Time) {
+        self.ticked_at = now;
         if !self.may_lease(now) {
             return;
         }
--- a/crates/ownership/src/participant.rs
+++ b/crates/ownership/src/participant.rs
@@ -17,8 +17,10 @@
 
 /// Two renewals that something hurried on are at least this far apart.
 const HURRIED_RENEWALS: Duration = Duration::from_millis(40);
-/// A renewal without an answer for this long is sent again.
+/// A renewal without an answer for this long is sent again; the time doubles with each.
 const ANSWER_EXPECTED: Duration = Duration::from_millis(130);
+/// Members of whom one millisecond must pass between two notices of a changed table.
+const NOTICE_GAP_MS_A_MEMBER: u64 = 2;
 /// Such a confirmation without an answer for this long is sent again.
 const HURRIED_CONFIRMATION_GIVEN_UP: Duration = Duration::from_millis(350);
 /// Peers that are asked whom they hear.
@@ -144,11 +146,14 @@
     table: Table,
     next_renewal: Time,
     last_renewal: Time,
+    /// Renewals since the leader's last answer.
+    unanswered: u32,
     confirming_since: Option<Time>,
     last_confirmation: Time,
     next_take_over: Time,
     fetching_table_since: Option<Time>,
     noticed: (Epoch, u64, u64),
+    noticed_at: Time,
     /// A claim that was won, and when it was sent, while registered nodes are listed.
     won: Option<(Leadership, Time)>,
     /// Whether the object has been rewritten in this epoch, without earlier leaders.
@@ -173,11 +178,13 @@
             table: Table::default(),
             next_renewal: now,
             last_renewal: Time::default(),
+            unanswered: 0,
             confirming_since: None,
             last_confirmation: Time::default(),
             next_take_over: now,
             fetching_table_since: None,
             noticed: Default::default(),
+            noticed_at: Time::default(),
             won: None,
             rewritten: Epoch::default(),
             counter: 0,
@@ -310,12 +317,14 @@
     fn renew(&mut self, now: Time, around: &Surroundings, actions: &mut Vec<Action>) {
         let expects_answer = now.since(self.election.heard_at()) < self.timing.suspect_after;
         let again = if expects_answer {
-            ANSWER_EXPECTED
+            let doubled = ANSWER_EXPECTED * 2_u32.pow(self.unanswered.min(4));
+            doubled.min(self.timing.renew_every)
         } else {
             self.timing.renew_every
         };
         self.next_renewal = now + again;
         self.last_renewal = now;
+        self.unanswered += 1;
         let Some(leader) = self.election.leader().cloned() else {
             return;
         };
@@ -335,6 +344,12 @@
     /// The leader's side of a renewal.
     fn lease(&mut self, now: Time, around: &Surroundings, renewal: &Renewal) -> Option<LeaseReply> {
         let mut reply = self.leader.as_mut()?.renewal(now, renewal)?;
+        // A newer table is told to all at a bounded rate.
+        reply.table_version = if self.noticed.0 == reply.epoch {
+            self.noticed.1
+        } else {
+            0
+        };
         reply.configuration_version = around.configuration_version;
         Some(reply)
     }
@@ -356,6 +371,7 @@
             return;
         }
         self.election.heard(now);
+        self.unanswered = 0;
         if reply.renewal_sent_at >= self.last_renewal {
             self.next_renewal = self.last_renewal + self.timing.renew_every;
         }
@@ -846,9 +862,16 @@
         let calls = leader.to_call(now).into_iter();
         actions.extend(calls.map(|address| Action::Send(address, Datagram::Call(epoch))));
         let version = (epoch, leader.table().version, around.configuration_version);
-        if std::mem::replace(&mut self.noticed, version) == version {
+        if self.noticed == version {
+            return;
+        }
+        let gap = Duration::from_millis(leader.members().len() as u64 * NOTICE_GAP_MS_A_MEMBER);
+        let urgent = self.noticed.0 != version.0 || self.noticed.2 != version.2;
+        if !urgent && now.since(self.noticed_at) < gap {
             return;
         }
+        self.noticed = version;
+        self.noticed_at = now;
         if self.table != *leader.table() {
             self.table = leader.table().clone();
             actions.push(Action::TableChanged);
--- a/crates/ownership/src/partition.rs
+++ b/crates/ownership/src/partition.rs
@@ -91,9 +91,12 @@
     }
 
     /// Takes in what a node reports: ranges it holds are its own, ranges that it was told to give
-    /// back, or lost, are free. Returns whether anything changed.
-    pub fn report(&mut self, renewal: &Renewal) -> bool {
-        let before = self.slices.clone();
+    /// back, or lost, are free.
+    pub fn report(&mut self, renewal: &Renewal) {
+        let concerned = |slice: &Slice| slice.state.holder() == Some(&renewal.node);
+        if renewal.held.is_empty() && !self.slices.iter().any(concerned) {
+            return;
+        }
         if let Some(target) = &renewal.target {
             self.adopt_reported(renewal, &target.id);
         }
@@ -101,7 +104,6 @@
             slice.state = reported_state(slice, renewal);
         }
         self.merge();
-        self.slices != before
     }
 
     /// Unknown ranges that a node reports become its own, under the fence that it reports.
--- a/crates/ownership/src/plan.rs
+++ b/crates/ownership/src/plan.rs
@@ -15,6 +15,9 @@
     arcs: Vec<(u16, NodeName)>,
 }
 
+/// Deviations of an owner's load that are taken for chance.
+const CHANCE: f64 = 1.5;
+
 /// An owner that takes keys, with the slots of its target.
 pub type Candidate = (NodeName, u32);
 
@@ -121,12 +124,14 @@
         let idle = candidates
             .iter()
             .any(|(name, _)| !self.arcs.iter().any(|(_, node)| node == name));
-        if now < WORTH_A_LOOK && !idle {
+        // What a few requests an owner seem to show is chance.
+        let chance = CHANCE / load.requests_behind(candidates.len()).sqrt();
+        if now < WORTH_A_LOOK.max(1.0 + chance) && !idle {
             return false;
         }
         let order = self.order(candidates, load);
         let better = Self::proportional(&order, load);
-        if !idle && better.busiest(candidates, load) > now - LEAST_GAIN {
+        if !idle && better.busiest(candidates, load) > now - LEAST_GAIN.max(chance / 2.0) {
             return false;
         }
         if better == *self {
--- a/crates/sidecar/src/internal.rs
+++ b/crates/sidecar/src/internal.rs
@@ -32,13 +32,7 @@
         return answer_hop(&node, request).await;
     }
     match (request.method(), request.uri().path()) {
-        (&Method::GET, TABLE_PATH) => {
-            let participant = node.participant.borrow();
-            let table = participant
-                .leading()
-                .map_or(participant.table(), |leader| leader.table());
-            plain(StatusCode::OK, CBOR, encode(table))
-        }
+        (&Method::GET, TABLE_PATH) => plain(StatusCode::OK, CBOR, table_bytes(&node)),
         (&Method::GET, CONFIGURATION_PATH) => {
             let bytes = node.configuration_bytes.borrow().clone();
             let status = if bytes.is_empty() {
@@ -63,6 +57,19 @@
     }
 }
 
+/// The newest table, written once for all who ask.
+fn table_bytes(node: &Node) -> Bytes {
+    let participant = node.participant.borrow();
+    let table = participant
+        .leading()
+        .map_or(participant.table(), |leader| leader.table());
+    let mut written = node.table_bytes.borrow_mut();
+    if (written.0, written.1) != (table.epoch.0, table.version) || written.2.is_empty() {
+        *written = (table.epoch.0, table.version, encode(table));
+    }
+    written.2.clone()
+}
+
 async fn answer_hop(node: &Rc<Node>, request: Request<Incoming>) -> Response<Body> {
     let (parts, incoming) = request.into_parts();
     let body = Body::stream(incoming.map_err(BodyError::from));
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -52,6 +52,8 @@
     pub routes: RefCell<Option<Rc<RouteTable>>>,
     /// The same, as others are given it.
     pub configuration_bytes: RefCell<Bytes>,
+    /// The last table that was written for another node: its epoch, version and bytes.
+    pub table_bytes: RefCell<(u64, u64, Bytes)>,
     /// Nodes and owners.
     pub directory: RefCell<Rc<Directory>>,
     /// Told when the directory changes.
@@ -110,6 +112,7 @@
             registered: Cell::new(false),
             routes: RefCell::new(None),
             configuration_bytes: RefCell::new(Bytes::new()),
+            table_bytes: RefCell::default(),
             directory: RefCell::new(Rc::new(Directory::default())),
             directory_changed: Notify::new(),
             target: RefCell::new(Target::unknown(&settings.node.service, probe_until)),
