--- a/crates/ownership/src/election.rs
+++ b/crates/ownership/src/election.rs
@@ -14,9 +14,8 @@
 const LOOK_AGAIN: Duration = Duration::from_millis(350);
 /// Steps between the waits of nodes that contend.
 const RANK_STEP: Duration = Duration::from_millis(70);
-/// Nodes whose targets own keys wait this much longer, so that a leader and an owner are seldom lost
-/// together.
-const OWNER_EXTRA: Duration = Duration::from_millis(430);
+/// Nodes that should lead only if no other can wait this much longer.
+const BURDENED_EXTRA: Duration = Duration::from_millis(430);
 /// Number of such steps.
 const RANKS: u64 = 6;
 
@@ -61,7 +60,7 @@
     leader: Option<LeaderReference>,
     heard_at: Time,
     phase: Phase,
-    owns_keys: bool,
+    burdened: bool,
 }
 
 impl Election {
@@ -77,7 +76,7 @@
             phase: Phase::Waiting {
                 until: now + jitter,
             },
-            owns_keys: false,
+            burdened: false,
         }
     }
 
@@ -93,9 +92,9 @@
             .is_some_and(|leader| leader.node == self.node && leader.life == self.life)
     }
 
-    /// Whether the node's target owns keys, or may.
-    pub fn set_owns_keys(&mut self, owns_keys: bool) {
-        self.owns_keys = owns_keys;
+    /// Whether the node should lead only if no other can.
+    pub fn set_burdened(&mut self, burdened: bool) {
+        self.burdened = burdened;
     }
 
     /// When the leader was last heard.
@@ -239,8 +238,8 @@
         let mixed = (self.life.0 ^ epoch.wrapping_mul(0x9E37_79B9_7F4A_7C15))
             .wrapping_mul(0xD6E8_FEB8_6659_FD93);
         let rank = RANK_STEP * u32::try_from((mixed >> 32) % RANKS).unwrap_or(0);
-        let extra = if self.owns_keys {
-            OWNER_EXTRA
+        let extra = if self.burdened {
+            BURDENED_EXTRA
         } else {
             Duration::ZERO
         };
--- a/crates/ownership/src/leader.rs
+++ b/crates/ownership/src/leader.rs
@@ -6,9 +6,10 @@
 
 use crate::partition::{Partition, State};
 use crate::plan::{Candidate, Plan};
+use crate::table_log::TableLog;
 use crate::{
     Epoch, Fence, Leadership, LeaseReply, Life, LoadReport, MemberView, NodeName, Renewal,
-    ServiceTable, Table, TargetState, Time, Timing, Wanted,
+    ServiceTable, Table, TableAnswer, TargetState, Time, Timing, Wanted,
 };
 
 /// A node is called about a changed assignment at most this often.
@@ -84,6 +85,7 @@
     ticked_at: Time,
     known: Table,
     table: Table,
+    table_log: TableLog,
 }
 
 impl Leader {
@@ -126,6 +128,7 @@
                 epoch,
                 ..Table::default()
             },
+            table_log: TableLog::default(),
         }
     }
 
@@ -219,6 +222,14 @@
         &self.silent
     }
 
+    /// What a node that has a version of an epoch's table lacks.
+    pub fn table_since(&self, epoch: Epoch, version: u64) -> TableAnswer {
+        let changes = (epoch == self.epoch).then(|| self.table_log.since(&self.table, version));
+        changes
+            .flatten()
+            .unwrap_or_else(|| TableAnswer::Whole(self.table.clone()))
+    }
+
     /// What routers see.
     pub fn table(&self) -> &Table {
         &self.table
@@ -580,9 +591,14 @@
             })
             .collect();
         if self.table.members != members || self.table.services != services {
-            self.table.members = members;
-            self.table.services = services;
-            self.table.version += 1;
+            let next = Table {
+                epoch: self.epoch,
+                version: self.table.version + 1,
+                members,
+                services,
+            };
+            self.table_log.record(&self.table, &next);
+            self.table = next;
         }
     }
 }
--- a/crates/ownership/src/lib.rs
+++ b/crates/ownership/src/lib.rs
@@ -22,6 +22,7 @@
 mod partition;
 mod plan;
 mod range;
+mod table_log;
 mod time;
 
 pub use balance::{BUCKETS, KEYS_PER_BUCKET, Load, LoadReport, bucket_of};
@@ -31,7 +32,7 @@
 pub use leader::{Leader, Member};
 pub use message::{
     Holding, LeaderReference, Leadership, LeaseReply, MemberView, Released, Renewal, ServiceTable,
-    Table, TargetState, Wanted,
+    Table, TableAnswer, TableChanges, TargetState, Wanted,
 };
 pub use participant::{
     Action, ClaimResult, Datagram, Identity, Note, Participant, Stored, Surroundings,
--- a/crates/ownership/src/message.rs
+++ b/crates/ownership/src/message.rs
@@ -186,3 +186,63 @@
     /// Owners of keyed services.
     pub services: Vec<ServiceTable>,
 }
+
+/// What has changed in a table since a version.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TableChanges {
+    /// The leader's epoch.
+    pub epoch: Epoch,
+    /// The version that the changes are to be applied to.
+    pub base: u64,
+    /// The version that results.
+    pub version: u64,
+    /// Members that are new or have changed.
+    pub members: Vec<MemberView>,
+    /// Members that are gone.
+    pub removed: Vec<NodeName>,
+    /// Services whose owners have changed.
+    pub services: Vec<ServiceTable>,
+}
+
+/// A leader's answer to a node that asks for its table.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum TableAnswer {
+    /// All of it.
+    Whole(Table),
+    /// What has changed since the version that the node has.
+    Changes(TableChanges),
+}
+
+impl Table {
+    /// This table after an answer; nothing if the answer doesn't bring it forward.
+    pub fn advanced(&self, answer: TableAnswer) -> Option<Self> {
+        let next = match answer {
+            TableAnswer::Whole(table) => table,
+            TableAnswer::Changes(changes) => self.changed(changes)?,
+        };
+        ((next.epoch, next.version) > (self.epoch, self.version)).then_some(next)
+    }
+
+    fn changed(&self, changes: TableChanges) -> Option<Self> {
+        if (self.epoch, self.version) != (changes.epoch, changes.base) {
+            return None;
+        }
+        let mut next = self.clone();
+        next.version = changes.version;
+        next.members.retain(|member| {
+            let changed = changes.members.iter().any(|new| new.node == member.node);
+            !changed && !changes.removed.contains(&member.node)
+        });
+        next.members.extend(changes.members);
+        next.members
+            .sort_by(|left, right| left.node.cmp(&right.node));
+        for service in changes.services {
+            next.services
+                .retain(|known| known.service != service.service);
+            next.services.push(service);
+        }
+        next.services
+            .sort_by(|left, right| left.service.cmp(&right.service));
+        Some(next)
+    }
+}
--- a/crates/ownership/src/participant.rs
+++ b/crates/ownership/src/participant.rs
@@ -12,7 +12,7 @@
 use crate::{
     Admission, Election, Epoch, GrantResult, Holder, Leader, LeaderReference, Leadership,
     LeaseReply, Life, LoadReport, Member, NodeName, Order, PeerView, Renewal, Step, Table,
-    TargetState, Time, Timing,
+    TableAnswer, TargetState, Time, Timing,
 };
 
 /// Two renewals that something hurried on are at least this far apart.
@@ -410,20 +410,24 @@
         }
     }
 
-    /// A table was fetched, or couldn't be.
-    pub fn table_fetched(&mut self, table: Option<Table>) -> Vec<Action> {
-        self.fetching_table_since = None;
-        match table {
-            Some(table)
-                if (table.epoch, table.version) > (self.table.epoch, self.table.version) =>
-            {
-                self.table = table;
-                vec![Action::TableChanged]
-            }
-            _ => Vec::new(),
+    /// The answer to a node that has a version of an epoch's table.
+    pub fn table_since(&self, epoch: Epoch, version: u64) -> TableAnswer {
+        match &self.leader {
+            Some(leader) => leader.table_since(epoch, version),
+            None => TableAnswer::Whole(self.table.clone()),
         }
     }
 
+    /// A table, or what has changed in it, was fetched, or couldn't be.
+    pub fn table_fetched(&mut self, answer: Option<TableAnswer>) -> Vec<Action> {
+        self.fetching_table_since = None;
+        let Some(next) = answer.and_then(|answer| self.table.advanced(answer)) else {
+            return Vec::new();
+        };
+        self.table = next;
+        vec![Action::TableChanged]
+    }
+
     // --- datagrams ---
 
     /// A datagram has arrived.
@@ -569,7 +573,8 @@
         if around.leaving && self.leader.is_none() {
             return;
         }
-        self.election.set_owns_keys(Self::owns_keys(around));
+        let burdened = Self::is_burdened(around.target.as_ref(), around);
+        self.election.set_burdened(burdened);
         let peers = self.table.members.len().saturating_sub(1);
         match self.election.tick(now, peers) {
             Some(Step::AskPeers) => self.ask_peers(actions),
@@ -757,7 +762,7 @@
             self.confirming_since = Some(now);
             actions.push(Action::Confirm);
         }
-        let burdened = leader.is_settled(now) && Self::owns_keys(around);
+        let burdened = leader.is_settled(now) && Self::is_burdened(around.target.as_ref(), around);
         if (trouble || burdened || around.leaving) && now >= self.next_take_over {
             self.next_take_over = now + TAKE_OVER_EVERY;
             let must = trouble || around.leaving;
@@ -800,11 +805,12 @@
         actions
     }
 
-    /// Whether the node's target owns keys, or may. Such a node leads only if no other can: a leader
-    /// and an owner lost together leave keys unserved for longer.
-    fn owns_keys(around: &Surroundings) -> bool {
-        let service = around.target.as_ref().map(|target| &target.service);
-        service.is_some_and(|service| around.keyed_services.contains(service))
+    /// Whether a node with that target should lead only if no other can. A leader and an owner lost
+    /// together leave keys unserved for longer, and a machine whose target is gone may go soon.
+    fn is_burdened(target: Option<&TargetState>, around: &Surroundings) -> bool {
+        target.is_none_or(|target| {
+            !target.accepting || around.keyed_services.contains(&target.service)
+        })
     }
 
     /// Asks a node that reaches the store to lead, since this one doesn't, or stops, or owns keys.
@@ -827,15 +833,8 @@
             .filter(|(_, member)| now.since(member.heard_at) < self.timing.suspect_after)
             .map(|(_, member)| member)
             .collect::<Vec<_>>();
-        let owns_no_keys = |member: &&Member| {
-            let service = member.view.target.as_ref().map(|target| &target.service);
-            !service.is_some_and(|service| around.keyed_services.contains(service))
-        };
-        let lighter = heirs
-            .iter()
-            .copied()
-            .filter(owns_no_keys)
-            .collect::<Vec<_>>();
+        let is_free = |member: &&Member| !Self::is_burdened(member.view.target.as_ref(), around);
+        let lighter = heirs.iter().copied().filter(is_free).collect::<Vec<_>>();
         let heirs = if must && lighter.is_empty() {
             heirs
         } else {
--- a/crates/ownership/tests/simulation/world.rs
+++ b/crates/ownership/tests/simulation/world.rs
@@ -8,7 +8,7 @@
 use rand_chacha::ChaCha8Rng;
 use wingspar_ownership::{
     Action, Admission, ClaimResult, Datagram, Fence, GrantResult, Identity, Leadership, Life,
-    NodeName, Order, Participant, Stored, Surroundings, Table, TargetState, Time, Timing,
+    NodeName, Order, Participant, Stored, Surroundings, TableAnswer, TargetState, Time, Timing,
 };
 
 use crate::target::{Target, WATCHED, key};
@@ -93,7 +93,7 @@
     StoreAnswers(usize, u64, StoreCall, StoreReply),
     OrderArrives(usize, u64, String, Order, Time),
     OrderAnswers(usize, u64, Order, Time, bool, Option<GrantResult>),
-    TableArrives(usize, u64, Option<Table>),
+    TableArrives(usize, u64, Option<TableAnswer>),
     Fault,
     Heal(Box<dyn FnOnce(&mut World)>),
 }
@@ -408,14 +408,16 @@
                 let other = self.index_of(from);
                 let table = other
                     .filter(|other| self.reaches(index, *other) && self.reaches(*other, index));
+                let asked = self.machines[index]
+                    .participant
+                    .as_ref()
+                    .map(Participant::table);
+                let asked = asked
+                    .map(|table| (table.epoch, table.version))
+                    .unwrap_or_default();
                 let table = table.and_then(|other| {
                     let participant = self.machines[other].participant.as_ref()?;
-                    Some(
-                        participant
-                            .leading()
-                            .map_or(participant.table(), |leader| leader.table())
-                            .clone(),
-                    )
+                    Some(participant.table_since(asked.0, asked.1))
                 });
                 let delay = self.rng.random_range(2..30);
                 self.after(delay, Event::TableArrives(index, life, table));
--- a/crates/sidecar/src/internal.rs
+++ b/crates/sidecar/src/internal.rs
@@ -11,7 +11,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::time::timeout;
-use wingspar_ownership::LoadReport;
+use wingspar_ownership::{Epoch, LoadReport, TableAnswer};
 
 use crate::agent;
 use crate::answer::plain;
@@ -20,7 +20,7 @@
 use crate::node::Node;
 
 const CBOR: &str = "application/cbor";
-const TABLE_PATH: &str = "/table";
+const TABLE_PATH: &str = "/table/";
 const CONFIGURATION_PATH: &str = "/configuration";
 const LOAD_PATH: &str = "/load";
 /// Calls between nodes without an answer for this long are given up.
@@ -32,7 +32,9 @@
         return answer_hop(&node, request).await;
     }
     match (request.method(), request.uri().path()) {
-        (&Method::GET, TABLE_PATH) => plain(StatusCode::OK, CBOR, table_bytes(&node)),
+        (&Method::GET, path) if path.starts_with(TABLE_PATH) => {
+            plain(StatusCode::OK, CBOR, table_bytes(&node, path))
+        }
         (&Method::GET, CONFIGURATION_PATH) => {
             let bytes = node.configuration_bytes.borrow().clone();
             let status = if bytes.is_empty() {
@@ -57,17 +59,32 @@
     }
 }
 
-/// The newest table, written once for all who ask.
-fn table_bytes(node: &Node) -> Bytes {
+/// The answer to a node that asks for the table after the version in the path, written once for all
+/// who ask the same.
+fn table_bytes(node: &Node, path: &str) -> Bytes {
     let participant = node.participant.borrow();
     let table = participant
         .leading()
         .map_or(participant.table(), |leader| leader.table());
+    let newest = (table.epoch.0, table.version);
     let mut written = node.table_bytes.borrow_mut();
-    if (written.0, written.1) != (table.epoch.0, table.version) || written.2.is_empty() {
-        *written = (table.epoch.0, table.version, encode(table));
+    if written.newest != newest {
+        written.newest = newest;
+        written.answers.clear();
+    }
+    if let Some(bytes) = written.answers.get(path) {
+        return bytes.clone();
     }
-    written.2.clone()
+    let (epoch, version) = asked_version(path).unwrap_or((Epoch::default(), 0));
+    let bytes = encode(&participant.table_since(epoch, version));
+    written.answers.insert(path.to_owned(), bytes.clone());
+    bytes
+}
+
+/// The epoch and the version in the path of a question for the table.
+fn asked_version(path: &str) -> Option<(Epoch, u64)> {
+    let (epoch, version) = path.strip_prefix(TABLE_PATH)?.split_once('/')?;
+    Some((Epoch(epoch.parse().ok()?), version.parse().ok()?))
 }
 
 async fn answer_hop(node: &Rc<Node>, request: Request<Incoming>) -> Response<Body> {
@@ -89,9 +106,13 @@
     }
 }
 
-/// Fetches another node's table.
-pub async fn fetch_table(node: &Node, from: SocketAddr) -> Option<wingspar_ownership::Table> {
-    fetch(node, from, TABLE_PATH).await
+/// Fetches another node's table, or what has changed in it since the own one.
+pub async fn fetch_table(node: &Node, from: SocketAddr) -> Option<TableAnswer> {
+    let (epoch, version) = {
+        let participant = node.participant.borrow();
+        (participant.table().epoch, participant.table().version)
+    };
+    fetch(node, from, &format!("{TABLE_PATH}{}/{version}", epoch.0)).await
 }
 
 /// Fetches another node's configuration.
@@ -105,10 +126,10 @@
 async fn fetch<Value: DeserializeOwned>(
     node: &Node,
     from: SocketAddr,
-    path: &'static str,
+    path: &str,
 ) -> Option<Value> {
     let mut request = Request::new(Body::empty());
-    *request.uri_mut() = http::Uri::from_static(path);
+    *request.uri_mut() = path.parse().ok()?;
     let body = call(node, from, request).await?;
     ciborium::from_reader(body.as_ref()).ok()
 }
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -30,6 +30,15 @@
 /// Time for a connection to the target, on the same machine, to come up.
 const TARGET_CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Answers about one version of the table, by the path that asks.
+#[derive(Default)]
+pub struct WrittenTable {
+    /// Epoch and version of the table.
+    pub newest: (u64, u64),
+    /// The answers.
+    pub answers: HashMap<String, Bytes>,
+}
+
 /// One node.
 pub struct Node {
     /// Its settings.
@@ -52,8 +61,8 @@
     pub routes: RefCell<Option<Rc<RouteTable>>>,
     /// The same, as others are given it.
     pub configuration_bytes: RefCell<Bytes>,
-    /// The last table that was written for another node: its epoch, version and bytes.
-    pub table_bytes: RefCell<(u64, u64, Bytes)>,
+    /// Answers about the table that were written for other nodes.
+    pub table_bytes: RefCell<WrittenTable>,
     /// Nodes and owners.
     pub directory: RefCell<Rc<Directory>>,
     /// Told when the directory changes.
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -259,10 +259,18 @@
     while asked_at.elapsed() < grace && (unfinished() > 0 || holds()) {
         tokio::time::sleep(END_STEP).await;
     }
-    while !holds() && asked_at.elapsed() < grace && !registration::unregister(node).await {
-        tokio::time::sleep(END_STEP).await;
+    if !holds() {
+        let left = grace.saturating_sub(asked_at.elapsed());
+        let _in_time = tokio::time::timeout(left, unregister(node)).await;
     }
     node.log.write(Event::Stopped {
         unfinished: unfinished(),
     });
 }
+
+/// Removes the node's registration, however often that takes.
+async fn unregister(node: &Node) {
+    while !registration::unregister(node).await {
+        tokio::time::sleep(END_STEP).await;
+    }
+}
