sidecar: another target at the address gets nothing before its heartbeat; tests for clients that leave

Cause: reading ROUTE for its table: after a 421 the agent took the id in it for the next life of its own target, though the address may be another service's by then. Change: the known target has ended, and nothing starts until a heartbeat names the new one's service; the test fails without it.

--- a/crates/sidecar/src/target.rs
+++ b/crates/sidecar/src/target.rs
@@ -136,13 +136,15 @@
         self.unreachable = true;
     }
 
-    /// Another target than the known one answered at its address.
-    pub fn other_answered(&mut self, id: &str) -> Heard {
-        if self.id.as_deref() == Some(id) || self.past.iter().any(|past| past == id) {
-            return Heard::Nothing;
+    /// Another target than the known one answered at its address: the known one has ended. Which
+    /// service the other belongs to isn't known before its heartbeat, so nothing starts until then.
+    pub fn other_answered(&mut self, id: &str) {
+        if self.id.as_deref() == Some(id) {
+            return;
+        }
+        if let Some(before) = self.id.take() {
+            self.remember(&before);
         }
-        self.begin_life(id);
-        Heard::NewLife
     }
 
     /// Whether routers should send it new work.
--- a/crates/sidecar/src/target_calls.rs
+++ b/crates/sidecar/src/target_calls.rs
@@ -154,8 +154,12 @@
     if let Some(instance) = instance
         && instance != expected
     {
-        let heard = node.target.borrow_mut().other_answered(instance);
-        heard_of_target(node, heard);
+        node.target.borrow_mut().other_answered(instance);
+        node.log.write(Event::Lost {
+            dependency: "target",
+            detail: format!("{instance} answers in its place"),
+        });
+        node.control_wakes.notify_one();
     } else if let (true, Some(key)) = (misdirected, key) {
         node.participant
             .borrow_mut()
--- a/crates/sidecar/tests/target.rs
+++ b/crates/sidecar/tests/target.rs
@@ -101,3 +101,19 @@
     );
     assert!(target.accepting(START));
 }
+
+#[test]
+fn another_target_at_the_address_gets_nothing_before_its_heartbeat() {
+    let mut target = ready();
+    target.other_answered("other");
+    assert!(!target.accepting(START) && !target.may_start(START));
+    let late = target.heartbeat(START, "a", &heartbeat(LifecycleState::Ready, 9));
+    assert_eq!(late, Heard::Nothing, "the one before has ended");
+    let mut of_another_service = heartbeat(LifecycleState::Ready, 1);
+    of_another_service.service = "t".to_owned();
+    assert_eq!(
+        target.heartbeat(START, "other", &of_another_service),
+        Heard::NewLife
+    );
+    assert_eq!(target.service(), "t");
+}
--- a/crates/standins/src/fleet/target.rs
+++ b/crates/standins/src/fleet/target.rs
@@ -112,6 +112,12 @@
         self.shared.holds(key)
     }
 
+    /// Connections that are open.
+    #[must_use]
+    pub fn open_connections(&self) -> u64 {
+        self.server.open_connections()
+    }
+
     /// Ends it, with its connections.
     pub async fn shutdown(self) {
         self.server.shutdown().await;
--- a/crates/wingspar/tests/sidecar/main.rs
+++ b/crates/wingspar/tests/sidecar/main.rs
@@ -6,7 +6,7 @@
 
 use deployment::{Deployment, eventually, key_owned_by};
 use serde_json::json;
-use wingspar_standins::fleet::{StoreFaults, TargetFaults};
+use wingspar_standins::fleet::{FleetTarget, StoreFaults, TargetFaults};
 
 #[tokio::test]
 async fn requests_reach_a_target_of_their_service_from_any_node() {
@@ -274,6 +274,64 @@
     assert_eq!(deployment.seen("silent").len(), 1);
 }
 
+#[tokio::test]
+async fn work_is_given_up_when_its_client_leaves() {
+    let deployment = Deployment::start(14).await;
+    let targets = [2, 3].map(|node| deployment.nodes[node].target.as_ref().expect("a target"));
+    for target in targets {
+        target.set_faults(TargetFaults {
+            silent: true,
+            ..TargetFaults::default()
+        });
+    }
+    let open = || {
+        targets
+            .iter()
+            .map(|target| target.open_connections())
+            .sum::<u64>()
+    };
+    let resting = open();
+    let request = deployment
+        .request(0, "/book/1", "left")
+        .timeout(Duration::from_millis(400));
+    let (answer, busy) = tokio::join!(request.send(), async {
+        tokio::time::sleep(Duration::from_millis(250)).await;
+        open()
+    });
+    assert!(answer.is_err(), "the client has left");
+    assert_eq!(deployment.seen("left").len(), 1);
+    assert!(busy >= resting, "the request is on a connection");
+    eventually("that connection is closed", || async {
+        open() < busy.max(resting + 1)
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn an_address_that_another_target_has_taken_gets_nothing() {
+    let mut deployment = Deployment::start(15).await;
+    let taken = deployment.nodes[2].target.take().expect("a target");
+    let address = taken.local_addr();
+    taken.shutdown().await;
+    let other = FleetTarget::start(address, "other", false)
+        .await
+        .expect("the address is free");
+    for step in 0..10 {
+        let id = format!("reused-{step}");
+        let answer = deployment
+            .request(2, "/orders/1", &id)
+            .send()
+            .await
+            .expect("an answer");
+        assert_eq!(
+            answer.status(),
+            200,
+            "the other target of the service takes it"
+        );
+    }
+    assert!(other.seen().is_empty());
+}
+
 #[tokio::test]
 async fn a_leaving_target_gets_nothing_new() {
     let deployment = Deployment::start(12).await;
