--- a/crates/ownership/tests/simulation/main.rs
+++ b/crates/ownership/tests/simulation/main.rs
@@ -63,12 +63,7 @@
 fn a_lost_owner_is_replaced_within_four_seconds() {
     let mut slowest = 0;
     for seed in 1..=40 {
-        let options = Options {
-            late_orders: 0.0,
-            store_trouble: 0.0,
-            faults: world::FaultPlan::OneOwnerLost,
-            ..Options::default()
-        };
+        let options = Options::only(world::FaultPlan::OneOwnerLost);
         let summary = play(seed, options).expect("no rule may break");
         slowest = slowest.max(summary.longest_unserved_ms);
     }
@@ -79,12 +74,7 @@
 fn a_lost_leader_isnt_felt() {
     let mut slowest = 0;
     for seed in 1..=40 {
-        let options = Options {
-            late_orders: 0.0,
-            store_trouble: 0.0,
-            faults: world::FaultPlan::LeaderLost,
-            ..Options::default()
-        };
+        let options = Options::only(world::FaultPlan::LeaderLost);
         let summary = play(seed, options).expect("no rule may break");
         slowest = slowest.max(summary.longest_unserved_elsewhere_ms);
     }
@@ -100,12 +90,7 @@
 fn a_store_outage_of_six_seconds_isnt_felt() {
     let first = number("FIRST_SEED", 1);
     for seed in first..first + number("SEEDS", 20) {
-        let options = Options {
-            late_orders: 0.0,
-            store_trouble: 0.0,
-            faults: world::FaultPlan::StoreDown { for_ms: 6_000 },
-            ..Options::default()
-        };
+        let options = Options::only(world::FaultPlan::StoreDown { for_ms: 6_000 });
         let summary = play(seed, options).expect("no rule may break");
         assert!(
             summary.longest_unserved_ms <= 600,
@@ -118,12 +103,7 @@
 #[test]
 fn all_processes_killed_at_once_serve_again() {
     for seed in 1..=20 {
-        let options = Options {
-            late_orders: 0.0,
-            store_trouble: 0.0,
-            faults: world::FaultPlan::AllKilled,
-            ..Options::default()
-        };
+        let options = Options::only(world::FaultPlan::AllKilled);
         let summary = play(seed, options).expect("no rule may break");
         assert!(
             summary.longest_unserved_ms <= 8_000,
@@ -136,12 +116,7 @@
 #[test]
 fn a_machine_that_never_comes_back_isnt_waited_for_long() {
     for seed in 1..=20 {
-        let options = Options {
-            late_orders: 0.0,
-            store_trouble: 0.0,
-            faults: world::FaultPlan::AllKilledOneGone,
-            ..Options::default()
-        };
+        let options = Options::only(world::FaultPlan::AllKilledOneGone);
         let summary = play(seed, options).expect("no rule may break");
         assert!(
             summary.longest_unserved_ms <= 8_000,
--- a/crates/ownership/tests/simulation/world.rs
+++ b/crates/ownership/tests/simulation/world.rs
@@ -62,6 +62,18 @@
     pub late_orders: f64,
 }
 
+impl Options {
+    /// Nothing goes wrong but the plan's faults and what datagrams suffer.
+    pub fn only(faults: FaultPlan) -> Self {
+        Self {
+            faults,
+            store_trouble: 0.0,
+            late_orders: 0.0,
+            ..Self::default()
+        }
+    }
+}
+
 impl Default for Options {
     fn default() -> Self {
         Self {
--- a/crates/wingspar/tests/sidecar/deployment.rs
+++ b/crates/wingspar/tests/sidecar/deployment.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use serde_json::{Value, json};
-use wingspar_standins::fleet::{FleetStore, FleetTarget, Seen};
+use wingspar_standins::fleet::{FleetStore, FleetTarget, Seen, TargetFaults};
 
 /// A port that is held on a network of loopback addresses while a test uses it.
 const CLAIM_PORT: u16 = 7599;
@@ -192,6 +192,13 @@
         request.send().await.expect("an answer")
     }
 
+    /// Replaces what the targets of the service without owners do wrong.
+    pub fn plain_targets_do(&self, faults: TargetFaults) {
+        for node in self.nodes.iter().filter(|node| node.service == PLAIN) {
+            node.target.as_ref().expect("a target").set_faults(faults);
+        }
+    }
+
     /// How often, and how, a request has run.
     pub fn seen(&self, id: &str) -> Vec<Seen> {
         let targets = self.nodes.iter().filter_map(|node| node.target.as_ref());
--- a/crates/wingspar/tests/sidecar/main.rs
+++ b/crates/wingspar/tests/sidecar/main.rs
@@ -184,13 +184,7 @@
         wrong_id: true,
         ..TargetFaults::default()
     };
-    for node in [2, 3] {
-        deployment.nodes[node]
-            .target
-            .as_ref()
-            .expect("a target")
-            .set_faults(wrong);
-    }
+    deployment.plain_targets_do(wrong);
     let once = deployment
         .request(2, "/book/1", "once")
         .send()
@@ -209,13 +203,7 @@
         unsigned: true,
         ..TargetFaults::default()
     };
-    for node in [2, 3] {
-        deployment.nodes[node]
-            .target
-            .as_ref()
-            .expect("a target")
-            .set_faults(unsigned);
-    }
+    deployment.plain_targets_do(unsigned);
     let unsigned = deployment
         .request(2, "/book/1", "unsigned")
         .send()
@@ -227,17 +215,10 @@
 #[tokio::test]
 async fn a_rejected_request_is_told_not_run_and_when_to_come_back() {
     let deployment = Deployment::start(10).await;
-    for node in [2, 3] {
-        let faults = TargetFaults {
-            sheds: true,
-            ..TargetFaults::default()
-        };
-        deployment.nodes[node]
-            .target
-            .as_ref()
-            .expect("a target")
-            .set_faults(faults);
-    }
+    deployment.plain_targets_do(TargetFaults {
+        sheds: true,
+        ..TargetFaults::default()
+    });
     let answer = deployment
         .request(0, "/book/1", "shed")
         .send()
@@ -251,17 +232,10 @@
 #[tokio::test]
 async fn a_silent_target_is_given_up_at_the_routes_timeout() {
     let deployment = Deployment::start(11).await;
-    for node in [2, 3] {
-        let faults = TargetFaults {
-            silent: true,
-            ..TargetFaults::default()
-        };
-        deployment.nodes[node]
-            .target
-            .as_ref()
-            .expect("a target")
-            .set_faults(faults);
-    }
+    deployment.plain_targets_do(TargetFaults {
+        silent: true,
+        ..TargetFaults::default()
+    });
     let answer = deployment
         .request(0, "/book/1", "silent")
         .send()
