--- a/crates/ownership/tests/simulation/main.rs
+++ b/crates/ownership/tests/simulation/main.rs
@@ -10,7 +10,7 @@
 use world::{Options, World};
 
 /// Seeds that once failed, each with its cause.
-const REGRESSIONS: [(u64, &str); 3] = [
+const REGRESSIONS: [(u64, &str); 7] = [
     (
         10_571,
         "a leader gave away unreported keys without a confirmation after their last lease",
@@ -23,6 +23,22 @@
         15_904,
         "a restarted process had forgotten that it obeyed a later epoch, and was believed",
     ),
+    (
+        16_879,
+        "failed before the mends above; not traced by itself",
+    ),
+    (
+        17_648,
+        "failed before the mends above; not traced by itself",
+    ),
+    (
+        18_078,
+        "failed before the mends above; not traced by itself",
+    ),
+    (
+        18_437,
+        "failed before the mends above; not traced by itself",
+    ),
 ];
 
 fn number(name: &str, default: u64) -> u64 {
