sidecar: large answers leave at the rate of the machine's link; a planned stop waits for their last byte

Cause: on the grown deployment six targets answer 90 kB downloads behind links of 10 Mbit/s. Unpaced, the links queued for seconds: internal checks timed out (deposits failed with the targets' own 500), calls whose client had left still arrived (GONE), and downloads ended midway. Tests: link.rs; a_planned_stop_does_not_cut_a_large_answer failed before.

--- a/crates/sidecar/src/agent.rs
+++ b/crates/sidecar/src/agent.rs
@@ -44,6 +44,9 @@
     if let Err(refusal) = check_or_wait(node, &hop).await {
         return HopAnswer::Refused(refusal);
     }
+    if is_link_busy(node, &hop) {
+        return HopAnswer::Refused(Refusal::Full);
+    }
     let Ok(slot) = node.slots.acquire(hop.priority, hop.patience).await else {
         return HopAnswer::Refused(Refusal::Full);
     };
@@ -51,9 +54,19 @@
     if let Err(refusal) = check(node, &hop) {
         return HopAnswer::Refused(refusal);
     }
+    if is_link_busy(node, &hop) {
+        return HopAnswer::Refused(Refusal::Full);
+    }
+    let _answer_to_come = hop.transfer.map(|_| node.link.expect());
     run(node, hop, slot).await
 }
 
+/// Whether a large answer would wait too long for the machine's link.
+fn is_link_busy(node: &Node, hop: &HopRequest) -> bool {
+    hop.transfer
+        .is_some_and(|until| Instant::now() + node.link.expected_wait() > until)
+}
+
 /// As [`check`], but waits for keys that are about to arrive.
 async fn check_or_wait(node: &Node, hop: &HopRequest) -> Result<(), Refusal> {
     loop {
@@ -94,5 +107,6 @@
     Occupancy {
         running: u32::try_from(node.slots.running()).unwrap_or(u32::MAX),
         waiting: u32::try_from(node.slots.waiting()).unwrap_or(u32::MAX),
+        link_ms: u32::try_from(node.link.expected_wait().as_millis()).unwrap_or(u32::MAX),
     }
 }
--- a/crates/sidecar/src/body.rs
+++ b/crates/sidecar/src/body.rs
@@ -30,6 +30,14 @@
         Self::Whole(Full::new(bytes.into()))
     }
 
+    /// The same body; `guard` is dropped when it has ended or is given up.
+    pub fn keeping(self, guard: impl Unpin + 'static) -> Self {
+        Self::stream(Keeping {
+            body: self,
+            _guard: guard,
+        })
+    }
+
     /// A stream.
     pub fn stream(body: impl HttpBody<Data = Bytes, Error = BodyError> + 'static) -> Self {
         Self::Stream(Box::pin(body))
@@ -67,6 +75,32 @@
     }
 }
 
+/// A body and what is to live as long.
+struct Keeping<Guard> {
+    body: Body,
+    _guard: Guard,
+}
+
+impl<Guard: Unpin> HttpBody for Keeping<Guard> {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        Pin::new(&mut self.body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
 /// A request's body: kept whole if it is small, so that it can be sent again.
 pub enum RequestBody {
     /// All bytes.
--- a/crates/sidecar/src/hop.rs
+++ b/crates/sidecar/src/hop.rs
@@ -12,14 +12,16 @@
 
 use crate::body::{Body, BodyError};
 use crate::connections::{Connections, SendError};
-use crate::target_calls::KEEP_WHOLE;
 
 const SERVICE: HeaderName = HeaderName::from_static("wingspar-service");
 const LEFT_MS: HeaderName = HeaderName::from_static("wingspar-left-ms");
 const PATIENCE_MS: HeaderName = HeaderName::from_static("wingspar-patience-ms");
+const TRANSFER_MS: HeaderName = HeaderName::from_static("wingspar-transfer-ms");
 const PRIORITY: HeaderName = HeaderName::from_static("wingspar-priority");
 const OUTCOME: HeaderName = HeaderName::from_static("wingspar-outcome");
 const LOAD: HeaderName = HeaderName::from_static("wingspar-load");
+/// Answers of other nodes up to this length, in bytes, are read whole before they are passed on.
+const KEEP_WHOLE: u64 = 256 * 1024;
 /// Begins the names of headers that only nodes set.
 const OWN_PREFIX: &str = "wingspar-";
 
@@ -39,6 +41,8 @@
     pub deadline: Instant,
     /// How long it may wait for a slot.
     pub patience: Instant,
+    /// If the answer is likely to be large, until when it should begin to leave the machine.
+    pub transfer: Option<Instant>,
     /// 0 is the most urgent.
     pub priority: u8,
     /// The key, if the service's keys have owners.
@@ -110,6 +114,8 @@
     pub running: u32,
     /// Waiting.
     pub waiting: u32,
+    /// How long one more large answer would wait for the machine's link, in milliseconds.
+    pub link_ms: u32,
 }
 
 /// Takes out headers that belong to one connection, and those that only nodes set.
@@ -168,6 +174,10 @@
         PATIENCE_MS,
         millis(request.patience.saturating_duration_since(now)),
     );
+    if let Some(transfer) = request.transfer {
+        let left = millis(transfer.saturating_duration_since(now));
+        insert_number(&mut headers, TRANSFER_MS, left);
+    }
     insert_number(&mut headers, PRIORITY, u64::from(request.priority));
     if let Ok(service) = HeaderValue::from_str(&request.service) {
         headers.insert(SERVICE, service);
@@ -190,6 +200,7 @@
     let left = read_number(&parts.headers, &LEFT_MS)?;
     let patience = read_number(&parts.headers, &PATIENCE_MS)?;
     let priority = read_number(&parts.headers, &PRIORITY)?;
+    let transfer = read_number(&parts.headers, &TRANSFER_MS);
     let mut headers = parts.headers;
     strip(&mut headers);
     let key = if keyed(&service) {
@@ -205,6 +216,7 @@
         service,
         deadline: now + Duration::from_millis(left),
         patience: now + Duration::from_millis(patience),
+        transfer: transfer.map(|left| now + Duration::from_millis(left)),
         priority: u8::try_from(priority).unwrap_or(u8::MAX),
         key,
     })
@@ -219,8 +231,10 @@
     };
     let headers = response.headers_mut();
     headers.insert(OUTCOME, HeaderValue::from_static(outcome));
-    if let Ok(load) = HeaderValue::from_str(&format!("{},{}", occupancy.running, occupancy.waiting))
-    {
+    if let Ok(load) = HeaderValue::from_str(&format!(
+        "{},{},{}",
+        occupancy.running, occupancy.waiting, occupancy.link_ms
+    )) {
         headers.insert(LOAD, load);
     }
     response
@@ -273,21 +287,25 @@
     let (mut parts, body) = response.into_parts();
     parts.headers.remove(OUTCOME);
     parts.headers.remove(LOAD);
-    match whole_or_stream(body, deadline).await {
+    match whole_or_stream(body, KEEP_WHOLE, deadline).await {
         Ok(body) => HopAnswer::Answered(Response::from_parts(parts, body)),
         Err(error) => HopAnswer::MayHaveRun(error.to_string()),
     }
 }
 
-/// Reads a body whole if its length is known and small; leaves it a stream otherwise.
-pub async fn whole_or_stream<Incoming>(body: Incoming, deadline: Instant) -> Result<Body, BodyError>
+/// Reads a body whole if its length is known and at most `keep` bytes; leaves it a stream otherwise.
+pub async fn whole_or_stream<Incoming>(
+    body: Incoming,
+    keep: u64,
+    deadline: Instant,
+) -> Result<Body, BodyError>
 where
     Incoming: http_body::Body<Data = Bytes, Error = BodyError> + 'static,
 {
     let small = body
         .size_hint()
         .upper()
-        .is_some_and(|length| length <= KEEP_WHOLE);
+        .is_some_and(|length| length <= keep);
     if !small {
         return Ok(Body::stream(Timed::new(body, deadline)));
     }
@@ -350,10 +368,16 @@
 }
 
 fn read_occupancy(headers: &HeaderMap) -> Option<Occupancy> {
-    let (running, waiting) = headers.get(LOAD)?.to_str().ok()?.split_once(',')?;
+    let mut numbers = headers
+        .get(LOAD)?
+        .to_str()
+        .ok()?
+        .split(',')
+        .map(|number| number.parse().ok());
     Some(Occupancy {
-        running: running.parse().ok()?,
-        waiting: waiting.parse().ok()?,
+        running: numbers.next()??,
+        waiting: numbers.next()??,
+        link_ms: numbers.next().flatten().unwrap_or(0),
     })
 }
 
--- a/crates/sidecar/src/internal.rs
+++ b/crates/sidecar/src/internal.rs
@@ -94,7 +94,7 @@
         return plain(StatusCode::BAD_REQUEST, "text/plain", "not a whole request");
     };
     let answer = agent::serve(node, request).await;
-    hop::encode_answer(answer, agent::occupancy(node))
+    hop::encode_answer(answer, agent::occupancy(node)).map(|body| node.link.pace(body))
 }
 
 /// Writes a value for another node.
--- a/crates/sidecar/src/listen.rs
+++ b/crates/sidecar/src/listen.rs
@@ -1,5 +1,6 @@
 //! Listening sockets and their connections.
 
+use std::cell::Cell;
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
@@ -63,6 +64,30 @@
     }
 }
 
+/// Adds one to a number of the node until it is dropped.
+struct Counted {
+    node: Rc<Node>,
+    number: fn(&Node) -> &Cell<usize>,
+}
+
+impl Counted {
+    fn new(node: &Rc<Node>, number: fn(&Node) -> &Cell<usize>) -> Self {
+        let counted = number(node);
+        counted.set(counted.get() + 1);
+        Self {
+            node: node.clone(),
+            number,
+        }
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        let counted = (self.number)(&self.node);
+        counted.set(counted.get() - 1);
+    }
+}
+
 async fn connection<Handler, Answer>(node: Rc<Node>, stream: TcpStream, handler: Handler)
 where
     Handler: Fn(Rc<Node>, Request<Incoming>) -> Answer + Copy + 'static,
@@ -76,9 +101,14 @@
         .map(|routes| routes.configuration().limits.clone());
     let limits = limits.unwrap_or_default();
     let mut stop = node.stop.subscribe();
+    let _open = Counted::new(&node, |node| &node.connections);
     let service = service_fn(move |request| {
+        let in_flight = Counted::new(&node, |node| &node.in_flight);
         let answer = handler(node.clone(), request);
-        async move { Ok::<_, std::convert::Infallible>(answer.await) }
+        async move {
+            let response = answer.await;
+            Ok::<_, std::convert::Infallible>(response.map(|body| body.keeping(in_flight)))
+        }
     });
     let mut builder = http1::Builder::new();
     builder
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -15,6 +15,7 @@
 use crate::clock::Clock;
 use crate::connections::Connections;
 use crate::directory::Directory;
+use crate::link::Link;
 use crate::logs::{Event, Log};
 use crate::metrics::Metrics;
 use crate::selection::Selection;
@@ -75,6 +76,8 @@
     pub target_orders: Rc<Connections>,
     /// Its slots.
     pub slots: Rc<Slots>,
+    /// The machine's link, for large answers.
+    pub link: Rc<Link>,
     /// Requests by key since the last report.
     pub key_load: RefCell<KeyLoad>,
     /// The node's part in ownership.
@@ -91,8 +94,10 @@
     pub budget: RefCell<Budget>,
     /// Whether the process is about to stop.
     pub stop: watch::Sender<Stop>,
-    /// Requests of clients that are being answered.
+    /// Requests of clients and of other nodes whose answers haven't ended.
     pub in_flight: Cell<usize>,
+    /// Connections that others have opened.
+    pub connections: Cell<usize>,
 }
 
 impl Node {
@@ -128,6 +133,7 @@
             target_connections: Connections::new(settings.node.target, TARGET_CONNECT_TIMEOUT),
             target_orders: Connections::new(settings.node.target, TARGET_CONNECT_TIMEOUT),
             slots: Slots::new(),
+            link: Link::new(settings.node.link_mbps),
             key_load: RefCell::new(KeyLoad::new(now)),
             participant: RefCell::new(Participant::new(
                 identity,
@@ -145,6 +151,7 @@
             )),
             stop: watch::Sender::new(Stop::No),
             in_flight: Cell::new(0),
+            connections: Cell::new(0),
             name,
             clock,
             settings,
--- a/crates/sidecar/src/router.rs
+++ b/crates/sidecar/src/router.rs
@@ -23,7 +23,7 @@
 use crate::logs::Event;
 use crate::metrics::{RequestLabels, ServiceLabel};
 use crate::node::Node;
-use crate::selection::{ZONE_PREFERENCE, ZONE_PREFERENCE_LARGE};
+use crate::selection::{Ended, Wish, ZONE_PREFERENCE, ZONE_PREFERENCE_LARGE};
 
 /// Bodies up to this many bytes are kept, so that they can be sent again.
 const KEEP_BODY: usize = 64 * 1024;
@@ -35,6 +35,8 @@
 /// [`URGENT_PATIENCE_SHARE`] of its deadline.
 const URGENT_OBJECTIVES: f64 = 3.2;
 const URGENT_PATIENCE_SHARE: f64 = 0.55;
+/// Part of the objective after which a large answer should be leaving its machine.
+const TRANSFER_SHARE: f64 = 0.6;
 /// Pause before a key's owner is looked up again, unless the directory changes before.
 const OWNER_PAUSE: Duration = Duration::from_millis(40);
 /// The final answer is given this much before the deadline, so that it arrives in time.
@@ -55,7 +57,9 @@
         None => Err(Reason::NoConfiguration),
     };
     record.finish(&node, arrived, response.as_ref().err().copied());
-    response.unwrap_or_else(own)
+    response
+        .unwrap_or_else(own)
+        .map(|body| node.link.pace(body))
 }
 
 /// What is logged and counted of a request.
@@ -133,6 +137,8 @@
     body: RequestBody,
     deadline: Instant,
     patience: Instant,
+    /// Until when a large answer should begin to leave its machine.
+    transfer: Option<Instant>,
 }
 
 async fn take(
@@ -184,6 +190,7 @@
         body,
         deadline,
         patience,
+        transfer: transfer_time(route, deadline, arrived),
     };
     send(node, &mut routed, record).await
 }
@@ -235,6 +242,14 @@
     (deadline, deadline.min(arrived + patience))
 }
 
+/// Until when the answer to a download should begin to leave its machine.
+fn transfer_time(route: &Route, deadline: Instant, arrived: Instant) -> Option<Instant> {
+    let left = deadline.saturating_duration_since(arrived);
+    let objective = route.objective.unwrap_or(left);
+    let share = objective.min(left).mul_f64(TRANSFER_SHARE);
+    (route.repeatability == Repeatability::Download).then(|| arrived + share)
+}
+
 /// Headers for the target.
 fn forwarded_headers(node: &Node, mut headers: HeaderMap, host: &str) -> HeaderMap {
     hop::strip(&mut headers);
@@ -336,9 +351,13 @@
         Repeatability::Download => ZONE_PREFERENCE_LARGE,
         _ => ZONE_PREFERENCE,
     };
-    let zone = &node.settings.node.zone;
+    let wish = Wish {
+        zone: &node.settings.node.zone,
+        preference,
+        large: routed.transfer.is_some(),
+    };
     node.selection
-        .choose(node.now(), zone, preference, destinations, tried)
+        .choose(node.now(), wish, destinations, tried)
         .cloned()
 }
 
@@ -364,6 +383,7 @@
         service: routed.service.to_owned(),
         deadline: routed.deadline,
         patience: routed.patience,
+        transfer: routed.transfer,
         priority: routed.route.priority,
         key: routed.key,
     };
@@ -376,10 +396,9 @@
     };
     if let Some(occupancy) = occupancy {
         let now = node.now();
-        node.selection
-            .reported(now, &destination.node, occupancy.running, occupancy.waiting);
+        node.selection.reported(now, &destination.node, occupancy);
     }
-    outstanding.end(matches!(answer, HopAnswer::Answered(_)));
+    outstanding.end(&answer);
     answer
 }
 
@@ -388,7 +407,7 @@
     node: &'a Node,
     destination: NodeName,
     since: Instant,
-    useful: bool,
+    ended: Ended,
 }
 
 impl<'a> Outstanding<'a> {
@@ -398,19 +417,26 @@
             node,
             destination: destination.clone(),
             since: Instant::now(),
-            useful: false,
+            ended: Ended::Unknown,
         }
     }
 
-    fn end(mut self, useful: bool) {
-        self.useful = useful;
+    fn end(mut self, answer: &HopAnswer) {
+        self.ended = match answer {
+            HopAnswer::Answered(response) if response.status().is_server_error() => Ended::Failed,
+            HopAnswer::Answered(_) => Ended::Useful(self.since.elapsed()),
+            HopAnswer::MayHaveRun(_) | HopAnswer::Refused(Refusal::Rejected) => Ended::Failed,
+            HopAnswer::Refused(_) => Ended::Unknown,
+        };
     }
 }
 
 impl Drop for Outstanding<'_> {
     fn drop(&mut self) {
-        let took = self.useful.then(|| self.since.elapsed());
-        self.node.selection.ended(&self.destination, took);
+        let now = self.node.now();
+        self.node
+            .selection
+            .ended(now, &self.destination, self.ended);
     }
 }
 
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -44,6 +44,8 @@
 const LEAVING_TIME: Duration = Duration::from_millis(2_500);
 /// The process ends this long before it would be killed.
 const END_MARGIN: Duration = Duration::from_millis(450);
+/// After the last answer, the bytes of it that were written have at most this long to leave.
+const LAST_BYTES: Duration = Duration::from_millis(600);
 /// How often the end of running requests is looked at.
 const END_STEP: Duration = Duration::from_millis(25);
 /// How often the settings file is looked at.
@@ -116,7 +118,7 @@
     spawn_local(listen::serve(
         node.clone(),
         bind("outbound", listen.outbound)?,
-        answer_client,
+        router::answer,
     ));
     spawn_local(listen::serve(
         node.clone(),
@@ -141,21 +143,6 @@
     Ok(())
 }
 
-/// Counts a client's request while it is answered.
-struct InFlight(Rc<Node>);
-
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        self.0.in_flight.set(self.0.in_flight.get() - 1);
-    }
-}
-
-async fn answer_client(node: Rc<Node>, request: Request<Incoming>) -> Response<Body> {
-    node.in_flight.set(node.in_flight.get() + 1);
-    let _in_flight = InFlight(node.clone());
-    router::answer(node, request).await
-}
-
 async fn answer_ready(node: Rc<Node>, request: Request<Incoming>) -> Response<Body> {
     if request.uri().path() != paths::READY {
         return plain(StatusCode::NOT_FOUND, "text/plain", "no such path");
@@ -259,6 +246,12 @@
     while asked_at.elapsed() < grace && (unfinished() > 0 || holds()) {
         tokio::time::sleep(END_STEP).await;
     }
+    let answered_at = Instant::now();
+    while answered_at.elapsed() < LAST_BYTES.min(grace.saturating_sub(asked_at.elapsed()))
+        && node.connections.get() > 0
+    {
+        tokio::time::sleep(END_STEP).await;
+    }
     if !holds() {
         let left = grace.saturating_sub(asked_at.elapsed());
         let _in_time = tokio::time::timeout(left, unregister(node)).await;
--- a/crates/sidecar/src/selection.rs
+++ b/crates/sidecar/src/selection.rs
@@ -8,6 +8,7 @@
 use wingspar_ownership::{NodeName, Time};
 
 use crate::directory::Destination;
+use crate::hop::Occupancy;
 
 /// Weight of one answer's time against what was known.
 const SMOOTHING: f64 = 0.2;
@@ -17,22 +18,68 @@
 pub const ZONE_PREFERENCE: f64 = 1.35;
 /// The same for large answers, whose bytes between zones cost more than a little waiting.
 pub const ZONE_PREFERENCE_LARGE: f64 = 6.0;
+/// Weight of one request's end against the known share of failures.
+const FAILURE_SMOOTHING: f64 = 0.2;
+/// A share of failures fades over this time, so that the target is tried again.
+const FAILURES_FADE: Duration = Duration::from_secs(4);
+/// How much worse a target looks that fails every request.
+const FAILURE_HANDICAP: f64 = 8.0;
 /// A node that couldn't be reached isn't tried first for this long.
 const AVOID: Duration = Duration::from_millis(1_000);
 /// What a node reported of its load fades over this time.
 const REPORT_FADES: Duration = Duration::from_millis(400);
+/// The same for what it reported of its link.
+const LINK_REPORT_FADES: Duration = Duration::from_millis(1_500);
 
 /// What this node has seen of another's target.
 #[derive(Debug, Clone, Default)]
 struct Seen {
     time: Option<f64>,
+    failures: f64,
+    failed_at: Time,
     outstanding: u32,
     running: u32,
     waiting: u32,
+    link_ms: u32,
     reported_at: Time,
     avoid_until: Time,
 }
 
+impl Seen {
+    /// Share of requests that failed lately, from 0 to 1.
+    fn failures(&self, now: Time) -> f64 {
+        self.failures * remaining(now, self.failed_at, FAILURES_FADE)
+    }
+}
+
+/// What is left of a fact of that age, from 1 to 0.
+fn remaining(now: Time, since: Time, fades: Duration) -> f64 {
+    let age = now.since(since).as_secs_f64() / fades.as_secs_f64();
+    (1.0 - age).max(0.0)
+}
+
+/// How a request ended at a node.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ended {
+    /// With a useful answer, after so long.
+    Useful(Duration),
+    /// The target failed it, lost its answer or was silent.
+    Failed,
+    /// Nothing is known: it was refused before its start, or its client left.
+    Unknown,
+}
+
+/// What a request asks of its destination.
+#[derive(Debug, Clone, Copy)]
+pub struct Wish<'a> {
+    /// The zone of the node that took it.
+    pub zone: &'a str,
+    /// Another zone must look better by this factor.
+    pub preference: f64,
+    /// Whether its answer is likely to be large.
+    pub large: bool,
+}
+
 /// What this node has seen of all targets.
 #[derive(Debug, Default)]
 pub struct Selection {
@@ -41,12 +88,11 @@
 
 impl Selection {
     /// Picks one of the destinations that aren't in `tried`: the one with the shortest expected time
-    /// of one in the own zone and two drawn from all. Another zone counts `preference` times.
+    /// of one in the own zone and two drawn from all.
     pub fn choose<'a>(
         &self,
         now: Time,
-        zone: &str,
-        preference: f64,
+        wish: Wish<'_>,
         destinations: &'a [Destination],
         tried: &[NodeName],
     ) -> Option<&'a Destination> {
@@ -55,14 +101,14 @@
             .filter(|destination| !tried.contains(&destination.node))
             .collect::<Vec<_>>();
         let first = draw(&open)?;
-        let mut best = (first, self.cost(now, zone, preference, first));
+        let mut best = (first, self.cost(now, wish, first));
         let locals = open
             .iter()
             .copied()
-            .filter(|destination| destination.zone == zone)
+            .filter(|destination| destination.zone == wish.zone)
             .collect::<Vec<_>>();
         for candidate in [draw(&open), draw(&locals)].into_iter().flatten() {
-            let cost = self.cost(now, zone, preference, candidate);
+            let cost = self.cost(now, wish, candidate);
             if cost < best.1 {
                 best = (candidate, cost);
             }
@@ -70,19 +116,23 @@
         Some(best.0)
     }
 
-    /// Expected time of a request there; `preference` is the handicap of other zones.
-    fn cost(&self, now: Time, zone: &str, preference: f64, destination: &Destination) -> f64 {
+    /// Expected time of a request there, in seconds, with the handicaps of other zones and failures.
+    fn cost(&self, now: Time, wish: Wish<'_>, destination: &Destination) -> f64 {
         let seen = self.seen.borrow();
         let Some(seen) = seen.get(&destination.node) else {
             return FIRST_TIME;
         };
-        let age = now.since(seen.reported_at).as_secs_f64() / REPORT_FADES.as_secs_f64();
-        let weight = (1.0 - age).max(0.0);
+        let weight = remaining(now, seen.reported_at, REPORT_FADES);
         let reported = f64::from(seen.running + 3 * seen.waiting) * weight;
         let load = (f64::from(seen.outstanding) + reported) / f64::from(destination.slots.max(1));
         let mut cost = seen.time.unwrap_or(FIRST_TIME) * (1.0 + load * load * 2.0);
-        if destination.zone != zone {
-            cost *= preference;
+        if wish.large {
+            let weight = remaining(now, seen.reported_at, LINK_REPORT_FADES);
+            cost += f64::from(seen.link_ms) / 1000.0 * weight;
+        }
+        cost *= 1.0 + FAILURE_HANDICAP * seen.failures(now);
+        if destination.zone != wish.zone {
+            cost *= wish.preference;
         }
         if now < seen.avoid_until {
             cost += 10.0;
@@ -99,24 +149,33 @@
             .outstanding += 1;
     }
 
-    /// It has ended; `took` is the time to a useful answer.
-    pub fn ended(&self, node: &NodeName, took: Option<Duration>) {
+    /// It has ended.
+    pub fn ended(&self, now: Time, node: &NodeName, ended: Ended) {
         let mut seen = self.seen.borrow_mut();
         let seen = seen.entry(node.clone()).or_default();
         seen.outstanding = seen.outstanding.saturating_sub(1);
-        if let Some(took) = took {
+        let failed = match ended {
+            Ended::Unknown => return,
+            Ended::Useful(_) => 0.0,
+            Ended::Failed => 1.0,
+        };
+        let failures = seen.failures(now);
+        seen.failures = failures + FAILURE_SMOOTHING * (failed - failures);
+        seen.failed_at = now;
+        if let Ended::Useful(took) = ended {
             let took = took.as_secs_f64();
             let known = seen.time.unwrap_or(took);
             seen.time = Some(known + SMOOTHING * (took - known));
         }
     }
 
-    /// A node told how many requests run and wait at its target.
-    pub fn reported(&self, now: Time, node: &NodeName, running: u32, waiting: u32) {
+    /// A node told how many requests run and wait at its target, and how busy its link is.
+    pub fn reported(&self, now: Time, node: &NodeName, occupancy: Occupancy) {
         let mut seen = self.seen.borrow_mut();
         let seen = seen.entry(node.clone()).or_default();
-        seen.running = running;
-        seen.waiting = waiting;
+        seen.running = occupancy.running;
+        seen.waiting = occupancy.waiting;
+        seen.link_ms = occupancy.link_ms;
         seen.reported_at = now;
     }
 
--- a/crates/sidecar/src/settings.rs
+++ b/crates/sidecar/src/settings.rs
@@ -51,6 +51,12 @@
     pub address: IpAddr,
     /// Where the target listens.
     pub target: SocketAddr,
+    /// What the machine's link carries, in megabits a second, if that is known.
+    #[serde(default)]
+    pub link_mbps: Option<f64>,
+    /// Memory that the process may use, in megabytes, if that is limited.
+    #[serde(default)]
+    pub memory_mb: Option<f64>,
     /// Whether the whole system starts for the first time.
     #[serde(default)]
     pub first_start: bool,
@@ -127,6 +133,14 @@
         if self.listen.internal_port == self.listen.metrics_port {
             return wrong("listen.metrics_port", "is the same as listen.internal_port");
         }
+        for (field, value) in [
+            ("node.link_mbps", self.node.link_mbps),
+            ("node.memory_mb", self.node.memory_mb),
+        ] {
+            if value.is_some_and(|value| !value.is_finite() || value <= 0.0) {
+                return wrong(field, "must be a number above 0");
+            }
+        }
         let times = [
             ("bounds.drain_s", self.bounds.drain_s),
             ("bounds.grace_s", self.bounds.grace_s),
--- a/crates/sidecar/src/target_calls.rs
+++ b/crates/sidecar/src/target_calls.rs
@@ -19,8 +19,15 @@
 use crate::slots::Slot;
 use crate::target::Heard;
 
-/// Answers up to this length, in bytes, are read whole before they are passed on.
-pub const KEEP_WHOLE: u64 = 64 * 1024;
+/// Answers up to this length, in bytes, are read whole, which frees the target's slot, before they are
+/// passed on.
+const KEEP_WHOLE: u64 = 1024 * 1024;
+/// The same while large answers that wait for the link take much memory.
+const KEEP_WHOLE_LITTLE: u64 = 32 * 1024;
+/// Part of the process's memory that such answers may take.
+const MEMORY_SHARE: f64 = 0.25;
+/// Memory of the process, in megabytes, if the settings don't tell.
+const DEFAULT_MEMORY_MB: f64 = 256.0;
 /// A grant without an answer for this long is given up and tried again.
 const GRANT_TIMEOUT: Duration = Duration::from_millis(500);
 /// A release is answered when the work on its keys has ended; without an answer for this long it is
@@ -109,7 +116,7 @@
         return HopAnswer::MayHaveRun("an answer without the target's signature".to_owned());
     }
     slot.worked();
-    pass_on(response, deadline, slot).await
+    pass_on(node, response, deadline, slot).await
 }
 
 fn target_request(hop: HopRequest, expected: &str) -> Request<Body> {
@@ -170,16 +177,31 @@
     HopAnswer::Refused(Refusal::Rejected)
 }
 
-async fn pass_on(response: Response<ConnectionBody>, deadline: Instant, slot: Slot) -> HopAnswer {
+async fn pass_on(
+    node: &Node,
+    response: Response<ConnectionBody>,
+    deadline: Instant,
+    slot: Slot,
+) -> HopAnswer {
     let (mut parts, body) = response.into_parts();
     crate::hop::strip(&mut parts.headers);
     let body = WithSlot { body, _slot: slot };
-    match whole_or_stream(body, deadline).await {
+    match whole_or_stream(body, keep_whole(node), deadline).await {
         Ok(body) => HopAnswer::Answered(Response::from_parts(parts, body)),
         Err(error) => HopAnswer::MayHaveRun(error.to_string()),
     }
 }
 
+/// Length up to which an answer is read whole now.
+fn keep_whole(node: &Node) -> u64 {
+    let memory = node.settings.node.memory_mb.unwrap_or(DEFAULT_MEMORY_MB) * 1e6;
+    if (node.link.queued() as f64) < memory * MEMORY_SHARE {
+        KEEP_WHOLE
+    } else {
+        KEEP_WHOLE_LITTLE
+    }
+}
+
 /// A body that keeps its slot until it ends.
 struct WithSlot {
     body: ConnectionBody,
--- /dev/null
+++ b/crates/sidecar/tests/link.rs
@@ -0,0 +1,73 @@
+//! Large answers leave at the rate of the machine's link; small ones don't wait for them.
+
+use http_body_util::BodyExt;
+use tokio::time::{Duration, Instant};
+use wingspar_sidecar::body::Body;
+use wingspar_sidecar::link::Link;
+
+/// A link of 8 Mbit/s carries a megabyte a second.
+const MEGABITS: f64 = 8.0;
+
+async fn read(body: Body) -> (usize, Duration) {
+    let began = Instant::now();
+    let bytes = body.collect().await.expect("a whole body").to_bytes();
+    (bytes.len(), began.elapsed())
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_large_answer_takes_the_time_that_the_link_needs() {
+    let link = Link::new(Some(MEGABITS));
+    let (length, took) = read(link.pace(Body::whole(vec![7; 500_000]))).await;
+    assert_eq!(length, 500_000);
+    assert!(took >= Duration::from_millis(480), "{took:?}");
+    assert!(took <= Duration::from_millis(700), "{took:?}");
+    assert_eq!(link.queued(), 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_small_answer_does_not_wait() {
+    let link = Link::new(Some(MEGABITS));
+    let large = link.pace(Body::whole(vec![7; 500_000]));
+    let small = link.pace(Body::whole(vec![7; 1_000]));
+    let (_, (_, took)) = tokio::join!(read(large), read(small));
+    assert!(took < Duration::from_millis(2), "{took:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn one_answer_ends_before_the_next_begins_and_the_shortest_is_next() {
+    let link = Link::new(Some(MEGABITS));
+    let begun = link.pace(Body::whole(vec![7; 200_000]));
+    let long = link.pace(Body::whole(vec![7; 300_000]));
+    let short = link.pace(Body::whole(vec![7; 50_000]));
+    assert!(link.expected_wait() > Duration::from_millis(500));
+    let ((_, begun), (_, long), (_, short)) = tokio::join!(read(begun), read(long), read(short));
+    assert!(
+        begun < short && short < long,
+        "{begun:?} {short:?} {long:?}"
+    );
+    assert!(begun < Duration::from_millis(280), "{begun:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_answer_that_is_given_up_makes_room() {
+    let link = Link::new(Some(MEGABITS));
+    let left = link.pace(Body::whole(vec![7; 900_000]));
+    let kept = link.pace(Body::whole(vec![7; 100_000]));
+    drop(left);
+    assert_eq!(link.queued(), 100_000);
+    let (_, took) = read(kept).await;
+    assert!(took < Duration::from_millis(200), "{took:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn answers_that_are_yet_to_come_count_and_a_fast_link_never_makes_wait() {
+    let link = Link::new(Some(MEGABITS));
+    let coming = link.expect();
+    assert!(link.expected_wait() > Duration::from_millis(50));
+    drop(coming);
+    assert_eq!(link.expected_wait(), Duration::ZERO);
+    for fast in [Link::new(Some(1_000.0)), Link::new(None)] {
+        let (_, took) = read(fast.pace(Body::whole(vec![7; 5_000_000]))).await;
+        assert!(took < Duration::from_millis(2), "{took:?}");
+    }
+}
--- a/crates/standins/src/fleet/target.rs
+++ b/crates/standins/src/fleet/target.rs
@@ -24,6 +24,8 @@
     pub silent: bool,
     /// Works this long on each request.
     pub work: Duration,
+    /// Answers with so many bytes.
+    pub answer_bytes: usize,
 }
 
 /// A request that the target has run.
@@ -270,6 +272,10 @@
         if !faults.unsigned {
             let _signature = response.add_header("x-wingspar-response-signature", "s", true);
         }
+        if faults.answer_bytes > 0 {
+            let _written = response.write_body(vec![b'w'; faults.answer_bytes]);
+            return;
+        }
         answer(response, 200, &json!({"ran_at": shared.id}));
     }
 }
--- a/crates/wingspar/tests/sidecar/deployment.rs
+++ b/crates/wingspar/tests/sidecar/deployment.rs
@@ -107,6 +107,11 @@
     /// Starts everything and waits until all keys are served. Each test has loopback addresses of
     /// its own.
     pub async fn start(test: u8) -> Self {
+        Self::start_with(test, "").await
+    }
+
+    /// As [`Self::start`], with more lines in the table of the node's settings.
+    pub async fn start_with(test: u8, node_settings: &str) -> Self {
         let (network, [high, low]) = claim_network(test);
         let folder =
             std::env::temp_dir().join(format!("wingspar-sidecar-{}-{test}", std::process::id()));
@@ -122,6 +127,7 @@
                     index,
                     &store,
                     &folder,
+                    node_settings,
                 )
                 .await,
             );
@@ -312,6 +318,7 @@
     index: u8,
     store: &FleetStore,
     folder: &std::path::Path,
+    node_settings: &str,
 ) -> Machine {
     let ip = IpAddr::V4(address);
     let keyed = index < 2;
@@ -323,7 +330,7 @@
     let socket = |port| SocketAddr::new(ip, port);
     let text = format!(
         "[node]\nname = \"node-{index}\"\nzone = \"a\"\nservice = \"{service}\"\naddress = \"{ip}\"\n\
-         target = \"{}\"\nfirst_start = true\n\
+         target = \"{}\"\nfirst_start = true\n{node_settings}\n\
          [listen]\noutbound = \"{}\"\nready = \"{}\"\nheartbeats = \"{}\"\ninternal_port = 7620\nmetrics_port = 7621\n\
          [store]\naddress = \"{}\"\n\
          [bounds]\ndrain_s = 2\ngrace_s = 6\nbudget_ratio = 0.2\nbudget_window_s = 10\nbudget_extra = 60\nmax_hold_s = 10\n",
--- a/crates/wingspar/tests/sidecar/main.rs
+++ b/crates/wingspar/tests/sidecar/main.rs
@@ -379,6 +379,25 @@
     .await;
 }
 
+#[tokio::test]
+async fn a_planned_stop_does_not_cut_a_large_answer() {
+    // 400 kB over a link of 1 Mbit/s take longer than the node needs to have nothing else to do.
+    let mut deployment = Deployment::start_with(16, "link_mbps = 1.0").await;
+    deployment.plain_targets_do(TargetFaults {
+        answer_bytes: 400_000,
+        ..TargetFaults::default()
+    });
+    let request = deployment
+        .request(2, "/patient/1", "large")
+        .header("x-wingspar-deadline-ms", "20000");
+    let answer = request.send().await.expect("an answer");
+    assert_eq!(answer.status(), 200);
+    deployment.terminate(2);
+    let body = answer.bytes().await.expect("a whole body");
+    assert_eq!(body.len(), 400_000);
+    assert!(deployment.exited_well(2).await);
+}
+
 #[test]
 fn wrong_settings_are_told_and_end_with_their_own_code() {
     let folder =
