ownership: a grant that its target refused for a higher fence isn't sent again

Now it remembers the refused fence, gives the rest of the range back and holds nothing, so the leader gives all of it anew under a higher fence.

--- a/crates/ownership/src/holder.rs
+++ b/crates/ownership/src/holder.rs
@@ -15,6 +15,9 @@
 /// How long the leader is told what was given back.
 const RELEASED_TOLD: Duration = Duration::from_secs(8);
 
+/// Refused grants that are remembered.
+const MOST_OUTRANKED: usize = 64;
+
 /// A call to make to the target.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Order {
@@ -98,6 +101,8 @@
     target: Option<String>,
     entries: Vec<Entry>,
     released: Vec<(Released, Fence, Time)>,
+    /// Grants that the target refused because it had seen a higher fence: they aren't sent again.
+    outranked: Vec<(KeyRange, Fence)>,
 }
 
 impl Holder {
@@ -114,6 +119,7 @@
             target: None,
             entries: Vec::new(),
             released: Vec::new(),
+            outranked: Vec::new(),
         }
     }
 
@@ -174,6 +180,7 @@
         if self.target.is_some() {
             self.entries.clear();
             self.released.clear();
+            self.outranked.clear();
             self.clean = true;
             self.clear = None;
         }
@@ -272,7 +279,7 @@
                 .flat_map(|part| part.without(entry.range))
                 .collect();
         }
-        missing.retain(|range| !given_back(*range));
+        missing.retain(|range| !given_back(*range) && !self.is_outranked(*range, want.fence));
         for range in missing {
             self.entries.push(Entry {
                 range,
@@ -287,6 +294,37 @@
         }
     }
 
+    /// Whether the target refused such a grant.
+    fn is_outranked(&self, range: KeyRange, fence: Fence) -> bool {
+        self.outranked
+            .iter()
+            .any(|(refused, known)| *known == fence && refused.overlaps(range))
+    }
+
+    /// The target has seen a higher fence on a range: the grant is given up, and what else was given
+    /// with it is given back, so that the leader gives all of it anew under a higher fence.
+    fn outranked(&mut self, now: Time, range: KeyRange, fence: Fence) {
+        let mut entries = Vec::with_capacity(self.entries.len());
+        for entry in self.entries.drain(..) {
+            let concerned = entry.fence == fence && entry.range.overlaps(range);
+            if !concerned || entry.phase == Phase::Releasing {
+                entries.push(entry);
+                continue;
+            }
+            self.outranked.push((entry.range, fence));
+            entries.extend(entry.range.without(range).into_iter().map(|rest| Entry {
+                range: rest,
+                phase: Phase::Releasing,
+                in_flight: false,
+                next_call: now,
+                ..entry.clone()
+            }));
+        }
+        self.entries = entries;
+        let surplus = self.outranked.len().saturating_sub(MOST_OUTRANKED);
+        self.outranked.drain(..surplus);
+    }
+
     /// Whether a request for a key may start now.
     pub fn admission(&self, now: Time, key: u16) -> Admission {
         let mut arriving = false;
@@ -373,11 +411,7 @@
     ) {
         let renew_every = self.timing.lease / 3;
         if result == GrantResult::Outranked {
-            self.entries.retain(|entry| {
-                entry.fence != fence
-                    || !entry.range.overlaps(range)
-                    || entry.phase == Phase::Releasing
-            });
+            self.outranked(now, range, fence);
             return;
         }
         for entry in &mut self.entries {
--- a/crates/ownership/tests/holder.rs
+++ b/crates/ownership/tests/holder.rs
@@ -135,6 +135,42 @@
         GrantResult::Outranked,
     );
     assert!(holder.held(Time(1_900)).is_empty());
+    // The leader still names the same fence: it isn't tried again, however long that goes on.
+    for now in (2_000..9_000).step_by(400) {
+        holder.lease(Time(now), &reply(1, now, 2, &[(RANGE, 10)]));
+        let orders = holder.orders(Time(now));
+        assert!(orders.is_empty(), "{now}: {orders:?}");
+        assert!(holder.held(Time(now)).is_empty());
+    }
+    // A higher one is.
+    holder.lease(Time(9_000), &reply(1, 9_000, 3, &[(RANGE, 12)]));
+    assert_eq!(holder.orders(Time(9_000)).len(), 1);
+}
+
+#[test]
+fn the_rest_of_a_range_that_was_outranked_in_part_is_given_back() {
+    let mut holder = holding();
+    let upper = KeyRange { from: 150, to: 200 };
+    holder.granted(
+        Time(1_900),
+        upper,
+        Fence(10),
+        Time(1_890),
+        Duration::from_secs(1),
+        GrantResult::Outranked,
+    );
+    holder.lease(Time(2_000), &reply(1, 2_000, 2, &[(RANGE, 10)]));
+    let rest = KeyRange { from: 100, to: 149 };
+    let fence = Fence(11);
+    assert_eq!(
+        holder.orders(Time(2_000)),
+        [Order::Release { range: rest, fence }]
+    );
+    holder.release_ended(Time(2_050), rest, fence, true, None);
+    // Its leader sees that nothing is held, and gives all of it anew under a higher fence.
+    assert!(holder.held(Time(2_100)).is_empty());
+    holder.lease(Time(2_400), &reply(1, 2_400, 2, &[(RANGE, 10)]));
+    assert!(holder.orders(Time(2_400)).is_empty());
 }
 
 #[test]
