--- a/crates/ownership/src/balance.rs
+++ b/crates/ownership/src/balance.rs
@@ -7,7 +7,7 @@
 use crate::{KeyRange, NodeName};
 
 /// Parts that the keys are counted in.
-pub const BUCKETS: usize = 1024;
+pub const BUCKETS: usize = 8192;
 /// Keys of one part.
 pub const KEYS_PER_BUCKET: u32 = 65_536 / BUCKETS as u32;
 /// Rates are smoothed over about this time, in seconds.
--- a/crates/ownership/src/election.rs
+++ b/crates/ownership/src/election.rs
@@ -48,6 +48,10 @@
     Claiming { since: Time },
 }
 
+/// A leader that was just named may not know it yet: its claim's answer, or the list of nodes, is on the
+/// way. That it says otherwise means nothing for so long.
+const UNAWARE: Duration = Duration::from_millis(1_000);
+
 /// Calls to the store that take longer are given up.
 const CALL_GIVEN_UP: Duration = Duration::from_millis(1_500);
 
@@ -59,6 +63,8 @@
     timing: Timing,
     leader: Option<LeaderReference>,
     heard_at: Time,
+    /// When the leader was first known to lead.
+    learned_at: Time,
     phase: Phase,
     burdened: bool,
 }
@@ -73,6 +79,7 @@
             timing,
             leader: None,
             heard_at: now,
+            learned_at: now,
             phase: Phase::Waiting {
                 until: now + jitter,
             },
@@ -114,6 +121,7 @@
         }
         self.leader = Some(leader.clone());
         self.heard_at = now;
+        self.learned_at = now;
         self.phase = Phase::Following;
         true
     }
@@ -129,6 +137,9 @@
         if !matches!(self.phase, Phase::Following | Phase::Asking { .. }) {
             return;
         }
+        if !at_once && now.since(self.learned_at) < UNAWARE {
+            return;
+        }
         let wait = if at_once {
             Duration::ZERO
         } else {
--- a/crates/ownership/src/leader.rs
+++ b/crates/ownership/src/leader.rs
@@ -9,14 +9,14 @@
 use crate::table_log::TableLog;
 use crate::{
     Epoch, Fence, Leadership, LeaseReply, Life, LoadReport, MemberView, NodeName, Renewal,
-    ServiceTable, Table, TableAnswer, TargetState, Time, Timing, Wanted,
+    ServiceTable, Table, TableAnswer, TargetState, Time, Timing, Wanted, steps,
 };
 
 /// A node is called about a changed assignment at most this often.
 const CALL_EVERY: Duration = Duration::from_millis(90);
 /// Between two looks at all members, caused by renewals, at least this part of them in milliseconds
 /// passes.
-const MEMBERS_A_MILLISECOND: u64 = 8;
+const MEMBERS_A_MILLISECOND: u64 = 4;
 /// How often the leader looks for a better plan.
 const REBALANCE_EVERY_MS: u64 = 400;
 
@@ -496,6 +496,13 @@
             let Some(planned) = partition.planned(range).cloned() else {
                 continue;
             };
+            let in_place = matches!(
+                &partition.slices[index].state,
+                State::Owned { node, .. } if *node == planned
+            );
+            if in_place {
+                continue;
+            }
             let state = partition.slices[index].state.clone();
             partition.slices[index].state = self.next_state(state, &planned, candidates);
         }
@@ -582,11 +589,12 @@
             .iter()
             .map(|(service, partition)| ServiceTable {
                 service: service.clone(),
-                owners: partition
-                    .slices
-                    .iter()
-                    .map(|slice| (slice.range.to, owner_of(&slice.state)))
-                    .collect(),
+                owners: steps::joined(
+                    partition
+                        .slices
+                        .iter()
+                        .map(|slice| (slice.range.to, owner_of(&slice.state))),
+                ),
                 plan: partition.plan.arcs().to_vec(),
             })
             .collect();
--- a/crates/ownership/src/lib.rs
+++ b/crates/ownership/src/lib.rs
@@ -22,6 +22,7 @@
 mod partition;
 mod plan;
 mod range;
+mod steps;
 mod table_log;
 mod time;
 
@@ -31,8 +32,8 @@
 pub use holder::{Admission, GrantResult, Holder, Order};
 pub use leader::{Leader, Member};
 pub use message::{
-    Holding, LeaderReference, Leadership, LeaseReply, MemberView, Released, Renewal, ServiceTable,
-    Table, TableAnswer, TableChanges, TargetState, Wanted,
+    Holding, LeaderReference, Leadership, LeaseReply, MemberView, Released, Renewal,
+    ServiceChanges, ServiceTable, Table, TableAnswer, TableChanges, TargetState, Wanted,
 };
 pub use participant::{
     Action, ClaimResult, Datagram, Identity, Note, Participant, Stored, Surroundings,
--- a/crates/ownership/src/message.rs
+++ b/crates/ownership/src/message.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{Epoch, Fence, KeyRange, Life, NodeName, Time};
+use crate::{Epoch, Fence, KeyRange, Life, NodeName, Time, steps};
 
 /// Names the leader of an epoch.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -201,7 +201,18 @@
     /// Members that are gone.
     pub removed: Vec<NodeName>,
     /// Services whose owners have changed.
-    pub services: Vec<ServiceTable>,
+    pub services: Vec<ServiceChanges>,
+}
+
+/// What has changed in the owners of one service's keys.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceChanges {
+    /// The service.
+    pub service: String,
+    /// Ranges with another owner than before.
+    pub owners: Vec<(KeyRange, Option<NodeName>)>,
+    /// Ranges that are to go to another owner than before.
+    pub plan: Vec<(KeyRange, NodeName)>,
 }
 
 /// A leader's answer to a node that asks for its table.
@@ -236,10 +247,19 @@
         next.members.extend(changes.members);
         next.members
             .sort_by(|left, right| left.node.cmp(&right.node));
-        for service in changes.services {
-            next.services
-                .retain(|known| known.service != service.service);
-            next.services.push(service);
+        for changed in changes.services {
+            let position = next
+                .services
+                .iter()
+                .position(|known| known.service == changed.service);
+            let known = position.map(|position| next.services.remove(position));
+            let (owners, plan) =
+                known.map_or_else(Default::default, |known| (known.owners, known.plan));
+            next.services.push(ServiceTable {
+                owners: steps::overlaid(&owners, &changed.owners),
+                plan: steps::overlaid(&plan, &changed.plan),
+                service: changed.service,
+            });
         }
         next.services
             .sort_by(|left, right| left.service.cmp(&right.service));
--- a/crates/ownership/src/partition.rs
+++ b/crates/ownership/src/partition.rs
@@ -4,6 +4,9 @@
 use crate::plan::{Candidate, Plan};
 use crate::{Fence, KeyRange, NodeName, Renewal};
 
+/// The plan is left alone while more than one in so many ranges is on its way.
+const MOVING_PART: usize = 4;
+
 /// What a leader knows of a range of keys.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum State {
@@ -108,6 +111,13 @@
 
     /// Unknown ranges that a node reports become its own, under the fence that it reports.
     fn adopt_reported(&mut self, renewal: &Renewal, target: &str) {
+        if !self
+            .slices
+            .iter()
+            .any(|slice| slice.state == State::Unknown)
+        {
+            return;
+        }
         for holding in &renewal.held {
             self.cut(holding.range);
             for slice in &mut self.slices {
@@ -170,12 +180,14 @@
         self.plan.repair(candidates, &self.load)
     }
 
-    /// Looks for a plan that spreads the load better, unless ranges are on their way.
+    /// Looks for a plan that spreads the load better, unless many ranges are on their way.
     pub fn rebalance(&mut self, candidates: &[Candidate]) -> bool {
-        let settled = self
+        let moving = self
             .slices
             .iter()
-            .all(|slice| matches!(slice.state, State::Owned { .. }));
+            .filter(|slice| !matches!(slice.state, State::Owned { .. }))
+            .count();
+        let settled = moving * MOVING_PART <= self.slices.len();
         settled && self.plan.rebalance(candidates, &self.load)
     }
 
@@ -203,41 +215,54 @@
 
     /// Cuts slices along the plan.
     pub fn cut_along_plan(&mut self) {
-        let ranges = self
-            .plan
-            .ranges()
-            .map(|(range, _)| range)
-            .collect::<Vec<_>>();
-        for range in ranges {
-            self.cut(range);
+        let ends = self.plan.arcs().iter().map(|(to, _)| *to);
+        let ends = ends.collect::<Vec<_>>();
+        self.cut_behind(&ends);
+    }
+
+    /// Makes each of these keys, which are in order, the last of a slice.
+    fn cut_behind(&mut self, ends: &[u16]) {
+        let is_end = |key| {
+            self.slices
+                .binary_search_by_key(&key, |slice| slice.range.to)
+        };
+        if ends.iter().all(|key| is_end(*key).is_ok()) {
+            return;
+        }
+        let mut cut = Vec::with_capacity(self.slices.len() + ends.len());
+        for mut slice in self.slices.drain(..) {
+            let first = ends.partition_point(|key| *key < slice.range.from);
+            let inside = ends[first..]
+                .iter()
+                .take_while(|key| **key < slice.range.to);
+            for key in inside {
+                cut.push(Slice {
+                    range: KeyRange {
+                        from: slice.range.from,
+                        to: *key,
+                    },
+                    state: slice.state.clone(),
+                });
+                slice.range.from = key + 1;
+            }
+            cut.push(slice);
         }
+        self.slices = cut;
     }
 
     /// The planned owner of a range that lies within one arc of the plan.
     pub fn planned(&self, range: KeyRange) -> Option<&NodeName> {
-        self.plan
-            .ranges()
-            .find(|(arc, _)| arc.contains(range.from))
-            .map(|(_, node)| node)
+        let arcs = self.plan.arcs();
+        let arc = arcs.partition_point(|(to, _)| *to < range.from);
+        arcs.get(arc).map(|(_, node)| node)
     }
 
     /// Makes the ends of a range ends of slices.
     fn cut(&mut self, range: KeyRange) {
-        let mut cut = Vec::with_capacity(self.slices.len() + 2);
-        for slice in self.slices.drain(..) {
-            let Some(inner) = slice.range.intersection(range) else {
-                cut.push(slice);
-                continue;
-            };
-            let mut parts = slice.range.without(range);
-            parts.push(inner);
-            parts.sort();
-            cut.extend(parts.into_iter().map(|range| Slice {
-                range,
-                state: slice.state.clone(),
-            }));
+        match range.from.checked_sub(1) {
+            Some(before) => self.cut_behind(&[before, range.to]),
+            None => self.cut_behind(&[range.to]),
         }
-        self.slices = cut;
     }
 
     /// Joins neighbours in the same state.
--- a/crates/ownership/src/plan.rs
+++ b/crates/ownership/src/plan.rs
@@ -1,12 +1,22 @@
 //! Which node should own which keys of one service.
 
 use crate::balance::{BUCKETS, KEYS_PER_BUCKET, Load, bucket_of};
-use crate::{KeyRange, NodeName};
+use crate::{KeyRange, NodeName, steps};
 
-/// A new plan must bring the busiest owner down by at least this part of the mean.
-const LEAST_GAIN: f64 = 0.12;
-/// The busiest owner, in parts of the mean, from which a new plan is looked for.
+/// The busiest owner, in parts of the mean, from which load is taken off it.
 const WORTH_A_LOOK: f64 = 1.18;
+/// The same, down to which that goes on.
+const FAIR: f64 = 1.07;
+/// An owner that uses less than this part of its capacity is left as it is, however idle others are.
+const BUSY: f64 = 0.55;
+/// Least that is moved at once, in parts of what would be best, and the same where some keys weigh so
+/// much that no part fits.
+const LEAST_PARTS: [f64; 2] = [0.92, 0.3];
+/// Most that is moved at once, in parts of what would be best.
+const LARGEST_PART: f64 = 1.25;
+/// Arcs an owner may have on average, and beyond that for all, before the keys are cut anew.
+const ARCS_AN_OWNER: usize = 3;
+const SPARE_ARCS: usize = 12;
 
 /// Consecutive ranges and their owners; covers all keys or none.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
@@ -45,10 +55,7 @@
 
     /// Ranges and owners.
     pub fn ranges(&self) -> impl Iterator<Item = (KeyRange, &NodeName)> {
-        let starts = std::iter::once(0).chain(self.arcs.iter().map(|(to, _)| to.saturating_add(1)));
-        starts
-            .zip(&self.arcs)
-            .map(|(from, (to, node))| (KeyRange { from, to: *to }, node))
+        steps::ranges(&self.arcs)
     }
 
     /// Takes away nodes that can't own keys any more; their neighbours share what they had. Returns
@@ -115,79 +122,108 @@
         self.arcs.splice(first..end, filling);
     }
 
-    /// Looks for a better plan and takes it if the busiest owner gains enough. Returns whether it did.
+    /// Takes load off owners that have too much, with as few keys as that takes, and gives an idle owner
+    /// a part. Returns whether anything changed.
     pub fn rebalance(&mut self, candidates: &[Candidate], load: &Load) -> bool {
         if candidates.len() < 2 || self.is_empty() {
             return false;
         }
-        let now = self.busiest(candidates, load);
-        let idle = candidates
-            .iter()
-            .any(|(name, _)| !self.arcs.iter().any(|(_, node)| node == name));
+        let before = self.clone();
+        let weights = load.weights();
         // What a few requests an owner seem to show is chance.
         let chance = CHANCE / load.requests_behind(candidates.len()).sqrt();
-        if now < WORTH_A_LOOK.max(1.0 + chance) && !idle {
+        let mut owners = self.owners(candidates, load, &weights);
+        let worth_it =
+            |owners: &Owners| owners.has_idle() || owners.is_unfair(WORTH_A_LOOK.max(1.0 + chance));
+        if !worth_it(&owners) {
             return false;
         }
-        let order = self.order(candidates, load);
-        let better = Self::proportional(&order, load);
-        if !idle && better.busiest(candidates, load) > now - LEAST_GAIN.max(chance / 2.0) {
-            return false;
+        if self.arcs.len() > ARCS_AN_OWNER * candidates.len() + SPARE_ARCS {
+            *self = Self::proportional(&owners.in_order(self), load);
+            return *self != before;
         }
-        if better == *self {
-            return false;
+        for _ in 0..2 * candidates.len() {
+            let enough = !owners.has_idle() && !owners.is_unfair(FAIR.max(1.0 + chance / 2.0));
+            if enough || !self.relieve_busiest(&mut owners, &weights) {
+                break;
+            }
         }
-        *self = better;
-        true
+        *self != before
     }
 
-    /// Load over capacity of the busiest owner, in parts of the mean.
-    fn busiest(&self, candidates: &[Candidate], load: &Load) -> f64 {
-        let weights = load.weights();
-        let total = weights.iter().sum::<f64>();
-        let capacity = candidates
-            .iter()
-            .map(|(name, slots)| load.capacity(name, *slots))
-            .sum::<f64>();
-        let mean = total / capacity.max(f64::MIN_POSITIVE);
-        let mut busiest = 0.0_f64;
-        for (name, slots) in candidates {
-            let own = self
-                .ranges()
-                .filter(|(_, node)| *node == name)
-                .map(|(range, _)| weight_of(range, &weights))
-                .sum::<f64>();
-            busiest = busiest.max(own / load.capacity(name, *slots) / mean);
-        }
-        busiest
+    /// Moves a part of the busiest owner's keys to the least busy one. Returns whether it did.
+    fn relieve_busiest(&mut self, owners: &mut Owners, weights: &[f64]) -> bool {
+        let Some((busiest, least)) = owners.extremes() else {
+            return false;
+        };
+        let amount = owners.amount_to_move(busiest, least);
+        let owner = &owners.list[busiest].name;
+        let part = LEAST_PARTS.into_iter().find_map(|least| {
+            self.densest_part(owner, amount * least, amount * LARGEST_PART, weights)
+        });
+        let Some((range, moved)) = part else {
+            return false;
+        };
+        owners.list[busiest].load -= moved;
+        owners.list[least].load += moved;
+        owners.list[least].has_keys = true;
+        let taker = owners.list[least].name.clone();
+        self.arcs = steps::overlaid(&self.arcs, &[(range, taker)]);
+        true
     }
 
-    /// Owners in the order of their keys; those without keys go beside the busiest.
-    fn order(&self, candidates: &[Candidate], load: &Load) -> Vec<Candidate> {
-        let weights = load.weights();
-        let mut order = Vec::<(Candidate, f64)>::new();
-        for (range, node) in self.ranges() {
-            let Some(candidate) = candidates.iter().find(|(name, _)| name == node) else {
-                continue;
-            };
-            let share = weight_of(range, &weights) / load.capacity(&candidate.0, candidate.1);
-            match order.iter_mut().find(|(known, _)| known.0 == candidate.0) {
-                Some((_, sum)) => *sum += share,
-                None => order.push((candidate.clone(), share)),
+    /// The fewest consecutive keys of an owner whose load is within bounds, and what they carry.
+    fn densest_part(
+        &self,
+        owner: &NodeName,
+        least: f64,
+        most: f64,
+        weights: &[f64],
+    ) -> Option<(KeyRange, f64)> {
+        let mut best = None::<(usize, usize, f64)>;
+        for (range, _) in self.ranges().filter(|(_, node)| *node == owner) {
+            let buckets = bucket_of(range.from)..=bucket_of(range.to);
+            let mut first = *buckets.start();
+            let mut sum = 0.0;
+            for last in buckets {
+                sum += weights[last];
+                while first < last && sum - weights[first] >= least {
+                    sum -= weights[first];
+                    first += 1;
+                }
+                let fits = (least..=most).contains(&sum);
+                let shorter = best.is_none_or(|(from, to, _)| last - first < to - from);
+                if fits && shorter {
+                    best = Some((first, last, sum));
+                }
             }
         }
-        for candidate in candidates {
-            if order.iter().any(|(known, _)| known.0 == candidate.0) {
-                continue;
+        let (first, last, sum) = best?;
+        let range = KeyRange {
+            from: first_key_of(first),
+            to: last_key_of(last),
+        };
+        Some((range, sum))
+    }
+
+    /// The owners with what they carry.
+    fn owners(&self, candidates: &[Candidate], load: &Load, weights: &[f64]) -> Owners {
+        let list = candidates.iter().map(|(name, slots)| {
+            let own = self.ranges().filter(|(_, node)| *node == name);
+            let own = own
+                .map(|(range, _)| weight_of(range, weights))
+                .collect::<Vec<_>>();
+            OwnerLoad {
+                name: name.clone(),
+                slots: *slots,
+                capacity: load.capacity(name, *slots),
+                load: own.iter().sum(),
+                has_keys: !own.is_empty(),
             }
-            let busiest = order
-                .iter()
-                .enumerate()
-                .max_by(|left, right| left.1.1.total_cmp(&right.1.1))
-                .map_or(0, |(index, _)| index + 1);
-            order.insert(busiest, (candidate.clone(), 0.0));
+        });
+        Owners {
+            list: list.collect(),
         }
-        order.into_iter().map(|(candidate, _)| candidate).collect()
     }
 
     /// Cuts the keys so that each owner, in this order, gets load in proportion to its capacity.
@@ -224,14 +260,86 @@
     }
 
     fn merge(&mut self) {
-        let mut merged = Vec::<(u16, NodeName)>::with_capacity(self.arcs.len());
-        for (to, node) in self.arcs.drain(..) {
-            match merged.last_mut() {
-                Some((last, known)) if *known == node => *last = to,
-                _ => merged.push((to, node)),
-            }
-        }
-        self.arcs = merged;
+        self.arcs = steps::joined(self.arcs.drain(..));
+    }
+}
+
+/// An owner and what it carries.
+struct OwnerLoad {
+    name: NodeName,
+    slots: u32,
+    /// Requests a second that it can finish.
+    capacity: f64,
+    /// Requests a second for its keys.
+    load: f64,
+    has_keys: bool,
+}
+
+impl OwnerLoad {
+    fn utilisation(&self) -> f64 {
+        self.load / self.capacity
+    }
+}
+
+/// All owners of a plan.
+struct Owners {
+    list: Vec<OwnerLoad>,
+}
+
+impl Owners {
+    fn has_idle(&self) -> bool {
+        self.list.iter().any(|owner| !owner.has_keys)
+    }
+
+    /// Load over capacity of all together.
+    fn mean(&self) -> f64 {
+        let load = self.list.iter().map(|owner| owner.load).sum::<f64>();
+        let capacity = self.list.iter().map(|owner| owner.capacity).sum::<f64>();
+        load / capacity.max(f64::MIN_POSITIVE)
+    }
+
+    /// Whether the busiest is busy, and that many times as busy as the mean.
+    fn is_unfair(&self, times: f64) -> bool {
+        let utilisations = self.list.iter().map(OwnerLoad::utilisation);
+        let busiest = utilisations.fold(0.0, f64::max);
+        busiest > BUSY && busiest > self.mean() * times
+    }
+
+    /// The busiest and the least busy owner, if they aren't the same. One without keys comes first.
+    fn extremes(&self) -> Option<(usize, usize)> {
+        let by_utilisation = |left: &usize, right: &usize| {
+            let (left, right) = (&self.list[*left], &self.list[*right]);
+            let order = left.utilisation().total_cmp(&right.utilisation());
+            left.has_keys.cmp(&right.has_keys).then(order)
+        };
+        let busiest = (0..self.list.len()).max_by(by_utilisation)?;
+        let least = (0..self.list.len()).min_by(by_utilisation)?;
+        (busiest != least).then_some((busiest, least))
+    }
+
+    /// Load that makes both equally busy, but the taker not much busier than the mean.
+    fn amount_to_move(&self, from: usize, to: usize) -> f64 {
+        let (from, to) = (&self.list[from], &self.list[to]);
+        let equal =
+            (from.load * to.capacity - to.load * from.capacity) / (from.capacity + to.capacity);
+        let room = self.mean() * WORTH_A_LOOK * to.capacity - to.load;
+        equal.min(room).max(0.0)
+    }
+
+    /// The owners in the order of their keys, those without keys last.
+    fn in_order(&self, plan: &Plan) -> Vec<Candidate> {
+        let place = |owner: &&OwnerLoad| {
+            let arcs = plan.arcs.iter();
+            arcs.clone()
+                .position(|(_, node)| *node == owner.name)
+                .unwrap_or(usize::MAX)
+        };
+        let mut order = self.list.iter().collect::<Vec<_>>();
+        order.sort_by_key(place);
+        order
+            .into_iter()
+            .map(|owner| (owner.name.clone(), owner.slots))
+            .collect()
     }
 }
 
@@ -240,6 +348,10 @@
     u16::try_from(keys - 1).unwrap_or(u16::MAX)
 }
 
+fn first_key_of(bucket: usize) -> u16 {
+    u16::try_from(bucket as u32 * KEYS_PER_BUCKET).unwrap_or(u16::MAX)
+}
+
 fn weight_of(range: KeyRange, weights: &[f64]) -> f64 {
     weights[bucket_of(range.from)..=bucket_of(range.to)]
         .iter()
--- a/crates/ownership/src/table_log.rs
+++ b/crates/ownership/src/table_log.rs
@@ -1,18 +1,52 @@
 //! What changed in a leader's table, version by version.
 
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-use crate::{NodeName, Table, TableAnswer, TableChanges};
+use crate::{
+    KeyRange, NodeName, ServiceChanges, ServiceTable, Table, TableAnswer, TableChanges, steps,
+};
 
 /// Versions that changes are known of.
 const KEPT: usize = 64;
 
-/// The names that changed with one version.
+/// Keys of a service whose owner, or planned owner, changed.
+#[derive(Debug, Default, Clone)]
+struct ChangedKeys {
+    owners: Vec<KeyRange>,
+    plan: Vec<KeyRange>,
+}
+
+impl ChangedKeys {
+    /// How one service differs between two tables; nothing if it doesn't.
+    fn between(before: Option<&ServiceTable>, after: &ServiceTable) -> Option<Self> {
+        if before == Some(after) {
+            return None;
+        }
+        let (owners, plan) = before.map_or((&[][..], &[][..]), |before| {
+            (before.owners.as_slice(), before.plan.as_slice())
+        });
+        Some(Self {
+            owners: steps::differences(owners, &after.owners),
+            plan: steps::differences(plan, &after.plan),
+        })
+    }
+
+    /// What a table says of these keys.
+    fn in_table(self, table: &ServiceTable) -> ServiceChanges {
+        ServiceChanges {
+            service: table.service.clone(),
+            owners: steps::within(&table.owners, &steps::union(self.owners)),
+            plan: steps::within(&table.plan, &steps::union(self.plan)),
+        }
+    }
+}
+
+/// What changed with one version.
 #[derive(Debug, Default)]
 struct Entry {
     version: u64,
     members: Vec<NodeName>,
-    services: Vec<String>,
+    services: Vec<(String, ChangedKeys)>,
 }
 
 /// The latest changes of a table.
@@ -34,11 +68,14 @@
             .iter()
             .filter(|member| !after.members.iter().any(|now| now.node == member.node))
             .map(|member| member.node.clone());
-        let services = after
-            .services
-            .iter()
-            .filter(|service| !before.services.contains(service))
-            .map(|service| service.service.clone());
+        let services = after.services.iter().filter_map(|service| {
+            let known = before
+                .services
+                .iter()
+                .find(|known| known.service == service.service);
+            let changed = ChangedKeys::between(known, service)?;
+            Some((service.service.clone(), changed))
+        });
         if before.services.len() > after.services.len() {
             // A service is gone, which changes can't tell: whoever asks gets everything.
             self.entries.clear();
@@ -61,10 +98,14 @@
         }
         let later = self.entries.iter().filter(|entry| entry.version > base);
         let mut names = BTreeSet::new();
-        let mut services = BTreeSet::new();
+        let mut services = BTreeMap::<&String, ChangedKeys>::new();
         for entry in later {
             names.extend(entry.members.iter().cloned());
-            services.extend(entry.services.iter().cloned());
+            for (service, changed) in &entry.services {
+                let all = services.entry(service).or_default();
+                all.owners.extend(&changed.owners);
+                all.plan.extend(&changed.plan);
+            }
         }
         let of_name = |name: &NodeName| table.members.iter().find(|member| member.node == *name);
         let of_service = |name: &String| table.services.iter().find(|known| known.service == *name);
@@ -78,7 +119,10 @@
                 .filter(|name| of_name(name).is_none())
                 .cloned()
                 .collect(),
-            services: services.iter().filter_map(of_service).cloned().collect(),
+            services: services
+                .into_iter()
+                .filter_map(|(name, changed)| Some(changed.in_table(of_service(name)?)))
+                .collect(),
         }))
     }
 }
--- /dev/null
+++ b/crates/ownership/tests/election.rs
@@ -0,0 +1,60 @@
+//! When a node contends for the leadership.
+
+use std::net::SocketAddr;
+
+use wingspar_ownership::{Election, Epoch, LeaderReference, Life, NodeName, Step, Time, Timing};
+
+fn leader(epoch: u64) -> LeaderReference {
+    LeaderReference {
+        epoch: Epoch(epoch),
+        node: NodeName::from("leader"),
+        life: Life(1),
+        address: SocketAddr::from(([127, 0, 0, 1], 7620)),
+    }
+}
+
+fn follower() -> Election {
+    let mut election = Election::new(NodeName::from("a"), Life(2), Timing::default(), Time(0));
+    assert!(election.learn(Time(1_000), &leader(4)));
+    election
+}
+
+/// Whether the node reads the leader's object within a second from `from`.
+fn contends(election: &mut Election, from: u64) -> bool {
+    (from..from + 1_000)
+        .step_by(10)
+        .any(|now| election.tick(Time(now), 0) == Some(Step::ReadObject))
+}
+
+#[test]
+fn a_leader_that_does_not_know_of_its_election_yet_is_given_time() {
+    let mut election = follower();
+    election.vacant(Time(1_050), false);
+    assert!(!contends(&mut election, 1_050));
+}
+
+#[test]
+fn a_leader_that_has_forgotten_its_epoch_is_replaced_at_once() {
+    let mut election = follower();
+    election.heard(Time(4_900));
+    election.vacant(Time(5_000), false);
+    assert!(contends(&mut election, 5_000));
+}
+
+#[test]
+fn a_leader_may_ask_for_a_successor_at_any_time() {
+    let mut election = follower();
+    election.vacant(Time(1_050), true);
+    assert!(contends(&mut election, 1_050));
+}
+
+#[test]
+fn a_silent_leader_is_suspected() {
+    let mut election = follower();
+    let suspect = u64::try_from(Timing::default().suspect_after.as_millis()).expect("small");
+    assert!(!contends(&mut election, 1_000));
+    let asked = election.tick(Time(1_000 + suspect), 0);
+    assert_eq!(asked, Some(Step::AskPeers));
+    let later = suspect + 1_010;
+    assert!(contends(&mut election, later));
+}
--- a/crates/ownership/tests/plan.rs
+++ b/crates/ownership/tests/plan.rs
@@ -1,7 +1,12 @@
 //! Plans: they cover all keys, follow the load, and change little when an owner goes.
 
 use quickcheck::quickcheck;
-use wingspar_ownership::{BUCKETS, Candidate, KeyRange, Load, LoadReport, NodeName, Plan};
+use wingspar_ownership::{
+    BUCKETS, Candidate, KEYS_PER_BUCKET, KeyRange, Load, LoadReport, NodeName, Plan,
+};
+
+/// Keys that get half of the load.
+const HOT_KEYS: std::ops::Range<usize> = 32_000..32_256;
 
 fn candidates(names: &[&str]) -> Vec<Candidate> {
     names
@@ -24,7 +29,7 @@
 fn hot_load() -> Load {
     let mut load = Load::default();
     let arrivals = (0..BUCKETS).map(|bucket| {
-        let hot = (500..504).contains(&bucket);
+        let hot = HOT_KEYS.contains(&(bucket * KEYS_PER_BUCKET as usize));
         (
             u16::try_from(bucket).expect("small"),
             if hot { 256 } else { 1 },
@@ -70,7 +75,7 @@
     plan.repair(&four, &Load::default());
     assert!(plan.rebalance(&four, &hot_load()));
     assert!(covers_all(&plan));
-    let hot = (500 * 64)..(504 * 64);
+    let hot = HOT_KEYS;
     let owners = plan
         .ranges()
         .filter(|(range, _)| {
@@ -81,6 +86,78 @@
     assert!(!plan.rebalance(&four, &hot_load()), "once is enough");
 }
 
+#[test]
+fn a_hot_spot_among_many_owners_is_spread_by_moving_few_keys() {
+    let names = (0..29)
+        .map(|number| format!("n{number}"))
+        .collect::<Vec<_>>();
+    let names = names.iter().map(String::as_str).collect::<Vec<_>>();
+    let owners = candidates(&names);
+    let mut plan = Plan::default();
+    plan.repair(&owners, &Load::default());
+    let before = plan.clone();
+    let mut load = Load::default();
+    let arrivals = (0..BUCKETS).map(|bucket| {
+        let hot = HOT_KEYS.contains(&(bucket * KEYS_PER_BUCKET as usize));
+        let count = if hot { 1_200 } else { 8 };
+        (u16::try_from(bucket).expect("small"), count)
+    });
+    let report = LoadReport {
+        node: NodeName::from("n0"),
+        service: "s".to_owned(),
+        span_ms: 50_000,
+        arrivals: arrivals.collect(),
+        finished: 0,
+        busy_ms: 0,
+    };
+    load.record(&report, &[KeyRange::ALL]);
+    assert!(plan.rebalance(&owners, &load));
+    assert!(covers_all(&plan));
+    let weights = load.weights();
+    let carried = |name: &str| {
+        let own = plan.ranges().filter(|(_, node)| ***node == *name);
+        own.map(|(range, _)| {
+            let buckets =
+                wingspar_ownership::bucket_of(range.from)..=wingspar_ownership::bucket_of(range.to);
+            weights[buckets].iter().sum::<f64>()
+        })
+        .sum::<f64>()
+    };
+    let loads = names.iter().map(|name| carried(name)).collect::<Vec<_>>();
+    let mean = loads.iter().sum::<f64>() / loads.len() as f64;
+    let busiest = loads.iter().copied().fold(0.0, f64::max);
+    assert!(busiest < 1.5 * mean, "{busiest} of {mean}");
+    let moved = (0..=u16::MAX)
+        .filter(|key| {
+            let at = |plan: &Plan| {
+                plan.ranges()
+                    .find(|(range, _)| range.contains(*key))
+                    .map(|(_, node)| node.clone())
+            };
+            at(&before) != at(&plan)
+        })
+        .count();
+    assert!(moved < 3_000, "{moved} keys moved");
+}
+
+#[test]
+fn idle_hours_move_nothing() {
+    let four = candidates(&["a", "b", "c", "d"]);
+    let mut plan = Plan::default();
+    plan.repair(&four, &Load::default());
+    let report = LoadReport {
+        node: NodeName::from("a"),
+        service: "s".to_owned(),
+        span_ms: 10_000,
+        arrivals: vec![(7, 400)],
+        finished: 0,
+        busy_ms: 0,
+    };
+    let mut load = Load::default();
+    load.record(&report, &[KeyRange::ALL]);
+    assert!(!plan.rebalance(&four, &load), "all have room enough");
+}
+
 #[test]
 fn an_owner_that_goes_leaves_the_others_alone() {
     let mut plan = Plan::default();
@@ -127,14 +204,15 @@
 quickcheck! {
     fn a_plan_covers_all_keys_whoever_comes_and_goes(steps: Vec<Vec<u8>>) -> bool {
         let mut plan = Plan::default();
+        let load = hot_load();
         for step in steps {
             let mut names = step.iter().map(|name| format!("n{}", name % 8)).collect::<Vec<_>>();
             names.sort();
             names.dedup();
             let names = names.iter().map(String::as_str).collect::<Vec<_>>();
             let now = candidates(&names);
-            plan.repair(&now, &hot_load());
-            plan.rebalance(&now, &hot_load());
+            plan.repair(&now, &load);
+            plan.rebalance(&now, &load);
             if !plan.is_empty() && !covers_all(&plan) {
                 return false;
             }
--- a/crates/sidecar/src/link.rs
+++ b/crates/sidecar/src/link.rs
@@ -3,7 +3,7 @@
 //! A link that is given more than it carries queues everything, also small answers, orders and the
 //! end of calls that nobody waits for. So the bytes of large answers are let out one answer after the
 //! other, at most at [`LARGE_SHARE`] of the link's rate; an answer that has begun goes on first, then
-//! the shortest. [`Link::expected_wait`] tells how long one more large answer would wait.
+//! the one that would be through first had it been alone. [`Link::expected_wait`] tells how long one more large answer would wait.
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -36,7 +36,8 @@
 /// Weight of one answer's length against what was known.
 const SMOOTHING: f64 = 0.1;
 
-/// Place of an answer among those that wait: begun ones first, then the shortest.
+/// Place of an answer among those that wait: begun ones first, then by the time, in milliseconds, at
+/// which it would be through had it been alone; so nothing waits for ever behind shorter ones.
 type Place = (bool, u64, u64);
 
 /// The link of this machine.
@@ -44,6 +45,7 @@
     /// Bytes a second that large answers may use; nothing if they needn't wait.
     rate: Option<f64>,
     free_at: Cell<Instant>,
+    began: Instant,
     waiting: RefCell<BTreeMap<Place, Waker>>,
     next: Cell<u64>,
     /// Bytes of large answers that have yet to leave.
@@ -61,6 +63,7 @@
         Rc::new(Self {
             rate: rate.map(|bits| bits / 8.0 * LARGE_SHARE),
             free_at: Cell::new(Instant::now()),
+            began: Instant::now(),
             waiting: RefCell::default(),
             next: Cell::new(0),
             queued: Cell::new(0),
@@ -110,6 +113,7 @@
             link: self.clone(),
             left,
             begun: false,
+            through_at: self.through_at(left),
             number,
             piece: None,
             place: None,
@@ -117,6 +121,13 @@
         })
     }
 
+    /// When a body of that length would be through if no other went over the link.
+    fn through_at(&self, length: u64) -> u64 {
+        let alone = length as f64 / self.rate.unwrap_or(f64::INFINITY);
+        let through = self.began.elapsed() + Duration::from_secs_f64(alone);
+        u64::try_from(through.as_millis()).unwrap_or(u64::MAX)
+    }
+
     fn piece_length(&self) -> usize {
         let (least, most) = PIECE_BYTES;
         let rate = self.rate.unwrap_or(most);
@@ -171,6 +182,7 @@
     /// Bytes that have yet to leave, as far as the length is known.
     left: u64,
     begun: bool,
+    through_at: u64,
     number: u64,
     /// Bytes that were read and wait for the link.
     piece: Option<Bytes>,
@@ -183,7 +195,7 @@
     fn poll_turn(&mut self, context: &mut Context<'_>) -> Poll<()> {
         let place = *self
             .place
-            .get_or_insert((!self.begun, self.left, self.number));
+            .get_or_insert((!self.begun, self.through_at, self.number));
         self.link
             .waiting
             .borrow_mut()
--- a/crates/sidecar/tests/link.rs
+++ b/crates/sidecar/tests/link.rs
@@ -48,6 +48,28 @@
     assert!(begun < Duration::from_millis(280), "{begun:?}");
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_long_answer_does_not_wait_behind_all_later_short_ones() {
+    let link = Link::new(Some(MEGABITS));
+    let begun = link.pace(Body::whole(vec![7; 100_000]));
+    let long = link.pace(Body::whole(vec![7; 300_000]));
+    let short = async {
+        // More short answers than the link carries, for five seconds.
+        for _ in 0..100 {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            let body = link.pace(Body::whole(vec![7; 60_000]));
+            tokio::task::spawn_local(read(body));
+        }
+    };
+    let local = tokio::task::LocalSet::new();
+    let long = local.run_until(async {
+        let ((_, long), _, ()) = tokio::join!(read(long), read(begun), short);
+        long
+    });
+    let took = long.await;
+    assert!(took < Duration::from_millis(1_200), "{took:?}");
+}
+
 #[tokio::test(start_paused = true)]
 async fn an_answer_that_is_given_up_makes_room() {
     let link = Link::new(Some(MEGABITS));
