--- a/crates/sidecar/src/router.rs
+++ b/crates/sidecar/src/router.rs
@@ -34,13 +34,19 @@
 /// A caller whose deadline is within this many objectives has no time to come back; it may wait for
 /// [`URGENT_PATIENCE_SHARE`] of its deadline.
 const URGENT_OBJECTIVES: f64 = 3.2;
+/// The same if the route's time-out leaves the caller one attempt.
+const ONE_ATTEMPT_OBJECTIVES: f64 = 4.0;
 const URGENT_PATIENCE_SHARE: f64 = 0.55;
 /// Part of the objective after which a large answer should be leaving its machine.
-const TRANSFER_SHARE: f64 = 0.6;
+const TRANSFER_SHARE: f64 = 0.3;
 /// Pause before a key's owner is looked up again, unless the directory changes before.
 const OWNER_PAUSE: Duration = Duration::from_millis(40);
 /// The final answer is given this much before the deadline, so that it arrives in time.
 const ANSWER_MARGIN: Duration = Duration::from_millis(5);
+/// How long a request waits at a full target while it could ask another: at least so long, and this
+/// part of the objective.
+const LEAST_WAIT_HERE: Duration = Duration::from_millis(8);
+const WAIT_HERE_SHARE: f64 = 0.06;
 /// Most nodes that are asked while nothing has been sent.
 const MOST_REFUSALS: usize = 4;
 
@@ -233,7 +239,7 @@
         .unwrap_or(DEFAULT_DEADLINE);
     let held = route.timeout.map_or(asked, |timeout| timeout.min(asked));
     let objective = route.objective.unwrap_or(asked);
-    let patience = if asked <= objective.mul_f64(URGENT_OBJECTIVES) {
+    let patience = if comes_once(route, asked, objective) {
         asked.mul_f64(URGENT_PATIENCE_SHARE)
     } else {
         objective.mul_f64(PATIENCE_SHARE)
@@ -242,6 +248,18 @@
     (deadline, deadline.min(arrived + patience))
 }
 
+/// Whether a caller that is refused has no time to come back: its deadline is near, or the route's
+/// time-out is as long as it waits at all.
+fn comes_once(route: &Route, asked: Duration, objective: Duration) -> bool {
+    let one_attempt = route.timeout.is_some_and(|timeout| timeout >= asked);
+    let objectives = if one_attempt {
+        ONE_ATTEMPT_OBJECTIVES
+    } else {
+        URGENT_OBJECTIVES
+    };
+    asked <= objective.mul_f64(objectives)
+}
+
 /// Until when the answer to a download should begin to leave its machine.
 fn transfer_time(route: &Route, deadline: Instant, arrived: Instant) -> Option<Instant> {
     let left = deadline.saturating_duration_since(arrived);
@@ -289,7 +307,8 @@
             continue;
         };
         record.node = destination.node.to_string();
-        let answer = send_to(node, routed, &destination).await;
+        let patience = patience_here(node, routed, refusals);
+        let answer = send_to(node, routed, &destination, patience).await;
         let next = match answer {
             HopAnswer::Answered(response) => {
                 record.sends += 1;
@@ -361,6 +380,19 @@
         .cloned()
 }
 
+/// Until when a request may wait at the node that is asked next. While others could run it too, a full
+/// one isn't waited for long.
+fn patience_here(node: &Node, routed: &Routed<'_>, refusals: usize) -> Instant {
+    let others = node.directory.borrow().destinations(routed.service).len();
+    let last = refusals + 1 >= MOST_REFUSALS.min(others);
+    if routed.key.is_some() || last {
+        return routed.patience;
+    }
+    let objective = routed.route.objective.unwrap_or_default();
+    let short = LEAST_WAIT_HERE + objective.mul_f64(WAIT_HERE_SHARE);
+    routed.patience.min(Instant::now() + short)
+}
+
 /// Waits for the directory to change, or a moment; an error when patience has ended.
 async fn wait_for_directory(node: &Node, routed: &Routed<'_>) -> Result<(), Reason> {
     if Instant::now() >= routed.patience {
@@ -374,7 +406,12 @@
     Ok(())
 }
 
-async fn send_to(node: &Rc<Node>, routed: &mut Routed<'_>, destination: &Destination) -> HopAnswer {
+async fn send_to(
+    node: &Rc<Node>,
+    routed: &mut Routed<'_>,
+    destination: &Destination,
+    patience: Instant,
+) -> HopAnswer {
     let request = HopRequest {
         method: routed.method.clone(),
         path: routed.path.clone(),
@@ -382,7 +419,7 @@
         body: routed.body.take(),
         service: routed.service.to_owned(),
         deadline: routed.deadline,
-        patience: routed.patience,
+        patience,
         transfer: routed.transfer,
         priority: routed.route.priority,
         key: routed.key,
