--- a/crates/ownership/src/balance.rs
+++ b/crates/ownership/src/balance.rs
@@ -119,6 +119,11 @@
         f64::from(slots.max(1)) / time.max(0.001)
     }
 
+    /// Whether any target has been seen at work, so that capacities are more than a guess.
+    pub fn knows_capacities(&self) -> bool {
+        !self.service_times.is_empty()
+    }
+
     fn typical_service_time(&self) -> f64 {
         if self.service_times.is_empty() {
             return DEFAULT_SERVICE_TIME;
--- a/crates/ownership/src/election.rs
+++ b/crates/ownership/src/election.rs
@@ -132,14 +132,18 @@
         self.phase = Phase::Following;
     }
 
-    /// The leader's address answered that it doesn't lead, or the leader asks this node to take over.
+    /// The leader's own process says that it doesn't lead. If it was named just now, it may not know yet.
+    pub fn unaware(&mut self, now: Time) {
+        if now.since(self.learned_at) >= UNAWARE {
+            self.vacant(now, false);
+        }
+    }
+
+    /// Another process answers at the leader's address, or the leader asks this node to take over.
     pub fn vacant(&mut self, now: Time, at_once: bool) {
         if !matches!(self.phase, Phase::Following | Phase::Asking { .. }) {
             return;
         }
-        if !at_once && now.since(self.learned_at) < UNAWARE {
-            return;
-        }
         let wait = if at_once {
             Duration::ZERO
         } else {
--- a/crates/ownership/src/participant/datagrams.rs
+++ b/crates/ownership/src/participant/datagrams.rs
@@ -19,8 +19,9 @@
             Datagram::Lease(leader, reply) => {
                 self.leased(now, around, &leader, &reply, &mut actions)
             }
-            Datagram::NotLeading(leader) => {
-                self.not_leading(now, around, leader.as_ref(), from, &mut actions)
+            Datagram::NotLeading(life, leader) => {
+                let known = leader.as_ref();
+                self.not_leading(now, around, (life, from), known, &mut actions)
             }
             Datagram::Ask => {
                 let leading = self
@@ -82,7 +83,8 @@
     ) {
         let own = self.followed().cloned();
         if self.leader.is_none() {
-            actions.push(Action::Send(from, Datagram::NotLeading(own)));
+            let answer = Datagram::NotLeading(self.identity.life, own);
+            actions.push(Action::Send(from, answer));
             return;
         }
         if renewal.configuration_version > around.configuration_version {
@@ -108,8 +110,8 @@
         &mut self,
         now: Time,
         around: &Surroundings,
+        (life, from): (Life, SocketAddr),
         known: Option<&LeaderReference>,
-        from: SocketAddr,
         actions: &mut Vec<Action>,
     ) {
         if let Some(known) = known
@@ -118,7 +120,13 @@
             self.renew(now, around, actions);
             return;
         }
-        if self.followed().is_some_and(|leader| leader.address == from) {
+        let Some(leader) = self.followed().filter(|leader| leader.address == from) else {
+            return;
+        };
+        if leader.life == life {
+            self.election.unaware(now);
+        } else {
+            // Another process answers in the place of the leader's.
             self.election.vacant(now, false);
         }
     }
--- a/crates/ownership/src/participant/mod.rs
+++ b/crates/ownership/src/participant/mod.rs
@@ -44,8 +44,8 @@
     Renew(Box<Renewal>),
     /// The leader answers.
     Lease(LeaderReference, LeaseReply),
-    /// The node that was asked doesn't lead.
-    NotLeading(Option<LeaderReference>),
+    /// The process that was asked doesn't lead; it knows this leader.
+    NotLeading(Life, Option<LeaderReference>),
     /// Whom do you hear?
     Ask,
     /// This one, that long ago in milliseconds.
--- a/crates/ownership/src/plan.rs
+++ b/crates/ownership/src/plan.rs
@@ -223,6 +223,7 @@
         });
         Owners {
             list: list.collect(),
+            busy: if load.knows_capacities() { BUSY } else { 0.0 },
         }
     }
 
@@ -284,6 +285,8 @@
 /// All owners of a plan.
 struct Owners {
     list: Vec<OwnerLoad>,
+    /// An owner that uses no more than this part of its capacity isn't busy.
+    busy: f64,
 }
 
 impl Owners {
@@ -302,7 +305,7 @@
     fn is_unfair(&self, times: f64) -> bool {
         let utilisations = self.list.iter().map(OwnerLoad::utilisation);
         let busiest = utilisations.fold(0.0, f64::max);
-        busiest > BUSY && busiest > self.mean() * times
+        busiest > self.busy && busiest > self.mean() * times
     }
 
     /// The busiest and the least busy owner, if they aren't the same. One without keys comes first.
--- a/crates/ownership/tests/election.rs
+++ b/crates/ownership/tests/election.rs
@@ -29,16 +29,18 @@
 #[test]
 fn a_leader_that_does_not_know_of_its_election_yet_is_given_time() {
     let mut election = follower();
-    election.vacant(Time(1_050), false);
+    election.unaware(Time(1_050));
     assert!(!contends(&mut election, 1_050));
+    election.heard(Time(2_050));
+    election.unaware(Time(2_060));
+    assert!(contends(&mut election, 2_060), "by then it should know");
 }
 
 #[test]
-fn a_leader_that_has_forgotten_its_epoch_is_replaced_at_once() {
+fn a_leader_whose_process_has_ended_is_replaced_at_once() {
     let mut election = follower();
-    election.heard(Time(4_900));
-    election.vacant(Time(5_000), false);
-    assert!(contends(&mut election, 5_000));
+    election.vacant(Time(1_050), false);
+    assert!(contends(&mut election, 1_050));
 }
 
 #[test]
--- a/crates/ownership/tests/plan.rs
+++ b/crates/ownership/tests/plan.rs
@@ -150,8 +150,8 @@
         service: "s".to_owned(),
         span_ms: 10_000,
         arrivals: vec![(7, 400)],
-        finished: 0,
-        busy_ms: 0,
+        finished: 400,
+        busy_ms: 40_000,
     };
     let mut load = Load::default();
     load.record(&report, &[KeyRange::ALL]);
