--- a/crates/ownership/src/election.rs
+++ b/crates/ownership/src/election.rs
@@ -14,8 +14,6 @@
 const LOOK_AGAIN: Duration = Duration::from_millis(350);
 /// Steps between the waits of nodes that contend.
 const RANK_STEP: Duration = Duration::from_millis(70);
-/// Nodes that should lead only if no other can wait this much longer.
-const BURDENED_EXTRA: Duration = Duration::from_millis(430);
 /// Number of such steps.
 const RANKS: u64 = 6;
 
@@ -66,7 +64,7 @@
     /// When the leader was first known to lead.
     learned_at: Time,
     phase: Phase,
-    burdened: bool,
+    handicap: Duration,
 }
 
 impl Election {
@@ -83,7 +81,7 @@
             phase: Phase::Waiting {
                 until: now + jitter,
             },
-            burdened: false,
+            handicap: Duration::ZERO,
         }
     }
 
@@ -99,9 +97,9 @@
             .is_some_and(|leader| leader.node == self.node && leader.life == self.life)
     }
 
-    /// Whether the node should lead only if no other can.
-    pub fn set_burdened(&mut self, burdened: bool) {
-        self.burdened = burdened;
+    /// How much longer than others the node waits before it contends.
+    pub fn set_handicap(&mut self, handicap: Duration) {
+        self.handicap = handicap;
     }
 
     /// When the leader was last heard.
@@ -253,11 +251,6 @@
         let mixed = (self.life.0 ^ epoch.wrapping_mul(0x9E37_79B9_7F4A_7C15))
             .wrapping_mul(0xD6E8_FEB8_6659_FD93);
         let rank = RANK_STEP * u32::try_from((mixed >> 32) % RANKS).unwrap_or(0);
-        let extra = if self.burdened {
-            BURDENED_EXTRA
-        } else {
-            Duration::ZERO
-        };
-        rank + extra
+        rank + self.handicap
     }
 }
--- a/crates/ownership/src/leader.rs
+++ b/crates/ownership/src/leader.rs
@@ -39,6 +39,8 @@
     registered_at: Option<Time>,
     /// Whether its last call to the store succeeded.
     pub store_reachable: bool,
+    /// What its machine's link carries, in megabits a second, if that is known.
+    pub link_mbps: Option<f64>,
     /// Version of its configuration.
     pub configuration_version: u64,
     /// When it was last heard.
@@ -360,6 +362,7 @@
                 told: (0, Time::default()),
                 registered_at: None,
                 store_reachable: true,
+                link_mbps: renewal.link_mbps,
                 configuration_version: 0,
                 heard_at: now,
                 previous_life: None,
@@ -381,6 +384,7 @@
         member.view = view_of(renewal);
         member.clean = renewal.clean;
         member.store_reachable = renewal.store_reachable;
+        member.link_mbps = renewal.link_mbps;
         member.configuration_version = renewal.configuration_version;
         member.heard_at = now;
         if self.registered.contains(&renewal.node) {
--- a/crates/ownership/src/lib.rs
+++ b/crates/ownership/src/lib.rs
@@ -15,6 +15,7 @@
 mod balance;
 mod election;
 mod fence;
+mod fitness;
 mod holder;
 mod leader;
 mod message;
@@ -29,6 +30,7 @@
 pub use balance::{BUCKETS, KEYS_PER_BUCKET, Load, LoadReport, bucket_of};
 pub use election::{Election, PeerView, Step};
 pub use fence::{Epoch, Fence, Life, NodeName};
+pub use fitness::Fitness;
 pub use holder::{Admission, GrantResult, Holder, Order};
 pub use leader::{Leader, Member};
 pub use message::{
--- a/crates/ownership/src/message.rs
+++ b/crates/ownership/src/message.rs
@@ -91,7 +91,7 @@
 }
 
 /// A node asks its leader for a lease and tells what it holds.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Renewal {
     /// The node.
     pub node: NodeName,
@@ -123,6 +123,8 @@
     pub configuration_version: u64,
     /// Whether its last call to the store succeeded.
     pub store_reachable: bool,
+    /// What its machine's link carries, in megabits a second, if that is known.
+    pub link_mbps: Option<f64>,
 }
 
 /// A leader's answer to a renewal.
--- a/crates/ownership/src/participant/elections.rs
+++ b/crates/ownership/src/participant/elections.rs
@@ -7,8 +7,14 @@
         if around.leaving && self.leader.is_none() {
             return;
         }
-        let burdened = Self::is_burdened(around.target.as_ref(), around);
-        self.election.set_burdened(burdened);
+        let known = self.table.members.len();
+        let fitness = Fitness::of(
+            around.target.as_ref(),
+            &around.keyed_services,
+            around.link_mbps,
+            known,
+        );
+        self.election.set_handicap(fitness.handicap());
         let peers = self.table.members.len().saturating_sub(1);
         match self.election.tick(now, peers) {
             Some(Step::AskPeers) => self.ask_peers(actions),
--- a/crates/ownership/src/participant/leadership.rs
+++ b/crates/ownership/src/participant/leadership.rs
@@ -27,11 +27,21 @@
             self.confirming_since = Some(now);
             actions.push(Action::Confirm);
         }
-        let burdened = leader.is_settled(now) && Self::is_burdened(around.target.as_ref(), around);
-        if (trouble || burdened || around.leaving) && now >= self.next_take_over {
+        let fitness = Fitness::of(
+            around.target.as_ref(),
+            &around.keyed_services,
+            around.link_mbps,
+            leader.members().len(),
+        );
+        let hands_on = match fitness {
+            Fitness::Free => false,
+            Fitness::Burdened => leader.is_settled(now),
+            Fitness::WeakLink => true,
+        };
+        if (trouble || hands_on || around.leaving) && now >= self.next_take_over {
             self.next_take_over = now + TAKE_OVER_EVERY;
             let must = trouble || around.leaving;
-            self.ask_to_take_over(now, around, must, actions);
+            self.ask_to_take_over(now, around, fitness, must, actions);
         }
         self.tell_changes(now, around, actions);
     }
@@ -70,19 +80,12 @@
         actions
     }
 
-    /// Whether a node with that target should lead only if no other can. A leader and an owner lost
-    /// together leave keys unserved for longer, and a machine whose target is gone may go soon.
-    pub(super) fn is_burdened(target: Option<&TargetState>, around: &Surroundings) -> bool {
-        target.is_none_or(|target| {
-            !target.accepting || around.keyed_services.contains(&target.service)
-        })
-    }
-
-    /// Asks a node that reaches the store to lead, since this one doesn't, or stops, or owns keys.
+    /// Asks a node that reaches the store to lead: one that is fitter, or any if this one must not go on.
     pub(super) fn ask_to_take_over(
         &mut self,
         now: Time,
         around: &Surroundings,
+        fitness: Fitness,
         must: bool,
         actions: &mut Vec<Action>,
     ) {
@@ -98,13 +101,21 @@
             .filter(|(_, member)| now.since(member.heard_at) < self.timing.suspect_after)
             .map(|(_, member)| member)
             .collect::<Vec<_>>();
-        let is_free = |member: &&Member| !Self::is_burdened(member.view.target.as_ref(), around);
-        let lighter = heirs.iter().copied().filter(is_free).collect::<Vec<_>>();
-        let heirs = if must && lighter.is_empty() {
-            heirs
-        } else {
-            lighter
+        let members = leader.members().len();
+        let fitness_of = |member: &Member| {
+            let target = member.view.target.as_ref();
+            Fitness::of(target, &around.keyed_services, member.link_mbps, members)
         };
+        let Some(best) = heirs.iter().map(|member| fitness_of(member)).min() else {
+            return;
+        };
+        if !must && best >= fitness {
+            return;
+        }
+        let heirs = heirs
+            .into_iter()
+            .filter(|member| fitness_of(member) == best)
+            .collect::<Vec<_>>();
         if heirs.is_empty() {
             return;
         }
--- a/crates/ownership/src/participant/mod.rs
+++ b/crates/ownership/src/participant/mod.rs
@@ -15,7 +15,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    Admission, Election, Epoch, GrantResult, Holder, Leader, LeaderReference, Leadership,
+    Admission, Election, Epoch, Fitness, GrantResult, Holder, Leader, LeaderReference, Leadership,
     LeaseReply, Life, LoadReport, Member, NodeName, Order, PeerView, Renewal, Step, Table,
     TableAnswer, TargetState, Time, Timing,
 };
@@ -109,6 +109,8 @@
     pub configuration_version: u64,
     /// Whether its last call to the store succeeded.
     pub store_reachable: bool,
+    /// What its machine's link carries, in megabits a second, if that is known.
+    pub link_mbps: Option<f64>,
     /// Services whose keys have owners.
     pub keyed_services: BTreeSet<String>,
 }
--- a/crates/ownership/src/participant/renewals.rs
+++ b/crates/ownership/src/participant/renewals.rs
@@ -20,6 +20,7 @@
             registered: around.registered,
             configuration_version: around.configuration_version,
             store_reachable: around.store_reachable,
+            link_mbps: around.link_mbps,
         }
     }
 
--- a/crates/ownership/tests/simulation/world.rs
+++ b/crates/ownership/tests/simulation/world.rs
@@ -358,6 +358,7 @@
             registered: machine.registered,
             configuration_version: 1,
             store_reachable: !machine.store_cut && self.now >= self.store_down_until,
+            link_mbps: None,
             keyed_services: BTreeSet::from([SERVICE.to_owned()]),
         }
     }
--- a/crates/sidecar/src/control.rs
+++ b/crates/sidecar/src/control.rs
@@ -76,6 +76,7 @@
             registered: node.registered.get(),
             configuration_version: node.configuration_version(),
             store_reachable: node.store_reachable.get(),
+            link_mbps: node.settings.node.link_mbps,
             keyed_services: keyed
                 .map(|service| service.name.clone())
                 .collect::<BTreeSet<_>>(),
--- a/crates/sidecar/src/internal.rs
+++ b/crates/sidecar/src/internal.rs
@@ -18,6 +18,7 @@
 use crate::body::{Body, BodyError};
 use crate::hop;
 use crate::node::Node;
+use crate::packed::{pack, unpack};
 
 const CBOR: &str = "application/cbor";
 const TABLE_PATH: &str = "/table/";
@@ -76,7 +77,7 @@
         return bytes.clone();
     }
     let (epoch, version) = asked_version(path).unwrap_or((Epoch::default(), 0));
-    let bytes = encode(&participant.table_since(epoch, version));
+    let bytes = pack(&participant.table_since(epoch, version));
     written.answers.insert(path.to_owned(), bytes.clone());
     bytes
 }
@@ -131,7 +132,7 @@
     let mut request = Request::new(Body::empty());
     *request.uri_mut() = path.parse().ok()?;
     let body = call(node, from, request).await?;
-    ciborium::from_reader(body.as_ref()).ok()
+    unpack(body.as_ref())
 }
 
 /// Tells the leader what the node's target has seen.
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod logs;
 mod metrics;
 mod node;
+pub mod packed;
 mod registration;
 mod router;
 mod run;
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -18,6 +18,7 @@
 use crate::link::Link;
 use crate::logs::{Event, Log};
 use crate::metrics::Metrics;
+use crate::packed::pack;
 use crate::selection::Selection;
 use crate::settings::Settings;
 use crate::slots::Slots;
@@ -190,8 +191,8 @@
         if configuration.version <= self.configuration_version() {
             return false;
         }
-        let mut bytes = Vec::new();
-        if ciborium::into_writer(&configuration, &mut bytes).is_err() {
+        let bytes = pack(&configuration);
+        if bytes.is_empty() {
             return false;
         }
         self.log.write(Event::ConfigurationInForce {
@@ -202,7 +203,7 @@
         self.metrics
             .configuration
             .set(i64::try_from(configuration.version).unwrap_or(i64::MAX));
-        *self.configuration_bytes.borrow_mut() = Bytes::from(bytes);
+        *self.configuration_bytes.borrow_mut() = bytes;
         *self.routes.borrow_mut() = Some(Rc::new(RouteTable::new(configuration)));
         self.control_wakes.notify_one();
         true
--- /dev/null
+++ b/crates/sidecar/src/packed.rs
@@ -0,0 +1,33 @@
+//! Large values for other nodes: CBOR, deflated. A table of hundreds of nodes repeats zones, services and the
+//! beginnings of names, and goes to all of them at once.
+
+use std::io::{Read, Write};
+
+use bytes::Bytes;
+use flate2::Compression;
+use flate2::read::DeflateDecoder;
+use flate2::write::DeflateEncoder;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+/// Most bytes that a value may have once it is inflated; more is taken for a broken one.
+const MOST_BYTES: u64 = 64 * 1024 * 1024;
+
+/// Writes a value; no bytes if it can't be written.
+pub fn pack(value: &impl Serialize) -> Bytes {
+    let mut encoder = DeflateEncoder::new(Vec::new(), Compression::fast());
+    let mut plain = Vec::new();
+    if ciborium::into_writer(value, &mut plain).is_err() {
+        return Bytes::new();
+    }
+    let written = encoder.write_all(&plain).and_then(|()| encoder.finish());
+    written.map_or_else(|_| Bytes::new(), Bytes::from)
+}
+
+/// Reads a value; nothing if the bytes aren't one.
+pub fn unpack<Value: DeserializeOwned>(bytes: &[u8]) -> Option<Value> {
+    let mut plain = Vec::new();
+    let mut decoder = DeflateDecoder::new(bytes).take(MOST_BYTES);
+    decoder.read_to_end(&mut plain).ok()?;
+    ciborium::from_reader(plain.as_slice()).ok()
+}
