ownership: a leader reminds silent registered nodes who leads

A process that starts again while the store refuses it could learn its leader only from a change of the table; 9 s after its loss no such change came. Registered nodes that haven't been heard for 1.1 s are told once a second, 24 at a time. Tests: reminders, sidecar (a node refused from its start).

--- a/crates/ownership/src/participant/elections.rs
+++ b/crates/ownership/src/participant/elections.rs
@@ -166,11 +166,13 @@
         ));
         self.last_confirmation = claimed_at;
         let notice = Datagram::Notice(leader, 0, around.configuration_version);
-        for (name, address) in registered {
-            if name != self.identity.node {
-                actions.push(Action::Send(address, notice.clone()));
+        for (name, address) in &registered {
+            if *name != self.identity.node {
+                actions.push(Action::Send(*address, notice.clone()));
             }
         }
+        self.registered = registered;
+        self.next_reminders = now + REMIND_EVERY;
         self.next_renewal = now;
         actions.extend(self.tick(now, around));
         actions
--- a/crates/ownership/src/participant/leadership.rs
+++ b/crates/ownership/src/participant/leadership.rs
@@ -43,9 +43,40 @@
             let must = trouble || around.leaving;
             self.ask_to_take_over(now, around, fitness, must, actions);
         }
+        self.remind_silent(now, around, actions);
         self.tell_changes(now, around, actions);
     }
 
+    /// Tells registered nodes that haven't been heard lately who leads, some at a time.
+    fn remind_silent(&mut self, now: Time, around: &Surroundings, actions: &mut Vec<Action>) {
+        if now < self.next_reminders {
+            return;
+        }
+        self.next_reminders = now + REMIND_EVERY;
+        let (Some(leader), Some(reference)) = (&self.leader, self.election.leader().cloned())
+        else {
+            return;
+        };
+        let is_silent = |name: &NodeName| {
+            let member = leader.members().get(name);
+            member.is_none_or(|member| now.since(member.heard_at) >= self.timing.suspect_after)
+        };
+        let silent = self
+            .registered
+            .iter()
+            .filter(|(name, _)| *name != self.identity.node && is_silent(name))
+            .map(|(_, address)| *address)
+            .collect::<Vec<_>>();
+        self.counter += 1;
+        let version = leader.table().version;
+        let notice = Datagram::Notice(reference, version, around.configuration_version);
+        let start = self.counter as usize * MOST_REMINDED;
+        for offset in 0..silent.len().min(MOST_REMINDED) {
+            let address = silent[(start + offset) % silent.len()];
+            actions.push(Action::Send(address, notice.clone()));
+        }
+    }
+
     /// A confirmation that was sent at `sent_at` has ended: what the store holds, if it told.
     pub fn confirmed(&mut self, now: Time, sent_at: Time, stored: Stored) -> Vec<Action> {
         self.confirming_since = None;
--- a/crates/ownership/src/participant/mod.rs
+++ b/crates/ownership/src/participant/mod.rs
@@ -37,6 +37,11 @@
 /// A confirmation that something waits for comes this long after the last.
 const HURRIED_CONFIRMATION: Duration = Duration::from_millis(200);
 
+/// How often a leader tells silent registered nodes who leads: the store may refuse them.
+const REMIND_EVERY: Duration = Duration::from_millis(1_000);
+/// Most nodes that are told at once.
+const MOST_REMINDED: usize = 24;
+
 /// What nodes tell each other in datagrams.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Datagram {
@@ -166,6 +171,9 @@
     /// Whether the object has been rewritten in this epoch, without earlier leaders.
     rewritten: Epoch,
     counter: u64,
+    /// Nodes that were registered when this one was elected.
+    registered: Vec<(NodeName, SocketAddr)>,
+    next_reminders: Time,
 }
 
 /// A call between nodes, or to the store, is given up on after this.
@@ -195,6 +203,8 @@
             won: None,
             rewritten: Epoch::default(),
             counter: 0,
+            registered: Vec::new(),
+            next_reminders: now,
         }
     }
 
--- /dev/null
+++ b/crates/ownership/tests/reminders.rs
@@ -0,0 +1,107 @@
+//! A node that the store refuses learns from the leader itself whom to follow.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use wingspar_ownership::{
+    Action, ClaimResult, Datagram, Identity, Life, NodeName, Participant, Renewal, Surroundings,
+    Time, Timing,
+};
+
+fn address(node: u8) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, node], 7620))
+}
+
+fn around() -> Surroundings {
+    Surroundings {
+        registered: true,
+        configuration_version: 1,
+        store_reachable: true,
+        keyed_services: BTreeSet::new(),
+        ..Surroundings::default()
+    }
+}
+
+/// A leader since time 1000; node 2 is registered and hasn't been heard.
+fn leader() -> Participant {
+    let identity = Identity {
+        node: NodeName::from("one"),
+        life: Life(1),
+        zone: "a".to_owned(),
+        address: address(1),
+    };
+    let mut node = Participant::new(identity, Timing::default(), true, Time(0));
+    let reads = (0..200).any(|step| {
+        let actions = node.tick(Time(step * 10), &around());
+        actions.contains(&Action::ReadLeadership)
+    });
+    assert!(reads, "it contends");
+    let now = Time(3_000);
+    let actions = node.leadership_read(now, now, Ok(None));
+    let [Action::Claim(None, leadership)] = actions.as_slice() else {
+        panic!("a claim: {actions:?}");
+    };
+    let claimed = node.claim_ended(now, &around(), now, leadership.clone(), ClaimResult::Won);
+    assert_eq!(claimed, [Action::ListRegistered]);
+    let registered = vec![
+        (NodeName::from("one"), address(1)),
+        (NodeName::from("two"), address(2)),
+    ];
+    let told = node.registered_listed(now, &around(), Some(registered));
+    assert!(
+        notices(&told, address(2)) > 0,
+        "all registered nodes are told at once"
+    );
+    node
+}
+
+fn notices(actions: &[Action], to: SocketAddr) -> usize {
+    let told = |action: &&Action| matches!(action, Action::Send(address, Datagram::Notice(..)) if *address == to);
+    actions.iter().filter(told).count()
+}
+
+fn told_between(node: &mut Participant, from: u64, to: u64) -> usize {
+    (from..to)
+        .step_by(100)
+        .map(|now| notices(&node.tick(Time(now), &around()), address(2)))
+        .sum()
+}
+
+fn renewal(now: u64) -> Renewal {
+    Renewal {
+        node: NodeName::from("two"),
+        life: Life(2),
+        zone: "a".to_owned(),
+        address: address(2),
+        sent_at: Time(now),
+        epoch: wingspar_ownership::Epoch(1),
+        applied: 0,
+        clean: true,
+        held: Vec::new(),
+        released: Vec::new(),
+        target: None,
+        leaving: false,
+        registered: true,
+        configuration_version: 1,
+        store_reachable: false,
+        link_mbps: None,
+    }
+}
+
+#[test]
+fn a_silent_registered_node_is_reminded_again_and_again() {
+    let mut node = leader();
+    let times = told_between(&mut node, 3_100, 8_100);
+    assert!((3..=8).contains(&times), "{times} times in five seconds");
+}
+
+#[test]
+fn a_node_that_renews_is_not_reminded() {
+    let mut node = leader();
+    for now in (3_100..8_100).step_by(400) {
+        let datagram = Datagram::Renew(Box::new(renewal(now)));
+        node.receive(Time(now), &around(), address(2), datagram);
+    }
+    // What it is told now is that the table has changed, not who leads.
+    assert!(told_between(&mut node, 8_100, 9_000) <= 1);
+}
--- a/crates/rehearse/bench/variants.py
+++ b/crates/rehearse/bench/variants.py
@@ -44,6 +44,8 @@
         "reset-when-full": text.replace('on_full = "shed"', 'on_full = "reset"'),
         "few-connections": whole(text, "conn_cap", 22),
         "slow-links": scaled(scaled(text, "cross_zone_ms", 12), "client_ms", 4),
+        "thin-machine-links": whole(text, "link_mbps", "12.0"),
+        "weak-machines": whole(whole(text, "cpu_share", "0.1"), "memory_mb", "120"),
         "short-idle": whole(text, "idle_close_ms", 1500),
         "second-keyed": second_keyed(text, keyed),
         "short-bounds": whole(whole(whole(text, "grace_s", "4.0"), "drain_ms", 1200), "config_ms", 1500),
--- a/crates/wingspar/tests/sidecar/main.rs
+++ b/crates/wingspar/tests/sidecar/main.rs
@@ -8,6 +8,7 @@
 use deployment::{Deployment, Wiring, eventually, key_owned_by};
 use serde_json::json;
 use wingspar_standins::fleet::{FleetTarget, StoreFaults, TargetFaults};
+use wingspar_standins::net::Harm;
 
 #[tokio::test]
 async fn requests_reach_a_target_of_their_service_from_any_node() {
@@ -178,6 +179,28 @@
     assert_eq!(answer.status(), 200);
 }
 
+#[tokio::test]
+async fn a_node_that_the_store_refuses_from_its_start_learns_from_the_leader() {
+    let wiring = Wiring {
+        through_proxies: true,
+        ..Wiring::default()
+    };
+    let mut deployment = Deployment::start_with(17, &wiring).await;
+    deployment.kill(3);
+    deployment.nodes[3].store_link.set(Harm::Reset);
+    // By now its loss is old news: nothing changes any more that all nodes are told of.
+    tokio::time::sleep(Duration::from_secs(11)).await;
+    deployment.start_process(3);
+    deployment.heartbeats(2).await;
+    deployment.ready(3).await;
+    let answer = deployment
+        .request(3, "/orders/1", "refused-from-the-start")
+        .send()
+        .await
+        .expect("an answer");
+    assert_eq!(answer.status(), 200);
+}
+
 #[tokio::test]
 async fn work_that_may_have_run_is_not_repeated_unless_it_may_be() {
     let deployment = Deployment::start(9).await;
