--- a/crates/sidecar/src/router.rs
+++ b/crates/sidecar/src/router.rs
@@ -63,9 +63,7 @@
         None => Err(Reason::NoConfiguration),
     };
     record.finish(&node, arrived, response.as_ref().err().copied());
-    response
-        .unwrap_or_else(own)
-        .map(|body| node.link.pace(body))
+    response.unwrap_or_else(own)
 }
 
 /// What is logged and counted of a request.
@@ -371,6 +369,7 @@
         _ => ZONE_PREFERENCE,
     };
     let wish = Wish {
+        node: &node.name,
         zone: &node.settings.node.zone,
         preference,
         large: routed.transfer.is_some(),
@@ -412,6 +411,7 @@
     destination: &Destination,
     patience: Instant,
 ) -> HopAnswer {
+    let is_here = destination.node == node.name;
     let request = HopRequest {
         method: routed.method.clone(),
         path: routed.path.clone(),
@@ -420,12 +420,13 @@
         service: routed.service.to_owned(),
         deadline: routed.deadline,
         patience,
-        transfer: routed.transfer,
+        // What stays on this machine doesn't use its link.
+        transfer: routed.transfer.filter(|_| !is_here),
         priority: routed.route.priority,
         key: routed.key,
     };
     let outstanding = Outstanding::begin(node, &destination.node);
-    let (answer, occupancy) = if destination.node == node.name {
+    let (answer, occupancy) = if is_here {
         let answer = agent::serve(node, request).await;
         (answer, Some(agent::occupancy(node)))
     } else {
--- a/crates/sidecar/src/selection.rs
+++ b/crates/sidecar/src/selection.rs
@@ -72,7 +72,9 @@
 /// What a request asks of its destination.
 #[derive(Debug, Clone, Copy)]
 pub struct Wish<'a> {
-    /// The zone of the node that took it.
+    /// The node that took it.
+    pub node: &'a NodeName,
+    /// The zone of that node.
     pub zone: &'a str,
     /// Another zone must look better by this factor.
     pub preference: f64,
@@ -126,7 +128,7 @@
         let reported = f64::from(seen.running + 3 * seen.waiting) * weight;
         let load = (f64::from(seen.outstanding) + reported) / f64::from(destination.slots.max(1));
         let mut cost = seen.time.unwrap_or(FIRST_TIME) * (1.0 + load * load * 2.0);
-        if wish.large {
+        if wish.large && destination.node != *wish.node {
             let weight = remaining(now, seen.reported_at, LINK_REPORT_FADES);
             cost += f64::from(seen.link_ms) / 1000.0 * weight;
         }
