--- a/crates/sidecar/src/agent.rs
+++ b/crates/sidecar/src/agent.rs
@@ -34,6 +34,7 @@
         reason,
         running: node.slots.running(),
         waiting: node.slots.waiting(),
+        link_ms: u64::try_from(node.link.expected_wait().as_millis()).unwrap_or(u64::MAX),
         lease_left_ms: lease_left_ms(node),
         epoch: node.participant.borrow().epoch().0,
     });
@@ -45,7 +46,7 @@
         return HopAnswer::Refused(refusal);
     }
     if is_link_busy(node, &hop) {
-        return HopAnswer::Refused(Refusal::Full);
+        return HopAnswer::Refused(Refusal::LinkBusy);
     }
     let Ok(slot) = node.slots.acquire(hop.priority, hop.patience).await else {
         return HopAnswer::Refused(Refusal::Full);
@@ -55,7 +56,7 @@
         return HopAnswer::Refused(refusal);
     }
     if is_link_busy(node, &hop) {
-        return HopAnswer::Refused(Refusal::Full);
+        return HopAnswer::Refused(Refusal::LinkBusy);
     }
     let _answer_to_come = hop.transfer.map(|_| node.link.expect());
     run(node, hop, slot).await
--- a/crates/sidecar/src/hop.rs
+++ b/crates/sidecar/src/hop.rs
@@ -62,6 +62,8 @@
     Arriving,
     /// No slot in time.
     Full,
+    /// The answer would be large, and the machine's link is busy for too long.
+    LinkBusy,
     /// The deadline has passed.
     Late,
     /// No connection to the node, or from it to its target.
@@ -71,12 +73,13 @@
 }
 
 impl Refusal {
-    const ALL: [Self; 8] = [
+    const ALL: [Self; 9] = [
         Self::NoTarget,
         Self::Leaving,
         Self::NotOwner,
         Self::Arriving,
         Self::Full,
+        Self::LinkBusy,
         Self::Late,
         Self::Unreachable,
         Self::Rejected,
@@ -90,6 +93,7 @@
             Self::NotOwner => "not_owner",
             Self::Arriving => "arriving",
             Self::Full => "full",
+            Self::LinkBusy => "link_busy",
             Self::Late => "late",
             Self::Unreachable => "unreachable",
             Self::Rejected => "rejected",
--- a/crates/sidecar/src/logs.rs
+++ b/crates/sidecar/src/logs.rs
@@ -182,6 +182,8 @@
         running: usize,
         /// Requests that wait.
         waiting: usize,
+        /// How long a large answer would wait for the machine's link, in milliseconds.
+        link_ms: u64,
         /// What is left of the lease, in milliseconds.
         lease_left_ms: u64,
         /// The leader's epoch.
--- a/crates/sidecar/src/router/mod.rs
+++ b/crates/sidecar/src/router/mod.rs
@@ -376,7 +376,7 @@
         return Next::GiveUp(given_up(routed, record));
     }
     let reason = match refusal {
-        Refusal::Full => Reason::Full,
+        Refusal::Full | Refusal::LinkBusy => Reason::Full,
         Refusal::Late => Reason::NotSentInTime,
         Refusal::NotOwner | Refusal::Arriving => Reason::NoOwner,
         _ => Reason::NoTarget,
