--- /dev/null
+++ b/crates/ownership/src/leader/certainty.rs
@@ -0,0 +1,79 @@
+//! What a leader may take for certain: nothing that silence or a new process suggests, unless the store
+//! has named this leader in answer to a question sent afterwards.
+
+use super::{Leader, Member};
+use crate::partition::State;
+use crate::{NodeName, Time};
+
+impl Leader {
+    /// Whether a node waits for a confirmation to be admitted, or keys wait for one after their
+    /// holder's lease has ended.
+    pub fn wants_confirmation(&self, now: Time) -> bool {
+        let unknown_until = self.unknown_until();
+        let unknown_ended = unknown_until <= now && self.confirmed_at < unknown_until;
+        let reported = self.silent.is_empty() && self.confirmed_at < self.last_report_at;
+        if (unknown_ended || reported) && self.has_unknown() {
+            return true;
+        }
+        self.members.iter().any(|(node, member)| {
+            let admission = member
+                .registered_at
+                .is_some_and(|at| at >= self.confirmed_at);
+            let ended = member.lease_until + self.timing.lease_margin;
+            let expiry = ended <= now && self.confirmed_at < ended && self.may_hold(node);
+            let restarted = !self.is_process_sure(member) && self.may_hold(node);
+            admission || expiry || restarted
+        })
+    }
+
+    /// Whether what a member says of its keys counts. A process that was started again has forgotten
+    /// which epoch the one before obeyed: that may have been a later one, unless the store has
+    /// confirmed this leader after the new process was heard.
+    pub(super) fn is_process_sure(&self, member: &Member) -> bool {
+        member.previous_life.is_none() || self.confirmed_at >= member.life_known_at
+    }
+
+    /// Whether there are keys that nobody has reported.
+    fn has_unknown(&self) -> bool {
+        let mut slices = self
+            .partitions
+            .values()
+            .flat_map(|partition| &partition.slices);
+        slices.any(|slice| slice.state == State::Unknown)
+    }
+
+    /// Whether any keys are a node's, or are to be given back by it.
+    fn may_hold(&self, node: &NodeName) -> bool {
+        let mut slices = self
+            .partitions
+            .values()
+            .flat_map(|partition| &partition.slices);
+        slices.any(|slice| slice.state.holder() == Some(node))
+    }
+
+    /// An earlier leader that reports here leads no longer: it obeys this epoch, or is a new process.
+    pub(super) fn heard_earlier_leader(&mut self, now: Time, node: &NodeName) {
+        if let Some(earlier) = &mut self.earlier
+            && earlier.remove(node)
+            && earlier.is_empty()
+        {
+            self.sole_since = Some(now);
+        }
+    }
+
+    /// When no silent node can hold anything any more: every lease that an earlier leader may have
+    /// given has ended.
+    pub(super) fn unknown_until(&self) -> Time {
+        let lease = self.timing.lease + self.timing.lease_margin;
+        let at_the_latest = self.elected_at + self.timing.leadership + lease;
+        match self.sole_since {
+            Some(since) => at_the_latest.min(since + lease),
+            None => at_the_latest,
+        }
+    }
+
+    /// Whether every lease of earlier leaders has ended, so that later ones needn't wait for those.
+    pub fn is_settled(&self, now: Time) -> bool {
+        now >= self.unknown_until()
+    }
+}
--- a/crates/ownership/src/leader.rs
+++ b/crates/ownership/src/leader/mod.rs
@@ -1,5 +1,11 @@
 //! The node that decides who owns what.
 
+mod certainty;
+mod member;
+mod publish;
+
+pub use member::Member;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -8,8 +14,8 @@
 use crate::plan::{Candidate, Plan};
 use crate::table_log::TableLog;
 use crate::{
-    Epoch, Fence, Leadership, LeaseReply, Life, LoadReport, MemberView, NodeName, Renewal,
-    ServiceTable, Table, TableAnswer, TargetState, Time, Timing, Wanted, steps,
+    Epoch, Fence, Leadership, LeaseReply, LoadReport, MemberView, NodeName, Renewal, Table,
+    TableAnswer, TargetState, Time, Timing,
 };
 
 /// A node is called about a changed assignment at most this often.
@@ -20,49 +26,6 @@
 /// How often the leader looks for a better plan.
 const REBALANCE_EVERY_MS: u64 = 400;
 
-/// A node that renews with the leader.
-#[derive(Debug, Clone)]
-pub struct Member {
-    /// Its process.
-    pub life: Life,
-    /// What others see of it.
-    pub view: MemberView,
-    /// Until when it may hold keys, on the leader's clock.
-    pub lease_until: Time,
-    /// Whether nothing of its earlier processes is left at its target.
-    pub clean: bool,
-    /// Number of its assignment; rises with its changes.
-    assignment: u64,
-    /// The assignment that it was last told, and when it was last called about a newer one.
-    told: (u64, Time),
-    /// When its registration was first known to be in the store.
-    registered_at: Option<Time>,
-    /// Whether its last call to the store succeeded.
-    pub store_reachable: bool,
-    /// What its machine's link carries, in megabits a second, if that is known.
-    pub link_mbps: Option<f64>,
-    /// Version of its configuration.
-    pub configuration_version: u64,
-    /// When it was last heard.
-    pub heard_at: Time,
-    /// The process before, whose late renewals don't count.
-    previous_life: Option<Life>,
-    /// When the present process was first heard.
-    life_known_at: Time,
-    /// When it sent the newest renewal, on its own clock.
-    newest_sent_at: Time,
-}
-
-impl Member {
-    /// Whether a renewal was overtaken by a newer one.
-    fn is_overtaken(&self, renewal: &Renewal) -> bool {
-        if renewal.life == self.life {
-            return renewal.sent_at < self.newest_sent_at;
-        }
-        self.previous_life == Some(renewal.life)
-    }
-}
-
 /// The state of a leader in its epoch.
 #[derive(Debug)]
 pub struct Leader {
@@ -154,51 +117,6 @@
         now < self.confirmed_at + self.timing.leadership
     }
 
-    /// Whether a node waits for a confirmation to be admitted, or keys wait for one after their
-    /// holder's lease has ended.
-    pub fn wants_confirmation(&self, now: Time) -> bool {
-        let unknown_until = self.unknown_until();
-        let unknown_ended = unknown_until <= now && self.confirmed_at < unknown_until;
-        let reported = self.silent.is_empty() && self.confirmed_at < self.last_report_at;
-        if (unknown_ended || reported) && self.has_unknown() {
-            return true;
-        }
-        self.members.iter().any(|(node, member)| {
-            let admission = member
-                .registered_at
-                .is_some_and(|at| at >= self.confirmed_at);
-            let ended = member.lease_until + self.timing.lease_margin;
-            let expiry = ended <= now && self.confirmed_at < ended && self.may_hold(node);
-            let restarted = !self.is_process_sure(member) && self.may_hold(node);
-            admission || expiry || restarted
-        })
-    }
-
-    /// Whether what a member says of its keys counts. A process that was started again has forgotten
-    /// which epoch the one before obeyed: that may have been a later one, unless the store has
-    /// confirmed this leader after the new process was heard.
-    fn is_process_sure(&self, member: &Member) -> bool {
-        member.previous_life.is_none() || self.confirmed_at >= member.life_known_at
-    }
-
-    /// Whether there are keys that nobody has reported.
-    fn has_unknown(&self) -> bool {
-        let mut slices = self
-            .partitions
-            .values()
-            .flat_map(|partition| &partition.slices);
-        slices.any(|slice| slice.state == State::Unknown)
-    }
-
-    /// Whether any keys are a node's, or are to be given back by it.
-    fn may_hold(&self, node: &NodeName) -> bool {
-        let mut slices = self
-            .partitions
-            .values()
-            .flat_map(|partition| &partition.slices);
-        slices.any(|slice| slice.state.holder() == Some(node))
-    }
-
     /// Nodes whose assignment has changed since they were told; each is named once in a while only.
     pub fn to_call(&mut self, now: Time) -> Vec<SocketAddr> {
         let due = |member: &&mut Member| {
@@ -326,32 +244,6 @@
         })
     }
 
-    /// An earlier leader that reports here leads no longer: it obeys this epoch, or is a new process.
-    fn heard_earlier_leader(&mut self, now: Time, node: &NodeName) {
-        if let Some(earlier) = &mut self.earlier
-            && earlier.remove(node)
-            && earlier.is_empty()
-        {
-            self.sole_since = Some(now);
-        }
-    }
-
-    /// When no silent node can hold anything any more: every lease that an earlier leader may have
-    /// given has ended.
-    fn unknown_until(&self) -> Time {
-        let lease = self.timing.lease + self.timing.lease_margin;
-        let at_the_latest = self.elected_at + self.timing.leadership + lease;
-        match self.sole_since {
-            Some(since) => at_the_latest.min(since + lease),
-            None => at_the_latest,
-        }
-    }
-
-    /// Whether every lease of earlier leaders has ended, so that later ones needn't wait for those.
-    pub fn is_settled(&self, now: Time) -> bool {
-        now >= self.unknown_until()
-    }
-
     /// Brings what is known of a node up to date.
     fn meet(&mut self, now: Time, renewal: &Renewal) {
         let lease_until = now + self.timing.lease;
@@ -562,74 +454,6 @@
         self.next_fence = self.next_fence.next_grant();
         self.next_fence
     }
-
-    /// All that a node's target is to hold.
-    fn wanted(&self, node: &NodeName, target_id: &str) -> Vec<Wanted> {
-        let slices = self
-            .partitions
-            .values()
-            .flat_map(|partition| &partition.slices);
-        slices
-            .filter_map(|slice| match &slice.state {
-                State::Owned {
-                    node: owner,
-                    target,
-                    fence,
-                    handover,
-                    ..
-                } if owner == node && target == target_id => Some(Wanted {
-                    range: slice.range,
-                    fence: *fence,
-                    handover: handover.clone(),
-                }),
-                _ => None,
-            })
-            .collect()
-    }
-
-    /// Writes the table anew and raises its version if anything in it changed.
-    fn refresh_table(&mut self, now: Time) {
-        let members = self
-            .members
-            .values()
-            .filter(|member| {
-                now < member.lease_until || now.since(member.heard_at) < self.timing.lease
-            })
-            .map(|member| member.view.clone())
-            .collect();
-        let services = self
-            .partitions
-            .iter()
-            .map(|(service, partition)| ServiceTable {
-                service: service.clone(),
-                owners: steps::joined(
-                    partition
-                        .slices
-                        .iter()
-                        .map(|slice| (slice.range.to, owner_of(&slice.state))),
-                ),
-                plan: partition.plan.arcs().to_vec(),
-            })
-            .collect();
-        if self.table.members != members || self.table.services != services {
-            let next = Table {
-                epoch: self.epoch,
-                version: self.table.version + 1,
-                members,
-                services,
-            };
-            self.table_log.record(&self.table, &next);
-            self.table = next;
-        }
-    }
-}
-
-/// The node that requests for a range are to go to.
-fn owner_of(state: &State) -> Option<NodeName> {
-    match state {
-        State::Owned { node, .. } => Some(node.clone()),
-        _ => None,
-    }
 }
 
 fn view_of(renewal: &Renewal) -> MemberView {
