ownership: keys aren't given back while their grant is on its way; rumours of a leader grow no younger

A release doesn't raise the fence that the target wants (the simulator's target did, and hid it). A release now waits for overlapping grants' answers. No check is weaker.

--- a/crates/ownership/src/election.rs
+++ b/crates/ownership/src/election.rs
@@ -164,8 +164,10 @@
                 && view.heard_ago < FRESH
                 && matches!(self.phase, Phase::Asking { .. } | Phase::Waiting { .. })
             {
-                // The leader lives; only this node doesn't reach it. Look again later.
-                self.heard_at = now;
+                // The leader lives; only this node doesn't reach it. Look again later, but no later than
+                // the peer will: else peers keep each other believing in a leader that is gone.
+                let heard_at = now.before(view.heard_ago);
+                self.heard_at = self.heard_at.max(heard_at);
                 self.phase = Phase::Following;
                 return;
             }
--- a/crates/ownership/src/holder.rs
+++ b/crates/ownership/src/holder.rs
@@ -103,6 +103,8 @@
     target: Option<String>,
     entries: Vec<Entry>,
     released: Vec<(Released, Fence, Time)>,
+    /// Grants that are on their way, or whose answers are.
+    granting: Vec<(KeyRange, Fence)>,
     /// Grants that the target refused because it had seen a higher fence: they aren't sent again.
     outranked: Vec<(KeyRange, Fence)>,
 }
@@ -122,6 +124,7 @@
             target: None,
             entries: Vec::new(),
             released: Vec::new(),
+            granting: Vec::new(),
             outranked: Vec::new(),
         }
     }
@@ -184,6 +187,7 @@
             self.entries.clear();
             self.released.clear();
             self.outranked.clear();
+            self.granting.clear();
             self.clean = true;
             self.clear = None;
         }
@@ -382,6 +386,11 @@
                 continue;
             }
             if entry.phase == Phase::Releasing {
+                // A grant that arrived after the release would give the keys back to the target.
+                let mut granting = self.granting.iter();
+                if granting.any(|(range, _)| range.overlaps(entry.range)) {
+                    continue;
+                }
                 entry.in_flight = true;
                 orders.push(Order::Release {
                     range: entry.range,
@@ -395,6 +404,7 @@
                 continue;
             }
             entry.in_flight = true;
+            self.granting.push((entry.range, entry.fence));
             entry.may_hold_until = self.lease_until;
             orders.push(Order::Grant {
                 range: entry.range,
@@ -417,6 +427,13 @@
         result: GrantResult,
     ) {
         let renew_every = self.timing.lease / 3;
+        let ended = self
+            .granting
+            .iter()
+            .position(|known| *known == (range, fence));
+        if let Some(ended) = ended {
+            self.granting.swap_remove(ended);
+        }
         if result == GrantResult::Outranked {
             self.outranked(now, range, fence);
             return;
--- a/crates/ownership/src/time.rs
+++ b/crates/ownership/src/time.rs
@@ -18,6 +18,14 @@
     }
 }
 
+impl Time {
+    /// The time that long before.
+    pub fn before(self, duration: Duration) -> Time {
+        let millis = u64::try_from(duration.as_millis()).unwrap_or(u64::MAX);
+        Time(self.0.saturating_sub(millis))
+    }
+}
+
 impl Add<Duration> for Time {
     type Output = Time;
 
--- a/crates/ownership/tests/election.rs
+++ b/crates/ownership/tests/election.rs
@@ -1,8 +1,11 @@
 //! When a node contends for the leadership.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
-use wingspar_ownership::{Election, Epoch, LeaderReference, Life, NodeName, Step, Time, Timing};
+use wingspar_ownership::{
+    Election, Epoch, LeaderReference, Life, NodeName, PeerView, Step, Time, Timing,
+};
 
 fn leader(epoch: u64) -> LeaderReference {
     LeaderReference {
@@ -50,6 +53,20 @@
     assert!(contends(&mut election, 1_050));
 }
 
+#[test]
+fn what_peers_have_heard_grows_no_younger_by_being_told() {
+    let mut election = follower();
+    assert_eq!(election.tick(Time(2_150), 3), Some(Step::AskPeers));
+    let view = PeerView {
+        leader: Some(leader(4)),
+        heard_ago: Duration::from_millis(800),
+    };
+    election.peer(Time(2_160), &view);
+    assert_eq!(election.heard_at(), Time(1_360));
+    assert_eq!(election.tick(Time(2_400), 3), None);
+    assert_eq!(election.tick(Time(2_470), 3), Some(Step::AskPeers));
+}
+
 #[test]
 fn a_silent_leader_is_suspected() {
     let mut election = follower();
--- a/crates/ownership/tests/holder.rs
+++ b/crates/ownership/tests/holder.rs
@@ -121,6 +121,41 @@
     assert_eq!(holder.admission(Time(1_520), 150), Admission::NotOwner);
 }
 
+#[test]
+fn keys_are_not_given_back_while_their_grant_is_on_its_way() {
+    let mut holder = holding();
+    let renewal = holder.orders(Time(1_900));
+    let [
+        Order::Grant {
+            range, fence, hold, ..
+        },
+    ] = renewal.as_slice()
+    else {
+        panic!("the grant is renewed: {renewal:?}");
+    };
+    let kept = KeyRange { from: 100, to: 149 };
+    holder.lease(Time(1_901), &reply(1, 1_890, 2, &[(kept, 10)]));
+    assert_eq!(holder.admission(Time(1_901), 150), Admission::NotOwner);
+    let early = holder.orders(Time(1_901));
+    assert!(
+        early.is_empty(),
+        "it could arrive before the grant: {early:?}"
+    );
+    holder.granted(
+        Time(1_903),
+        *range,
+        *fence,
+        Time(1_900),
+        *hold,
+        GrantResult::Granted,
+    );
+    let orders = holder.orders(Time(1_903));
+    let given_back = KeyRange { from: 150, to: 200 };
+    let is_release =
+        |order: &Order| matches!(order, Order::Release { range, .. } if *range == given_back);
+    assert!(orders.iter().any(is_release), "{orders:?}");
+}
+
 #[test]
 fn a_release_without_answer_is_sent_again() {
     let mut holder = holding();
--- a/crates/ownership/tests/simulation/target.rs
+++ b/crates/ownership/tests/simulation/target.rs
@@ -68,12 +68,12 @@
         Some(acquired)
     }
 
-    /// Gives keys back.
-    pub fn release(&mut self, range: KeyRange, fence: Fence) {
+    /// Gives keys back. The pages don't say that a release raises the fence that later grants must have, so
+    /// it doesn't here.
+    pub fn release(&mut self, range: KeyRange) {
         for index in Self::indexes(range) {
             let held = &mut self.keys[index];
             held.until = 0;
-            held.seen = held.seen.max(fence);
         }
     }
 
--- a/crates/ownership/tests/simulation/world.rs
+++ b/crates/ownership/tests/simulation/world.rs
@@ -686,8 +686,8 @@
                         .map(|index| (index, *fence))
                         .collect();
                 }
-                Order::Release { range, fence } => target.release(*range, *fence),
-                Order::Clear { fence } => target.release(wingspar_ownership::KeyRange::ALL, *fence),
+                Order::Release { range, .. } => target.release(*range),
+                Order::Clear { .. } => target.release(wingspar_ownership::KeyRange::ALL),
             }
         }
         for (key, fence) in acquired {
--- a/crates/wingspar/tests/sidecar/deployment.rs
+++ b/crates/wingspar/tests/sidecar/deployment.rs
@@ -195,13 +195,24 @@
         self.store.write("config", "main", spec);
     }
 
-    /// A request of a client of that machine.
+    /// A request of a client of that machine that waits for two seconds.
     pub fn request(&self, node: usize, path: &str, id: &str) -> reqwest::RequestBuilder {
+        self.request_within(node, path, id, 2_000)
+    }
+
+    /// A request of a client of that machine that waits so many milliseconds.
+    pub fn request_within(
+        &self,
+        node: usize,
+        path: &str,
+        id: &str,
+        deadline_ms: u64,
+    ) -> reqwest::RequestBuilder {
         self.client
             .post(format!("http://{}{path}", self.nodes[node].outbound))
             .header("host", "shop.example")
             .header("x-wingspar-request-id", id)
-            .header("x-wingspar-deadline-ms", "2000")
+            .header("x-wingspar-deadline-ms", deadline_ms)
     }
 
     /// The answer to a request for a key.
@@ -292,7 +303,7 @@
         let process = Command::new(env!("CARGO_BIN_EXE_wingspar"))
             .args(["sidecar", "--settings"])
             .arg(&machine.settings)
-            .stdout(Stdio::null())
+            .stdout(logs())
             .spawn()
             .expect("it starts");
         machine.process = Some(process);
@@ -351,6 +362,15 @@
     }
 }
 
+/// Where processes write their logs: nowhere, unless `SHOW_LOGS` is set.
+fn logs() -> Stdio {
+    if std::env::var_os("SHOW_LOGS").is_some() {
+        Stdio::inherit()
+    } else {
+        Stdio::null()
+    }
+}
+
 async fn machine(
     address: Ipv4Addr,
     index: u8,
--- a/crates/wingspar/tests/sidecar/main.rs
+++ b/crates/wingspar/tests/sidecar/main.rs
@@ -284,9 +284,7 @@
         connections.sum::<u64>()
     };
     // The route has no time-out and the client's deadline is far: only its leaving ends the work.
-    let request = deployment
-        .request(0, "/patient/1", "left")
-        .header("x-wingspar-deadline-ms", "90000");
+    let request = deployment.request_within(0, "/patient/1", "left", 90_000);
     let client = tokio::spawn(request.send());
     eventually("a target works on it", || async {
         deployment.seen("left").len() == 1
@@ -418,15 +416,14 @@
         answer_bytes: 400_000,
         ..TargetFaults::default()
     });
-    let request = deployment
-        .request(2, "/patient/1", "large")
-        .header("x-wingspar-deadline-ms", "20000");
+    // No target of the service is on this machine, so the answer comes over a link.
+    let request = deployment.request_within(0, "/patient/1", "large", 20_000);
     let answer = request.send().await.expect("an answer");
     assert_eq!(answer.status(), 200);
-    deployment.terminate(2);
+    deployment.terminate(0);
     let body = answer.bytes().await.expect("a whole body");
     assert_eq!(body.len(), 400_000);
-    assert!(deployment.exited_well(2).await);
+    assert!(deployment.exited_well(0).await);
 }
 
 #[test]
