--- /dev/null
+++ b/crates/ownership/src/holder/heartbeats.rs
@@ -0,0 +1,204 @@
+//! Keys given and taken back in the answers to the target's heartbeats.
+//!
+//! A heartbeat tells what the target holds, or still works on, and what it has let go. Its answer names all
+//! that the target is to hold from then on: what is left out, it lets go. So nothing is known to be taken or let
+//! go before the next heartbeat says so, and only a heartbeat that was sent after an answer says anything
+//! about that answer; the caller passes on none that a later one has overtaken.
+
+use std::time::Duration;
+
+use super::{Entry, HOLD_SHARE, Holder, LEAST_HOLD, Phase};
+use crate::{Fence, Holding, KeyRange, Released, Time, Wanted, steps};
+
+/// The target is given this long to take in an answer before requests for new keys follow.
+const TAKE_IN: Duration = Duration::from_millis(2);
+/// A row that so many heartbeats in a row lack, each after an answer that named it, was refused: the
+/// target has seen a higher fence.
+const MOST_MISSES: u8 = 3;
+/// Hold that goes with an answer which leaves out everything.
+const NO_HOLD: Duration = Duration::from_secs(1);
+/// Most rows of an answer; those that the target holds already come first.
+const MOST_ROWS: usize = 80;
+
+/// What a heartbeat tells of the target's keys.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct KeyReport {
+    /// What the target holds or still works on.
+    pub holds: Vec<Holding>,
+    /// What it has let go since its last acknowledged heartbeat.
+    pub released: Vec<Released>,
+}
+
+/// All that a target is to hold.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct KeyAnswer {
+    /// The keys.
+    pub rows: Vec<Wanted>,
+    /// How long, from when the target sent the heartbeat.
+    pub hold: Duration,
+}
+
+impl Holder {
+    /// Takes in what a heartbeat tells, at the time when it arrived.
+    pub fn reported(&mut self, now: Time, report: &KeyReport) {
+        self.drop_ended(now);
+        if !self.clean {
+            self.clear_by_report(now, report);
+            return;
+        }
+        let mut entries = Vec::with_capacity(self.entries.len());
+        let mut refused = Vec::new();
+        for mut entry in std::mem::take(&mut self.entries) {
+            if entry.phase == Phase::Releasing {
+                self.let_go(now, entry, report, &mut entries);
+                continue;
+            }
+            if is_covered(&entry, &report.holds) {
+                entry.handover = None;
+                entry.misses = 0;
+                if entry.phase == Phase::Granting {
+                    entry.phase = Phase::Held;
+                }
+            } else if entry.is_told {
+                entry.misses += 1;
+                entry.phase = Phase::Granting;
+                if entry.misses >= MOST_MISSES {
+                    refused.push((entry.range, entry.fence));
+                }
+            }
+            entries.push(entry);
+        }
+        self.entries = entries;
+        for (range, fence) in refused {
+            self.outranked(now, range, fence);
+        }
+    }
+
+    /// An earlier process may have answered the target's last heartbeats: what this one hears counts once the
+    /// target has heard from it.
+    fn clear_by_report(&mut self, now: Time, report: &KeyReport) {
+        let released = report.released.iter().cloned();
+        self.released
+            .extend(released.map(|released| (released, Fence::default(), now)));
+        if self.is_clearing && report.holds.is_empty() {
+            self.is_clearing = false;
+            self.clean = true;
+        }
+    }
+
+    /// What of a range that the target was told to let go it doesn't hold any more has been given back.
+    fn let_go(&mut self, now: Time, entry: Entry, report: &KeyReport, kept: &mut Vec<Entry>) {
+        if !entry.is_told {
+            kept.push(entry);
+            return;
+        }
+        let mut gone = vec![entry.range];
+        for holding in &report.holds {
+            gone = gone
+                .into_iter()
+                .flat_map(|part| part.without(holding.range))
+                .collect();
+            if let Some(range) = entry.range.intersection(holding.range) {
+                kept.push(Entry {
+                    range,
+                    ..entry.clone()
+                });
+            }
+        }
+        let fence = entry.fence.for_release();
+        for range in gone {
+            let told = report
+                .released
+                .iter()
+                .find(|told| told.range.overlaps(range));
+            let released = Released {
+                range,
+                handover: told.and_then(|told| told.handover.clone()),
+            };
+            self.released.push((released, fence, now));
+        }
+    }
+
+    /// Whether an answer now would tell the target something that the last one didn't.
+    pub fn has_news(&self, now: Time) -> bool {
+        if !self.clean {
+            return !self.is_clearing;
+        }
+        let can_hold = self.hold_left(now) >= LEAST_HOLD;
+        can_hold
+            && self.entries.iter().any(|entry| {
+                !entry.is_told && (entry.phase == Phase::Releasing || !self.is_blocked(entry))
+            })
+    }
+
+    /// The answer to a heartbeat that arrived at `arrived_at`; nothing if there is no lease to give keys under.
+    pub fn answer(&mut self, now: Time, arrived_at: Time) -> Option<KeyAnswer> {
+        self.drop_ended(now);
+        if !self.clean {
+            self.is_clearing = true;
+            return Some(KeyAnswer {
+                rows: Vec::new(),
+                hold: NO_HOLD,
+            });
+        }
+        // The target counts from when it sent the heartbeat, which was before it arrived.
+        let hold = self.hold_left(arrived_at);
+        if hold < LEAST_HOLD || self.hold_left(now) < LEAST_HOLD {
+            return None;
+        }
+        let mut rows = Vec::new();
+        for phase in [Phase::Held, Phase::Granting] {
+            for index in 0..self.entries.len() {
+                let entry = &self.entries[index];
+                if entry.phase != phase || self.is_blocked(entry) || rows.len() >= MOST_ROWS {
+                    continue;
+                }
+                rows.push(Wanted {
+                    range: entry.range,
+                    fence: entry.fence,
+                    handover: entry.handover.clone(),
+                });
+                self.give(index, now, arrived_at + hold);
+            }
+        }
+        for entry in &mut self.entries {
+            entry.is_told |= entry.phase == Phase::Releasing;
+        }
+        Some(KeyAnswer { rows, hold })
+    }
+
+    /// Notes that an answer names an entry.
+    fn give(&mut self, index: usize, now: Time, until: Time) {
+        let lease_until = self.lease_until;
+        let entry = &mut self.entries[index];
+        if entry.phase == Phase::Granting {
+            entry.serve_from = now + TAKE_IN;
+        }
+        entry.phase = Phase::Held;
+        entry.is_told = true;
+        entry.serve_until = entry.serve_until.max(until);
+        entry.may_hold_until = lease_until;
+    }
+
+    /// What the target may be told to hold, counted from `from`.
+    fn hold_left(&self, from: Time) -> Duration {
+        let left = self.lease_until.since(from);
+        left.mul_f64(HOLD_SHARE).min(self.timing.max_hold)
+    }
+
+    /// Whether the target has yet to let go keys of an entry that it held under another fence.
+    fn is_blocked(&self, entry: &Entry) -> bool {
+        entry.phase == Phase::Granting
+            && self
+                .entries
+                .iter()
+                .any(|other| other.phase == Phase::Releasing && other.range.overlaps(entry.range))
+    }
+}
+
+/// Whether the target holds all keys of an entry under its fence.
+fn is_covered(entry: &Entry, holds: &[Holding]) -> bool {
+    let held = holds.iter().filter(|held| held.fence == entry.fence);
+    let parts = held.filter_map(|held| held.range.intersection(entry.range));
+    steps::union(parts.collect()) == [entry.range] as [KeyRange; 1]
+}
--- a/crates/ownership/src/holder.rs
+++ b/crates/ownership/src/holder/mod.rs
@@ -1,4 +1,13 @@
 //! The node beside a target: what the target holds, and what may start there now.
+//!
+//! Two ways lead to the target, and a deployment's targets know one of them: [`calls`] to it, and the answers to its
+//! own [`heartbeats`]. What is wanted, held and given back is the same for both.
+
+mod calls;
+mod heartbeats;
+
+pub use calls::{GrantResult, Order};
+pub use heartbeats::{KeyAnswer, KeyReport};
 
 use std::time::Duration;
 
@@ -8,55 +17,12 @@
 const HOLD_SHARE: f64 = 0.97;
 /// Less than this isn't worth a grant.
 const LEAST_HOLD: Duration = Duration::from_millis(150);
-/// A grant that failed is tried again after this.
-const GRANT_RETRY: Duration = Duration::from_millis(150);
-/// A release that got no answer is sent again after this.
-const RELEASE_RETRY: Duration = Duration::from_millis(400);
 /// How long the leader is told what was given back.
 const RELEASED_TOLD: Duration = Duration::from_secs(8);
 
 /// Refused grants that are remembered.
 const MOST_OUTRANKED: usize = 64;
 
-/// A call to make to the target.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Order {
-    /// Give it keys for a time.
-    Grant {
-        /// The keys.
-        range: KeyRange,
-        /// Fence of the grant.
-        fence: Fence,
-        /// How long, from the call's arrival.
-        hold: Duration,
-        /// What the last holder handed over.
-        handover: Option<String>,
-    },
-    /// Take keys back.
-    Release {
-        /// The keys.
-        range: KeyRange,
-        /// Fence of the release.
-        fence: Fence,
-    },
-    /// Take back whatever an earlier process of this node gave it.
-    Clear {
-        /// Fence of the release.
-        fence: Fence,
-    },
-}
-
-/// How a grant ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum GrantResult {
-    /// The target holds the keys.
-    Granted,
-    /// The target has seen a higher fence.
-    Outranked,
-    /// No answer, or none that says anything.
-    Failed,
-}
-
 /// Whether a request for a key may start now.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Admission {
@@ -85,14 +51,31 @@
     serve_until: Time,
     /// The target may hold the keys until then.
     may_hold_until: Time,
+    /// Requests may follow from then on.
+    serve_from: Time,
     in_flight: bool,
     next_call: Time,
+    /// Whether an answer to a heartbeat has named, or left out, the range as its phase asks for.
+    is_told: bool,
+    /// Heartbeats in a row that lacked the range after an answer that named it.
+    misses: u8,
+}
+
+/// How keys reach the target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Delivery {
+    /// By calls to it.
+    #[default]
+    Calls,
+    /// In the answers to its heartbeats.
+    HeartbeatAnswers,
 }
 
 /// What the target beside this node holds.
 #[derive(Debug)]
 pub struct Holder {
     timing: Timing,
+    delivery: Delivery,
     epoch: Epoch,
     lease_until: Time,
     /// When the newest renewal was sent that has been answered.
@@ -100,6 +83,8 @@
     applied: u64,
     clean: bool,
     clear: Option<(Fence, bool)>,
+    /// Whether an answer to a heartbeat has told the target to let go what an earlier process gave it.
+    is_clearing: bool,
     target: Option<String>,
     entries: Vec<Entry>,
     released: Vec<(Released, Fence, Time)>,
@@ -115,12 +100,14 @@
     pub fn new(timing: Timing, clean: bool) -> Self {
         Self {
             timing,
+            delivery: Delivery::default(),
             epoch: Epoch::default(),
             lease_until: Time::default(),
             answered: Time::default(),
             applied: 0,
             clean,
             clear: None,
+            is_clearing: false,
             target: None,
             entries: Vec::new(),
             released: Vec::new(),
@@ -129,6 +116,11 @@
         }
     }
 
+    /// The same holder for a target that keys reach in this way.
+    pub fn with_delivery(self, delivery: Delivery) -> Self {
+        Self { delivery, ..self }
+    }
+
     /// The epoch that the holder obeys.
     pub fn epoch(&self) -> Epoch {
         self.epoch
@@ -157,6 +149,17 @@
         }
     }
 
+    /// Forgets what has run out: the lease, holds of ranges that are given back, and what the leader has
+    /// been told long enough.
+    fn drop_ended(&mut self, now: Time) {
+        self.drop_expired(now);
+        self.released
+            .retain(|(_, _, at)| now.since(*at) < RELEASED_TOLD);
+        self.entries.retain(|entry| {
+            entry.phase != Phase::Releasing || now < entry.may_hold_until || entry.in_flight
+        });
+    }
+
     /// Everything that the target may hold.
     pub fn held(&mut self, now: Time) -> Vec<Holding> {
         self.drop_expired(now);
@@ -190,6 +193,7 @@
             self.granting.clear();
             self.clean = true;
             self.clear = None;
+            self.is_clearing = false;
         }
         self.target = Some(id.to_owned());
         true
@@ -263,6 +267,7 @@
                 phase: Phase::Releasing,
                 in_flight: false,
                 next_call: now,
+                is_told: false,
                 ..entry.clone()
             }));
         }
@@ -299,8 +304,11 @@
                 phase: Phase::Granting,
                 serve_until: Time::default(),
                 may_hold_until: Time::default(),
+                serve_from: Time::default(),
                 in_flight: false,
                 next_call: now,
+                is_told: false,
+                misses: 0,
             });
         }
     }
@@ -328,6 +336,7 @@
                 phase: Phase::Releasing,
                 in_flight: false,
                 next_call: now,
+                is_told: false,
                 ..entry.clone()
             }));
         }
@@ -345,7 +354,11 @@
             .filter(|entry| entry.range.contains(key))
         {
             match entry.phase {
-                Phase::Held if now < entry.serve_until && now < self.lease_until => {
+                Phase::Held
+                    if now >= entry.serve_from
+                        && now < entry.serve_until
+                        && now < self.lease_until =>
+                {
                     return Admission::Granted;
                 }
                 Phase::Held | Phase::Granting => arriving = true,
@@ -359,157 +372,15 @@
         }
     }
 
-    /// Calls that are due at the target.
-    pub fn orders(&mut self, now: Time) -> Vec<Order> {
-        self.drop_expired(now);
-        self.released
-            .retain(|(_, _, at)| now.since(*at) < RELEASED_TOLD);
-        self.entries.retain(|entry| {
-            entry.phase != Phase::Releasing || now < entry.may_hold_until || entry.in_flight
-        });
-        let mut orders = Vec::new();
-        if let Some((fence, in_flight)) = &mut self.clear
-            && !*in_flight
-        {
-            *in_flight = true;
-            orders.push(Order::Clear { fence: *fence });
-        }
-        let lease_left = self.lease_until.since(now);
-        let releasing = self
-            .entries
-            .iter()
-            .filter(|entry| entry.phase == Phase::Releasing)
-            .map(|entry| entry.range)
-            .collect::<Vec<_>>();
-        for entry in &mut self.entries {
-            if entry.in_flight || now < entry.next_call {
-                continue;
-            }
-            if entry.phase == Phase::Releasing {
-                // A grant that arrived after the release would give the keys back to the target.
-                let mut granting = self.granting.iter();
-                if granting.any(|(range, _)| range.overlaps(entry.range)) {
-                    continue;
-                }
-                entry.in_flight = true;
-                orders.push(Order::Release {
-                    range: entry.range,
-                    fence: entry.fence.for_release(),
-                });
-                continue;
-            }
-            let hold = lease_left.mul_f64(HOLD_SHARE).min(self.timing.max_hold);
-            let waits = releasing.iter().any(|range| range.overlaps(entry.range));
-            if hold < LEAST_HOLD || waits {
-                continue;
-            }
-            entry.in_flight = true;
-            self.granting.push((entry.range, entry.fence));
-            entry.may_hold_until = self.lease_until;
-            orders.push(Order::Grant {
-                range: entry.range,
-                fence: entry.fence,
-                hold,
-                handover: entry.handover.clone(),
-            });
-        }
-        orders
-    }
-
-    /// A grant that was sent at `sent_at` has ended.
-    pub fn granted(
-        &mut self,
-        now: Time,
-        range: KeyRange,
-        fence: Fence,
-        sent_at: Time,
-        hold: Duration,
-        result: GrantResult,
-    ) {
-        let renew_every = self.timing.lease / 3;
-        let ended = self
-            .granting
-            .iter()
-            .position(|known| *known == (range, fence));
-        if let Some(ended) = ended {
-            self.granting.swap_remove(ended);
-        }
-        if result == GrantResult::Outranked {
-            self.outranked(now, range, fence);
-            return;
-        }
+    /// The target said that it doesn't hold a key which this holder thinks it does: give it again.
+    pub fn denied_by_target(&mut self, now: Time, key: u16) {
         for entry in &mut self.entries {
-            if entry.fence != fence
-                || !entry.range.overlaps(range)
-                || entry.phase == Phase::Releasing
-            {
+            if entry.phase != Phase::Held || !entry.range.contains(key) {
                 continue;
             }
-            entry.in_flight = false;
-            if result == GrantResult::Granted {
-                entry.phase = Phase::Held;
-                entry.serve_until = entry.serve_until.max(sent_at + hold);
-                entry.next_call = sent_at + renew_every;
-                entry.handover = None;
-            } else {
-                entry.next_call = now + GRANT_RETRY;
-            }
-        }
-    }
-
-    /// A release has ended; `handover` is what the target gave for it.
-    pub fn release_ended(
-        &mut self,
-        now: Time,
-        range: KeyRange,
-        fence: Fence,
-        answered: bool,
-        handover: Option<String>,
-    ) {
-        if !answered {
-            for entry in &mut self.entries {
-                if entry.phase == Phase::Releasing
-                    && entry.fence.for_release() == fence
-                    && entry.range == range
-                {
-                    entry.in_flight = false;
-                    entry.next_call = now + RELEASE_RETRY;
-                }
-            }
-            return;
-        }
-        let before = self.entries.len();
-        self.entries.retain(|entry| {
-            entry.phase != Phase::Releasing
-                || entry.fence.for_release() != fence
-                || entry.range != range
-        });
-        if self.entries.len() < before {
-            self.released
-                .push((Released { range, handover }, fence, now));
-        }
-    }
-
-    /// The clearing of the target has ended.
-    pub fn clear_ended(&mut self, now: Time, answered: bool, handover: Option<String>) {
-        let Some((fence, _)) = self.clear.take() else {
-            return;
-        };
-        if answered {
-            self.clean = true;
-            let released = Released {
-                range: KeyRange::ALL,
-                handover,
-            };
-            self.released.push((released, fence, now));
-        }
-    }
-
-    /// The target said that it doesn't hold a key which this holder thinks it does: grant it again.
-    pub fn denied_by_target(&mut self, now: Time, key: u16) {
-        for entry in &mut self.entries {
-            if entry.phase == Phase::Held && entry.range.contains(key) {
-                entry.next_call = now;
+            match self.delivery {
+                Delivery::Calls => entry.next_call = now,
+                Delivery::HeartbeatAnswers => entry.phase = Phase::Granting,
             }
         }
     }
--- a/crates/ownership/src/lib.rs
+++ b/crates/ownership/src/lib.rs
@@ -31,7 +31,7 @@
 pub use election::{Election, PeerView, Step};
 pub use fence::{Epoch, Fence, Life, NodeName};
 pub use fitness::Fitness;
-pub use holder::{Admission, GrantResult, Holder, Order};
+pub use holder::{Admission, Delivery, GrantResult, Holder, KeyAnswer, KeyReport, Order};
 pub use leader::{Leader, Member};
 pub use message::{
     Holding, LeaderReference, Leadership, LeaseReply, MemberView, Released, Renewal,
--- a/crates/ownership/src/participant/mod.rs
+++ b/crates/ownership/src/participant/mod.rs
@@ -15,9 +15,9 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    Admission, Election, Epoch, Fitness, GrantResult, Holder, Leader, LeaderReference, Leadership,
-    LeaseReply, Life, LoadReport, Member, NodeName, Order, PeerView, Renewal, Step, Table,
-    TableAnswer, TargetState, Time, Timing,
+    Admission, Delivery, Election, Epoch, Fitness, GrantResult, Holder, KeyAnswer, KeyReport,
+    Leader, LeaderReference, Leadership, LeaseReply, Life, LoadReport, Member, NodeName, Order,
+    PeerView, Renewal, Step, Table, TableAnswer, TargetState, Time, Timing,
 };
 
 /// Two renewals that something hurried on are at least this far apart.
@@ -208,6 +208,27 @@
         }
     }
 
+    /// The same node with a target that keys reach in this way.
+    pub fn with_delivery(self, delivery: Delivery) -> Self {
+        let holder = self.holder.with_delivery(delivery);
+        Self { holder, ..self }
+    }
+
+    /// The target has told in a heartbeat what it holds.
+    pub fn keys_reported(&mut self, now: Time, report: &KeyReport) {
+        self.holder.reported(now, report);
+    }
+
+    /// Whether an answer to the target's heartbeat would change what it holds.
+    pub fn has_key_news(&self, now: Time) -> bool {
+        self.holder.has_news(now)
+    }
+
+    /// What the answer to a heartbeat that arrived at `arrived_at` says of keys; nothing without a lease.
+    pub fn key_answer(&mut self, now: Time, arrived_at: Time) -> Option<KeyAnswer> {
+        self.holder.answer(now, arrived_at)
+    }
+
     /// Whom the node follows.
     pub fn followed(&self) -> Option<&LeaderReference> {
         self.election.leader()
--- a/crates/sidecar/src/control.rs
+++ b/crates/sidecar/src/control.rs
@@ -14,6 +14,7 @@
 
 use crate::directory::Directory;
 use crate::internal;
+use crate::key_exchange;
 use crate::logs::Event;
 use crate::node::Node;
 use crate::registration;
@@ -127,6 +128,7 @@
     }
 
     fn carry_out(self: &Rc<Self>, actions: Vec<Action>) {
+        key_exchange::wake(&self.node, self.node.now());
         for action in actions {
             let control = self.clone();
             match action {
--- a/crates/sidecar/src/heartbeats.rs
+++ b/crates/sidecar/src/heartbeats.rs
@@ -5,15 +5,16 @@
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use wingspar_platform::{acknowledgement, parse_heartbeat, paths};
+use wingspar_platform::{Heartbeat, acknowledgement, parse_heartbeat, paths};
 
 use crate::answer::plain;
 use crate::body::Body;
+use crate::key_exchange;
 use crate::node::Node;
 use crate::target_calls::heard_of_target;
 
 /// Largest heartbeat, in bytes.
-const LARGEST: usize = 4096;
+const LARGEST: usize = 64 * 1024;
 
 /// Answers a heartbeat or a leave.
 pub async fn answer(node: Rc<Node>, request: Request<Incoming>) -> Response<Body> {
@@ -30,29 +31,39 @@
                     "too large, or cut",
                 );
             };
-            let heartbeat = match parse_heartbeat(&body.to_bytes()) {
-                Ok(heartbeat) => heartbeat,
-                Err(error) => {
-                    return plain(StatusCode::BAD_REQUEST, "text/plain", error.to_string());
-                }
-            };
-            let heard = node
-                .target
-                .borrow_mut()
-                .heartbeat(node.now(), id, &heartbeat);
-            heard_of_target(&node, heard);
+            match parse_heartbeat(&body.to_bytes()) {
+                Ok(heartbeat) => heard(&node, id, &heartbeat).await,
+                Err(error) => plain(StatusCode::BAD_REQUEST, "text/plain", error.to_string()),
+            }
         }
         Method::DELETE => {
             let heard = node.target.borrow_mut().leave(node.now(), id);
             heard_of_target(&node, heard);
+            plain(StatusCode::OK, "application/json", acknowledgement(None))
         }
-        _ => {
-            return plain(
-                StatusCode::METHOD_NOT_ALLOWED,
-                "text/plain",
-                "PUT or DELETE",
-            );
-        }
+        _ => plain(
+            StatusCode::METHOD_NOT_ALLOWED,
+            "text/plain",
+            "PUT or DELETE",
+        ),
     }
-    plain(StatusCode::OK, "application/json", acknowledgement())
+}
+
+async fn heard(node: &Rc<Node>, id: &str, heartbeat: &Heartbeat) -> Response<Body> {
+    let is_late = node.target.borrow().is_late(id, heartbeat.sequence);
+    let heard = node
+        .target
+        .borrow_mut()
+        .heartbeat(node.now(), id, heartbeat);
+    heard_of_target(node, heard);
+    let grants = if is_late {
+        None
+    } else {
+        key_exchange::answer(node, heartbeat).await
+    };
+    plain(
+        StatusCode::OK,
+        "application/json",
+        acknowledgement(grants.as_ref()),
+    )
 }
--- /dev/null
+++ b/crates/sidecar/src/key_exchange.rs
@@ -0,0 +1,127 @@
+//! Keys that reach the target in the answers to its heartbeats.
+//!
+//! An answer is held back for a moment while it would tell the target nothing new, so that keys which are to move
+//! meanwhile don't wait for the next heartbeat. The target takes an answer for a second; one that it waits for
+//! while it leaves is given at once.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::time::{Instant, timeout_at};
+use wingspar_ownership::{
+    Delivery, Fence, Holding, KeyAnswer, KeyRange, KeyReport, Released, Time,
+};
+use wingspar_platform::{GrantedKeys, Heartbeat, KeyGrants, LifecycleState};
+
+use crate::logs::Event;
+use crate::node::Node;
+use crate::target_calls::lease_left_ms;
+
+/// How long an answer waits for something new to tell.
+const HELD_BACK: Duration = Duration::from_millis(400);
+
+/// What the answer to a heartbeat that no later one has overtaken says of keys.
+pub async fn answer(node: &Rc<Node>, heartbeat: &Heartbeat) -> Option<KeyGrants> {
+    if node.settings.node.delivery() != Delivery::HeartbeatAnswers
+        || !node.is_keyed(&heartbeat.service)
+    {
+        return None;
+    }
+    let arrived_at = node.now();
+    let report = report_of(heartbeat);
+    node.participant
+        .borrow_mut()
+        .keys_reported(arrived_at, &report);
+    node.control_wakes.notify_one();
+    if heartbeat.state == LifecycleState::Ready {
+        wait_for_news(node, heartbeat.sequence).await;
+    }
+    if node.target.borrow().is_overtaken(heartbeat.sequence) {
+        return None;
+    }
+    let now = node.now();
+    let mut participant = node.participant.borrow_mut();
+    let has_news = participant.has_key_news(now);
+    let answer = participant.key_answer(now, arrived_at);
+    drop(participant);
+    if has_news {
+        note(node, heartbeat, &answer, now.since(arrived_at));
+    }
+    answer.map(grants_of)
+}
+
+/// Waits until an answer would tell the target something new, or a later heartbeat comes.
+async fn wait_for_news(node: &Node, sequence: u64) {
+    let until = Instant::now() + HELD_BACK;
+    loop {
+        let changed = node.key_news.notified();
+        let is_over = node.participant.borrow().has_key_news(node.now())
+            || node.target.borrow().is_overtaken(sequence)
+            || node.is_stopping();
+        if is_over || timeout_at(until, changed).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Wakes an answer that waits for news, if there are any.
+pub fn wake(node: &Node, now: Time) {
+    if node.participant.borrow().has_key_news(now) {
+        node.key_news.notify_waiters();
+    }
+}
+
+fn report_of(heartbeat: &Heartbeat) -> KeyReport {
+    let holds = heartbeat.held_keys.iter().flatten();
+    let released = heartbeat.released_keys.iter();
+    KeyReport {
+        holds: holds
+            .map(|keys| Holding {
+                range: KeyRange {
+                    from: keys.from,
+                    to: keys.to,
+                },
+                fence: Fence(keys.fence),
+            })
+            .collect(),
+        released: released
+            .map(|keys| Released {
+                range: KeyRange {
+                    from: keys.from,
+                    to: keys.to,
+                },
+                handover: keys.handover.clone(),
+            })
+            .collect(),
+    }
+}
+
+fn grants_of(answer: KeyAnswer) -> KeyGrants {
+    let keys = answer.rows.into_iter().map(|row| GrantedKeys {
+        from: row.range.from,
+        to: row.range.to,
+        fence: row.fence.0,
+        handover: row.handover,
+    });
+    KeyGrants {
+        keys: keys.collect(),
+        hold: answer.hold.as_secs_f64(),
+    }
+}
+
+fn note(node: &Node, heartbeat: &Heartbeat, answer: &Option<KeyAnswer>, held_back: Duration) {
+    let (outcome, rows) = match answer {
+        Some(answer) => ("told", answer.rows.len()),
+        None => ("no_lease", 0),
+    };
+    node.metrics.count(&node.metrics.key_orders, outcome);
+    node.log.write(Event::KeysTold {
+        sequence: heartbeat.sequence,
+        reported: heartbeat.held_keys.as_ref().map_or(0, Vec::len),
+        released: heartbeat.released_keys.len(),
+        rows,
+        outcome,
+        held_back_ms: u64::try_from(held_back.as_millis()).unwrap_or(0),
+        lease_left_ms: lease_left_ms(node),
+    });
+}
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -18,6 +18,7 @@
 mod heartbeats;
 pub mod hop;
 mod internal;
+mod key_exchange;
 pub mod link;
 mod listen;
 pub mod logs;
--- a/crates/sidecar/src/logs.rs
+++ b/crates/sidecar/src/logs.rs
@@ -148,6 +148,23 @@
         /// What is left of the lease, in milliseconds.
         lease_left_ms: u64,
     },
+    /// An answer to a heartbeat told the target something new about its keys.
+    KeysTold {
+        /// Sequence of the heartbeat.
+        sequence: u64,
+        /// Ranges that the target reported.
+        reported: usize,
+        /// Ranges that it had let go.
+        released: usize,
+        /// Ranges that it is to hold.
+        rows: usize,
+        /// told, or no_lease.
+        outcome: &'a str,
+        /// How long the answer waited for something new, in milliseconds.
+        held_back_ms: u64,
+        /// What is left of the lease, in milliseconds.
+        lease_left_ms: u64,
+    },
     /// A request was decided on at this node.
     Request {
         /// The client's id of it.
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -87,6 +87,8 @@
     pub fetching_configuration: Cell<bool>,
     /// Told when the control loop has something to do at once.
     pub control_wakes: Notify,
+    /// Told when an answer to a heartbeat would tell the target something new.
+    pub key_news: Notify,
     /// Connections to other nodes.
     peers: RefCell<HashMap<SocketAddr, Rc<Connections>>>,
     /// What is known of targets elsewhere.
@@ -136,14 +138,13 @@
             slots: Slots::new(),
             link: Link::new(settings.node.link_mbps),
             key_load: RefCell::new(KeyLoad::new(now)),
-            participant: RefCell::new(Participant::new(
-                identity,
-                timing,
-                settings.node.first_start,
-                now,
-            )),
+            participant: RefCell::new(
+                Participant::new(identity, timing, settings.node.first_start, now)
+                    .with_delivery(settings.node.delivery()),
+            ),
             fetching_configuration: Cell::new(false),
             control_wakes: Notify::new(),
+            key_news: Notify::new(),
             peers: RefCell::new(HashMap::new()),
             selection: Selection::default(),
             budget: RefCell::new(Budget::new(
--- a/crates/sidecar/src/settings.rs
+++ b/crates/sidecar/src/settings.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use serde::Deserialize;
+use wingspar_ownership::Delivery;
 
 /// The settings can't be used.
 #[derive(Debug, thiserror::Error)]
@@ -60,6 +61,34 @@
     /// Whether the whole system starts for the first time.
     #[serde(default)]
     pub first_start: bool,
+    /// How keys reach the target.
+    #[serde(default)]
+    pub grants: Grants,
+    /// How often the target sends a heartbeat, in seconds, if that is known.
+    #[serde(default)]
+    pub heartbeat_s: Option<f64>,
+}
+
+/// How keys reach a target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Deserialize)]
+pub enum Grants {
+    /// By calls to it.
+    #[default]
+    #[serde(rename = "rpc")]
+    Calls,
+    /// In the answers to its heartbeats.
+    #[serde(rename = "heartbeat")]
+    HeartbeatAnswers,
+}
+
+impl NodeSettings {
+    /// How keys reach the target.
+    pub fn delivery(&self) -> Delivery {
+        match self.grants {
+            Grants::Calls => Delivery::Calls,
+            Grants::HeartbeatAnswers => Delivery::HeartbeatAnswers,
+        }
+    }
 }
 
 /// Where the node listens.
@@ -136,6 +165,7 @@
         for (field, value) in [
             ("node.link_mbps", self.node.link_mbps),
             ("node.memory_mb", self.node.memory_mb),
+            ("node.heartbeat_s", self.node.heartbeat_s),
         ] {
             if value.is_some_and(|value| !value.is_finite() || value <= 0.0) {
                 return wrong(field, "must be a number above 0");
--- a/crates/sidecar/src/target.rs
+++ b/crates/sidecar/src/target.rs
@@ -65,6 +65,17 @@
         self.slots
     }
 
+    /// Whether a heartbeat comes after a later one of the same life, or from a life that has ended.
+    pub fn is_late(&self, id: &str, sequence: u64) -> bool {
+        let is_past = self.past.iter().any(|past| past == id);
+        is_past || (self.id.as_deref() == Some(id) && sequence <= self.sequence)
+    }
+
+    /// Whether another heartbeat than that one was the last to be taken in.
+    pub fn is_overtaken(&self, sequence: u64) -> bool {
+        self.sequence != sequence
+    }
+
     /// Takes in a heartbeat.
     pub fn heartbeat(&mut self, now: Time, id: &str, heartbeat: &Heartbeat) -> Heard {
         if self.past.iter().any(|past| past == id) {
--- a/crates/sidecar/src/target_calls.rs
+++ b/crates/sidecar/src/target_calls.rs
@@ -14,6 +14,7 @@
 use crate::body::Body;
 use crate::connections::{ConnectionBody, SendError};
 use crate::hop::{HopAnswer, HopRequest, Refusal, whole_or_stream};
+use crate::key_exchange;
 use crate::logs::Event;
 use crate::node::Node;
 use crate::slots::Slot;
@@ -171,6 +172,7 @@
         node.participant
             .borrow_mut()
             .denied_by_target(node.now(), key);
+        key_exchange::wake(node, node.now());
         node.control_wakes.notify_one();
     }
     let _rest = timeout(PROBE_TIMEOUT, response.into_body().collect()).await;
--- a/crates/sidecar/tests/target.rs
+++ b/crates/sidecar/tests/target.rs
@@ -14,6 +14,8 @@
         state,
         sequence,
         warmup_left: 0.0,
+        held_keys: None,
+        released_keys: Vec::new(),
     }
 }
 
