sidecar: the leader reads the configuration itself; a watch that is behind is given up

Nobody noticed, as a watch without events looks like a watch without changes.

Ruled out: shorter watches (a call a node and second); reading at every node (the same).

Change: the leader reads `config/main` each 0.9 s (one call, whatever the number of nodes) and tells all; a node whose watch has not told of what is in force at two looks in a row, 0.7 s apart, logs that and begins anew. The soak draws the store that hides kinds too. The new test fails without the check (not in 40 s) and passes with it.

--- a/crates/sidecar/src/follow.rs
+++ b/crates/sidecar/src/follow.rs
@@ -1,4 +1,8 @@
 //! Follows the operator's configuration in the store.
+//!
+//! Every node watches it. A watch may say nothing while there are changes, and that can't be seen from the watch
+//! itself, so the leader also reads the object at a steady rate and tells all nodes; a node whose watch turns out to
+//! be behind begins anew.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -20,6 +24,27 @@
 /// Longest such pause.
 const LONGEST_PAUSE: Duration = Duration::from_millis(1_200);
 
+/// How often the leader reads the configuration itself.
+const CHECK_EVERY: Duration = Duration::from_millis(900);
+/// How often a node looks whether its watch is behind; it is, if it was at two looks in a row.
+const BEHIND_STEP: Duration = Duration::from_millis(700);
+
+/// Reads the configuration at a steady rate while this node leads.
+pub async fn check_while_leading(node: Rc<Node>) {
+    let object = objects::get(CONFIGURATION_KIND, CONFIGURATION_NAME);
+    loop {
+        tokio::time::sleep(CHECK_EVERY).await;
+        if node.participant.borrow().leading().is_none() {
+            continue;
+        }
+        let reply = call(&node, &object, None).await;
+        let read = reply.and_then(|reply| objects::parse_object(&reply.body).ok());
+        if let Some(object) = read {
+            take(&node, &object, "check");
+        }
+    }
+}
+
 /// Follows the configuration until the process ends.
 pub async fn run(node: Rc<Node>) {
     let mut pause = FIRST_PAUSE;
@@ -40,7 +65,7 @@
     let reply = call(node, &objects::list(CONFIGURATION_KIND, None), None).await?;
     let page = objects::parse_page(&reply.body).ok()?;
     for object in &page.objects {
-        take(node, object);
+        told(node, object);
     }
     Some(page.revision)
 }
@@ -50,7 +75,21 @@
     let time = Duration::from_millis(WATCH_MS) + WATCH_SLACK;
     loop {
         let request = objects::watch(CONFIGURATION_KIND, revision, WATCH_MS);
-        let Some(reply) = call(node, &request, Some(time)).await else {
+        let reply = tokio::select! {
+            reply = call(node, &request, Some(time)) => reply,
+            () = is_behind(node) => {
+                node.log.write(Event::Lost {
+                    dependency: "watch",
+                    detail: format!(
+                        "told of version {}, {} is in force",
+                        node.watched_version.get(),
+                        node.configuration_version(),
+                    ),
+                });
+                return;
+            }
+        };
+        let Some(reply) = reply else {
             return;
         };
         let Ok(changes) = objects::parse_changes(&reply.body) else {
@@ -58,25 +97,48 @@
         };
         for (object, gone) in &changes.events {
             if !gone {
-                take(node, object);
+                told(node, object);
             }
         }
         revision = changes.revision;
     }
 }
 
-/// Puts a stored configuration in force; one that can't be read is passed over.
-fn take(node: &Node, object: &Object) {
+/// Ends when a later configuration has been in force for a while than the watch has told of.
+async fn is_behind(node: &Node) {
+    let mut looks = 0;
+    while looks < 2 {
+        tokio::time::sleep(BEHIND_STEP).await;
+        let behind = node.watched_version.get() < node.configuration_version();
+        looks = if behind { looks + 1 } else { 0 };
+    }
+}
+
+/// Takes in what a listing or the watch has told.
+fn told(node: &Node, object: &Object) {
+    if let Some(version) = take(node, object, "store") {
+        let known = node.watched_version.get();
+        node.watched_version.set(known.max(version));
+    }
+}
+
+/// Puts a stored configuration in force and returns its version; one that can't be read is passed over.
+fn take(node: &Node, object: &Object, source: &'static str) -> Option<u64> {
     if object.name != CONFIGURATION_NAME {
-        return;
+        return None;
     }
     match parse_configuration(&object.content) {
         Ok(configuration) => {
-            node.configure(configuration, "store");
+            let version = configuration.version;
+            node.configure(configuration, source);
+            Some(version)
+        }
+        Err(error) => {
+            node.log.write(Event::ConfigurationRefused {
+                problem: error.to_string(),
+            });
+            None
         }
-        Err(error) => node.log.write(Event::ConfigurationRefused {
-            problem: error.to_string(),
-        }),
     }
 }
 
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -83,6 +83,8 @@
     pub key_load: RefCell<KeyLoad>,
     /// The node's part in ownership.
     pub participant: RefCell<Participant>,
+    /// Version of the last configuration that the store's watch, or a listing, has told.
+    pub watched_version: Cell<u64>,
     /// Whether another node's configuration is being fetched.
     pub fetching_configuration: Cell<bool>,
     /// Told when the control loop has something to do at once.
@@ -142,6 +144,7 @@
                 Participant::new(identity, timing, settings.node.first_start, now)
                     .with_delivery(settings.node.delivery()),
             ),
+            watched_version: Cell::new(0),
             fetching_configuration: Cell::new(false),
             control_wakes: Notify::new(),
             key_news: Notify::new(),
--- a/crates/standins/src/fleet/store.rs
+++ b/crates/standins/src/fleet/store.rs
@@ -27,6 +27,8 @@
     pub throttled: bool,
     /// Calls are taken and never answered.
     pub silent: bool,
+    /// Listings and watches are taken and never answered.
+    pub hides_kinds: bool,
     /// Watches from a revision below this one get 410.
     pub history_from: u64,
 }
@@ -235,6 +237,9 @@
             Err(_) => Value::Null,
         };
         match words.as_slice() {
+            ["objects", _] if method == Method::GET && faults.hides_kinds => {
+                std::future::pending::<()>().await;
+            }
             ["objects", kind] if method == Method::GET => {
                 self.read_kind(kind, faults, request, response).await
             }
--- a/crates/wingspar/tests/sidecar/deployment.rs
+++ b/crates/wingspar/tests/sidecar/deployment.rs
@@ -12,6 +12,8 @@
 
 /// A port that is held on a network of loopback addresses while a test uses it.
 const CLAIM_PORT: u16 = 7599;
+/// Where nodes serve their metrics.
+const METRICS_PORT: u16 = 7621;
 /// How long something may take at most before a test fails.
 const PATIENCE: Duration = Duration::from_secs(40);
 /// Service of the first two machines; its keys have owners.
@@ -343,6 +345,17 @@
         .await;
     }
 
+    /// Version of the configuration in force at a node, from its metrics.
+    pub async fn configuration_version(&self, node: usize) -> Option<u64> {
+        let address = SocketAddr::new(self.nodes[node].ready.ip(), METRICS_PORT);
+        let metrics = self.client.get(format!("http://{address}/metrics"));
+        let text = metrics.send().await.ok()?.text().await.ok()?;
+        let line = text
+            .lines()
+            .find(|line| !line.starts_with('#') && line.contains("configuration_version"))?;
+        line.rsplit(' ').next()?.parse().ok()
+    }
+
     /// Starts a machine's process.
     pub fn start_process(&mut self, node: usize) {
         let machine = &mut self.nodes[node];
--- a/crates/wingspar/tests/sidecar/main.rs
+++ b/crates/wingspar/tests/sidecar/main.rs
@@ -115,6 +115,26 @@
     assert_eq!(still.status(), 200);
 }
 
+#[tokio::test]
+async fn a_configuration_is_in_force_everywhere_though_no_watch_tells_of_it() {
+    let deployment = Deployment::start(18).await;
+    deployment.store.set_faults(StoreFaults {
+        hides_kinds: true,
+        ..StoreFaults::default()
+    });
+    // The watches that wait already tell of the first change; nothing tells of the second.
+    let routes = |name| json!([deployment::route(name, "/late/", "idempotent", "orders")]);
+    for version in [9, 10] {
+        deployment.configure(version, routes("late"));
+        for node in 0..deployment.nodes.len() {
+            eventually("it is in force", || async {
+                deployment.configuration_version(node).await == Some(version)
+            })
+            .await;
+        }
+    }
+}
+
 #[tokio::test]
 async fn the_keys_of_a_lost_machine_are_served_again() {
     let mut deployment = Deployment::start(5).await;
--- a/crates/wingspar/tests/sidecar/soak/faults.rs
+++ b/crates/wingspar/tests/sidecar/soak/faults.rs
@@ -174,11 +174,12 @@
 }
 
 fn draw_store_faults(random: &mut ChaCha8Rng) -> StoreFaults {
-    let kind = random.random_range(0..4);
+    let kind = random.random_range(0..5);
     StoreFaults {
         unavailable: kind == 0,
         throttled: kind == 1,
         silent: kind == 2,
         history_from: if kind == 3 { u64::MAX } else { 0 },
+        hides_kinds: kind == 4,
     }
 }
