ownership: a new leader waits only for silent nodes that may hold keys of the service

The leader elected at 8.4 s waited until 20.0 s (9 s and a lease) for the lost one's report, though its target was of a service without owners: 2,583 requests ended with `no_owner` from 8 to 20 s.

Ruled out: a shorter leadership without confirmation (bridges less of an outage); taking silence for proof.

Change: a node registers with the service of its machine's target, and gets keys of that service only once the store has acknowledged it. So a new leader knows which silent nodes can't hold keys. `Renewal::registered_for` says it; a registration without a service is waited for as before.

Test: the simulator's `keys_dont_wait_for_a_lost_leader_that_cant_have_held_any` (fails without the change), and random faults beside nodes that hold no keys, both ways.

--- a/crates/ownership/src/leader/certainty.rs
+++ b/crates/ownership/src/leader/certainty.rs
@@ -2,7 +2,6 @@
 //! has named this leader in answer to a question sent afterwards.
 
 use super::{Leader, Member};
-use crate::partition::State;
 use crate::{NodeName, Time};
 
 impl Leader {
@@ -11,8 +10,13 @@
     pub fn wants_confirmation(&self, now: Time) -> bool {
         let unknown_until = self.unknown_until();
         let unknown_ended = unknown_until <= now && self.confirmed_at < unknown_until;
-        let reported = self.silent.is_empty() && self.confirmed_at < self.last_report_at;
-        if (unknown_ended || reported) && self.has_unknown() {
+        let unknown = || {
+            let partitions = self.partitions.iter();
+            partitions.filter(|(_, partition)| partition.has_unknown())
+        };
+        let unconfirmed = self.confirmed_at < self.last_report_at;
+        let reported = unconfirmed && unknown().any(|(name, _)| self.has_reported_all(name));
+        if reported || (unknown_ended && unknown().next().is_some()) {
             return true;
         }
         self.members.iter().any(|(node, member)| {
@@ -33,13 +37,13 @@
         member.previous_life.is_none() || self.confirmed_at >= member.life_known_at
     }
 
-    /// Whether there are keys that nobody has reported.
-    fn has_unknown(&self) -> bool {
-        let mut slices = self
-            .partitions
-            .values()
-            .flat_map(|partition| &partition.slices);
-        slices.any(|slice| slice.state == State::Unknown)
+    /// Whether every registered node that may hold keys of a service has reported.
+    pub(super) fn has_reported_all(&self, service: &str) -> bool {
+        let may_hold = |node: &NodeName| {
+            let known = self.registered.get(node).and_then(Option::as_deref);
+            known.is_none_or(|known| known == service)
+        };
+        !self.silent.iter().any(may_hold)
     }
 
     /// Whether any keys are a node's, or are to be given back by it.
--- a/crates/ownership/src/leader/member.rs
+++ b/crates/ownership/src/leader/member.rs
@@ -19,6 +19,8 @@
     pub(super) told: (u64, Time),
     /// When its registration was first known to be in the store.
     pub(super) registered_at: Option<Time>,
+    /// The service that the store has it registered for.
+    pub(super) registered_for: Option<String>,
     /// Whether its last call to the store succeeded.
     pub store_reachable: bool,
     /// What its machine's link carries, in megabits a second, if that is known.
--- a/crates/ownership/src/leader/mod.rs
+++ b/crates/ownership/src/leader/mod.rs
@@ -14,8 +14,8 @@
 use crate::plan::{Candidate, Plan};
 use crate::table_log::TableLog;
 use crate::{
-    Epoch, Fence, Leadership, LeaseReply, LoadReport, MemberView, NodeName, Renewal, Table,
-    TableAnswer, TargetState, Time, Timing,
+    Epoch, Fence, Leadership, LeaseReply, LoadReport, MemberView, NodeName, RegisteredNode,
+    Renewal, Table, TableAnswer, TargetState, Time, Timing,
 };
 
 /// A node is called about a changed assignment at most this often.
@@ -34,8 +34,8 @@
     elected_at: Time,
     confirmed_at: Time,
     next_fence: Fence,
-    /// Nodes that were registered when the leader was elected.
-    registered: BTreeSet<NodeName>,
+    /// Nodes that were registered when the leader was elected, and the service of each, if that is known.
+    registered: BTreeMap<NodeName, Option<String>>,
     /// Those of them that haven't reported in this epoch.
     silent: BTreeSet<NodeName>,
     /// When the last of the registered nodes reported for the first time.
@@ -62,9 +62,13 @@
         timing: Timing,
         claimed_at: Time,
         now: Time,
-        registered: BTreeSet<NodeName>,
+        registered: &[RegisteredNode],
         known: Table,
     ) -> Self {
+        let registered = registered
+            .iter()
+            .map(|known| (known.node.clone(), known.service.clone()))
+            .collect::<BTreeMap<_, _>>();
         let epoch = leadership.leader.epoch;
         let earlier = leadership.earlier.as_ref();
         let mut earlier = earlier.map(|nodes| nodes.iter().cloned().collect::<BTreeSet<_>>());
@@ -81,7 +85,7 @@
             elected_at: now,
             confirmed_at: claimed_at,
             next_fence: Fence::first_of(epoch),
-            silent: registered.clone(),
+            silent: registered.keys().cloned().collect(),
             last_report_at: now,
             registered,
             members: BTreeMap::new(),
@@ -259,6 +263,7 @@
                 assignment: 0,
                 told: (0, Time::default()),
                 registered_at: None,
+                registered_for: None,
                 store_reachable: true,
                 link_mbps: renewal.link_mbps,
                 configuration_version: 0,
@@ -285,10 +290,13 @@
         member.link_mbps = renewal.link_mbps;
         member.configuration_version = renewal.configuration_version;
         member.heard_at = now;
-        if self.registered.contains(&renewal.node) {
+        let known_for = self.registered.get(&renewal.node);
+        let is_as_known = known_for.is_some_and(|service| *service == renewal.registered_for);
+        member.registered_for.clone_from(&renewal.registered_for);
+        if is_as_known && renewal.registered_for.is_some() {
             // Any later leader knows it too.
             member.registered_at = Some(Time::default());
-        } else if renewal.registered && member.registered_at.is_none() {
+        } else if renewal.registered_for.is_some() && member.registered_at.is_none() {
             member.registered_at = Some(now);
         }
         for partition in self.partitions.values_mut() {
@@ -321,7 +329,6 @@
         }
         self.end_leases(now);
         let unknown_until = self.unknown_until();
-        let all_reported = self.silent.is_empty() && self.confirmed_at >= self.last_report_at;
         // Nodes that have yet to report to a new leader keep what is planned for them.
         let settled = now >= self.elected_at + self.timing.settle;
         let rebalance = settled && now.0 >= self.rebalanced_at.0 + REBALANCE_EVERY_MS;
@@ -336,6 +343,8 @@
             };
             // As with a lease's end: a silent node may have been renewed by a later leader since, unless
             // the store has confirmed this one after that time.
+            let all_reported =
+                self.has_reported_all(&service) && self.confirmed_at >= self.last_report_at;
             if all_reported || unknown_until <= now.min(self.confirmed_at) {
                 partition.free_unknown();
             }
@@ -383,6 +392,8 @@
                     .registered_at
                     .is_some_and(|at| at < self.confirmed_at)
             })
+            // Later leaders wait for it only where it is registered.
+            .filter(|(_, member)| member.registered_for.as_deref() == Some(service))
             .filter_map(|(node, member)| {
                 let target = member.view.target.as_ref()?;
                 (target.service == service && target.accepting)
--- a/crates/ownership/src/lib.rs
+++ b/crates/ownership/src/lib.rs
@@ -34,8 +34,8 @@
 pub use holder::{Admission, Delivery, GrantResult, Holder, KeyAnswer, KeyReport, Order};
 pub use leader::{Leader, Member};
 pub use message::{
-    Holding, LeaderReference, Leadership, LeaseReply, MemberView, Released, Renewal,
-    ServiceChanges, ServiceTable, Table, TableAnswer, TableChanges, TargetState, Wanted,
+    Holding, LeaderReference, Leadership, LeaseReply, MemberView, RegisteredNode, Released,
+    Renewal, ServiceChanges, ServiceTable, Table, TableAnswer, TableChanges, TargetState, Wanted,
 };
 pub use participant::{
     Action, ClaimResult, Datagram, Identity, Note, Participant, Stored, Surroundings,
--- a/crates/ownership/src/message.rs
+++ b/crates/ownership/src/message.rs
@@ -48,6 +48,17 @@
     }
 }
 
+/// A node that the store knows.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RegisteredNode {
+    /// The node.
+    pub node: NodeName,
+    /// Where it listens for other nodes.
+    pub address: SocketAddr,
+    /// The only service whose keys its target may hold, if that is known.
+    pub service: Option<String>,
+}
+
 /// Keys that a node's target may hold.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Holding {
@@ -117,8 +128,8 @@
     pub target: Option<TargetState>,
     /// Whether the node is about to stop.
     pub leaving: bool,
-    /// Whether the store has acknowledged the node's registration.
-    pub registered: bool,
+    /// The service that the store has the node registered for, once it has acknowledged that.
+    pub registered_for: Option<String>,
     /// Version of its configuration.
     pub configuration_version: u64,
     /// Whether its last call to the store succeeded.
--- a/crates/ownership/src/participant/elections.rs
+++ b/crates/ownership/src/participant/elections.rs
@@ -130,7 +130,7 @@
         &mut self,
         now: Time,
         around: &Surroundings,
-        registered: Option<Vec<(NodeName, SocketAddr)>>,
+        registered: Option<Vec<RegisteredNode>>,
     ) -> Vec<Action> {
         let mut actions = Vec::new();
         let Some((leadership, claimed_at)) = self.won.take() else {
@@ -147,13 +147,9 @@
         }
         self.follow(now, &leader, &mut actions);
         self.election.heard(now);
-        let names = registered
-            .iter()
-            .map(|(name, _)| name.clone())
-            .collect::<BTreeSet<_>>();
         actions.push(Action::Note(Note::LeadershipTaken(
             leader.epoch,
-            names.len(),
+            registered.len(),
         )));
         let known = self.table.clone();
         self.leader = Some(Leader::new(
@@ -161,14 +157,14 @@
             self.timing,
             claimed_at,
             now,
-            names,
+            &registered,
             known,
         ));
         self.last_confirmation = claimed_at;
         let notice = Datagram::Notice(leader, 0, around.configuration_version);
-        for (name, address) in &registered {
-            if *name != self.identity.node {
-                actions.push(Action::Send(*address, notice.clone()));
+        for known in &registered {
+            if known.node != self.identity.node {
+                actions.push(Action::Send(known.address, notice.clone()));
             }
         }
         self.registered = registered;
--- a/crates/ownership/src/participant/leadership.rs
+++ b/crates/ownership/src/participant/leadership.rs
@@ -64,8 +64,8 @@
         let silent = self
             .registered
             .iter()
-            .filter(|(name, _)| *name != self.identity.node && is_silent(name))
-            .map(|(_, address)| *address)
+            .filter(|known| known.node != self.identity.node && is_silent(&known.node))
+            .map(|known| known.address)
             .collect::<Vec<_>>();
         self.counter += 1;
         let version = leader.table().version;
--- a/crates/ownership/src/participant/mod.rs
+++ b/crates/ownership/src/participant/mod.rs
@@ -17,7 +17,7 @@
 use crate::{
     Admission, Delivery, Election, Epoch, Fitness, GrantResult, Holder, KeyAnswer, KeyReport,
     Leader, LeaderReference, Leadership, LeaseReply, Life, LoadReport, Member, NodeName, Order,
-    PeerView, Renewal, Step, Table, TableAnswer, TargetState, Time, Timing,
+    PeerView, RegisteredNode, Renewal, Step, Table, TableAnswer, TargetState, Time, Timing,
 };
 
 /// Two renewals that something hurried on are at least this far apart.
@@ -108,8 +108,8 @@
     pub target: Option<TargetState>,
     /// Whether the node is about to stop.
     pub leaving: bool,
-    /// Whether the store has acknowledged its registration.
-    pub registered: bool,
+    /// The service that the store has it registered for, once it has acknowledged that.
+    pub registered_for: Option<String>,
     /// Version of its configuration.
     pub configuration_version: u64,
     /// Whether its last call to the store succeeded.
@@ -172,7 +172,7 @@
     rewritten: Epoch,
     counter: u64,
     /// Nodes that were registered when this one was elected.
-    registered: Vec<(NodeName, SocketAddr)>,
+    registered: Vec<RegisteredNode>,
     next_reminders: Time,
 }
 
--- a/crates/ownership/src/participant/renewals.rs
+++ b/crates/ownership/src/participant/renewals.rs
@@ -17,7 +17,7 @@
             released: self.holder.released(),
             target: around.target.clone(),
             leaving: around.leaving,
-            registered: around.registered,
+            registered_for: around.registered_for.clone(),
             configuration_version: around.configuration_version,
             store_reachable: around.store_reachable,
             link_mbps: around.link_mbps,
--- a/crates/ownership/src/partition.rs
+++ b/crates/ownership/src/partition.rs
@@ -164,6 +164,12 @@
         self.merge();
     }
 
+    /// Whether there are keys that nobody has reported.
+    pub fn has_unknown(&self) -> bool {
+        let mut slices = self.slices.iter();
+        slices.any(|slice| slice.state == State::Unknown)
+    }
+
     /// Frees ranges that nobody reported.
     pub fn free_unknown(&mut self) -> bool {
         let mut changed = false;
--- a/crates/ownership/tests/reminders.rs
+++ b/crates/ownership/tests/reminders.rs
@@ -4,8 +4,8 @@
 use std::net::SocketAddr;
 
 use wingspar_ownership::{
-    Action, ClaimResult, Datagram, Identity, Life, NodeName, Participant, Renewal, Surroundings,
-    Time, Timing,
+    Action, ClaimResult, Datagram, Identity, Life, NodeName, Participant, RegisteredNode, Renewal,
+    Surroundings, Time, Timing,
 };
 
 fn address(node: u8) -> SocketAddr {
@@ -14,7 +14,7 @@
 
 fn around() -> Surroundings {
     Surroundings {
-        registered: true,
+        registered_for: Some("s".to_owned()),
         configuration_version: 1,
         store_reachable: true,
         keyed_services: BTreeSet::new(),
@@ -43,10 +43,12 @@
     };
     let claimed = node.claim_ended(now, &around(), now, leadership.clone(), ClaimResult::Won);
     assert_eq!(claimed, [Action::ListRegistered]);
-    let registered = vec![
-        (NodeName::from("one"), address(1)),
-        (NodeName::from("two"), address(2)),
-    ];
+    let registered = [("one", 1), ("two", 2)].map(|(name, last)| RegisteredNode {
+        node: NodeName::from(name),
+        address: address(last),
+        service: Some("s".to_owned()),
+    });
+    let registered = registered.to_vec();
     let told = node.registered_listed(now, &around(), Some(registered));
     assert!(
         notices(&told, address(2)) > 0,
@@ -81,7 +83,7 @@
         released: Vec::new(),
         target: None,
         leaving: false,
-        registered: true,
+        registered_for: Some("s".to_owned()),
         configuration_version: 1,
         store_reachable: false,
         link_mbps: None,
--- a/crates/ownership/tests/simulation/main.rs
+++ b/crates/ownership/tests/simulation/main.rs
@@ -171,6 +171,37 @@
     }
 }
 
+#[test]
+fn keys_dont_wait_for_a_lost_leader_that_cant_have_held_any() {
+    for seed in 1..=30 {
+        let for_ms = 6_900;
+        let options = Options {
+            plain_nodes: 2,
+            ..Options::only(world::FaultPlan::LeaderGoneAndStoreDown { for_ms })
+        };
+        let summary = play(seed, options).expect("no rule may break");
+        assert!(
+            summary.longest_unserved_ms <= for_ms + 1_500,
+            "seed {seed}: a key went unserved for {} ms",
+            summary.longest_unserved_ms
+        );
+    }
+}
+
+#[test]
+fn one_owner_a_key_beside_nodes_that_hold_none() {
+    for seed in 1..=60 {
+        for delivery in [Delivery::Calls, Delivery::HeartbeatAnswers] {
+            let options = Options {
+                plain_nodes: 2,
+                delivery,
+                ..Options::default()
+            };
+            play(seed, options).expect("no rule may break");
+        }
+    }
+}
+
 #[test]
 fn all_processes_killed_at_once_serve_again() {
     for seed in 1..=20 {
--- a/crates/ownership/tests/simulation/world.rs
+++ b/crates/ownership/tests/simulation/world.rs
@@ -8,14 +8,15 @@
 use rand_chacha::ChaCha8Rng;
 use wingspar_ownership::{
     Action, Admission, ClaimResult, Datagram, Delivery, Fence, GrantResult, Identity, Leadership,
-    Life, NodeName, Order, Participant, Stored, Surroundings, TableAnswer, TargetState, Time,
-    Timing,
+    Life, NodeName, Order, Participant, RegisteredNode, Stored, Surroundings, TableAnswer,
+    TargetState, Time, Timing,
 };
 
 use crate::target::{Target, WATCHED, key};
 
 const NODES: usize = 6;
 const SERVICE: &str = "stock";
+const PLAIN_SERVICE: &str = "orders";
 const TICK_MS: u64 = 50;
 const CHECK_MS: u64 = 10;
 mod heartbeats;
@@ -35,6 +36,11 @@
     OneOwnerLost,
     /// The leader's process is killed and starts again later.
     LeaderLost,
+    /// The leader's machine is lost for good, and nobody reaches the store for a time.
+    LeaderGoneAndStoreDown {
+        /// How long, in milliseconds.
+        for_ms: u64,
+    },
     /// Nobody reaches the store for a time.
     StoreDown {
         /// How long, in milliseconds.
@@ -64,6 +70,8 @@
     /// Part of the orders to targets that get no answer and are carried out seconds later; of heartbeats that
     /// come late, and of their answers that are lost.
     pub late_orders: f64,
+    /// The first so many machines have targets of a service whose keys have no owners.
+    pub plain_nodes: usize,
     /// How keys reach the targets.
     pub delivery: Delivery,
     /// Removes a mechanism: heartbeats that a later one has overtaken count.
@@ -92,6 +100,7 @@
             drift: 0.01,
             store_trouble: 0.03,
             late_orders: 0.02,
+            plain_nodes: 0,
             delivery: Delivery::Calls,
             late_heartbeats_count: false,
         }
@@ -135,7 +144,7 @@
     Failed,
     Object(Stored),
     Claimed(ClaimResult),
-    Listed(Vec<(NodeName, SocketAddr)>),
+    Listed(Vec<RegisteredNode>),
     Registered,
 }
 
@@ -168,7 +177,7 @@
     cuts: BTreeSet<(usize, usize)>,
     object: Stored,
     revision: u64,
-    registered: BTreeMap<NodeName, SocketAddr>,
+    registered: BTreeMap<NodeName, RegisteredNode>,
     store_down_until: u64,
     /// For each key: the highest fence that each target life held it under.
     fences: Vec<BTreeMap<String, Fence>>,
@@ -274,6 +283,13 @@
                 world.kill(index);
                 world.heal_at(1_000, move |world| world.start(index, false));
             }),
+            FaultPlan::LeaderGoneAndStoreDown { for_ms } => self.heal_at(FAULTS.0, move |world| {
+                world.store_down_until = world.now + for_ms;
+                let index = world.leader().expect("a leader by now");
+                world.kill(index);
+                world.machines[index].target.up = false;
+                world.machines[index].gone = true;
+            }),
             FaultPlan::StoreDown { for_ms } => self.heal_at(FAULTS.0, move |world| {
                 world.store_down_until = world.now + for_ms;
             }),
@@ -365,6 +381,15 @@
         self.machines[index].life = 0;
     }
 
+    /// The service of a machine's target.
+    fn service_of(&self, index: usize) -> &'static str {
+        if index < self.options.plain_nodes {
+            PLAIN_SERVICE
+        } else {
+            SERVICE
+        }
+    }
+
     fn clock(&self, index: usize) -> Time {
         Time(1_000_000 + (self.now as f64 * self.machines[index].rate) as u64)
     }
@@ -373,14 +398,16 @@
         let machine = &self.machines[index];
         let state = TargetState {
             id: machine.target.id.clone(),
-            service: SERVICE.to_owned(),
+            service: self.service_of(index).to_owned(),
             accepting: machine.target.up && !machine.leaving,
             slots: 18,
         };
         Surroundings {
             target: machine.target_known.then_some(state),
             leaving: machine.leaving,
-            registered: machine.registered,
+            registered_for: machine
+                .registered
+                .then(|| self.service_of(index).to_owned()),
             configuration_version: 1,
             store_reachable: !machine.store_cut && self.now >= self.store_down_until,
             link_mbps: None,
@@ -545,14 +572,14 @@
                 StoreReply::Failed
             }
             StoreCall::List if self.options.leaders_dont_wait => StoreReply::Listed(Vec::new()),
-            StoreCall::List => StoreReply::Listed(
-                self.registered
-                    .iter()
-                    .map(|(name, address)| (name.clone(), *address))
-                    .collect(),
-            ),
+            StoreCall::List => StoreReply::Listed(self.registered.values().cloned().collect()),
             StoreCall::Register => {
-                self.registered.insert(name, self.machines[index].address);
+                let known = RegisteredNode {
+                    node: name.clone(),
+                    address: self.machines[index].address,
+                    service: Some(self.service_of(index).to_owned()),
+                };
+                self.registered.insert(name, known);
                 StoreReply::Registered
             }
         };
--- a/crates/sidecar/src/control.rs
+++ b/crates/sidecar/src/control.rs
@@ -74,7 +74,10 @@
         Surroundings {
             target: node.target.borrow().state(node.now()),
             leaving: node.is_stopping(),
-            registered: node.registered.get(),
+            registered_for: node
+                .registered
+                .get()
+                .then(|| node.settings.node.service.clone()),
             configuration_version: node.configuration_version(),
             store_reachable: node.store_reachable.get(),
             link_mbps: node.settings.node.link_mbps,
--- a/crates/sidecar/src/registration.rs
+++ b/crates/sidecar/src/registration.rs
@@ -6,7 +6,7 @@
 
 use rand::RngExt;
 use serde::{Deserialize, Serialize};
-use wingspar_ownership::NodeName;
+use wingspar_ownership::{NodeName, RegisteredNode};
 use wingspar_platform::objects::{self, Outcome};
 
 use crate::node::Node;
@@ -21,12 +21,16 @@
 pub struct Registration {
     /// Where the node listens for others.
     pub address: SocketAddr,
+    /// The service of the machine's target: it holds keys of no other.
+    #[serde(default)]
+    pub service: Option<String>,
 }
 
 /// Writes the node's object, until that succeeds.
 pub async fn register(node: Rc<Node>) {
     let content = Registration {
         address: node.settings.internal(),
+        service: Some(node.settings.node.service.clone()),
     };
     loop {
         if write(&node, &content).await {
@@ -82,7 +86,7 @@
 }
 
 /// All registered nodes; nothing if the store didn't tell.
-pub async fn list(node: &Node) -> Option<Vec<(NodeName, SocketAddr)>> {
+pub async fn list(node: &Node) -> Option<Vec<RegisteredNode>> {
     let mut nodes = Vec::new();
     let mut after = None::<String>;
     loop {
@@ -91,7 +95,11 @@
         let page = objects::parse_page(&reply.body).ok()?;
         for object in &page.objects {
             if let Ok(registration) = serde_json::from_slice::<Registration>(&object.content) {
-                nodes.push((NodeName::from(object.name.as_str()), registration.address));
+                nodes.push(RegisteredNode {
+                    node: NodeName::from(object.name.as_str()),
+                    address: registration.address,
+                    service: registration.service,
+                });
             }
         }
         match page.objects.last() {
