--- a/crates/ownership/src/balance.rs
+++ b/crates/ownership/src/balance.rs
@@ -6,8 +6,8 @@
 
 use crate::{KeyRange, NodeName};
 
-/// Parts that the keys are counted in.
-pub const BUCKETS: usize = 8192;
+/// Parts that the keys are counted in: so small that one target can carry the keys of any of them.
+pub const BUCKETS: usize = 32_768;
 /// Keys of one part.
 pub const KEYS_PER_BUCKET: u32 = 65_536 / BUCKETS as u32;
 /// Rates are smoothed over about this time, in seconds.
@@ -69,24 +69,32 @@
             return;
         }
         let span = report.span_ms as f64 / 1000.0;
-        let mut seen = BTreeMap::new();
-        for (bucket, count) in &report.arrivals {
-            seen.insert(usize::from(*bucket), f64::from(*count) / span);
-        }
-        for range in ranges {
-            for bucket in bucket_of(range.from)..=bucket_of(range.to) {
-                seen.entry(bucket).or_insert(0.0);
-            }
-        }
+        let arrivals = report.arrivals.iter();
+        let arrivals = arrivals
+            .map(|(bucket, count)| (usize::from(*bucket), f64::from(*count) / span))
+            .collect::<BTreeMap<_, _>>();
+        let mut arrived = arrivals.iter().peekable();
+        let mut owned = ranges
+            .iter()
+            .map(|range| bucket_of(range.from)..=bucket_of(range.to))
+            .collect::<Vec<_>>();
+        owned.sort_by_key(|buckets| *buckets.start());
+        let mut next = 0;
         let forgets = 1.0 - (-span / RATE_MEMORY).exp();
-        for (bucket, rate) in seen {
-            if bucket >= BUCKETS {
+        for bucket in owned.into_iter().flatten() {
+            // Neighbouring ranges may share a part.
+            if bucket < next {
                 continue;
             }
-            // What little is known at first counts as much as each report that follows.
-            self.seen[bucket] = (self.seen[bucket] + span).min(RATE_MEMORY);
-            let weight = forgets.max(span / self.seen[bucket]).min(1.0);
-            self.rates[bucket] += weight * (rate - self.rates[bucket]);
+            next = bucket + 1;
+            while let Some((other, rate)) = arrived.next_if(|(other, _)| **other < bucket) {
+                self.observe(*other, *rate, span, forgets);
+            }
+            let here = arrived.next_if(|(other, _)| **other == bucket);
+            self.observe(bucket, here.map_or(0.0, |(_, rate)| *rate), span, forgets);
+        }
+        for (other, rate) in arrived {
+            self.observe(*other, *rate, span, forgets);
         }
         let finished = f64::from(report.finished);
         if finished >= FEWEST_FOR_SERVICE_TIME {
@@ -99,6 +107,32 @@
         }
     }
 
+    /// Takes in the rate of one part over a span, in seconds; `forgets` is what that leaves behind of the old.
+    fn observe(&mut self, bucket: usize, rate: f64, span: f64, forgets: f64) {
+        if bucket >= BUCKETS {
+            return;
+        }
+        // What little is known at first counts as much as each report that follows.
+        self.seen[bucket] = (self.seen[bucket] + span).min(RATE_MEMORY);
+        let weight = forgets.max(span / self.seen[bucket]).min(1.0);
+        self.rates[bucket] += weight * (rate - self.rates[bucket]);
+    }
+
+    /// The last of some parts up to which half of their load lies.
+    pub fn middle_of(&self, buckets: std::ops::RangeInclusive<usize>) -> usize {
+        let rates = &self.rates[buckets.clone()];
+        let even = self.rates.iter().sum::<f64>().max(1.0) * EVEN_SHARE / BUCKETS as f64;
+        let half = rates.iter().map(|rate| rate + even).sum::<f64>() / 2.0;
+        let mut passed = 0.0;
+        for (bucket, rate) in buckets.clone().zip(rates) {
+            passed += rate + even;
+            if passed >= half {
+                return bucket;
+            }
+        }
+        *buckets.end()
+    }
+
     /// Requests a second in each bucket, idle ones included.
     pub fn weights(&self) -> Vec<f64> {
         let total = self.rates.iter().sum::<f64>().max(1.0);
--- a/crates/ownership/src/plan.rs
+++ b/crates/ownership/src/plan.rs
@@ -15,7 +15,7 @@
 /// Most that is moved at once, in parts of what would be best.
 const LARGEST_PART: f64 = 1.25;
 /// Arcs an owner may have on average, and beyond that for all, before the keys are cut anew.
-const ARCS_AN_OWNER: usize = 3;
+const ARCS_AN_OWNER: usize = 10;
 const SPARE_ARCS: usize = 12;
 
 /// Consecutive ranges and their owners; covers all keys or none.
@@ -363,15 +363,6 @@
 
 /// The last key of the first half of a range's load.
 fn middle_of_load(range: KeyRange, load: &Load) -> u16 {
-    let weights = load.weights();
-    let half = weight_of(range, &weights) / 2.0;
-    let mut passed = 0.0;
-    let buckets = bucket_of(range.from)..=bucket_of(range.to);
-    for (bucket, weight) in buckets.clone().zip(&weights[buckets]) {
-        passed += weight;
-        if passed >= half {
-            return last_key_of(bucket).min(range.to);
-        }
-    }
-    range.to
+    let bucket = load.middle_of(bucket_of(range.from)..=bucket_of(range.to));
+    last_key_of(bucket).min(range.to)
 }
