--- a/crates/sidecar/src/key_exchange.rs
+++ b/crates/sidecar/src/key_exchange.rs
@@ -18,7 +18,7 @@
 use crate::target_calls::lease_left_ms;
 
 /// How long an answer waits for something new to tell.
-const HELD_BACK: Duration = Duration::from_millis(400);
+const HELD_BACK: Duration = Duration::from_millis(700);
 
 /// What the answer to a heartbeat that no later one has overtaken says of keys.
 pub async fn answer(node: &Rc<Node>, heartbeat: &Heartbeat) -> Option<KeyGrants> {
