--- a/crates/ownership/src/holder/heartbeats.rs
+++ b/crates/ownership/src/holder/heartbeats.rs
@@ -17,8 +17,10 @@
 const MOST_MISSES: u8 = 3;
 /// Hold that goes with an answer which leaves out everything.
 const NO_HOLD: Duration = Duration::from_secs(1);
-/// Most rows of an answer; those that the target holds already come first.
-const MOST_ROWS: usize = 80;
+/// Largest part of an answer that rows may take, in bytes; an answer of over 4 KiB counts as none.
+const MOST_ROW_BYTES: usize = 3_900;
+/// What a row takes without its handover, in bytes.
+const ROW_BYTES: usize = 36;
 
 /// What a heartbeat tells of the target's keys.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
@@ -153,18 +155,7 @@
         }
         let mut rows = Vec::new();
         for phase in [Phase::Held, Phase::Granting] {
-            for index in 0..self.entries.len() {
-                let entry = &self.entries[index];
-                if entry.phase != phase || self.is_blocked(entry) || rows.len() >= MOST_ROWS {
-                    continue;
-                }
-                rows.push(Wanted {
-                    range: entry.range,
-                    fence: entry.fence,
-                    handover: entry.handover.clone(),
-                });
-                self.give(index, now, arrived_at + hold);
-            }
+            self.add_rows(phase, now, arrived_at + hold, &mut rows);
         }
         for entry in &mut self.entries {
             entry.is_told |= entry.phase == Phase::Releasing;
@@ -172,6 +163,33 @@
         Some(KeyAnswer { rows, hold })
     }
 
+    /// Adds the ranges of a phase to an answer, as far as they fit; those that the target holds come first.
+    fn add_rows(&mut self, phase: Phase, now: Time, until: Time, rows: &mut Vec<Wanted>) {
+        let due = (0..self.entries.len())
+            .filter(|index| self.entries[*index].phase == phase)
+            .filter(|index| !self.is_blocked(&self.entries[*index]));
+        let mut due = due.collect::<Vec<_>>();
+        due.sort_by_key(|index| self.entries[*index].range);
+        let mut bytes = rows.iter().map(bytes_of).sum::<usize>();
+        for index in due {
+            let entry = &self.entries[index];
+            let row = Wanted {
+                range: entry.range,
+                fence: entry.fence,
+                handover: entry.handover.clone(),
+            };
+            match rows.last_mut() {
+                Some(last) if continues(last, &row) => last.range.to = row.range.to,
+                _ if bytes + bytes_of(&row) > MOST_ROW_BYTES => continue,
+                _ => {
+                    bytes += bytes_of(&row);
+                    rows.push(row);
+                }
+            }
+            self.give(index, now, until);
+        }
+    }
+
     /// Notes that an answer names an entry.
     fn give(&mut self, index: usize, now: Time, until: Time) {
         let lease_until = self.lease_until;
@@ -201,6 +219,17 @@
     }
 }
 
+/// What a row takes of an answer, in bytes.
+fn bytes_of(row: &Wanted) -> usize {
+    ROW_BYTES + row.handover.as_ref().map_or(0, String::len)
+}
+
+/// Whether a row only goes on with the one before.
+fn continues(before: &Wanted, row: &Wanted) -> bool {
+    let follows = u32::from(before.range.to) + 1 == u32::from(row.range.from);
+    follows && before.fence == row.fence && before.handover.is_none() && row.handover.is_none()
+}
+
 /// Whether the target holds all keys of an entry under its fence.
 fn is_covered(entry: &Entry, holds: &[Holding]) -> bool {
     let held = holds.iter().filter(|held| held.fence == entry.fence);
--- a/crates/ownership/tests/holder_heartbeats.rs
+++ b/crates/ownership/tests/holder_heartbeats.rs
@@ -191,6 +191,22 @@
     assert_eq!(answer.rows[0].fence, Fence(20));
 }
 
+#[test]
+fn parts_of_one_grant_that_lie_side_by_side_are_one_row() {
+    let mut holder = held();
+    let parts = [
+        KeyRange { from: 100, to: 150 },
+        KeyRange { from: 151, to: 200 },
+    ];
+    let wanted = parts.map(|range| (range, 10));
+    holder.lease(Time(1_900), &reply(1_900, 2, &wanted));
+    let answer = holder.answer(Time(1_900), Time(1_900)).expect("a lease");
+    assert_eq!(answer.rows.len(), 1);
+    assert_eq!(answer.rows[0].range, RANGE);
+    holder.reported(Time(2_700), &report(&[holding(RANGE, 10)]));
+    assert_eq!(holder.admission(Time(2_701), 151), Admission::Granted);
+}
+
 #[test]
 fn an_answer_stays_small() {
     let mut holder = started(true);
@@ -205,5 +221,16 @@
         .collect::<Vec<_>>();
     holder.lease(Time(1_000), &reply(1_000, 1, &wanted));
     let answer = holder.answer(Time(1_000), Time(1_000)).expect("a lease");
-    assert!(answer.rows.len() <= 80, "within 4 KiB");
+    // As the platform writes them, with a fence of ten digits: within 4 KiB.
+    let written = answer.rows.iter().map(|row| {
+        let handover = row.handover.as_deref().unwrap_or("");
+        format!(
+            "[{},{},{:010},\"{handover}\"],",
+            row.range.from, row.range.to, row.fence.0
+        )
+        .len()
+    });
+    let written = written.sum::<usize>();
+    assert!(written <= 4_000, "{written} bytes");
+    assert!(answer.rows.len() >= 80, "they aren't wasted");
 }
--- a/crates/sidecar/src/follow.rs
+++ b/crates/sidecar/src/follow.rs
@@ -16,13 +16,13 @@
 use crate::store::Reply;
 
 /// How long a watch waits at the store, in milliseconds.
-const WATCH_MS: u64 = 8_000;
+const WATCH_MS: u64 = 25_000;
 /// A watch is given up this long after it should have ended.
 const WATCH_SLACK: Duration = Duration::from_millis(1_500);
 /// First pause after a call that failed; it doubles up to the longest.
 const FIRST_PAUSE: Duration = Duration::from_millis(150);
 /// Longest such pause.
-const LONGEST_PAUSE: Duration = Duration::from_millis(1_200);
+const LONGEST_PAUSE: Duration = Duration::from_millis(3_000);
 
 /// How often the leader reads the configuration itself.
 const CHECK_EVERY: Duration = Duration::from_millis(900);
