--- a/crates/sidecar/src/control.rs
+++ b/crates/sidecar/src/control.rs
@@ -71,8 +71,12 @@
             .into_iter()
             .flatten()
             .filter(|service| service.keyed);
+        let mut target = node.target.borrow().state(node.now());
+        if let Some(target) = &mut target {
+            target.accepting &= !key_exchange::is_out_of_reach(node, &target.service);
+        }
         Surroundings {
-            target: node.target.borrow().state(node.now()),
+            target,
             leaving: node.is_stopping(),
             registered_for: node
                 .registered
--- a/crates/sidecar/src/key_exchange.rs
+++ b/crates/sidecar/src/key_exchange.rs
@@ -20,6 +20,22 @@
 /// How long an answer waits for something new to tell.
 const HELD_BACK: Duration = Duration::from_millis(700);
 
+/// A target that misses so many heartbeats can't be given keys, and is about to lose those it holds.
+const MISSED_HEARTBEATS: f64 = 2.5;
+/// Time between two heartbeats if the settings don't tell, in seconds.
+const DEFAULT_HEARTBEAT_S: f64 = 1.0;
+
+/// Whether a target that takes keys in the answers to its heartbeats has stopped sending them.
+pub fn is_out_of_reach(node: &Node, service: &str) -> bool {
+    let settings = &node.settings.node;
+    if settings.delivery() != Delivery::HeartbeatAnswers || !node.is_keyed(service) {
+        return false;
+    }
+    let interval = settings.heartbeat_s.unwrap_or(DEFAULT_HEARTBEAT_S);
+    let span = Duration::from_secs_f64(interval * MISSED_HEARTBEATS);
+    node.target.borrow().is_silent(node.now(), span)
+}
+
 /// What the answer to a heartbeat that no later one has overtaken says of keys.
 pub async fn answer(node: &Rc<Node>, heartbeat: &Heartbeat) -> Option<KeyGrants> {
     if node.settings.node.delivery() != Delivery::HeartbeatAnswers
--- a/crates/sidecar/src/target.rs
+++ b/crates/sidecar/src/target.rs
@@ -17,6 +17,8 @@
     service: String,
     past: Vec<String>,
     sequence: u64,
+    /// When its last heartbeat came.
+    heard_at: Time,
     slots: u32,
     leaving_since: Option<Time>,
     /// It refused or didn't answer a connection since its last heartbeat.
@@ -90,6 +92,7 @@
         }
         let before = (self.accepting(now), self.slots);
         self.sequence = heartbeat.sequence;
+        self.heard_at = now;
         self.slots = heartbeat.slots;
         self.service.clone_from(&heartbeat.service);
         self.unreachable = false;
@@ -168,6 +171,11 @@
             && self.slots > 0
     }
 
+    /// Whether no heartbeat has come for so long.
+    pub fn is_silent(&self, now: Time, span: Duration) -> bool {
+        now.since(self.heard_at) >= span
+    }
+
     /// Whether a request that has arrived may start.
     pub fn may_start(&self, now: Time) -> bool {
         let drained = self
--- a/crates/sidecar/tests/target.rs
+++ b/crates/sidecar/tests/target.rs
@@ -30,6 +30,20 @@
     target
 }
 
+#[test]
+fn a_target_is_silent_once_no_heartbeat_comes() {
+    let mut target = ready();
+    let span = Duration::from_millis(2_200);
+    assert!(!target.is_silent(START + Duration::from_millis(2_199), span));
+    let later = START + span;
+    assert!(target.is_silent(later, span));
+    // A late copy of an earlier heartbeat says nothing.
+    target.heartbeat(later, "a", &heartbeat(LifecycleState::Ready, 1));
+    assert!(target.is_silent(later, span));
+    target.heartbeat(later, "a", &heartbeat(LifecycleState::Ready, 2));
+    assert!(!target.is_silent(later, span));
+}
+
 #[test]
 fn a_target_that_leaves_gets_nothing_new_soon_and_a_late_heartbeat_changes_nothing() {
     let mut target = ready();
