ownership: an answer from before a lapse gives no keys

Ruled out: the leader (it freed keys that were told as gone), the heartbeats' order.

Change: after a lapse, answers to renewals that were sent before it give no keys.

--- a/crates/ownership/src/holder/mod.rs
+++ b/crates/ownership/src/holder/mod.rs
@@ -80,6 +80,8 @@
     lease_until: Time,
     /// When the newest renewal was sent that has been answered.
     answered: Time,
+    /// When the lease last ended while there were keys.
+    lapsed_at: Time,
     applied: u64,
     clean: bool,
     clear: Option<(Fence, bool)>,
@@ -104,6 +106,7 @@
             epoch: Epoch::default(),
             lease_until: Time::default(),
             answered: Time::default(),
+            lapsed_at: Time::default(),
             applied: 0,
             clean,
             clear: None,
@@ -144,8 +147,9 @@
     /// Forgets everything when the lease has ended: the target's holds have too, and the keys may be
     /// another's by now.
     fn drop_expired(&mut self, now: Time) {
-        if now >= self.lease_until {
+        if now >= self.lease_until && !self.entries.is_empty() {
             self.entries.clear();
+            self.lapsed_at = now;
         }
     }
 
@@ -221,7 +225,8 @@
         let until = reply.renewal_sent_at + Duration::from_millis(reply.lease_ms);
         self.lease_until = self.lease_until.max(until);
         // What an overtaken answer wants may be another's by now.
-        let is_overtaken = reply.renewal_sent_at < self.answered;
+        // So may what an answer wants whose renewal still told of keys that have lapsed since.
+        let is_overtaken = reply.renewal_sent_at < self.answered.max(self.lapsed_at);
         self.answered = self.answered.max(reply.renewal_sent_at);
         if let Some(fence) = reply.clean_fence
             && !self.clean
--- a/crates/ownership/tests/holder_heartbeats.rs
+++ b/crates/ownership/tests/holder_heartbeats.rs
@@ -180,6 +180,17 @@
     assert_eq!(holder.answer(Time(3_401), Time(3_401)), None);
 }
 
+#[test]
+fn an_answer_from_before_a_lapse_gives_no_keys() {
+    let mut holder = held();
+    assert!(holder.held(Time(3_401)).is_empty(), "the lease has ended");
+    // The renewal was sent while the keys were held; a later one has told that they are gone.
+    holder.lease(Time(3_410), &reply(3_300, 1, &[(RANGE, 10)]));
+    assert_eq!(holder.admission(Time(3_410), 150), Admission::NotOwner);
+    holder.lease(Time(3_420), &reply(3_405, 2, &[(RANGE, 20)]));
+    assert_eq!(holder.admission(Time(3_420), 150), Admission::Arriving);
+}
+
 #[test]
 fn keys_of_another_fence_wait_until_the_target_has_let_the_old_ones_go() {
     let mut holder = held();
--- a/crates/ownership/tests/simulation/main.rs
+++ b/crates/ownership/tests/simulation/main.rs
@@ -77,10 +77,16 @@
 }
 
 /// Seeds that once failed where heartbeat answers give the keys, each with its cause.
-const REGRESSIONS_BY_HEARTBEATS: [(u64, &str); 1] = [(
-    146,
-    "a new process counted as having reported before its target had let go what it held and worked on",
-)];
+const REGRESSIONS_BY_HEARTBEATS: [(u64, &str); 2] = [
+    (
+        146,
+        "a new process counted as having reported before its target had let go what it held and worked on",
+    ),
+    (
+        206_812,
+        "an answer to a renewal from before a lapse gave back keys that a later renewal had told as gone",
+    ),
+];
 
 /// Keys reach the targets in the answers to their heartbeats.
 fn by_heartbeats() -> Options {
