ownership, sidecar: a grant refused in part is given back whole; what a target lacks is told at once

* A row that the target held in part counted as lacking whole: after three heartbeats all of it was told to the leader as gone while the target still held a part (two owners for up to an answer's time).
Entries are now parted by what a heartbeat shows (`compare`), and `outranked` gives back all of the grant, in both ways to a target: the leader gives a grant's keys anew only together, so the other parts kept it from ever doing so.
* Rows are taken or refused whole, so only ranges that a heartbeat has shown are joined into one.
* A row whose answer was lost, or whose key the target denied, counted as told, and its repeat was held back up to 0.7 s.
* A waiting answer was tied to the heartbeat's number only, not to the target's life.

`Told` (no, yes, shown) replaces a flag; what stood twice in the holder is `Entry::releasing`.

--- a/crates/ownership/src/holder/heartbeats.rs
+++ b/crates/ownership/src/holder/heartbeats.rs
@@ -7,8 +7,8 @@
 
 use std::time::Duration;
 
-use super::{Entry, HOLD_SHARE, Holder, LEAST_HOLD, Phase};
-use crate::{Fence, Holding, KeyRange, Released, Time, Wanted, steps};
+use super::{Entry, HOLD_SHARE, Holder, LEAST_HOLD, Phase, Told};
+use crate::{Fence, Holding, Released, Time, Wanted, steps};
 
 /// The target is given this long to take in an answer before requests for new keys follow.
 const TAKE_IN: Duration = Duration::from_millis(2);
@@ -49,28 +49,25 @@
             return;
         }
         let mut entries = Vec::with_capacity(self.entries.len());
-        let mut refused = Vec::new();
-        for mut entry in std::mem::take(&mut self.entries) {
+        for entry in std::mem::take(&mut self.entries) {
             if entry.phase == Phase::Releasing {
                 self.let_go(now, entry, report, &mut entries);
-                continue;
+            } else {
+                compare(&entry, &report.holds, &mut entries);
             }
-            if is_covered(&entry, &report.holds) {
-                entry.handover = None;
-                entry.misses = 0;
-                if entry.phase == Phase::Granting {
-                    entry.phase = Phase::Held;
-                }
-            } else if entry.is_told {
-                entry.misses += 1;
-                entry.phase = Phase::Granting;
-                if entry.misses >= MOST_MISSES {
-                    refused.push((entry.range, entry.fence));
-                }
-            }
-            entries.push(entry);
         }
         self.entries = entries;
+        self.give_up_refused(now);
+    }
+
+    /// Gives up what the target keeps refusing.
+    fn give_up_refused(&mut self, now: Time) {
+        let refused = self
+            .entries
+            .iter()
+            .filter(|entry| entry.misses >= MOST_MISSES)
+            .map(|entry| (entry.range, entry.fence))
+            .collect::<Vec<_>>();
         for (range, fence) in refused {
             self.outranked(now, range, fence);
         }
@@ -95,7 +92,7 @@
 
     /// What of a range that the target was told to let go it doesn't hold any more has been given back.
     fn let_go(&mut self, now: Time, entry: Entry, report: &KeyReport, kept: &mut Vec<Entry>) {
-        if !entry.is_told {
+        if entry.told == Told::No {
             kept.push(entry);
             return;
         }
@@ -134,7 +131,8 @@
         let can_hold = self.hold_left(now) >= LEAST_HOLD;
         can_hold
             && self.entries.iter().any(|entry| {
-                !entry.is_told && (entry.phase == Phase::Releasing || !self.is_blocked(entry))
+                entry.told == Told::No
+                    && (entry.phase == Phase::Releasing || !self.is_blocked(entry))
             })
     }
 
@@ -157,8 +155,9 @@
         for phase in [Phase::Held, Phase::Granting] {
             self.add_rows(phase, now, arrived_at + hold, &mut rows);
         }
-        for entry in &mut self.entries {
-            entry.is_told |= entry.phase == Phase::Releasing;
+        let left_out = |entry: &&mut Entry| entry.phase == Phase::Releasing;
+        for entry in self.entries.iter_mut().filter(left_out) {
+            entry.told = Told::Yes;
         }
         Some(KeyAnswer { rows, hold })
     }
@@ -171,6 +170,7 @@
         let mut due = due.collect::<Vec<_>>();
         due.sort_by_key(|index| self.entries[*index].range);
         let mut bytes = rows.iter().map(bytes_of).sum::<usize>();
+        let mut joins = false;
         for index in due {
             let entry = &self.entries[index];
             let row = Wanted {
@@ -178,14 +178,19 @@
                 fence: entry.fence,
                 handover: entry.handover.clone(),
             };
+            // A row is taken or refused whole, so only what the target has shown to hold is joined.
+            let is_shown = entry.told == Told::Shown;
             match rows.last_mut() {
-                Some(last) if continues(last, &row) => last.range.to = row.range.to,
+                Some(last) if is_shown && joins && continues(last, &row) => {
+                    last.range.to = row.range.to;
+                }
                 _ if bytes + bytes_of(&row) > MOST_ROW_BYTES => continue,
                 _ => {
                     bytes += bytes_of(&row);
                     rows.push(row);
                 }
             }
+            joins = is_shown;
             self.give(index, now, until);
         }
     }
@@ -198,7 +203,9 @@
             entry.serve_from = now + TAKE_IN;
         }
         entry.phase = Phase::Held;
-        entry.is_told = true;
+        if entry.told == Told::No {
+            entry.told = Told::Yes;
+        }
         entry.serve_until = entry.serve_until.max(until);
         entry.may_hold_until = lease_until;
     }
@@ -227,12 +234,35 @@
 /// Whether a row only goes on with the one before.
 fn continues(before: &Wanted, row: &Wanted) -> bool {
     let follows = u32::from(before.range.to) + 1 == u32::from(row.range.from);
-    follows && before.fence == row.fence && before.handover.is_none() && row.handover.is_none()
+    follows && before.fence == row.fence
 }
 
-/// Whether the target holds all keys of an entry under its fence.
-fn is_covered(entry: &Entry, holds: &[Holding]) -> bool {
-    let held = holds.iter().filter(|held| held.fence == entry.fence);
-    let parts = held.filter_map(|held| held.range.intersection(entry.range));
-    steps::union(parts.collect()) == [entry.range] as [KeyRange; 1]
+/// Parts an entry by what a heartbeat shows that the target holds under its fence.
+fn compare(entry: &Entry, holds: &[Holding], parted: &mut Vec<Entry>) {
+    let same = holds.iter().filter(|held| held.fence == entry.fence);
+    let shown = same.filter_map(|held| held.range.intersection(entry.range));
+    let shown = steps::union(shown.collect());
+    let mut lacking = vec![entry.range];
+    for range in &shown {
+        lacking = lacking
+            .into_iter()
+            .flat_map(|part| part.without(*range))
+            .collect();
+    }
+    parted.extend(shown.into_iter().map(|range| Entry {
+        range,
+        handover: None,
+        phase: Phase::Held,
+        told: Told::Shown,
+        misses: 0,
+        ..entry.clone()
+    }));
+    let missed = u8::from(entry.told != Told::No);
+    parted.extend(lacking.into_iter().map(|range| Entry {
+        range,
+        phase: Phase::Granting,
+        told: Told::No,
+        misses: entry.misses + missed,
+        ..entry.clone()
+    }));
 }
--- a/crates/ownership/src/holder/mod.rs
+++ b/crates/ownership/src/holder/mod.rs
@@ -41,6 +41,17 @@
     Releasing,
 }
 
+/// What a target that takes keys in the answers to its heartbeats knows of an entry's phase.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Told {
+    /// Nothing yet, or a heartbeat has shown otherwise since.
+    No,
+    /// An answer has told it.
+    Yes,
+    /// A heartbeat that was sent after the answer has shown it.
+    Shown,
+}
+
 #[derive(Debug, Clone)]
 struct Entry {
     range: KeyRange,
@@ -55,12 +66,26 @@
     serve_from: Time,
     in_flight: bool,
     next_call: Time,
-    /// Whether an answer to a heartbeat has named, or left out, the range as its phase asks for.
-    is_told: bool,
+    /// What the target knows of it from answers to its heartbeats.
+    told: Told,
     /// Heartbeats in a row that lacked the range after an answer that named it.
     misses: u8,
 }
 
+impl Entry {
+    /// A part of it that the target is to give back.
+    fn releasing(&self, now: Time, range: KeyRange) -> Self {
+        Self {
+            range,
+            phase: Phase::Releasing,
+            in_flight: false,
+            next_call: now,
+            told: Told::No,
+            ..self.clone()
+        }
+    }
+}
+
 /// How keys reach the target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum Delivery {
@@ -224,8 +249,8 @@
         }
         let until = reply.renewal_sent_at + Duration::from_millis(reply.lease_ms);
         self.lease_until = self.lease_until.max(until);
-        // What an overtaken answer wants may be another's by now.
-        // So may what an answer wants whose renewal still told of keys that have lapsed since.
+        // What an overtaken answer wants may be another's by now, and so may what an answer wants whose
+        // renewal still told of keys that have lapsed since.
         let is_overtaken = reply.renewal_sent_at < self.answered.max(self.lapsed_at);
         self.answered = self.answered.max(reply.renewal_sent_at);
         if let Some(fence) = reply.clean_fence
@@ -267,14 +292,7 @@
                     .flat_map(|part| part.without(want.range))
                     .collect();
             }
-            entries.extend(rest.into_iter().map(|range| Entry {
-                range,
-                phase: Phase::Releasing,
-                in_flight: false,
-                next_call: now,
-                is_told: false,
-                ..entry.clone()
-            }));
+            entries.extend(rest.into_iter().map(|range| entry.releasing(now, range)));
         }
         self.entries = entries;
         for want in wanted {
@@ -312,7 +330,7 @@
                 serve_from: Time::default(),
                 in_flight: false,
                 next_call: now,
-                is_told: false,
+                told: Told::No,
                 misses: 0,
             });
         }
@@ -325,25 +343,18 @@
             .any(|(refused, known)| *known == fence && refused.overlaps(range))
     }
 
-    /// The target has seen a higher fence on a range: the grant is given up, and what else was given
-    /// with it is given back, so that the leader gives all of it anew under a higher fence.
+    /// The target has seen a higher fence on a range: the grant is given up, and all else that was given
+    /// with it is given back, since the leader gives a grant's keys anew only together.
     fn outranked(&mut self, now: Time, range: KeyRange, fence: Fence) {
         let mut entries = Vec::with_capacity(self.entries.len());
         for entry in self.entries.drain(..) {
-            let concerned = entry.fence == fence && entry.range.overlaps(range);
-            if !concerned || entry.phase == Phase::Releasing {
+            if entry.fence != fence || entry.phase == Phase::Releasing {
                 entries.push(entry);
                 continue;
             }
             self.outranked.push((entry.range, fence));
-            entries.extend(entry.range.without(range).into_iter().map(|rest| Entry {
-                range: rest,
-                phase: Phase::Releasing,
-                in_flight: false,
-                next_call: now,
-                is_told: false,
-                ..entry.clone()
-            }));
+            let rest = entry.range.without(range).into_iter();
+            entries.extend(rest.map(|range| entry.releasing(now, range)));
         }
         self.entries = entries;
         let surplus = self.outranked.len().saturating_sub(MOST_OUTRANKED);
@@ -385,7 +396,10 @@
             }
             match self.delivery {
                 Delivery::Calls => entry.next_call = now,
-                Delivery::HeartbeatAnswers => entry.phase = Phase::Granting,
+                Delivery::HeartbeatAnswers => {
+                    entry.phase = Phase::Granting;
+                    entry.told = Told::No;
+                }
             }
         }
     }
--- a/crates/ownership/tests/holder.rs
+++ b/crates/ownership/tests/holder.rs
@@ -193,6 +193,27 @@
     assert_eq!(holder.orders(Time(9_000)).len(), 1);
 }
 
+#[test]
+fn an_outranked_part_gives_back_the_other_parts_of_its_grant() {
+    let mut holder = holding();
+    let parts = [
+        KeyRange { from: 100, to: 150 },
+        KeyRange { from: 151, to: 200 },
+    ];
+    holder.lease(
+        Time(1_100),
+        &reply(1, 1_100, 2, &parts.map(|part| (part, 10))),
+    );
+    let hold = Duration::from_millis(LEASE_MS);
+    let now = Time(2_000);
+    holder.granted(now, parts[1], Fence(10), now, hold, GrantResult::Outranked);
+    let orders = holder.orders(now);
+    assert!(
+        matches!(orders.as_slice(), [Order::Release { range, .. }] if *range == parts[0]),
+        "{orders:?}"
+    );
+}
+
 #[test]
 fn the_rest_of_a_range_that_was_outranked_in_part_is_given_back() {
     let mut holder = holding();
--- a/crates/ownership/tests/holder_heartbeats.rs
+++ b/crates/ownership/tests/holder_heartbeats.rs
@@ -147,6 +147,59 @@
     );
 }
 
+#[test]
+fn what_the_target_holds_of_a_row_that_it_refuses_in_part_is_told_until_it_lets_go() {
+    let mut holder = started(true);
+    let taken = KeyRange { from: 100, to: 150 };
+    let refused = KeyRange { from: 151, to: 200 };
+    for round in 0..4 {
+        let now = 1_000 + round * 870;
+        holder.lease(Time(now), &reply(now, 1, &[(RANGE, 10)]));
+        let holds = if round == 0 {
+            Vec::new()
+        } else {
+            vec![holding(taken, 10)]
+        };
+        holder.reported(Time(now), &report(&holds));
+        if round == 1 {
+            assert_eq!(holder.admission(Time(now), 120), Admission::Granted);
+            assert_ne!(holder.admission(Time(now), 180), Admission::Granted);
+        }
+        if round < 3 {
+            holder.answer(Time(now), Time(now));
+        }
+    }
+    let now = Time(1_000 + 3 * 870);
+    let held = holder.held(now);
+    assert!(held.iter().all(|held| !held.range.overlaps(refused)));
+    assert!(held.iter().any(|held| held.range == taken), "{held:?}");
+    let answer = holder.answer(now, now).expect("a lease");
+    assert!(
+        answer.rows.is_empty(),
+        "it is let go, and given anew with the rest"
+    );
+    holder.reported(Time(3_700), &report(&[]));
+    assert!(holder.held(Time(3_700)).is_empty());
+}
+
+#[test]
+fn what_the_target_lacks_is_told_without_delay() {
+    let mut holder = started(true);
+    holder.lease(Time(1_000), &reply(1_000, 1, &[(RANGE, 10)]));
+    holder.answer(Time(1_000), Time(1_000));
+    assert!(!holder.has_news(Time(1_001)));
+    holder.reported(Time(1_900), &report(&[]));
+    assert!(holder.has_news(Time(1_900)), "the answer was lost");
+    holder.answer(Time(1_900), Time(1_900));
+    holder.reported(Time(2_000), &report(&[holding(RANGE, 10)]));
+    assert!(!holder.has_news(Time(2_000)));
+    holder.denied_by_target(Time(2_010), 150);
+    assert!(
+        holder.has_news(Time(2_010)),
+        "the target doesn't know that it holds the key"
+    );
+}
+
 #[test]
 fn a_new_process_has_the_target_let_go_what_it_holds() {
     let mut holder = started(false);
--- a/crates/sidecar/src/heartbeats.rs
+++ b/crates/sidecar/src/heartbeats.rs
@@ -59,7 +59,7 @@
     let grants = if is_late {
         None
     } else {
-        key_exchange::answer(node, heartbeat).await
+        key_exchange::answer(node, id, heartbeat).await
     };
     plain(
         StatusCode::OK,
--- a/crates/sidecar/src/key_exchange.rs
+++ b/crates/sidecar/src/key_exchange.rs
@@ -37,7 +37,7 @@
 }
 
 /// What the answer to a heartbeat that no later one has overtaken says of keys.
-pub async fn answer(node: &Rc<Node>, heartbeat: &Heartbeat) -> Option<KeyGrants> {
+pub async fn answer(node: &Rc<Node>, id: &str, heartbeat: &Heartbeat) -> Option<KeyGrants> {
     if node.settings.node.delivery() != Delivery::HeartbeatAnswers
         || node.configuration_version() == 0
     {
@@ -54,9 +54,9 @@
         .keys_reported(arrived_at, &report);
     node.control_wakes.notify_one();
     if heartbeat.state == LifecycleState::Ready {
-        wait_for_news(node, heartbeat.sequence).await;
+        wait_for_news(node, id, heartbeat.sequence).await;
     }
-    if node.target.borrow().is_overtaken(heartbeat.sequence) {
+    if !node.target.borrow().is_newest(id, heartbeat.sequence) {
         return None;
     }
     let now = node.now();
@@ -70,13 +70,13 @@
     answer.map(grants_of)
 }
 
-/// Waits until an answer would tell the target something new, or a later heartbeat comes.
-async fn wait_for_news(node: &Node, sequence: u64) {
+/// Waits until an answer would tell the target something new, or another heartbeat comes.
+async fn wait_for_news(node: &Node, id: &str, sequence: u64) {
     let until = Instant::now() + HELD_BACK;
     loop {
         let changed = node.key_news.notified();
         let is_over = node.participant.borrow().has_key_news(node.now())
-            || node.target.borrow().is_overtaken(sequence)
+            || !node.target.borrow().is_newest(id, sequence)
             || node.is_stopping();
         if is_over || timeout_at(until, changed).await.is_err() {
             return;
--- a/crates/sidecar/src/target.rs
+++ b/crates/sidecar/src/target.rs
@@ -73,9 +73,9 @@
         is_past || (self.id.as_deref() == Some(id) && sequence <= self.sequence)
     }
 
-    /// Whether another heartbeat than that one was the last to be taken in.
-    pub fn is_overtaken(&self, sequence: u64) -> bool {
-        self.sequence != sequence
+    /// Whether a heartbeat is the last of the present life.
+    pub fn is_newest(&self, id: &str, sequence: u64) -> bool {
+        self.id.as_deref() == Some(id) && self.sequence == sequence
     }
 
     /// Takes in a heartbeat.
--- a/crates/sidecar/tests/target.rs
+++ b/crates/sidecar/tests/target.rs
@@ -30,6 +30,16 @@
     target
 }
 
+#[test]
+fn a_heartbeat_is_overtaken_by_a_later_one_and_by_another_life() {
+    let mut target = ready();
+    assert!(target.is_newest("a", 1) && !target.is_late("a", 2));
+    assert!(target.is_late("a", 1), "a copy of it says nothing");
+    target.heartbeat(START, "b", &heartbeat(LifecycleState::Ready, 1));
+    assert!(!target.is_newest("a", 1) && target.is_newest("b", 1));
+    assert!(target.is_late("a", 9), "its life has ended");
+}
+
 #[test]
 fn a_target_is_silent_once_no_heartbeat_comes() {
     let mut target = ready();
