ownership, sidecar: leader, holder and target calls in one file a concern; a body with its guard stands once

`WithSlot` was `Keeping` over again. Moved as they were; the method `outranked` is `give_up_outranked`, since a field had the same name.

--- a/crates/ownership/src/holder/calls.rs
+++ b/crates/ownership/src/holder/calls.rs
@@ -124,7 +124,7 @@
             self.granting.swap_remove(ended);
         }
         if result == GrantResult::Outranked {
-            self.outranked(now, range, fence);
+            self.give_up_outranked(now, range, fence);
             return;
         }
         for entry in &mut self.entries {
--- a/crates/ownership/src/holder/heartbeats.rs
+++ b/crates/ownership/src/holder/heartbeats.rs
@@ -69,7 +69,7 @@
             .map(|entry| (entry.range, entry.fence))
             .collect::<Vec<_>>();
         for (range, fence) in refused {
-            self.outranked(now, range, fence);
+            self.give_up_outranked(now, range, fence);
         }
     }
 
--- /dev/null
+++ b/crates/ownership/src/leader/assignments.rs
@@ -0,0 +1,159 @@
+//! Who gets which keys, as time passes.
+
+use super::*;
+
+/// How often the leader looks for a better plan.
+const REBALANCE_EVERY_MS: u64 = 400;
+
+impl Leader {
+    /// Lets time pass: leases end, ranges are given and taken back.
+    pub fn tick(&mut self, now: Time) {
+        self.ticked_at = now;
+        if !self.may_lease(now) {
+            return;
+        }
+        self.end_leases(now);
+        let unknown_until = self.unknown_until();
+        // Nodes that have yet to report to a new leader keep what is planned for them.
+        let settled = now >= self.elected_at + self.timing.settle;
+        let rebalance = settled && now.0 >= self.rebalanced_at.0 + REBALANCE_EVERY_MS;
+        if rebalance {
+            self.rebalanced_at = now;
+        }
+        let services = self.partitions.keys().cloned().collect::<Vec<_>>();
+        for service in services {
+            let candidates = self.candidates(&service, now);
+            let Some(mut partition) = self.partitions.remove(&service) else {
+                continue;
+            };
+            // As with a lease's end: a silent node may have been renewed by a later leader since, unless
+            // the store has confirmed this one after that time.
+            let all_reported =
+                self.has_reported_all(&service) && self.confirmed_at >= self.last_report_at;
+            if all_reported || unknown_until <= now.min(self.confirmed_at) {
+                partition.free_unknown();
+            }
+            if settled {
+                partition.repair_plan(&candidates);
+            }
+            if rebalance {
+                partition.rebalance(&candidates);
+            }
+            self.follow_plan(&mut partition, &candidates);
+            self.partitions.insert(service, partition);
+        }
+        self.refresh_table(now);
+    }
+
+    /// Frees what nodes held whose leases have ended. The store must have confirmed the leadership
+    /// after that: else a later leader may have renewed the node meanwhile, without this one knowing.
+    pub(super) fn end_leases(&mut self, now: Time) {
+        let margin = self.timing.lease_margin;
+        let sure_until = now.min(self.confirmed_at);
+        let ended = self
+            .members
+            .iter()
+            .filter(|(_, member)| member.lease_until + margin <= sure_until)
+            .map(|(node, _)| node.clone())
+            .collect::<Vec<_>>();
+        for node in &ended {
+            let mut freed = false;
+            for partition in self.partitions.values_mut() {
+                freed |= partition.free_all_of(node);
+            }
+            if freed {
+                self.next_assignment(node);
+            }
+        }
+    }
+
+    /// Nodes that can own keys of a service, with the slots of their targets.
+    pub(super) fn candidates(&self, service: &str, now: Time) -> Vec<Candidate> {
+        self.members
+            .iter()
+            .filter(|(_, member)| member.clean && !member.view.leaving && now < member.lease_until)
+            .filter(|(_, member)| {
+                member
+                    .registered_at
+                    .is_some_and(|at| at < self.confirmed_at)
+            })
+            // Later leaders wait for it only where it is registered.
+            .filter(|(_, member)| member.registered_for.as_deref() == Some(service))
+            .filter_map(|(node, member)| {
+                let target = member.view.target.as_ref()?;
+                (target.service == service && target.accepting)
+                    .then(|| (node.clone(), target.slots))
+            })
+            .collect()
+    }
+
+    /// Takes back ranges that are planned elsewhere and gives free ones to their planned owners.
+    pub(super) fn follow_plan(&mut self, partition: &mut Partition, candidates: &[Candidate]) {
+        if partition.plan.is_empty() {
+            return;
+        }
+        partition.cut_along_plan();
+        for index in 0..partition.slices.len() {
+            let range = partition.slices[index].range;
+            let Some(planned) = partition.planned(range).cloned() else {
+                continue;
+            };
+            let in_place = matches!(
+                &partition.slices[index].state,
+                State::Owned { node, .. } if *node == planned
+            );
+            if in_place {
+                continue;
+            }
+            let state = partition.slices[index].state.clone();
+            partition.slices[index].state = self.next_state(state, &planned, candidates);
+        }
+        partition.merge();
+    }
+
+    pub(super) fn next_state(
+        &mut self,
+        state: State,
+        planned: &NodeName,
+        candidates: &[Candidate],
+    ) -> State {
+        let can_own = candidates.iter().any(|(node, _)| node == planned);
+        match state {
+            State::Owned { node, .. } if node != *planned && can_own => {
+                let since = self.next_assignment(&node);
+                State::Revoked { node, since }
+            }
+            State::Free { handover } if can_own => {
+                let Some(target) = self.target_of(planned) else {
+                    return State::Free { handover };
+                };
+                let since = self.next_assignment(planned);
+                State::Owned {
+                    node: planned.clone(),
+                    target: target.id,
+                    fence: self.take_fence(),
+                    handover,
+                    since,
+                }
+            }
+            other => other,
+        }
+    }
+
+    pub(super) fn target_of(&self, node: &NodeName) -> Option<TargetState> {
+        self.members.get(node)?.view.target.clone()
+    }
+
+    pub(super) fn next_assignment(&mut self, node: &NodeName) -> u64 {
+        let Some(member) = self.members.get_mut(node) else {
+            return 0;
+        };
+        member.assignment += 1;
+        member.assignment
+    }
+
+    pub(super) fn take_fence(&mut self) -> Fence {
+        self.next_fence = self.next_fence.next_grant();
+        self.next_fence
+    }
+}
--- /dev/null
+++ b/crates/ownership/src/leader/renewals.rs
@@ -0,0 +1,160 @@
+//! What nodes tell the leader, and its answers.
+
+use super::*;
+
+/// Between two looks at all members, caused by renewals, at least this part of them in milliseconds
+/// passes.
+const MEMBERS_A_MILLISECOND: u64 = 4;
+
+impl Leader {
+    /// Answers a renewal; no answer if the leader may not lease. A node counts only once it obeys this
+    /// epoch: before, an earlier leader may still give it keys.
+    pub fn renewal(&mut self, now: Time, renewal: &Renewal) -> Option<LeaseReply> {
+        if renewal.epoch != self.epoch {
+            return None;
+        }
+        if self
+            .members
+            .get(&renewal.node)
+            .is_some_and(|member| member.is_overtaken(renewal))
+        {
+            return None;
+        }
+        // A new process that hasn't cleared its target can't say what that still holds, or works on.
+        if renewal.clean && self.silent.remove(&renewal.node) {
+            self.last_report_at = now;
+        }
+        self.heard_earlier_leader(now, &renewal.node);
+        self.meet(now, renewal);
+        let sure = self
+            .members
+            .get(&renewal.node)
+            .is_some_and(|member| self.is_process_sure(member));
+        if sure {
+            let mut freed = false;
+            for partition in self.partitions.values_mut() {
+                freed |= partition.report(renewal);
+            }
+            if freed {
+                // Answers that are on their way still name what is free now.
+                self.next_assignment(&renewal.node);
+            }
+        }
+        // With many members a renewal must not cost a look at all of them.
+        let gap = Duration::from_millis(self.members.len() as u64 / MEMBERS_A_MILLISECOND);
+        if now.since(self.ticked_at) >= gap {
+            self.tick(now);
+        }
+        if !self.may_lease(now) {
+            return None;
+        }
+        let lease = if renewal.clean {
+            self.timing.lease
+        } else {
+            Duration::ZERO
+        };
+        let member = self.members.get_mut(&renewal.node)?;
+        if renewal.clean {
+            member.lease_until = now + lease;
+        }
+        let assignment = member.assignment;
+        member.told.0 = assignment;
+        let target = member.view.target.as_ref().map(|target| target.id.clone());
+        let clean_fence = (!renewal.clean).then(|| self.take_fence());
+        Some(LeaseReply {
+            epoch: self.epoch,
+            renewal_sent_at: renewal.sent_at,
+            lease_ms: u64::try_from(lease.as_millis()).unwrap_or(0),
+            assignment,
+            wanted: target
+                .as_ref()
+                .map_or_else(Vec::new, |target| self.wanted(&renewal.node, target)),
+            target,
+            clean_fence,
+            table_version: self.table.version,
+            configuration_version: 0,
+        })
+    }
+
+    /// Brings what is known of a node up to date.
+    pub(super) fn meet(&mut self, now: Time, renewal: &Renewal) {
+        let lease_until = now + self.timing.lease;
+        let member = self
+            .members
+            .entry(renewal.node.clone())
+            .or_insert_with(|| Member {
+                life: renewal.life,
+                view: view_of(renewal),
+                lease_until,
+                clean: renewal.clean,
+                assignment: 0,
+                told: (0, Time::default()),
+                registered_at: None,
+                registered_for: None,
+                store_reachable: true,
+                link_mbps: renewal.link_mbps,
+                configuration_version: 0,
+                heard_at: now,
+                previous_life: None,
+                life_known_at: now,
+                newest_sent_at: renewal.sent_at,
+            });
+        let restarted = member.life != renewal.life;
+        let before = member.view.target.as_ref().map(|target| target.id.clone());
+        let replaced = match (&before, &renewal.target) {
+            (Some(before), Some(target)) => *before != target.id,
+            _ => false,
+        };
+        if restarted {
+            member.previous_life = Some(member.life);
+            member.life_known_at = now;
+        }
+        member.newest_sent_at = renewal.sent_at;
+        member.life = renewal.life;
+        member.view = view_of(renewal);
+        member.clean = renewal.clean;
+        member.store_reachable = renewal.store_reachable;
+        member.link_mbps = renewal.link_mbps;
+        member.configuration_version = renewal.configuration_version;
+        member.heard_at = now;
+        let known_for = self.registered.get(&renewal.node);
+        let is_as_known = known_for.is_some_and(|service| *service == renewal.registered_for);
+        member.registered_for.clone_from(&renewal.registered_for);
+        if is_as_known && renewal.registered_for.is_some() {
+            // Any later leader knows it too.
+            member.registered_at = Some(Time::default());
+        } else if renewal.registered_for.is_some() && member.registered_at.is_none() {
+            member.registered_at = Some(now);
+        }
+        for partition in self.partitions.values_mut() {
+            if restarted {
+                partition.revoke_all_of(&renewal.node);
+            }
+            if replaced && !restarted {
+                // The earlier life of the target has ended: another answers at its address.
+                partition.free_all_of(&renewal.node);
+            }
+            if replaced {
+                partition.load.forget(&renewal.node);
+            }
+        }
+    }
+
+    /// Takes in an owner's load.
+    pub fn load(&mut self, report: &LoadReport) {
+        if let Some(partition) = self.partitions.get_mut(&report.service) {
+            let ranges = partition.owned_by(&report.node);
+            partition.load.record(report, &ranges);
+        }
+    }
+}
+
+fn view_of(renewal: &Renewal) -> MemberView {
+    MemberView {
+        node: renewal.node.clone(),
+        zone: renewal.zone.clone(),
+        address: renewal.address,
+        target: renewal.target.clone(),
+        leaving: renewal.leaving,
+    }
+}
--- a/crates/sidecar/src/agent.rs
+++ b/crates/sidecar/src/agent.rs
@@ -8,10 +8,11 @@
 use wingspar_platform::headers;
 
 use crate::hop::{HopAnswer, HopRequest, Occupancy, Refusal};
+use crate::key_calls::lease_left_ms;
 use crate::logs::Event;
 use crate::node::Node;
 use crate::stop::Stop;
-use crate::target_calls::{lease_left_ms, run};
+use crate::target_calls::run;
 
 /// How often the arrival of keys is looked for.
 const ARRIVAL_STEP: Duration = Duration::from_millis(5);
--- a/crates/sidecar/src/body.rs
+++ b/crates/sidecar/src/body.rs
@@ -32,10 +32,7 @@
 
     /// The same body; `guard` is dropped when it has ended or is given up.
     pub fn keeping(self, guard: impl Unpin + 'static) -> Self {
-        Self::stream(Keeping {
-            body: self,
-            _guard: guard,
-        })
+        Self::stream(Keeping::new(self, guard))
     }
 
     /// A stream.
@@ -76,12 +73,26 @@
 }
 
 /// A body and what is to live as long.
-struct Keeping<Guard> {
-    body: Body,
+pub struct Keeping<Inner, Guard> {
+    body: Inner,
     _guard: Guard,
 }
 
-impl<Guard: Unpin> HttpBody for Keeping<Guard> {
+impl<Inner, Guard> Keeping<Inner, Guard> {
+    /// The same body; `guard` is dropped when it has ended or is given up.
+    pub fn new(body: Inner, guard: Guard) -> Self {
+        Self {
+            body,
+            _guard: guard,
+        }
+    }
+}
+
+impl<Inner, Guard> HttpBody for Keeping<Inner, Guard>
+where
+    Inner: HttpBody<Data = Bytes, Error = BodyError> + Unpin,
+    Guard: Unpin,
+{
     type Data = Bytes;
     type Error = BodyError;
 
--- a/crates/sidecar/src/control.rs
+++ b/crates/sidecar/src/control.rs
@@ -14,11 +14,11 @@
 
 use crate::directory::Directory;
 use crate::internal;
+use crate::key_calls::carry_out;
 use crate::key_exchange;
 use crate::logs::Event;
 use crate::node::Node;
 use crate::registration;
-use crate::target_calls::carry_out;
 
 /// Kind and name of the object that names the leader.
 const LEADER_KIND: &str = "wingspar-leadership";
--- a/crates/sidecar/src/key_exchange.rs
+++ b/crates/sidecar/src/key_exchange.rs
@@ -13,9 +13,9 @@
 };
 use wingspar_platform::{GrantedKeys, Heartbeat, KeyGrants, LifecycleState};
 
+use crate::key_calls::lease_left_ms;
 use crate::logs::Event;
 use crate::node::Node;
-use crate::target_calls::lease_left_ms;
 
 /// How long an answer waits for something new to tell.
 const HELD_BACK: Duration = Duration::from_millis(700);
--- /dev/null
+++ b/crates/sidecar/src/key_load.rs
@@ -0,0 +1,53 @@
+//! Requests by key, as an owner reports them to its leader.
+
+use std::collections::BTreeMap;
+
+use wingspar_ownership::{LoadReport, Time, bucket_of};
+
+use crate::node::Node;
+
+/// Requests by key since the last report.
+#[derive(Debug)]
+pub struct KeyLoad {
+    since: Time,
+    arrivals: BTreeMap<u16, u32>,
+    totals: (u64, u64),
+}
+
+impl KeyLoad {
+    /// No requests yet.
+    pub fn new(now: Time) -> Self {
+        Self {
+            since: now,
+            arrivals: BTreeMap::new(),
+            totals: (0, 0),
+        }
+    }
+
+    /// A request for a key has arrived.
+    pub fn arrived(&mut self, key: u16) {
+        let bucket = u16::try_from(bucket_of(key)).unwrap_or(0);
+        *self.arrivals.entry(bucket).or_default() += 1;
+    }
+
+    /// What came in since the last report; `totals` are requests finished and slot time so far.
+    pub fn take(
+        &mut self,
+        now: Time,
+        node: &Node,
+        service: &str,
+        totals: (u64, u64),
+    ) -> LoadReport {
+        let before = std::mem::replace(&mut self.totals, totals);
+        let report = LoadReport {
+            node: node.name.clone(),
+            service: service.to_owned(),
+            span_ms: now.0 - self.since.0,
+            arrivals: std::mem::take(&mut self.arrivals).into_iter().collect(),
+            finished: u32::try_from(totals.0 - before.0).unwrap_or(u32::MAX),
+            busy_ms: totals.1 - before.1,
+        };
+        self.since = now;
+        report
+    }
+}
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -15,6 +15,7 @@
 use crate::clock::Clock;
 use crate::connections::Connections;
 use crate::directory::Directory;
+use crate::key_load::KeyLoad;
 use crate::link::Link;
 use crate::logs::{Event, Log};
 use crate::metrics::Metrics;
@@ -25,7 +26,6 @@
 use crate::stop::Stop;
 use crate::store::Store;
 use crate::target::Target;
-use crate::target_calls::KeyLoad;
 
 /// Time for a connection to another node to come up.
 const PEER_CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
--- a/crates/sidecar/src/target_calls.rs
+++ b/crates/sidecar/src/target_calls.rs
@@ -1,17 +1,15 @@
-//! Calls to the target beside the node: requests, orders about keys, health checks.
+//! Calls to the target beside the node: requests and health checks.
 
-use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
-use http::header::{CONTENT_ENCODING, CONTENT_TYPE, HOST};
-use http::{HeaderValue, Method, Request, Response, StatusCode};
+use http::header::{CONTENT_ENCODING, HOST};
+use http::{HeaderValue, Request, Response, StatusCode};
 use http_body_util::BodyExt;
 use tokio::time::{Instant, timeout};
-use wingspar_ownership::{GrantResult, KeyRange, LoadReport, Order, Time, bucket_of};
-use wingspar_platform::{GrantOrder, ReleaseOrder, headers};
+use wingspar_platform::headers;
 
-use crate::body::Body;
+use crate::body::{Body, Keeping};
 use crate::connections::{ConnectionBody, SendError};
 use crate::hop::{HopAnswer, HopRequest, Refusal, whole_or_stream};
 use crate::key_exchange;
@@ -29,60 +27,9 @@
 const MEMORY_SHARE: f64 = 0.25;
 /// Memory of the process, in megabytes, if the settings don't tell.
 const DEFAULT_MEMORY_MB: f64 = 256.0;
-/// A grant without an answer for this long is given up and tried again.
-const GRANT_TIMEOUT: Duration = Duration::from_millis(500);
-/// A release is answered when the work on its keys has ended; without an answer for this long it is
-/// sent again.
-const RELEASE_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// A health check without an answer for this long has failed.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Requests by key since the last report.
-#[derive(Debug)]
-pub struct KeyLoad {
-    since: Time,
-    arrivals: BTreeMap<u16, u32>,
-    totals: (u64, u64),
-}
-
-impl KeyLoad {
-    /// No requests yet.
-    pub fn new(now: Time) -> Self {
-        Self {
-            since: now,
-            arrivals: BTreeMap::new(),
-            totals: (0, 0),
-        }
-    }
-
-    /// A request for a key has arrived.
-    pub fn arrived(&mut self, key: u16) {
-        let bucket = u16::try_from(bucket_of(key)).unwrap_or(0);
-        *self.arrivals.entry(bucket).or_default() += 1;
-    }
-
-    /// What came in since the last report; `totals` are requests finished and slot time so far.
-    pub fn take(
-        &mut self,
-        now: Time,
-        node: &Node,
-        service: &str,
-        totals: (u64, u64),
-    ) -> LoadReport {
-        let before = std::mem::replace(&mut self.totals, totals);
-        let report = LoadReport {
-            node: node.name.clone(),
-            service: service.to_owned(),
-            span_ms: now.0 - self.since.0,
-            arrivals: std::mem::take(&mut self.arrivals).into_iter().collect(),
-            finished: u32::try_from(totals.0 - before.0).unwrap_or(u32::MAX),
-            busy_ms: totals.1 - before.1,
-        };
-        self.since = now;
-        report
-    }
-}
-
 /// Sends a request to the target; the caller has checked that it may start. The slot stays in use
 /// until the answer has ended.
 pub async fn run(node: &Rc<Node>, hop: HopRequest, slot: Slot) -> HopAnswer {
@@ -187,7 +134,7 @@
 ) -> HopAnswer {
     let (mut parts, body) = response.into_parts();
     crate::hop::strip(&mut parts.headers);
-    let body = WithSlot { body, _slot: slot };
+    let body = Keeping::new(body, slot);
     match whole_or_stream(body, keep_whole(node), deadline).await {
         Ok(body) => HopAnswer::Answered(Response::from_parts(parts, body)),
         Err(error) => HopAnswer::MayHaveRun(error.to_string()),
@@ -204,32 +151,6 @@
     }
 }
 
-/// A body that keeps its slot until it ends.
-struct WithSlot {
-    body: ConnectionBody,
-    _slot: Slot,
-}
-
-impl http_body::Body for WithSlot {
-    type Data = bytes::Bytes;
-    type Error = crate::body::BodyError;
-
-    fn poll_frame(
-        mut self: std::pin::Pin<&mut Self>,
-        context: &mut std::task::Context<'_>,
-    ) -> std::task::Poll<Option<Result<http_body::Frame<Self::Data>, Self::Error>>> {
-        std::pin::Pin::new(&mut self.body).poll_frame(context)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
-
-    fn size_hint(&self) -> http_body::SizeHint {
-        self.body.size_hint()
-    }
-}
-
 /// A connection to the target failed: others shouldn't send it work until it is heard again.
 fn target_failed(node: &Node) {
     if node.target.borrow().accepting(node.now()) {
@@ -267,106 +188,12 @@
     node.control_wakes.notify_one();
 }
 
-/// Carries an order about keys out and tells the participant how it ended.
-pub async fn carry_out(node: Rc<Node>, order: Order) {
-    let sent_at = node.now();
-    match &order {
-        Order::Grant {
-            range,
-            fence,
-            hold,
-            handover,
-        } => {
-            let body = GrantOrder {
-                from: range.from,
-                to: range.to,
-                fence: fence.0,
-                hold: hold.as_secs_f64(),
-                handover: handover.clone(),
-            };
-            let answer = post(&node, GrantOrder::PATH, body.body(), GRANT_TIMEOUT).await;
-            let (result, outcome) = match answer.as_ref().map(Response::status) {
-                Some(status) if status.is_success() => (GrantResult::Granted, "granted"),
-                Some(StatusCode::CONFLICT) => (GrantResult::Outranked, "outranked"),
-                _ => (GrantResult::Failed, "failed"),
-            };
-            let now = node.now();
-            node.participant
-                .borrow_mut()
-                .granted(now, &order, sent_at, result);
-            note(&node, "grant", *range, fence.0, outcome);
-        }
-        Order::Release { range, fence } => release(&node, "release", &order, *range, fence.0).await,
-        Order::Clear { fence } => release(&node, "clear", &order, KeyRange::ALL, fence.0).await,
-    }
-    node.control_wakes.notify_one();
-}
-
-async fn release(node: &Rc<Node>, name: &'static str, order: &Order, range: KeyRange, fence: u64) {
-    let body = ReleaseOrder {
-        from: range.from,
-        to: range.to,
-        fence,
-    };
-    let answer = post(node, ReleaseOrder::PATH, body.body(), RELEASE_TIMEOUT).await;
-    // A target that doesn't know the call owns no keys.
-    let answered = answer
-        .as_ref()
-        .is_some_and(|answer| !answer.status().is_server_error());
-    let handover = answer
-        .as_ref()
-        .and_then(|answer| answer.headers().get(headers::HANDOVER)?.to_str().ok());
-    let now = node.now();
-    node.participant
-        .borrow_mut()
-        .released(now, order, answered, handover.map(str::to_owned));
-    note(
-        node,
-        name,
-        range,
-        fence,
-        if answered { "released" } else { "failed" },
-    );
-}
-
-fn note(node: &Node, order: &'static str, range: KeyRange, fence: u64, outcome: &'static str) {
-    node.metrics.count(&node.metrics.key_orders, outcome);
-    if order == "grant" && outcome == "granted" {
-        // Renewals would fill the log; a grant that fails is told, and so is every end of one.
-        return;
-    }
-    node.log.write(Event::Keys {
-        order,
-        from: range.from,
-        to: range.to,
-        fence,
-        outcome,
-        lease_left_ms: lease_left_ms(node),
-    });
-}
-
-/// What is left of the node's lease, in milliseconds.
-pub fn lease_left_ms(node: &Node) -> u64 {
-    let left = node.participant.borrow().lease_until().since(node.now());
-    u64::try_from(left.as_millis()).unwrap_or(0)
-}
-
-async fn post(
+/// Makes a call of the node's own to the target; nothing without a whole answer in time.
+pub async fn call(
     node: &Rc<Node>,
-    path: &'static str,
-    body: bytes::Bytes,
+    mut request: Request<Body>,
     time: Duration,
 ) -> Option<Response<()>> {
-    let mut request = Request::new(Body::whole(body));
-    *request.method_mut() = Method::POST;
-    *request.uri_mut() = http::Uri::from_static(path);
-    request
-        .headers_mut()
-        .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-    call(node, request, time).await
-}
-
-async fn call(node: &Rc<Node>, mut request: Request<Body>, time: Duration) -> Option<Response<()>> {
     let host = HeaderValue::from_str(&node.settings.node.target.to_string()).ok()?;
     request.headers_mut().insert(HOST, host);
     let exchange = async {
