--- a/crates/rehearse/bench/days.py
+++ b/crates/rehearse/bench/days.py
@@ -1,11 +1,15 @@
 #!/usr/bin/env python3
 """Writes days of our own: each kind of trouble, in each of its variants, twice in a day and with a burst.
 
-Usage: days.py SITE OUT_DIR
+Usage: days.py SITE OUT_DIR [PAIRS]
+
+Besides, each way in which the store is down is paired with each in which it forgets its history, with changes of the
+configuration after both; PAIRS more days pair two of the other variants, drawn by a fixed seed.
 
 Reads the traffic of the site's first day where the site file lies; nothing of it is kept here."""
 
 import pathlib
+import random
 import sys
 import tomllib
 
@@ -131,6 +135,14 @@
     ("mixed-kill-release", [("faults", {"kind": "herd_kill", "share": 0.5}), ("plan", {"kind": "release", "share": 1.0, "x": 1.0, "gap_s": 0.5}), ("faults", {"kind": "applied_late", "x": 0.5, "for_s": 6.0, "how": "all"})]),
 ]
 MOMENTS = (4.0, 18.0)
+COMPACTS = {
+    "compact": {"kind": "platform_compact", "for_s": 12.0, "x": 3.0},
+    "compact-drain": {"kind": "platform_compact", "for_s": 12.0, "x": 6.0, "how": "drain"},
+}
+# After the store has gone down: when it forgets its history, and when the configuration changes.
+COMPACT_AFTER_S = 3.5
+CHANGES_AFTER_S = (5.0, 6.5, 8.0, 11.0)
+PAIRS_SEED = 20
 CLOSINGS = {
     "closing-kill_all": {"kind": "kill_all", "down_s": 1.0},
     "closing-power_off_all": {"kind": "power_off_all", "down_s": 1.0},
@@ -160,6 +172,31 @@
     (out / f"{name}.toml").write_text("\n".join(lines) + "\n")
 
 
+def write_store_pairs(out, base):
+    """Writes the days on which the store is down and forgets its history."""
+    downs = [(name, entries[0][1]) for name, entries in VARIANTS if entries[0][1]["kind"] == "platform_down"]
+    for index, (name, down) in enumerate(downs):
+        for compact, fields in COMPACTS.items():
+            moment = MOMENTS[0]
+            faults = [{"at": moment, **down}, {"at": moment + COMPACT_AFTER_S, **fields}]
+            plan = [{"at": moment + after, "kind": "config_change", "how": "timeout"} for after in CHANGES_AFTER_S]
+            write(out, f"{name}-{compact}", base["seed"] + 11 * index, base["traffic"], plan, faults)
+
+
+def write_drawn_pairs(out, base, count):
+    """Writes days that pair two variants, the second a second after the first, twice a day."""
+    draw = random.Random(PAIRS_SEED)
+    for number in range(count):
+        first, second = draw.sample(VARIANTS, 2)
+        tables = {"plan": [], "faults": []}
+        for moment in MOMENTS:
+            for offset, entries in ((0.0, first[1]), (1.0, second[1])):
+                for table, fields in entries:
+                    tables[table].append({"at": moment + offset, **fields})
+        name = f"pair-{number}-{first[0]}-{second[0]}"
+        write(out, name, base["seed"] + 13 * number, base["traffic"], tables["plan"], tables["faults"])
+
+
 def main():
     """Writes all days of a site."""
     site = tomllib.loads(pathlib.Path(sys.argv[1]).read_text())
@@ -175,6 +212,8 @@
         write(out, name, base["seed"] + 7 * index, base["traffic"], tables["plan"], tables["faults"] + [burst])
     for name, closing in CLOSINGS.items():
         write(out, name, base["seed"] + 3, base["traffic"], [{"at": 9.0, "kind": "config_change", "how": "route"}], [], closing)
+    write_store_pairs(out, base)
+    write_drawn_pairs(out, base, int(sys.argv[3]) if len(sys.argv) > 3 else 0)
 
 
 main()
