Configuration and leader: only the leader watches the store; renewals no longer cost a copy of all ranges

Leases were late, so nodes took it for lost.

Ruled out: table fetches and load reports as the cause (800 a second take less than a tenth of the time).

Change: the leader reads the configuration (0.25 of `converge_s`) and watches it; renewals' answers say how long ago it was sure; a node that wasn't sure for 0.6 of `converge_s` reads the store itself. Above 24 nodes a few of each zone fetch a new version from the leader, the others from them. A process that has just started reads what the store's caches have, a tenth of a call; waits of contenders are spread by the number of nodes. Names carry a hash, a report touches only the node's ranges, and only a change sets off a look at all. The store has one client function that counts, and its errors are logged.

The simulator's store caches answer with what was true up to 4 s ago. The reminders' test let no time pass at the leader for five seconds; it now ticks it, and its bounds are as tight.

--- a/crates/ownership/src/election.rs
+++ b/crates/ownership/src/election.rs
@@ -10,12 +10,18 @@
 const FRESH: Duration = Duration::from_millis(900);
 /// A node that no peer answers waits this much longer, since it is likely to be the one cut off.
 const ISOLATED_EXTRA: Duration = Duration::from_millis(6_000);
-/// Pause after a look at the object that told nothing.
-const LOOK_AGAIN: Duration = Duration::from_millis(350);
-/// Steps between the waits of nodes that contend.
-const RANK_STEP: Duration = Duration::from_millis(70);
-/// Number of such steps.
-const RANKS: u64 = 6;
+/// Shortest and longest mean pause after a look at the object that told nothing, and what each known node adds: so
+/// all nodes together ask a store that is down some forty times a second at most.
+const LOOK_AGAIN: [Duration; 2] = [Duration::from_millis(350), Duration::from_millis(1_500)];
+const LOOK_AGAIN_A_NODE: Duration = Duration::from_millis(25);
+/// Shortest and longest span that the waits of contending nodes are spread over, and what each known node adds. A
+/// claim takes some 30 ms from the first read until all have been told, so only one or two others contend meanwhile.
+const CONTENTION: [Duration; 2] = [Duration::from_millis(420), Duration::from_millis(1_200)];
+const CONTENTION_A_NODE: Duration = Duration::from_millis(26);
+/// The same for processes that have just started: machines start within 0.3 s of each other.
+const START_SPREAD: Duration = Duration::from_millis(250);
+/// The same at the first start of the whole system, when clients come seconds later.
+const FIRST_START_SPREAD: Duration = Duration::from_millis(1_500);
 
 /// Whom a peer hears.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -31,6 +37,8 @@
 pub enum Step {
     /// Ask some peers whom they hear.
     AskPeers,
+    /// Read what the store's caches have of the leader's object.
+    ReadCached,
     /// Read the leader's object.
     ReadObject,
     /// Replace the object that was read, or create it, with the next epoch.
@@ -42,6 +50,7 @@
     Following,
     Asking { since: Time, answers: u32 },
     Waiting { until: Time },
+    ReadingCached { since: Time },
     Reading { since: Time },
     Claiming { since: Time },
 }
@@ -65,24 +74,36 @@
     learned_at: Time,
     phase: Phase,
     handicap: Duration,
+    /// Other nodes known.
+    peers: u32,
+    /// Waits so far; no two of a node are alike.
+    waits: u64,
 }
 
 impl Election {
-    /// A node that knows no leader.
-    pub fn new(node: NodeName, life: Life, timing: Timing, now: Time) -> Self {
-        let jitter = Duration::from_millis(life.0 % 250);
-        Self {
+    /// A node that knows no leader. `first_start` says that the whole system starts for the first time.
+    pub fn new(node: NodeName, life: Life, timing: Timing, first_start: bool, now: Time) -> Self {
+        let spread = if first_start {
+            FIRST_START_SPREAD
+        } else {
+            START_SPREAD
+        };
+        let mut election = Self {
             node,
             life,
             timing,
             leader: None,
             heard_at: now,
             learned_at: now,
-            phase: Phase::Waiting {
-                until: now + jitter,
-            },
+            phase: Phase::Following,
             handicap: Duration::ZERO,
-        }
+            peers: 0,
+            waits: 0,
+        };
+        election.phase = Phase::Waiting {
+            until: now + election.part_of(spread),
+        };
+        election
     }
 
     /// The leader that the node follows.
@@ -145,7 +166,7 @@
         let wait = if at_once {
             Duration::ZERO
         } else {
-            self.rank_wait()
+            self.contention_wait()
         };
         self.phase = Phase::Waiting { until: now + wait };
     }
@@ -179,6 +200,7 @@
 
     /// What is due now. `peers` is how many other nodes are known.
     pub fn tick(&mut self, now: Time, peers: usize) -> Option<Step> {
+        self.peers = u32::try_from(peers).unwrap_or(u32::MAX);
         match self.phase {
             Phase::Following => {
                 if self.is_self() || now.since(self.heard_at) < self.timing.suspect_after {
@@ -201,7 +223,7 @@
                     Duration::ZERO
                 };
                 self.phase = Phase::Waiting {
-                    until: now + self.rank_wait() + extra,
+                    until: now + self.contention_wait() + extra,
                 };
                 None
             }
@@ -209,10 +231,16 @@
                 if now < until {
                     return None;
                 }
+                if self.leader.is_none() {
+                    self.phase = Phase::ReadingCached { since: now };
+                    return Some(Step::ReadCached);
+                }
                 self.phase = Phase::Reading { since: now };
                 Some(Step::ReadObject)
             }
-            Phase::Reading { since } | Phase::Claiming { since } => {
+            Phase::ReadingCached { since }
+            | Phase::Reading { since }
+            | Phase::Claiming { since } => {
                 if now.since(since) >= CALL_GIVEN_UP {
                     self.look_again(now);
                 }
@@ -221,6 +249,15 @@
         }
     }
 
+    /// The store's caches named no leader that can be followed. Returns the read of the object itself.
+    pub fn nobody_cached(&mut self, now: Time) -> Option<Step> {
+        if !matches!(self.phase, Phase::ReadingCached { .. }) {
+            return None;
+        }
+        self.phase = Phase::Reading { since: now };
+        Some(Step::ReadObject)
+    }
+
     /// The object was read: whom it names, if it exists. Returns the claim to make.
     pub fn object_read(&mut self, now: Time, named: Option<&LeaderReference>) -> Option<Step> {
         if !matches!(self.phase, Phase::Reading { .. }) {
@@ -240,19 +277,29 @@
 
     /// The object couldn't be read, or a claim ended without a clear answer.
     pub fn look_again(&mut self, now: Time) {
-        if matches!(self.phase, Phase::Reading { .. } | Phase::Claiming { .. }) {
-            self.phase = Phase::Waiting {
-                until: now + LOOK_AGAIN,
-            };
+        if matches!(
+            self.phase,
+            Phase::ReadingCached { .. } | Phase::Reading { .. } | Phase::Claiming { .. }
+        ) {
+            let [shortest, longest] = LOOK_AGAIN;
+            let mean = (LOOK_AGAIN_A_NODE * self.peers).clamp(shortest, longest);
+            let pause = mean / 2 + self.part_of(mean);
+            self.phase = Phase::Waiting { until: now + pause };
         }
     }
 
-    /// Nodes contend one after the other, in an order that differs by epoch.
-    fn rank_wait(&self) -> Duration {
-        let epoch = self.leader.as_ref().map_or(0, |leader| leader.epoch.0);
-        let mixed = (self.life.0 ^ epoch.wrapping_mul(0x9E37_79B9_7F4A_7C15))
+    /// Nodes contend one after the other, in an order that differs each time.
+    fn contention_wait(&mut self) -> Duration {
+        let [shortest, longest] = CONTENTION;
+        let span = (CONTENTION_A_NODE * self.peers).clamp(shortest, longest);
+        self.part_of(span) + self.handicap
+    }
+
+    /// A part of a span that differs by process and each time (a mix of both, as in SplitMix64).
+    fn part_of(&mut self, span: Duration) -> Duration {
+        self.waits += 1;
+        let mixed = (self.life.0 ^ self.waits.wrapping_mul(0x9E37_79B9_7F4A_7C15))
             .wrapping_mul(0xD6E8_FEB8_6659_FD93);
-        let rank = RANK_STEP * u32::try_from((mixed >> 32) % RANKS).unwrap_or(0);
-        rank + self.handicap
+        span.mul_f64((mixed >> 32) as f64 / f64::from(u32::MAX))
     }
 }
--- a/crates/ownership/src/fence.rs
+++ b/crates/ownership/src/fence.rs
@@ -1,12 +1,7 @@
-//! Names and numbers that order what happens.
-
-use std::sync::Arc;
+//! Numbers that order what happens.
 
 use serde::{Deserialize, Serialize};
 
-/// A node's name in its settings.
-pub type NodeName = Arc<str>;
-
 /// One start of a node's process, drawn at random.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Life(pub u64);
--- a/crates/ownership/src/leader/renewals.rs
+++ b/crates/ownership/src/leader/renewals.rs
@@ -2,8 +2,8 @@
 
 use super::*;
 
-/// Between two looks at all members, caused by renewals, at least this part of them in milliseconds
-/// passes.
+/// Between two looks at all members and ranges, caused by renewals, at least this part of the members in milliseconds
+/// passes. A look takes some 2 microseconds a member, so it takes about a hundredth of the time.
 const MEMBERS_A_MILLISECOND: u64 = 4;
 
 impl Leader {
@@ -25,7 +25,7 @@
             self.last_report_at = now;
         }
         self.heard_earlier_leader(now, &renewal.node);
-        self.meet(now, renewal);
+        let mut changed = self.meet(now, renewal);
         let sure = self
             .members
             .get(&renewal.node)
@@ -39,10 +39,11 @@
                 // Answers that are on their way still name what is free now.
                 self.next_assignment(&renewal.node);
             }
+            changed |= freed;
         }
-        // With many members a renewal must not cost a look at all of them.
+        // With many members a renewal must not cost a look at all of them; what time brings is seen at the next tick.
         let gap = Duration::from_millis(self.members.len() as u64 / MEMBERS_A_MILLISECOND);
-        if now.since(self.ticked_at) >= gap {
+        if changed && now.since(self.ticked_at) >= gap {
             self.tick(now);
         }
         if !self.may_lease(now) {
@@ -73,12 +74,14 @@
             clean_fence,
             table_version: self.table.version,
             configuration_version: 0,
+            configuration_checked_ms_ago: None,
         })
     }
 
-    /// Brings what is known of a node up to date.
-    pub(super) fn meet(&mut self, now: Time, renewal: &Renewal) {
+    /// Brings what is known of a node up to date. Returns whether anything changed that the plan or the table rest on.
+    pub(super) fn meet(&mut self, now: Time, renewal: &Renewal) -> bool {
         let lease_until = now + self.timing.lease;
+        let is_new = !self.members.contains_key(&renewal.node);
         let member = self
             .members
             .entry(renewal.node.clone())
@@ -100,6 +103,8 @@
                 newest_sent_at: renewal.sent_at,
             });
         let restarted = member.life != renewal.life;
+        let view = view_of(renewal);
+        let changed = is_new || restarted || member.view != view || member.clean != renewal.clean;
         let before = member.view.target.as_ref().map(|target| target.id.clone());
         let replaced = match (&before, &renewal.target) {
             (Some(before), Some(target)) => *before != target.id,
@@ -111,7 +116,7 @@
         }
         member.newest_sent_at = renewal.sent_at;
         member.life = renewal.life;
-        member.view = view_of(renewal);
+        member.view = view;
         member.clean = renewal.clean;
         member.store_reachable = renewal.store_reachable;
         member.link_mbps = renewal.link_mbps;
@@ -138,6 +143,7 @@
                 partition.load.forget(&renewal.node);
             }
         }
+        changed
     }
 
     /// Takes in an owner's load.
--- a/crates/ownership/src/lib.rs
+++ b/crates/ownership/src/lib.rs
@@ -19,17 +19,18 @@
 mod holder;
 mod leader;
 mod message;
+mod node_name;
 mod participant;
 mod partition;
 mod plan;
 mod range;
-mod steps;
+pub mod steps;
 mod table_log;
 mod time;
 
 pub use balance::{BUCKETS, KEYS_PER_BUCKET, Load, LoadReport, bucket_of};
 pub use election::{Election, PeerView, Step};
-pub use fence::{Epoch, Fence, Life, NodeName};
+pub use fence::{Epoch, Fence, Life};
 pub use fitness::Fitness;
 pub use holder::{Admission, Delivery, GrantResult, Holder, KeyAnswer, KeyReport, Order};
 pub use leader::{Leader, Member};
@@ -37,6 +38,7 @@
     Holding, LeaderReference, Leadership, LeaseReply, MemberView, RegisteredNode, Released,
     Renewal, ServiceChanges, ServiceTable, Table, TableAnswer, TableChanges, TargetState, Wanted,
 };
+pub use node_name::NodeName;
 pub use participant::{
     Action, ClaimResult, Datagram, Identity, Note, Participant, Stored, Surroundings,
 };
--- a/crates/ownership/src/message.rs
+++ b/crates/ownership/src/message.rs
@@ -159,6 +159,9 @@
     pub table_version: u64,
     /// The leader's configuration.
     pub configuration_version: u64,
+    /// How long ago the leader last knew that the store held no later configuration, in milliseconds;
+    /// nothing if it never did.
+    pub configuration_checked_ms_ago: Option<u64>,
 }
 
 /// A node as others see it.
--- a/crates/ownership/src/participant/datagrams.rs
+++ b/crates/ownership/src/participant/datagrams.rs
@@ -88,7 +88,10 @@
             return;
         }
         if renewal.configuration_version > around.configuration_version {
-            actions.push(Action::FetchConfiguration(renewal.address));
+            actions.push(Action::FetchConfiguration(
+                renewal.address,
+                renewal.configuration_version,
+            ));
         }
         if let Some(own) = &own
             && renewal.epoch < own.epoch
--- a/crates/ownership/src/participant/elections.rs
+++ b/crates/ownership/src/participant/elections.rs
@@ -18,6 +18,7 @@
         let peers = self.table.members.len().saturating_sub(1);
         match self.election.tick(now, peers) {
             Some(Step::AskPeers) => self.ask_peers(actions),
+            Some(Step::ReadCached) => actions.push(Action::ReadCachedLeadership),
             Some(Step::ReadObject) => actions.push(Action::ReadLeadership),
             Some(Step::Claim) | None => {}
         }
@@ -47,6 +48,25 @@
         leader.node == self.identity.node && leader.life == self.identity.life
     }
 
+    /// The store's caches, which may be seconds behind, name this leader, or told nothing. A leader that has been
+    /// replaced since knows that, or is suspected as any other that is silent.
+    pub fn cached_leader_read(
+        &mut self,
+        now: Time,
+        around: &Surroundings,
+        named: Option<LeaderReference>,
+    ) -> Vec<Action> {
+        let mut actions = Vec::new();
+        // A claim of this very process that has been done counts only once the object itself shows it.
+        let other = named.filter(|leader| !self.is_own(leader));
+        if other.is_some_and(|leader| self.follow(now, &leader, &mut actions)) {
+            self.renew(now, around, &mut actions);
+        } else if self.election.nobody_cached(now) == Some(Step::ReadObject) {
+            actions.push(Action::ReadLeadership);
+        }
+        actions
+    }
+
     /// The leader's object was read by a call sent at `sent_at`; an error if that failed.
     pub fn leadership_read(
         &mut self,
--- a/crates/ownership/src/participant/mod.rs
+++ b/crates/ownership/src/participant/mod.rs
@@ -68,6 +68,8 @@
 pub enum Action {
     /// Send a datagram.
     Send(SocketAddr, Datagram),
+    /// Read what the store's caches have of the leader's object; ends in [`Participant::cached_leader_read`].
+    ReadCachedLeadership,
     /// Read the leader's object; ends in [`Participant::leadership_read`].
     ReadLeadership,
     /// Replace the object of that revision, or create it; ends in [`Participant::claim_ended`].
@@ -82,8 +84,10 @@
     Order(Order),
     /// Fetch the table of the node there; ends in [`Participant::table_fetched`].
     FetchTable(SocketAddr),
-    /// Fetch the configuration of the node there.
-    FetchConfiguration(SocketAddr),
+    /// Fetch the configuration of the node there, which has that version.
+    FetchConfiguration(SocketAddr, u64),
+    /// No configuration later than the node's own existed at that time.
+    ConfigurationChecked(Time),
     /// The table has changed.
     TableChanged,
     /// Something to log.
@@ -112,6 +116,8 @@
     pub registered_for: Option<String>,
     /// Version of its configuration.
     pub configuration_version: u64,
+    /// How long ago it last knew that the store held no later configuration; nothing if it never did.
+    pub configuration_checked_ago: Option<Duration>,
     /// Whether its last call to the store succeeded.
     pub store_reachable: bool,
     /// What its machine's link carries, in megabits a second, if that is known.
@@ -183,7 +189,7 @@
     /// A node whose process has just started. `clean` says that no earlier process can have given its
     /// target anything.
     pub fn new(identity: Identity, timing: Timing, clean: bool, now: Time) -> Self {
-        let election = Election::new(identity.node.clone(), identity.life, timing, now);
+        let election = Election::new(identity.node.clone(), identity.life, timing, clean, now);
         Self {
             identity,
             timing,
--- a/crates/ownership/src/participant/renewals.rs
+++ b/crates/ownership/src/participant/renewals.rs
@@ -66,6 +66,9 @@
             0
         };
         reply.configuration_version = around.configuration_version;
+        let checked_ago = around.configuration_checked_ago;
+        reply.configuration_checked_ms_ago =
+            checked_ago.and_then(|ago| u64::try_from(ago.as_millis()).ok());
         Some(reply)
     }
 
@@ -92,6 +95,13 @@
         }
         self.holder.lease(now, reply);
         self.orders(now, actions);
+        if let Some(ago) = reply.configuration_checked_ms_ago
+            && reply.configuration_version <= around.configuration_version
+        {
+            // The leader answered after this renewal was sent, so it checked no earlier than this.
+            let checked_at = reply.renewal_sent_at.before(Duration::from_millis(ago));
+            actions.push(Action::ConfigurationChecked(checked_at));
+        }
         self.catch_up(
             now,
             around,
@@ -121,7 +131,7 @@
             actions.push(Action::FetchTable(leader.address));
         }
         if configuration > around.configuration_version {
-            actions.push(Action::FetchConfiguration(leader.address));
+            actions.push(Action::FetchConfiguration(leader.address, configuration));
         }
     }
 
--- a/crates/ownership/src/partition.rs
+++ b/crates/ownership/src/partition.rs
@@ -2,7 +2,7 @@
 
 use crate::balance::Load;
 use crate::plan::{Candidate, Plan};
-use crate::{Fence, KeyRange, NodeName, Renewal};
+use crate::{Fence, KeyRange, NodeName, Renewal, steps};
 
 /// The plan is left alone while more than one in so many ranges is on its way.
 const MOVING_PART: usize = 4;
@@ -105,11 +105,14 @@
         }
         let mut freed = false;
         for slice in &mut self.slices {
-            let held_before = slice.state.holder().is_some();
-            slice.state = reported_state(slice, renewal);
-            freed |= held_before && slice.state.holder().is_none();
+            if let Some(handover) = given_back(slice, renewal) {
+                slice.state = State::Free { handover };
+                freed = true;
+            }
+        }
+        if freed {
+            self.merge();
         }
-        self.merge();
         freed
     }
 
@@ -136,6 +139,7 @@
                 }
             }
         }
+        self.merge();
     }
 
     /// Frees what a node may have held: its lease has ended, or its target's life has.
@@ -262,9 +266,7 @@
 
     /// The planned owner of a range that lies within one arc of the plan.
     pub fn planned(&self, range: KeyRange) -> Option<&NodeName> {
-        let arcs = self.plan.arcs();
-        let arc = arcs.partition_point(|(to, _)| *to < range.from);
-        arcs.get(arc).map(|(_, node)| node)
+        steps::at(self.plan.arcs(), range.from)
     }
 
     /// Makes the ends of a range ends of slices.
@@ -288,22 +290,23 @@
     }
 }
 
-/// The state of a slice after a node's report.
-fn reported_state(slice: &Slice, renewal: &Renewal) -> State {
+/// What a node handed over for a slice that, as it reports, it holds no longer; nothing if it may still hold the
+/// slice, or never did.
+fn given_back(slice: &Slice, renewal: &Renewal) -> Option<Option<String>> {
     let since = match &slice.state {
         State::Owned { node, since, .. } | State::Revoked { node, since }
             if *node == renewal.node =>
         {
             *since
         }
-        _ => return slice.state.clone(),
+        _ => return None,
     };
     let still_held = renewal
         .held
         .iter()
         .any(|holding| holding.range.overlaps(slice.range));
     if !renewal.clean || renewal.applied < since || still_held {
-        return slice.state.clone();
+        return None;
     }
     let handover = renewal
         .released
@@ -311,5 +314,5 @@
         .rev()
         .find(|released| released.range.overlaps(slice.range))
         .and_then(|released| released.handover.clone());
-    State::Free { handover }
+    Some(handover)
 }
--- a/crates/ownership/src/steps.rs
+++ b/crates/ownership/src/steps.rs
@@ -10,6 +10,12 @@
         .map(|(from, (to, value))| (KeyRange { from, to: *to }, value))
 }
 
+/// The value at a key; nothing if the list is empty.
+pub fn at<Value>(steps: &[(u16, Value)], key: u16) -> Option<&Value> {
+    let index = steps.partition_point(|(to, _)| *to < key);
+    steps.get(index).map(|(_, value)| value)
+}
+
 /// Where two lists differ; everywhere if one of them is empty.
 pub fn differences<Value: PartialEq>(
     before: &[(u16, Value)],
--- a/crates/ownership/tests/election.rs
+++ b/crates/ownership/tests/election.rs
@@ -17,7 +17,13 @@
 }
 
 fn follower() -> Election {
-    let mut election = Election::new(NodeName::from("a"), Life(2), Timing::default(), Time(0));
+    let mut election = Election::new(
+        NodeName::from("a"),
+        Life(2),
+        Timing::default(),
+        false,
+        Time(0),
+    );
     assert!(election.learn(Time(1_000), &leader(4)));
     election
 }
@@ -77,3 +83,60 @@
     let later = suspect + 1_010;
     assert!(contends(&mut election, later));
 }
+
+/// When each of `nodes` nodes reads the object after its leader has fallen silent.
+fn contention_times(nodes: usize) -> Vec<u64> {
+    let first_read = |life: u64| {
+        let name = NodeName::from(format!("node-{life}").as_str());
+        let life = Life(life.wrapping_mul(0x9E37_79B9_7F4A_7C15));
+        let mut election = Election::new(name, life, Timing::default(), false, Time(0));
+        assert!(election.learn(Time(1_000), &leader(4)));
+        (1_000..10_000)
+            .find(|now| {
+                let step = election.tick(Time(*now), nodes - 1);
+                if step == Some(Step::AskPeers) {
+                    // A peer answers that it doesn't hear the leader either.
+                    let view = PeerView {
+                        leader: Some(leader(4)),
+                        heard_ago: Duration::from_secs(5),
+                    };
+                    election.peer(Time(*now), &view);
+                }
+                step == Some(Step::ReadObject)
+            })
+            .expect("it contends")
+    };
+    let mut times = (1..=nodes as u64).map(first_read).collect::<Vec<_>>();
+    times.sort_unstable();
+    times
+}
+
+#[test]
+fn few_nodes_contend_before_a_claim_is_told_however_many_there_are() {
+    for nodes in [16, 60, 200, 300] {
+        let times = contention_times(nodes);
+        let told_at = times[0] + 30;
+        let contending = times.iter().filter(|time| **time <= told_at).count();
+        assert!(contending <= 16, "{contending} of {nodes}");
+        assert!(times[0] < 2_600, "the first of {nodes} at {}", times[0]);
+    }
+}
+
+#[test]
+fn a_process_that_knows_no_leader_asks_the_caches_before_the_object() {
+    let mut election = Election::new(
+        NodeName::from("a"),
+        Life(2),
+        Timing::default(),
+        false,
+        Time(0),
+    );
+    let asked_at = (0..1_000)
+        .find(|now| election.tick(Time(*now), 0) == Some(Step::ReadCached))
+        .expect("it asks");
+    assert_eq!(election.tick(Time(asked_at + 1), 0), None);
+    assert_eq!(
+        election.nobody_cached(Time(asked_at + 5)),
+        Some(Step::ReadObject)
+    );
+}
--- a/crates/ownership/tests/reminders.rs
+++ b/crates/ownership/tests/reminders.rs
@@ -33,10 +33,12 @@
     let mut node = Participant::new(identity, Timing::default(), true, Time(0));
     let reads = (0..200).any(|step| {
         let actions = node.tick(Time(step * 10), &around());
-        actions.contains(&Action::ReadLeadership)
+        actions.contains(&Action::ReadCachedLeadership)
     });
     assert!(reads, "it contends");
     let now = Time(3_000);
+    let actions = node.cached_leader_read(now, &around(), None);
+    assert_eq!(actions, [Action::ReadLeadership]);
     let actions = node.leadership_read(now, now, Ok(None));
     let [Action::Claim(None, leadership)] = actions.as_slice() else {
         panic!("a claim: {actions:?}");
@@ -100,10 +102,17 @@
 #[test]
 fn a_node_that_renews_is_not_reminded() {
     let mut node = leader();
-    for now in (3_100..8_100).step_by(400) {
-        let datagram = Datagram::Renew(Box::new(renewal(now)));
-        node.receive(Time(now), &around(), address(2), datagram);
+    let mut told = 0;
+    for now in (3_100..8_100).step_by(100) {
+        // The leader's own lease is renewed as time passes, as that of the other.
+        told += notices(&node.tick(Time(now), &around()), address(2));
+        if now % 400 == 300 {
+            let datagram = Datagram::Renew(Box::new(renewal(now)));
+            let actions = node.receive(Time(now), &around(), address(2), datagram);
+            told += notices(&actions, address(2));
+        }
     }
-    // What it is told now is that the table has changed, not who leads.
-    assert!(told_between(&mut node, 8_100, 9_000) <= 1);
+    // What it is told is that the table has changed, not who leads.
+    assert!(told <= 3, "{told} notices");
+    assert_eq!(told_between(&mut node, 8_100, 9_000), 0);
 }
--- a/crates/ownership/tests/simulation/world.rs
+++ b/crates/ownership/tests/simulation/world.rs
@@ -52,6 +52,7 @@
 #[derive(Clone)]
 enum StoreCall {
     Read(Time),
+    ReadCached,
     Confirm(Time),
     Claim(Time, Option<u64>, Leadership),
     Rewrite(u64, Leadership),
@@ -95,6 +96,8 @@
     machines: Vec<Machine>,
     cuts: BTreeSet<(usize, usize)>,
     object: Stored,
+    /// Earlier states of the object and when each ended; the store's caches may still have them.
+    earlier_objects: Vec<(u64, Stored)>,
     revision: u64,
     registered: BTreeMap<NodeName, RegisteredNode>,
     store_down_until: u64,
@@ -139,6 +142,7 @@
             machines,
             cuts: BTreeSet::new(),
             object: None,
+            earlier_objects: Vec::new(),
             revision: 0,
             registered: BTreeMap::new(),
             store_down_until: 0,
@@ -275,6 +279,7 @@
                 .registered
                 .then(|| self.service_of(index).to_owned()),
             configuration_version: 1,
+            configuration_checked_ago: None,
             store_reachable: !machine.store_cut && self.now >= self.store_down_until,
             link_mbps: None,
             keyed_services: BTreeSet::from([SERVICE.to_owned()]),
--- a/crates/ownership/tests/simulation/world/actions.rs
+++ b/crates/ownership/tests/simulation/world/actions.rs
@@ -7,6 +7,7 @@
         match action {
             Action::Send(to, datagram) => self.send(index, to, datagram),
             Action::ReadLeadership => self.store_call(index, StoreCall::Read(self.clock(index))),
+            Action::ReadCachedLeadership => self.store_call(index, StoreCall::ReadCached),
             Action::Confirm => self.store_call(index, StoreCall::Confirm(self.clock(index))),
             Action::ListRegistered => self.store_call(index, StoreCall::List),
             Action::Claim(revision, leader) => {
@@ -54,7 +55,9 @@
                 self.after(delay, Event::TableArrives(index, life, table));
             }
             Action::Note(note) => self.trace(|| format!("node {index}: {note:?}")),
-            Action::FetchConfiguration(_) | Action::TableChanged => {}
+            Action::FetchConfiguration(..)
+            | Action::ConfigurationChecked(_)
+            | Action::TableChanged => {}
         }
     }
 
--- a/crates/ownership/tests/simulation/world/store.rs
+++ b/crates/ownership/tests/simulation/world/store.rs
@@ -36,10 +36,10 @@
         let name = self.machines[index].name.clone();
         let reply = match &call {
             StoreCall::Read(_) | StoreCall::Confirm(_) => StoreReply::Object(self.object.clone()),
+            StoreCall::ReadCached => StoreReply::Object(self.cached_object()),
             StoreCall::Claim(_, revision, leader) => {
                 if self.object.as_ref().map(|(known, _)| *known) == *revision {
-                    self.revision += 1;
-                    self.object = Some((self.revision, leader.clone()));
+                    self.write_object(leader.clone());
                     StoreReply::Claimed(ClaimResult::Won)
                 } else {
                     StoreReply::Claimed(ClaimResult::Conflict(self.object.clone()))
@@ -47,8 +47,7 @@
             }
             StoreCall::Rewrite(revision, leadership) => {
                 if self.object.as_ref().map(|(known, _)| known) == Some(revision) {
-                    self.revision += 1;
-                    self.object = Some((self.revision, leadership.clone()));
+                    self.write_object(leadership.clone());
                 }
                 StoreReply::Failed
             }
@@ -68,6 +67,23 @@
         self.after(delay, Event::StoreAnswers(index, life, call, reply));
     }
 
+    fn write_object(&mut self, leadership: Leadership) {
+        self.revision += 1;
+        let next = Some((self.revision, leadership));
+        let before = std::mem::replace(&mut self.object, next);
+        self.earlier_objects.push((self.now, before));
+    }
+
+    /// The object as the store's caches have it: as it was up to some seconds ago.
+    fn cached_object(&mut self) -> Stored {
+        let as_of = self.now.saturating_sub(self.rng.random_range(0..4_000));
+        let earlier = self
+            .earlier_objects
+            .iter()
+            .find(|(until, _)| *until > as_of);
+        earlier.map_or(&self.object, |(_, object)| object).clone()
+    }
+
     pub(super) fn store_answers(
         &mut self,
         index: usize,
@@ -95,6 +111,15 @@
                     participant.leadership_read(now, sent_at, stored)
                 });
             }
+            (StoreCall::ReadCached, reply) => {
+                let named = match reply {
+                    StoreReply::Object(Some((_, leadership))) => Some(leadership.leader),
+                    _ => None,
+                };
+                self.input(index, life, |participant, now, around| {
+                    participant.cached_leader_read(now, around, named)
+                });
+            }
             (StoreCall::Confirm(sent_at), reply) => {
                 let named = if let StoreReply::Object(stored) = reply {
                     stored
--- a/crates/ownership/tests/support/mod.rs
+++ b/crates/ownership/tests/support/mod.rs
@@ -28,5 +28,6 @@
         clean_fence: None,
         table_version: 0,
         configuration_version: 0,
+        configuration_checked_ms_ago: None,
     }
 }
--- a/crates/sidecar/src/control.rs
+++ b/crates/sidecar/src/control.rs
@@ -10,8 +10,10 @@
 use wingspar_ownership::{
     Action, ClaimResult, Datagram, Leadership, Note, Stored, Surroundings, Time,
 };
-use wingspar_platform::objects::{self, Outcome};
+use wingspar_platform::FormatError;
+use wingspar_platform::objects::{self, Call, Outcome};
 
+use crate::configuration_fetch;
 use crate::directory::Directory;
 use crate::internal;
 use crate::key_calls::carry_out;
@@ -19,6 +21,7 @@
 use crate::logs::Event;
 use crate::node::Node;
 use crate::registration;
+use crate::store::StoreError;
 
 /// Kind and name of the object that names the leader.
 const LEADER_KIND: &str = "wingspar-leadership";
@@ -83,6 +86,10 @@
                 .get()
                 .then(|| node.settings.node.service.clone()),
             configuration_version: node.configuration_version(),
+            configuration_checked_ago: node
+                .configuration_checked_at
+                .get()
+                .map(|checked_at| node.now().since(checked_at)),
             store_reachable: node.store_reachable.get(),
             link_mbps: node.settings.node.link_mbps,
             keyed_services: keyed
@@ -151,6 +158,9 @@
                     self.node.set_directory(Directory::new(table));
                 }
                 Action::Note(note) => self.note(&note),
+                Action::ReadCachedLeadership => {
+                    tokio::task::spawn_local(control.read_cached_leadership());
+                }
                 Action::ReadLeadership => {
                     tokio::task::spawn_local(control.read_leadership());
                 }
@@ -169,9 +179,14 @@
                 Action::FetchTable(from) => {
                     tokio::task::spawn_local(control.fetch_table(from));
                 }
-                Action::FetchConfiguration(from) => {
-                    tokio::task::spawn_local(control.fetch_configuration(from));
+                Action::FetchConfiguration(from, version) => {
+                    tokio::task::spawn_local(configuration_fetch::run(
+                        self.node.clone(),
+                        from,
+                        version,
+                    ));
                 }
+                Action::ConfigurationChecked(at) => self.node.configuration_checked(at),
             }
         }
     }
@@ -202,34 +217,64 @@
 
     // --- calls ---
 
-    async fn read_stored(&self) -> Result<Stored, ()> {
-        let call = objects::get(LEADER_KIND, LEADER_NAME);
-        let reply = crate::follow::counted_call(&self.node, &call, None)
-            .await
-            .ok_or(())?;
-        match reply.outcome {
-            Outcome::Done => read_leader(&reply.body).map(Some).ok_or(()),
-            Outcome::Missing => Ok(None),
-            _ => Err(()),
+    async fn read_stored(&self, call: Call) -> Result<Stored, StoreError> {
+        match self.node.read_store(&call, None).await {
+            Ok(body) => Ok(Some(read_leader(&body)?)),
+            Err(StoreError::Answered(Outcome::Missing)) => Ok(None),
+            Err(error) => Err(error),
         }
     }
 
     async fn read_leadership(self: Rc<Self>) {
         let sent_at = self.node.now();
-        let stored = self.read_stored().await;
+        let call = objects::get(LEADER_KIND, LEADER_NAME);
+        let stored = self.told(self.read_stored(call).await);
+        let now = self.node.now();
+        let actions =
+            self.node
+                .participant
+                .borrow_mut()
+                .leadership_read(now, sent_at, stored.ok_or(()));
+        self.carry_out(actions);
+    }
+
+    async fn read_cached_leadership(self: Rc<Self>) {
+        let call = objects::get_cached(LEADER_KIND, LEADER_NAME);
+        let stored = self.told(self.read_stored(call).await);
+        let named = stored.flatten().map(|(_, leadership)| leadership.leader);
+        let around = self.around();
         let now = self.node.now();
         let actions = self
             .node
             .participant
             .borrow_mut()
-            .leadership_read(now, sent_at, stored);
+            .cached_leader_read(now, &around, named);
         self.carry_out(actions);
     }
 
+    /// What was read of the leader's object; logs why nothing was.
+    fn told(&self, stored: Result<Stored, StoreError>) -> Option<Stored> {
+        match stored {
+            Ok(stored) => Some(stored),
+            Err(error) => {
+                self.failed("read", &error);
+                None
+            }
+        }
+    }
+
+    fn failed(&self, call: &'static str, error: &StoreError) {
+        self.node.log.write(Event::StoreCallFailed {
+            call,
+            subject: "leadership",
+            problem: error.to_string(),
+        });
+    }
+
     async fn confirm(self: Rc<Self>) {
         let sent_at = self.node.now();
-        let stored = self.read_stored().await;
-        let stored = stored.ok().flatten();
+        let call = objects::get(LEADER_KIND, LEADER_NAME);
+        let stored = self.told(self.read_stored(call).await).flatten();
         let actions =
             self.node
                 .participant
@@ -245,13 +290,19 @@
             None => objects::create(LEADER_KIND, LEADER_NAME, &leader),
         };
         let sent_at = self.node.now();
-        let reply = crate::follow::counted_call(&self.node, &call, None).await;
-        let result = match reply {
-            Some(reply) if reply.outcome == Outcome::Done => ClaimResult::Won,
-            Some(reply) if reply.outcome == Outcome::Conflict => {
-                ClaimResult::Conflict(read_leader(&reply.body))
+        let result = match self.node.call_store(&call, None).await {
+            Ok(reply) if reply.outcome == Outcome::Done => ClaimResult::Won,
+            Ok(reply) if reply.outcome == Outcome::Conflict => {
+                ClaimResult::Conflict(self.told(read_leader(&reply.body).map(Some)).flatten())
+            }
+            Ok(reply) => {
+                self.failed("write", &StoreError::Answered(reply.outcome));
+                ClaimResult::Failed
+            }
+            Err(error) => {
+                self.failed("write", &error);
+                ClaimResult::Failed
             }
-            _ => ClaimResult::Failed,
         };
         let around = self.around();
         let now = self.node.now();
@@ -265,7 +316,9 @@
 
     async fn rewrite(self: Rc<Self>, revision: u64, leadership: Leadership) {
         let call = objects::replace(LEADER_KIND, LEADER_NAME, revision, &leadership);
-        let _reply = crate::follow::counted_call(&self.node, &call, None).await;
+        if let Err(error) = self.node.call_store(&call, None).await {
+            self.failed("write", &error);
+        }
     }
 
     async fn list_registered(self: Rc<Self>) {
@@ -286,17 +339,6 @@
         self.carry_out(actions);
     }
 
-    async fn fetch_configuration(self: Rc<Self>, from: SocketAddr) {
-        if self.node.fetching_configuration.replace(true) {
-            return;
-        }
-        let fetched = internal::fetch_configuration(&self.node, from).await;
-        self.node.fetching_configuration.set(false);
-        if let Some(configuration) = fetched {
-            self.node.configure(configuration, "node");
-        }
-    }
-
     /// Tells the leader what the target's keys have seen.
     fn report_load(self: &Rc<Self>, now: Time) {
         let node = &self.node;
@@ -321,8 +363,8 @@
     }
 }
 
-fn read_leader(body: &[u8]) -> Option<(u64, Leadership)> {
-    let object = objects::parse_object(body).ok()?;
-    let leader = serde_json::from_slice(&object.content).ok()?;
-    Some((object.revision, leader))
+fn read_leader(body: &[u8]) -> Result<(u64, Leadership), StoreError> {
+    let object = objects::parse_object(body)?;
+    let leader = serde_json::from_slice(&object.content).map_err(FormatError::from)?;
+    Ok((object.revision, leader))
 }
--- a/crates/sidecar/src/directory.rs
+++ b/crates/sidecar/src/directory.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
-use wingspar_ownership::{NodeName, Table};
+use wingspar_ownership::{NodeName, Table, steps};
 
 /// A node whose target could run a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -78,15 +78,8 @@
             .services
             .iter()
             .find(|known| known.service == service)?;
-        let owned = owners.owners.iter().find(|(to, _)| key <= *to);
-        let planned = || {
-            owners
-                .plan
-                .iter()
-                .find(|(to, _)| key <= *to)
-                .map(|(_, node)| node)
-        };
-        let node = owned.and_then(|(_, node)| node.as_ref()).or_else(planned)?;
+        let owned = steps::at(&owners.owners, key).and_then(Option::as_ref);
+        let node = owned.or_else(|| steps::at(&owners.plan, key))?;
         self.by_node.get(node)
     }
 
--- a/crates/sidecar/src/logs.rs
+++ b/crates/sidecar/src/logs.rs
@@ -103,6 +103,15 @@
         /// What is known of it.
         detail: String,
     },
+    /// A call to the store told nothing.
+    StoreCallFailed {
+        /// What was tried: read, cached read, watch, list, write.
+        call: &'a str,
+        /// What it was about.
+        subject: &'a str,
+        /// Why it failed.
+        problem: String,
+    },
     /// Another leader is followed.
     LeaderKnown {
         /// Its node.
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -85,6 +85,12 @@
     pub participant: RefCell<Participant>,
     /// Version of the last configuration that the store's watch, or a listing, has told.
     pub watched_version: Cell<u64>,
+    /// When the process started.
+    pub started_at: Time,
+    /// When the configuration in force was last known to be the latest in the store; nothing if it never was.
+    pub configuration_checked_at: Cell<Option<Time>>,
+    /// The latest version that another node has told of.
+    pub configuration_announced: Cell<u64>,
     /// Whether another node's configuration is being fetched.
     pub fetching_configuration: Cell<bool>,
     /// Told when the control loop has something to do at once.
@@ -145,6 +151,9 @@
                     .with_delivery(settings.node.delivery()),
             ),
             watched_version: Cell::new(0),
+            started_at: now,
+            configuration_checked_at: Cell::new(None),
+            configuration_announced: Cell::new(0),
             fetching_configuration: Cell::new(false),
             control_wakes: Notify::new(),
             key_news: Notify::new(),
@@ -190,6 +199,12 @@
             .map_or(0, |routes| routes.configuration().version)
     }
 
+    /// The configuration in force was the latest in the store at that time.
+    pub fn configuration_checked(&self, at: Time) {
+        let known = self.configuration_checked_at.get();
+        self.configuration_checked_at.set(known.max(Some(at)));
+    }
+
     /// Puts a configuration in force unless a later one is. Returns whether it did.
     pub fn configure(&self, configuration: Configuration, source: &'static str) -> bool {
         if configuration.version <= self.configuration_version() {
--- a/crates/sidecar/src/registration.rs
+++ b/crates/sidecar/src/registration.rs
@@ -9,7 +9,9 @@
 use wingspar_ownership::{NodeName, RegisteredNode};
 use wingspar_platform::objects::{self, Outcome};
 
+use crate::logs::Event;
 use crate::node::Node;
+use crate::store::StoreError;
 
 /// Kind of the objects that name nodes.
 const KIND: &str = "wingspar-nodes";
@@ -33,66 +35,89 @@
         service: Some(node.settings.node.service.clone()),
     };
     loop {
-        if write(&node, &content).await {
-            node.registered.set(true);
-            node.control_wakes.notify_one();
-            return;
+        match write(&node, &content).await {
+            Ok(()) => {
+                node.registered.set(true);
+                node.control_wakes.notify_one();
+                return;
+            }
+            Err(error) => failed(&node, "write", &error),
         }
         let jitter = rand::rng().random_range(0.5..1.5);
         tokio::time::sleep(PAUSE.mul_f64(jitter)).await;
     }
 }
 
-async fn write(node: &Node, content: &Registration) -> bool {
-    let created = node
-        .store
-        .call(&objects::create(KIND, &node.name, content))
-        .await;
-    match created {
-        Ok(reply) if reply.outcome == Outcome::Done => true,
-        Ok(reply) if reply.outcome == Outcome::Conflict => {
-            replace(node, &reply.body, content).await
-        }
-        _ => false,
+async fn write(node: &Node, content: &Registration) -> Result<(), StoreError> {
+    let create = objects::create(KIND, &node.name, content);
+    let created = node.call_store(&create, None).await?;
+    match created.outcome {
+        Outcome::Done => Ok(()),
+        Outcome::Conflict => replace(node, &created.body, content).await,
+        other => Err(StoreError::Answered(other)),
     }
 }
 
 /// The object exists, from an earlier process: it is replaced if it says something else.
-async fn replace(node: &Node, body: &[u8], content: &Registration) -> bool {
+async fn replace(node: &Node, body: &[u8], content: &Registration) -> Result<(), StoreError> {
     let known = match objects::parse_object(body) {
         Ok(object) => object,
-        Err(_) => match node.store.call(&objects::get(KIND, &node.name)).await {
-            Ok(reply) => match objects::parse_object(&reply.body) {
-                Ok(object) => object,
-                Err(_) => return false,
-            },
-            Err(_) => return false,
-        },
+        // A conflict need not come with the object.
+        Err(_) => {
+            let get = objects::get(KIND, &node.name);
+            objects::parse_object(&node.read_store(&get, None).await?)?
+        }
     };
+    // An object that can't be read is replaced too.
     if serde_json::from_slice::<Registration>(&known.content).is_ok_and(|known| known == *content) {
-        return true;
+        return Ok(());
     }
-    let replaced = node
-        .store
-        .call(&objects::replace(KIND, &node.name, known.revision, content))
-        .await;
-    replaced.is_ok_and(|reply| reply.outcome == Outcome::Done)
+    let replace = objects::replace(KIND, &node.name, known.revision, content);
+    node.read_store(&replace, None).await?;
+    Ok(())
 }
 
 /// Removes the node's object; the node holds nothing any more. Whether it is gone.
 pub async fn unregister(node: &Node) -> bool {
-    let reply = node.store.call(&objects::remove(KIND, &node.name)).await;
-    reply.is_ok_and(|reply| matches!(reply.outcome, Outcome::Done | Outcome::Missing))
+    let remove = objects::remove(KIND, &node.name);
+    match node.call_store(&remove, None).await {
+        Ok(reply) if matches!(reply.outcome, Outcome::Done | Outcome::Missing) => true,
+        Ok(reply) => {
+            failed(node, "remove", &StoreError::Answered(reply.outcome));
+            false
+        }
+        Err(error) => {
+            failed(node, "remove", &error);
+            false
+        }
+    }
+}
+
+fn failed(node: &Node, call: &'static str, error: &StoreError) {
+    node.log.write(Event::StoreCallFailed {
+        call,
+        subject: "registration",
+        problem: error.to_string(),
+    });
 }
 
 /// All registered nodes; nothing if the store didn't tell.
 pub async fn list(node: &Node) -> Option<Vec<RegisteredNode>> {
+    match list_pages(node).await {
+        Ok(nodes) => Some(nodes),
+        Err(error) => {
+            failed(node, "list", &error);
+            None
+        }
+    }
+}
+
+async fn list_pages(node: &Node) -> Result<Vec<RegisteredNode>, StoreError> {
     let mut nodes = Vec::new();
     let mut after = None::<String>;
     loop {
         let call = objects::list(KIND, after.as_deref());
-        let reply = crate::follow::call(node, &call, None).await?;
-        let page = objects::parse_page(&reply.body).ok()?;
+        let page = objects::parse_page(&node.read_store(&call, None).await?)?;
         for object in &page.objects {
             if let Ok(registration) = serde_json::from_slice::<Registration>(&object.content) {
                 nodes.push(RegisteredNode {
@@ -104,7 +129,7 @@
         }
         match page.objects.last() {
             Some(last) if page.more => after = Some(last.name.clone()),
-            _ => return Some(nodes),
+            _ => return Ok(nodes),
         }
     }
 }
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -93,7 +93,7 @@
         .map_err(|error| started("internal datagrams", error))?;
     spawn_local(Control::new(node.clone(), socket).run());
     spawn_local(follow::run(node.clone()));
-    spawn_local(follow::check_while_leading(node.clone()));
+    spawn_local(follow::watch_while_leading(node.clone()));
     spawn_local(registration::register(node.clone()));
     spawn_local(watch_settings(node.clone(), path.to_owned(), hangup));
     if !node.settings.node.first_start {
--- a/crates/sidecar/src/settings.rs
+++ b/crates/sidecar/src/settings.rs
@@ -128,6 +128,14 @@
     pub budget_extra: f64,
     /// Longest hold of keys that a target takes.
     pub max_hold_s: f64,
+    /// A configuration is in force everywhere this long after the store has acknowledged it.
+    #[serde(default = "default_converge_s")]
+    pub converge_s: f64,
+}
+
+/// The bound that holds where the settings name none: the shortest that the users' pages give.
+fn default_converge_s() -> f64 {
+    2.0
 }
 
 impl Settings {
@@ -176,6 +184,7 @@
             ("bounds.grace_s", self.bounds.grace_s),
             ("bounds.budget_window_s", self.bounds.budget_window_s),
             ("bounds.max_hold_s", self.bounds.max_hold_s),
+            ("bounds.converge_s", self.bounds.converge_s),
         ];
         for (field, value) in times {
             if Duration::try_from_secs_f64(value).is_err() || value <= 0.0 {
--- a/crates/sidecar/src/store.rs
+++ b/crates/sidecar/src/store.rs
@@ -9,22 +9,30 @@
 use http::{HeaderValue, Request};
 use http_body_util::BodyExt;
 use tokio::time::timeout;
+use wingspar_platform::FormatError;
 use wingspar_platform::objects::{Call, Outcome};
 
 use crate::body::Body;
 use crate::connections::Connections;
+use crate::node::Node;
 
 /// A call without an answer for this long is given up; its connection isn't used again.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// Time for a connection to come up.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
 
-/// No answer came, or none that could be read: the call may have been done, or may be done later.
-#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+/// Why a call to the store told nothing.
+#[derive(Debug, thiserror::Error)]
 pub enum StoreError {
-    /// No whole answer.
+    /// No whole answer: the call may have been done, or may be done later.
     #[error("the store didn't answer: {0}")]
     NoAnswer(String),
+    /// Another answer than the one that was hoped for.
+    #[error("the store answered {0:?}")]
+    Answered(Outcome),
+    /// The answer isn't of the documented form.
+    #[error("the store's answer can't be read: {0}")]
+    Unreadable(#[from] FormatError),
 }
 
 /// An answer of the store.
@@ -52,13 +60,7 @@
         }
     }
 
-    /// Makes a call that is answered at once.
-    pub async fn call(&self, call: &Call) -> Result<Reply, StoreError> {
-        self.call_within(call, CALL_TIMEOUT).await
-    }
-
-    /// Makes a call that may be answered late, as a watch is.
-    pub async fn call_within(&self, call: &Call, time: Duration) -> Result<Reply, StoreError> {
+    async fn call(&self, call: &Call, time: Duration) -> Result<Reply, StoreError> {
         match timeout(time, self.exchange(call)).await {
             Ok(reply) => reply,
             Err(_) => {
@@ -97,3 +99,50 @@
         })
     }
 }
+
+impl Node {
+    /// Makes a call to the store, counts it and notes whether the store can be reached. `time` is how long a call may
+    /// take that is answered late, as a watch is.
+    pub async fn call_store(
+        &self,
+        call: &Call,
+        time: Option<Duration>,
+    ) -> Result<Reply, StoreError> {
+        let reply = self.store.call(call, time.unwrap_or(CALL_TIMEOUT)).await;
+        let outcome = reply.as_ref().ok().map(|reply| reply.outcome);
+        let name = outcome.map_or("no_answer", outcome_name);
+        self.metrics.count(&self.metrics.store_calls, name);
+        let refused = matches!(
+            outcome,
+            None | Some(Outcome::Throttled | Outcome::Unavailable | Outcome::Unexpected(_))
+        );
+        self.store_answered(!refused, name);
+        reply
+    }
+
+    /// The body of the answer to a reading call that was done.
+    pub async fn read_store(
+        &self,
+        call: &Call,
+        time: Option<Duration>,
+    ) -> Result<Bytes, StoreError> {
+        let reply = self.call_store(call, time).await?;
+        match reply.outcome {
+            Outcome::Done => Ok(reply.body),
+            other => Err(StoreError::Answered(other)),
+        }
+    }
+}
+
+/// The name of an outcome in logs and metrics.
+fn outcome_name(outcome: Outcome) -> &'static str {
+    match outcome {
+        Outcome::Done => "done",
+        Outcome::Missing => "missing",
+        Outcome::Conflict => "conflict",
+        Outcome::HistoryGone => "history_gone",
+        Outcome::Throttled => "throttled",
+        Outcome::Unavailable => "unavailable",
+        Outcome::Unexpected(_) => "unexpected",
+    }
+}
