A new leader tells routers the table of the one before, and only what differs from it

A new leader's first table held only itself, so all routers lost their targets until the others had renewed, and each of the 193 fetched the whole table (1,000 arcs, some 2 MB in all over a link of 20 Mbit/s); answers to renewals waited behind that until nodes took the leader for lost, and the next one began the same.

Change: the first table is the one that the new leader knew, and members and owners of it stay for a lease unless they report; changes are told from that table's version too. Routers' tables decide nothing: agents check the key.

Tests: `take_over` (four; each failed before). Calls to the store and the time until a configuration is in force are tested with real processes (`sidecar` `configuration`).

--- a/crates/ownership/src/leader/mod.rs
+++ b/crates/ownership/src/leader/mod.rs
@@ -17,7 +17,7 @@
 use crate::table_log::TableLog;
 use crate::{
     Epoch, Fence, Leadership, LeaseReply, LoadReport, MemberView, NodeName, RegisteredNode,
-    Renewal, Table, TableAnswer, TargetState, Time, Timing,
+    Renewal, Table, TableAnswer, TableChanges, TargetState, Time, Timing,
 };
 
 /// A node is called about a changed assignment at most this often.
@@ -89,11 +89,13 @@
             partitions: BTreeMap::new(),
             rebalanced_at: now,
             ticked_at: Time::default(),
-            known,
+            // Until nodes have reported, routers go on with what the leader before told.
             table: Table {
                 epoch,
-                ..Table::default()
+                version: 0,
+                ..known.clone()
             },
+            known,
             table_log: TableLog::default(),
         }
     }
@@ -145,10 +147,25 @@
 
     /// What a node that has a version of an epoch's table lacks.
     pub fn table_since(&self, epoch: Epoch, version: u64) -> TableAnswer {
-        let changes = (epoch == self.epoch).then(|| self.table_log.since(&self.table, version));
-        changes
-            .flatten()
-            .unwrap_or_else(|| TableAnswer::Whole(self.table.clone()))
+        let base = if epoch == self.epoch {
+            Some(version)
+        } else {
+            // The first table of this epoch held what this node knew of the epoch before.
+            (epoch == self.known.epoch && version == self.known.version).then_some(0)
+        };
+        let changes = base.and_then(|base| self.table_log.since(&self.table, base));
+        match changes {
+            Some(changes) => TableAnswer::Changes(TableChanges {
+                base: (epoch, version),
+                ..changes
+            }),
+            None => TableAnswer::Whole(self.table.clone()),
+        }
+    }
+
+    /// Whether nodes that the leader before knew may have yet to report to this one.
+    fn is_taking_over(&self, now: Time) -> bool {
+        now < self.elected_at + self.timing.lease
     }
 
     /// What routers see.
--- a/crates/ownership/src/leader/publish.rs
+++ b/crates/ownership/src/leader/publish.rs
@@ -1,8 +1,8 @@
 //! What the leader tells: each node its assignment, and all of them the table.
 
 use super::Leader;
-use crate::partition::State;
-use crate::{NodeName, ServiceTable, Table, Time, Wanted, steps};
+use crate::partition::{Partition, State};
+use crate::{MemberView, NodeName, ServiceTable, Table, Time, Wanted, steps};
 
 impl Leader {
     /// All that a node's target is to hold.
@@ -31,25 +31,13 @@
 
     /// Writes the table anew and raises its version if anything in it changed.
     pub(super) fn refresh_table(&mut self, now: Time) {
-        let members = self
-            .members
-            .values()
-            .filter(|member| {
-                now < member.lease_until || now.since(member.heard_at) < self.timing.lease
-            })
-            .map(|member| member.view.clone())
-            .collect();
+        let members = self.published_members(now);
         let services = self
             .partitions
             .iter()
             .map(|(service, partition)| ServiceTable {
                 service: service.clone(),
-                owners: steps::joined(
-                    partition
-                        .slices
-                        .iter()
-                        .map(|slice| (slice.range.to, owner_of(&slice.state))),
-                ),
+                owners: self.published_owners(now, service, partition),
                 plan: partition.plan.arcs().to_vec(),
             })
             .collect();
@@ -66,6 +54,48 @@
     }
 }
 
+impl Leader {
+    /// Nodes that are heard and, at first, those that the leader before heard, in order.
+    fn published_members(&self, now: Time) -> Vec<MemberView> {
+        let heard = self.members.values().filter(|member| {
+            now < member.lease_until || now.since(member.heard_at) < self.timing.lease
+        });
+        let mut members = heard.map(|member| member.view.clone()).collect::<Vec<_>>();
+        if self.is_taking_over(now) {
+            let earlier = self.known.members.iter();
+            let unheard = earlier.filter(|known| !self.members.contains_key(&known.node));
+            members.extend(unheard.cloned());
+            members.sort_by(|left, right| left.node.cmp(&right.node));
+        }
+        members
+    }
+
+    /// The nodes that requests for keys are to go to: the owners and, at first, those of whom the leader before knew
+    /// that they owned what nobody has reported yet. Whether they still do, their agents know.
+    fn published_owners(
+        &self,
+        now: Time,
+        service: &str,
+        partition: &Partition,
+    ) -> Vec<(u16, Option<NodeName>)> {
+        let mut earlier = self.known.services.iter();
+        let earlier = earlier
+            .find(|known| known.service == service && !known.owners.is_empty())
+            .filter(|_| self.is_taking_over(now));
+        let mut owners = Vec::with_capacity(partition.slices.len());
+        for slice in &partition.slices {
+            match earlier {
+                Some(earlier) if slice.state == State::Unknown => {
+                    let known = steps::within(&earlier.owners, &[slice.range]);
+                    owners.extend(known.into_iter().map(|(range, owner)| (range.to, owner)));
+                }
+                _ => owners.push((slice.range.to, owner_of(&slice.state))),
+            }
+        }
+        steps::joined(owners.into_iter())
+    }
+}
+
 /// The node that requests for a range are to go to.
 fn owner_of(state: &State) -> Option<NodeName> {
     match state {
--- a/crates/ownership/src/message.rs
+++ b/crates/ownership/src/message.rs
@@ -208,8 +208,9 @@
 pub struct TableChanges {
     /// The leader's epoch.
     pub epoch: Epoch,
-    /// The version that the changes are to be applied to.
-    pub base: u64,
+    /// The epoch and the version of the table that the changes are to be applied to. A leader's first table differs
+    /// little from the last one of the leader before.
+    pub base: (Epoch, u64),
     /// The version that results.
     pub version: u64,
     /// Members that are new or have changed.
@@ -251,11 +252,11 @@
     }
 
     fn changed(&self, changes: TableChanges) -> Option<Self> {
-        if (self.epoch, self.version) != (changes.epoch, changes.base) {
+        if (self.epoch, self.version) != changes.base {
             return None;
         }
         let mut next = self.clone();
-        next.version = changes.version;
+        (next.epoch, next.version) = (changes.epoch, changes.version);
         next.members.retain(|member| {
             let changed = changes.members.iter().any(|new| new.node == member.node);
             !changed && !changes.removed.contains(&member.node)
--- a/crates/ownership/src/table_log.rs
+++ b/crates/ownership/src/table_log.rs
@@ -2,9 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-use crate::{
-    KeyRange, NodeName, ServiceChanges, ServiceTable, Table, TableAnswer, TableChanges, steps,
-};
+use crate::{KeyRange, NodeName, ServiceChanges, ServiceTable, Table, TableChanges, steps};
 
 /// Versions that changes are known of.
 const KEPT: usize = 64;
@@ -91,9 +89,12 @@
     }
 
     /// The changes of `table` since a version, if all of them are known.
-    pub fn since(&self, table: &Table, base: u64) -> Option<TableAnswer> {
-        let oldest = self.entries.front()?.version;
-        if base + 1 < oldest || base > table.version {
+    pub fn since(&self, table: &Table, base: u64) -> Option<TableChanges> {
+        if base > table.version {
+            return None;
+        }
+        let oldest = self.entries.front().map(|entry| entry.version);
+        if base < table.version && oldest.is_none_or(|oldest| base + 1 < oldest) {
             return None;
         }
         let later = self.entries.iter().filter(|entry| entry.version > base);
@@ -109,9 +110,9 @@
         }
         let of_name = |name: &NodeName| table.members.iter().find(|member| member.node == *name);
         let of_service = |name: &String| table.services.iter().find(|known| known.service == *name);
-        Some(TableAnswer::Changes(TableChanges {
+        Some(TableChanges {
             epoch: table.epoch,
-            base,
+            base: (table.epoch, base),
             version: table.version,
             members: names.iter().filter_map(of_name).cloned().collect(),
             removed: names
@@ -123,6 +124,6 @@
                 .into_iter()
                 .filter_map(|(name, changed)| Some(changed.in_table(of_service(name)?)))
                 .collect(),
-        }))
+        })
     }
 }
--- /dev/null
+++ b/crates/ownership/tests/take_over.rs
@@ -0,0 +1,119 @@
+//! What routers are told when the leadership passes to another node.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use wingspar_ownership::{
+    Epoch, Leader, LeaderReference, Leadership, Life, MemberView, NodeName, RegisteredNode,
+    ServiceTable, Table, TableAnswer, TargetState, Time, Timing,
+};
+
+const SERVICE: &str = "s";
+
+fn name(number: u16) -> NodeName {
+    NodeName::from(format!("node-{number:03}").as_str())
+}
+
+fn address(number: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, (number >> 8) as u8, number as u8], 7620))
+}
+
+fn member(number: u16) -> MemberView {
+    MemberView {
+        node: name(number),
+        zone: "a".to_owned(),
+        address: address(number),
+        target: Some(TargetState {
+            id: format!("target-{number}"),
+            service: SERVICE.to_owned(),
+            accepting: true,
+            slots: 14,
+        }),
+        leaving: false,
+    }
+}
+
+/// The table of a leader of epoch 3 with 64 members, each the owner of 64 arcs.
+fn table_before() -> Table {
+    let arcs = (0..4_096_u16).map(|arc| (arc * 16 + 15, name(arc * 29 % 64)));
+    let arcs = arcs.collect::<Vec<_>>();
+    let owners = arcs.iter().map(|(to, node)| (*to, Some(node.clone())));
+    Table {
+        epoch: Epoch(3),
+        version: 700,
+        members: (0..64).map(member).collect(),
+        services: vec![ServiceTable {
+            service: SERVICE.to_owned(),
+            owners: owners.collect(),
+            plan: arcs,
+        }],
+    }
+}
+
+/// A leader of epoch 4 that was elected at that time and hasn't heard anybody.
+fn leader(now: Time, known: Table) -> Leader {
+    let reference = LeaderReference {
+        epoch: Epoch(4),
+        node: name(0),
+        life: Life(1),
+        address: address(0),
+    };
+    let leadership = Leadership {
+        leader: reference,
+        earlier: Some(vec![name(1)]),
+    };
+    let registered = (0..64).map(|number| RegisteredNode {
+        node: name(number),
+        address: address(number),
+        service: Some(SERVICE.to_owned()),
+    });
+    let registered = registered.collect::<Vec<_>>();
+    let mut leader = Leader::new(&leadership, Timing::default(), now, now, &registered, known);
+    leader.set_keyed_services(&BTreeSet::from([SERVICE.to_owned()]));
+    leader.tick(now);
+    leader
+}
+
+#[test]
+fn routers_go_on_with_the_members_and_owners_of_before() {
+    let before = table_before();
+    let leader = leader(Time(10_000), before.clone());
+    assert_eq!(leader.table().members, before.members);
+    assert_eq!(leader.table().services, before.services);
+}
+
+#[test]
+fn a_new_leader_tells_only_what_differs_from_the_table_of_before() {
+    let before = table_before();
+    let leader = leader(Time(10_000), before.clone());
+    let answer = leader.table_since(before.epoch, before.version);
+    let TableAnswer::Changes(changes) = &answer else {
+        panic!("the whole table goes to every node at once");
+    };
+    assert!(changes.members.is_empty() && changes.removed.is_empty());
+    assert!(
+        changes
+            .services
+            .iter()
+            .all(|service| service.owners.len() < 8)
+    );
+    let after = before.advanced(answer).expect("it is newer");
+    assert_eq!(&after, leader.table());
+}
+
+#[test]
+fn who_has_another_table_gets_the_whole_one() {
+    let before = table_before();
+    let leader = leader(Time(10_000), before.clone());
+    let answer = leader.table_since(before.epoch, before.version - 1);
+    assert_eq!(answer, TableAnswer::Whole(leader.table().clone()));
+}
+
+#[test]
+fn who_does_not_report_is_forgotten_after_a_lease() {
+    let mut leader = leader(Time(10_000), table_before());
+    leader.tick(Time(10_000) + Timing::default().lease);
+    assert!(leader.table().members.is_empty());
+    let owners = &leader.table().services[0].owners;
+    assert_eq!(*owners, [(u16::MAX, None)]);
+}
--- a/crates/wingspar/tests/sidecar/main.rs
+++ b/crates/wingspar/tests/sidecar/main.rs
@@ -1,5 +1,6 @@
 //! The sidecar as real processes on loopback, against stand-ins of the users' platform.
 
+mod configuration;
 mod deployment;
 mod key_heartbeats;
 mod soak;
