--- a/crates/ownership/tests/take_over.rs
+++ b/crates/ownership/tests/take_over.rs
@@ -35,7 +35,7 @@
 
 /// The table of a leader of epoch 3 with 64 members, each the owner of 64 arcs.
 fn table_before() -> Table {
-    let arcs = (0..4_096_u16).map(|arc| (arc * 16 + 15, name(arc * 29 % 64)));
+    let arcs = (0..4_096_u16).map(|arc| (arc * 16 + 15, name(arc % 64 * 29 % 64)));
     let arcs = arcs.collect::<Vec<_>>();
     let owners = arcs.iter().map(|(to, node)| (*to, Some(node.clone())));
     Table {
