--- a/crates/ownership/src/plan.rs
+++ b/crates/ownership/src/plan.rs
@@ -3,12 +3,14 @@
 use crate::balance::{BUCKETS, KEYS_PER_BUCKET, Load, bucket_of};
 use crate::{KeyRange, NodeName, steps};
 
-/// The busiest owner, in parts of the mean, from which load is taken off it.
-const WORTH_A_LOOK: f64 = 1.18;
-/// The same, down to which that goes on.
-const FAIR: f64 = 1.07;
-/// An owner that uses less than this part of its capacity is left as it is, however idle others are.
-const BUSY: f64 = 0.55;
+/// The busiest owner's utilisation, in parts of the mean, from which load is taken off it: the least that pays for the
+/// pause of the keys that move (rounds on the first deployments, docs/design/platform.md).
+const IMBALANCE_THRESHOLD: f64 = 1.18;
+/// The same, down to which that goes on; below the threshold, so that the next report doesn't set it off again.
+const IMBALANCE_TARGET: f64 = 1.07;
+/// An owner that uses less than this part of its capacity is left as it is, however idle others are: with a dozen
+/// slots hardly a request waits.
+const LEAST_UTILISATION: f64 = 0.55;
 /// Least that is moved at once, in parts of what would be best, and the same where some keys weigh so
 /// much that no part fits.
 const LEAST_PARTS: [f64; 2] = [0.92, 0.3];
@@ -140,9 +142,9 @@
         let mut moved = false;
         for _ in 0..3 * candidates.len() {
             let unfair = if moved {
-                FAIR.max(1.0 + chance / 2.0)
+                IMBALANCE_TARGET.max(1.0 + chance / 2.0)
             } else {
-                WORTH_A_LOOK.max(1.0 + chance)
+                IMBALANCE_THRESHOLD.max(1.0 + chance)
             };
             let enough = !owners.has_idle() && !owners.is_unfair(unfair);
             let Some((busiest, least)) = owners.extremes().filter(|_| !enough) else {
@@ -169,20 +171,10 @@
                 break;
             }
             let owner = &self.arcs[index].1;
-            let only_one = !self
-                .arcs
-                .iter()
-                .enumerate()
-                .any(|(other, (_, node))| other != index && node == owner);
-            let neighbours = [index.checked_sub(1), Some(index + 1)];
-            let neighbours = neighbours.into_iter().flatten();
-            let neighbours = neighbours.filter_map(|index| Some(&self.arcs.get(index)?.1));
-            let taker = neighbours
-                .filter(|node| *node != owner)
-                .filter_map(|node| owners.position(node))
-                .min_by(|left, right| owners.by_utilisation(*left, *right));
-            let (Some(taker), Some(giver), false) = (taker, owners.position(owner), only_one)
-            else {
+            let owns_others = self.owns_other_arcs(index);
+            let giver = owners.position(owner).filter(|_| owns_others);
+            let taker = self.less_busy_neighbour(index, owners);
+            let (Some(giver), Some(taker)) = (giver, taker) else {
                 continue;
             };
             owners.list[giver].load -= weight;
@@ -193,6 +185,24 @@
         self.merge();
     }
 
+    /// Whether the owner of an arc owns others too.
+    fn owns_other_arcs(&self, index: usize) -> bool {
+        let owner = &self.arcs[index].1;
+        let mut others = self.arcs.iter().enumerate();
+        others.any(|(other, (_, node))| other != index && node == owner)
+    }
+
+    /// The less busy of the other owners beside an arc.
+    fn less_busy_neighbour(&self, index: usize, owners: &Owners) -> Option<usize> {
+        let neighbours = [index.checked_sub(1), Some(index + 1)];
+        let neighbours = neighbours.into_iter().flatten();
+        neighbours
+            .filter_map(|neighbour| Some(&self.arcs.get(neighbour)?.1))
+            .filter(|node| **node != self.arcs[index].1)
+            .filter_map(|node| owners.position(node))
+            .min_by(|left, right| owners.by_utilisation(*left, *right))
+    }
+
     /// Moves a part of one owner's keys to another. Returns whether there is a part that fits.
     fn relieve(
         &mut self,
@@ -268,7 +278,11 @@
         });
         Owners {
             list: list.collect(),
-            busy: if load.knows_capacities() { BUSY } else { 0.0 },
+            busy: if load.knows_capacities() {
+                LEAST_UTILISATION
+            } else {
+                0.0
+            },
         }
     }
 
@@ -387,7 +401,7 @@
         let (from, to) = (&self.list[from], &self.list[to]);
         let equal =
             (from.load * to.capacity - to.load * from.capacity) / (from.capacity + to.capacity);
-        let room = self.mean() * WORTH_A_LOOK * to.capacity - to.load;
+        let room = self.mean() * IMBALANCE_THRESHOLD * to.capacity - to.load;
         equal.min(room).max(0.0)
     }
 }
--- a/crates/ownership/tests/election.rs
+++ b/crates/ownership/tests/election.rs
@@ -16,14 +16,13 @@
     }
 }
 
+fn without_leader() -> Election {
+    let timing = Timing::default();
+    Election::new(NodeName::from("a"), Life(2), timing, false, Time(0))
+}
+
 fn follower() -> Election {
-    let mut election = Election::new(
-        NodeName::from("a"),
-        Life(2),
-        Timing::default(),
-        false,
-        Time(0),
-    );
+    let mut election = without_leader();
     assert!(election.learn(Time(1_000), &leader(4)));
     election
 }
@@ -124,13 +123,7 @@
 
 #[test]
 fn a_process_that_knows_no_leader_asks_the_caches_before_the_object() {
-    let mut election = Election::new(
-        NodeName::from("a"),
-        Life(2),
-        Timing::default(),
-        false,
-        Time(0),
-    );
+    let mut election = without_leader();
     let asked_at = (0..1_000)
         .find(|now| election.tick(Time(*now), 0) == Some(Step::ReadCached))
         .expect("it asks");
--- a/crates/sidecar/src/router/mod.rs
+++ b/crates/sidecar/src/router/mod.rs
@@ -27,7 +27,7 @@
 use crate::directory::Destination;
 use crate::hop::{self, HopAnswer, HopRequest, Refusal};
 use crate::node::Node;
-use crate::selection::{Ended, Wish, ZONE_PREFERENCE, ZONE_PREFERENCE_LARGE};
+use crate::selection::{Ended, RequestPreference, ZONE_PREFERENCE, ZONE_PREFERENCE_LARGE};
 
 /// Bodies up to this many bytes are kept, so that they can be sent again.
 const KEEP_BODY: usize = 64 * 1024;
@@ -247,7 +247,7 @@
         Repeatability::Download => ZONE_PREFERENCE_LARGE,
         _ => ZONE_PREFERENCE,
     };
-    let wish = Wish {
+    let wish = RequestPreference {
         node: &node.name,
         zone: &node.settings.node.zone,
         preference,
--- a/crates/sidecar/src/selection.rs
+++ b/crates/sidecar/src/selection.rs
@@ -33,7 +33,7 @@
 
 /// What this node has seen of another's target.
 #[derive(Debug, Clone, Default)]
-struct Seen {
+struct EndpointStatistics {
     time: Option<f64>,
     failures: f64,
     failed_at: Time,
@@ -45,7 +45,7 @@
     avoid_until: Time,
 }
 
-impl Seen {
+impl EndpointStatistics {
     /// Share of requests that failed lately, from 0 to 1.
     fn failures(&self, now: Time) -> f64 {
         self.failures * remaining(now, self.failed_at, FAILURES_FADE)
@@ -71,7 +71,7 @@
 
 /// What a request asks of its destination.
 #[derive(Debug, Clone, Copy)]
-pub struct Wish<'a> {
+pub struct RequestPreference<'a> {
     /// The node that took it.
     pub node: &'a NodeName,
     /// The zone of that node.
@@ -85,7 +85,7 @@
 /// What this node has seen of all targets.
 #[derive(Debug, Default)]
 pub struct Selection {
-    seen: RefCell<HashMap<NodeName, Seen>>,
+    seen: RefCell<HashMap<NodeName, EndpointStatistics>>,
 }
 
 impl Selection {
@@ -94,7 +94,7 @@
     pub fn choose<'a>(
         &self,
         now: Time,
-        wish: Wish<'_>,
+        wish: RequestPreference<'_>,
         destinations: &'a [Destination],
         tried: &[NodeName],
     ) -> Option<&'a Destination> {
@@ -119,7 +119,7 @@
     }
 
     /// Expected time of a request there, in seconds, with the handicaps of other zones and failures.
-    fn cost(&self, now: Time, wish: Wish<'_>, destination: &Destination) -> f64 {
+    fn cost(&self, now: Time, wish: RequestPreference<'_>, destination: &Destination) -> f64 {
         let seen = self.seen.borrow();
         let Some(seen) = seen.get(&destination.node) else {
             return FIRST_TIME;
