Agent's queue: among equally urgent requests the one whose answer is due first comes first

Ruled out: telling inner calls by their address (clients share it); a part of the slots kept for short calls (a setting more, idle where there are none).

Change: a request's turn is its priority, then when its answer is due by its route's objective. Hop requests carry it.

--- a/crates/sidecar/src/agent.rs
+++ b/crates/sidecar/src/agent.rs
@@ -49,7 +49,7 @@
     if is_link_busy(node, &hop) {
         return HopAnswer::Refused(Refusal::LinkBusy);
     }
-    let Ok(slot) = node.slots.acquire(hop.priority, hop.patience).await else {
+    let Ok(slot) = node.slots.acquire(hop.turn, hop.patience).await else {
         return HopAnswer::Refused(Refusal::Full);
     };
     // Time has passed while it waited, perhaps much of it: everything is checked anew.
--- a/crates/sidecar/src/hop.rs
+++ b/crates/sidecar/src/hop.rs
@@ -12,11 +12,13 @@
 
 use crate::body::{Body, BodyError};
 use crate::connections::{Connections, SendError};
+use crate::slots::Turn;
 
 const SERVICE: HeaderName = HeaderName::from_static("wingspar-service");
 const LEFT_MS: HeaderName = HeaderName::from_static("wingspar-left-ms");
 const PATIENCE_MS: HeaderName = HeaderName::from_static("wingspar-patience-ms");
 const TRANSFER_MS: HeaderName = HeaderName::from_static("wingspar-transfer-ms");
+const DUE_MS: HeaderName = HeaderName::from_static("wingspar-due-ms");
 const PRIORITY: HeaderName = HeaderName::from_static("wingspar-priority");
 const OUTCOME: HeaderName = HeaderName::from_static("wingspar-outcome");
 const LOAD: HeaderName = HeaderName::from_static("wingspar-load");
@@ -43,8 +45,8 @@
     pub patience: Instant,
     /// If the answer is likely to be large, until when it should begin to leave the machine.
     pub transfer: Option<Instant>,
-    /// 0 is the most urgent.
-    pub priority: u8,
+    /// When it gets its slot.
+    pub turn: Turn,
     /// The key, if the service's keys have owners.
     pub key: Option<u16>,
 }
@@ -186,7 +188,9 @@
         let left = millis(transfer.saturating_duration_since(now));
         insert_number(&mut headers, TRANSFER_MS, left);
     }
-    insert_number(&mut headers, PRIORITY, u64::from(request.priority));
+    insert_number(&mut headers, PRIORITY, u64::from(request.turn.priority));
+    let due = millis(request.turn.due.saturating_duration_since(now));
+    insert_number(&mut headers, DUE_MS, due);
     if let Ok(service) = HeaderValue::from_str(&request.service) {
         headers.insert(SERVICE, service);
     }
@@ -208,6 +212,7 @@
     let left = read_number(&parts.headers, &LEFT_MS)?;
     let patience = read_number(&parts.headers, &PATIENCE_MS)?;
     let priority = read_number(&parts.headers, &PRIORITY)?;
+    let due = read_number(&parts.headers, &DUE_MS)?;
     let transfer = read_number(&parts.headers, &TRANSFER_MS);
     let mut headers = parts.headers;
     strip(&mut headers);
@@ -225,7 +230,10 @@
         deadline: now + Duration::from_millis(left),
         patience: now + Duration::from_millis(patience),
         transfer: transfer.map(|left| now + Duration::from_millis(left)),
-        priority: u8::try_from(priority).unwrap_or(u8::MAX),
+        turn: Turn {
+            priority: u8::try_from(priority).unwrap_or(u8::MAX),
+            due: now + Duration::from_millis(due),
+        },
         key,
     })
 }
--- a/crates/sidecar/src/router/mod.rs
+++ b/crates/sidecar/src/router/mod.rs
@@ -28,6 +28,7 @@
 use crate::hop::{self, HopAnswer, HopRequest, Refusal};
 use crate::node::Node;
 use crate::selection::{Ended, RequestPreference, ZONE_PREFERENCE, ZONE_PREFERENCE_LARGE};
+use crate::slots::Turn;
 
 /// Bodies up to this many bytes are kept, so that they can be sent again.
 const KEEP_BODY: usize = 64 * 1024;
@@ -300,7 +301,10 @@
         patience,
         // What stays on this machine doesn't use its link.
         transfer: routed.times.transfer.filter(|_| !is_here),
-        priority: routed.route.priority,
+        turn: Turn {
+            priority: routed.route.priority,
+            due: routed.times.due,
+        },
         key: routed.key,
     };
     let outstanding = Outstanding::begin(node, &destination.node);
--- a/crates/sidecar/src/router/timing.rs
+++ b/crates/sidecar/src/router/timing.rs
@@ -35,6 +35,8 @@
 pub struct Times {
     /// It is given up.
     pub deadline: Instant,
+    /// Its answer earns its full credit until then.
+    pub due: Instant,
     /// It has started, or is refused.
     pub patience: Instant,
     /// If it is a download, its answer has begun to leave the target's machine.
@@ -58,6 +60,7 @@
     let deadline = arrived + held.saturating_sub(ANSWER_MARGIN);
     Times {
         deadline,
+        due: arrived + objective,
         patience: deadline.min(arrived + patience),
         transfer: transfer_time(route, deadline, arrived),
     }
--- a/crates/sidecar/src/slots.rs
+++ b/crates/sidecar/src/slots.rs
@@ -1,4 +1,5 @@
-//! Slots of the target and the requests that wait for one, the most urgent first.
+//! Slots of the target and the requests that wait for one: the most urgent first, then the one whose answer is due
+//! first.
 //!
 //! While the target is slow after its start it withstands only few requests a second; then a request waits for its
 //! turn under that limit too, and its expected wait knows it.
@@ -25,6 +26,19 @@
     pub until: Option<Instant>,
 }
 
+/// The order in which requests get a slot.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Turn {
+    /// 0 is the most urgent.
+    pub priority: u8,
+    /// When its answer is due. Earliest due date first serves short inner calls, on which work that has begun
+    /// elsewhere waits, before long requests of the same priority.
+    pub due: Instant,
+}
+
+/// A turn and, among equal ones, the order of arrival.
+type Place = (Turn, u64);
+
 /// Slots of one target.
 pub struct Slots {
     capacity: Cell<usize>,
@@ -34,7 +48,7 @@
     awaits_start: Cell<bool>,
     running: Cell<usize>,
     next: Cell<u64>,
-    waiting: RefCell<BTreeMap<(u8, u64), oneshot::Sender<Slot>>>,
+    waiting: RefCell<BTreeMap<Place, oneshot::Sender<Slot>>>,
     /// Smoothed time that a request keeps its slot, in milliseconds.
     service_time_ms: Cell<f64>,
     finished: Cell<u64>,
@@ -92,13 +106,13 @@
         (self.finished.get(), self.busy_ms.get())
     }
 
-    /// Waits for a slot until `patience`. Requests with a lower `priority` number come first, then
-    /// those that have waited longer. Refuses at once if the queue is too long for it.
-    pub async fn acquire(self: &Rc<Self>, priority: u8, patience: Instant) -> Result<Slot, NoSlot> {
+    /// Waits for a slot until `patience`, behind those whose turn comes before. Refuses at once if the queue is too
+    /// long for it.
+    pub async fn acquire(self: &Rc<Self>, turn: Turn, patience: Instant) -> Result<Slot, NoSlot> {
         if self.waiting.borrow().is_empty() && self.may_start(Instant::now()) {
             return Ok(self.slot());
         }
-        let expected = self.expected_wait_ms(priority);
+        let expected = self.expected_wait_ms(turn);
         let left = patience
             .saturating_duration_since(Instant::now())
             .as_secs_f64()
@@ -106,7 +120,7 @@
         if left <= 0.0 || expected > left * 1.5 {
             return Err(NoSlot);
         }
-        let key = (priority, self.next.get());
+        let key = (turn, self.next.get());
         self.next.set(key.1 + 1);
         let (sender, receiver) = oneshot::channel();
         self.waiting.borrow_mut().insert(key, sender);
@@ -120,9 +134,9 @@
         }
     }
 
-    fn expected_wait_ms(&self, priority: u8) -> f64 {
+    fn expected_wait_ms(&self, turn: Turn) -> f64 {
         let waiting = self.waiting.borrow();
-        let ahead = waiting.range(..(priority, u64::MAX)).count();
+        let ahead = waiting.range(..(turn, u64::MAX)).count();
         let capacity = self.capacity.get().max(1) as f64;
         let for_slot = if self.running.get() + ahead < self.capacity.get() {
             0.0
@@ -210,7 +224,7 @@
 /// Takes a request out of the queue when it stops waiting.
 struct LeaveQueue<'slots> {
     slots: &'slots Rc<Slots>,
-    key: (u8, u64),
+    key: Place,
 }
 
 impl Drop for LeaveQueue<'_> {
--- a/crates/sidecar/tests/limits.rs
+++ b/crates/sidecar/tests/limits.rs
@@ -5,23 +5,34 @@
 use tokio::time::Instant;
 use wingspar_ownership::Time;
 use wingspar_sidecar::budget::Budget;
-use wingspar_sidecar::slots::Slots;
+use wingspar_sidecar::slots::{Slots, Turn};
 
 fn soon(millis: u64) -> Instant {
     Instant::now() + Duration::from_millis(millis)
 }
 
+/// The turn of a request whose answer is due in so many milliseconds.
+fn turn(priority: u8, due: u64) -> Turn {
+    Turn {
+        priority,
+        due: soon(due),
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_full_target_refuses_when_patience_ends() {
     let slots = Slots::new(false);
     slots.set_capacity(1);
-    let held = slots.acquire(1, soon(0)).await.expect("a slot is free");
+    let held = slots
+        .acquire(turn(1, 400), soon(0))
+        .await
+        .expect("a slot is free");
     assert!(
-        slots.acquire(1, soon(0)).await.is_err(),
+        slots.acquire(turn(1, 400), soon(0)).await.is_err(),
         "no patience at all"
     );
     let started = Instant::now();
-    assert!(slots.acquire(1, soon(200)).await.is_err());
+    assert!(slots.acquire(turn(1, 400), soon(200)).await.is_err());
     assert_eq!(started.elapsed(), Duration::from_millis(200));
     assert_eq!((slots.running(), slots.waiting()), (1, 0));
     drop(held);
@@ -32,10 +43,13 @@
 async fn the_most_urgent_comes_first() {
     let slots = Slots::new(false);
     slots.set_capacity(1);
-    let held = slots.acquire(1, soon(0)).await.expect("a slot is free");
+    let held = slots
+        .acquire(turn(1, 400), soon(0))
+        .await
+        .expect("a slot is free");
     let order = std::cell::RefCell::new(Vec::new());
     let wait = async |priority: u8| {
-        let slot = slots.acquire(priority, soon(1_000)).await;
+        let slot = slots.acquire(turn(priority, 400), soon(1_000)).await;
         order.borrow_mut().push(priority);
         tokio::time::sleep(Duration::from_millis(1)).await;
         drop(slot);
@@ -48,16 +62,43 @@
     assert_eq!(slots.running(), 0);
 }
 
+#[tokio::test(start_paused = true)]
+async fn among_equally_urgent_ones_the_first_due_comes_first() {
+    let slots = Slots::new(false);
+    slots.set_capacity(1);
+    let held = slots.acquire(turn(1, 0), soon(0)).await;
+    let order = std::cell::RefCell::new(Vec::new());
+    let wait = async |due: u64| {
+        let slot = slots.acquire(turn(1, due), soon(1_000)).await;
+        order.borrow_mut().push(due);
+        tokio::time::sleep(Duration::from_millis(1)).await;
+        drop(slot);
+    };
+    // A deposit came first, a check on which work elsewhere waits is due first.
+    tokio::join!(wait(1_200), wait(250), wait(800), async {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+        drop(held);
+    });
+    assert_eq!(*order.borrow(), [250, 800, 1_200]);
+}
+
 #[tokio::test(start_paused = true)]
 async fn who_stops_waiting_leaves_no_trace() {
     let slots = Slots::new(false);
     slots.set_capacity(1);
-    let held = slots.acquire(1, soon(0)).await.expect("a slot is free");
-    let left = tokio::time::timeout(Duration::from_millis(10), slots.acquire(1, soon(1_000))).await;
+    let held = slots
+        .acquire(turn(1, 400), soon(0))
+        .await
+        .expect("a slot is free");
+    let left = tokio::time::timeout(
+        Duration::from_millis(10),
+        slots.acquire(turn(1, 400), soon(1_000)),
+    )
+    .await;
     assert!(left.is_err());
     assert_eq!(slots.waiting(), 0);
     drop(held);
-    assert!(slots.acquire(1, soon(0)).await.is_ok());
+    assert!(slots.acquire(turn(1, 400), soon(0)).await.is_ok());
 }
 
 #[test]
--- a/crates/sidecar/tests/start_rate.rs
+++ b/crates/sidecar/tests/start_rate.rs
@@ -6,7 +6,7 @@
 use quickcheck::{QuickCheck, TestResult};
 use tokio::task::LocalSet;
 use tokio::time::Instant;
-use wingspar_sidecar::slots::{Slots, StartLimit};
+use wingspar_sidecar::slots::{Slots, StartLimit, Turn};
 use wingspar_sidecar::start_rate::StartRate;
 
 /// The span over which the target counts what arrives.
@@ -77,7 +77,11 @@
     let begun = Instant::now();
     let started = RefCell::new(Vec::new());
     let refused = RefCell::new(0);
-    let one = async || match slots.acquire(1, after(begun, patience)).await {
+    let turn = Turn {
+        priority: 1,
+        due: begun,
+    };
+    let one = async || match slots.acquire(turn, after(begun, patience)).await {
         Ok(slot) => {
             started.borrow_mut().push(begun.elapsed().as_millis());
             tokio::time::sleep(Duration::from_millis(30)).await;
