--- a/crates/sidecar/src/agent.rs
+++ b/crates/sidecar/src/agent.rs
@@ -7,6 +7,7 @@
 use wingspar_ownership::Admission;
 use wingspar_platform::headers;
 
+use crate::clock::whole_millis;
 use crate::hop::{HopAnswer, HopRequest, Occupancy, Refusal};
 use crate::key_calls::lease_left_ms;
 use crate::logs::Event;
@@ -35,7 +36,7 @@
         reason,
         running: node.slots.running(),
         waiting: node.slots.waiting(),
-        link_ms: u64::try_from(node.link.expected_wait().as_millis()).unwrap_or(u64::MAX),
+        link_ms: whole_millis(node.link.expected_wait()),
         lease_left_ms: lease_left_ms(node),
         epoch: node.participant.borrow().epoch().0,
     });
--- a/crates/sidecar/src/clock.rs
+++ b/crates/sidecar/src/clock.rs
@@ -4,6 +4,11 @@
 
 use wingspar_ownership::Time;
 
+/// Whole milliseconds of a time; the longest that can be told for one that is longer.
+pub fn whole_millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Counts milliseconds from a moment before the process did anything.
 #[derive(Debug, Clone, Copy)]
 pub struct Clock {
@@ -23,7 +28,7 @@
 
     /// The time now.
     pub fn now(&self) -> Time {
-        Time(BEFORE_START_MS + u64::try_from(self.start.elapsed().as_millis()).unwrap_or(0))
+        Time(BEFORE_START_MS + whole_millis(self.start.elapsed()))
     }
 
     /// Time since the process started.
--- a/crates/sidecar/src/control.rs
+++ b/crates/sidecar/src/control.rs
@@ -132,6 +132,7 @@
 
     fn receive(self: &Rc<Self>, bytes: &[u8], from: SocketAddr) {
         let Ok(datagram) = ciborium::from_reader::<Datagram, _>(bytes) else {
+            self.node.metrics.unreadable_datagrams.inc();
             return;
         };
         let around = self.around();
--- a/crates/sidecar/src/hop.rs
+++ b/crates/sidecar/src/hop.rs
@@ -11,6 +11,7 @@
 use wingspar_platform::headers;
 
 use crate::body::{Body, BodyError};
+use crate::clock::whole_millis;
 use crate::connections::{Connections, SendError};
 use crate::slots::Turn;
 
@@ -177,19 +178,19 @@
     insert_number(
         &mut headers,
         LEFT_MS,
-        millis(request.deadline.saturating_duration_since(now)),
+        whole_millis(request.deadline.saturating_duration_since(now)),
     );
     insert_number(
         &mut headers,
         PATIENCE_MS,
-        millis(request.patience.saturating_duration_since(now)),
+        whole_millis(request.patience.saturating_duration_since(now)),
     );
     if let Some(transfer) = request.transfer {
-        let left = millis(transfer.saturating_duration_since(now));
+        let left = whole_millis(transfer.saturating_duration_since(now));
         insert_number(&mut headers, TRANSFER_MS, left);
     }
     insert_number(&mut headers, PRIORITY, u64::from(request.turn.priority));
-    let due = millis(request.turn.due.saturating_duration_since(now));
+    let due = whole_millis(request.turn.due.saturating_duration_since(now));
     insert_number(&mut headers, DUE_MS, due);
     if let Ok(service) = HeaderValue::from_str(&request.service) {
         headers.insert(SERVICE, service);
@@ -404,7 +405,3 @@
 fn insert_number(headers: &mut HeaderMap, name: HeaderName, value: u64) {
     headers.insert(name, HeaderValue::from(value));
 }
-
-fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/sidecar/src/key_calls.rs
+++ b/crates/sidecar/src/key_calls.rs
@@ -9,6 +9,7 @@
 use wingspar_platform::{GrantOrder, ReleaseOrder, headers};
 
 use crate::body::Body;
+use crate::clock::whole_millis;
 use crate::logs::Event;
 use crate::node::Node;
 use crate::target_calls::call;
@@ -100,7 +101,7 @@
 /// What is left of the node's lease, in milliseconds.
 pub fn lease_left_ms(node: &Node) -> u64 {
     let left = node.participant.borrow().lease_until().since(node.now());
-    u64::try_from(left.as_millis()).unwrap_or(0)
+    whole_millis(left)
 }
 
 async fn post(
--- a/crates/sidecar/src/key_exchange.rs
+++ b/crates/sidecar/src/key_exchange.rs
@@ -13,6 +13,7 @@
 };
 use wingspar_platform::{GrantedKeys, Heartbeat, KeyGrants, LifecycleState};
 
+use crate::clock::whole_millis;
 use crate::key_calls::lease_left_ms;
 use crate::logs::Event;
 use crate::node::Node;
@@ -141,7 +142,7 @@
         released: heartbeat.released_keys.len(),
         rows,
         outcome,
-        held_back_ms: u64::try_from(held_back.as_millis()).unwrap_or(0),
+        held_back_ms: whole_millis(held_back),
         lease_left_ms: lease_left_ms(node),
     });
 }
--- a/crates/sidecar/src/link.rs
+++ b/crates/sidecar/src/link.rs
@@ -18,6 +18,7 @@
 use tokio::time::{Instant, Sleep, sleep_until};
 
 use crate::body::{Body, BodyError};
+use crate::clock::whole_millis;
 
 /// Answers from this length on, in bytes, are large.
 pub const LARGE: u64 = 16 * 1024;
@@ -125,7 +126,7 @@
     fn through_at(&self, length: u64) -> u64 {
         let alone = length as f64 / self.rate.unwrap_or(f64::INFINITY);
         let through = self.began.elapsed() + Duration::from_secs_f64(alone);
-        u64::try_from(through.as_millis()).unwrap_or(u64::MAX)
+        whole_millis(through)
     }
 
     fn piece_length(&self) -> usize {
--- a/crates/sidecar/src/logs.rs
+++ b/crates/sidecar/src/logs.rs
@@ -12,7 +12,7 @@
 use spdlog::sink::{AsyncPoolSink, OverflowPolicy, StdStream, StdStreamSink};
 use spdlog::{Level, LevelFilter, Logger, ThreadPool};
 
-use crate::clock::Clock;
+use crate::clock::{Clock, whole_millis};
 
 /// Lines that wait for the writer at most.
 const QUEUE: usize = 4096;
@@ -276,7 +276,7 @@
     /// Writes a line about what the process believes.
     pub fn write(&self, event: Event<'_>) {
         let line = Line {
-            at_ms: u64::try_from(self.clock.uptime().as_millis()).unwrap_or(0),
+            at_ms: whole_millis(self.clock.uptime()),
             node: &self.node,
             event,
         };
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -49,6 +49,8 @@
     pub store_calls: Family<OutcomeLabel, Counter>,
     /// Grants and releases at the target, by outcome.
     pub key_orders: Family<OutcomeLabel, Counter>,
+    /// Datagrams of other nodes that can't be read.
+    pub unreadable_datagrams: Counter,
     /// Requests in the target's slots.
     pub running: Gauge,
     /// Requests that wait for a slot.
@@ -73,6 +75,7 @@
             repeats: Counter::default(),
             store_calls: Family::default(),
             key_orders: Family::default(),
+            unreadable_datagrams: Counter::default(),
             running: Gauge::default(),
             waiting: Gauge::default(),
             configuration: Gauge::default(),
@@ -109,6 +112,11 @@
             "Grants and releases at the target",
             metrics.key_orders.clone(),
         );
+        registry.register(
+            "unreadable_datagrams",
+            "Datagrams of other nodes that can't be read",
+            metrics.unreadable_datagrams.clone(),
+        );
         registry.register(
             "slots_running",
             "Requests in the target's slots",
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -14,7 +14,7 @@
 use wingspar_routes::{Configuration, RouteTable};
 
 use crate::budget::Budget;
-use crate::clock::Clock;
+use crate::clock::{Clock, whole_millis};
 use crate::connections::Connections;
 use crate::directory::Directory;
 use crate::evacuation::{Evacuations, OwnZone};
@@ -298,7 +298,7 @@
         let ago = self.now().since(evacuations.checked_at()?);
         Some(EvacuationReport {
             evacuated: evacuations.evacuated().clone(),
-            checked_ms_ago: u64::try_from(ago.as_millis()).unwrap_or(u64::MAX),
+            checked_ms_ago: whole_millis(ago),
         })
     }
 
--- a/crates/sidecar/src/registration.rs
+++ b/crates/sidecar/src/registration.rs
@@ -7,6 +7,7 @@
 use rand::RngExt;
 use serde::{Deserialize, Serialize};
 use wingspar_ownership::{NodeName, RegisteredNode};
+use wingspar_platform::FormatError;
 use wingspar_platform::objects::{self, Outcome};
 
 use crate::logs::Event;
@@ -119,12 +120,14 @@
         let call = objects::list(KIND, after.as_deref());
         let page = objects::parse_page(&node.read_store(&call, None).await?)?;
         for object in &page.objects {
-            if let Ok(registration) = serde_json::from_slice::<Registration>(&object.content) {
-                nodes.push(RegisteredNode {
+            match serde_json::from_slice::<Registration>(&object.content) {
+                Ok(registration) => nodes.push(RegisteredNode {
                     node: NodeName::from(object.name.as_str()),
                     address: registration.address,
                     service: registration.service,
-                });
+                }),
+                // Its node overwrites it at its next start.
+                Err(error) => failed(node, "list", &FormatError::from(error).into()),
             }
         }
         match page.objects.last() {
--- a/crates/sidecar/src/router/mod.rs
+++ b/crates/sidecar/src/router/mod.rs
@@ -34,6 +34,9 @@
 const KEEP_BODY: usize = 64 * 1024;
 /// Pause before a key's owner is looked up again, unless the directory changes before.
 const OWNER_PAUSE: Duration = Duration::from_millis(40);
+/// A request isn't sent again with less time left than this part of its objective: the send would hardly be answered.
+/// Chosen by hand.
+const WORTH_SENDING: f64 = 0.3;
 /// Most nodes that are asked while nothing has been sent.
 const MOST_REFUSALS: usize = 4;
 
@@ -415,7 +418,12 @@
         .times
         .deadline
         .saturating_duration_since(Instant::now());
-    let worth_it = left > routed.route.objective.unwrap_or_default().mul_f64(0.3);
+    let worth_it = left
+        > routed
+            .route
+            .objective
+            .unwrap_or_default()
+            .mul_f64(WORTH_SENDING);
     if record.sends >= routed.route.max_attempts || !routed.body.is_available() || !worth_it {
         return Next::GiveUp(reason);
     }
--- a/crates/sidecar/src/router/record.rs
+++ b/crates/sidecar/src/router/record.rs
@@ -6,6 +6,7 @@
 use wingspar_platform::headers;
 
 use crate::answer::Reason;
+use crate::clock::whole_millis;
 use crate::logs::Event;
 use crate::metrics::{RequestLabels, ServiceLabel};
 use crate::node::Node;
@@ -79,7 +80,7 @@
             tried: &self.node,
             sends: self.sends,
             outcome: labels.outcome,
-            took_ms: u64::try_from(took.as_millis()).unwrap_or(0),
+            took_ms: whole_millis(took),
             detail: &self.detail,
         });
     }
--- a/crates/sidecar/src/selection.rs
+++ b/crates/sidecar/src/selection.rs
@@ -26,6 +26,12 @@
 const FAILURE_HANDICAP: f64 = 8.0;
 /// A node that couldn't be reached isn't tried first for this long.
 const AVOID: Duration = Duration::from_millis(1_000);
+/// How many times longer a request takes at a target whose slots are just in use, beyond once. Chosen by hand.
+const LOAD_STEEPNESS: f64 = 2.0;
+/// A request that waits counts as so many that run. Chosen by hand.
+const WAITING_WEIGHT: u32 = 3;
+/// Seconds that an avoided node looks worse by: longer than any request takes.
+const AVOIDED_COST: f64 = 10.0;
 /// What a node reported of its load fades over this time.
 const REPORT_FADES: Duration = Duration::from_millis(400);
 /// The same for what it reported of its link.
@@ -125,9 +131,9 @@
             return FIRST_TIME;
         };
         let weight = remaining(now, seen.reported_at, REPORT_FADES);
-        let reported = f64::from(seen.running + 3 * seen.waiting) * weight;
+        let reported = f64::from(seen.running + WAITING_WEIGHT * seen.waiting) * weight;
         let load = (f64::from(seen.outstanding) + reported) / f64::from(destination.slots.max(1));
-        let mut cost = seen.time.unwrap_or(FIRST_TIME) * (1.0 + load * load * 2.0);
+        let mut cost = seen.time.unwrap_or(FIRST_TIME) * (1.0 + load * load * LOAD_STEEPNESS);
         if wish.large && destination.node != *wish.node {
             let weight = remaining(now, seen.reported_at, LINK_REPORT_FADES);
             cost += f64::from(seen.link_ms) / 1000.0 * weight;
@@ -137,7 +143,7 @@
             cost *= wish.preference;
         }
         if now < seen.avoid_until {
-            cost += 10.0;
+            cost += AVOIDED_COST;
         }
         cost
     }
--- a/crates/sidecar/src/slots.rs
+++ b/crates/sidecar/src/slots.rs
@@ -11,6 +11,7 @@
 use tokio::sync::oneshot;
 use tokio::time::{Instant, timeout_at};
 
+use crate::clock::whole_millis;
 use crate::start_rate::StartRate;
 
 /// No slot came free in time.
@@ -59,6 +60,9 @@
 const SMOOTHING: f64 = 0.05;
 /// Time that a request keeps its slot, before any was seen.
 const FIRST_SERVICE_TIME_MS: f64 = 60.0;
+/// A request waits although its wait is expected to outlast its patience by up to this factor: the expectation is a mean.
+/// Chosen by hand; no round has varied it.
+const EXPECTED_WAIT_SLACK: f64 = 1.5;
 
 impl Slots {
     /// No slots until the target tells how many it has. `after_another` says that another process may have sent it
@@ -117,7 +121,7 @@
             .saturating_duration_since(Instant::now())
             .as_secs_f64()
             * 1000.0;
-        if left <= 0.0 || expected > left * 1.5 {
+        if left <= 0.0 || expected > left * EXPECTED_WAIT_SLACK {
             return Err(NoSlot);
         }
         let key = (turn, self.next.get());
@@ -263,7 +267,7 @@
                 .service_time_ms
                 .set(known + SMOOTHING * (time.as_secs_f64() * 1000.0 - known));
             slots.finished.set(slots.finished.get() + 1);
-            let busy = u64::try_from(time.as_millis()).unwrap_or(0);
+            let busy = whole_millis(time);
             slots.busy_ms.set(slots.busy_ms.get() + busy);
         }
         slots.pass_on();
--- a/crates/sidecar/src/target_calls.rs
+++ b/crates/sidecar/src/target_calls.rs
@@ -10,6 +10,7 @@
 use wingspar_platform::{headers, parse_load};
 
 use crate::body::{Body, Keeping};
+use crate::clock::whole_millis;
 use crate::connections::{ConnectionBody, SendError};
 use crate::hop::{HopAnswer, HopRequest, Refusal, whole_or_stream};
 use crate::key_exchange;
@@ -73,10 +74,7 @@
     *request.method_mut() = hop.method;
     *request.uri_mut() = hop.path.into();
     let mut own = hop.headers;
-    own.insert(
-        headers::DEADLINE_MS,
-        HeaderValue::from(u64::try_from(left.as_millis()).unwrap_or(0)),
-    );
+    own.insert(headers::DEADLINE_MS, HeaderValue::from(whole_millis(left)));
     if let Ok(expected) = HeaderValue::from_str(expected) {
         own.insert(headers::EXPECT_INSTANCE, expected);
     }
