Planned stop: the end waits for a request that comes late on an open connection

The end looked at running requests once, then gave open connections 0.6 s, whatever came on them meanwhile.

Ruled out: the accept queue (a connection on which nothing was read is closed unread; the new test of real processes shows that and passed before); the target's node (its agent cut the run because the connection from the stopping node closed).

Change: stop::Ending decides, apart from I/O: requests and keys hold the end up whenever they come, open connections for 0.6 s after the last of them, the registration until the store has removed it. It is removed beside, not afterwards.

--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -36,7 +36,7 @@
 mod settings;
 pub mod slots;
 pub mod start_rate;
-mod stop;
+pub mod stop;
 mod store;
 pub mod target;
 mod target_calls;
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -22,7 +22,7 @@
 use crate::logs::{self, Event};
 use crate::node::Node;
 use crate::settings::{Settings, SettingsError};
-use crate::stop::Stop;
+use crate::stop::{Ending, Remaining, Stop};
 use crate::{follow, heartbeats, internal, listen, registration, router, target_calls};
 
 /// The node could not start or go on.
@@ -45,8 +45,6 @@
 const LEAVING_TIME: Duration = Duration::from_millis(2_500);
 /// The process ends this long before it would be killed.
 const END_MARGIN: Duration = Duration::from_millis(450);
-/// After the last answer, the bytes of it that were written have at most this long to leave.
-const LAST_BYTES: Duration = Duration::from_millis(600);
 /// How often the end of running requests is looked at.
 const END_STEP: Duration = Duration::from_millis(25);
 /// How often the settings file is looked at.
@@ -258,29 +256,37 @@
     node.control_wakes.notify_one();
     tokio::time::sleep(LEAVING_TIME.min(grace / 2)).await;
     node.stop.send_replace(Stop::Closing);
-    let unfinished = || node.in_flight.get() + node.slots.running();
-    let holds = || node.participant.borrow_mut().holds_any(node.now());
-    while asked_at.elapsed() < grace && (unfinished() > 0 || holds()) {
-        tokio::time::sleep(END_STEP).await;
-    }
-    let answered_at = Instant::now();
-    while answered_at.elapsed() < LAST_BYTES.min(grace.saturating_sub(asked_at.elapsed()))
-        && node.connections.get() > 0
-    {
+    let mut ending = Ending::default();
+    let mut unregistering = false;
+    while asked_at.elapsed() < grace {
+        let remaining = remaining(node);
+        if ending.is_over(Instant::now(), remaining) {
+            break;
+        }
+        if !remaining.holds_keys && !unregistering {
+            unregistering = true;
+            spawn_local(unregister(node.clone()));
+        }
         tokio::time::sleep(END_STEP).await;
     }
-    if !holds() {
-        let left = grace.saturating_sub(asked_at.elapsed());
-        let _in_time = tokio::time::timeout(left, unregister(node)).await;
-    }
     node.log.write(Event::Stopped {
-        unfinished: unfinished(),
+        unfinished: remaining(node).requests,
     });
 }
 
+fn remaining(node: &Node) -> Remaining {
+    Remaining {
+        requests: node.in_flight.get() + node.slots.running(),
+        holds_keys: node.participant.borrow_mut().holds_any(node.now()),
+        connections: node.connections.get(),
+        registered: node.registered.get(),
+    }
+}
+
 /// Removes the node's registration, however often that takes.
-async fn unregister(node: &Node) {
-    while !registration::unregister(node).await {
+async fn unregister(node: Rc<Node>) {
+    while !registration::unregister(&node).await {
         tokio::time::sleep(END_STEP).await;
     }
+    node.registered.set(false);
 }
--- a/crates/wingspar/tests/sidecar/evacuations.rs
+++ b/crates/wingspar/tests/sidecar/evacuations.rs
@@ -9,9 +9,9 @@
 use super::deployment::{Deployment, Wiring, eventually};
 
 /// The operator's bound for an evacuation in these tests.
-const BOUND: Duration = Duration::from_secs(5);
+pub const BOUND: Duration = Duration::from_secs(5);
 /// Machines of zone `b`: the second of the keyed service, the second of the other one.
-const ZONE_B: [usize; 2] = [1, 3];
+pub const ZONE_B: [usize; 2] = [1, 3];
 
 fn wiring() -> Wiring {
     Wiring {
--- a/crates/wingspar/tests/sidecar/main.rs
+++ b/crates/wingspar/tests/sidecar/main.rs
@@ -424,6 +424,37 @@
     .await;
 }
 
+/// A client's connection may have been accepted before the stop, and its first request be read after it: the process
+/// must not end while that is answered.
+#[tokio::test]
+async fn a_planned_stop_waits_for_a_request_that_comes_late_on_an_open_connection() {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    let mut deployment = Deployment::start(31).await;
+    deployment.plain_targets_do(TargetFaults {
+        work: Duration::from_millis(1_000),
+        ..TargetFaults::default()
+    });
+    deployment.terminate(0);
+    tokio::time::sleep(Duration::from_millis(2_300)).await;
+    let mut connection = tokio::net::TcpStream::connect(deployment.nodes[0].outbound)
+        .await
+        .expect("it still accepts");
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    let request = "POST /orders/1 HTTP/1.1\r\nHost: shop.example\r\nX-Wingspar-Request-Id: late\r\n\
+                   X-Wingspar-Deadline-Ms: 2000\r\nContent-Length: 0\r\n\r\n";
+    let written = connection.write_all(request.as_bytes()).await;
+    let mut answer = Vec::new();
+    let _end = connection.read_to_end(&mut answer).await;
+    if deployment.seen("late").is_empty() {
+        // Closed before the request was read: the client may send it elsewhere.
+        assert!(written.is_err() || answer.is_empty(), "no answer was due");
+    } else {
+        let answer = String::from_utf8_lossy(&answer);
+        assert!(answer.starts_with("HTTP/1.1 200"), "cut: {answer:?}");
+    }
+    assert!(deployment.exited_well(0).await);
+}
+
 #[tokio::test]
 async fn a_planned_stop_does_not_cut_a_large_answer() {
     // 400 kB over a link of 1 Mbit/s take longer than the node needs to have nothing else to do.
--- a/crates/wingspar/tests/sidecar/soak/faults.rs
+++ b/crates/wingspar/tests/sidecar/soak/faults.rs
@@ -5,7 +5,7 @@
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 use serde_json::json;
-use wingspar_standins::fleet::StoreFaults;
+use wingspar_standins::fleet::{StoreFaults, TargetFaults};
 use wingspar_standins::net::Harm;
 
 use crate::deployment::{Deployment, route};
@@ -15,6 +15,11 @@
 /// How long a fault lasts, in milliseconds.
 const LASTS_MS: std::ops::Range<u64> = 300..4_000;
 
+/// Zones that may be evacuated.
+const ZONES: [&str; 2] = ["a", "b"];
+/// What a target that is slow after its start tells of it, until it is told otherwise.
+const SLOW_FOR: Duration = Duration::from_secs(3);
+
 /// How a fault ends.
 #[derive(Debug, Clone, Copy)]
 enum End {
@@ -23,6 +28,8 @@
     Store,
     Resume(usize),
     Start(usize),
+    Evacuation(&'static str),
+    SlowTarget(usize),
 }
 
 /// Faults that are under way, and the story of all.
@@ -97,7 +104,7 @@
         until: Instant,
     ) {
         let away = self.is_away(node);
-        match random.random_range(0..10) {
+        match random.random_range(0..12) {
             0 | 1 => {
                 let harm = draw_harm(random);
                 deployment.nodes[node].store_link.set(harm);
@@ -116,6 +123,17 @@
                 self.note(&format!("store: {faults:?}"));
                 self.ends.push((until, End::Store));
             }
+            10 => {
+                let zone = ZONES[random.random_range(0..ZONES.len())];
+                deployment.store.write("evacuations", zone, json!({}));
+                self.note(&format!("zone {zone} is evacuated"));
+                self.ends.push((until, End::Evacuation(zone)));
+            }
+            11 => {
+                set_warmup(deployment, node, SLOW_FOR);
+                self.note(&format!("the target of {node} is slow after its start"));
+                self.ends.push((until, End::SlowTarget(node)));
+            }
             5 | 6 if !away => {
                 deployment.signal(node, "-STOP");
                 self.note(&format!("{node} is paused"));
@@ -150,11 +168,25 @@
             End::Store => deployment.store.set_faults(StoreFaults::default()),
             End::Resume(node) => deployment.signal(node, "-CONT"),
             End::Start(node) => deployment.start_process(node),
+            End::Evacuation(zone) => {
+                deployment.store.remove("evacuations", zone);
+            }
+            End::SlowTarget(node) => set_warmup(deployment, node, Duration::ZERO),
         }
         self.note(&format!("over: {end:?}"));
     }
 }
 
+/// Has a machine's target tell that it is slow for so long.
+fn set_warmup(deployment: &Deployment, node: usize, warmup: Duration) {
+    if let Some(target) = &deployment.nodes[node].target {
+        target.set_faults(TargetFaults {
+            warmup,
+            ..TargetFaults::default()
+        });
+    }
+}
+
 /// The routes that the load uses.
 fn routes() -> serde_json::Value {
     json!([
--- a/crates/wingspar/tests/sidecar/soak/mod.rs
+++ b/crates/wingspar/tests/sidecar/soak/mod.rs
@@ -3,7 +3,7 @@
 //! Each seed starts a deployment of four machines whose nodes reach the store and their targets through
 //! proxies, sends requests, and injects faults: connections that are delayed, reset, cut one way or
 //! silenced; processes that are paused, killed, stopped in order and started again; a store that is down,
-//! throttles or forgets. `SOAK_SEEDS=N SOAK_FIRST=S SOAK_SECONDS=T cargo test --release -p wingspar --test
+//! throttles or forgets; zones that are evacuated; targets that say that they are slow after their start. `SOAK_SEEDS=N SOAK_FIRST=S SOAK_SECONDS=T cargo test --release -p wingspar --test
 //! sidecar soak -- --nocapture` plays other seeds than the fixed ones.
 
 mod checks;
@@ -13,12 +13,14 @@
 use std::time::{Duration, Instant};
 
 use crate::deployment::{Deployment, Wiring, eventually};
+use crate::evacuations::{BOUND, ZONE_B};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
 use checks::Promises;
 use faults::Faults;
 use load::Load;
+use serde_json::json;
 
 /// Seeds that are always played: those that once failed, each with its cause, and one that never did.
 const SEEDS: [(u64, &str); 1] = [(1, "never failed")];
@@ -45,6 +47,7 @@
 async fn play(seed: u64, network: u8, length: Duration) -> Result<String, String> {
     let wiring = Wiring {
         through_proxies: true,
+        two_zones: true,
         ..Wiring::default()
     };
     let mut deployment = Deployment::start_with(network, &wiring).await;
@@ -73,9 +76,31 @@
         first.status() == 200 && last.status() == 200
     })
     .await;
+    evacuates_still(&deployment, seed).await?;
     Ok(promises.summary())
 }
 
+/// After all that, with no fault under way, an evacuated zone still gets nothing once the operator's bound is over.
+async fn evacuates_still(deployment: &Deployment, seed: u64) -> Result<(), String> {
+    deployment.store.write("evacuations", "b", json!({}));
+    tokio::time::sleep(BOUND).await;
+    for step in 0..20 {
+        deployment.try_heartbeats().await;
+        let id = format!("evacuated-{seed}-{step}");
+        let sent = deployment.request(step % 4, "/orders/1", &id).send().await;
+        let served = sent.is_ok_and(|answer| answer.status() == 200);
+        let in_zone = ZONE_B.map(|machine| deployment.nodes[machine].target.as_ref());
+        let mut in_zone = in_zone.into_iter().flatten();
+        if in_zone.any(|target| target.seen().iter().any(|seen| seen.id == id)) {
+            return Err(format!("{id} ran in an evacuated zone"));
+        }
+        if !served {
+            return Err(format!("{id} wasn't served by the other zone"));
+        }
+    }
+    Ok(())
+}
+
 #[tokio::test]
 async fn promises_hold_under_faults_from_outside() {
     let length = Duration::from_secs(number("SOAK_SECONDS").unwrap_or(SECONDS));
