Sight: requests carry a fingerprint of their content, and a target's end names what was in flight

Cause: logs tell ids and keys only, so whether two ids are one request that came again can't be told, nor which requests ran at a target when it ended. Change: crate quarantine (Fingerprint, InFlight), event target_ended, field fingerprint in request and refused. A broken connection is followed by one connect to the target. No decision changes.

--- /dev/null
+++ b/crates/quarantine/tests/fingerprint.rs
@@ -0,0 +1,68 @@
+//! Which requests are the same.
+
+use quickcheck::quickcheck;
+use wingspar_quarantine::{Content, Fingerprint};
+
+const LOOKUP: Content<'static> = Content {
+    method: "GET",
+    host: "shop.example",
+    path: "/stock/17?page=2",
+    body: b"",
+    body_length: Some(0),
+};
+
+#[test]
+fn each_part_of_the_content_counts() {
+    let others = [
+        Content {
+            method: "DELETE",
+            ..LOOKUP
+        },
+        Content {
+            host: "other.example",
+            ..LOOKUP
+        },
+        Content {
+            path: "/stock/17?page=3",
+            ..LOOKUP
+        },
+        Content {
+            body: b"x",
+            ..LOOKUP
+        },
+        Content {
+            body_length: Some(70_000),
+            ..LOOKUP
+        },
+        Content {
+            body_length: None,
+            ..LOOKUP
+        },
+        Content {
+            host: "shop.example/",
+            path: "stock/17?page=2",
+            ..LOOKUP
+        },
+    ];
+    for other in others {
+        assert_ne!(
+            Fingerprint::of(&other),
+            Fingerprint::of(&LOOKUP),
+            "{other:?}"
+        );
+    }
+}
+
+#[test]
+fn what_is_no_fingerprint_is_an_error() {
+    for text in ["", "xyz", "-1", "11112222333344445"] {
+        assert!(text.parse::<Fingerprint>().is_err(), "{text}");
+    }
+}
+
+quickcheck! {
+    fn a_fingerprint_is_read_as_it_was_written(number: u64) -> bool {
+        let fingerprint = Fingerprint(number);
+        fingerprint.to_string().parse() == Ok(fingerprint)
+    }
+}
--- /dev/null
+++ b/crates/quarantine/tests/in_flight.rs
@@ -0,0 +1,54 @@
+//! What was in flight at a target when it ended.
+
+use std::time::Duration;
+
+use wingspar_quarantine::{Fingerprint, InFlight};
+
+fn at(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn fingerprints(in_flight: &mut InFlight, now: Duration) -> Vec<u64> {
+    let suspects = in_flight.target_ended(now);
+    suspects
+        .into_iter()
+        .map(|suspect| suspect.fingerprint.0)
+        .collect()
+}
+
+#[test]
+fn what_was_answered_is_no_suspect() {
+    let mut in_flight = InFlight::default();
+    let answered = in_flight.began(at(0), Fingerprint(1), "a");
+    let _running = in_flight.began(at(10), Fingerprint(2), "b");
+    let broken = in_flight.began(at(20), Fingerprint(3), "c");
+    in_flight.answered(answered);
+    in_flight.lost(at(90), broken);
+    let suspects = in_flight.target_ended(at(91));
+    let seen = suspects
+        .iter()
+        .map(|suspect| (suspect.request.as_str(), suspect.ran_for));
+    assert_eq!(seen.collect::<Vec<_>>(), [("b", at(81)), ("c", at(70))]);
+    assert!(in_flight.target_ended(at(92)).is_empty(), "told once");
+}
+
+#[test]
+fn what_was_lost_long_before_the_end_is_no_suspect() {
+    let mut in_flight = InFlight::default();
+    let left = in_flight.began(at(0), Fingerprint(1), "left");
+    in_flight.lost(at(100), left);
+    let broken = in_flight.began(at(5_000), Fingerprint(2), "broken");
+    in_flight.lost(at(5_060), broken);
+    // The next life reports seconds after the end.
+    assert_eq!(fingerprints(&mut in_flight, at(9_000)), [2]);
+}
+
+#[test]
+fn a_target_that_ended_idle_leaves_no_suspect() {
+    let mut in_flight = InFlight::default();
+    let left = in_flight.began(at(0), Fingerprint(1), "left");
+    in_flight.lost(at(100), left);
+    let later = in_flight.began(at(16_000), Fingerprint(2), "later");
+    in_flight.answered(later);
+    assert!(fingerprints(&mut in_flight, at(17_000)).is_empty());
+}
--- a/crates/sidecar/src/agent.rs
+++ b/crates/sidecar/src/agent.rs
@@ -21,6 +21,7 @@
 /// Runs a request at the target, or says why it hasn't.
 pub async fn serve(node: &Rc<Node>, hop: HopRequest) -> HopAnswer {
     let id = hop.headers.get(headers::REQUEST_ID).cloned();
+    let fingerprint = hop.fingerprint;
     if let Some(key) = hop.key {
         node.key_load.borrow_mut().arrived(key);
     }
@@ -33,6 +34,7 @@
     node.metrics.count(&node.metrics.refusals, reason);
     node.log.write_request(Event::Refused {
         id: id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or(""),
+        fingerprint: fingerprint.to_string(),
         reason,
         running: node.slots.running(),
         waiting: node.slots.waiting(),
--- a/crates/sidecar/src/body.rs
+++ b/crates/sidecar/src/body.rs
@@ -117,7 +117,12 @@
     /// All bytes.
     Whole(Bytes),
     /// Too large to keep; can be sent once.
-    Stream(Option<Body>),
+    Stream {
+        /// The body, until it is sent.
+        body: Option<Body>,
+        /// Its first bytes, as many as are kept of any body.
+        beginning: Bytes,
+    },
 }
 
 impl RequestBody {
@@ -133,11 +138,16 @@
                 kept.extend_from_slice(&data);
             }
             if kept.len() > keep {
+                let prefix = kept.freeze();
+                let beginning = prefix.slice(..keep);
                 let rest = Prefixed {
-                    prefix: Some(kept.freeze()),
+                    prefix: Some(prefix),
                     rest: incoming,
                 };
-                return Ok(Self::Stream(Some(Body::stream(rest))));
+                return Ok(Self::Stream {
+                    body: Some(Body::stream(rest)),
+                    beginning,
+                });
             }
         }
         Ok(Self::Whole(kept.freeze()))
@@ -145,14 +155,22 @@
 
     /// Whether the body can be sent now.
     pub fn is_available(&self) -> bool {
-        !matches!(self, Self::Stream(None))
+        !matches!(self, Self::Stream { body: None, .. })
+    }
+
+    /// All its bytes, or the first ones of a body that is too large to keep.
+    pub fn beginning(&self) -> &[u8] {
+        match self {
+            Self::Whole(bytes) => bytes,
+            Self::Stream { beginning, .. } => beginning,
+        }
     }
 
     /// The body to send; a stream is gone afterwards.
     pub fn take(&mut self) -> Body {
         match self {
             Self::Whole(bytes) => Body::whole(bytes.clone()),
-            Self::Stream(body) => body.take().unwrap_or_else(Body::empty),
+            Self::Stream { body, .. } => body.take().unwrap_or_else(Body::empty),
         }
     }
 }
--- a/crates/sidecar/src/connections.rs
+++ b/crates/sidecar/src/connections.rs
@@ -99,6 +99,12 @@
         }
     }
 
+    /// Whether nobody listens at the address any more.
+    pub async fn are_refused(&self) -> bool {
+        let connected = timeout(self.connect_timeout, TcpStream::connect(self.address)).await;
+        matches!(connected, Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused)
+    }
+
     fn take_idle(&self) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
         idle.retain(|connection| {
--- a/crates/sidecar/src/hop.rs
+++ b/crates/sidecar/src/hop.rs
@@ -9,6 +9,7 @@
 use http_body_util::BodyExt;
 use tokio::time::{Instant, timeout_at};
 use wingspar_platform::headers;
+use wingspar_quarantine::Fingerprint;
 
 use crate::body::{Body, BodyError};
 use crate::clock::whole_millis;
@@ -20,6 +21,7 @@
 const PATIENCE_MS: HeaderName = HeaderName::from_static("wingspar-patience-ms");
 const TRANSFER_MS: HeaderName = HeaderName::from_static("wingspar-transfer-ms");
 const DUE_MS: HeaderName = HeaderName::from_static("wingspar-due-ms");
+const FINGERPRINT: HeaderName = HeaderName::from_static("wingspar-fingerprint");
 const PRIORITY: HeaderName = HeaderName::from_static("wingspar-priority");
 const OUTCOME: HeaderName = HeaderName::from_static("wingspar-outcome");
 const LOAD: HeaderName = HeaderName::from_static("wingspar-load");
@@ -50,6 +52,8 @@
     pub turn: Turn,
     /// The key, if the service's keys have owners.
     pub key: Option<u16>,
+    /// What it is, whatever its id.
+    pub fingerprint: Fingerprint,
 }
 
 /// Why an agent didn't pass a request on.
@@ -192,6 +196,9 @@
     insert_number(&mut headers, PRIORITY, u64::from(request.turn.priority));
     let due = whole_millis(request.turn.due.saturating_duration_since(now));
     insert_number(&mut headers, DUE_MS, due);
+    if let Ok(fingerprint) = HeaderValue::from_str(&request.fingerprint.to_string()) {
+        headers.insert(FINGERPRINT, fingerprint);
+    }
     if let Ok(service) = HeaderValue::from_str(&request.service) {
         headers.insert(SERVICE, service);
     }
@@ -215,6 +222,13 @@
     let priority = read_number(&parts.headers, &PRIORITY)?;
     let due = read_number(&parts.headers, &DUE_MS)?;
     let transfer = read_number(&parts.headers, &TRANSFER_MS);
+    let fingerprint = parts
+        .headers
+        .get(FINGERPRINT)?
+        .to_str()
+        .ok()?
+        .parse()
+        .ok()?;
     let mut headers = parts.headers;
     strip(&mut headers);
     let key = if keyed(&service) {
@@ -236,6 +250,7 @@
             due: now + Duration::from_millis(due),
         },
         key,
+        fingerprint,
     })
 }
 
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -40,6 +40,7 @@
 mod store;
 pub mod target;
 mod target_calls;
+mod target_end;
 
 pub use run::{RunError, run};
 pub use settings::{Settings, SettingsError};
--- a/crates/sidecar/src/logs.rs
+++ b/crates/sidecar/src/logs.rs
@@ -154,6 +154,15 @@
         /// Sequence of the heartbeat.
         sequence: u64,
     },
+    /// The target ended while requests ran there.
+    TargetEnded {
+        /// Its id.
+        target: &'a str,
+        /// How that showed: refuses_connections, next_life.
+        evidence: &'a str,
+        /// The requests that were in flight.
+        suspects: Vec<SuspectLine>,
+    },
     /// A figure of the target couldn't be read and is passed over.
     TargetUnreadable {
         /// Which.
@@ -204,6 +213,8 @@
         /// Its key.
         #[serde(skip_serializing_if = "Option::is_none")]
         key: Option<u16>,
+        /// Tells requests of the same content; empty if its body wasn't read.
+        fingerprint: String,
         /// Version of the configuration that decided.
         configuration: u64,
         /// The node that was tried last.
@@ -221,6 +232,8 @@
     Refused {
         /// The client's id of it.
         id: &'a str,
+        /// Tells requests of the same content.
+        fingerprint: String,
         /// Why.
         reason: &'a str,
         /// Requests in slots.
@@ -241,6 +254,17 @@
     },
 }
 
+/// A request that was in flight when its target ended.
+#[derive(Debug, Clone, Serialize)]
+pub struct SuspectLine {
+    /// The client's id of it.
+    pub id: String,
+    /// Tells requests of the same content.
+    pub fingerprint: String,
+    /// How long it had run, in milliseconds.
+    pub ran_ms: u64,
+}
+
 #[derive(Serialize)]
 struct Line<'a> {
     at_ms: u64,
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -11,6 +11,7 @@
 use wingspar_ownership::{
     EvacuatedZones, EvacuationReport, Identity, Life, NodeName, Participant, Time, Timing,
 };
+use wingspar_quarantine::InFlight;
 use wingspar_routes::{Configuration, RouteTable};
 
 use crate::budget::Budget;
@@ -84,6 +85,8 @@
     pub target_connections: Rc<Connections>,
     /// Connections to it for orders about keys.
     pub target_orders: Rc<Connections>,
+    /// Requests in flight at it.
+    pub runs: RefCell<InFlight>,
     /// Its slots.
     pub slots: Rc<Slots>,
     /// The machine's link, for large answers.
@@ -156,6 +159,7 @@
             target: RefCell::new(Target::unknown(&settings.node.service, probe_until)),
             target_connections: Connections::new(settings.node.target, TARGET_CONNECT_TIMEOUT),
             target_orders: Connections::new(settings.node.target, TARGET_CONNECT_TIMEOUT),
+            runs: RefCell::default(),
             slots: Slots::new(!settings.node.first_start),
             link: Link::new(settings.node.link_mbps),
             key_load: RefCell::new(KeyLoad::new(now)),
--- a/crates/sidecar/src/router/mod.rs
+++ b/crates/sidecar/src/router/mod.rs
@@ -19,6 +19,7 @@
 use tokio::time::{Instant, timeout, timeout_at};
 use wingspar_ownership::NodeName;
 use wingspar_platform::headers;
+use wingspar_quarantine::{Content, Fingerprint};
 use wingspar_routes::{Repeatability, Route, RouteTable};
 
 use crate::agent;
@@ -66,6 +67,7 @@
     headers: HeaderMap,
     body: RequestBody,
     times: Times,
+    fingerprint: Fingerprint,
 }
 
 async fn take(
@@ -107,6 +109,14 @@
         Ok(Err(_)) => return Err(Reason::BodyCut),
         Ok(Ok(body)) => body,
     };
+    let fingerprint = Fingerprint::of(&Content {
+        method: parts.method.as_str(),
+        host: &host,
+        path: path.as_str(),
+        body: body.beginning(),
+        body_length: body_length(&body, &parts.headers),
+    });
+    record.fingerprint = Some(fingerprint);
     let mut routed = Routed {
         route,
         service,
@@ -116,6 +126,7 @@
         headers: forwarded_headers(node, parts.headers, &host),
         body,
         times,
+        fingerprint,
     };
     send(node, &mut routed, record).await
 }
@@ -140,15 +151,26 @@
 }
 
 fn check_length(headers: &HeaderMap, limit: u64) -> Result<(), Reason> {
-    let length = headers
-        .get(http::header::CONTENT_LENGTH)
-        .and_then(|length| length.to_str().ok()?.parse::<u64>().ok());
-    match length {
+    match announced_length(headers) {
         Some(length) if length > limit => Err(Reason::TooLarge),
         _ => Ok(()),
     }
 }
 
+/// The length of a body that its caller announced.
+fn announced_length(headers: &HeaderMap) -> Option<u64> {
+    let length = headers.get(http::header::CONTENT_LENGTH)?;
+    length.to_str().ok()?.parse().ok()
+}
+
+/// The length of a body, as far as it is known before all of it is here.
+fn body_length(body: &RequestBody, headers: &HeaderMap) -> Option<u64> {
+    match body {
+        RequestBody::Whole(bytes) => u64::try_from(bytes.len()).ok(),
+        RequestBody::Stream { .. } => announced_length(headers),
+    }
+}
+
 /// Headers for the target.
 fn forwarded_headers(node: &Node, mut headers: HeaderMap, host: &str) -> HeaderMap {
     hop::strip(&mut headers);
@@ -309,6 +331,7 @@
             due: routed.times.due,
         },
         key: routed.key,
+        fingerprint: routed.fingerprint,
     };
     let outstanding = Outstanding::begin(node, &destination.node);
     let (answer, occupancy) = if is_here {
--- a/crates/sidecar/src/router/record.rs
+++ b/crates/sidecar/src/router/record.rs
@@ -4,6 +4,7 @@
 use hyper::body::Incoming;
 use tokio::time::Instant;
 use wingspar_platform::headers;
+use wingspar_quarantine::Fingerprint;
 
 use crate::answer::Reason;
 use crate::clock::whole_millis;
@@ -21,6 +22,8 @@
     pub service: String,
     /// Its key, if the service's keys have owners.
     pub key: Option<u16>,
+    /// What it is, whatever its id; nothing before its body is here.
+    pub fingerprint: Option<Fingerprint>,
     /// Version of the configuration that decided.
     pub configuration: u64,
     /// The node that was asked last.
@@ -45,6 +48,7 @@
             route: String::new(),
             service: String::new(),
             key: None,
+            fingerprint: None,
             configuration: 0,
             node: String::new(),
             sends: 0,
@@ -76,6 +80,9 @@
             route: &self.route,
             service: &self.service,
             key: self.key,
+            fingerprint: self
+                .fingerprint
+                .map_or_else(String::new, |fingerprint| fingerprint.to_string()),
             configuration: self.configuration,
             tried: &self.node,
             sends: self.sends,
--- a/crates/sidecar/src/target.rs
+++ b/crates/sidecar/src/target.rs
@@ -83,6 +83,11 @@
         self.id.as_deref()
     }
 
+    /// Id of the life before; nothing if none is known.
+    pub fn past_id(&self) -> Option<&str> {
+        self.past.last().map(String::as_str)
+    }
+
     /// Its service.
     pub fn service(&self) -> &str {
         &self.service
--- a/crates/sidecar/src/target_calls.rs
+++ b/crates/sidecar/src/target_calls.rs
@@ -18,6 +18,7 @@
 use crate::node::Node;
 use crate::slots::Slot;
 use crate::target::{Health, Heard};
+use crate::target_end::{self, Run};
 
 /// Answers up to this length, in bytes, are read whole, which frees the target's slot, before they are
 /// passed on.
@@ -40,15 +41,19 @@
     let deadline = hop.deadline;
     let id = hop.headers.get(headers::REQUEST_ID).cloned();
     let key = hop.key;
+    let run = Run::begin(node, &hop);
     let request = target_request(hop, &expected);
     let sent = tokio::time::timeout_at(deadline, node.target_connections.send(request)).await;
     let response = match sent {
         Err(_) => return HopAnswer::MayHaveRun("the target didn't answer in time".to_owned()),
         Ok(Err(SendError::NotSent(_))) => {
+            run.answered();
             target_failed(node);
             return HopAnswer::Refused(Refusal::Unreachable);
         }
-        Ok(Err(SendError::MayHaveRun(detail))) => return HopAnswer::MayHaveRun(detail),
+        Ok(Err(SendError::MayHaveRun(detail))) => {
+            return broken(node, run, &expected, detail).await;
+        }
         Ok(Ok(response)) => response,
     };
     if response
@@ -59,13 +64,31 @@
         return HopAnswer::MayHaveRun("an answer to another request".to_owned());
     }
     if has_not_run(&response) {
+        run.answered();
         return rejected(node, response, &expected, key).await;
     }
     if response.status().is_success() && !is_targets_own(&response) {
         return HopAnswer::MayHaveRun("an answer without the target's signature".to_owned());
     }
     slot.worked();
-    pass_on(node, response, deadline, slot).await
+    let answer = pass_on(node, response, deadline, slot).await;
+    match answer {
+        HopAnswer::MayHaveRun(detail) if Instant::now() < deadline => {
+            broken(node, run, &expected, detail).await
+        }
+        HopAnswer::MayHaveRun(_) => answer,
+        HopAnswer::Answered(_) | HopAnswer::Refused(_) => {
+            run.answered();
+            answer
+        }
+    }
+}
+
+/// The connection of a run broke, or its answer wasn't whole.
+async fn broken(node: &Rc<Node>, run: Run, target: &str, detail: String) -> HopAnswer {
+    drop(run);
+    target_end::look(node, target).await;
+    HopAnswer::MayHaveRun(detail)
 }
 
 fn target_request(hop: HopRequest, expected: &str) -> Request<Body> {
@@ -175,6 +198,9 @@
     let Some(id) = target.id() else {
         return;
     };
+    if let (Heard::NewLife, Some(past)) = (heard, target.past_id()) {
+        target_end::ended(node, past, "next_life");
+    }
     node.log.write(Event::TargetChanged {
         target: id,
         change,
--- /dev/null
+++ b/crates/sidecar/src/target_end.rs
@@ -0,0 +1,76 @@
+//! Notices that the target has ended while requests ran there.
+//!
+//! A connection that breaks may be the fault of this connection alone; the target has ended if it refuses new ones, or
+//! when its next life reports.
+
+use std::rc::Rc;
+
+use http::HeaderValue;
+use wingspar_platform::headers;
+use wingspar_quarantine::{RunId, Suspect};
+
+use crate::clock::whole_millis;
+use crate::hop::HopRequest;
+use crate::logs::{Event, SuspectLine};
+use crate::node::Node;
+
+/// A request in flight at the target; unless it was answered it counts as lost when this is dropped.
+pub struct Run {
+    node: Rc<Node>,
+    id: RunId,
+}
+
+impl Run {
+    /// A request goes out to the target.
+    pub fn begin(node: &Rc<Node>, hop: &HopRequest) -> Self {
+        let request = hop.headers.get(headers::REQUEST_ID);
+        let request = request.and_then(|id: &HeaderValue| id.to_str().ok());
+        let now = node.clock.uptime();
+        let mut runs = node.runs.borrow_mut();
+        let id = runs.began(now, hop.fingerprint, request.unwrap_or(""));
+        Self {
+            node: node.clone(),
+            id,
+        }
+    }
+
+    /// The target answered it, or it hasn't run.
+    pub fn answered(self) {
+        self.node.runs.borrow_mut().answered(self.id);
+    }
+}
+
+impl Drop for Run {
+    fn drop(&mut self) {
+        let now = self.node.clock.uptime();
+        self.node.runs.borrow_mut().lost(now, self.id);
+    }
+}
+
+/// The connection of a run broke: looks whether the target has ended.
+pub async fn look(node: &Rc<Node>, target: &str) {
+    if node.target_connections.are_refused().await {
+        ended(node, target, "refuses_connections");
+    }
+}
+
+/// The target has ended.
+pub fn ended(node: &Node, target: &str, evidence: &str) {
+    let suspects = node.runs.borrow_mut().target_ended(node.clock.uptime());
+    if suspects.is_empty() {
+        return;
+    }
+    node.log.write(Event::TargetEnded {
+        target,
+        evidence,
+        suspects: suspects.iter().map(line).collect(),
+    });
+}
+
+fn line(suspect: &Suspect) -> SuspectLine {
+    SuspectLine {
+        id: suspect.request.clone(),
+        fingerprint: suspect.fingerprint.to_string(),
+        ran_ms: whole_millis(suspect.ran_for),
+    }
+}
