Failing test: a request under which targets end is sent to targets as long as its caller sends it

Cause: not mended yet, see the test's head. Change: the stand-in target ends under requests of a path and is back as another life half a second later.

--- a/crates/standins/src/fleet/target.rs
+++ b/crates/standins/src/fleet/target.rs
@@ -5,6 +5,9 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
+use tokio::sync::Notify;
+use tokio::task::JoinHandle;
+
 use salvo::{Depot, FlowCtrl, Handler, Request, Response, Router, async_trait};
 use serde_json::{Value, json};
 
@@ -28,8 +31,15 @@
     pub answer_bytes: usize,
     /// Says that it is slow from its start for this much longer.
     pub warmup: Duration,
+    /// Ends under each request of such a path, some time after it began to run it.
+    pub crashes_on: Option<&'static str>,
 }
 
+/// Time from the beginning of a request that ends the target to its end.
+const CRASHES_AFTER: Duration = Duration::from_millis(60);
+/// Time from there until the target is back.
+const BACK_AFTER: Duration = Duration::from_millis(500);
+
 /// A request that the target has run.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Seen {
@@ -59,8 +69,11 @@
 
 #[derive(Debug)]
 struct Shared {
-    id: String,
+    first_id: String,
     keyed: bool,
+    /// Lives before this one.
+    past_lives: Mutex<u32>,
+    crash: Notify,
     grants: Mutex<Vec<Grant>>,
     /// Ranges let go since the last acknowledged heartbeat.
     let_go: Mutex<Vec<(u64, u64)>>,
@@ -71,8 +84,17 @@
 /// A running target.
 #[derive(Debug)]
 pub struct FleetTarget {
-    server: RunningServer,
+    local_addr: SocketAddr,
+    server: Arc<Mutex<Option<RunningServer>>>,
     shared: Arc<Shared>,
+    /// Ends it and starts it again when a request crashes it.
+    keeper: JoinHandle<()>,
+}
+
+impl Drop for FleetTarget {
+    fn drop(&mut self) {
+        self.keeper.abort();
+    }
 }
 
 impl FleetTarget {
@@ -82,28 +104,49 @@
     /// When the address can't be bound.
     pub async fn start(address: SocketAddr, id: &str, keyed: bool) -> Result<Self> {
         let shared = Arc::new(Shared {
-            id: id.to_owned(),
+            first_id: id.to_owned(),
             keyed,
+            past_lives: Mutex::default(),
+            crash: Notify::new(),
             grants: Mutex::default(),
             let_go: Mutex::default(),
             seen: Mutex::default(),
             faults: Mutex::default(),
         });
-        let router = Router::with_path("{**rest}").goal(TargetHandler(Arc::clone(&shared)));
-        let server = RunningServer::start(address, ConnectionSettings::default(), router).await?;
-        Ok(Self { server, shared })
+        let server = serve(address, &shared).await?;
+        let local_addr = server.local_addr();
+        let server = Arc::new(Mutex::new(Some(server)));
+        let keeper = tokio::spawn(keep(local_addr, Arc::clone(&server), Arc::clone(&shared)));
+        Ok(Self {
+            local_addr,
+            server,
+            shared,
+            keeper,
+        })
     }
 
     /// Where it listens.
     #[must_use]
     pub fn local_addr(&self) -> SocketAddr {
-        self.server.local_addr()
+        self.local_addr
     }
 
-    /// Its id.
+    /// Whether it is up.
     #[must_use]
-    pub fn id(&self) -> &str {
-        &self.shared.id
+    pub fn is_up(&self) -> bool {
+        lock(&self.server).is_some()
+    }
+
+    /// Its id; each life has its own.
+    #[must_use]
+    pub fn id(&self) -> String {
+        self.shared.id()
+    }
+
+    /// How often a request has ended it.
+    #[must_use]
+    pub fn crashes(&self) -> u32 {
+        *lock(&self.shared.past_lives)
     }
 
     /// Replaces what it does wrong.
@@ -138,12 +181,45 @@
     /// Connections that are open.
     #[must_use]
     pub fn open_connections(&self) -> u64 {
-        self.server.open_connections()
+        let server = lock(&self.server);
+        server.as_ref().map_or(0, RunningServer::open_connections)
     }
 
     /// Ends it, with its connections.
     pub async fn shutdown(self) {
-        self.server.shutdown().await;
+        self.keeper.abort();
+        let server = lock(&self.server).take();
+        if let Some(server) = server {
+            server.shutdown().await;
+        }
+    }
+}
+
+async fn serve(address: SocketAddr, shared: &Arc<Shared>) -> Result<RunningServer> {
+    let router = Router::with_path("{**rest}").goal(TargetHandler(Arc::clone(shared)));
+    RunningServer::start(address, ConnectionSettings::default(), router).await
+}
+
+/// Ends the target at each request that crashes it, and starts its next life a little later.
+async fn keep(address: SocketAddr, server: Arc<Mutex<Option<RunningServer>>>, shared: Arc<Shared>) {
+    loop {
+        shared.crash.notified().await;
+        tokio::time::sleep(CRASHES_AFTER).await;
+        let ended = lock(&server).take();
+        if let Some(ended) = ended {
+            ended.shutdown().await;
+        }
+        *lock(&shared.past_lives) += 1;
+        lock(&shared.grants).clear();
+        lock(&shared.let_go).clear();
+        tokio::time::sleep(BACK_AFTER).await;
+        let next = loop {
+            match serve(address, &shared).await {
+                Ok(next) => break next,
+                Err(_still_bound) => tokio::time::sleep(CRASHES_AFTER).await,
+            }
+        };
+        *lock(&server) = Some(next);
     }
 }
 
@@ -206,6 +282,13 @@
 }
 
 impl Shared {
+    fn id(&self) -> String {
+        match *lock(&self.past_lives) {
+            0 => self.first_id.clone(),
+            past => format!("{}-{past}", self.first_id),
+        }
+    }
+
     fn holds(&self, key: u16) -> bool {
         self.fence_of(key).is_some()
     }
@@ -296,7 +379,7 @@
         _control: &mut FlowCtrl,
     ) {
         let shared = &self.0;
-        let _id = response.add_header("x-wingspar-instance-id", &shared.id, true);
+        let _id = response.add_header("x-wingspar-instance-id", shared.id(), true);
         let path = request.uri().path().to_owned();
         let body = request.payload().await.cloned().unwrap_or_default();
         match path.as_str() {
@@ -327,7 +410,7 @@
         let faults = *lock(&shared.faults);
         let key = text(request, "x-wingspar-shard-key").parse::<u16>().ok();
         let expected = text(request, "x-wingspar-expect-instance");
-        let misdirected = !expected.is_empty() && expected != shared.id;
+        let misdirected = !expected.is_empty() && expected != shared.id();
         let foreign = shared.keyed && !key.is_some_and(|key| shared.holds(key));
         if misdirected || foreign {
             let _not_run = response.add_header("x-wingspar-not-executed", "1", true);
@@ -347,6 +430,10 @@
             at: Instant::now(),
             fence: key.and_then(|key| shared.fence_of(key)),
         });
+        if faults.crashes_on == Some(request.uri().path()) {
+            shared.crash.notify_one();
+            std::future::pending::<()>().await;
+        }
         tokio::time::sleep(faults.work).await;
         if faults.silent {
             std::future::pending::<()>().await;
@@ -364,6 +451,6 @@
             let _written = response.write_body(vec![b'w'; faults.answer_bytes]);
             return;
         }
-        answer(response, 200, &json!({"ran_at": shared.id}));
+        answer(response, 200, &json!({"ran_at": shared.id()}));
     }
 }
--- a/crates/wingspar/tests/sidecar/deployment.rs
+++ b/crates/wingspar/tests/sidecar/deployment.rs
@@ -242,6 +242,18 @@
         request.send().await.expect("an answer")
     }
 
+    /// Replaces what all targets do wrong.
+    pub fn all_targets_do(&self, faults: TargetFaults) {
+        let targets = self.nodes.iter().filter_map(|node| node.target.as_ref());
+        targets.for_each(|target| target.set_faults(faults));
+    }
+
+    /// How often requests have ended targets.
+    pub fn crashes(&self) -> u32 {
+        let targets = self.nodes.iter().filter_map(|node| node.target.as_ref());
+        targets.map(FleetTarget::crashes).sum()
+    }
+
     /// Replaces what the targets of the service without owners do wrong.
     pub fn plain_targets_do(&self, faults: TargetFaults) {
         for node in self.nodes.iter().filter(|node| node.service == PLAIN) {
@@ -301,7 +313,7 @@
     /// Address and body of a heartbeat; nothing if the machine's target is gone.
     fn heartbeat_call(&self, node: usize, state: &str, sequence: u64) -> Option<(String, String)> {
         let machine = &self.nodes[node];
-        let target = machine.target.as_ref()?;
+        let target = machine.target.as_ref().filter(|target| target.is_up())?;
         let body = json!({
             "address": target.local_addr().to_string(),
             "info": {"service": machine.service, "version": "v1", "zone": "a", "capacity": 8},
--- a/crates/wingspar/tests/sidecar/main.rs
+++ b/crates/wingspar/tests/sidecar/main.rs
@@ -1,6 +1,7 @@
 //! The sidecar as real processes on loopback, against stand-ins of the users' platform.
 
 mod configuration;
+mod crashing_request;
 mod deployment;
 mod evacuations;
 mod key_heartbeats;
--- a/crates/wingspar/tests/sidecar/soak/checks.rs
+++ b/crates/wingspar/tests/sidecar/soak/checks.rs
@@ -28,7 +28,7 @@
         let mut runs = targets
             .flat_map(|target| {
                 let seen = target.seen().into_iter();
-                seen.map(|seen| (target.id().to_owned(), seen))
+                seen.map(|seen| (target.id(), seen))
             })
             .collect::<Vec<_>>();
         runs.sort_by_key(|(_, seen)| seen.at);
