A request under which targets end is refused by all nodes after the second end

Cause: the class is a limit that counts by a caller's id, and at one node, while the work comes again under another id at another node. Retry limit, retry budget and the memory of a failed target all stand on ids or nodes; nothing stood on what the request is. Ruled out: overload of targets (two requests ran when one ended); the router's own repeat as the only cause (keyed requests are sent once), though it doubles the ends where keys have no owners. Change: crate quarantine: suspects are what was in flight at a target's end, known by content; two ends without a good end between refuse it (sure: 5 minutes, then 8 times longer each time; among several: 10 s); observations, verdicts and a digest ride on renewals and their answers. Router and agent ask before each start; a router gives a request up once two targets ended under it; the target's end is told from a lost answer by a refused connection. Operators list and release at the metrics port. Simulation of nodes and leader by quickcheck: all come to the same decisions. Innocent requests refused: still to be measured.

--- a/crates/ownership/src/leader/renewals.rs
+++ b/crates/ownership/src/leader/renewals.rs
@@ -76,6 +76,7 @@
             configuration_version: 0,
             configuration_checked_ms_ago: None,
             evacuations: None,
+            quarantine: None,
         })
     }
 
--- a/crates/ownership/src/message.rs
+++ b/crates/ownership/src/message.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
+use wingspar_quarantine::{Reply, Report};
 
 use crate::{Epoch, Fence, KeyRange, Life, NodeName, Time, steps};
 
@@ -158,6 +159,9 @@
     pub store_reachable: bool,
     /// What its machine's link carries, in megabits a second, if that is known.
     pub link_mbps: Option<f64>,
+    /// What it has to tell of requests under which targets end.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub quarantine: Option<Report>,
 }
 
 /// A leader's answer to a renewal.
@@ -187,6 +191,9 @@
     /// What the leader knows of evacuated zones; nothing if it never knew.
     #[serde(default)]
     pub evacuations: Option<EvacuationReport>,
+    /// What the leader tells of requests under which targets end.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub quarantine: Option<Reply>,
 }
 
 /// A node as others see it.
--- a/crates/ownership/src/participant/datagrams.rs
+++ b/crates/ownership/src/participant/datagrams.rs
@@ -87,6 +87,9 @@
             actions.push(Action::Send(from, answer));
             return;
         }
+        if let Some(report) = &renewal.quarantine {
+            actions.push(Action::QuarantineReported(report.clone()));
+        }
         if renewal.configuration_version > around.configuration_version {
             actions.push(Action::FetchConfiguration(
                 renewal.address,
@@ -104,7 +107,7 @@
         let reply = self.lease(now, around, renewal);
         self.tell_changes(now, around, actions);
         if let (Some(leader), Some(reply)) = (own, reply) {
-            actions.push(Action::Send(from, Datagram::Lease(leader, reply)));
+            actions.push(Action::Send(from, Datagram::Lease(leader, Box::new(reply))));
         }
     }
 
--- a/crates/ownership/src/participant/mod.rs
+++ b/crates/ownership/src/participant/mod.rs
@@ -13,6 +13,7 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
+use wingspar_quarantine::{Reply, Report, Shared};
 
 use crate::{
     Admission, Delivery, Election, Epoch, EvacuatedZones, EvacuationReport, Fitness, GrantResult,
@@ -49,7 +50,7 @@
     /// A node asks its leader for a lease.
     Renew(Box<Renewal>),
     /// The leader answers.
-    Lease(LeaderReference, LeaseReply),
+    Lease(LeaderReference, Box<LeaseReply>),
     /// The process that was asked doesn't lead; it knows this leader.
     NotLeading(Life, Option<LeaderReference>),
     /// Whom do you hear?
@@ -91,6 +92,10 @@
     ConfigurationChecked(Time),
     /// The leader knew this of evacuated zones, which the store still said at that time.
     EvacuationsTold(EvacuatedZones, Time),
+    /// A node has told this one, which leads, of requests under which targets end.
+    QuarantineReported(Report),
+    /// The leader has told of them.
+    QuarantineAnswered(Reply),
     /// The table has changed.
     TableChanged,
     /// Something to log.
@@ -123,6 +128,8 @@
     pub configuration_checked_ago: Option<Duration>,
     /// What it knows of evacuated zones; nothing if it never knew.
     pub evacuations: Option<EvacuationReport>,
+    /// What it can tell of requests under which targets end.
+    pub quarantine: Shared,
     /// Whether its last call to the store succeeded.
     pub store_reachable: bool,
     /// What its machine's link carries, in megabits a second, if that is known.
--- a/crates/ownership/src/participant/renewals.rs
+++ b/crates/ownership/src/participant/renewals.rs
@@ -21,6 +21,7 @@
             configuration_version: around.configuration_version,
             store_reachable: around.store_reachable,
             link_mbps: around.link_mbps,
+            quarantine: around.quarantine.report(),
         }
     }
 
@@ -70,6 +71,7 @@
         reply.configuration_checked_ms_ago =
             checked_ago.and_then(|ago| u64::try_from(ago.as_millis()).ok());
         reply.evacuations.clone_from(&around.evacuations);
+        reply.quarantine = around.quarantine.reply_to(renewal.quarantine.as_ref());
         Some(reply)
     }
 
@@ -111,6 +113,9 @@
                 checked_at,
             ));
         }
+        if let Some(told) = &reply.quarantine {
+            actions.push(Action::QuarantineAnswered(told.clone()));
+        }
         self.catch_up(
             now,
             around,
--- a/crates/ownership/tests/reminders.rs
+++ b/crates/ownership/tests/reminders.rs
@@ -89,6 +89,7 @@
         configuration_version: 1,
         store_reachable: false,
         link_mbps: None,
+        quarantine: None,
     }
 }
 
--- a/crates/ownership/tests/simulation/world.rs
+++ b/crates/ownership/tests/simulation/world.rs
@@ -282,6 +282,7 @@
             configuration_version: 1,
             configuration_checked_ago: None,
             evacuations: None,
+            quarantine: Default::default(),
             store_reachable: !machine.store_cut && self.now >= self.store_down_until,
             link_mbps: None,
             keyed_services: BTreeSet::from([SERVICE.to_owned()]),
--- a/crates/ownership/tests/simulation/world/actions.rs
+++ b/crates/ownership/tests/simulation/world/actions.rs
@@ -58,6 +58,8 @@
             Action::FetchConfiguration(..)
             | Action::ConfigurationChecked(_)
             | Action::EvacuationsTold(..)
+            | Action::QuarantineReported(_)
+            | Action::QuarantineAnswered(_)
             | Action::TableChanged => {}
         }
     }
--- a/crates/ownership/tests/support/mod.rs
+++ b/crates/ownership/tests/support/mod.rs
@@ -30,5 +30,6 @@
         configuration_version: 0,
         configuration_checked_ms_ago: None,
         evacuations: None,
+        quarantine: Default::default(),
     }
 }
--- a/crates/ownership/tests/take_over.rs
+++ b/crates/ownership/tests/take_over.rs
@@ -137,6 +137,7 @@
         configuration_version: 1,
         store_reachable: true,
         link_mbps: None,
+        quarantine: None,
     }
 }
 
--- /dev/null
+++ b/crates/quarantine/tests/quarantine.rs
@@ -0,0 +1,240 @@
+//! Which requests are refused, for how long, and how nodes agree on it.
+
+use std::time::Duration;
+
+use quickcheck::quickcheck;
+use wingspar_quarantine::{Fingerprint, Quarantine, Standing, TargetEnd};
+
+const CRASHING: Fingerprint = Fingerprint(1);
+const INNOCENT: Fingerprint = Fingerprint(2);
+const OTHERS: Fingerprint = Fingerprint(3);
+
+fn at(seconds: f64) -> Duration {
+    Duration::from_secs_f64(seconds)
+}
+
+/// A renewal of a node's lease and its answer.
+fn renew(now: Duration, node: &mut Quarantine, leader: &mut Quarantine) {
+    let report = node.shared(now).report();
+    let reply = leader.shared(now).reply_to(report.as_ref());
+    if let Some(report) = report {
+        leader.reported(now, &report);
+    }
+    if let Some(reply) = reply {
+        node.answered(now, &reply);
+    }
+}
+
+#[test]
+fn one_end_is_no_proof_and_two_are() {
+    let mut node = Quarantine::default();
+    node.target_ended(at(10.0), TargetEnd(1), &[CRASHING]);
+    assert!(!node.refuses(at(10.0), CRASHING));
+    node.target_ended(at(10.1), TargetEnd(1), &[CRASHING]);
+    assert!(
+        !node.refuses(at(10.1), CRASHING),
+        "the same end counts once"
+    );
+    let changes = node.target_ended(at(13.0), TargetEnd(2), &[CRASHING]);
+    assert_eq!(changes.len(), 1);
+    assert_eq!(
+        (changes[0].standing, changes[0].ends),
+        (Standing::Refused, 2)
+    );
+    assert!(node.refuses(at(13.0), CRASHING));
+    assert!(node.refuses(at(300.0), CRASHING));
+    assert!(
+        !node.refuses(at(314.0), CRASHING),
+        "it is tried again some time"
+    );
+    node.target_ended(at(320.0), TargetEnd(3), &[CRASHING]);
+    assert!(
+        node.refuses(at(2_000.0), CRASHING),
+        "and then refused for longer"
+    );
+}
+
+#[test]
+fn a_request_that_came_to_a_good_end_in_between_is_innocent() {
+    let mut node = Quarantine::default();
+    for round in 0..10 {
+        let now = at(10.0 + 3.0 * f64::from(round));
+        let end = TargetEnd(u64::from(round as u32));
+        node.target_ended(now, end, &[CRASHING, INNOCENT]);
+        node.good_end(now + at(1.0), INNOCENT);
+        assert!(!node.refuses(now + at(1.0), INNOCENT));
+    }
+    assert!(node.refuses(at(40.0), CRASHING));
+}
+
+#[test]
+fn a_good_end_at_another_node_releases_it_everywhere() {
+    let [mut first, mut second, mut third, mut leader] = [(); 4].map(|()| Quarantine::default());
+    first.target_ended(at(10.0), TargetEnd(1), &[INNOCENT]);
+    renew(at(10.1), &mut first, &mut leader);
+    third.good_end(at(11.0), INNOCENT);
+    second.target_ended(at(12.0), TargetEnd(2), &[INNOCENT]);
+    renew(at(12.1), &mut second, &mut leader);
+    assert!(
+        leader.refuses(at(12.1), INNOCENT),
+        "nobody has told of the good end"
+    );
+    renew(at(12.2), &mut third, &mut leader);
+    renew(at(12.6), &mut third, &mut leader);
+    for node in [&mut first, &mut second] {
+        renew(at(12.7), node, &mut leader);
+    }
+    for node in [&first, &second, &third, &leader] {
+        assert!(!node.refuses(at(12.8), INNOCENT));
+    }
+}
+
+#[test]
+fn who_was_there_together_with_others_is_tried_again_soon() {
+    let mut node = Quarantine::default();
+    node.target_ended(at(10.0), TargetEnd(1), &[CRASHING, INNOCENT, OTHERS]);
+    node.target_ended(at(13.0), TargetEnd(2), &[CRASHING, INNOCENT]);
+    assert!(node.refuses(at(13.0), CRASHING) && node.refuses(at(13.0), INNOCENT));
+    assert!(!node.refuses(at(13.0), OTHERS));
+    assert!(!node.refuses(at(23.1), CRASHING) && !node.refuses(at(23.1), INNOCENT));
+    node.good_end(at(23.5), INNOCENT);
+    node.target_ended(at(24.0), TargetEnd(3), &[CRASHING, INNOCENT]);
+    assert!(
+        node.refuses(at(300.0), CRASHING),
+        "three ends are enough for long"
+    );
+    assert!(!node.refuses(at(24.0), INNOCENT));
+}
+
+#[test]
+fn all_nodes_know_after_a_renewal_each() {
+    let [mut first, mut second, mut third, mut leader] = [(); 4].map(|()| Quarantine::default());
+    first.target_ended(at(10.0), TargetEnd(1), &[CRASHING, INNOCENT]);
+    renew(at(10.1), &mut first, &mut leader);
+    second.target_ended(at(12.0), TargetEnd(2), &[CRASHING, OTHERS]);
+    renew(at(12.1), &mut second, &mut leader);
+    assert!(!second.refuses(at(12.1), CRASHING), "it knows one end only");
+    for node in [&mut first, &mut second, &mut third] {
+        renew(at(12.5), node, &mut leader);
+        assert!(node.refuses(at(12.5), CRASHING));
+        assert!(!node.refuses(at(12.5), INNOCENT) && !node.refuses(at(12.5), OTHERS));
+    }
+}
+
+#[test]
+fn another_leader_learns_what_the_one_before_knew() {
+    let [mut first, mut second, mut leader, mut next] = [(); 4].map(|()| Quarantine::default());
+    first.target_ended(at(10.0), TargetEnd(1), &[CRASHING]);
+    first.target_ended(at(10.0), TargetEnd(1), &[INNOCENT]);
+    renew(at(10.1), &mut first, &mut leader);
+    assert!(!first.has_news());
+    first.leader_changed();
+    second.leader_changed();
+    assert!(first.has_news());
+    renew(at(12.0), &mut first, &mut next);
+    second.target_ended(at(12.5), TargetEnd(2), &[CRASHING]);
+    renew(at(12.6), &mut second, &mut next);
+    assert!(next.refuses(at(12.6), CRASHING));
+    renew(at(13.0), &mut second, &mut next);
+    // The leader's machine and the one that saw the first end are gone: a decision lives on with any node.
+    let mut last = Quarantine::default();
+    second.leader_changed();
+    renew(at(15.0), &mut second, &mut last);
+    assert!(last.refuses(at(15.0), CRASHING));
+}
+
+#[test]
+fn an_operator_lets_a_request_through() {
+    let [mut node, mut leader] = [(); 2].map(|()| Quarantine::default());
+    for end in 1..=3 {
+        node.target_ended(at(10.0), TargetEnd(end), &[CRASHING]);
+    }
+    renew(at(10.1), &mut node, &mut leader);
+    renew(at(10.5), &mut node, &mut leader);
+    assert!(leader.refuses(at(10.5), CRASHING));
+    leader.release(at(11.0), CRASHING);
+    renew(at(11.4), &mut node, &mut leader);
+    assert!(!node.refuses(at(11.4), CRASHING));
+    renew(at(11.8), &mut node, &mut leader);
+    assert!(!leader.refuses(at(11.8), CRASHING), "nobody brings it back");
+    node.target_ended(at(12.0), TargetEnd(4), &[CRASHING]);
+    assert!(!node.refuses(at(12.0), CRASHING), "it is judged anew");
+    node.target_ended(at(15.0), TargetEnd(5), &[CRASHING]);
+    assert!(node.refuses(at(15.0), CRASHING));
+}
+
+#[test]
+fn many_decisions_reach_all_in_bounded_pieces() {
+    let [mut node, mut leader] = [(); 2].map(|()| Quarantine::default());
+    for number in 0..100 {
+        let fingerprint = Fingerprint(1_000 + number);
+        for end in 0..3 {
+            node.target_ended(at(10.0), TargetEnd(number * 3 + end), &[fingerprint]);
+        }
+    }
+    let mut now = at(10.1);
+    for _ in 0..100 {
+        let shared = node.shared(now);
+        assert!(shared.verdicts.len() <= 8 && shared.observations.len() <= 8);
+        renew(now, &mut node, &mut leader);
+        now += at(0.4);
+    }
+    assert_eq!(leader.refused(now).len(), 100);
+    assert_eq!(node.shared(now).digest, leader.shared(now).digest);
+}
+
+#[test]
+fn a_flood_of_distinct_requests_takes_bounded_memory() {
+    let mut node = Quarantine::default();
+    node.target_ended(at(1.0), TargetEnd(0), &[CRASHING]);
+    node.target_ended(at(2.0), TargetEnd(1), &[CRASHING]);
+    for number in 0..20_000 {
+        let now = at(3.0) + Duration::from_millis(number);
+        let fingerprints = [Fingerprint(10_000 + number)];
+        node.target_ended(now, TargetEnd(10 + number), &fingerprints);
+        node.good_end(now, Fingerprint(100_000 + number));
+    }
+    assert!(
+        node.refuses(at(30.0), CRASHING),
+        "what is known isn't pushed out"
+    );
+    // The memory of suspicions is bounded: the oldest of the flood is forgotten, the newest isn't.
+    node.target_ended(
+        at(30.0),
+        TargetEnd(50_000),
+        &[Fingerprint(10_000), Fingerprint(29_999)],
+    );
+    assert!(!node.refuses(at(30.0), Fingerprint(10_000)));
+    assert!(node.refuses(at(30.0), Fingerprint(29_999)));
+}
+
+quickcheck! {
+    /// Whatever the order in which two nodes tell a leader, all three come to the same decisions.
+    fn nodes_agree_in_the_end(events: Vec<(bool, u8, u8, u8)>) -> bool {
+        let [mut left, mut right, mut leader] = [(); 3].map(|()| Quarantine::default());
+        let mut now = at(10.0);
+        for (is_left, end, fingerprint, good) in events {
+            now += at(0.3);
+            let node = if is_left { &mut left } else { &mut right };
+            // One node sees each end, and each of the other's is another.
+            let end = TargetEnd(u64::from(end % 8) * 2 + u64::from(is_left));
+            node.target_ended(now, end, &[Fingerprint(u64::from(fingerprint % 5))]);
+            if good % 3 == 0 {
+                node.good_end(now, Fingerprint(u64::from(good % 5)));
+            }
+            if good % 4 == 0 {
+                renew(now, node, &mut leader);
+            }
+        }
+        for _ in 0..200 {
+            now += at(0.04);
+            renew(now, &mut left, &mut leader);
+            renew(now, &mut right, &mut leader);
+        }
+        let fingerprints = (0..5).map(Fingerprint);
+        fingerprints.into_iter().all(|fingerprint| {
+            let decisions = [&left, &right, &leader].map(|node| node.refuses(now, fingerprint));
+            decisions[0] == decisions[1] && decisions[1] == decisions[2]
+        })
+    }
+}
--- a/crates/sidecar/src/agent.rs
+++ b/crates/sidecar/src/agent.rs
@@ -12,6 +12,7 @@
 use crate::key_calls::lease_left_ms;
 use crate::logs::Event;
 use crate::node::Node;
+use crate::quarantine;
 use crate::stop::Stop;
 use crate::target_calls::run;
 
@@ -30,6 +31,7 @@
         HopAnswer::Answered(_) => return answer,
         HopAnswer::Refused(refusal) => refusal.name(),
         HopAnswer::MayHaveRun(_) => "may_have_run",
+        HopAnswer::TargetEnded => "target_ended",
     };
     node.metrics.count(&node.metrics.refusals, reason);
     node.log.write_request(Event::Refused {
@@ -90,6 +92,9 @@
     if Instant::now() >= hop.deadline {
         return Err(Refusal::Late);
     }
+    if quarantine::refuses(node, hop.fingerprint) {
+        return Err(Refusal::Quarantined);
+    }
     let target = node.target.borrow();
     if target.id().is_none() || target.service() != hop.service {
         return Err(Refusal::NoTarget);
--- a/crates/sidecar/src/answer.rs
+++ b/crates/sidecar/src/answer.rs
@@ -18,6 +18,8 @@
     NoTarget,
     /// All that could run it are full.
     Full,
+    /// Targets ended under this request again and again: it isn't run.
+    Quarantined,
     /// Nobody owns the key at the moment.
     NoOwner,
     /// Time ran out before the request was sent.
@@ -41,6 +43,7 @@
             Self::NoConfiguration => "no_configuration",
             Self::NoTarget => "no_target",
             Self::Full => "full",
+            Self::Quarantined => "quarantined",
             Self::NoOwner => "no_owner",
             Self::NotSentInTime => "not_sent_in_time",
             Self::NoAnswerInTime => "no_answer_in_time",
@@ -59,6 +62,7 @@
             Self::NoConfiguration
             | Self::NoTarget
             | Self::Full
+            | Self::Quarantined
             | Self::NoOwner
             | Self::NotSentInTime => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoAnswerInTime => StatusCode::GATEWAY_TIMEOUT,
--- a/crates/sidecar/src/control.rs
+++ b/crates/sidecar/src/control.rs
@@ -20,6 +20,7 @@
 use crate::key_exchange;
 use crate::logs::Event;
 use crate::node::Node;
+use crate::quarantine;
 use crate::registration;
 use crate::store::StoreError;
 
@@ -93,6 +94,7 @@
                 .get()
                 .map(|checked_at| node.now().since(checked_at)),
             evacuations: node.evacuation_report(),
+            quarantine: node.quarantine.borrow_mut().shared(node.clock.uptime()),
             store_reachable: node.store_reachable.get(),
             link_mbps: node.settings.node.link_mbps,
             keyed_services: keyed
@@ -191,6 +193,8 @@
                     ));
                 }
                 Action::ConfigurationChecked(at) => self.node.configuration_checked(at),
+                Action::QuarantineReported(report) => quarantine::reported(&self.node, &report),
+                Action::QuarantineAnswered(reply) => quarantine::answered(&self.node, &reply),
                 Action::EvacuationsTold(evacuated, checked_at) => {
                     self.node.evacuations_told(evacuated, checked_at);
                 }
@@ -202,6 +206,7 @@
         let log = &self.node.log;
         match note {
             Note::LeaderKnown(leader) => {
+                self.node.quarantine.borrow_mut().leader_changed();
                 self.node
                     .metrics
                     .epoch
--- a/crates/sidecar/src/hop.rs
+++ b/crates/sidecar/src/hop.rs
@@ -27,6 +27,8 @@
 const LOAD: HeaderName = HeaderName::from_static("wingspar-load");
 /// Answers of other nodes up to this length, in bytes, are read whole before they are passed on.
 const KEEP_WHOLE: u64 = 256 * 1024;
+/// Outcome of a request that was in flight when the target ended.
+const TARGET_ENDED: &str = "target_ended";
 /// Begins the names of headers that only nodes set.
 const OWN_PREFIX: &str = "wingspar-";
 
@@ -65,6 +67,8 @@
     Leaving,
     /// Its zone is evacuated.
     Evacuated,
+    /// Targets ended under it again and again.
+    Quarantined,
     /// Its target doesn't hold the key.
     NotOwner,
     /// Its target is about to hold the key.
@@ -82,10 +86,11 @@
 }
 
 impl Refusal {
-    const ALL: [Self; 10] = [
+    const ALL: [Self; 11] = [
         Self::NoTarget,
         Self::Leaving,
         Self::Evacuated,
+        Self::Quarantined,
         Self::NotOwner,
         Self::Arriving,
         Self::Full,
@@ -101,6 +106,7 @@
             Self::NoTarget => "no_target",
             Self::Leaving => "leaving",
             Self::Evacuated => "evacuated",
+            Self::Quarantined => "quarantined",
             Self::NotOwner => "not_owner",
             Self::Arriving => "arriving",
             Self::Full => "full",
@@ -120,6 +126,8 @@
     Refused(Refusal),
     /// It may have run, and there is no answer.
     MayHaveRun(String),
+    /// The target ended while it ran there.
+    TargetEnded,
 }
 
 /// Requests that run and wait at a node's target.
@@ -260,6 +268,7 @@
         HopAnswer::Answered(response) => ("answered", response),
         HopAnswer::Refused(refusal) => (refusal.name(), bare(StatusCode::SERVICE_UNAVAILABLE)),
         HopAnswer::MayHaveRun(_) => ("may_have_run", bare(StatusCode::BAD_GATEWAY)),
+        HopAnswer::TargetEnded => (TARGET_ENDED, bare(StatusCode::BAD_GATEWAY)),
     };
     let headers = response.headers_mut();
     headers.insert(OUTCOME, HeaderValue::from_static(outcome));
@@ -297,6 +306,7 @@
         .get(OUTCOME)
         .and_then(|value| value.to_str().ok());
     let answer = match outcome {
+        Some(TARGET_ENDED) => HopAnswer::TargetEnded,
         Some("answered") => return (receive(response, deadline).await, occupancy),
         Some(name) => match Refusal::ALL
             .into_iter()
--- a/crates/sidecar/src/logs.rs
+++ b/crates/sidecar/src/logs.rs
@@ -163,6 +163,19 @@
         /// The requests that were in flight.
         suspects: Vec<SuspectLine>,
     },
+    /// Whether a request is refused, because targets ended under it, has changed.
+    Quarantined {
+        /// The request.
+        fingerprint: String,
+        /// refused or released.
+        standing: &'a str,
+        /// Ends of targets that it rests on.
+        ends: u8,
+        /// How much longer that holds, in milliseconds.
+        left_ms: u64,
+        /// Who knew: this node's target, another node, the leader, a good end, an operator.
+        source: &'a str,
+    },
     /// A figure of the target couldn't be read and is passed over.
     TargetUnreadable {
         /// Which.
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -49,6 +49,10 @@
     pub store_calls: Family<OutcomeLabel, Counter>,
     /// Grants and releases at the target, by outcome.
     pub key_orders: Family<OutcomeLabel, Counter>,
+    /// Decisions on requests under which targets end, by what was decided.
+    pub quarantine: Family<OutcomeLabel, Counter>,
+    /// Ends of the target with requests in flight.
+    pub target_ends: Counter,
     /// Datagrams of other nodes that can't be read.
     pub unreadable_datagrams: Counter,
     /// Requests in the target's slots.
@@ -75,6 +79,8 @@
             repeats: Counter::default(),
             store_calls: Family::default(),
             key_orders: Family::default(),
+            quarantine: Family::default(),
+            target_ends: Counter::default(),
             unreadable_datagrams: Counter::default(),
             running: Gauge::default(),
             waiting: Gauge::default(),
@@ -112,6 +118,16 @@
             "Grants and releases at the target",
             metrics.key_orders.clone(),
         );
+        registry.register(
+            "quarantine",
+            "Decisions on requests under which targets end",
+            metrics.quarantine.clone(),
+        );
+        registry.register(
+            "target_ends",
+            "Ends of the target with requests in flight",
+            metrics.target_ends.clone(),
+        );
         registry.register(
             "unreadable_datagrams",
             "Datagrams of other nodes that can't be read",
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -11,7 +11,7 @@
 use wingspar_ownership::{
     EvacuatedZones, EvacuationReport, Identity, Life, NodeName, Participant, Time, Timing,
 };
-use wingspar_quarantine::InFlight;
+use wingspar_quarantine::{InFlight, Quarantine};
 use wingspar_routes::{Configuration, RouteTable};
 
 use crate::budget::Budget;
@@ -87,6 +87,8 @@
     pub target_orders: Rc<Connections>,
     /// Requests in flight at it.
     pub runs: RefCell<InFlight>,
+    /// Requests that aren't run, because targets ended under them.
+    pub quarantine: RefCell<Quarantine>,
     /// Its slots.
     pub slots: Rc<Slots>,
     /// The machine's link, for large answers.
@@ -160,6 +162,7 @@
             target_connections: Connections::new(settings.node.target, TARGET_CONNECT_TIMEOUT),
             target_orders: Connections::new(settings.node.target, TARGET_CONNECT_TIMEOUT),
             runs: RefCell::default(),
+            quarantine: RefCell::default(),
             slots: Slots::new(!settings.node.first_start),
             link: Link::new(settings.node.link_mbps),
             key_load: RefCell::new(KeyLoad::new(now)),
--- /dev/null
+++ b/crates/sidecar/src/operations.rs
@@ -0,0 +1,57 @@
+//! The address for operators: metrics, and requests that are refused because targets ended under them.
+
+use std::rc::Rc;
+
+use http::{Method, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use wingspar_quarantine::Fingerprint;
+
+use crate::answer::plain;
+use crate::body::Body;
+use crate::node::Node;
+use crate::quarantine;
+
+const QUARANTINE_PATH: &str = "/quarantine";
+
+/// Answers an operator, or whoever collects metrics.
+pub async fn answer(node: Rc<Node>, request: Request<Incoming>) -> Response<Body> {
+    let path = request.uri().path();
+    let Some(rest) = path.strip_prefix(QUARANTINE_PATH) else {
+        let text = node.metrics.encode();
+        return plain(StatusCode::OK, "text/plain; version=0.0.4", text);
+    };
+    match (request.method(), rest) {
+        (&Method::GET, "") => listed(&node),
+        (&Method::DELETE, name) => released(&node, name.trim_start_matches('/')),
+        _ => plain(
+            StatusCode::METHOD_NOT_ALLOWED,
+            "text/plain",
+            "GET /quarantine or DELETE /quarantine/FINGERPRINT",
+        ),
+    }
+}
+
+/// The refused requests, a line each: fingerprint, ends of targets, milliseconds left.
+fn listed(node: &Node) -> Response<Body> {
+    let refused = node.quarantine.borrow().refused(node.clock.uptime());
+    let lines = refused.iter().map(|verdict| {
+        let (ends, left) = (verdict.ends, verdict.left_ms);
+        format!("{} ends={ends} left_ms={left}\n", verdict.fingerprint)
+    });
+    plain(StatusCode::OK, "text/plain", lines.collect::<String>())
+}
+
+fn released(node: &Node, name: &str) -> Response<Body> {
+    let Ok(fingerprint) = name.parse::<Fingerprint>() else {
+        return plain(
+            StatusCode::BAD_REQUEST,
+            "text/plain",
+            "a fingerprint has 16 hexadecimal digits",
+        );
+    };
+    if !quarantine::refuses(node, fingerprint) {
+        return plain(StatusCode::NOT_FOUND, "text/plain", "it isn't refused");
+    }
+    quarantine::release(node, fingerprint);
+    plain(StatusCode::OK, "text/plain", "released")
+}
--- /dev/null
+++ b/crates/sidecar/src/quarantine.rs
@@ -0,0 +1,64 @@
+//! The node's part in refusing requests under which targets end.
+
+use std::rc::Rc;
+
+use wingspar_quarantine::{Change, Fingerprint, Reply, Report, Standing};
+
+use crate::clock::whole_millis;
+use crate::logs::Event;
+use crate::node::Node;
+
+/// Whether a request isn't run.
+pub fn refuses(node: &Node, fingerprint: Fingerprint) -> bool {
+    let now = node.clock.uptime();
+    node.quarantine.borrow().refuses(now, fingerprint)
+}
+
+/// A request came to a good end at the node's target.
+pub fn good_end(node: &Node, fingerprint: Fingerprint) {
+    let now = node.clock.uptime();
+    let change = node.quarantine.borrow_mut().good_end(now, fingerprint);
+    log_changes(node, change, "good_end");
+}
+
+/// An operator wants a request to run again.
+pub fn release(node: &Node, fingerprint: Fingerprint) {
+    let now = node.clock.uptime();
+    let change = node.quarantine.borrow_mut().release(now, fingerprint);
+    log_changes(node, [change], "operator");
+}
+
+/// Another node has told this one, which leads.
+pub fn reported(node: &Node, report: &Report) {
+    let now = node.clock.uptime();
+    let changes = node.quarantine.borrow_mut().reported(now, report);
+    log_changes(node, changes, "node");
+}
+
+/// The leader has answered.
+pub fn answered(node: &Rc<Node>, reply: &Reply) {
+    let now = node.clock.uptime();
+    let changes = node.quarantine.borrow_mut().answered(now, reply);
+    log_changes(node, changes, "leader");
+    if node.quarantine.borrow().has_news() {
+        node.control_wakes.notify_one();
+    }
+}
+
+/// Writes down and counts decisions that have changed.
+pub fn log_changes(node: &Node, changes: impl IntoIterator<Item = Change>, source: &str) {
+    for change in changes {
+        let standing = match change.standing {
+            Standing::Refused => "refused",
+            Standing::Released => "released",
+        };
+        node.metrics.count(&node.metrics.quarantine, standing);
+        node.log.write(Event::Quarantined {
+            fingerprint: change.fingerprint.to_string(),
+            standing,
+            ends: change.ends,
+            left_ms: whole_millis(change.left),
+            source,
+        });
+    }
+}
--- a/crates/sidecar/src/router/mod.rs
+++ b/crates/sidecar/src/router/mod.rs
@@ -28,6 +28,7 @@
 use crate::directory::Destination;
 use crate::hop::{self, HopAnswer, HopRequest, Refusal};
 use crate::node::Node;
+use crate::quarantine;
 use crate::selection::{Ended, RequestPreference, ZONE_PREFERENCE, ZONE_PREFERENCE_LARGE};
 use crate::slots::Turn;
 
@@ -38,6 +39,8 @@
 /// A request isn't sent again with less time left than this part of its objective: the send would hardly be answered.
 /// Chosen by hand.
 const WORTH_SENDING: f64 = 0.3;
+/// A request is given up once so many targets have ended under it. The first end may be another request's fault.
+const ENDS_TO_GIVE_UP: u32 = 2;
 /// Most nodes that are asked while nothing has been sent.
 const MOST_REFUSALS: usize = 4;
 
@@ -201,6 +204,9 @@
     let mut tried = Vec::<NodeName>::new();
     let mut refusals = 0;
     loop {
+        if quarantine::refuses(node, routed.fingerprint) {
+            return Err(refused_for_good(routed, record));
+        }
         let Some(destination) = choose(node, routed, &tried) else {
             if record.sends > 0 {
                 return Err(given_up(routed, record));
@@ -235,11 +241,18 @@
                 record.sends += 1;
                 record.may_have_run = true;
                 record.detail = detail;
-                let reason = given_up(routed, record);
-                if routed.route.repeatability == Repeatability::AtMostOnce {
-                    Next::GiveUp(reason)
+                after_lost_send(node, routed, record)
+            }
+            HopAnswer::TargetEnded => {
+                record.sends += 1;
+                record.may_have_run = true;
+                record.targets_ended += 1;
+                record.detail = "the target ended".to_owned();
+                node.selection.avoid(node.now(), &destination.node);
+                if record.targets_ended < ENDS_TO_GIVE_UP {
+                    after_lost_send(node, routed, record)
                 } else {
-                    after_send(node, routed, record, reason)
+                    Next::GiveUp(given_up(routed, record))
                 }
             }
         };
@@ -252,6 +265,25 @@
     }
 }
 
+/// The reason to give for a request under which targets ended again and again.
+fn refused_for_good(routed: &Routed<'_>, record: &Record) -> Reason {
+    if record.may_have_run {
+        given_up(routed, record)
+    } else {
+        Reason::Quarantined
+    }
+}
+
+/// The answer to a send was lost: whether another may follow.
+fn after_lost_send(node: &Node, routed: &Routed<'_>, record: &Record) -> Next {
+    let reason = given_up(routed, record);
+    if routed.route.repeatability == Repeatability::AtMostOnce {
+        Next::GiveUp(reason)
+    } else {
+        after_send(node, routed, record, reason)
+    }
+}
+
 /// The reason to give when a request that was sent is given up.
 fn given_up(routed: &Routed<'_>, record: &Record) -> Reason {
     let over = Instant::now() + Duration::from_millis(2) >= routed.times.deadline;
@@ -371,7 +403,9 @@
         self.ended = match answer {
             HopAnswer::Answered(response) if response.status().is_server_error() => Ended::Failed,
             HopAnswer::Answered(_) => Ended::Useful(self.since.elapsed()),
-            HopAnswer::MayHaveRun(_) | HopAnswer::Refused(Refusal::Rejected) => Ended::Failed,
+            HopAnswer::MayHaveRun(_)
+            | HopAnswer::TargetEnded
+            | HopAnswer::Refused(Refusal::Rejected) => Ended::Failed,
             HopAnswer::Refused(_) => Ended::Unknown,
         };
     }
@@ -396,6 +430,9 @@
     refusals: usize,
 ) -> Next {
     record.detail = refusal.name().to_owned();
+    if refusal == Refusal::Quarantined {
+        return Next::GiveUp(refused_for_good(routed, record));
+    }
     if matches!(
         refusal,
         Refusal::Unreachable | Refusal::Leaving | Refusal::Evacuated | Refusal::NoTarget
--- a/crates/sidecar/src/router/record.rs
+++ b/crates/sidecar/src/router/record.rs
@@ -32,6 +32,8 @@
     pub sends: u32,
     /// Whether one of them may have run.
     pub may_have_run: bool,
+    /// Targets that ended while it ran there.
+    pub targets_ended: u32,
     /// What the last node said.
     pub detail: String,
 }
@@ -53,6 +55,7 @@
             node: String::new(),
             sends: 0,
             may_have_run: false,
+            targets_ended: 0,
             detail: String::new(),
         }
     }
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -23,7 +23,7 @@
 use crate::node::Node;
 use crate::settings::{Settings, SettingsError};
 use crate::stop::{Ending, Remaining, Stop};
-use crate::{follow, heartbeats, internal, listen, registration, router, target_calls};
+use crate::{follow, heartbeats, internal, listen, operations, registration, router, target_calls};
 
 /// The node could not start or go on.
 #[derive(Debug, thiserror::Error)]
@@ -149,7 +149,7 @@
     spawn_local(listen::serve(
         node.clone(),
         bind("metrics", metrics)?,
-        answer_metrics,
+        operations::answer,
     ));
     Ok(())
 }
@@ -173,14 +173,6 @@
     }
 }
 
-async fn answer_metrics(node: Rc<Node>, _request: Request<Incoming>) -> Response<Body> {
-    plain(
-        StatusCode::OK,
-        "text/plain; version=0.0.4",
-        node.metrics.encode(),
-    )
-}
-
 /// A process that has just started asks the target how it is: an earlier process may have
 /// acknowledged that it leaves.
 async fn probe(node: Rc<Node>) {
--- a/crates/sidecar/src/target_calls.rs
+++ b/crates/sidecar/src/target_calls.rs
@@ -71,24 +71,31 @@
         return HopAnswer::MayHaveRun("an answer without the target's signature".to_owned());
     }
     slot.worked();
-    let answer = pass_on(node, response, deadline, slot).await;
-    match answer {
+    match pass_on(node, response, deadline, slot).await {
         HopAnswer::MayHaveRun(detail) if Instant::now() < deadline => {
             broken(node, run, &expected, detail).await
         }
-        HopAnswer::MayHaveRun(_) => answer,
-        HopAnswer::Answered(_) | HopAnswer::Refused(_) => {
-            run.answered();
-            answer
+        HopAnswer::Answered(response) => {
+            if response.status().is_success() {
+                run.succeeded();
+            } else {
+                run.answered();
+            }
+            HopAnswer::Answered(response)
         }
+        answer => answer,
     }
 }
 
 /// The connection of a run broke, or its answer wasn't whole.
 async fn broken(node: &Rc<Node>, run: Run, target: &str, detail: String) -> HopAnswer {
+    // From now on it counts as lost, also for a run that finds the target's end first.
     drop(run);
-    target_end::look(node, target).await;
-    HopAnswer::MayHaveRun(detail)
+    if target_end::has_ended(node, target).await {
+        HopAnswer::TargetEnded
+    } else {
+        HopAnswer::MayHaveRun(detail)
+    }
 }
 
 fn target_request(hop: HopRequest, expected: &str) -> Request<Body> {
@@ -173,7 +180,7 @@
 }
 
 /// A connection to the target failed: others shouldn't send it work until it is heard again.
-fn target_failed(node: &Node) {
+pub fn target_failed(node: &Node) {
     if node.target.borrow().accepting(node.now()) {
         node.log.write(Event::Lost {
             dependency: "target",
--- a/crates/sidecar/src/target_end.rs
+++ b/crates/sidecar/src/target_end.rs
@@ -7,17 +7,19 @@
 
 use http::HeaderValue;
 use wingspar_platform::headers;
-use wingspar_quarantine::{RunId, Suspect};
+use wingspar_quarantine::{Fingerprint, RunId, Suspect, TargetEnd};
 
 use crate::clock::whole_millis;
 use crate::hop::HopRequest;
 use crate::logs::{Event, SuspectLine};
 use crate::node::Node;
+use crate::{quarantine, target_calls};
 
 /// A request in flight at the target; unless it was answered it counts as lost when this is dropped.
 pub struct Run {
     node: Rc<Node>,
     id: RunId,
+    fingerprint: Fingerprint,
 }
 
 impl Run {
@@ -31,9 +33,16 @@
         Self {
             node: node.clone(),
             id,
+            fingerprint: hop.fingerprint,
         }
     }
 
+    /// It came to a good end.
+    pub fn succeeded(self) {
+        quarantine::good_end(&self.node, self.fingerprint);
+        self.answered();
+    }
+
     /// The target answered it, or it hasn't run.
     pub fn answered(self) {
         self.node.runs.borrow_mut().answered(self.id);
@@ -48,10 +57,13 @@
 }
 
 /// The connection of a run broke: looks whether the target has ended.
-pub async fn look(node: &Rc<Node>, target: &str) {
-    if node.target_connections.are_refused().await {
-        ended(node, target, "refuses_connections");
+pub async fn has_ended(node: &Rc<Node>, target: &str) -> bool {
+    if !node.target_connections.are_refused().await {
+        return false;
     }
+    target_calls::target_failed(node);
+    ended(node, target, "refuses_connections");
+    true
 }
 
 /// The target has ended.
@@ -60,11 +72,24 @@
     if suspects.is_empty() {
         return;
     }
+    node.metrics.target_ends.inc();
     node.log.write(Event::TargetEnded {
         target,
         evidence,
         suspects: suspects.iter().map(line).collect(),
     });
+    let fingerprints = suspects
+        .iter()
+        .map(|suspect| suspect.fingerprint)
+        .collect::<Vec<_>>();
+    let now = node.clock.uptime();
+    let end = TargetEnd::of(target);
+    let changes = node
+        .quarantine
+        .borrow_mut()
+        .target_ended(now, end, &fingerprints);
+    quarantine::log_changes(node, changes, "target");
+    node.control_wakes.notify_one();
 }
 
 fn line(suspect: &Suspect) -> SuspectLine {
--- a/crates/wingspar/tests/sidecar/crashing_request.rs
+++ b/crates/wingspar/tests/sidecar/crashing_request.rs
@@ -21,6 +21,9 @@
 /// Time between two tries of its caller.
 const CALLER_PAUSE: Duration = Duration::from_millis(400);
 
+/// The body of the request, the same each time.
+const BODY: &str = "same";
+
 /// Lets time pass while targets report.
 async fn pass(deployment: &Deployment, time: Duration) {
     let until = std::time::Instant::now() + time;
@@ -35,7 +38,7 @@
     let mut statuses = Vec::new();
     for number in 0..tries {
         let request = deployment.request(number % 4, path, &format!("{name}-{number}"));
-        let request = request.header("x-wingspar-shard-key", 100).body("same");
+        let request = request.header("x-wingspar-shard-key", 100).body(BODY);
         let sent = request.send().await;
         statuses.push(sent.map_or(0, |answer| answer.status().as_u16()));
         pass(deployment, CALLER_PAUSE).await;
@@ -58,13 +61,15 @@
         crashes_on: Some(path),
         ..TargetFaults::default()
     });
-    for round in 0..20 {
+    for round in 0..8 {
         if deployment.crashes() >= ENDS_UNKNOWN {
             break;
         }
         send_it(&deployment, path, &format!("before-{round}"), 2).await;
     }
     pass(&deployment, IN_TOUCH).await;
+    let ended = deployment.crashes();
+    assert!(ended <= ENDS_UNKNOWN, "{ended} targets ended");
     let statuses = send_it(&deployment, path, "after", 16).await;
     let sends = runs(&deployment, "after");
     assert!(
@@ -74,6 +79,69 @@
     );
 }
 
+/// Sends the request until it is refused.
+async fn until_refused(deployment: &Deployment, path: &str) {
+    for round in 0..8 {
+        let statuses = send_it(deployment, path, &format!("until-{round}"), 2).await;
+        if statuses == [503, 503] && deployment.crashes() > 1 {
+            return;
+        }
+    }
+    panic!("it isn't refused, {} targets ended", deployment.crashes());
+}
+
+#[tokio::test]
+async fn a_request_that_is_refused_is_told_so_and_others_are_served() {
+    let path = "/orders/crashing";
+    let deployment = Deployment::start(36).await;
+    deployment.all_targets_do(TargetFaults {
+        crashes_on: Some(path),
+        ..TargetFaults::default()
+    });
+    until_refused(&deployment, path).await;
+    pass(&deployment, IN_TOUCH).await;
+    for node in 0..deployment.nodes.len() {
+        let began_at = std::time::Instant::now();
+        let request = deployment.request(node, path, &format!("refused-{node}"));
+        let answer = request.body(BODY).send().await.expect("an answer");
+        assert_eq!(answer.status(), 503);
+        assert!(began_at.elapsed() < Duration::from_millis(200), "at once");
+        assert!(!answer.headers().contains_key("retry-after"));
+        assert_eq!(answer.text().await.expect("a body"), "quarantined");
+        let other = deployment.request(node, "/orders/17", &format!("other-{node}"));
+        let other = other.body(BODY).send().await.expect("an answer");
+        assert_eq!(other.status(), 200);
+    }
+}
+
+#[tokio::test]
+async fn an_operator_lets_a_refused_request_through() {
+    let path = "/orders/crashing";
+    let deployment = Deployment::start(37).await;
+    deployment.all_targets_do(TargetFaults {
+        crashes_on: Some(path),
+        ..TargetFaults::default()
+    });
+    until_refused(&deployment, path).await;
+    deployment.all_targets_do(TargetFaults::default());
+    pass(&deployment, IN_TOUCH).await;
+    let listed = deployment
+        .operate(0, reqwest::Method::GET, "/quarantine")
+        .await;
+    let fingerprint = listed.split(' ').next().expect("a fingerprint");
+    let released = format!("/quarantine/{fingerprint}");
+    let told = deployment
+        .operate(0, reqwest::Method::DELETE, &released)
+        .await;
+    assert_eq!(told, "released");
+    pass(&deployment, IN_TOUCH).await;
+    for node in 0..deployment.nodes.len() {
+        let request = deployment.request(node, path, &format!("released-{node}"));
+        let answer = request.body(BODY).send().await.expect("an answer");
+        assert_eq!(answer.status(), 200);
+    }
+}
+
 #[tokio::test]
 async fn a_request_under_which_targets_end_is_refused_by_every_node() {
     is_refused_by_every_node(34, "/orders/crashing").await;
--- a/crates/wingspar/tests/sidecar/deployment.rs
+++ b/crates/wingspar/tests/sidecar/deployment.rs
@@ -356,6 +356,16 @@
         .await;
     }
 
+    /// What a node answers an operator.
+    pub async fn operate(&self, node: usize, method: reqwest::Method, path: &str) -> String {
+        let address = SocketAddr::new(self.nodes[node].ready.ip(), METRICS_PORT);
+        let call = self
+            .client
+            .request(method, format!("http://{address}{path}"));
+        let answer = call.send().await.expect("an answer");
+        answer.text().await.expect("a body")
+    }
+
     /// Version of the configuration in force at a node, from its metrics.
     pub async fn configuration_version(&self, node: usize) -> Option<u64> {
         let address = SocketAddr::new(self.nodes[node].ready.ip(), METRICS_PORT);
