Simulator: a node's clock that stops while its machine is suspended breaks one owner a key

Change: an option of the simulator by which a node's clock doesn't count the time for which it stood still. The sidecar isn't mended yet.

--- a/crates/ownership/tests/simulation/main.rs
+++ b/crates/ownership/tests/simulation/main.rs
@@ -247,3 +247,10 @@
         options.late_heartbeats_count = true;
     }));
 }
+
+#[test]
+fn the_checker_sees_clocks_that_stop_while_their_machine_is_suspended() {
+    assert!(fails_without(|options| options
+        .clocks_stop_while_suspended =
+        true));
+}
--- a/crates/ownership/tests/simulation/world.rs
+++ b/crates/ownership/tests/simulation/world.rs
@@ -75,6 +75,8 @@
     life: u64,
     rate: f64,
     frozen_until: u64,
+    /// When it woke up, and how long it had slept, each time.
+    suspensions: Vec<(u64, u64)>,
     registered: bool,
     leaving: bool,
     target: Target,
@@ -123,6 +125,7 @@
                 life: 0,
                 rate: 1.0 + rng.random_range(-1.0..1.0) * options.drift,
                 frozen_until: 0,
+                suspensions: Vec::new(),
                 registered: false,
                 leaving: false,
                 target: Target::new(format!("t{index}-0")),
@@ -261,7 +264,16 @@
     }
 
     fn clock(&self, index: usize) -> Time {
-        Time(1_000_000 + (self.now as f64 * self.machines[index].rate) as u64)
+        let machine = &self.machines[index];
+        let over = machine.suspensions.iter();
+        let over = over.filter(|(woke_at, _)| *woke_at <= self.now);
+        let slept = over.map(|(_, slept)| slept).sum::<u64>();
+        let uncounted = if self.options.clocks_stop_while_suspended {
+            slept
+        } else {
+            0
+        };
+        Time(1_000_000 + ((self.now - uncounted) as f64 * machine.rate) as u64)
     }
 
     fn around(&self, index: usize) -> Surroundings {
--- a/crates/ownership/tests/simulation/world/faults.rs
+++ b/crates/ownership/tests/simulation/world/faults.rs
@@ -107,7 +107,7 @@
                 } else {
                     index
                 };
-                self.machines[index].frozen_until = self.now + span;
+                self.suspend(index, span);
             }
             9 => {
                 // Stopped as planned, then started again.
@@ -129,6 +129,18 @@
         }
     }
 
+    fn suspend(&mut self, index: usize, span: u64) {
+        let machine = &mut self.machines[index];
+        let wakes_at = self.now + span;
+        let asleep_until = machine.frozen_until.max(self.now);
+        if wakes_at > asleep_until {
+            machine
+                .suspensions
+                .push((wakes_at, wakes_at - asleep_until));
+            machine.frozen_until = wakes_at;
+        }
+    }
+
     pub(super) fn cut(&mut self, pairs: Vec<(usize, usize)>, span: u64) {
         self.cuts.extend(pairs.iter().copied());
         self.heal_at(span, move |world| {
--- a/crates/ownership/tests/simulation/world/options.rs
+++ b/crates/ownership/tests/simulation/world/options.rs
@@ -51,6 +51,8 @@
     pub delivery: Delivery,
     /// Removes a mechanism: heartbeats that a later one has overtaken count.
     pub late_heartbeats_count: bool,
+    /// Removes a mechanism: a node's clock doesn't count the time for which its machine is suspended.
+    pub clocks_stop_while_suspended: bool,
 }
 
 impl Options {
@@ -78,6 +80,7 @@
             plain_nodes: 0,
             delivery: Delivery::Calls,
             late_heartbeats_count: false,
+            clocks_stop_while_suspended: false,
         }
     }
 }
