Time that passes while a machine is suspended counts

Cause: Clock read std's Instant, CLOCK_MONOTONIC, which stops during a suspension; so did the age of kept connections, the grace time of a planned stop and what is left of a request's deadline. Ruled out: a second clock for ownership alone (evacuations, slow starts, drain notices, quarantine stand on the same one). Timers themselves stand still: they fire late by the suspension, what they guard is checked by the clock.

--- a/crates/sidecar/src/agent.rs
+++ b/crates/sidecar/src/agent.rs
@@ -89,7 +89,7 @@
 /// Whether a request may start now.
 fn check(node: &Node, hop: &HopRequest) -> Result<(), Refusal> {
     let now = node.now();
-    if Instant::now() >= hop.deadline {
+    if hop.deadline.is_over() {
         return Err(Refusal::Late);
     }
     if quarantine::refuses(node, hop.fingerprint) {
--- a/crates/sidecar/src/connections.rs
+++ b/crates/sidecar/src/connections.rs
@@ -5,7 +5,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::header::CONNECTION;
@@ -20,6 +20,7 @@
 use tokio::time::timeout;
 
 use crate::body::{Body, BodyError};
+use crate::clock::since_boot;
 
 /// A kept connection isn't used again after resting this long, unless its server says less.
 const IDLE_LIMIT: Duration = Duration::from_millis(6_000);
@@ -50,7 +51,8 @@
 struct Connection {
     sender: SendRequest<Body>,
     driver: JoinHandle<()>,
-    rested_since: Instant,
+    /// Since the machine started: its server may have closed it while this machine was suspended.
+    rested_since: Duration,
     idle_limit: Duration,
 }
 
@@ -106,10 +108,11 @@
     }
 
     fn take_idle(&self) -> Option<Connection> {
+        let now = since_boot();
         let mut idle = self.idle.borrow_mut();
         idle.retain(|connection| {
             !connection.sender.is_closed()
-                && connection.rested_since.elapsed() < connection.idle_limit
+                && now.saturating_sub(connection.rested_since) < connection.idle_limit
         });
         let position = idle
             .iter()
@@ -134,7 +137,7 @@
         Ok(Connection {
             sender,
             driver,
-            rested_since: Instant::now(),
+            rested_since: since_boot(),
             idle_limit: IDLE_LIMIT,
         })
     }
@@ -157,7 +160,7 @@
     }
 
     fn give_back(&self, mut connection: Connection) {
-        connection.rested_since = Instant::now();
+        connection.rested_since = since_boot();
         self.idle.borrow_mut().push(connection);
     }
 }
--- a/crates/sidecar/src/hop.rs
+++ b/crates/sidecar/src/hop.rs
@@ -14,6 +14,7 @@
 use crate::body::{Body, BodyError};
 use crate::clock::whole_millis;
 use crate::connections::{Connections, SendError};
+use crate::deadline::Deadline;
 use crate::slots::Turn;
 
 const SERVICE: HeaderName = HeaderName::from_static("wingspar-service");
@@ -45,7 +46,7 @@
     /// The service that is to run it.
     pub service: String,
     /// When the client, or the route, gives it up.
-    pub deadline: Instant,
+    pub deadline: Deadline,
     /// How long it may wait for a slot.
     pub patience: Instant,
     /// If the answer is likely to be large, until when it should begin to leave the machine.
@@ -187,11 +188,7 @@
 fn encode(request: HopRequest) -> Request<Body> {
     let now = Instant::now();
     let mut headers = request.headers;
-    insert_number(
-        &mut headers,
-        LEFT_MS,
-        whole_millis(request.deadline.saturating_duration_since(now)),
-    );
+    insert_number(&mut headers, LEFT_MS, whole_millis(request.deadline.left()));
     insert_number(
         &mut headers,
         PATIENCE_MS,
@@ -250,7 +247,7 @@
         headers,
         body,
         service,
-        deadline: now + Duration::from_millis(left),
+        deadline: Deadline::at(now + Duration::from_millis(left)),
         patience: now + Duration::from_millis(patience),
         transfer: transfer.map(|left| now + Duration::from_millis(left)),
         turn: Turn {
@@ -292,7 +289,7 @@
     connections: &std::rc::Rc<Connections>,
     request: HopRequest,
 ) -> (HopAnswer, Option<Occupancy>) {
-    let deadline = request.deadline;
+    let deadline = request.deadline.timer();
     let sent = timeout_at(deadline, connections.send(encode(request))).await;
     let response = match sent {
         Err(_) => return (HopAnswer::MayHaveRun("no answer in time".to_owned()), None),
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod configuration_fetch;
 mod connections;
 mod control;
+pub mod deadline;
 pub mod directory;
 pub mod evacuation;
 mod follow;
--- a/crates/sidecar/src/router/mod.rs
+++ b/crates/sidecar/src/router/mod.rs
@@ -39,6 +39,8 @@
 /// A request isn't sent again with less time left than this part of its objective: the send would hardly be answered.
 /// Chosen by hand.
 const WORTH_SENDING: f64 = 0.3;
+/// A deadline that is this near has passed.
+const AS_GOOD_AS_OVER: Duration = Duration::from_millis(2);
 /// A request is given up once so many targets have ended under it. The first end may be another request's fault.
 const ENDS_TO_GIVE_UP: u32 = 2;
 /// Most nodes that are asked while nothing has been sent.
@@ -107,7 +109,12 @@
         .path_and_query()
         .cloned()
         .ok_or(Reason::Malformed)?;
-    let body = match timeout_at(times.deadline, RequestBody::read(incoming, KEEP_BODY)).await {
+    let body = match timeout_at(
+        times.deadline.timer(),
+        RequestBody::read(incoming, KEEP_BODY),
+    )
+    .await
+    {
         Err(_) => return Err(Reason::NotSentInTime),
         Ok(Err(_)) => return Err(Reason::BodyCut),
         Ok(Ok(body)) => body,
@@ -286,7 +293,7 @@
 
 /// The reason to give when a request that was sent is given up.
 fn given_up(routed: &Routed<'_>, record: &Record) -> Reason {
-    let over = Instant::now() + Duration::from_millis(2) >= routed.times.deadline;
+    let over = routed.times.deadline.left() <= AS_GOOD_AS_OVER;
     match (record.may_have_run, over) {
         (false, true) => Reason::NotSentInTime,
         (false, false) => Reason::NoTarget,
@@ -474,10 +481,7 @@
 
 /// A send reached a target: whether another may follow.
 fn after_send(node: &Node, routed: &Routed<'_>, record: &Record, reason: Reason) -> Next {
-    let left = routed
-        .times
-        .deadline
-        .saturating_duration_since(Instant::now());
+    let left = routed.times.deadline.left();
     let worth_it = left
         > routed
             .route
--- a/crates/sidecar/src/router/timing.rs
+++ b/crates/sidecar/src/router/timing.rs
@@ -7,6 +7,8 @@
 use wingspar_platform::headers;
 use wingspar_routes::{Repeatability, Route};
 
+use crate::deadline::Deadline;
+
 /// A client that names no deadline waits this long.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(10);
 /// Part of the objective after which a request that hasn't started is refused. A queue need only hold what keeps the
@@ -34,7 +36,7 @@
 #[derive(Debug, Clone, Copy)]
 pub struct Times {
     /// It is given up.
-    pub deadline: Instant,
+    pub deadline: Deadline,
     /// Its answer earns its full credit until then.
     pub due: Instant,
     /// It has started, or is refused.
@@ -59,7 +61,7 @@
     };
     let deadline = arrived + held.saturating_sub(ANSWER_MARGIN);
     Times {
-        deadline,
+        deadline: Deadline::at(deadline),
         due: arrived + objective,
         patience: deadline.min(arrived + patience),
         transfer: transfer_time(route, deadline, arrived),
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -241,7 +241,7 @@
 
 /// Stops as planned: first others turn elsewhere, then what runs ends, then the process.
 async fn stop(node: &Rc<Node>, signal: &str) {
-    let asked_at = Instant::now();
+    let asked_at = node.clock.uptime();
     let grace = Duration::from_secs_f64(node.settings.bounds.grace_s).saturating_sub(END_MARGIN);
     node.log.write(Event::Stopping { signal });
     node.stop.send_replace(Stop::Leaving);
@@ -250,7 +250,7 @@
     node.stop.send_replace(Stop::Closing);
     let mut ending = Ending::default();
     let mut unregistering = false;
-    while asked_at.elapsed() < grace {
+    while node.clock.uptime().saturating_sub(asked_at) < grace {
         let remaining = remaining(node);
         if ending.is_over(Instant::now(), remaining) {
             break;
--- a/crates/sidecar/src/target_calls.rs
+++ b/crates/sidecar/src/target_calls.rs
@@ -6,12 +6,13 @@
 use http::header::{CONTENT_ENCODING, HOST};
 use http::{HeaderValue, Request, Response, StatusCode};
 use http_body_util::BodyExt;
-use tokio::time::{Instant, timeout};
+use tokio::time::timeout;
 use wingspar_platform::{headers, parse_load};
 
 use crate::body::{Body, Keeping};
 use crate::clock::whole_millis;
 use crate::connections::{ConnectionBody, SendError};
+use crate::deadline::Deadline;
 use crate::hop::{HopAnswer, HopRequest, Refusal, whole_or_stream};
 use crate::key_exchange;
 use crate::logs::Event;
@@ -43,7 +44,8 @@
     let key = hop.key;
     let run = Run::begin(node, &hop);
     let request = target_request(hop, &expected);
-    let sent = tokio::time::timeout_at(deadline, node.target_connections.send(request)).await;
+    let sent =
+        tokio::time::timeout_at(deadline.timer(), node.target_connections.send(request)).await;
     let response = match sent {
         Err(_) => return HopAnswer::MayHaveRun("the target didn't answer in time".to_owned()),
         Ok(Err(SendError::NotSent(_))) => {
@@ -72,7 +74,7 @@
     }
     slot.worked();
     match pass_on(node, response, deadline, slot).await {
-        HopAnswer::MayHaveRun(detail) if Instant::now() < deadline => {
+        HopAnswer::MayHaveRun(detail) if !deadline.is_over() => {
             broken(node, run, &expected, detail).await
         }
         HopAnswer::Answered(response) => {
@@ -99,7 +101,7 @@
 }
 
 fn target_request(hop: HopRequest, expected: &str) -> Request<Body> {
-    let left = hop.deadline.saturating_duration_since(Instant::now());
+    let left = hop.deadline.left();
     let mut request = Request::new(hop.body);
     *request.method_mut() = hop.method;
     *request.uri_mut() = hop.path.into();
@@ -157,13 +159,13 @@
 async fn pass_on(
     node: &Node,
     response: Response<ConnectionBody>,
-    deadline: Instant,
+    deadline: Deadline,
     slot: Slot,
 ) -> HopAnswer {
     let (mut parts, body) = response.into_parts();
     crate::hop::strip(&mut parts.headers);
     let body = Keeping::new(body, slot);
-    match whole_or_stream(body, keep_whole(node), deadline).await {
+    match whole_or_stream(body, keep_whole(node), deadline.timer()).await {
         Ok(body) => HopAnswer::Answered(Response::from_parts(parts, body)),
         Err(error) => HopAnswer::MayHaveRun(error.to_string()),
     }
--- /dev/null
+++ b/crates/sidecar/tests/suspension.rs
@@ -0,0 +1,48 @@
+//! Time that passes while the machine is suspended: the steady clock and all timers stand still, callers, leases and
+//! other machines don't.
+
+use std::cell::Cell;
+use std::time::Duration;
+
+use tokio::time::Instant;
+use wingspar_ownership::Time;
+use wingspar_sidecar::clock::{Clock, since_boot};
+use wingspar_sidecar::deadline::Deadline;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+thread_local! {
+    static BOOT_CLOCK: Cell<Duration> = const { Cell::new(SECOND) };
+}
+
+#[test]
+fn the_clock_of_leases_goes_on() {
+    let clock = Clock::reading(|| BOOT_CLOCK.get());
+    let before = clock.now();
+    BOOT_CLOCK.set(SECOND * 8);
+    assert_eq!(clock.now().since(before), SECOND * 7);
+    assert_eq!(clock.uptime(), SECOND * 7);
+    assert!(clock.now() > Time(0));
+}
+
+#[test]
+fn the_shipped_clock_is_the_one_that_counts_since_the_machine_started() {
+    let text = std::fs::read_to_string("/proc/uptime").expect("the time since the start");
+    let seconds = text.split(' ').next().and_then(|word| word.parse().ok());
+    let kernel = Duration::from_secs_f64(seconds.expect("a number"));
+    let difference = since_boot().abs_diff(kernel);
+    assert!(difference < SECOND, "{difference:?} apart");
+}
+
+#[test]
+fn a_request_whose_caller_left_meanwhile_has_no_time_left() {
+    let now = Instant::now();
+    let deadline = Deadline::set(now + SECOND * 2, SECOND * 10);
+    assert_eq!(deadline.left_after(now, SECOND * 10), SECOND * 2);
+    assert_eq!(deadline.left_after(now, SECOND * 11), SECOND);
+    assert_eq!(deadline.left_after(now, SECOND * 15), Duration::ZERO);
+    assert_eq!(
+        deadline.left_after(now + SECOND * 3, SECOND * 10),
+        Duration::ZERO
+    );
+}
