Quarantine: all of many verdicts are told, and what is too old is no news

Cause, found by reading: the part of the verdicts that a datagram takes moved on with each call, so a node that asks at the same place in the order of calls was told the same part for ever; and a node that had seen an end more than ten minutes ago counted it as news after a change of leader and renewed 25 times a second. Change: the part is drawn by the time; news is what is still there to tell. Both tests failed first (8 of 16 told; has_news).

--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -3,6 +3,8 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::time::Duration;
 
+use xxhash_rust::xxh3::xxh3_64;
+
 use crate::good_ends::GoodEnds;
 use crate::suspicion::Suspicion;
 use crate::verdict::{Kept, whole_millis};
@@ -77,8 +79,6 @@
     /// Number of the last own observation that the present leader has taken in.
     acknowledged: u64,
     leader_digest: u64,
-    /// Where the next part of the verdicts begins that is told.
-    next_told: usize,
 }
 
 impl Quarantine {
@@ -239,7 +239,7 @@
 
     /// Whether the leader has yet to hear of something.
     pub fn has_news(&self) -> bool {
-        self.newest > self.acknowledged
+        self.own.iter().any(|own| own.number > self.acknowledged)
     }
 
     /// Another leader is followed: it may know nothing of what was told to the one before.
@@ -315,14 +315,16 @@
         })
     }
 
-    fn part_of_verdicts(&mut self, now: Duration) -> Vec<Verdict> {
+    /// As many verdicts as one datagram takes. Where they begin is drawn by the time, so that whoever asks again and again is
+    /// told all of them, whoever else asks in between.
+    fn part_of_verdicts(&self, now: Duration) -> Vec<Verdict> {
         let count = self.verdicts.len();
-        if count > MOST_TOLD {
-            self.next_told = (self.next_told + MOST_TOLD) % count;
-        } else {
-            self.next_told = 0;
-        }
-        let all = self.verdicts.iter().cycle().skip(self.next_told);
+        let drawn = xxh3_64(&whole_millis(now).to_le_bytes());
+        let start = match u64::try_from(count) {
+            Ok(count) if count > 0 => usize::try_from(drawn % count).unwrap_or(0),
+            _ => 0,
+        };
+        let all = self.verdicts.iter().cycle().skip(start);
         all.take(MOST_TOLD.min(count))
             .map(|(fingerprint, kept)| kept.told(now, *fingerprint))
             .collect()
--- a/crates/quarantine/tests/quarantine.rs
+++ b/crates/quarantine/tests/quarantine.rs
@@ -192,6 +192,36 @@
     assert_eq!(node.shared(now).digest, leader.shared(now).digest);
 }
 
+#[test]
+fn each_part_of_many_decisions_is_told_however_often_others_ask() {
+    let [mut node, mut leader] = [(); 2].map(|()| Quarantine::default());
+    for number in 0..16 {
+        for end in 0..3 {
+            let fingerprint = Fingerprint(1_000 + number);
+            leader.target_ended(at(10.0), TargetEnd(number * 3 + end), &[fingerprint]);
+        }
+    }
+    let mut now = at(10.1);
+    for _ in 0..40 {
+        renew(now, &mut node, &mut leader);
+        // Another node asks in between.
+        let _told = leader.shared(now + at(0.2));
+        now += at(0.4);
+    }
+    assert_eq!(node.refused(now).len(), 16);
+}
+
+#[test]
+fn what_is_too_old_to_tell_is_no_news() {
+    let [mut node, mut leader, mut next] = [(); 3].map(|()| Quarantine::default());
+    node.target_ended(at(10.0), TargetEnd(1), &[CRASHING]);
+    renew(at(10.1), &mut node, &mut leader);
+    node.target_ended(at(2_000.0), TargetEnd(2), &[]);
+    node.leader_changed();
+    renew(at(2_000.1), &mut node, &mut next);
+    assert!(!node.has_news());
+}
+
 #[test]
 fn a_flood_of_distinct_requests_takes_bounded_memory() {
     let mut node = Quarantine::default();
