--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -115,7 +115,7 @@
         suspicion.keep_until = now + SUSPECTED_FOR;
         let before = self.verdicts.get(&fingerprint);
         let revision = before.map_or(0, |kept| kept.revision);
-        suspicion.revision = suspicion.revision.max(revision) + 1;
+        suspicion.revision = suspicion.revision.max(revision).saturating_add(1);
         let kept = Kept {
             revision: suspicion.revision,
             standing: Standing::Released,
@@ -209,7 +209,7 @@
         let revision = known
             .map_or(0, |kept| kept.revision)
             .max(suspicion.revision)
-            + 1;
+            .saturating_add(1);
         suspicion.revision = revision;
         suspicion.keep_until = now + span + SUSPECTED_FOR;
         let kept = Kept {
@@ -270,7 +270,8 @@
     }
 
     fn learn(&mut self, now: Duration, verdict: &Verdict) -> Option<Change> {
-        let told = Kept::from_told(now, verdict);
+        let mut told = Kept::from_told(now, verdict);
+        told.until = told.until.min(now + LONGEST);
         let fingerprint = verdict.fingerprint;
         let outranked = self
             .verdicts
--- a/crates/quarantine/tests/quarantine.rs
+++ b/crates/quarantine/tests/quarantine.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use quickcheck::quickcheck;
-use wingspar_quarantine::{Fingerprint, Quarantine, Standing, TargetEnd};
+use wingspar_quarantine::{
+    Fingerprint, Observation, Quarantine, Report, Standing, TargetEnd, Verdict,
+};
 
 const CRASHING: Fingerprint = Fingerprint(1);
 const INNOCENT: Fingerprint = Fingerprint(2);
@@ -248,6 +250,36 @@
 }
 
 quickcheck! {
+    /// Whatever another node tells, nothing breaks and memory stays bounded.
+    fn strange_news_do_no_harm(told: Vec<(u64, u64, u64, u64)>) -> bool {
+        let mut node = Quarantine::default();
+        let verdict = |(fingerprint, revision, ago, left): &(u64, u64, u64, u64)| Verdict {
+            fingerprint: Fingerprint(*fingerprint),
+            revision: u32::try_from(*revision).unwrap_or(u32::MAX),
+            standing: if left % 2 == 0 { Standing::Refused } else { Standing::Released },
+            ends: u8::MAX,
+            first_end_ms_ago: *ago,
+            left_ms: *left,
+        };
+        let observation = |(fingerprint, end, ago, good): &(u64, u64, u64, u64)| Observation {
+            fingerprint: Fingerprint(*fingerprint),
+            end: TargetEnd(*end),
+            ms_ago: *ago,
+            good_ms_ago: Some(*good),
+        };
+        let report = Report {
+            digest: u64::MAX,
+            verdicts: told.iter().map(verdict).collect(),
+            observations: told.iter().map(observation).collect(),
+            newest: u64::MAX,
+        };
+        node.reported(at(10.0), &report);
+        node.target_ended(at(11.0), TargetEnd(1), &[CRASHING]);
+        node.target_ended(at(12.0), TargetEnd(2), &[CRASHING]);
+        let shared = node.shared(at(12.0));
+        shared.verdicts.len() <= 8 && shared.observations.len() <= 8
+    }
+
     /// Whatever the order in which two nodes tell a leader, all three come to the same decisions.
     fn nodes_agree_in_the_end(events: Vec<(bool, u8, u8, u8)>) -> bool {
         let [mut left, mut right, mut leader] = [(); 3].map(|()| Quarantine::default());
