--- a/crates/sidecar/src/router/mod.rs
+++ b/crates/sidecar/src/router/mod.rs
@@ -1,50 +1,34 @@
 //! Requests of clients and of the target: from their arrival to their final answer.
 //!
-//! Phases: *read* the request and pick its route, *choose* a node, *send* it there, *judge* what came
-//! back, and answer or choose again. A request that was given up on is answered at once.
+//! Phases: *read* the request and pick its route, then [`send`] it until it is answered. A request that was given up
+//! on is answered at once.
 
 mod record;
+mod send;
 mod timing;
 
 use record::Record;
-use timing::{Times, patience_beside_others, times};
+use send::send;
+use timing::{Times, times};
 
 use std::rc::Rc;
-use std::time::Duration;
 
 use http::header::{EXPECT, HOST};
 use http::uri::PathAndQuery;
 use http::{HeaderMap, HeaderValue, Method, Request, Response};
 use hyper::body::Incoming;
-use tokio::time::{Instant, timeout, timeout_at};
-use wingspar_ownership::NodeName;
+use tokio::time::{Instant, timeout_at};
 use wingspar_platform::headers;
 use wingspar_quarantine::{Content, Fingerprint};
-use wingspar_routes::{Repeatability, Route, RouteTable};
+use wingspar_routes::{Route, RouteTable};
 
-use crate::agent;
 use crate::answer::{Reason, own};
 use crate::body::{Body, RequestBody};
-use crate::directory::Destination;
-use crate::hop::{self, HopAnswer, HopRequest, Refusal};
+use crate::hop;
 use crate::node::Node;
-use crate::quarantine;
-use crate::selection::{Ended, RequestPreference, ZONE_PREFERENCE, ZONE_PREFERENCE_LARGE};
-use crate::slots::Turn;
 
 /// Bodies up to this many bytes are kept, so that they can be sent again.
 const KEEP_BODY: usize = 64 * 1024;
-/// Pause before a key's owner is looked up again, unless the directory changes before.
-const OWNER_PAUSE: Duration = Duration::from_millis(40);
-/// A request isn't sent again with less time left than this part of its objective: the send would hardly be answered.
-/// Chosen by hand.
-const WORTH_SENDING: f64 = 0.3;
-/// A deadline that is this near has passed.
-const AS_GOOD_AS_OVER: Duration = Duration::from_millis(2);
-/// A request is given up once so many targets have ended under it. The first end may be another request's fault.
-const ENDS_TO_GIVE_UP: u32 = 2;
-/// Most nodes that are asked while nothing has been sent.
-const MOST_REFUSALS: usize = 4;
 
 /// Answers a request.
 pub async fn answer(node: Rc<Node>, request: Request<Incoming>) -> Response<Body> {
@@ -194,311 +178,3 @@
     }
     headers
 }
-
-/// What to do after a node's answer.
-enum Next {
-    /// Ask another node, or the same again.
-    Again,
-    /// Give up.
-    GiveUp(Reason),
-}
-
-async fn send(
-    node: &Rc<Node>,
-    routed: &mut Routed<'_>,
-    record: &mut Record,
-) -> Result<Response<Body>, Reason> {
-    let mut tried = Vec::<NodeName>::new();
-    let mut refusals = 0;
-    loop {
-        if quarantine::refuses(node, routed.fingerprint) {
-            return Err(refused_for_good(routed, record));
-        }
-        let Some(destination) = choose(node, routed, &tried) else {
-            if record.sends > 0 {
-                return Err(given_up(routed, record));
-            }
-            wait_for_directory(node, routed).await?;
-            tried.clear();
-            continue;
-        };
-        record.node = destination.node.to_string();
-        let patience = patience_here(node, routed, refusals);
-        let answer = send_to(node, routed, &destination, patience).await;
-        let next = match answer {
-            HopAnswer::Answered(response) => {
-                record.sends += 1;
-                return Ok(response);
-            }
-            HopAnswer::Refused(Refusal::Rejected) => {
-                record.sends += 1;
-                record.detail = "rejected by the target".to_owned();
-                let reason = if record.may_have_run {
-                    given_up(routed, record)
-                } else {
-                    Reason::Full
-                };
-                after_send(node, routed, record, reason)
-            }
-            HopAnswer::Refused(refusal) => {
-                refusals += 1;
-                refused(node, routed, record, &destination, refusal, refusals).await
-            }
-            HopAnswer::MayHaveRun(detail) => {
-                record.sends += 1;
-                record.may_have_run = true;
-                record.detail = detail;
-                after_lost_send(node, routed, record)
-            }
-            HopAnswer::TargetEnded => {
-                record.sends += 1;
-                record.may_have_run = true;
-                record.targets_ended += 1;
-                record.detail = "the target ended".to_owned();
-                node.selection.avoid(node.now(), &destination.node);
-                if record.targets_ended < ENDS_TO_GIVE_UP {
-                    after_lost_send(node, routed, record)
-                } else {
-                    Next::GiveUp(given_up(routed, record))
-                }
-            }
-        };
-        if let Next::GiveUp(reason) = next {
-            return Err(reason);
-        }
-        if routed.key.is_none() {
-            tried.push(destination.node);
-        }
-    }
-}
-
-/// The reason to give for a request under which targets ended again and again.
-fn refused_for_good(routed: &Routed<'_>, record: &Record) -> Reason {
-    if record.may_have_run {
-        given_up(routed, record)
-    } else {
-        Reason::Quarantined
-    }
-}
-
-/// The answer to a send was lost: whether another may follow.
-fn after_lost_send(node: &Node, routed: &Routed<'_>, record: &Record) -> Next {
-    let reason = given_up(routed, record);
-    if routed.route.repeatability == Repeatability::AtMostOnce {
-        Next::GiveUp(reason)
-    } else {
-        after_send(node, routed, record, reason)
-    }
-}
-
-/// The reason to give when a request that was sent is given up.
-fn given_up(routed: &Routed<'_>, record: &Record) -> Reason {
-    let over = routed.times.deadline.left() <= AS_GOOD_AS_OVER;
-    match (record.may_have_run, over) {
-        (false, true) => Reason::NotSentInTime,
-        (false, false) => Reason::NoTarget,
-        (true, true) => Reason::NoAnswerInTime,
-        (true, false) => Reason::MayHaveRun,
-    }
-}
-
-fn choose(node: &Node, routed: &Routed<'_>, tried: &[NodeName]) -> Option<Destination> {
-    let directory = node.directory.borrow().clone();
-    if let Some(key) = routed.key {
-        return directory.owner(routed.service, key).cloned();
-    }
-    let destinations = directory.destinations(routed.service);
-    let preference = match routed.route.repeatability {
-        Repeatability::Download => ZONE_PREFERENCE_LARGE,
-        _ => ZONE_PREFERENCE,
-    };
-    let wish = RequestPreference {
-        node: &node.name,
-        zone: &node.settings.node.zone,
-        preference,
-        large: routed.times.transfer.is_some(),
-    };
-    node.selection
-        .choose(node.now(), wish, destinations, tried)
-        .cloned()
-}
-
-/// Until when a request may wait at the node that is asked next. While others could run it too, a full
-/// one isn't waited for long.
-fn patience_here(node: &Node, routed: &Routed<'_>, refusals: usize) -> Instant {
-    let others = node.directory.borrow().destinations(routed.service).len();
-    let last = refusals + 1 >= MOST_REFUSALS.min(others);
-    if routed.key.is_some() || last {
-        routed.times.patience
-    } else {
-        patience_beside_others(routed.route, routed.times.patience)
-    }
-}
-
-/// Waits for the directory to change, or a moment; an error when patience has ended.
-async fn wait_for_directory(node: &Node, routed: &Routed<'_>) -> Result<(), Reason> {
-    if Instant::now() >= routed.times.patience {
-        return Err(if routed.key.is_some() {
-            Reason::NoOwner
-        } else {
-            Reason::NoTarget
-        });
-    }
-    let _changed = timeout(OWNER_PAUSE, node.directory_changed.notified()).await;
-    Ok(())
-}
-
-async fn send_to(
-    node: &Rc<Node>,
-    routed: &mut Routed<'_>,
-    destination: &Destination,
-    patience: Instant,
-) -> HopAnswer {
-    let is_here = destination.node == node.name;
-    let request = HopRequest {
-        method: routed.method.clone(),
-        path: routed.path.clone(),
-        headers: routed.headers.clone(),
-        body: routed.body.take(),
-        service: routed.service.to_owned(),
-        deadline: routed.times.deadline,
-        patience,
-        // What stays on this machine doesn't use its link.
-        transfer: routed.times.transfer.filter(|_| !is_here),
-        turn: Turn {
-            priority: routed.route.priority,
-            due: routed.times.due,
-        },
-        key: routed.key,
-        fingerprint: routed.fingerprint,
-    };
-    let outstanding = Outstanding::begin(node, &destination.node);
-    let (answer, occupancy) = if is_here {
-        let answer = agent::serve(node, request).await;
-        (answer, Some(agent::occupancy(node)))
-    } else {
-        hop::send(&node.peer(destination.address), request).await
-    };
-    if let Some(occupancy) = occupancy {
-        let now = node.now();
-        node.selection.reported(now, &destination.node, occupancy);
-    }
-    outstanding.end(&answer);
-    answer
-}
-
-/// Counts a request as outstanding at a node until it ends, also if its client leaves.
-struct Outstanding<'a> {
-    node: &'a Node,
-    destination: NodeName,
-    since: Instant,
-    ended: Ended,
-}
-
-impl<'a> Outstanding<'a> {
-    fn begin(node: &'a Node, destination: &NodeName) -> Self {
-        node.selection.sent(destination);
-        Self {
-            node,
-            destination: destination.clone(),
-            since: Instant::now(),
-            ended: Ended::Unknown,
-        }
-    }
-
-    fn end(mut self, answer: &HopAnswer) {
-        self.ended = match answer {
-            HopAnswer::Answered(response) if response.status().is_server_error() => Ended::Failed,
-            HopAnswer::Answered(_) => Ended::Useful(self.since.elapsed()),
-            HopAnswer::MayHaveRun(_)
-            | HopAnswer::TargetEnded
-            | HopAnswer::Refused(Refusal::Rejected) => Ended::Failed,
-            HopAnswer::Refused(_) => Ended::Unknown,
-        };
-    }
-}
-
-impl Drop for Outstanding<'_> {
-    fn drop(&mut self) {
-        let now = self.node.now();
-        self.node
-            .selection
-            .ended(now, &self.destination, self.ended);
-    }
-}
-
-/// A node refused: the request hasn't run.
-async fn refused(
-    node: &Node,
-    routed: &Routed<'_>,
-    record: &mut Record,
-    destination: &Destination,
-    refusal: Refusal,
-    refusals: usize,
-) -> Next {
-    record.detail = refusal.name().to_owned();
-    if refusal == Refusal::Quarantined {
-        return Next::GiveUp(refused_for_good(routed, record));
-    }
-    if matches!(
-        refusal,
-        Refusal::Unreachable | Refusal::Leaving | Refusal::Evacuated | Refusal::NoTarget
-    ) {
-        node.selection.avoid(node.now(), &destination.node);
-    }
-    if !routed.body.is_available() {
-        return Next::GiveUp(given_up(routed, record));
-    }
-    let reason = match refusal {
-        Refusal::Full | Refusal::LinkBusy => Reason::Full,
-        Refusal::Late => Reason::NotSentInTime,
-        Refusal::NotOwner | Refusal::Arriving => Reason::NoOwner,
-        _ => Reason::NoTarget,
-    };
-    // Once a send may have run, "not run" would be untrue.
-    let reason = if record.may_have_run {
-        given_up(routed, record)
-    } else {
-        reason
-    };
-    if Instant::now() >= routed.times.patience {
-        return Next::GiveUp(reason);
-    }
-    if routed.key.is_none() {
-        let enough = refusals >= MOST_REFUSALS;
-        return if enough {
-            Next::GiveUp(reason)
-        } else {
-            Next::Again
-        };
-    }
-    if refusal == Refusal::Full {
-        return Next::GiveUp(reason);
-    }
-    let _changed = timeout(OWNER_PAUSE, node.directory_changed.notified()).await;
-    Next::Again
-}
-
-/// A send reached a target: whether another may follow.
-fn after_send(node: &Node, routed: &Routed<'_>, record: &Record, reason: Reason) -> Next {
-    let left = routed.times.deadline.left();
-    let worth_it = left
-        > routed
-            .route
-            .objective
-            .unwrap_or_default()
-            .mul_f64(WORTH_SENDING);
-    if record.sends >= routed.route.max_attempts || !routed.body.is_available() || !worth_it {
-        return Next::GiveUp(reason);
-    }
-    let nodes = node.directory.borrow().nodes();
-    if !node
-        .budget
-        .borrow_mut()
-        .spend(node.now(), routed.service, nodes)
-    {
-        return Next::GiveUp(reason);
-    }
-    node.metrics.repeats.inc();
-    Next::Again
-}
--- a/crates/wingspar/tests/sidecar/deployment.rs
+++ b/crates/wingspar/tests/sidecar/deployment.rs
@@ -1,15 +1,16 @@
 //! Four machines: two targets of a keyed service, two of another, and their nodes.
 
 use std::future::Future;
-use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command};
 use std::time::Duration;
 
 use serde_json::{Value, json};
 use wingspar_standins::fleet::{FleetStore, FleetTarget, Seen, TargetFaults};
 use wingspar_standins::net::Proxy;
 
+use crate::machine::{logs, machine};
 use crate::network::claim_network;
 
 /// Where nodes serve their metrics.
@@ -17,9 +18,9 @@
 /// How long something may take at most before a test fails.
 const PATIENCE: Duration = Duration::from_secs(40);
 /// Service of the first two machines; its keys have owners.
-const KEYED: &str = "stock";
+pub const KEYED: &str = "stock";
 /// Service of the other two.
-const PLAIN: &str = "orders";
+pub const PLAIN: &str = "orders";
 
 /// How a deployment differs from the plain one.
 #[derive(Debug, Default)]
@@ -51,12 +52,16 @@
     pub store_link: Proxy,
     /// Between its node and its target.
     pub target_link: Proxy,
-    ready: SocketAddr,
-    heartbeats: SocketAddr,
-    settings: PathBuf,
-    process: Option<Child>,
+    /// Where its node tells whether it is ready.
+    pub ready: SocketAddr,
+    /// Where its target sends heartbeats.
+    pub heartbeats: SocketAddr,
+    /// Its node's settings.
+    pub settings: PathBuf,
+    /// Its node's process.
+    pub process: Option<Child>,
     /// Sends the target's heartbeats.
-    sending: Option<tokio::task::AbortHandle>,
+    pub sending: Option<tokio::task::AbortHandle>,
 }
 
 impl Drop for Machine {
@@ -444,76 +449,3 @@
         false
     }
 }
-
-/// Where processes write their logs: nowhere, unless `SHOW_LOGS` is set.
-fn logs() -> Stdio {
-    if std::env::var_os("SHOW_LOGS").is_some() {
-        Stdio::inherit()
-    } else {
-        Stdio::null()
-    }
-}
-
-async fn machine(
-    address: Ipv4Addr,
-    index: u8,
-    store: &FleetStore,
-    folder: &std::path::Path,
-    wiring: &Wiring,
-) -> Machine {
-    let ip = IpAddr::V4(address);
-    let keyed = index < 2;
-    let service = if keyed { KEYED } else { PLAIN };
-    let id = format!("target-{index}");
-    let target = FleetTarget::start(SocketAddr::new(ip, 0), &id, keyed)
-        .await
-        .expect("a target");
-    let socket = |port| SocketAddr::new(ip, port);
-    let link = async |server| Proxy::start(socket(0), server).await.expect("a free port");
-    let store_link = link(store.local_addr()).await;
-    let target_link = link(target.local_addr()).await;
-    let through = |link: &Proxy, server| {
-        if wiring.through_proxies {
-            link.local_addr()
-        } else {
-            server
-        }
-    };
-    let zone = if wiring.two_zones && index % 2 == 1 {
-        "b"
-    } else {
-        "a"
-    };
-    let more_bounds = if wiring.two_zones {
-        "evacuate_s = 5\nwarmup_rate_factor = 1.5\nwarmup_rate_extra = 8\n"
-    } else {
-        ""
-    };
-    let text = format!(
-        "[node]\nname = \"node-{index}\"\nzone = \"{zone}\"\nservice = \"{service}\"\naddress = \"{ip}\"\n\
-         target = \"{}\"\nfirst_start = true\n{}\n\
-         [listen]\noutbound = \"{}\"\nready = \"{}\"\nheartbeats = \"{}\"\ninternal_port = 7620\nmetrics_port = 7621\n\
-         [store]\naddress = \"{}\"\n\
-         [bounds]\ndrain_s = 2\ngrace_s = 6\nbudget_ratio = 0.2\nbudget_window_s = 10\nbudget_extra = 60\nmax_hold_s = 10\n{more_bounds}",
-        through(&target_link, target.local_addr()),
-        wiring.node_settings,
-        socket(7600),
-        socket(7601),
-        socket(7602),
-        through(&store_link, store.local_addr()),
-    );
-    let settings = folder.join(format!("node-{index}.toml"));
-    std::fs::write(&settings, text).expect("settings");
-    Machine {
-        outbound: socket(7600),
-        service: service.to_owned(),
-        target: Some(target),
-        store_link,
-        target_link,
-        ready: socket(7601),
-        heartbeats: socket(7602),
-        settings,
-        process: None,
-        sending: None,
-    }
-}
--- a/crates/wingspar/tests/sidecar/main.rs
+++ b/crates/wingspar/tests/sidecar/main.rs
@@ -5,6 +5,7 @@
 mod deployment;
 mod evacuations;
 mod key_heartbeats;
+mod machine;
 mod network;
 mod soak;
 
