Interfaces of the new parts: tenants, credentials, quotas and regions as types; the router asks who a request counts for

The router knows a request's tenant, tells it to the target, refuses an unknown credential with 401 and takes a permit before it reads the body. Regions come from the settings and are not used yet.

--- a/crates/routes/src/configuration.rs
+++ b/crates/routes/src/configuration.rs
@@ -15,6 +15,9 @@
     pub services: Vec<Service>,
     /// What a client may send and how long it may rest.
     pub limits: Limits,
+    /// All tenants; if there are none, requests need no credential.
+    #[serde(default)]
+    pub tenants: Vec<Tenant>,
 }
 
 impl Configuration {
@@ -63,6 +66,12 @@
     pub max_attempts: u32,
     /// The services it goes to, by weight; one entry without a split.
     pub destinations: Vec<WeightedService>,
+    /// Whether its requests need no credential.
+    #[serde(default)]
+    pub public: bool,
+    /// The only regions in which its requests may run; any if there are none.
+    #[serde(default)]
+    pub allowed_regions: Vec<String>,
 }
 
 /// One part of a split.
@@ -91,6 +100,53 @@
     pub warmup_requests_per_s: Option<f64>,
 }
 
+/// A customer of the operator, whose clients are known by their credentials.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Tenant {
+    /// Its name, which targets are told.
+    pub name: String,
+    /// Any of these names it.
+    pub credentials: Vec<Credential>,
+    /// 0 is the most urgent; it goes before the priority of routes.
+    pub priority: u8,
+    /// What all its clients together may ask for, on all nodes together; nothing if that isn't limited.
+    pub quota: Option<Quota>,
+    /// The only regions in which its requests may run; any if there are none.
+    pub allowed_regions: Vec<String>,
+}
+
+/// How many requests a tenant may have run.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Quota {
+    /// Requests a second.
+    pub rate_per_s: f64,
+    /// Requests at once beyond that.
+    pub burst: f64,
+}
+
+/// A secret by which a client shows whose it is. It isn't written to logs.
+#[derive(Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Credential(String);
+
+impl Credential {
+    /// A credential as clients send it.
+    pub fn new(secret: String) -> Self {
+        Self(secret)
+    }
+
+    /// The secret itself.
+    pub fn secret(&self) -> &str {
+        &self.0
+    }
+}
+
+impl std::fmt::Debug for Credential {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.write_str("Credential(..)")
+    }
+}
+
 /// What a client may send and how long it may rest.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Limits {
--- a/crates/routes/src/lib.rs
+++ b/crates/routes/src/lib.rs
@@ -7,5 +7,8 @@
 mod configuration;
 mod table;
 
-pub use configuration::{Configuration, Limits, Repeatability, Route, Service, WeightedService};
+pub use configuration::{
+    Configuration, Credential, Limits, Quota, Repeatability, Route, Service, Tenant,
+    WeightedService,
+};
 pub use table::RouteTable;
--- a/crates/routes/src/table.rs
+++ b/crates/routes/src/table.rs
@@ -4,7 +4,7 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::{Configuration, Route};
+use crate::{Configuration, Route, Tenant};
 
 /// Looks up routes by host and path.
 #[derive(Debug)]
@@ -12,6 +12,8 @@
     configuration: Configuration,
     /// For each host, indexes into the routes, longest prefix first.
     by_host: HashMap<String, Vec<usize>>,
+    /// Index of the tenant that a credential names.
+    by_credential: HashMap<String, usize>,
 }
 
 impl RouteTable {
@@ -26,9 +28,16 @@
                 std::cmp::Reverse(configuration.routes[*index].path_prefix.len())
             });
         }
+        let mut by_credential = HashMap::new();
+        for (index, tenant) in configuration.tenants.iter().enumerate() {
+            for credential in &tenant.credentials {
+                by_credential.insert(credential.secret().to_owned(), index);
+            }
+        }
         Self {
             configuration,
             by_host,
+            by_credential,
         }
     }
 
@@ -51,6 +60,17 @@
             .find(|route| path.starts_with(&route.path_prefix))
     }
 
+    /// Whether requests need a credential, unless their route is public.
+    pub fn has_tenants(&self) -> bool {
+        !self.configuration.tenants.is_empty()
+    }
+
+    /// The tenant that a credential names.
+    pub fn tenant_of(&self, credential: &str) -> Option<&Tenant> {
+        let index = self.by_credential.get(credential)?;
+        self.configuration.tenants.get(*index)
+    }
+
     /// The service that a request goes to: a split is decided by the request's id, so that each part
     /// gets its share on every node.
     pub fn choose_service<'route>(
--- a/crates/routes/tests/table.rs
+++ b/crates/routes/tests/table.rs
@@ -18,6 +18,8 @@
         priority: 0,
         max_attempts: 1,
         destinations: destinations.collect(),
+        public: false,
+        allowed_regions: Vec::new(),
     }
 }
 
@@ -27,6 +29,7 @@
         routes,
         services: Vec::new(),
         limits: Limits::default(),
+        tenants: Vec::new(),
     })
 }
 
--- a/crates/sidecar/src/answer.rs
+++ b/crates/sidecar/src/answer.rs
@@ -1,5 +1,7 @@
 //! Answers that a node gives itself.
 
+use std::time::Duration;
+
 use http::header::{CONTENT_TYPE, RETRY_AFTER};
 use http::{HeaderValue, Response, StatusCode};
 
@@ -10,6 +12,10 @@
 pub enum Reason {
     /// The request lacks an id, a host, or has several.
     Malformed,
+    /// The request needs a credential of a tenant and has none, or an unknown one.
+    Unauthorized,
+    /// The tenant has used up its quota.
+    OverQuota,
     /// No route takes the request.
     NoRoute,
     /// The node knows no configuration yet.
@@ -39,6 +45,8 @@
     pub fn name(self) -> &'static str {
         match self {
             Self::Malformed => "malformed",
+            Self::Unauthorized => "unauthorized",
+            Self::OverQuota => "over_quota",
             Self::NoRoute => "no_route",
             Self::NoConfiguration => "no_configuration",
             Self::NoTarget => "no_target",
@@ -57,6 +65,8 @@
     pub fn status(self) -> StatusCode {
         match self {
             Self::Malformed | Self::BodyCut => StatusCode::BAD_REQUEST,
+            Self::Unauthorized => StatusCode::UNAUTHORIZED,
+            Self::OverQuota => StatusCode::TOO_MANY_REQUESTS,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::NoConfiguration
@@ -70,25 +80,29 @@
         }
     }
 
-    /// When to come back, in seconds, where the request has not run.
-    fn retry_after(self) -> Option<&'static str> {
-        match self {
-            Self::NoConfiguration => Some("0.5"),
-            Self::NoTarget | Self::NoOwner => Some("0.3"),
-            Self::Full | Self::NotSentInTime => Some("0.15"),
-            _ => None,
-        }
+    /// When to come back where the request has not run and nothing better is known.
+    fn retry_after(self) -> Option<Duration> {
+        let millis = match self {
+            Self::NoConfiguration => 500,
+            Self::NoTarget | Self::NoOwner => 300,
+            Self::Full | Self::NotSentInTime => 150,
+            _ => return None,
+        };
+        Some(Duration::from_millis(millis))
     }
 }
 
-/// The answer for a reason.
-pub fn own(reason: Reason) -> Response<Body> {
+/// The answer for a reason; `retry_after` says when to come back if that is known.
+pub fn own(reason: Reason, retry_after: Option<Duration>) -> Response<Body> {
     let mut response = Response::new(Body::whole(reason.name()));
     *response.status_mut() = reason.status();
     let headers = response.headers_mut();
     headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
-    if let Some(seconds) = reason.retry_after() {
-        headers.insert(RETRY_AFTER, HeaderValue::from_static(seconds));
+    let wait = retry_after.or_else(|| reason.retry_after());
+    if let Some(wait) = wait
+        && let Ok(seconds) = HeaderValue::from_str(&format!("{:.3}", wait.as_secs_f64()))
+    {
+        headers.insert(RETRY_AFTER, seconds);
     }
     response
 }
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -32,6 +32,7 @@
 mod operations;
 pub mod packed;
 mod quarantine;
+pub mod quota;
 mod registration;
 mod router;
 mod run;
@@ -44,6 +45,7 @@
 pub mod target;
 mod target_calls;
 mod target_end;
+pub mod tenants;
 
 pub use run::{RunError, run};
 pub use settings::{Settings, SettingsError};
--- a/crates/sidecar/src/logs.rs
+++ b/crates/sidecar/src/logs.rs
@@ -221,6 +221,8 @@
         id: &'a str,
         /// Its route; empty if none.
         route: &'a str,
+        /// The tenant that it counts for; empty if none is known.
+        tenant: &'a str,
         /// Its service; empty if none.
         service: &'a str,
         /// Its key.
--- a/crates/sidecar/src/router/mod.rs
+++ b/crates/sidecar/src/router/mod.rs
@@ -26,6 +26,8 @@
 use crate::body::{Body, RequestBody};
 use crate::hop;
 use crate::node::Node;
+use crate::quota::{self, Permit};
+use crate::tenants::{RequestTenant, authenticate};
 
 /// Bodies up to this many bytes are kept, so that they can be sent again.
 const KEEP_BODY: usize = 64 * 1024;
@@ -43,7 +45,7 @@
         None => Err(Reason::NoConfiguration),
     };
     record.finish(&node, arrived, response.as_ref().err().copied());
-    response.unwrap_or_else(own)
+    response.unwrap_or_else(|reason| own(reason, record.retry_after))
 }
 
 /// A request that has its route.
@@ -57,6 +59,7 @@
     body: RequestBody,
     times: Times,
     fingerprint: Fingerprint,
+    permit: Permit,
 }
 
 async fn take(
@@ -71,6 +74,10 @@
     let host = host_of(&parts).ok_or(Reason::Malformed)?;
     let route = table.find(&host, parts.uri.path()).ok_or(Reason::NoRoute)?;
     record.route.clone_from(&route.name);
+    let tenant = authenticate(table, route, &parts.headers)?;
+    if let Some(tenant) = &tenant {
+        record.tenant = tenant.name.to_string();
+    }
     let service = table
         .choose_service(route, record.id.as_bytes())
         .ok_or(Reason::NoTarget)?;
@@ -88,6 +95,13 @@
     node.budget.borrow_mut().request(node.now(), service);
     let times = times(route, &parts.headers, arrived);
     check_length(&parts.headers, table.configuration().limits.body_bytes)?;
+    let permit = match quota::admit(node, tenant.as_ref()).await {
+        Ok(permit) => permit,
+        Err(over) => {
+            record.retry_after = Some(over.retry_after);
+            return Err(Reason::OverQuota);
+        }
+    };
     let path = parts
         .uri
         .path_and_query()
@@ -117,10 +131,11 @@
         key,
         method: parts.method,
         path,
-        headers: forwarded_headers(node, parts.headers, &host),
+        headers: forwarded_headers(node, parts.headers, &host, tenant.as_ref()),
         body,
         times,
         fingerprint,
+        permit,
     };
     send(node, &mut routed, record).await
 }
@@ -166,10 +181,22 @@
 }
 
 /// Headers for the target.
-fn forwarded_headers(node: &Node, mut headers: HeaderMap, host: &str) -> HeaderMap {
+fn forwarded_headers(
+    node: &Node,
+    mut headers: HeaderMap,
+    host: &str,
+    tenant: Option<&RequestTenant>,
+) -> HeaderMap {
     hop::strip(&mut headers);
     headers.remove(EXPECT);
     headers.remove(headers::EXPECT_INSTANCE);
+    headers.remove(headers::CREDENTIAL);
+    headers.remove(headers::TENANT);
+    if let Some(tenant) = tenant
+        && let Ok(name) = HeaderValue::from_str(&tenant.name)
+    {
+        headers.insert(headers::TENANT, name);
+    }
     if let Ok(caller) = HeaderValue::from_str(&node.settings.node.service) {
         headers.insert(headers::CALLER_SERVICE, caller);
     }
--- a/crates/sidecar/src/router/record.rs
+++ b/crates/sidecar/src/router/record.rs
@@ -1,5 +1,7 @@
 //! What is logged and counted of a request.
 
+use std::time::Duration;
+
 use http::Request;
 use hyper::body::Incoming;
 use tokio::time::Instant;
@@ -36,6 +38,10 @@
     pub targets_ended: u32,
     /// What the last node said.
     pub detail: String,
+    /// The tenant that it counts for; empty if none is known.
+    pub tenant: String,
+    /// When the caller may come back if the request is refused, if that is known.
+    pub retry_after: Option<Duration>,
 }
 
 impl Record {
@@ -57,6 +63,8 @@
             may_have_run: false,
             targets_ended: 0,
             detail: String::new(),
+            tenant: String::new(),
+            retry_after: None,
         }
     }
 
@@ -81,6 +89,7 @@
         node.log.write_request(Event::Request {
             id: &self.id,
             route: &self.route,
+            tenant: &self.tenant,
             service: &self.service,
             key: self.key,
             fingerprint: self
--- a/crates/sidecar/src/router/send.rs
+++ b/crates/sidecar/src/router/send.rs
@@ -72,6 +72,7 @@
             }
             HopAnswer::Refused(Refusal::Rejected) => {
                 record.sends += 1;
+                note_not_run(routed, record);
                 record.detail = "rejected by the target".to_owned();
                 let reason = if record.may_have_run {
                     given_up(routed, record)
@@ -82,6 +83,7 @@
             }
             HopAnswer::Refused(refusal) => {
                 refusals += 1;
+                note_not_run(routed, record);
                 refused(node, routed, record, &destination, refusal, refusals).await
             }
             HopAnswer::MayHaveRun(detail) => {
@@ -112,6 +114,13 @@
     }
 }
 
+/// A send has certainly not run: unless an earlier one may have, the request doesn't count against its quota.
+fn note_not_run(routed: &Routed<'_>, record: &Record) {
+    if !record.may_have_run {
+        routed.permit.not_run();
+    }
+}
+
 /// The reason to give for a request under which targets ended again and again.
 fn refused_for_good(routed: &Routed<'_>, record: &Record) -> Reason {
     if record.may_have_run {
@@ -212,6 +221,7 @@
         key: routed.key,
         fingerprint: routed.fingerprint,
     };
+    routed.permit.sending();
     let outstanding = Outstanding::begin(node, &destination.node);
     let (answer, occupancy) = if is_here {
         let answer = agent::serve(node, request).await;
--- a/crates/sidecar/src/settings.rs
+++ b/crates/sidecar/src/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of a sidecar node, read from TOML.
 
+use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
 use std::path::Path;
 use std::time::Duration;
@@ -37,6 +38,9 @@
     pub store: StoreSettings,
     /// Bounds that others rely on.
     pub bounds: Bounds,
+    /// The region of each zone, by the zone's name; a zone that isn't named is a region of its own.
+    #[serde(default)]
+    pub zones: BTreeMap<String, String>,
 }
 
 /// The node and the target beside it.
@@ -142,6 +146,15 @@
     /// it isn't known, zones aren't emptied here.
     #[serde(default)]
     pub evacuate_s: Option<f64>,
+    /// The span over which a tenant's requests are counted against its quota.
+    #[serde(default = "default_quota_window_s")]
+    pub quota_window_s: f64,
+    /// Requests beyond a tenant's quota that the operator tolerates within that span, in parts of the quota, and
+    #[serde(default)]
+    pub quota_over: f64,
+    /// so many more.
+    #[serde(default)]
+    pub quota_slack: f64,
 }
 
 impl Bounds {
@@ -158,7 +171,22 @@
     2.0
 }
 
+/// The span that holds where the settings name none: as short as a caller's usual patience.
+fn default_quota_window_s() -> f64 {
+    5.0
+}
+
 impl Settings {
+    /// The region of a zone.
+    pub fn region_of<'a>(&'a self, zone: &'a str) -> &'a str {
+        self.zones.get(zone).map_or(zone, String::as_str)
+    }
+
+    /// The region of the node's own zone.
+    pub fn region(&self) -> &str {
+        self.region_of(&self.node.zone)
+    }
+
     /// Reads and checks a file.
     pub fn load(path: &Path) -> Result<Self, SettingsError> {
         Self::parse(&std::fs::read_to_string(path)?)
@@ -205,6 +233,7 @@
             ("bounds.budget_window_s", self.bounds.budget_window_s),
             ("bounds.max_hold_s", self.bounds.max_hold_s),
             ("bounds.converge_s", self.bounds.converge_s),
+            ("bounds.quota_window_s", self.bounds.quota_window_s),
         ];
         for (field, value) in times {
             if Duration::try_from_secs_f64(value).is_err() || value <= 0.0 {
@@ -227,6 +256,8 @@
         for (field, value) in [
             ("bounds.budget_ratio", self.bounds.budget_ratio),
             ("bounds.budget_extra", self.bounds.budget_extra),
+            ("bounds.quota_over", self.bounds.quota_over),
+            ("bounds.quota_slack", self.bounds.quota_slack),
         ] {
             if !value.is_finite() || value < 0.0 {
                 return wrong(field, "must be a number, 0 or more");
--- /dev/null
+++ b/crates/sidecar/src/tenants.rs
@@ -0,0 +1,59 @@
+//! Whose a request is: the tenant that its credential names.
+
+use std::rc::Rc;
+
+use http::HeaderMap;
+use wingspar_platform::headers;
+use wingspar_routes::{Quota, Route, RouteTable, Tenant};
+
+use crate::answer::Reason;
+
+/// The tenant that a request counts for, as far as its way through the nodes needs it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RequestTenant {
+    /// Its name.
+    pub name: Rc<str>,
+    /// 0 is the most urgent.
+    pub priority: u8,
+    /// How much all its requests together may ask for; nothing if that isn't limited.
+    pub quota: Option<Quota>,
+    /// The only regions in which its requests may run; any if there are none.
+    pub allowed_regions: Rc<[String]>,
+}
+
+impl From<&Tenant> for RequestTenant {
+    fn from(tenant: &Tenant) -> Self {
+        Self {
+            name: tenant.name.as_str().into(),
+            priority: tenant.priority,
+            quota: tenant.quota,
+            allowed_regions: tenant.allowed_regions.clone().into(),
+        }
+    }
+}
+
+/// The tenant of a request; nothing if its route is public, or there are no tenants, or it is a call of a target,
+/// which has no credential.
+pub fn authenticate(
+    table: &RouteTable,
+    route: &Route,
+    headers: &HeaderMap,
+) -> Result<Option<RequestTenant>, Reason> {
+    if !table.has_tenants() || route.public {
+        return Ok(None);
+    }
+    let mut credentials = headers.get_all(headers::CREDENTIAL).iter();
+    match (credentials.next(), credentials.next()) {
+        (None, _) => Ok(None),
+        (Some(credential), None) => {
+            let tenant = credential
+                .to_str()
+                .ok()
+                .and_then(|credential| table.tenant_of(credential));
+            tenant
+                .map(|tenant| Some(RequestTenant::from(tenant)))
+                .ok_or(Reason::Unauthorized)
+        }
+        (Some(_), Some(_)) => Err(Reason::Unauthorized),
+    }
+}
