--- a/crates/sidecar/src/tenants.rs
+++ b/crates/sidecar/src/tenants.rs
@@ -32,8 +32,7 @@
     }
 }
 
-/// The tenant of a request; nothing if its route is public, or there are no tenants, or it is a call of a target,
-/// which has no credential.
+/// The tenant of a request; nothing if its route is public or there are no tenants.
 pub fn authenticate(
     table: &RouteTable,
     route: &Route,
@@ -44,7 +43,6 @@
     }
     let mut credentials = headers.get_all(headers::CREDENTIAL).iter();
     match (credentials.next(), credentials.next()) {
-        (None, _) => Ok(None),
         (Some(credential), None) => {
             let tenant = credential
                 .to_str()
@@ -54,6 +52,6 @@
                 .map(|tenant| Some(RequestTenant::from(tenant)))
                 .ok_or(Reason::Unauthorized)
         }
-        (Some(_), Some(_)) => Err(Reason::Unauthorized),
+        _ => Err(Reason::Unauthorized),
     }
 }
