--- a/crates/routes/src/configuration.rs
+++ b/crates/routes/src/configuration.rs
@@ -1,5 +1,6 @@
 //! Plain values of one version of the configuration.
 
+use std::borrow::Borrow;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -141,6 +142,13 @@
     }
 }
 
+/// Looks a credential up by what a client has sent, without a copy of it.
+impl Borrow<str> for Credential {
+    fn borrow(&self) -> &str {
+        &self.0
+    }
+}
+
 impl std::fmt::Debug for Credential {
     fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         formatter.write_str("Credential(..)")
--- a/crates/routes/src/lib.rs
+++ b/crates/routes/src/lib.rs
@@ -2,13 +2,16 @@
 //!
 //! A [`Configuration`] is a plain value with a version. [`RouteTable`] prepares one for look-ups: a
 //! request's host and path pick the route with the longest matching prefix, and a request's id picks
-//! one service of a weighted split.
+//! one service of a weighted split. [`ConfigurationChanges`] is what one version differs in from another.
 
+mod changes;
 mod configuration;
+mod host_routes;
 mod table;
 
+pub use changes::{ChangeLog, ConfigurationChanges, NamedChanges};
 pub use configuration::{
     Configuration, Credential, Limits, Quota, Repeatability, Route, Service, Tenant,
     WeightedService,
 };
-pub use table::RouteTable;
+pub use table::{RouteTable, SharedCredential};
--- a/crates/routes/src/table.rs
+++ b/crates/routes/src/table.rs
@@ -4,40 +4,72 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::{Configuration, Route, Tenant};
+use crate::host_routes::HostRoutes;
+use crate::{Configuration, Credential, Route, Tenant};
 
-/// Looks up routes by host and path.
+/// Looks up routes by host and path, and tenants by their credentials.
 #[derive(Debug)]
 pub struct RouteTable {
     configuration: Configuration,
-    /// For each host, indexes into the routes, longest prefix first.
-    by_host: HashMap<String, Vec<usize>>,
+    by_host: HashMap<String, HostRoutes>,
     /// Index of the tenant that a credential names.
-    by_credential: HashMap<String, usize>,
+    by_credential: HashMap<Credential, usize>,
+    shared_credentials: Vec<SharedCredential>,
+}
+
+/// Two tenants list the same credential.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SharedCredential {
+    /// The tenant that its requests count for.
+    pub tenant: String,
+    /// The tenant that they don't count for.
+    pub other: String,
 }
 
 impl RouteTable {
     /// Prepares a configuration.
     pub fn new(configuration: Configuration) -> Self {
-        let mut by_host = HashMap::<String, Vec<usize>>::new();
+        let mut by_host = HashMap::<String, HostRoutes>::new();
         for (index, route) in configuration.routes.iter().enumerate() {
-            by_host.entry(route.host.clone()).or_default().push(index);
-        }
-        for indexes in by_host.values_mut() {
-            indexes.sort_by_key(|index| {
-                std::cmp::Reverse(configuration.routes[*index].path_prefix.len())
-            });
+            by_host
+                .entry(route.host.clone())
+                .or_default()
+                .add(&configuration.routes, index);
         }
-        let mut by_credential = HashMap::new();
-        for (index, tenant) in configuration.tenants.iter().enumerate() {
-            for credential in &tenant.credentials {
-                by_credential.insert(credential.secret().to_owned(), index);
-            }
-        }
-        Self {
+        let mut table = Self {
             configuration,
             by_host,
-            by_credential,
+            by_credential: HashMap::new(),
+            shared_credentials: Vec::new(),
+        };
+        table.add_credentials();
+        table
+    }
+
+    /// Prepares the look-up of tenants. An empty credential names nobody. One that several tenants list names the
+    /// tenant with the lowest name, so that all nodes agree.
+    fn add_credentials(&mut self) {
+        let tenants = &self.configuration.tenants;
+        let mut by_name = (0..tenants.len()).collect::<Vec<_>>();
+        by_name.sort_by_key(|index| &tenants[*index].name);
+        for index in by_name {
+            let tenant = &tenants[index];
+            let usable = tenant
+                .credentials
+                .iter()
+                .filter(|credential| !credential.secret().is_empty());
+            for credential in usable {
+                let holder = *self
+                    .by_credential
+                    .entry(credential.clone())
+                    .or_insert(index);
+                if holder != index {
+                    self.shared_credentials.push(SharedCredential {
+                        tenant: tenants[holder].name.clone(),
+                        other: tenant.name.clone(),
+                    });
+                }
+            }
         }
     }
 
@@ -50,14 +82,12 @@
     /// doesn't count, nor does the case of its letters.
     pub fn find(&self, host: &str, path: &str) -> Option<&Route> {
         let name = host.split(':').next().unwrap_or(host);
-        let indexes = match self.by_host.get(name) {
-            Some(indexes) => indexes,
+        let routes = match self.by_host.get(name) {
+            Some(routes) => routes,
             None => self.by_host.get(&name.to_ascii_lowercase())?,
         };
-        indexes
-            .iter()
-            .map(|index| &self.configuration.routes[*index])
-            .find(|route| path.starts_with(&route.path_prefix))
+        let index = routes.find(path)?;
+        self.configuration.routes.get(index)
     }
 
     /// Whether requests need a credential, unless their route is public.
@@ -71,6 +101,11 @@
         self.configuration.tenants.get(*index)
     }
 
+    /// Credentials that several tenants list.
+    pub fn shared_credentials(&self) -> &[SharedCredential] {
+        &self.shared_credentials
+    }
+
     /// The service that a request goes to: a split is decided by the request's id, so that each part
     /// gets its share on every node.
     pub fn choose_service<'route>(
