Tenants: a node asks before it refuses, regions bind, changes instead of whole configurations; counts by tenant

Ruled out: taking a check of the last 100 ms for the present: a route written just behind the leader's own check was refused with 404 (test a_node_that_may_be_behind_asks_before_it_refuses, first run).

--- a/crates/routes/src/changes.rs
+++ b/crates/routes/src/changes.rs
@@ -163,17 +163,25 @@
 
 impl ChangeLog {
     /// Notes that a version has followed another. What is known of earlier ones is forgotten if the changes can't be
-    /// told, or are so many that nodes are better given the whole configuration.
+    /// told, or concern so much that nodes are better given the whole configuration.
     pub fn follow(&mut self, old: &Configuration, new: &Configuration) {
+        let changes = ConfigurationChanges::between(old, new);
+        match changes {
+            Some(changes) => self.append(changes, new),
+            None => self.changes.clear(),
+        }
+    }
+
+    /// Notes changes that have led to the latest version.
+    pub fn append(&mut self, changes: ConfigurationChanges, new: &Configuration) {
         let last = self.changes.back().map(|changes| changes.to);
-        if last.is_some_and(|last| last != old.version) {
+        if last.is_some_and(|last| last != changes.from) {
             self.changes.clear();
         }
-        let changes = ConfigurationChanges::between(old, new);
-        let Some(changes) = changes.filter(|changes| changes.len() * 2 < size(new)) else {
+        if changes.len() * 2 >= size(new) {
             self.changes.clear();
             return;
-        };
+        }
         self.changes.push_back(changes);
         while self.changes.len() > REMEMBERED_VERSIONS || self.remembered() > size(new) {
             self.changes.pop_front();
--- a/crates/sidecar/src/answer.rs
+++ b/crates/sidecar/src/answer.rs
@@ -16,6 +16,8 @@
     Unauthorized,
     /// The tenant has used up its quota.
     OverQuota,
+    /// Its route or its tenant may be served in some regions only, and no target there takes work.
+    RegionNotAllowed,
     /// No route takes the request.
     NoRoute,
     /// The node knows no configuration yet.
@@ -47,6 +49,7 @@
             Self::Malformed => "malformed",
             Self::Unauthorized => "unauthorized",
             Self::OverQuota => "over_quota",
+            Self::RegionNotAllowed => "region_not_allowed",
             Self::NoRoute => "no_route",
             Self::NoConfiguration => "no_configuration",
             Self::NoTarget => "no_target",
@@ -70,6 +73,7 @@
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::NoConfiguration
+            | Self::RegionNotAllowed
             | Self::NoTarget
             | Self::Full
             | Self::Quarantined
@@ -84,7 +88,7 @@
     fn retry_after(self) -> Option<Duration> {
         let millis = match self {
             Self::NoConfiguration => 500,
-            Self::NoTarget | Self::NoOwner => 300,
+            Self::NoTarget | Self::NoOwner | Self::RegionNotAllowed => 300,
             Self::Full | Self::NotSentInTime => 150,
             _ => return None,
         };
--- /dev/null
+++ b/crates/sidecar/src/configuration.rs
@@ -0,0 +1,149 @@
+//! Puts configurations in force, and writes what other nodes are given of them.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use wingspar_routes::{ChangeLog, Configuration, ConfigurationChanges, RouteTable};
+
+use crate::logs::Event;
+use crate::node::Node;
+use crate::packed::pack;
+
+/// What a node answers another one that has a version of the configuration.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ConfigurationAnswer {
+    /// What has changed since, as [`pack`] writes it.
+    Changes(Bytes),
+    /// The configuration, as [`pack`] writes it.
+    Whole(Bytes),
+    /// There is none that is later.
+    NoneLater,
+}
+
+/// The latest versions' changes, and the answers that were written about the one in force: each once, when it is first
+/// asked for, since most versions of a quick succession are asked for by nobody.
+#[derive(Debug, Default)]
+pub struct ConfigurationAnswers {
+    log: ChangeLog,
+    whole: Option<Bytes>,
+    /// Packed changes by the version that they begin with.
+    changes: HashMap<u64, Bytes>,
+}
+
+impl ConfigurationAnswers {
+    /// Another version is in force.
+    fn follow(&mut self, old: Option<&Configuration>, new: &Configuration) {
+        self.whole = None;
+        self.changes.clear();
+        if let Some(old) = old {
+            self.log.follow(old, new);
+        }
+    }
+
+    /// Another version is in force, which these changes have led to.
+    fn append(&mut self, changes: Vec<ConfigurationChanges>, new: &Configuration) {
+        self.whole = None;
+        self.changes.clear();
+        for changes in changes {
+            self.log.append(changes, new);
+        }
+    }
+
+    /// The answer to a node that has a version; `current` is the configuration in force.
+    pub fn since(&mut self, version: u64, current: &Configuration) -> ConfigurationAnswer {
+        if version >= current.version {
+            return ConfigurationAnswer::NoneLater;
+        }
+        if let Some(written) = self.changes.get(&version) {
+            return ConfigurationAnswer::Changes(written.clone());
+        }
+        if let Some(changes) = self.log.since(version) {
+            let written = pack(&changes);
+            self.changes.insert(version, written.clone());
+            return ConfigurationAnswer::Changes(written);
+        }
+        let whole = self.whole.get_or_insert_with(|| pack(current));
+        ConfigurationAnswer::Whole(whole.clone())
+    }
+}
+
+impl Node {
+    /// Version of the configuration in force; 0 if there is none.
+    pub fn configuration_version(&self) -> u64 {
+        self.routes
+            .borrow()
+            .as_ref()
+            .map_or(0, |routes| routes.configuration().version)
+    }
+
+    /// Puts a configuration in force unless a later one is. Returns whether it did.
+    pub fn configure(&self, configuration: Configuration, source: &'static str) -> bool {
+        if configuration.version <= self.configuration_version() {
+            return false;
+        }
+        let known = self.routes.borrow().clone();
+        self.configuration_answers.borrow_mut().follow(
+            known.as_deref().map(RouteTable::configuration),
+            &configuration,
+        );
+        self.put_in_force(configuration, source);
+        true
+    }
+
+    /// Changes the configuration in force. Returns whether it did: not if the changes begin with another version.
+    pub fn change_configuration(
+        &self,
+        changes: Vec<ConfigurationChanges>,
+        source: &'static str,
+    ) -> bool {
+        let Some(known) = self.routes.borrow().clone() else {
+            return false;
+        };
+        let mut configuration = known.configuration().clone();
+        let applied = changes
+            .iter()
+            .all(|changes| changes.apply(&mut configuration));
+        if !applied || configuration.version <= known.configuration().version {
+            return false;
+        }
+        self.configuration_answers
+            .borrow_mut()
+            .append(changes, &configuration);
+        self.put_in_force(configuration, source);
+        true
+    }
+
+    fn put_in_force(&self, configuration: Configuration, source: &'static str) {
+        self.log.write(Event::ConfigurationInForce {
+            version: configuration.version,
+            source,
+            routes: configuration.routes.len(),
+            tenants: configuration.tenants.len(),
+        });
+        self.metrics
+            .configuration
+            .set(i64::try_from(configuration.version).unwrap_or(i64::MAX));
+        let table = Rc::new(RouteTable::new(configuration));
+        let before = self.routes.replace(Some(table.clone()));
+        self.log_shared_credentials(before.as_deref(), &table);
+        self.configuration_doubts.configured();
+        self.limit_starts();
+        self.control_wakes.notify_one();
+    }
+
+    /// Logs which tenants list the same credential, if that is another matter than before.
+    fn log_shared_credentials(&self, before: Option<&RouteTable>, table: &RouteTable) {
+        let known = before.map_or(&[][..], RouteTable::shared_credentials);
+        let shared = table.shared_credentials();
+        if shared == known {
+            return;
+        }
+        self.log.write(Event::CredentialsShared {
+            version: table.configuration().version,
+            count: shared.len(),
+            tenant: shared.first().map_or("", |first| &first.tenant),
+            other: shared.first().map_or("", |first| &first.other),
+        });
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/configuration_doubts.rs
@@ -0,0 +1,211 @@
+//! Before a node refuses a request for lack of a route or a credential, it finds out whether a later configuration
+//! allows the request.
+//!
+//! The leader tells all nodes of a later configuration at once, but the word may be on its way or lost. So the node asks
+//! the leader, or the store where there is no other leader to ask. One check serves all
+//! requests that wait for it, and checks that find nothing become rarer, so that unknown credentials and routes don't
+//! cause calls at the rate at which clients send them.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::sync::Notify;
+use tokio::time::timeout;
+use wingspar_ownership::Time;
+
+use crate::configuration_fetch;
+use crate::follow;
+use crate::node::Node;
+
+/// Longest time that a request waits for a check: several times what the leader or the store takes to answer, and a
+/// part of what callers wait for a refusal without turning elsewhere.
+const LONGEST_WAIT: Duration = Duration::from_millis(200);
+/// Requests that wait for a check at most, so that they take no memory and descriptors from others while the leader is
+/// silent; more are decided at once.
+const MOST_WAITING: usize = 64;
+/// Time between two checks after one that found a later configuration.
+const FIRST_PAUSE: Duration = Duration::from_millis(500);
+/// Time between two checks after many that found nothing. Then callers that send what nobody knows cost the leader
+/// one call of a node within this time.
+const LONGEST_PAUSE: Duration = Duration::from_secs(8);
+
+/// When a check may begin.
+#[derive(Debug)]
+pub struct CheckRate {
+    next_at: Time,
+    pause: Duration,
+}
+
+impl Default for CheckRate {
+    fn default() -> Self {
+        Self {
+            next_at: Time::default(),
+            pause: FIRST_PAUSE,
+        }
+    }
+}
+
+impl CheckRate {
+    /// Whether a check may begin now.
+    pub fn allows(&self, now: Time) -> bool {
+        now >= self.next_at
+    }
+
+    /// A check has found nothing later, or couldn't be made: the next one comes later than this one did.
+    pub fn found_nothing(&mut self, now: Time) {
+        self.next_at = now + self.pause;
+        self.pause = (self.pause * 2).min(LONGEST_PAUSE);
+    }
+
+    /// A later configuration is in force: there may be more to come.
+    pub fn found_later(&mut self) {
+        *self = Self::default();
+    }
+}
+
+/// How a check has ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Finding {
+    /// A later configuration is in force.
+    Later,
+    /// There is none.
+    NoneLater,
+    /// Nobody could tell.
+    Unknown,
+}
+
+impl Finding {
+    /// Stable name for metrics.
+    fn name(self) -> &'static str {
+        match self {
+            Self::Later => "later",
+            Self::NoneLater => "none_later",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
+/// The check that is under way, and who waits for it.
+#[derive(Default)]
+pub struct Doubts {
+    rate: RefCell<CheckRate>,
+    checking: Cell<bool>,
+    waiting: Cell<usize>,
+    /// Told when a check ends or another configuration is in force.
+    news: Notify,
+}
+
+impl Doubts {
+    /// Another configuration is in force.
+    pub fn configured(&self) {
+        self.rate.borrow_mut().found_later();
+        self.news.notify_waiters();
+    }
+
+    fn wait(&self) -> Option<Waiting<'_>> {
+        if self.waiting.get() >= MOST_WAITING {
+            return None;
+        }
+        self.waiting.set(self.waiting.get() + 1);
+        Some(Waiting(&self.waiting))
+    }
+}
+
+/// Counts a request among those that wait until it is dropped.
+struct Waiting<'a>(&'a Cell<usize>);
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// Whether a configuration later than `version` is in force, now or after a short wait for one that there may be.
+pub async fn later_is_in_force(node: &Rc<Node>, version: u64) -> bool {
+    if node.configuration_version() > version {
+        return true;
+    }
+    let doubts = &node.configuration_doubts;
+    let Some(_waiting) = doubts.wait() else {
+        count(node, "not_waited");
+        return false;
+    };
+    let news = doubts.news.notified();
+    if is_worth_waiting(node) {
+        // Without news the request is decided by what is known.
+        let _told = timeout(LONGEST_WAIT, news).await;
+    }
+    node.configuration_version() > version
+}
+
+/// Whether there may soon be word of a later configuration; begins a check if none is under way and one is due.
+fn is_worth_waiting(node: &Rc<Node>) -> bool {
+    let now = node.now();
+    let doubts = &node.configuration_doubts;
+    let announced = node.configuration_announced.get() > node.configuration_version();
+    if doubts.checking.get() || announced && node.fetching_configuration.get() {
+        return true;
+    }
+    if !doubts.rate.borrow().allows(now) {
+        count(node, "too_soon");
+        return false;
+    }
+    doubts.checking.set(true);
+    tokio::task::spawn_local(check(node.clone()));
+    true
+}
+
+/// Finds out whether there is a later configuration, and puts it in force.
+async fn check(node: Rc<Node>) {
+    let mut finding = ask_leader(&node).await;
+    if finding == Finding::Unknown {
+        finding = ask_store(&node).await;
+    }
+    count(&node, finding.name());
+    let doubts = &node.configuration_doubts;
+    if finding != Finding::Later {
+        doubts.rate.borrow_mut().found_nothing(node.now());
+    }
+    doubts.checking.set(false);
+    doubts.news.notify_waiters();
+}
+
+async fn ask_leader(node: &Node) -> Finding {
+    let leader = {
+        let participant = node.participant.borrow();
+        let followed = participant
+            .followed()
+            .filter(|_| participant.leading().is_none());
+        followed.map(|leader| leader.address)
+    };
+    match leader {
+        Some(leader) => configuration_fetch::ask(node, leader).await,
+        None => Finding::Unknown,
+    }
+}
+
+async fn ask_store(node: &Node) -> Finding {
+    let before = node.configuration_version();
+    let checked = follow::check_configuration(node).await;
+    if node.configuration_version() > before {
+        Finding::Later
+    } else if checked {
+        Finding::NoneLater
+    } else {
+        Finding::Unknown
+    }
+}
+
+fn count(node: &Node, outcome: &'static str) {
+    let metrics = &node.metrics;
+    metrics.count(&metrics.configuration_doubts, outcome);
+}
+
+/// Whether what this node knows of the configuration rests on a recent check, so that another node that asks it need
+/// not ask the store.
+pub fn is_sure(node: &Node) -> bool {
+    let checked_at = node.configuration_checked_at.get();
+    let recent = follow::recently_checked(node);
+    checked_at.is_some_and(|checked_at| node.now().since(checked_at) < recent)
+}
--- a/crates/sidecar/src/configuration_fetch.rs
+++ b/crates/sidecar/src/configuration_fetch.rs
@@ -10,11 +10,13 @@
 
 use rand::RngExt;
 
-use crate::internal;
+use crate::configuration_doubts::Finding;
+use crate::internal::{self, Fetched};
 use crate::node::Node;
 
-/// Nodes that fetch from one other node at most. A configuration has a few kilobytes, so this many
-/// answers should take a node with a tenth of a core some tens of milliseconds (estimated, not measured).
+/// Nodes that fetch from one other node at most. What has changed has a few hundred bytes, a whole configuration a few
+/// kilobytes, so this many answers should take a node with a tenth of a core some tens of milliseconds (estimated, not
+/// measured).
 const FETCHES_A_NODE: usize = 24;
 /// How long a node waits for one of its zone to have fetched the configuration, in milliseconds: a round trip
 /// between zones, and the time that the leader takes to answer [`FETCHES_A_NODE`] nodes, a few times over.
@@ -53,8 +55,22 @@
 }
 
 async fn fetch_from(node: &Node, source: SocketAddr) {
-    if let Some(configuration) = internal::fetch_configuration(node, source).await {
-        node.configure(configuration, "node");
+    ask(node, source).await;
+}
+
+/// Asks another node for a later configuration and puts it in force.
+pub async fn ask(node: &Node, source: SocketAddr) -> Finding {
+    let later = match internal::fetch_configuration(node, source).await {
+        Some(Fetched::Whole(configuration)) => node.configure(configuration, "node"),
+        Some(Fetched::Changes(changes)) => node.change_configuration(changes, "changes"),
+        Some(Fetched::NoneLater) => return Finding::NoneLater,
+        None => return Finding::Unknown,
+    };
+    if later {
+        Finding::Later
+    } else {
+        // Another call has brought the same or a later one meanwhile.
+        Finding::Unknown
     }
 }
 
--- a/crates/sidecar/src/follow/configuration.rs
+++ b/crates/sidecar/src/follow/configuration.rs
@@ -50,10 +50,14 @@
 
 /// Takes in what the watch has told.
 pub(super) fn told(node: &Node, changes: &Changes) {
-    for (object, gone) in &changes.events {
-        if !gone {
-            watched(node, object);
-        }
+    // Each version is whole, so the last one tells all; reading those before it would only take time.
+    let latest = changes
+        .events
+        .iter()
+        .rev()
+        .find(|(object, gone)| !gone && object.name == CONFIGURATION_NAME);
+    if let Some((object, _)) = latest {
+        watched(node, object);
     }
 }
 
@@ -83,10 +87,18 @@
     if object.name != CONFIGURATION_NAME {
         return None;
     }
+    if let Some((revision, version)) = node.configuration_read.get()
+        && revision == object.revision
+    {
+        // It has been read before, as it mostly has when the store is asked whether there is a later one.
+        return Some(version);
+    }
     match parse_configuration(&object.content) {
         Ok(configuration) => {
             let version = configuration.version;
             node.configure(configuration, source);
+            node.configuration_read
+                .set(Some((object.revision, version)));
             Some(version)
         }
         Err(error) => {
--- a/crates/sidecar/src/follow/mod.rs
+++ b/crates/sidecar/src/follow/mod.rs
@@ -117,6 +117,24 @@
     }
 }
 
+/// Reads the configuration from the store; whether the store told it.
+pub async fn check_configuration(node: &Node) -> bool {
+    match configuration::check(node).await {
+        Ok(()) => true,
+        Err(error) => {
+            log_failure(node, Subject::Configuration, "read", &error);
+            false
+        }
+    }
+}
+
+/// A leader that reaches the store has checked the configuration within this time: it reads it so often, and looks a
+/// moment later at most.
+pub fn recently_checked(node: &Node) -> Duration {
+    let bound = Subject::Configuration.bound(node);
+    bound.mul_f64(LEADER_CHECK_SHARE + 2.0 * STEP_SHARE)
+}
+
 /// Follows a subject until the process ends.
 pub async fn run(node: Rc<Node>, subject: Subject) {
     let mut knows_nothing = match subject {
--- a/crates/sidecar/src/internal.rs
+++ b/crates/sidecar/src/internal.rs
@@ -12,10 +12,13 @@
 use serde::de::DeserializeOwned;
 use tokio::time::timeout;
 use wingspar_ownership::{Epoch, LoadReport, TableAnswer};
+use wingspar_routes::{Configuration, ConfigurationChanges};
 
 use crate::agent;
 use crate::answer::plain;
 use crate::body::{Body, BodyError};
+use crate::configuration::ConfigurationAnswer;
+use crate::configuration_doubts;
 use crate::hop;
 use crate::node::Node;
 use crate::packed::{pack, unpack};
@@ -23,6 +26,8 @@
 const CBOR: &str = "application/cbor";
 const TABLE_PATH: &str = "/table/";
 const CONFIGURATION_PATH: &str = "/configuration";
+/// In the query of a question for the configuration: the version that the asking node has.
+const AFTER: &str = "after=";
 const LOAD_PATH: &str = "/load";
 /// Calls between nodes without an answer for this long are given up.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
@@ -37,13 +42,7 @@
             plain(StatusCode::OK, CBOR, table_bytes(&node, path))
         }
         (&Method::GET, CONFIGURATION_PATH) => {
-            let bytes = node.configuration_bytes.borrow().clone();
-            let status = if bytes.is_empty() {
-                StatusCode::NOT_FOUND
-            } else {
-                StatusCode::OK
-            };
-            plain(status, CBOR, bytes)
+            answer_configuration(&node, request.uri().query()).await
         }
         (&Method::POST, LOAD_PATH) => {
             let Ok(body) = request.into_body().collect().await else {
@@ -60,6 +59,32 @@
     }
 }
 
+/// The answer to a node that asks for the configuration after the version in the query, or for all of it.
+async fn answer_configuration(node: &Rc<Node>, query: Option<&str>) -> Response<Body> {
+    let version = query
+        .and_then(|query| query.strip_prefix(AFTER)?.parse().ok())
+        .unwrap_or(0);
+    if node.participant.borrow().leading().is_some() {
+        // Whoever asks for a later one than the leader's wants to be sure.
+        configuration_doubts::later_is_in_force(node, version).await;
+    }
+    let Some(table) = node.routes.borrow().clone() else {
+        return plain(StatusCode::NOT_FOUND, "text/plain", "none is known");
+    };
+    let answer = node
+        .configuration_answers
+        .borrow_mut()
+        .since(version, table.configuration());
+    match answer {
+        ConfigurationAnswer::Whole(bytes) => plain(StatusCode::OK, CBOR, bytes),
+        ConfigurationAnswer::Changes(bytes) => plain(StatusCode::PARTIAL_CONTENT, CBOR, bytes),
+        ConfigurationAnswer::NoneLater if configuration_doubts::is_sure(node) => {
+            plain(StatusCode::NO_CONTENT, CBOR, Bytes::new())
+        }
+        ConfigurationAnswer::NoneLater => plain(StatusCode::NOT_FOUND, "text/plain", "not sure"),
+    }
+}
+
 /// The answer to a node that asks for the table after the version in the path, written once for all
 /// who ask the same.
 fn table_bytes(node: &Node, path: &str) -> Bytes {
@@ -116,12 +141,26 @@
     fetch(node, from, &format!("{TABLE_PATH}{}/{version}", epoch.0)).await
 }
 
-/// Fetches another node's configuration.
-pub async fn fetch_configuration(
-    node: &Node,
-    from: SocketAddr,
-) -> Option<wingspar_routes::Configuration> {
-    fetch(node, from, CONFIGURATION_PATH).await
+/// What another node has told of its configuration.
+pub enum Fetched {
+    /// All of it.
+    Whole(Configuration),
+    /// What has changed since the own one.
+    Changes(Vec<ConfigurationChanges>),
+    /// The other node is sure that there is none later than the own one.
+    NoneLater,
+}
+
+/// Fetches another node's configuration, or what has changed in it since the own one.
+pub async fn fetch_configuration(node: &Node, from: SocketAddr) -> Option<Fetched> {
+    let version = node.configuration_version();
+    let path = format!("{CONFIGURATION_PATH}?{AFTER}{version}");
+    let (status, body) = get(node, from, &path).await?;
+    match status {
+        StatusCode::NO_CONTENT => Some(Fetched::NoneLater),
+        StatusCode::PARTIAL_CONTENT => unpack(&body).map(Fetched::Changes),
+        _ => unpack(&body).map(Fetched::Whole),
+    }
 }
 
 async fn fetch<Value: DeserializeOwned>(
@@ -129,10 +168,14 @@
     from: SocketAddr,
     path: &str,
 ) -> Option<Value> {
+    let (_status, body) = get(node, from, path).await?;
+    unpack(&body)
+}
+
+async fn get(node: &Node, from: SocketAddr, path: &str) -> Option<(StatusCode, Bytes)> {
     let mut request = Request::new(Body::empty());
     *request.uri_mut() = path.parse().ok()?;
-    let body = call(node, from, request).await?;
-    unpack(body.as_ref())
+    call(node, from, request).await
 }
 
 /// Tells the leader what the node's target has seen.
@@ -143,12 +186,13 @@
     let _answer = call(node, to, request).await;
 }
 
-async fn call(node: &Node, to: SocketAddr, request: Request<Body>) -> Option<Bytes> {
+/// The status and body of a call's answer; nothing if it isn't done.
+async fn call(node: &Node, to: SocketAddr, request: Request<Body>) -> Option<(StatusCode, Bytes)> {
     let exchange = async {
         let response = node.peer(to).send(request).await.ok()?;
-        let done = response.status().is_success();
+        let status = response.status();
         let body = response.into_body().collect().await.ok()?.to_bytes();
-        done.then_some(body)
+        status.is_success().then_some((status, body))
     };
     timeout(CALL_TIMEOUT, exchange).await.ok().flatten()
 }
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -11,6 +11,8 @@
 pub mod body;
 pub mod budget;
 pub mod clock;
+mod configuration;
+pub mod configuration_doubts;
 pub mod configuration_fetch;
 mod connections;
 mod control;
@@ -45,6 +47,7 @@
 pub mod target;
 mod target_calls;
 mod target_end;
+pub mod tenant_counts;
 pub mod tenants;
 
 pub use run::{RunError, run};
--- a/crates/sidecar/src/logs.rs
+++ b/crates/sidecar/src/logs.rs
@@ -84,6 +84,19 @@
         source: &'a str,
         /// Routes in it.
         routes: usize,
+        /// Tenants in it.
+        tenants: usize,
+    },
+    /// Tenants list the same credentials in a configuration, or no longer do.
+    CredentialsShared {
+        /// Its version.
+        version: u64,
+        /// Credentials that several tenants list.
+        count: usize,
+        /// The tenant that requests with one of them count for; empty if there is none.
+        tenant: &'a str,
+        /// A tenant that they don't count for.
+        other: &'a str,
     },
     /// A configuration couldn't be read and is passed over.
     ConfigurationRefused {
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -8,6 +8,8 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
+use crate::tenant_counts::TenantCounts;
+
 /// Upper bounds of the latency buckets, in seconds.
 const LATENCY_BOUNDS: [f64; 10] = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4];
 
@@ -39,6 +41,10 @@
     registry: Registry,
     /// Requests taken from clients, by service and outcome.
     pub requests: Family<RequestLabels, Counter>,
+    /// Requests taken from clients, by tenant and outcome.
+    pub tenants: TenantCounts,
+    /// Checks whether a refusal rests on an outdated configuration, by what they found.
+    pub configuration_doubts: Family<OutcomeLabel, Counter>,
     /// Time from a request's arrival to the head of its answer, by service.
     pub latency: Family<ServiceLabel, Histogram>,
     /// Requests that the agent refused or lost, by reason.
@@ -74,6 +80,8 @@
         });
         let metrics = Self {
             requests: Family::default(),
+            tenants: TenantCounts::default(),
+            configuration_doubts: Family::default(),
             latency,
             refusals: Family::default(),
             repeats: Counter::default(),
@@ -93,6 +101,16 @@
             "Requests taken from clients",
             metrics.requests.clone(),
         );
+        registry.register(
+            "tenant_requests",
+            "Requests taken from clients, of tenants that had one refused",
+            metrics.tenants.requests.clone(),
+        );
+        registry.register(
+            "configuration_doubts",
+            "Checks whether a refusal rests on an outdated configuration",
+            metrics.configuration_doubts.clone(),
+        );
         registry.register(
             "latency_seconds",
             "Time to the head of an answer",
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -12,10 +12,12 @@
     EvacuatedZones, EvacuationReport, Identity, Life, NodeName, Participant, Time, Timing,
 };
 use wingspar_quarantine::{InFlight, Quarantine};
-use wingspar_routes::{Configuration, RouteTable};
+use wingspar_routes::RouteTable;
 
 use crate::budget::Budget;
 use crate::clock::{Clock, whole_millis};
+use crate::configuration::ConfigurationAnswers;
+use crate::configuration_doubts::Doubts;
 use crate::connections::Connections;
 use crate::directory::Directory;
 use crate::evacuation::{Evacuations, OwnZone};
@@ -23,7 +25,6 @@
 use crate::link::Link;
 use crate::logs::{Event, Log};
 use crate::metrics::Metrics;
-use crate::packed::pack;
 use crate::selection::Selection;
 use crate::settings::Settings;
 use crate::slots::{Slots, StartLimit};
@@ -71,8 +72,10 @@
     pub registered: Cell<bool>,
     /// The configuration in force.
     pub routes: RefCell<Option<Rc<RouteTable>>>,
-    /// The same, as others are given it.
-    pub configuration_bytes: RefCell<Bytes>,
+    /// What others are given of it.
+    pub configuration_answers: RefCell<ConfigurationAnswers>,
+    /// Whether refusals may rest on an outdated one.
+    pub configuration_doubts: Doubts,
     /// Answers about the table that were written for other nodes.
     pub table_bytes: RefCell<WrittenTable>,
     /// Nodes and owners.
@@ -99,6 +102,8 @@
     pub participant: RefCell<Participant>,
     /// Version of the last configuration that the store's watch, or a listing, has told.
     pub watched_version: Cell<u64>,
+    /// Revision of the store in which the configuration was read last, and the version read.
+    pub configuration_read: Cell<Option<(u64, u64)>>,
     /// When the process started.
     pub started_at: Time,
     /// When the configuration in force was last known to be the latest in the store; nothing if it never was.
@@ -154,7 +159,8 @@
             store_reachable: Cell::new(true),
             registered: Cell::new(false),
             routes: RefCell::new(None),
-            configuration_bytes: RefCell::new(Bytes::new()),
+            configuration_answers: RefCell::default(),
+            configuration_doubts: Doubts::default(),
             table_bytes: RefCell::default(),
             directory: RefCell::new(Rc::new(Directory::default())),
             directory_changed: Notify::new(),
@@ -171,6 +177,7 @@
                     .with_delivery(settings.node.delivery()),
             ),
             watched_version: Cell::new(0),
+            configuration_read: Cell::new(None),
             started_at: now,
             configuration_checked_at: Cell::new(None),
             configuration_announced: Cell::new(0),
@@ -213,44 +220,12 @@
         peer.clone()
     }
 
-    /// Version of the configuration in force; 0 if there is none.
-    pub fn configuration_version(&self) -> u64 {
-        self.routes
-            .borrow()
-            .as_ref()
-            .map_or(0, |routes| routes.configuration().version)
-    }
-
     /// The configuration in force was the latest in the store at that time.
     pub fn configuration_checked(&self, at: Time) {
         let known = self.configuration_checked_at.get();
         self.configuration_checked_at.set(known.max(Some(at)));
     }
 
-    /// Puts a configuration in force unless a later one is. Returns whether it did.
-    pub fn configure(&self, configuration: Configuration, source: &'static str) -> bool {
-        if configuration.version <= self.configuration_version() {
-            return false;
-        }
-        let bytes = pack(&configuration);
-        if bytes.is_empty() {
-            return false;
-        }
-        self.log.write(Event::ConfigurationInForce {
-            version: configuration.version,
-            source,
-            routes: configuration.routes.len(),
-        });
-        self.metrics
-            .configuration
-            .set(i64::try_from(configuration.version).unwrap_or(i64::MAX));
-        *self.configuration_bytes.borrow_mut() = bytes;
-        *self.routes.borrow_mut() = Some(Rc::new(RouteTable::new(configuration)));
-        self.limit_starts();
-        self.control_wakes.notify_one();
-        true
-    }
-
     /// The time by which an evacuation must be in force; nothing if the settings tell none.
     pub fn evacuation_bound(&self) -> Option<Duration> {
         self.settings.bounds.evacuate_s.map(Duration::from_secs_f64)
--- a/crates/sidecar/src/router/mod.rs
+++ b/crates/sidecar/src/router/mod.rs
@@ -3,10 +3,12 @@
 //! Phases: *read* the request and pick its route, then [`send`] it until it is answered. A request that was given up
 //! on is answered at once.
 
+mod allowed_regions;
 mod record;
 mod send;
 mod timing;
 
+use allowed_regions::AllowedRegions;
 use record::Record;
 use send::send;
 use timing::{Times, times};
@@ -15,7 +17,7 @@
 
 use http::header::{EXPECT, HOST};
 use http::uri::PathAndQuery;
-use http::{HeaderMap, HeaderValue, Method, Request, Response};
+use http::{HeaderMap, HeaderValue, Method, Request, Response, Uri};
 use hyper::body::Incoming;
 use tokio::time::{Instant, timeout_at};
 use wingspar_platform::headers;
@@ -24,10 +26,11 @@
 
 use crate::answer::{Reason, own};
 use crate::body::{Body, RequestBody};
+use crate::configuration_doubts::later_is_in_force;
 use crate::hop;
 use crate::node::Node;
 use crate::quota::{self, Permit};
-use crate::tenants::{RequestTenant, authenticate};
+use crate::tenants::{RequestTenant, authenticate, is_unknown_credential};
 
 /// Bodies up to this many bytes are kept, so that they can be sent again.
 const KEEP_BODY: usize = 64 * 1024;
@@ -35,7 +38,7 @@
 /// Answers a request.
 pub async fn answer(node: Rc<Node>, request: Request<Incoming>) -> Response<Body> {
     let arrived = Instant::now();
-    let table = node.routes.borrow().clone();
+    let table = table_for(&node, &request).await;
     let mut record = Record::new(&request);
     let response = match table {
         Some(table) => {
@@ -48,6 +51,28 @@
     response.unwrap_or_else(|reason| own(reason, record.retry_after))
 }
 
+/// The table that decides on a request: if the first one known refuses it, and a later configuration may not, that of
+/// the later one.
+async fn table_for(node: &Rc<Node>, request: &Request<Incoming>) -> Option<Rc<RouteTable>> {
+    let table = node.routes.borrow().clone()?;
+    if is_unknown(&table, request) && later_is_in_force(node, table.configuration().version).await {
+        return node.routes.borrow().clone();
+    }
+    Some(table)
+}
+
+/// Whether a request is refused for a route or a credential that a later configuration may have.
+fn is_unknown(table: &RouteTable, request: &Request<Incoming>) -> bool {
+    let (uri, headers) = (request.uri(), request.headers());
+    let Some(host) = host_of(uri, headers) else {
+        return false;
+    };
+    match table.find(&host, uri.path()) {
+        Some(route) => is_unknown_credential(table, route, headers),
+        None => true,
+    }
+}
+
 /// A request that has its route.
 struct Routed<'a> {
     route: &'a Route,
@@ -60,6 +85,7 @@
     times: Times,
     fingerprint: Fingerprint,
     permit: Permit,
+    allowed_regions: AllowedRegions<'a>,
 }
 
 async fn take(
@@ -71,7 +97,7 @@
 ) -> Result<Response<Body>, Reason> {
     let (parts, incoming) = request.into_parts();
     only_one_id(&parts.headers)?;
-    let host = host_of(&parts).ok_or(Reason::Malformed)?;
+    let host = host_of(&parts.uri, &parts.headers).ok_or(Reason::Malformed)?;
     let route = table.find(&host, parts.uri.path()).ok_or(Reason::NoRoute)?;
     record.route.clone_from(&route.name);
     let tenant = authenticate(table, route, &parts.headers)?;
@@ -136,6 +162,7 @@
         times,
         fingerprint,
         permit,
+        allowed_regions: AllowedRegions::new(route, tenant.as_ref()),
     };
     send(node, &mut routed, record).await
 }
@@ -148,11 +175,11 @@
     }
 }
 
-fn host_of(parts: &http::request::Parts) -> Option<String> {
-    if let Some(authority) = parts.uri.authority() {
+fn host_of(uri: &Uri, headers: &HeaderMap) -> Option<String> {
+    if let Some(authority) = uri.authority() {
         return Some(authority.as_str().to_owned());
     }
-    let mut hosts = parts.headers.get_all(HOST).iter();
+    let mut hosts = headers.get_all(HOST).iter();
     match (hosts.next(), hosts.next()) {
         (Some(host), None) => host.to_str().ok().map(str::to_owned),
         _ => None,
--- a/crates/sidecar/src/router/record.rs
+++ b/crates/sidecar/src/router/record.rs
@@ -83,6 +83,12 @@
             .latency
             .get_or_create(&service)
             .observe(took.as_secs_f64());
+        if !self.tenant.is_empty() {
+            let answered = reason.is_none();
+            node.metrics
+                .tenants
+                .count(&self.tenant, labels.outcome, answered);
+        }
         if reason.is_none() && self.sends <= 1 {
             return;
         }
--- a/crates/sidecar/src/router/send.rs
+++ b/crates/sidecar/src/router/send.rs
@@ -58,6 +58,9 @@
             if record.sends > 0 {
                 return Err(given_up(routed, record));
             }
+            if is_ruled_out(node, routed) {
+                return Err(Reason::RegionNotAllowed);
+            }
             wait_for_directory(node, routed).await?;
             tried.clear();
             continue;
@@ -151,12 +154,26 @@
     }
 }
 
+/// Whether only targets in regions where the request isn't allowed could run it.
+fn is_ruled_out(node: &Node, routed: &Routed<'_>) -> bool {
+    let directory = node.directory.borrow();
+    routed
+        .allowed_regions
+        .rule_all_out(&node.settings, &directory, routed.service, routed.key)
+}
+
 fn choose(node: &Node, routed: &Routed<'_>, tried: &[NodeName]) -> Option<Destination> {
     let directory = node.directory.borrow().clone();
     if let Some(key) = routed.key {
-        return directory.owner(routed.service, key).cloned();
+        let owner = directory.owner(routed.service, key);
+        return owner
+            .filter(|owner| routed.allowed_regions.allow_at(&node.settings, owner))
+            .cloned();
     }
-    let destinations = directory.destinations(routed.service);
+    let destinations =
+        routed
+            .allowed_regions
+            .destinations(&node.settings, &directory, routed.service);
     let preference = match routed.route.repeatability {
         Repeatability::Download => ZONE_PREFERENCE_LARGE,
         _ => ZONE_PREFERENCE,
@@ -168,14 +185,18 @@
         large: routed.times.transfer.is_some(),
     };
     node.selection
-        .choose(node.now(), wish, destinations, tried)
+        .choose(node.now(), wish, &destinations, tried)
         .cloned()
 }
 
 /// Until when a request may wait at the node that is asked next. While others could run it too, a full
 /// one isn't waited for long.
 fn patience_here(node: &Node, routed: &Routed<'_>, refusals: usize) -> Instant {
-    let others = node.directory.borrow().destinations(routed.service).len();
+    let directory = node.directory.borrow();
+    let allowed = routed
+        .allowed_regions
+        .destinations(&node.settings, &directory, routed.service);
+    let others = allowed.len();
     let last = refusals + 1 >= MOST_REFUSALS.min(others);
     if routed.key.is_some() || last {
         routed.times.patience
--- a/crates/sidecar/src/tenants.rs
+++ b/crates/sidecar/src/tenants.rs
@@ -41,17 +41,25 @@
     if !table.has_tenants() || route.public {
         return Ok(None);
     }
+    only_credential(headers)
+        .and_then(|credential| table.tenant_of(credential))
+        .map(|tenant| Some(RequestTenant::from(tenant)))
+        .ok_or(Reason::Unauthorized)
+}
+
+/// Whether a request is refused for a credential that a later configuration may know. One that has none, or several,
+/// is refused by all of them.
+pub fn is_unknown_credential(table: &RouteTable, route: &Route, headers: &HeaderMap) -> bool {
+    table.has_tenants()
+        && !route.public
+        && only_credential(headers).is_some_and(|credential| table.tenant_of(credential).is_none())
+}
+
+/// The credential that a request carries, if it is one that can be read and isn't empty.
+fn only_credential(headers: &HeaderMap) -> Option<&str> {
     let mut credentials = headers.get_all(headers::CREDENTIAL).iter();
     match (credentials.next(), credentials.next()) {
-        (Some(credential), None) => {
-            let tenant = credential
-                .to_str()
-                .ok()
-                .and_then(|credential| table.tenant_of(credential));
-            tenant
-                .map(|tenant| Some(RequestTenant::from(tenant)))
-                .ok_or(Reason::Unauthorized)
-        }
-        _ => Err(Reason::Unauthorized),
+        (Some(credential), None) => credential.to_str().ok().filter(|text| !text.is_empty()),
+        _ => None,
     }
 }
--- a/crates/standins/src/fleet/target.rs
+++ b/crates/standins/src/fleet/target.rs
@@ -49,6 +49,10 @@
     pub key: Option<u16>,
     /// Who called.
     pub caller: String,
+    /// The tenants that it was told, each that stands in a header.
+    pub tenants: Vec<String>,
+    /// Whether it was shown a credential.
+    pub credential: bool,
     /// How long its caller waits, in milliseconds.
     pub deadline_ms: u64,
     /// Its body.
@@ -369,6 +373,14 @@
     request.header::<String>(name).unwrap_or_default()
 }
 
+/// Each value of a header.
+fn texts(request: &Request, name: &str) -> Vec<String> {
+    let values = request.headers().get_all(name).iter();
+    values
+        .map(|value| String::from_utf8_lossy(value.as_bytes()).into_owned())
+        .collect()
+}
+
 #[async_trait]
 impl Handler for TargetHandler {
     async fn handle(
@@ -425,6 +437,8 @@
             id: id.clone(),
             key,
             caller: text(request, "x-wingspar-caller-service"),
+            tenants: texts(request, "x-wingspar-tenant"),
+            credential: request.headers().contains_key("x-wingspar-credential"),
             deadline_ms: text(request, "x-wingspar-deadline-ms").parse().unwrap_or(0),
             body: String::from_utf8_lossy(body).into_owned(),
             at: Instant::now(),
--- a/crates/wingspar/tests/sidecar/deployment.rs
+++ b/crates/wingspar/tests/sidecar/deployment.rs
@@ -10,7 +10,7 @@
 use wingspar_standins::fleet::{FleetStore, FleetTarget, Seen, TargetFaults};
 use wingspar_standins::net::Proxy;
 
-use crate::machine::{logs, machine};
+use crate::machine::{log_file, logs, machine};
 use crate::network::claim_network;
 
 /// Where nodes serve their metrics.
@@ -33,6 +33,8 @@
     pub keys_by_heartbeats: bool,
     /// Whether each service has a machine in zone `a` and one in zone `b`, and zones may be evacuated.
     pub two_zones: bool,
+    /// Whether nodes' logs are kept, for [`Deployment::log`].
+    pub keeps_logs: bool,
 }
 
 /// Time between two heartbeats of a target that takes its keys in the answers.
@@ -58,6 +60,8 @@
     pub heartbeats: SocketAddr,
     /// Its node's settings.
     pub settings: PathBuf,
+    /// Where its node's log is kept.
+    pub log: Option<PathBuf>,
     /// Its node's process.
     pub process: Option<Child>,
     /// Sends the target's heartbeats.
@@ -205,8 +209,13 @@
         number.parse().expect("its number")
     }
 
-    /// Writes a configuration.
+    /// Writes a configuration without tenants.
     pub fn configure(&self, version: u64, routes: Value) {
+        self.configure_tenants(version, routes, json!([]));
+    }
+
+    /// Writes a configuration.
+    pub fn configure_tenants(&self, version: u64, routes: Value, tenants: Value) {
         let service = |name: &str, keyed: bool| {
             json!({"name": name, "health_path": "/healthz", "max_conns": 100, "protocol": "h1", "tls": false,
                 "sharded": keyed, "warm_s": 3.0, "warmup_s": 3.0, "warmup_per_s": 8.0})
@@ -214,8 +223,7 @@
         let limits =
             json!({"header_bytes": 16384, "max_body_bytes": 1048576, "header_s": 3, "idle_s": 15});
         let services = [service(KEYED, true), service(PLAIN, false)];
-        let spec =
-            json!({"version": version, "routes": routes, "services": services, "limits": limits});
+        let spec = json!({"version": version, "routes": routes, "services": services, "limits": limits, "tenants": tenants});
         self.store.write("config", "main", spec);
     }
 
@@ -361,6 +369,12 @@
         .await;
     }
 
+    /// What a node has logged.
+    pub fn log(&self, node: usize) -> String {
+        let path = self.nodes[node].log.as_ref().expect("logs are kept");
+        std::fs::read_to_string(path).expect("a log")
+    }
+
     /// What a node answers an operator.
     pub async fn operate(&self, node: usize, method: reqwest::Method, path: &str) -> String {
         let address = SocketAddr::new(self.nodes[node].ready.ip(), METRICS_PORT);
@@ -388,7 +402,10 @@
         let process = Command::new(env!("CARGO_BIN_EXE_wingspar"))
             .args(["sidecar", "--settings"])
             .arg(&machine.settings)
-            .stdout(logs())
+            .stdout(match &machine.log {
+                Some(path) => log_file(path),
+                None => logs(),
+            })
             .spawn()
             .expect("it starts");
         machine.process = Some(process);
--- a/crates/wingspar/tests/sidecar/machine.rs
+++ b/crates/wingspar/tests/sidecar/machine.rs
@@ -1,6 +1,8 @@
 //! One machine of a deployment: its target, its links and the settings of its node.
 
+use std::fs::OpenOptions;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::Path;
 use std::process::Stdio;
 
 use wingspar_standins::fleet::{FleetStore, FleetTarget};
@@ -17,12 +19,18 @@
     }
 }
 
+/// A file to which a process adds its log.
+pub fn log_file(path: &Path) -> Stdio {
+    let file = OpenOptions::new().create(true).append(true).open(path);
+    file.expect("a log file").into()
+}
+
 /// Starts a machine's target and links and writes its settings; its process isn't started.
 pub async fn machine(
     address: Ipv4Addr,
     index: u8,
     store: &FleetStore,
-    folder: &std::path::Path,
+    folder: &Path,
     wiring: &Wiring,
 ) -> Machine {
     let ip = IpAddr::V4(address);
@@ -77,6 +85,9 @@
         ready: socket(7601),
         heartbeats: socket(7602),
         settings,
+        log: wiring
+            .keeps_logs
+            .then(|| folder.join(format!("node-{index}.log"))),
         process: None,
         sending: None,
     }
--- a/crates/wingspar/tests/sidecar/main.rs
+++ b/crates/wingspar/tests/sidecar/main.rs
@@ -4,10 +4,12 @@
 mod crashing_request;
 mod deployment;
 mod evacuations;
+mod kept_connection;
 mod key_heartbeats;
 mod machine;
 mod network;
 mod soak;
+mod tenants;
 
 use std::time::Duration;
 
