--- a/crates/rehearse/src/bench/mod.rs
+++ b/crates/rehearse/src/bench/mod.rs
@@ -1,5 +1,6 @@
 //! Ratios measured within one run, with bounds beyond which the build has become worse.
 
+mod configurations;
 mod hops;
 mod overload;
 
@@ -80,6 +81,10 @@
 /// When a deployment can't be started. Broken bounds are results.
 pub async fn run(progress: &dyn Fn(&Row)) -> Result<Vec<Row>, BenchError> {
     let mut rows = Vec::new();
+    for row in configurations::measure() {
+        progress(&row);
+        rows.push(row);
+    }
     for row in hops::measure().await? {
         progress(&row);
         rows.push(row);
