Soak: tenants whose credentials come and go; the tenant told is checked against the credential sent

Each configuration of a run lists a steady credential and draws others; requests carry one of them or one that nobody has. Checked from what targets saw: one tenant, one that holds or has held the credential, never the credential itself; the steady one is never refused; after the faults the last version holds at every node within the bound. Credentials are drawn from a stream of their own, so that faults and load of a seed stay what they were.

--- a/crates/wingspar/tests/sidecar/deployment.rs
+++ b/crates/wingspar/tests/sidecar/deployment.rs
@@ -86,6 +86,8 @@
     pub store: FleetStore,
     /// The machines.
     pub nodes: Vec<Machine>,
+    /// The credential of its clients' requests, unless a request names its own.
+    pub credential: Option<&'static str>,
     client: reqwest::Client,
     folder: PathBuf,
     _network: TcpListener,
@@ -166,6 +168,7 @@
         let mut deployment = Self {
             store,
             nodes,
+            credential: None,
             client,
             folder,
             _network: network,
@@ -240,11 +243,27 @@
         id: &str,
         deadline_ms: u64,
     ) -> reqwest::RequestBuilder {
-        self.client
+        self.request_as(node, path, id, self.credential)
+            .header("x-wingspar-deadline-ms", deadline_ms)
+    }
+
+    /// A request with a credential, of a client that names no deadline.
+    pub fn request_as(
+        &self,
+        node: usize,
+        path: &str,
+        id: &str,
+        credential: Option<&str>,
+    ) -> reqwest::RequestBuilder {
+        let request = self
+            .client
             .post(format!("http://{}{path}", self.nodes[node].outbound))
             .header("host", "shop.example")
-            .header("x-wingspar-request-id", id)
-            .header("x-wingspar-deadline-ms", deadline_ms)
+            .header("x-wingspar-request-id", id);
+        match credential {
+            Some(credential) => request.header("x-wingspar-credential", credential),
+            None => request,
+        }
     }
 
     /// The answer to a request for a key.
--- a/crates/wingspar/tests/sidecar/soak/checks.rs
+++ b/crates/wingspar/tests/sidecar/soak/checks.rs
@@ -4,6 +4,8 @@
 
 use wingspar_standins::fleet::Seen;
 
+use super::credentials::{Credentials, STEADY};
+use super::faults::Faults;
 use super::load::{Answer, Kind};
 use crate::deployment::Deployment;
 
@@ -15,12 +17,13 @@
     answers: &'a [Answer],
     /// Target's id and what it ran, in the order of time.
     runs: Vec<(String, Seen)>,
+    credentials: &'a Credentials,
     log: &'a [String],
 }
 
 impl<'a> Promises<'a> {
-    /// What callers and targets have seen; `log` tells the faults.
-    pub fn new(deployment: &Deployment, answers: &'a [Answer], log: &'a [String]) -> Self {
+    /// What callers and targets have seen in a run with these faults.
+    pub fn new(deployment: &Deployment, answers: &'a [Answer], faults: &'a Faults) -> Self {
         let targets = deployment
             .nodes
             .iter()
@@ -32,7 +35,12 @@
             })
             .collect::<Vec<_>>();
         runs.sort_by_key(|(_, seen)| seen.at);
-        Self { answers, runs, log }
+        Self {
+            answers,
+            runs,
+            credentials: faults.credentials(),
+            log: faults.log(),
+        }
     }
 
     /// What was counted.
@@ -45,10 +53,11 @@
         };
         let none = self.answers.iter().filter(|answer| answer.status.is_none());
         format!(
-            "{} requests, {} runs, 200: {}, 502: {}, 503: {}, 504: {}, no answer: {}; {} faults",
+            "{} requests, {} runs, 200: {}, 401: {}, 502: {}, 503: {}, 504: {}, no answer: {}; {} faults",
             self.answers.len(),
             self.runs.len(),
             with(200),
+            with(401),
             with(502),
             with(503),
             with(504),
@@ -65,6 +74,8 @@
             self.own_whole_answer(),
             self.one_owner(),
             self.innocents_are_run(),
+            self.tenant_is_told(),
+            self.who_is_listed_is_not_turned_away(),
         ];
         for check in checks {
             check.map_err(|problem| format!("{problem}\n  {}", self.log.join("\n  ")))?;
@@ -87,6 +98,36 @@
         }
     }
 
+    /// A target is told one tenant, which holds or has held the credential that the client sent.
+    fn tenant_is_told(&self) -> Result<(), String> {
+        for answer in self.answers {
+            let runs = self.runs.iter().filter(|(_, seen)| seen.id == answer.id);
+            for (_, seen) in runs {
+                let held = |tenant: &str| {
+                    let credentials = self.credentials;
+                    credentials.was_held_by(answer.credential, tenant, seen.at)
+                };
+                let right = matches!(seen.tenants.as_slice(), [tenant] if held(tenant));
+                if !right || seen.credential {
+                    return Err(format!("with {} a target saw {seen:?}", answer.credential));
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// A credential that every version lists is never refused.
+    fn who_is_listed_is_not_turned_away(&self) -> Result<(), String> {
+        let mut listed = self
+            .answers
+            .iter()
+            .filter(|answer| answer.credential == STEADY);
+        match listed.find(|answer| answer.status == Some(401)) {
+            Some(answer) => Err(format!("{} was refused for its credential", answer.id)),
+            None => Ok(()),
+        }
+    }
+
     fn runs_of(&self, id: &str) -> usize {
         self.runs.iter().filter(|(_, seen)| seen.id == id).count()
     }
--- a/crates/wingspar/tests/sidecar/soak/faults.rs
+++ b/crates/wingspar/tests/sidecar/soak/faults.rs
@@ -8,6 +8,7 @@
 use wingspar_standins::fleet::{StoreFaults, TargetFaults};
 use wingspar_standins::net::Harm;
 
+use super::credentials::Credentials;
 use super::load::CRASHING_PATH;
 use crate::deployment::{Deployment, route};
 
@@ -39,18 +40,20 @@
     next_at: Instant,
     ends: Vec<(Instant, End)>,
     configuration: u64,
+    credentials: Credentials,
     log: Vec<String>,
 }
 
 impl Faults {
     /// None yet.
-    pub fn new() -> Self {
+    pub fn new(seed: u64) -> Self {
         let now = Instant::now();
         Self {
             began_at: now,
             next_at: now,
             ends: Vec::new(),
             configuration: 100,
+            credentials: Credentials::new(seed),
             log: Vec::new(),
         }
     }
@@ -60,6 +63,30 @@
         &self.log
     }
 
+    /// The credentials of all configurations so far.
+    pub fn credentials(&self) -> &Credentials {
+        &self.credentials
+    }
+
+    /// A credential for a request.
+    pub fn draw_credential(&mut self) -> &'static str {
+        self.credentials.draw()
+    }
+
+    /// Writes the next configuration.
+    pub fn configure(&mut self, deployment: &Deployment) {
+        self.configuration += 1;
+        let version = self.configuration;
+        self.note(&format!("configuration {version}"));
+        let tenants = self.credentials.next_version();
+        deployment.configure_tenants(version, routes(), tenants);
+    }
+
+    /// Version of the last configuration.
+    pub fn configuration(&self) -> u64 {
+        self.configuration
+    }
+
     /// Ends what is over and begins another fault when it is time.
     pub async fn step(&mut self, deployment: &mut Deployment, random: &mut ChaCha8Rng) {
         let now = Instant::now();
@@ -153,12 +180,7 @@
                 }
                 self.ends.push((until, End::Start(node)));
             }
-            _ => {
-                self.configuration += 1;
-                let version = self.configuration;
-                self.note(&format!("configuration {version}"));
-                deployment.configure(version, routes());
-            }
+            _ => self.configure(deployment),
         }
     }
 
--- a/crates/wingspar/tests/sidecar/soak/load.rs
+++ b/crates/wingspar/tests/sidecar/soak/load.rs
@@ -6,6 +6,8 @@
 use rand_chacha::ChaCha8Rng;
 use tokio::task::JoinHandle;
 
+use super::credentials::STEADY;
+use super::faults::Faults;
 use crate::deployment::Deployment;
 
 /// Requests sent at each step, at most.
@@ -17,6 +19,8 @@
 const SHARED: u32 = 3;
 /// One in so many steps sends the request under which targets end.
 const CRASHING: u32 = 25;
+/// How long clients wait, in milliseconds.
+const DEADLINE_MS: u64 = 2_000;
 /// Path of the request under which targets end.
 pub const CRASHING_PATH: &str = "/orders/crashing";
 
@@ -40,6 +44,8 @@
     pub id: String,
     /// What it may do.
     pub kind: Kind,
+    /// The credential that the request carried.
+    pub credential: &'static str,
     /// The answer's status; nothing if none came.
     pub status: Option<u16>,
     /// The id in the answer.
@@ -68,7 +74,12 @@
     }
 
     /// Sends a few requests from random machines.
-    pub fn send_some(&mut self, deployment: &Deployment, random: &mut ChaCha8Rng) {
+    pub fn send_some(
+        &mut self,
+        deployment: &Deployment,
+        faults: &mut Faults,
+        random: &mut ChaCha8Rng,
+    ) {
         for _ in 0..random.random_range(1..=AT_ONCE) {
             self.sent += 1;
             let id = format!("s{}-{}", self.seed, self.sent);
@@ -83,15 +94,19 @@
             } else {
                 &id
             };
+            let credential = faults.draw_credential();
+            let request = |path: &str| {
+                let path = format!("/{path}/{thing}");
+                let request = deployment.request_as(node, &path, &id, Some(credential));
+                request.header("x-wingspar-deadline-ms", DEADLINE_MS)
+            };
             let request = match kind {
-                Kind::Once => deployment.request(node, &format!("/book/{thing}"), &id),
-                Kind::Repeatable => deployment.request(node, &format!("/orders/{thing}"), &id),
-                Kind::Keyed(key) => deployment
-                    .request(node, &format!("/stock/{thing}"), &id)
-                    .header("x-wingspar-shard-key", key),
+                Kind::Once => request("book"),
+                Kind::Repeatable => request("orders"),
+                Kind::Keyed(key) => request("stock").header("x-wingspar-shard-key", key),
                 Kind::Crashing => continue,
             };
-            self.send(request, id, kind);
+            self.send(request, id, kind, credential);
         }
         if random.random_range(0..CRASHING) == 0 {
             let node = random.random_range(0..deployment.nodes.len());
@@ -104,12 +119,19 @@
         self.sent += 1;
         let id = format!("s{}-{}-crashing", self.seed, self.sent);
         let request = deployment.request(node, CRASHING_PATH, &id);
-        self.send(request, id, Kind::Crashing);
+        self.send(request, id, Kind::Crashing, STEADY);
     }
 
-    fn send(&mut self, request: reqwest::RequestBuilder, id: String, kind: Kind) {
+    fn send(
+        &mut self,
+        request: reqwest::RequestBuilder,
+        id: String,
+        kind: Kind,
+        credential: &'static str,
+    ) {
         let request = request.timeout(Duration::from_secs(3));
-        self.running.push(tokio::spawn(ask(request, id, kind)));
+        self.running
+            .push(tokio::spawn(ask(request, id, kind, credential)));
     }
 
     /// Waits for all answers.
@@ -122,10 +144,16 @@
     }
 }
 
-async fn ask(request: reqwest::RequestBuilder, id: String, kind: Kind) -> Answer {
+async fn ask(
+    request: reqwest::RequestBuilder,
+    id: String,
+    kind: Kind,
+    credential: &'static str,
+) -> Answer {
     let mut answer = Answer {
         id,
         kind,
+        credential,
         status: None,
         answered_id: None,
         signed: false,
--- a/crates/wingspar/tests/sidecar/soak/mod.rs
+++ b/crates/wingspar/tests/sidecar/soak/mod.rs
@@ -3,11 +3,12 @@
 //! Each seed starts a deployment of four machines whose nodes reach the store and their targets through
 //! proxies, sends requests, and injects faults: connections that are delayed, reset, cut one way or
 //! silenced; processes that are paused, killed, stopped in order and started again; a store that is down,
-//! throttles or forgets; zones that are evacuated; targets that say that they are slow after their start; a request
+//! throttles or forgets; tenants whose credentials come and go; zones that are evacuated; targets that say that they are slow after their start; a request
 //! under which targets end. `SOAK_SEEDS=N SOAK_FIRST=S SOAK_SECONDS=T cargo test --release -p wingspar --test
 //! sidecar soak -- --nocapture` plays other seeds than the fixed ones.
 
 mod checks;
+mod credentials;
 mod faults;
 mod load;
 
@@ -19,6 +20,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use checks::Promises;
+use credentials::{STEADY, the_last_version_holds};
 use faults::Faults;
 use load::{CRASHING_PATH, Load};
 use serde_json::json;
@@ -64,19 +66,28 @@
         ..TargetFaults::default()
     });
     let mut random = ChaCha8Rng::seed_from_u64(seed);
-    let mut faults = Faults::new();
+    let mut faults = Faults::new(seed);
+    deployment.credential = Some(STEADY);
+    faults.configure(&deployment);
+    for node in 0..deployment.nodes.len() {
+        eventually("the tenants are known", || async {
+            deployment.configuration_version(node).await == Some(faults.configuration())
+        })
+        .await;
+    }
     let mut load = Load::new(seed);
     let ends_at = Instant::now() + length;
     while Instant::now() < ends_at {
-        load.send_some(&deployment, &mut random);
+        load.send_some(&deployment, &mut faults, &mut random);
         faults.step(&mut deployment, &mut random).await;
         deployment.try_heartbeats().await;
         tokio::time::sleep(Duration::from_millis(60)).await;
     }
     faults.heal(&mut deployment).await;
     let answers = load.finish().await;
-    let promises = Promises::new(&deployment, &answers, faults.log());
+    let promises = Promises::new(&deployment, &answers, &faults);
     promises.check()?;
+    let summary = promises.summary();
     for node in 0..deployment.nodes.len() {
         deployment.try_heartbeats().await;
         deployment.ready(node).await;
@@ -88,9 +99,10 @@
         first.status() == 200 && last.status() == 200
     })
     .await;
+    the_last_version_holds(&deployment, &mut faults, seed).await?;
     refuses_what_ends_targets(&deployment, seed).await?;
     evacuates_still(&deployment, seed).await?;
-    Ok(promises.summary())
+    Ok(summary)
 }
 
 /// After all that the request under which targets end reaches few more of them, through whichever node it comes.
