--- a/crates/wingspar/tests/sidecar/configuration.rs
+++ b/crates/wingspar/tests/sidecar/configuration.rs
@@ -51,3 +51,72 @@
     let took = written_at.elapsed();
     assert!(took < Duration::from_secs(3), "{took:?}");
 }
+
+/// Many routes, of which one differs from version to version.
+fn many_routes(version: u64) -> Value {
+    let mut routes = (0..400)
+        .map(|number| {
+            let (name, prefix) = (format!("r{number}"), format!("/part-{number}/"));
+            deployment::route(&name, &prefix, "idempotent", "orders")
+        })
+        .collect::<Vec<_>>();
+    let (name, prefix) = (format!("v{version}"), format!("/only-{version}/"));
+    routes.push(deployment::route(&name, &prefix, "idempotent", "orders"));
+    Value::Array(routes)
+}
+
+/// Whether a node serves the route of a version, and not that of the one before.
+async fn serves_only(deployment: &Deployment, node: usize, version: u64) {
+    for (of, expected) in [(version, 200), (version - 1, 404)] {
+        let request = deployment.request(node, &format!("/only-{of}/1"), "only");
+        let answer = request.send().await.expect("an answer");
+        assert_eq!(answer.status(), expected, "version {of} at node {node}");
+    }
+}
+
+#[tokio::test]
+async fn versions_in_quick_succession_are_in_force_in_time_and_told_by_their_changes() {
+    let wiring = Wiring {
+        keeps_logs: true,
+        ..Wiring::default()
+    };
+    let deployment = Deployment::start_with(70, &wiring).await;
+    deployment.configure(100, many_routes(100));
+    for node in 0..deployment.nodes.len() {
+        in_force(&deployment, node, 100).await;
+    }
+    let stopped = (deployment.leader() + 1) % deployment.nodes.len();
+    let calls_before = deployment.store.calls();
+    for version in 101..=150 {
+        if version == 105 {
+            // It misses more versions than others remember the changes of.
+            deployment.signal(stopped, "-STOP");
+        }
+        if version == 145 {
+            deployment.signal(stopped, "-CONT");
+        }
+        deployment.configure(version, many_routes(version));
+        tokio::time::sleep(Duration::from_millis(60)).await;
+    }
+    let written_at = Instant::now();
+    for node in 0..deployment.nodes.len() {
+        in_force(&deployment, node, 150).await;
+        serves_only(&deployment, node, 150).await;
+    }
+    let took = written_at.elapsed();
+    assert!(took < Duration::from_secs(2), "{took:?}");
+    let calls = deployment.store.calls() - calls_before;
+    assert!(calls < 120, "{calls} calls");
+    for node in 0..deployment.nodes.len() {
+        let log = deployment.log(node);
+        if log.contains("leadership_taken") {
+            // It has read the store itself for a while.
+            continue;
+        }
+        let by = |source: &str| log.matches(&format!("\"source\":\"{source}\"")).count();
+        assert!(by("changes") > 0, "node {node}: {log}");
+        if node != stopped {
+            assert!(by("changes") > by("node"), "node {node}: {log}");
+        }
+    }
+}
