The node as a program of its own, wingspar-sidecar

Cause: at rest 6.4 of 7.9 MB of a process are pages of a program that also holds the operators' command line and the old node. Ruled out: link-time optimisation of the whole program (7.8 MB). Change: a second program with the same command; the platform runs it.

--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod body;
 pub mod budget;
 pub mod clock;
+pub mod command;
 pub mod configuration_fetch;
 mod connections;
 mod control;
--- a/crates/wingspar/src/main.rs
+++ b/crates/wingspar/src/main.rs
@@ -26,7 +26,7 @@
   wingspar --version
   wingspar --help
 
-Exit codes of node and check:
+Exit codes of node, sidecar and check:
   0 stopped as planned, or settings are valid    2 wrong usage
   1 the node could not start or go on            3 settings have mistakes or can't be read
 
@@ -48,7 +48,7 @@
     };
     match command.to_str() {
         Some("node") => node(words),
-        Some("sidecar") => sidecar(words),
+        Some("sidecar") => wingspar_sidecar::command::main(words),
         Some("check") => check(words),
         Some("ctl") => ExitCode::from(wingspar_ctl::run(words)),
         Some("--version" | "-V") => {
@@ -90,31 +90,6 @@
     }
 }
 
-fn sidecar(words: Vec<OsString>) -> ExitCode {
-    let mut arguments = Arguments::from_vec(words);
-    if arguments.contains(["-h", "--help"]) {
-        return help();
-    }
-    let path = match arguments.value_from_str::<_, PathBuf>("--settings") {
-        Ok(path) => path,
-        Err(error) => return usage(&error.to_string()),
-    };
-    if let Err(code) = nothing_left(arguments) {
-        return code;
-    }
-    match wingspar_sidecar::run(&path) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error @ wingspar_sidecar::RunError::Settings(_)) => {
-            eprintln!("error: {}: {error}", path.display());
-            ExitCode::from(WRONG_SETTINGS)
-        }
-        Err(error) => {
-            eprintln!("error: {error}");
-            ExitCode::from(FAILED)
-        }
-    }
-}
-
 fn run(settings: Settings) -> ExitCode {
     match wingspar_node::run(settings) {
         Ok(()) => ExitCode::SUCCESS,
