Requests of one client connection run side by side and are answered in order

Cause: the HTTP server takes a connection's next request when the one before is answered, so clients that send several at once wait for the sum of their times. Change: pipelining::read_ahead finds further heads in the bytes that the server reads (httparse); repeatable requests without a body start ahead, eight at most and 256 kB of held answers; the server takes their answers in order, and only if its own request equals the one that was started. Client leaves, broken heads, closing answers and planned stops are tested with real processes. Ruled out: an HTTP server of our own; hyper's pipeline_flush, which still runs one request at a time; an in-memory connection per request, which copies every body and needs its own framing of answers.

--- a/crates/sidecar/src/body.rs
+++ b/crates/sidecar/src/body.rs
@@ -15,6 +15,8 @@
 pub enum Body {
     /// All bytes.
     Whole(Full<Bytes>),
+    /// The body of a message as the HTTP library receives it.
+    Received(Incoming),
     /// Bytes that are still to come.
     Stream(Pin<Box<dyn HttpBody<Data = Bytes, Error = BodyError>>>),
 }
@@ -53,6 +55,7 @@
             Self::Whole(body) => Pin::new(body)
                 .poll_frame(context)
                 .map_err(|never| match never {}),
+            Self::Received(body) => Pin::new(body).poll_frame(context).map_err(BodyError::from),
             Self::Stream(body) => body.as_mut().poll_frame(context),
         }
     }
@@ -60,6 +63,7 @@
     fn is_end_stream(&self) -> bool {
         match self {
             Self::Whole(body) => body.is_end_stream(),
+            Self::Received(body) => body.is_end_stream(),
             Self::Stream(body) => body.is_end_stream(),
         }
     }
@@ -67,6 +71,7 @@
     fn size_hint(&self) -> SizeHint {
         match self {
             Self::Whole(body) => body.size_hint(),
+            Self::Received(body) => body.size_hint(),
             Self::Stream(body) => body.size_hint(),
         }
     }
@@ -127,13 +132,12 @@
 
 impl RequestBody {
     /// Reads a body of up to `keep` bytes whole; a larger one stays a stream.
-    pub async fn read(incoming: Incoming, keep: usize) -> Result<Self, BodyError> {
-        let mut incoming = incoming;
-        if incoming.is_end_stream() {
+    pub async fn read(mut body: Body, keep: usize) -> Result<Self, BodyError> {
+        if body.is_end_stream() {
             return Ok(Self::Whole(Bytes::new()));
         }
         let mut kept = BytesMut::new();
-        while let Some(frame) = incoming.frame().await {
+        while let Some(frame) = body.frame().await {
             if let Ok(data) = frame?.into_data() {
                 kept.extend_from_slice(&data);
             }
@@ -142,7 +146,7 @@
                 let beginning = prefix.slice(..keep);
                 let rest = Prefixed {
                     prefix: Some(prefix),
-                    rest: incoming,
+                    rest: body,
                 };
                 return Ok(Self::Stream {
                     body: Some(Body::stream(rest)),
@@ -178,7 +182,7 @@
 /// Bytes that were read already, and what follows.
 struct Prefixed {
     prefix: Option<Bytes>,
-    rest: Incoming,
+    rest: Body,
 }
 
 impl HttpBody for Prefixed {
@@ -192,8 +196,6 @@
         if let Some(prefix) = self.prefix.take() {
             return Poll::Ready(Some(Ok(Frame::data(prefix))));
         }
-        Pin::new(&mut self.rest)
-            .poll_frame(context)
-            .map_err(BodyError::from)
+        Pin::new(&mut self.rest).poll_frame(context)
     }
 }
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -31,6 +31,7 @@
 mod node;
 mod operations;
 pub mod packed;
+pub mod pipelining;
 mod quarantine;
 pub mod quota;
 mod registration;
--- a/crates/sidecar/src/listen.rs
+++ b/crates/sidecar/src/listen.rs
@@ -18,6 +18,7 @@
 use crate::body::Body;
 use crate::connections::set_options;
 use crate::node::Node;
+use crate::pipelining::client;
 use crate::stop::Stop;
 
 /// Connections that wait to be accepted.
@@ -43,11 +44,28 @@
     TcpListener::from_std(socket.into())
 }
 
+/// Serves the connections of clients until the process closes.
+pub async fn serve_clients(node: Rc<Node>, listener: TcpListener) {
+    accept(node, listener, client_connection).await;
+}
+
 /// Serves a socket's connections until the process closes. The service gets each request.
 pub async fn serve<Handler, Answer>(node: Rc<Node>, listener: TcpListener, handler: Handler)
 where
     Handler: Fn(Rc<Node>, Request<Incoming>) -> Answer + Copy + 'static,
     Answer: Future<Output = Response<Body>> + 'static,
+{
+    accept(node, listener, move |node, stream| {
+        connection(node, stream, handler)
+    })
+    .await;
+}
+
+/// Accepts connections until the process closes, and serves each in a task of its own.
+async fn accept<Serve, Served>(node: Rc<Node>, listener: TcpListener, serve: Serve)
+where
+    Serve: Fn(Rc<Node>, TcpStream) -> Served,
+    Served: Future<Output = ()> + 'static,
 {
     let mut stop = node.stop.subscribe();
     loop {
@@ -57,7 +75,8 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                tokio::task::spawn_local(connection(node.clone(), stream, handler));
+                set_options(&stream);
+                tokio::task::spawn_local(serve(node.clone(), stream));
             }
             Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
         }
@@ -65,13 +84,14 @@
 }
 
 /// Adds one to a number of the node until it is dropped.
-struct Counted {
+pub struct Counted {
     node: Rc<Node>,
     number: fn(&Node) -> &Cell<usize>,
 }
 
 impl Counted {
-    fn new(node: &Rc<Node>, number: fn(&Node) -> &Cell<usize>) -> Self {
+    /// Adds one to a number until this is dropped.
+    pub fn new(node: &Rc<Node>, number: fn(&Node) -> &Cell<usize>) -> Self {
         let counted = number(node);
         counted.set(counted.get() + 1);
         Self {
@@ -88,18 +108,49 @@
     }
 }
 
+/// What bounds a connection's heads, by the configuration in force.
+struct HeadLimits {
+    /// Longest time between two of them.
+    time: Duration,
+    /// Bytes that are read of a connection before they are understood.
+    buffer: usize,
+}
+
+impl HeadLimits {
+    fn of(node: &Node) -> Self {
+        let routes = node.routes.borrow();
+        let limits = routes
+            .as_ref()
+            .map(|routes| routes.configuration().limits.clone());
+        let limits = limits.unwrap_or_default();
+        Self {
+            time: limits.idle_time.max(limits.header_time) + IDLE_MARGIN,
+            buffer: (limits.header_bytes * 2).max(LEAST_BUFFER),
+        }
+    }
+
+    fn builder(&self) -> http1::Builder {
+        let mut builder = http1::Builder::new();
+        builder
+            .timer(TokioTimer::new())
+            .header_read_timeout(self.time)
+            .max_buf_size(self.buffer);
+        builder
+    }
+}
+
+async fn client_connection(node: Rc<Node>, stream: TcpStream) {
+    let limits = HeadLimits::of(&node);
+    let _open = Counted::new(&node, |node| &node.connections);
+    client::serve(node, stream, limits.builder(), limits.buffer).await;
+}
+
 async fn connection<Handler, Answer>(node: Rc<Node>, stream: TcpStream, handler: Handler)
 where
     Handler: Fn(Rc<Node>, Request<Incoming>) -> Answer + Copy + 'static,
     Answer: Future<Output = Response<Body>> + 'static,
 {
-    set_options(&stream);
-    let limits = node
-        .routes
-        .borrow()
-        .as_ref()
-        .map(|routes| routes.configuration().limits.clone());
-    let limits = limits.unwrap_or_default();
+    let builder = HeadLimits::of(&node).builder();
     let mut stop = node.stop.subscribe();
     let _open = Counted::new(&node, |node| &node.connections);
     let service = service_fn(move |request| {
@@ -110,11 +161,6 @@
             Ok::<_, std::convert::Infallible>(response.map(|body| body.keeping(in_flight)))
         }
     });
-    let mut builder = http1::Builder::new();
-    builder
-        .timer(TokioTimer::new())
-        .header_read_timeout(limits.idle_time.max(limits.header_time) + IDLE_MARGIN)
-        .max_buf_size((limits.header_bytes * 2).max(LEAST_BUFFER));
     let mut connection = std::pin::pin!(builder.serve_connection(TokioIo::new(stream), service));
     tokio::select! {
         _ended = connection.as_mut() => return,
--- a/crates/sidecar/src/logs.rs
+++ b/crates/sidecar/src/logs.rs
@@ -215,6 +215,13 @@
         /// What is left of the lease, in milliseconds.
         lease_left_ms: u64,
     },
+    /// Requests that ran ahead on a client's connection were given up, or no more of them can begin there.
+    PipelineCut {
+        /// Why: client_left, answer_closed, broken_head, out_of_step.
+        reason: &'a str,
+        /// Requests that were given up.
+        dropped: usize,
+    },
     /// A request was decided on at this node.
     Request {
         /// The client's id of it.
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -45,6 +45,10 @@
     pub refusals: Family<OutcomeLabel, Counter>,
     /// Sends beyond a request's first.
     pub repeats: Counter,
+    /// Requests that began while an earlier one of their connection was being answered.
+    pub started_ahead: Counter,
+    /// Connections on which such requests were given up or could no longer begin, by reason.
+    pub pipelines_cut: Family<OutcomeLabel, Counter>,
     /// Calls to the store, by outcome.
     pub store_calls: Family<OutcomeLabel, Counter>,
     /// Grants and releases at the target, by outcome.
@@ -77,6 +81,8 @@
             latency,
             refusals: Family::default(),
             repeats: Counter::default(),
+            started_ahead: Counter::default(),
+            pipelines_cut: Family::default(),
             store_calls: Family::default(),
             key_orders: Family::default(),
             quarantine: Family::default(),
@@ -108,6 +114,16 @@
             "Sends beyond a request's first",
             metrics.repeats.clone(),
         );
+        registry.register(
+            "started_ahead",
+            "Requests begun behind another of their connection",
+            metrics.started_ahead.clone(),
+        );
+        registry.register(
+            "pipelines_cut",
+            "Connections on which requests begun ahead were given up",
+            metrics.pipelines_cut.clone(),
+        );
         registry.register(
             "store_calls",
             "Calls to the store",
--- /dev/null
+++ b/crates/sidecar/src/pipelining/client.rs
@@ -0,0 +1,429 @@
+//! A client's connection: what the HTTP server reads and writes, and the requests that run ahead of it.
+
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::future::{Future, poll_fn};
+use std::io;
+use std::pin::{Pin, pin};
+use std::rc::Rc;
+use std::task::{Context, Poll, ready};
+
+use bytes::{Buf, BytesMut};
+use http::header::{CONNECTION, HOST};
+use http::{HeaderValue, Request, Response, Uri};
+use http_body::Body as HttpBody;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::task::{JoinError, JoinHandle, spawn_local};
+
+use super::read_ahead::{Blind, ReadAhead};
+use crate::body::Body;
+use crate::listen::Counted;
+use crate::logs::Event;
+use crate::node::Node;
+use crate::router;
+use crate::stop::Stop;
+
+/// Answers that wait for their turn on one connection may have so many bytes until nothing more is started there: a
+/// client that reads slowly doesn't fill the memory that others need.
+const HELD_BYTES: u64 = 256 * 1024;
+/// Bytes that are asked for at a time while a request is being answered: a few heads.
+const READ_STEP: usize = 2048;
+
+/// How a connection ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum End {
+    /// The HTTP server closed it in order.
+    Closed,
+    /// The client left, or its bytes couldn't be read.
+    Broken,
+}
+
+/// Serves a client's connection until it ends. `read_limit` bounds the bytes that are read of it in advance.
+pub async fn serve(node: Rc<Node>, stream: TcpStream, builder: http1::Builder, read_limit: usize) {
+    let mut stop = node.stop.subscribe();
+    let mut closing = pin!(stop.wait_for(|stop| *stop == Stop::Closing));
+    let client = Client::new(node, stream, read_limit);
+    let service = service_fn(|request| {
+        let started = client.take(&request);
+        let client = client.clone();
+        async move {
+            let answer = match started {
+                Some(started) => started.answer().await?,
+                None => client.answer_now(request).await,
+            };
+            Ok::<_, JoinError>(client.finish(answer))
+        }
+    });
+    let io = TokioIo::new(ServerSide(client.clone()));
+    let mut connection = pin!(builder.serve_connection(io, service));
+    let mut announced = false;
+    let end = poll_fn(|context| {
+        if !client.stops.get() && closing.as_mut().poll(context).is_ready() {
+            client.stops.set(true);
+        }
+        loop {
+            if client.answers_last() && !announced {
+                // The answer in progress announces the close; a resting connection ends at once.
+                announced = true;
+                connection.as_mut().graceful_shutdown();
+            }
+            client.server_waits.set(false);
+            if let Poll::Ready(served) = connection.as_mut().poll(context) {
+                return Poll::Ready(served.map_or(End::Broken, |()| End::Closed));
+            }
+            if client.poll_read_ahead(context).is_ready() {
+                return Poll::Ready(End::Broken);
+            }
+            if !client.server_may_read() {
+                return Poll::Pending;
+            }
+        }
+    })
+    .await;
+    client.ended(end);
+}
+
+/// A request that runs before its turn.
+struct Started {
+    request: Request<()>,
+    task: Option<JoinHandle<Answer>>,
+}
+
+impl Started {
+    fn is_for(&self, request: &Request<Incoming>) -> bool {
+        let started = &self.request;
+        started.method() == request.method()
+            && started.uri() == request.uri()
+            && started.headers() == request.headers()
+    }
+
+    async fn answer(mut self) -> Result<Answer, JoinError> {
+        match &mut self.task {
+            Some(task) => {
+                let answer = task.await;
+                self.task = None;
+                answer
+            }
+            None => std::future::pending().await,
+        }
+    }
+}
+
+impl Drop for Started {
+    fn drop(&mut self) {
+        if let Some(task) = &self.task {
+            task.abort();
+        }
+    }
+}
+
+/// An answer, and what counts it until its last byte is handed over.
+struct Answer {
+    response: Response<Body>,
+    in_flight: Counted,
+    held: Option<Held>,
+}
+
+/// Counts the bytes of an answer that waits for its turn.
+struct Held {
+    total: Rc<Cell<u64>>,
+    bytes: u64,
+}
+
+impl Held {
+    fn new(total: Rc<Cell<u64>>, body: &Body) -> Self {
+        let bytes = body.size_hint().lower();
+        total.set(total.get() + bytes);
+        Self { total, bytes }
+    }
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.total.set(self.total.get() - self.bytes);
+    }
+}
+
+/// The request whose turn it is, as far as its route needs it.
+struct Turn {
+    uri: Uri,
+    host: Option<HeaderValue>,
+}
+
+/// One client's connection.
+struct Client {
+    node: Rc<Node>,
+    stream: RefCell<TcpStream>,
+    read_ahead: RefCell<ReadAhead>,
+    /// Bytes that were read before the HTTP server asked for them.
+    early: RefCell<BytesMut>,
+    /// Most of them.
+    read_limit: usize,
+    /// Whether the HTTP server has asked for bytes in vain since it was last polled.
+    server_waits: Cell<bool>,
+    /// The request whose turn it is, until it is known whether others may run beside it.
+    turn: RefCell<Option<Turn>>,
+    /// Requests that run before their turn, in order.
+    started: RefCell<VecDeque<Started>>,
+    /// Bytes of their answers that are here already.
+    held: Rc<Cell<u64>>,
+    started_any: Cell<bool>,
+    /// The process closes its connections: nothing more is started ahead.
+    stops: Cell<bool>,
+}
+
+impl Client {
+    fn new(node: Rc<Node>, stream: TcpStream, read_limit: usize) -> Rc<Self> {
+        Rc::new(Self {
+            node,
+            stream: RefCell::new(stream),
+            read_ahead: RefCell::new(ReadAhead::new(read_limit)),
+            early: RefCell::new(BytesMut::new()),
+            read_limit,
+            server_waits: Cell::new(false),
+            turn: RefCell::new(None),
+            started: RefCell::new(VecDeque::new()),
+            held: Rc::default(),
+            started_any: Cell::new(false),
+            stops: Cell::new(false),
+        })
+    }
+
+    /// The HTTP server takes a request; returns it if it runs already.
+    fn take(&self, request: &Request<Incoming>) -> Option<Started> {
+        let has_no_body = request.body().is_end_stream();
+        let was_started = self.read_ahead.borrow_mut().taken(has_no_body);
+        if !was_started {
+            *self.turn.borrow_mut() = has_no_body.then(|| Turn {
+                uri: request.uri().clone(),
+                host: request.headers().get(HOST).cloned(),
+            });
+            return None;
+        }
+        let started = self.started.borrow_mut().pop_front()?;
+        if started.is_for(request) {
+            return Some(started);
+        }
+        self.read_ahead.borrow_mut().out_of_step();
+        let dropped = self.drop_started() + 1;
+        self.log_cut("out_of_step", dropped);
+        None
+    }
+
+    /// Answers a request whose turn it is.
+    async fn answer_now(&self, request: Request<Incoming>) -> Answer {
+        let in_flight = Counted::new(&self.node, |node| &node.in_flight);
+        let request = request.map(Body::Received);
+        Answer {
+            response: router::answer(self.node.clone(), request).await,
+            in_flight,
+            held: None,
+        }
+    }
+
+    /// The answer as the HTTP server gets it.
+    fn finish(self: &Rc<Self>, answer: Answer) -> Response<Body> {
+        let mut response = answer.response;
+        if self.answers_last() {
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(CONNECTION, close);
+        }
+        let until_its_end = (answer.in_flight, answer.held, Answered(self.clone()));
+        response.map(|body| body.keeping(until_its_end))
+    }
+
+    /// Whether the answer in progress is the connection's last.
+    fn answers_last(&self) -> bool {
+        self.stops.get() && self.started.borrow().is_empty()
+    }
+
+    /// Starts requests whose turn hasn't come yet, as many as may run.
+    fn start_ahead(&self) {
+        if self.stops.get() || !self.read_ahead.borrow().may_start() {
+            return;
+        }
+        if let Some(turn) = self.turn.take()
+            && !router::may_run_beside_others(&self.node, &turn.uri, turn.host.as_ref())
+        {
+            self.read_ahead.borrow_mut().close();
+            return;
+        }
+        while self.held.get() < HELD_BYTES {
+            let next = self.read_ahead.borrow_mut().start(|request| {
+                let host = request.headers().get(HOST);
+                router::may_run_beside_others(&self.node, request.uri(), host)
+            });
+            match next {
+                Some(request) => self.start(request),
+                None => return,
+            }
+        }
+    }
+
+    fn start(&self, request: Request<()>) {
+        self.node.metrics.started_ahead.inc();
+        self.started_any.set(true);
+        let in_flight = Counted::new(&self.node, |node| &node.in_flight);
+        let sent = request.clone().map(|()| Body::empty());
+        let answer = router::answer(self.node.clone(), sent);
+        let held = self.held.clone();
+        let task = spawn_local(async move {
+            let response = answer.await;
+            Answer {
+                held: Some(Held::new(held, response.body())),
+                response,
+                in_flight,
+            }
+        });
+        self.started.borrow_mut().push_back(Started {
+            request,
+            task: Some(task),
+        });
+    }
+
+    /// Reads on while requests are being answered, and starts what is found. Ready when the client has left.
+    fn poll_read_ahead(&self, context: &mut Context<'_>) -> Poll<()> {
+        loop {
+            self.start_ahead();
+            let has_room = self.early.borrow().len() < self.read_limit;
+            if !has_room || !self.read_ahead.borrow().wants_more() {
+                return Poll::Pending;
+            }
+            let stream = self.stream.borrow();
+            if ready!(stream.poll_read_ready(context)).is_err() {
+                return Poll::Ready(());
+            }
+            let mut early = self.early.borrow_mut();
+            let before = early.len();
+            early.reserve(READ_STEP);
+            match stream.try_read_buf(&mut *early) {
+                Ok(0) => return Poll::Ready(()),
+                Ok(_) => self.read_ahead.borrow_mut().arrived(&early[before..]),
+                // It wasn't ready after all.
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(_) => return Poll::Ready(()),
+            }
+        }
+    }
+
+    /// Whether the HTTP server, which has asked in vain, would get bytes now.
+    fn server_may_read(&self) -> bool {
+        self.server_waits.get() && !self.early.borrow().is_empty()
+    }
+
+    /// Bytes that were read early, for the HTTP server. Returns whether there were any.
+    fn hand_over_early(&self, buffer: &mut ReadBuf<'_>) -> bool {
+        let mut early = self.early.borrow_mut();
+        if early.is_empty() {
+            return false;
+        }
+        let length = early.len().min(buffer.remaining());
+        buffer.put_slice(&early[..length]);
+        early.advance(length);
+        if early.is_empty() {
+            // A connection that rests keeps no buffer.
+            *early = BytesMut::new();
+        }
+        true
+    }
+
+    fn drop_started(&self) -> usize {
+        let started = std::mem::take(&mut *self.started.borrow_mut());
+        started.len()
+    }
+
+    /// The connection has ended; what still runs ahead is given up.
+    fn ended(&self, end: End) {
+        let dropped = self.drop_started();
+        let is_broken_head = self.read_ahead.borrow().blind() == Some(Blind::BrokenHead);
+        if dropped > 0 {
+            let reason = match end {
+                End::Closed => "answer_closed",
+                End::Broken => "client_left",
+            };
+            self.log_cut(reason, dropped);
+        } else if is_broken_head && self.started_any.get() {
+            self.log_cut("broken_head", dropped);
+        }
+    }
+
+    fn log_cut(&self, reason: &'static str, dropped: usize) {
+        let metrics = &self.node.metrics;
+        metrics.count(&metrics.pipelines_cut, reason);
+        self.node
+            .log
+            .write_request(Event::PipelineCut { reason, dropped });
+    }
+}
+
+/// Tells a connection that an answer has ended.
+struct Answered(Rc<Client>);
+
+impl Drop for Answered {
+    fn drop(&mut self) {
+        self.0.read_ahead.borrow_mut().answered();
+    }
+}
+
+/// The connection as the HTTP server sees it.
+struct ServerSide(Rc<Client>);
+
+impl AsyncRead for ServerSide {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let client = &self.0;
+        if client.hand_over_early(buffer) {
+            return Poll::Ready(Ok(()));
+        }
+        let before = buffer.filled().len();
+        let mut stream = client.stream.borrow_mut();
+        let polled = Pin::new(&mut *stream).poll_read(context, buffer);
+        client.server_waits.set(polled.is_pending());
+        ready!(polled)?;
+        let bytes = &buffer.filled()[before..];
+        client.read_ahead.borrow_mut().arrived(bytes);
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for ServerSide {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let mut stream = self.0.stream.borrow_mut();
+        Pin::new(&mut *stream).poll_write(context, bytes)
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffers: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let mut stream = self.0.stream.borrow_mut();
+        Pin::new(&mut *stream).poll_write_vectored(context, buffers)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.0.stream.borrow().is_write_vectored()
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let mut stream = self.0.stream.borrow_mut();
+        Pin::new(&mut *stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let mut stream = self.0.stream.borrow_mut();
+        Pin::new(&mut *stream).poll_shutdown(context)
+    }
+}
--- a/crates/sidecar/src/router/mod.rs
+++ b/crates/sidecar/src/router/mod.rs
@@ -14,13 +14,12 @@
 use std::rc::Rc;
 
 use http::header::{EXPECT, HOST};
-use http::uri::PathAndQuery;
-use http::{HeaderMap, HeaderValue, Method, Request, Response};
-use hyper::body::Incoming;
+use http::uri::{Authority, PathAndQuery};
+use http::{HeaderMap, HeaderValue, Method, Request, Response, Uri};
 use tokio::time::{Instant, timeout_at};
 use wingspar_platform::headers;
 use wingspar_quarantine::{Content, Fingerprint};
-use wingspar_routes::{Route, RouteTable};
+use wingspar_routes::{Repeatability, Route, RouteTable};
 
 use crate::answer::{Reason, own};
 use crate::body::{Body, RequestBody};
@@ -33,7 +32,7 @@
 const KEEP_BODY: usize = 64 * 1024;
 
 /// Answers a request.
-pub async fn answer(node: Rc<Node>, request: Request<Incoming>) -> Response<Body> {
+pub async fn answer(node: Rc<Node>, request: Request<Body>) -> Response<Body> {
     let arrived = Instant::now();
     let table = node.routes.borrow().clone();
     let mut record = Record::new(&request);
@@ -48,6 +47,20 @@
     response.unwrap_or_else(|reason| own(reason, record.retry_after))
 }
 
+/// Whether a request may run beside others of its connection: one that may be repeated, and whose answer is small
+/// enough to wait for its turn.
+pub fn may_run_beside_others(node: &Node, uri: &Uri, host: Option<&HeaderValue>) -> bool {
+    let Some(table) = node.routes.borrow().clone() else {
+        return false;
+    };
+    let host = uri
+        .authority()
+        .map(Authority::as_str)
+        .or_else(|| host.and_then(|host| host.to_str().ok()));
+    host.and_then(|host| table.find(host, uri.path()))
+        .is_some_and(|route| route.repeatability == Repeatability::Idempotent)
+}
+
 /// A request that has its route.
 struct Routed<'a> {
     route: &'a Route,
@@ -65,11 +78,11 @@
 async fn take(
     node: &Rc<Node>,
     table: &RouteTable,
-    request: Request<Incoming>,
+    request: Request<Body>,
     arrived: Instant,
     record: &mut Record,
 ) -> Result<Response<Body>, Reason> {
-    let (parts, incoming) = request.into_parts();
+    let (parts, received) = request.into_parts();
     only_one_id(&parts.headers)?;
     let host = host_of(&parts).ok_or(Reason::Malformed)?;
     let route = table.find(&host, parts.uri.path()).ok_or(Reason::NoRoute)?;
@@ -109,7 +122,7 @@
         .ok_or(Reason::Malformed)?;
     let body = match timeout_at(
         times.deadline.timer(),
-        RequestBody::read(incoming, KEEP_BODY),
+        RequestBody::read(received, KEEP_BODY),
     )
     .await
     {
--- a/crates/sidecar/src/router/record.rs
+++ b/crates/sidecar/src/router/record.rs
@@ -3,12 +3,12 @@
 use std::time::Duration;
 
 use http::Request;
-use hyper::body::Incoming;
 use tokio::time::Instant;
 use wingspar_platform::headers;
 use wingspar_quarantine::Fingerprint;
 
 use crate::answer::Reason;
+use crate::body::Body;
 use crate::clock::whole_millis;
 use crate::logs::Event;
 use crate::metrics::{RequestLabels, ServiceLabel};
@@ -46,7 +46,7 @@
 
 impl Record {
     /// A request of which only its id is known.
-    pub fn new(request: &Request<Incoming>) -> Self {
+    pub fn new(request: &Request<Body>) -> Self {
         let id = request
             .headers()
             .get(headers::REQUEST_ID)
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -23,7 +23,7 @@
 use crate::node::Node;
 use crate::settings::{Settings, SettingsError};
 use crate::stop::{Ending, Remaining, Stop};
-use crate::{follow, heartbeats, internal, listen, operations, registration, router, target_calls};
+use crate::{follow, heartbeats, internal, listen, operations, registration, target_calls};
 
 /// The node could not start or go on.
 #[derive(Debug, thiserror::Error)]
@@ -126,10 +126,9 @@
     let bind =
         |what, address: SocketAddr| listen::bind(address).map_err(|error| started(what, error));
     let metrics = SocketAddr::new(node.settings.node.address, listen.metrics_port);
-    spawn_local(listen::serve(
+    spawn_local(listen::serve_clients(
         node.clone(),
         bind("outbound", listen.outbound)?,
-        router::answer,
     ));
     spawn_local(listen::serve(
         node.clone(),
--- /dev/null
+++ b/crates/sidecar/tests/pipelining.rs
@@ -0,0 +1,282 @@
+//! Which requests of a connection start before their turn.
+
+use quickcheck::{Arbitrary, Gen, quickcheck};
+use wingspar_sidecar::pipelining::read_ahead::{Blind, MOST_AHEAD, ReadAhead};
+
+/// Longest head that the connections take, in bytes.
+const LONGEST_HEAD: usize = 4096;
+
+/// What a client sends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Sent {
+    /// May run beside others.
+    Lookup,
+    /// May not be repeated.
+    Order,
+    /// Has a body of so many bytes, at least one.
+    Upload(u8),
+}
+
+impl Sent {
+    fn head(self, number: usize) -> String {
+        match self {
+            Self::Lookup => format!("GET /lookup/{number} HTTP/1.1\r\nHost: a\r\n\r\n"),
+            Self::Order => format!("POST /order/{number} HTTP/1.1\r\nHost: a\r\n\r\n"),
+            Self::Upload(length) => {
+                format!("PUT /lookup/{number} HTTP/1.1\r\ncontent-length: {length}\r\n\r\n")
+            }
+        }
+    }
+
+    /// A body that looks like heads, which it mustn't be taken for.
+    fn body(self) -> Vec<u8> {
+        let length = match self {
+            Self::Upload(length) => usize::from(length),
+            Self::Lookup | Self::Order => 0,
+        };
+        let heads = Self::Lookup.head(999);
+        heads.bytes().cycle().take(length).collect()
+    }
+}
+
+impl Arbitrary for Sent {
+    fn arbitrary(generator: &mut Gen) -> Self {
+        match u8::arbitrary(generator) % 4 {
+            0 => Self::Order,
+            1 => Self::Upload(u8::arbitrary(generator).max(1)),
+            _ => Self::Lookup,
+        }
+    }
+}
+
+/// A connection and a server that takes its requests one after the other.
+struct Connection {
+    read_ahead: ReadAhead,
+    sent: Vec<Sent>,
+    /// Where the head and the body of each request end.
+    ends: Vec<(usize, usize)>,
+    bytes: Vec<u8>,
+    arrived: usize,
+    taken: usize,
+    answered: usize,
+    /// Requests that were started ahead.
+    ahead: Vec<usize>,
+}
+
+impl Connection {
+    fn new(sent: &[Sent]) -> Self {
+        let mut bytes = Vec::new();
+        let mut ends = Vec::new();
+        for (number, sent) in sent.iter().enumerate() {
+            bytes.extend(sent.head(number).bytes());
+            let head_end = bytes.len();
+            bytes.extend(sent.body());
+            ends.push((head_end, bytes.len()));
+        }
+        Self {
+            read_ahead: ReadAhead::new(LONGEST_HEAD),
+            sent: sent.to_vec(),
+            ends,
+            bytes,
+            arrived: 0,
+            taken: 0,
+            answered: 0,
+            ahead: Vec::new(),
+        }
+    }
+
+    /// So many further bytes arrive.
+    fn arrive(&mut self, count: usize) {
+        let until = (self.arrived + count).min(self.bytes.len());
+        self.read_ahead.arrived(&self.bytes[self.arrived..until]);
+        self.arrived = until;
+        self.take();
+    }
+
+    fn arrive_all(&mut self) {
+        self.arrive(self.bytes.len());
+    }
+
+    /// The server takes the next request if its turn has come; then others start.
+    fn take(&mut self) {
+        let is_free = self.taken == self.answered;
+        if is_free && self.taken < self.sent.len() && self.arrived >= self.ends[self.taken].0 {
+            let is_open = self.sent[self.taken] == Sent::Lookup;
+            let was_ahead = self.read_ahead.taken(is_open);
+            assert_eq!(was_ahead, self.ahead.contains(&self.taken));
+            self.taken += 1;
+        }
+        self.start();
+    }
+
+    fn start(&mut self) {
+        loop {
+            let is_lookup = |request: &http::Request<()>| request.uri().path().contains("lookup");
+            let Some(request) = self.read_ahead.start(is_lookup) else {
+                return;
+            };
+            let number = request.uri().path().rsplit('/').next();
+            let number = number.and_then(|number| number.parse::<usize>().ok());
+            let number = number.expect("a number");
+            assert!(number >= self.taken, "its turn is over");
+            assert!(number < self.sent.len(), "a body was taken for a head");
+            let from = self.answered.min(number);
+            for beside in &self.sent[from..=number] {
+                assert_eq!(*beside, Sent::Lookup, "{number} ran beside another kind");
+            }
+            assert!(!self.ahead.contains(&number), "{number} started twice");
+            self.ahead.push(number);
+            assert!(self.ahead.len() <= self.taken + MOST_AHEAD);
+        }
+    }
+
+    /// The request that was taken is answered; its body must have arrived.
+    fn answer(&mut self) {
+        if self.answered < self.taken && self.arrived >= self.ends[self.answered].1 {
+            self.answered += 1;
+            self.read_ahead.answered();
+            self.take();
+        }
+    }
+
+    /// Everything arrives and is answered.
+    fn finish(mut self) -> Vec<usize> {
+        self.arrive_all();
+        for _ in 0..self.sent.len() {
+            self.answer();
+        }
+        assert_eq!(self.answered, self.sent.len());
+        assert_eq!(self.read_ahead.blind(), None);
+        assert!(!self.read_ahead.wants_more());
+        self.ahead
+    }
+}
+
+#[test]
+fn requests_in_one_packet_start_side_by_side_up_to_the_bound() {
+    let mut connection = Connection::new(&[Sent::Lookup; 30]);
+    connection.arrive_all();
+    assert_eq!(connection.ahead.len(), MOST_AHEAD);
+    connection.answer();
+    assert_eq!(connection.ahead.len(), MOST_AHEAD + 1);
+    assert_eq!(connection.finish(), (1..30).collect::<Vec<_>>());
+}
+
+#[test]
+fn requests_that_arrive_byte_by_byte_start_once_they_are_whole() {
+    let mut connection = Connection::new(&[Sent::Lookup; 4]);
+    for _ in 0..connection.bytes.len() {
+        let whole = connection
+            .ends
+            .iter()
+            .filter(|end| end.0 <= connection.arrived);
+        assert_eq!(connection.ahead.len(), whole.count().saturating_sub(1));
+        connection.arrive(1);
+    }
+    assert_eq!(connection.finish(), [1, 2, 3]);
+}
+
+#[test]
+fn one_request_at_a_time_starts_nothing_ahead() {
+    let mut connection = Connection::new(&[Sent::Lookup, Sent::Upload(40), Sent::Lookup]);
+    for number in 0..3 {
+        connection.arrive(connection.ends[number].1 - connection.arrived);
+        connection.answer();
+    }
+    assert!(connection.finish().is_empty());
+}
+
+#[test]
+fn what_may_not_run_beside_others_waits_and_holds_back_those_behind() {
+    for alone in [Sent::Order, Sent::Upload(200)] {
+        let lookup = Sent::Lookup;
+        let mut connection = Connection::new(&[lookup, lookup, alone, lookup, lookup]);
+        connection.arrive_all();
+        assert_eq!(connection.ahead, [1]);
+        connection.answer();
+        assert_eq!(connection.ahead, [1], "the second is still being answered");
+        connection.answer();
+        assert_eq!(connection.ahead, [1], "{alone:?} runs alone");
+        connection.answer();
+        assert_eq!(connection.ahead, [1, 4], "those behind go on");
+        assert_eq!(connection.finish(), [1, 4]);
+    }
+}
+
+#[test]
+fn nothing_starts_behind_a_head_that_cannot_be_read() {
+    let mut connection = Connection::new(&[Sent::Lookup; 2]);
+    connection.bytes.extend(b"no head\r\n\r\n");
+    connection.bytes.extend(Sent::Lookup.head(2).bytes());
+    connection.arrive_all();
+    assert_eq!(connection.ahead, [1], "what stands before it is served");
+    assert_eq!(connection.read_ahead.blind(), Some(Blind::BrokenHead));
+    assert_eq!(connection.read_ahead.ahead(), 1);
+}
+
+#[test]
+fn nothing_starts_behind_a_request_whose_end_is_not_known() {
+    let heads = [
+        "GET /lookup/0 HTTP/1.1\r\nConnection: close\r\n\r\n",
+        "GET /lookup/0 HTTP/1.1\r\nConnection: keep-alive, Close\r\n\r\n",
+        "GET /lookup/0 HTTP/1.0\r\n\r\n",
+        "GET /lookup/0 HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "GET /lookup/0 HTTP/1.1\r\nUpgrade: other\r\n\r\n",
+        "GET /lookup/0 HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
+        "GET /lookup/0 HTTP/1.1\r\nContent-Length: many\r\n\r\n",
+    ];
+    for head in heads {
+        let mut read_ahead = ReadAhead::new(LONGEST_HEAD);
+        read_ahead.arrived(format!("{head}{}", Sent::Lookup.head(1)).as_bytes());
+        assert!(!read_ahead.taken(true));
+        assert!(read_ahead.start(|_| true).is_none(), "{head}");
+        assert_eq!(read_ahead.blind(), Some(Blind::EndUnknown), "{head}");
+    }
+}
+
+#[test]
+fn a_request_that_asks_before_it_sends_its_body_does_not_start_ahead() {
+    let expecting = "PUT /lookup/1 HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 0\r\n\r\n";
+    let mut read_ahead = ReadAhead::new(LONGEST_HEAD);
+    read_ahead.arrived(format!("{}{expecting}", Sent::Lookup.head(0)).as_bytes());
+    assert!(!read_ahead.taken(true));
+    assert!(read_ahead.start(|_| true).is_none());
+    read_ahead.answered();
+    assert!(!read_ahead.taken(true), "it has its turn");
+    assert_eq!(read_ahead.blind(), None);
+}
+
+#[test]
+fn a_head_that_never_ends_is_not_kept() {
+    let mut read_ahead = ReadAhead::new(LONGEST_HEAD);
+    let long = [b'a'; 100];
+    read_ahead.arrived(b"GET /");
+    for _ in 0..LONGEST_HEAD / long.len() + 1 {
+        read_ahead.arrived(&long);
+    }
+    assert_eq!(read_ahead.blind(), Some(Blind::BrokenHead));
+}
+
+#[test]
+fn a_server_that_takes_what_was_not_seen_ends_the_reading_ahead() {
+    let mut read_ahead = ReadAhead::new(LONGEST_HEAD);
+    assert!(!read_ahead.taken(true));
+    assert_eq!(read_ahead.blind(), Some(Blind::OutOfStep));
+    read_ahead.arrived(Sent::Lookup.head(1).as_bytes());
+    assert!(read_ahead.start(|_| true).is_none());
+}
+
+quickcheck! {
+    /// However the bytes are cut, and whenever answers end, requests start in order, once, and only beside lookups.
+    fn requests_start_in_order_however_bytes_are_cut(sent: Vec<Sent>, steps: Vec<(u8, bool)>) -> bool {
+        let mut connection = Connection::new(&sent);
+        for (count, answers) in steps {
+            connection.arrive(usize::from(count));
+            if answers {
+                connection.answer();
+            }
+        }
+        let ahead = connection.finish();
+        ahead.is_sorted() && ahead.iter().all(|number| sent[*number] == Sent::Lookup)
+    }
+}
--- a/crates/wingspar/tests/sidecar/main.rs
+++ b/crates/wingspar/tests/sidecar/main.rs
@@ -7,6 +7,8 @@
 mod key_heartbeats;
 mod machine;
 mod network;
+mod pipelined_client;
+mod pipelining;
 mod soak;
 
 use std::time::Duration;
