--- a/crates/wingspar/tests/sidecar/soak/load.rs
+++ b/crates/wingspar/tests/sidecar/soak/load.rs
@@ -1,5 +1,6 @@
 //! Requests of clients, and what became of each.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use rand::RngExt;
@@ -7,6 +8,7 @@
 use tokio::task::JoinHandle;
 
 use crate::deployment::Deployment;
+use crate::pipelined_client::{PipelinedClient, request};
 
 /// Requests sent at each step, at most.
 const AT_ONCE: usize = 4;
@@ -15,6 +17,12 @@
 
 /// One in so many requests is for the same path as others, as repeated lookups are.
 const SHARED: u32 = 3;
+/// One in so many steps sends several requests on one connection.
+const PIPELINED: u32 = 4;
+/// Requests of such a connection at most: more than run at once.
+const MOST_PIPELINED: usize = 12;
+/// How long a client waits for an answer.
+const PATIENCE: Duration = Duration::from_secs(3);
 /// One in so many steps sends the request under which targets end.
 const CRASHING: u32 = 25;
 /// Path of the request under which targets end.
@@ -50,11 +58,26 @@
     pub body: Option<String>,
 }
 
+impl Answer {
+    /// A request without an answer.
+    fn none(id: String, kind: Kind) -> Self {
+        Self {
+            id,
+            kind,
+            status: None,
+            answered_id: None,
+            signed: false,
+            body: None,
+        }
+    }
+}
+
 /// All requests of a run.
 pub struct Load {
     seed: u64,
     sent: u64,
     running: Vec<JoinHandle<Answer>>,
+    pipelined: Vec<JoinHandle<Vec<Answer>>>,
 }
 
 impl Load {
@@ -64,6 +87,7 @@
             seed,
             sent: 0,
             running: Vec::new(),
+            pipelined: Vec::new(),
         }
     }
 
@@ -93,12 +117,34 @@
             };
             self.send(request, id, kind);
         }
+        if random.random_range(0..PIPELINED) == 0 {
+            self.send_pipelined(deployment, random);
+        }
         if random.random_range(0..CRASHING) == 0 {
             let node = random.random_range(0..deployment.nodes.len());
             self.send_crashing(deployment, node);
         }
     }
 
+    /// Sends several requests on one connection, some of which may run only once.
+    fn send_pipelined(&mut self, deployment: &Deployment, random: &mut ChaCha8Rng) {
+        let node = random.random_range(0..deployment.nodes.len());
+        let count = random.random_range(2..=MOST_PIPELINED);
+        let requests = (0..count).map(|_| {
+            self.sent += 1;
+            let kind = match random.random_range(0..5) {
+                0 => Kind::Once,
+                _ => Kind::Repeatable,
+            };
+            (format!("s{}-{}-piped", self.seed, self.sent), kind)
+        });
+        let requests = requests.collect();
+        let address = deployment.nodes[node].outbound;
+        let leaves = random.random_range(0..4) == 0;
+        let client = ask_pipelined(address, requests, leaves);
+        self.pipelined.push(tokio::spawn(client));
+    }
+
     /// Sends the request under which targets end.
     pub fn send_crashing(&mut self, deployment: &Deployment, node: usize) {
         self.sent += 1;
@@ -108,7 +154,7 @@
     }
 
     fn send(&mut self, request: reqwest::RequestBuilder, id: String, kind: Kind) {
-        let request = request.timeout(Duration::from_secs(3));
+        let request = request.timeout(PATIENCE);
         self.running.push(tokio::spawn(ask(request, id, kind)));
     }
 
@@ -118,19 +164,48 @@
         for running in self.running {
             answers.push(running.await.expect("a request's task doesn't panic"));
         }
+        for pipelined in self.pipelined {
+            answers.extend(pipelined.await.expect("a client's task doesn't panic"));
+        }
         answers
     }
 }
 
-async fn ask(request: reqwest::RequestBuilder, id: String, kind: Kind) -> Answer {
-    let mut answer = Answer {
-        id,
-        kind,
-        status: None,
-        answered_id: None,
-        signed: false,
-        body: None,
+/// Sends requests on one connection and reads answers until it ends; a client that `leaves` reads only the first.
+async fn ask_pipelined(
+    address: SocketAddr,
+    requests: Vec<(String, Kind)>,
+    leaves: bool,
+) -> Vec<Answer> {
+    let mut answers = Vec::with_capacity(requests.len());
+    for (id, kind) in &requests {
+        answers.push(Answer::none(id.clone(), *kind));
+    }
+    let exchange = async {
+        let mut client = PipelinedClient::connect(address).await?;
+        let bytes = requests.iter().map(|(id, kind)| match kind {
+            Kind::Once => request("POST", &format!("/book/{id}"), id, ""),
+            _ => request("GET", &format!("/orders/{id}"), id, ""),
+        });
+        client.send(&bytes.collect::<String>()).await?;
+        let read = if leaves { 1 } else { answers.len() };
+        for answer in &mut answers[..read] {
+            let Some(next) = client.answer().await? else {
+                return Ok(());
+            };
+            answer.status = Some(next.status);
+            answer.answered_id = next.id().map(str::to_owned);
+            answer.signed = next.header("x-wingspar-response-signature").is_some();
+            answer.body = Some(next.body);
+        }
+        std::io::Result::Ok(())
     };
+    let _ended = tokio::time::timeout(PATIENCE, exchange).await;
+    answers
+}
+
+async fn ask(request: reqwest::RequestBuilder, id: String, kind: Kind) -> Answer {
+    let mut answer = Answer::none(id, kind);
     let Ok(response) = request.send().await else {
         return answer;
     };
