--- a/crates/sidecar/src/pipelining/head.rs
+++ b/crates/sidecar/src/pipelining/head.rs
@@ -2,6 +2,8 @@
 //!
 //! The HTTP server reads each head again and decides what it means; what is read here never reaches a client.
 
+use std::mem::MaybeUninit;
+
 use http::header::{CONNECTION, CONTENT_LENGTH, EXPECT, TRANSFER_ENCODING, UPGRADE};
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Uri, Version};
 
@@ -39,9 +41,11 @@
 
 /// Reads the head at the beginning of some bytes. The request in it is read only if `with_request`.
 pub fn scan(bytes: &[u8], with_request: bool) -> Result<Head, NoHead> {
-    let mut headers = [httparse::EMPTY_HEADER; MOST_HEADERS];
-    let mut parsed = httparse::Request::new(&mut headers);
-    let status = parsed.parse(bytes).map_err(|_| NoHead::Broken)?;
+    let mut headers = [const { MaybeUninit::uninit() }; MOST_HEADERS];
+    let mut parsed = httparse::Request::new(&mut []);
+    let status = parsed
+        .parse_with_uninit_headers(bytes, &mut headers)
+        .map_err(|_| NoHead::Broken)?;
     let httparse::Status::Complete(length) = status else {
         return Err(NoHead::Partial);
     };
