--- a/crates/sidecar/src/agent.rs
+++ b/crates/sidecar/src/agent.rs
@@ -121,5 +121,6 @@
         running: u32::try_from(node.slots.running()).unwrap_or(u32::MAX),
         waiting: u32::try_from(node.slots.waiting()).unwrap_or(u32::MAX),
         link_ms: u32::try_from(node.link.expected_wait().as_millis()).unwrap_or(u32::MAX),
+        held_ms: None,
     }
 }
--- a/crates/sidecar/src/control.rs
+++ b/crates/sidecar/src/control.rs
@@ -161,7 +161,8 @@
                 }
                 Action::TableChanged => {
                     let table = self.node.participant.borrow().table().clone();
-                    self.node.set_directory(Directory::new(table));
+                    let places = self.node.selection.places();
+                    self.node.set_directory(Directory::new(table, places));
                 }
                 Action::Note(note) => self.note(&note),
                 Action::ReadCachedLeadership => {
--- a/crates/sidecar/src/directory.rs
+++ b/crates/sidecar/src/directory.rs
@@ -5,6 +5,8 @@
 
 use wingspar_ownership::{NodeName, Table, steps};
 
+use crate::ways::{Places, Relation};
+
 /// A node whose target could run a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Destination {
@@ -16,6 +18,8 @@
     pub address: SocketAddr,
     /// Slots of its target.
     pub slots: u32,
+    /// How near it is.
+    pub relation: Relation,
 }
 
 /// A leader's table, prepared for look-ups.
@@ -27,8 +31,8 @@
 }
 
 impl Directory {
-    /// Prepares a table.
-    pub fn new(table: Table) -> Self {
+    /// Prepares a table for a node at these places.
+    pub fn new(table: Table, places: &Places) -> Self {
         let mut by_service = HashMap::<String, Vec<Destination>>::new();
         let mut by_node = HashMap::new();
         for member in &table.members {
@@ -40,6 +44,7 @@
                 zone: member.zone.clone(),
                 address: member.address,
                 slots: target.slots,
+                relation: places.relation(&member.zone),
             };
             if target.accepting && !member.leaving {
                 by_service
@@ -49,6 +54,9 @@
             }
             by_node.insert(member.node.clone(), destination);
         }
+        for destinations in by_service.values_mut() {
+            destinations.sort_by_key(|destination| destination.relation);
+        }
         Self {
             table,
             by_service,
@@ -66,7 +74,7 @@
         self.table.members.len().max(1)
     }
 
-    /// Nodes whose targets of a service take work.
+    /// Nodes whose targets of a service take work, the nearest first.
     pub fn destinations(&self, service: &str) -> &[Destination] {
         self.by_service.get(service).map_or(&[], Vec::as_slice)
     }
--- a/crates/sidecar/src/hop.rs
+++ b/crates/sidecar/src/hop.rs
@@ -140,6 +140,8 @@
     pub waiting: u32,
     /// How long one more large answer would wait for the machine's link, in milliseconds.
     pub link_ms: u32,
+    /// How long the node had the request, in milliseconds; nothing if it didn't tell.
+    pub held_ms: Option<u32>,
 }
 
 /// Takes out headers that belong to one connection, and those that only nodes set.
@@ -270,8 +272,11 @@
     let headers = response.headers_mut();
     headers.insert(OUTCOME, HeaderValue::from_static(outcome));
     if let Ok(load) = HeaderValue::from_str(&format!(
-        "{},{},{}",
-        occupancy.running, occupancy.waiting, occupancy.link_ms
+        "{},{},{},{}",
+        occupancy.running,
+        occupancy.waiting,
+        occupancy.link_ms,
+        occupancy.held_ms.unwrap_or_default()
     )) {
         headers.insert(LOAD, load);
     }
@@ -417,6 +422,7 @@
         running: numbers.next()??,
         waiting: numbers.next()??,
         link_ms: numbers.next().flatten().unwrap_or(0),
+        held_ms: numbers.next().flatten(),
     })
 }
 
--- a/crates/sidecar/src/internal.rs
+++ b/crates/sidecar/src/internal.rs
@@ -10,13 +10,13 @@
 use hyper::body::Incoming;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 use wingspar_ownership::{Epoch, LoadReport, TableAnswer};
 
 use crate::agent;
 use crate::answer::plain;
 use crate::body::{Body, BodyError};
-use crate::hop;
+use crate::hop::{self, Occupancy};
 use crate::node::Node;
 use crate::packed::{pack, unpack};
 
@@ -89,13 +89,19 @@
 }
 
 async fn answer_hop(node: &Rc<Node>, request: Request<Incoming>) -> Response<Body> {
+    let arrived = Instant::now();
     let (parts, incoming) = request.into_parts();
     let body = Body::stream(incoming.map_err(BodyError::from));
     let Some(request) = hop::decode(parts, body, |service| node.is_keyed(service)) else {
         return plain(StatusCode::BAD_REQUEST, "text/plain", "not a whole request");
     };
     let answer = agent::serve(node, request).await;
-    hop::encode_answer(answer, agent::occupancy(node)).map(|body| node.link.pace(body))
+    let held = u32::try_from(arrived.elapsed().as_millis()).unwrap_or(u32::MAX);
+    let occupancy = Occupancy {
+        held_ms: Some(held),
+        ..agent::occupancy(node)
+    };
+    hop::encode_answer(answer, occupancy).map(|body| node.link.pace(body))
 }
 
 /// Writes a value for another node.
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -46,6 +46,7 @@
 mod target_calls;
 mod target_end;
 pub mod tenants;
+pub mod ways;
 
 pub use run::{RunError, run};
 pub use settings::{Settings, SettingsError};
--- a/crates/sidecar/src/logs.rs
+++ b/crates/sidecar/src/logs.rs
@@ -262,6 +262,20 @@
         /// The leader's epoch.
         epoch: u64,
     },
+    /// Nodes of another region couldn't be reached: it is avoided for a while.
+    RegionAvoided {
+        /// The region.
+        region: &'a str,
+        /// The node that was tried last.
+        tried: &'a str,
+    },
+    /// A region that was avoided answers again.
+    RegionReached {
+        /// The region.
+        region: &'a str,
+        /// The node that answered.
+        tried: &'a str,
+    },
     /// Lines of one kind that were left out to bound the volume.
     LinesLeftOut {
         /// How many.
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -30,6 +30,7 @@
 use crate::stop::Stop;
 use crate::store::Store;
 use crate::target::{Target, Warmth};
+use crate::ways::Places;
 
 /// Time for a connection to another node to come up.
 const PEER_CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -180,7 +181,7 @@
             control_wakes: Notify::new(),
             key_news: Notify::new(),
             peers: RefCell::new(HashMap::new()),
-            selection: Selection::default(),
+            selection: Selection::new(Places::of(&settings)),
             budget: RefCell::new(Budget::new(
                 settings.bounds.budget_ratio,
                 settings.bounds.budget_extra,
--- a/crates/sidecar/src/router/send.rs
+++ b/crates/sidecar/src/router/send.rs
@@ -15,11 +15,13 @@
 use crate::answer::Reason;
 use crate::body::Body;
 use crate::directory::Destination;
-use crate::hop::{self, HopAnswer, HopRequest, Refusal};
+use crate::hop::{self, HopAnswer, HopRequest, Occupancy, Refusal};
+use crate::logs::Event;
 use crate::node::Node;
 use crate::quarantine;
 use crate::selection::{Ended, RequestPreference, ZONE_PREFERENCE, ZONE_PREFERENCE_LARGE};
 use crate::slots::Turn;
+use crate::ways::ReachChange;
 
 /// Pause before a key's owner is looked up again, unless the directory changes before.
 const OWNER_PAUSE: Duration = Duration::from_millis(40);
@@ -161,10 +163,11 @@
         Repeatability::Download => ZONE_PREFERENCE_LARGE,
         _ => ZONE_PREFERENCE,
     };
+    let objective = routed.route.objective.unwrap_or(routed.times.deadline.left());
     let wish = RequestPreference {
         node: &node.name,
-        zone: &node.settings.node.zone,
         preference,
+        objective,
         large: routed.times.transfer.is_some(),
     };
     node.selection
@@ -233,10 +236,43 @@
         let now = node.now();
         node.selection.reported(now, &destination.node, occupancy);
     }
-    outstanding.end(&answer);
+    let on_way = occupancy.and_then(|occupancy| outstanding.on_way(occupancy));
+    if !is_here {
+        note_reach(node, destination, on_way, &answer);
+    }
+    outstanding.end(&answer, on_way.unwrap_or_default());
     answer
 }
 
+/// Notes what an answer, or its lack, shows of the way to a node.
+fn note_reach(
+    node: &Node,
+    destination: &Destination,
+    on_way: Option<Duration>,
+    answer: &HopAnswer,
+) {
+    let now = node.now();
+    let change = match (on_way, answer) {
+        (Some(on_way), _) => node.selection.answered(now, destination, on_way),
+        (None, HopAnswer::Refused(Refusal::Unreachable) | HopAnswer::MayHaveRun(_)) => {
+            node.selection.unreachable(now, destination)
+        }
+        (None, _) => ReachChange::None,
+    };
+    let region = node.selection.places().region(&destination.zone);
+    match change {
+        ReachChange::None => {}
+        ReachChange::Avoided => node.log.write(Event::RegionAvoided {
+            region,
+            tried: &destination.node,
+        }),
+        ReachChange::Reached => node.log.write(Event::RegionReached {
+            region,
+            tried: &destination.node,
+        }),
+    }
+}
+
 /// Counts a request as outstanding at a node until it ends, also if its client leaves.
 struct Outstanding<'a> {
     node: &'a Node,
@@ -256,10 +292,16 @@
         }
     }
 
-    fn end(mut self, answer: &HopAnswer) {
+    /// How much of the time since it was sent the request wasn't at the node.
+    fn on_way(&self, occupancy: Occupancy) -> Option<Duration> {
+        let held = Duration::from_millis(u64::from(occupancy.held_ms?));
+        Some(self.since.elapsed().saturating_sub(held))
+    }
+
+    fn end(mut self, answer: &HopAnswer, on_way: Duration) {
         self.ended = match answer {
             HopAnswer::Answered(response) if response.status().is_server_error() => Ended::Failed,
-            HopAnswer::Answered(_) => Ended::Useful(self.since.elapsed()),
+            HopAnswer::Answered(_) => Ended::Useful(self.since.elapsed().saturating_sub(on_way)),
             HopAnswer::MayHaveRun(_)
             | HopAnswer::TargetEnded
             | HopAnswer::Refused(Refusal::Rejected) => Ended::Failed,
--- a/crates/sidecar/src/selection.rs
+++ b/crates/sidecar/src/selection.rs
@@ -1,4 +1,9 @@
 //! Which of several targets a request without an owner goes to.
+//!
+//! The one with the least cost of a few that are drawn: one in the own zone, others in the own region, others elsewhere.
+//! A cost is a time in seconds: what the request is expected to take there, the way to it, and what its bytes on that way
+//! are worth in waiting. So a request leaves its region where staying would take it so much longer, and stays again as
+//! soon as it wouldn't.
 
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -9,6 +14,7 @@
 
 use crate::directory::Destination;
 use crate::hop::Occupancy;
+use crate::ways::{Places, ReachChange, Relation, Ways};
 
 /// Weight of one answer's time against what was known.
 const SMOOTHING: f64 = 0.2;
@@ -18,6 +24,21 @@
 pub const ZONE_PREFERENCE: f64 = 1.35;
 /// The same for large answers, whose bytes between zones cost more than a little waiting.
 pub const ZONE_PREFERENCE_LARGE: f64 = 6.0;
+/// A request rather waits this part of its objective longer than go to another region, whose link is thin, shared by all and
+/// dear: up to the objective its caller is content with the answer.
+const REGION_PRICE: f64 = 1.0;
+/// The same for large answers, which fill such a link by themselves.
+const REGION_PRICE_LARGE: f64 = 4.0;
+/// Each node that has refused the request lowers that price by this factor: its region is short of room.
+const PRICE_AFTER_REFUSAL: f64 = 0.5;
+/// Targets drawn from the own region, beside one from the own zone.
+const DRAWS_IN_REGION: usize = 3;
+/// The same where there are no regions.
+const DRAWS_IN_ALL: usize = 2;
+/// Targets drawn from other regions.
+const DRAWS_ELSEWHERE: usize = 2;
+/// So many draws may hit a target that was tried before all others are looked through.
+const DRAWS_AGAIN: usize = 4;
 /// Weight of one request's end against the known share of failures.
 const FAILURE_SMOOTHING: f64 = 0.2;
 /// A share of failures fades over this time, so that the target is tried again.
@@ -80,10 +101,10 @@
 pub struct RequestPreference<'a> {
     /// The node that took it.
     pub node: &'a NodeName,
-    /// The zone of that node.
-    pub zone: &'a str,
-    /// Another zone must look better by this factor.
+    /// Another zone of the region must look better by this factor.
     pub preference: f64,
+    /// The time in which its caller is content with the answer.
+    pub objective: Duration,
     /// Whether its answer is likely to be large.
     pub large: bool,
 }
@@ -91,12 +112,26 @@
 /// What this node has seen of all targets.
 #[derive(Debug, Default)]
 pub struct Selection {
+    places: Places,
     seen: RefCell<HashMap<NodeName, EndpointStatistics>>,
+    ways: RefCell<Ways>,
 }
 
 impl Selection {
-    /// Picks one of the destinations that aren't in `tried`: the one with the shortest expected time
-    /// of one in the own zone and two drawn from all.
+    /// The choice of a node at these places.
+    pub fn new(places: Places) -> Self {
+        Self {
+            places,
+            ..Self::default()
+        }
+    }
+
+    /// Where the node is.
+    pub fn places(&self) -> &Places {
+        &self.places
+    }
+
+    /// Picks one of the destinations, the nearest of which come first, that aren't in `tried`.
     pub fn choose<'a>(
         &self,
         now: Time,
@@ -104,48 +139,97 @@
         destinations: &'a [Destination],
         tried: &[NodeName],
     ) -> Option<&'a Destination> {
-        let open = destinations
-            .iter()
-            .filter(|destination| !tried.contains(&destination.node))
-            .collect::<Vec<_>>();
-        let first = draw(&open)?;
-        let mut best = (first, self.cost(now, wish, first));
-        let locals = open
-            .iter()
-            .copied()
-            .filter(|destination| destination.zone == wish.zone)
-            .collect::<Vec<_>>();
-        for candidate in [draw(&open), draw(&locals)].into_iter().flatten() {
-            let cost = self.cost(now, wish, candidate);
-            if cost < best.1 {
-                best = (candidate, cost);
+        let within = |relation| destinations.partition_point(|known| known.relation <= relation);
+        let own_zone = &destinations[..within(Relation::SameZone)];
+        let (own_region, elsewhere) = destinations.split_at(within(Relation::SameRegion));
+        let in_region = if elsewhere.is_empty() {
+            DRAWS_IN_ALL
+        } else {
+            DRAWS_IN_REGION
+        };
+        let draws = [
+            (own_region, in_region),
+            (own_zone, 1),
+            (elsewhere, DRAWS_ELSEWHERE),
+        ];
+        let mut best = None::<(&Destination, f64)>;
+        for (among, times) in draws {
+            for candidate in (0..times).filter_map(|_| draw(among, tried)) {
+                let cost = self.cost(now, wish, candidate, tried.len());
+                if best.is_none_or(|(_, least)| cost < least) {
+                    best = Some((candidate, cost));
+                }
             }
         }
-        Some(best.0)
+        best.map(|(destination, _)| destination)
+    }
+
+    /// What it costs a request to go there, in seconds, after so many refusals.
+    fn cost(
+        &self,
+        now: Time,
+        wish: RequestPreference<'_>,
+        destination: &Destination,
+        refusals: usize,
+    ) -> f64 {
+        let (expected, avoided) = self.expected(now, wish, destination);
+        let ways = self.ways.borrow();
+        let way = ways.time(now, &destination.zone, destination.relation);
+        let cost = match destination.relation {
+            Relation::SameZone => expected + way,
+            Relation::SameRegion => (expected + way) * wish.preference,
+            Relation::OtherRegion => expected + way + region_price(wish, refusals),
+        };
+        let region = self.places.region(&destination.zone);
+        if avoided || ways.is_avoided(now, region) {
+            cost + AVOIDED_COST
+        } else {
+            cost
+        }
     }
 
-    /// Expected time of a request there, in seconds, with the handicaps of other zones and failures.
-    fn cost(&self, now: Time, wish: RequestPreference<'_>, destination: &Destination) -> f64 {
+    /// How long a request is expected to take at a node, in seconds, worse if requests fail there; and whether the node
+    /// is avoided.
+    fn expected(
+        &self,
+        now: Time,
+        wish: RequestPreference<'_>,
+        destination: &Destination,
+    ) -> (f64, bool) {
         let seen = self.seen.borrow();
         let Some(seen) = seen.get(&destination.node) else {
-            return FIRST_TIME;
+            return (FIRST_TIME, false);
         };
         let weight = remaining(now, seen.reported_at, REPORT_FADES);
         let reported = f64::from(seen.running + WAITING_WEIGHT * seen.waiting) * weight;
         let load = (f64::from(seen.outstanding) + reported) / f64::from(destination.slots.max(1));
-        let mut cost = seen.time.unwrap_or(FIRST_TIME) * (1.0 + load * load * LOAD_STEEPNESS);
+        let mut expected = seen.time.unwrap_or(FIRST_TIME) * (1.0 + load * load * LOAD_STEEPNESS);
         if wish.large && destination.node != *wish.node {
             let weight = remaining(now, seen.reported_at, LINK_REPORT_FADES);
-            cost += f64::from(seen.link_ms) / 1000.0 * weight;
+            expected += f64::from(seen.link_ms) / 1000.0 * weight;
         }
-        cost *= 1.0 + FAILURE_HANDICAP * seen.failures(now);
-        if destination.zone != wish.zone {
-            cost *= wish.preference;
+        expected *= 1.0 + FAILURE_HANDICAP * seen.failures(now);
+        (expected, now < seen.avoid_until)
+    }
+
+    /// An answer of a node spent so long on its way there and back.
+    pub fn answered(&self, now: Time, destination: &Destination, on_way: Duration) -> ReachChange {
+        let mut ways = self.ways.borrow_mut();
+        ways.answered(now, &destination.zone, destination.relation, on_way);
+        match destination.relation {
+            Relation::OtherRegion => ways.reached(self.places.region(&destination.zone)),
+            Relation::SameZone | Relation::SameRegion => ReachChange::None,
         }
-        if now < seen.avoid_until {
-            cost += AVOIDED_COST;
+    }
+
+    /// No answer came from a node.
+    pub fn unreachable(&self, now: Time, destination: &Destination) -> ReachChange {
+        if destination.relation != Relation::OtherRegion {
+            return ReachChange::None;
         }
-        cost
+        let region = self.places.region(&destination.zone);
+        let mut ways = self.ways.borrow_mut();
+        ways.unreachable(now, region, &destination.node)
     }
 
     /// A request goes out to a node.
@@ -204,11 +288,32 @@
     }
 }
 
-fn draw<'a>(destinations: &[&'a Destination]) -> Option<&'a Destination> {
+/// What the way to another region is worth in waiting, in seconds, after so many refusals.
+fn region_price(wish: RequestPreference<'_>, refusals: usize) -> f64 {
+    let price = if wish.large {
+        REGION_PRICE_LARGE
+    } else {
+        REGION_PRICE
+    };
+    let refusals = i32::try_from(refusals).unwrap_or(i32::MAX);
+    wish.objective.as_secs_f64() * price * PRICE_AFTER_REFUSAL.powi(refusals)
+}
+
+/// One of the destinations that haven't been tried, all alike.
+fn draw<'a>(destinations: &'a [Destination], tried: &[NodeName]) -> Option<&'a Destination> {
     if destinations.is_empty() {
         return None;
     }
-    destinations
-        .get(rand::rng().random_range(0..destinations.len()))
-        .copied()
+    let is_open = |destination: &&Destination| !tried.contains(&destination.node);
+    let mut random = rand::rng();
+    for _ in 0..DRAWS_AGAIN {
+        let drawn = destinations.get(random.random_range(0..destinations.len()));
+        if let Some(drawn) = drawn.filter(is_open) {
+            return Some(drawn);
+        }
+    }
+    // Most of a short list have been tried.
+    let open = destinations.iter().filter(is_open).collect::<Vec<_>>();
+    let drawn = random.random_range(0..open.len().max(1));
+    open.get(drawn).copied()
 }
