Choice of a target knows regions: the way's time and price, spill-over and back, regions avoided

Change: targets are sorted by how near they are; a request leaves its region only where staying takes an objective of its route longer and the other region would answer within it. The load that one node elsewhere tells counts for its region. Three nodes unreachable in a row make a region avoided; then one request tries it. Events spill_over_begun/ended, region_avoided/reached; metrics hops, hop_bytes.

--- a/crates/sidecar/src/hop.rs
+++ b/crates/sidecar/src/hop.rs
@@ -7,6 +7,7 @@
 use http::uri::PathAndQuery;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode};
 use http_body_util::BodyExt;
+use prometheus_client::metrics::counter::Counter;
 use tokio::time::{Instant, timeout_at};
 use wingspar_platform::headers;
 use wingspar_quarantine::Fingerprint;
@@ -289,19 +290,23 @@
     response
 }
 
-/// Sends a request to another node and reads its answer; small bodies are read whole.
+/// Sends a request to another node and reads its answer; small bodies are read whole. Adds the bytes of both to `bytes`.
 pub async fn send(
     connections: &std::rc::Rc<Connections>,
     request: HopRequest,
+    bytes: &Counter,
 ) -> (HopAnswer, Option<Occupancy>) {
     let deadline = request.deadline.timer();
-    let sent = timeout_at(deadline, connections.send(encode(request))).await;
+    let request = encode(request);
+    bytes.inc_by(length_of(request.headers(), request.body()));
+    let sent = timeout_at(deadline, connections.send(request)).await;
     let response = match sent {
         Err(_) => return (HopAnswer::MayHaveRun("no answer in time".to_owned()), None),
         Ok(Err(SendError::NotSent(_))) => return (HopAnswer::Refused(Refusal::Unreachable), None),
         Ok(Err(SendError::MayHaveRun(detail))) => return (HopAnswer::MayHaveRun(detail), None),
         Ok(Ok(response)) => response,
     };
+    bytes.inc_by(length_of(response.headers(), response.body()));
     let occupancy = read_occupancy(response.headers());
     let outcome = response
         .headers()
@@ -324,6 +329,17 @@
     (answer, occupancy)
 }
 
+/// Bytes of the headers and, if its length is known, of the body.
+fn length_of(headers: &HeaderMap, body: &impl http_body::Body) -> u64 {
+    // A colon, a space and the end of the line.
+    const SEPARATORS: usize = 4;
+    let lines = headers
+        .iter()
+        .map(|(name, value)| name.as_str().len() + value.len() + SEPARATORS);
+    let head = u64::try_from(lines.sum::<usize>()).unwrap_or(u64::MAX);
+    head.saturating_add(body.size_hint().exact().unwrap_or_default())
+}
+
 async fn receive(
     response: Response<crate::connections::ConnectionBody>,
     deadline: Instant,
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod selection;
 mod settings;
 pub mod slots;
+pub mod spill_over;
 pub mod start_rate;
 pub mod stop;
 mod store;
--- a/crates/sidecar/src/logs.rs
+++ b/crates/sidecar/src/logs.rs
@@ -262,6 +262,22 @@
         /// The leader's epoch.
         epoch: u64,
     },
+    /// A first request of a service leaves the region, which is short of room.
+    SpillOverBegun {
+        /// The service.
+        service: &'a str,
+        /// The node that the request goes to.
+        tried: &'a str,
+    },
+    /// All requests of a service stay in the region again.
+    SpillOverEnded {
+        /// The service.
+        service: &'a str,
+        /// Requests that left the region.
+        requests: u64,
+        /// From the first of them to the last, in milliseconds.
+        lasted_ms: u64,
+    },
     /// Nodes of another region couldn't be reached: it is avoided for a while.
     RegionAvoided {
         /// The region.
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -34,6 +34,13 @@
     pub service: String,
 }
 
+/// One label for how near another node is.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct RelationLabel {
+    /// How near.
+    pub relation: &'static str,
+}
+
 /// All figures of a node.
 pub struct Metrics {
     registry: Registry,
@@ -43,6 +50,10 @@
     pub latency: Family<ServiceLabel, Histogram>,
     /// Requests that the agent refused or lost, by reason.
     pub refusals: Family<OutcomeLabel, Counter>,
+    /// Requests sent to other nodes, by how near those are.
+    pub hops: Family<RelationLabel, Counter>,
+    /// Bytes of those requests and their answers, heads and bodies of known length.
+    pub hop_bytes: Family<RelationLabel, Counter>,
     /// Sends beyond a request's first.
     pub repeats: Counter,
     /// Calls to the store, by outcome.
@@ -76,6 +87,8 @@
             requests: Family::default(),
             latency,
             refusals: Family::default(),
+            hops: Family::default(),
+            hop_bytes: Family::default(),
             repeats: Counter::default(),
             store_calls: Family::default(),
             key_orders: Family::default(),
@@ -103,6 +116,12 @@
             "Requests that the agent refused or lost",
             metrics.refusals.clone(),
         );
+        registry.register("hops", "Requests sent to other nodes", metrics.hops.clone());
+        registry.register(
+            "hop_bytes",
+            "Bytes of requests to other nodes and of their answers",
+            metrics.hop_bytes.clone(),
+        );
         registry.register(
             "repeats",
             "Sends beyond a request's first",
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -27,6 +27,7 @@
 use crate::selection::Selection;
 use crate::settings::Settings;
 use crate::slots::{Slots, StartLimit};
+use crate::spill_over::SpillOver;
 use crate::stop::Stop;
 use crate::store::Store;
 use crate::target::{Target, Warmth};
@@ -120,6 +121,8 @@
     peers: RefCell<HashMap<SocketAddr, Rc<Connections>>>,
     /// What is known of targets elsewhere.
     pub selection: Selection,
+    /// Services whose requests leave the region.
+    pub spill_over: RefCell<SpillOver>,
     /// Extra sends.
     pub budget: RefCell<Budget>,
     /// Whether the process is about to stop.
@@ -182,6 +185,7 @@
             key_news: Notify::new(),
             peers: RefCell::new(HashMap::new()),
             selection: Selection::new(Places::of(&settings)),
+            spill_over: RefCell::default(),
             budget: RefCell::new(Budget::new(
                 settings.bounds.budget_ratio,
                 settings.bounds.budget_extra,
--- a/crates/sidecar/src/router/send.rs
+++ b/crates/sidecar/src/router/send.rs
@@ -14,13 +14,16 @@
 use crate::agent;
 use crate::answer::Reason;
 use crate::body::Body;
+use crate::clock::whole_millis;
 use crate::directory::Destination;
 use crate::hop::{self, HopAnswer, HopRequest, Occupancy, Refusal};
 use crate::logs::Event;
+use crate::metrics::RelationLabel;
 use crate::node::Node;
 use crate::quarantine;
 use crate::selection::{Ended, RequestPreference, ZONE_PREFERENCE, ZONE_PREFERENCE_LARGE};
 use crate::slots::Turn;
+use crate::spill_over::SpillChange;
 use crate::ways::ReachChange;
 
 /// Pause before a key's owner is looked up again, unless the directory changes before.
@@ -163,16 +166,38 @@
         Repeatability::Download => ZONE_PREFERENCE_LARGE,
         _ => ZONE_PREFERENCE,
     };
-    let objective = routed.route.objective.unwrap_or(routed.times.deadline.left());
+    let objective = routed
+        .route
+        .objective
+        .unwrap_or(routed.times.deadline.left());
     let wish = RequestPreference {
         node: &node.name,
+        service: routed.service,
         preference,
         objective,
         large: routed.times.transfer.is_some(),
     };
-    node.selection
-        .choose(node.now(), wish, destinations, tried)
-        .cloned()
+    let now = node.now();
+    let chosen = node.selection.choose(now, wish, destinations, tried)?;
+    note_spill_over(node, routed.service, chosen);
+    Some(chosen.clone())
+}
+
+/// Notes whether requests of a service begin or cease to leave the region.
+fn note_spill_over(node: &Node, service: &str, chosen: &Destination) {
+    let mut spill_over = node.spill_over.borrow_mut();
+    match spill_over.chosen(node.now(), service, chosen.relation) {
+        SpillChange::None => {}
+        SpillChange::Begun => node.log.write(Event::SpillOverBegun {
+            service,
+            tried: &chosen.node,
+        }),
+        SpillChange::Ended { requests, lasted } => node.log.write(Event::SpillOverEnded {
+            service,
+            requests,
+            lasted_ms: whole_millis(lasted),
+        }),
+    }
 }
 
 /// Until when a request may wait at the node that is asked next. While others could run it too, a full
@@ -230,11 +255,17 @@
         let answer = agent::serve(node, request).await;
         (answer, Some(agent::occupancy(node)))
     } else {
-        hop::send(&node.peer(destination.address), request).await
+        let relation = RelationLabel {
+            relation: destination.relation.name(),
+        };
+        node.metrics.hops.get_or_create(&relation).inc();
+        let bytes = node.metrics.hop_bytes.get_or_create(&relation).clone();
+        hop::send(&node.peer(destination.address), request, &bytes).await
     };
     if let Some(occupancy) = occupancy {
         let now = node.now();
-        node.selection.reported(now, &destination.node, occupancy);
+        node.selection
+            .reported(now, routed.service, destination, occupancy);
     }
     let on_way = occupancy.and_then(|occupancy| outstanding.on_way(occupancy));
     if !is_here {
--- a/crates/sidecar/src/selection.rs
+++ b/crates/sidecar/src/selection.rs
@@ -1,9 +1,9 @@
 //! Which of several targets a request without an owner goes to.
 //!
-//! The one with the least cost of a few that are drawn: one in the own zone, others in the own region, others elsewhere.
-//! A cost is a time in seconds: what the request is expected to take there, the way to it, and what its bytes on that way
-//! are worth in waiting. So a request leaves its region where staying would take it so much longer, and stays again as
-//! soon as it wouldn't.
+//! The one with the least cost of a few that are drawn from the own region, one of them from the own zone. A cost is a time
+//! in seconds: what the request is expected to take there, with the way. A request leaves its region only where staying
+//! would take it longer by more than the way's price, which is a time too, and where another region has room. So it stays
+//! again as soon as its region has room, and where all are short of room none is asked for another's sake.
 
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -29,8 +29,6 @@
 const REGION_PRICE: f64 = 1.0;
 /// The same for large answers, which fill such a link by themselves.
 const REGION_PRICE_LARGE: f64 = 4.0;
-/// Each node that has refused the request lowers that price by this factor: its region is short of room.
-const PRICE_AFTER_REFUSAL: f64 = 0.5;
 /// Targets drawn from the own region, beside one from the own zone.
 const DRAWS_IN_REGION: usize = 3;
 /// The same where there are no regions.
@@ -55,6 +53,11 @@
 const AVOIDED_COST: f64 = 10.0;
 /// What a node reported of its load fades over this time.
 const REPORT_FADES: Duration = Duration::from_millis(400);
+/// What one node of another region reported tells of all others there, over this time: requests go there too seldom to know
+/// each, and a region that is short of room rarely gets it back sooner.
+const REGION_LOAD_FADES: Duration = Duration::from_secs(3);
+/// Weight of one report against what was known of the region.
+const REGION_LOAD_SMOOTHING: f64 = 0.3;
 /// The same for what it reported of its link.
 const LINK_REPORT_FADES: Duration = Duration::from_millis(1_500);
 
@@ -85,6 +88,20 @@
     (1.0 - age).max(0.0)
 }
 
+/// What nodes of another region reported of a service's targets.
+#[derive(Debug, Clone, Copy, Default)]
+struct RegionLoad {
+    /// Smoothed share of slots in use, with those that wait.
+    load: f64,
+    reported_at: Time,
+}
+
+impl RegionLoad {
+    fn now(&self, now: Time) -> f64 {
+        self.load * remaining(now, self.reported_at, REGION_LOAD_FADES)
+    }
+}
+
 /// How a request ended at a node.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Ended {
@@ -101,6 +118,8 @@
 pub struct RequestPreference<'a> {
     /// The node that took it.
     pub node: &'a NodeName,
+    /// The service that is to run it.
+    pub service: &'a str,
     /// Another zone of the region must look better by this factor.
     pub preference: f64,
     /// The time in which its caller is content with the answer.
@@ -115,6 +134,8 @@
     places: Places,
     seen: RefCell<HashMap<NodeName, EndpointStatistics>>,
     ways: RefCell<Ways>,
+    /// By service and region.
+    regions: RefCell<HashMap<(String, String), RegionLoad>>,
 }
 
 impl Selection {
@@ -147,39 +168,41 @@
         } else {
             DRAWS_IN_REGION
         };
-        let draws = [
-            (own_region, in_region),
-            (own_zone, 1),
-            (elsewhere, DRAWS_ELSEWHERE),
-        ];
-        let mut best = None::<(&Destination, f64)>;
-        for (among, times) in draws {
-            for candidate in (0..times).filter_map(|_| draw(among, tried)) {
-                let cost = self.cost(now, wish, candidate, tried.len());
-                if best.is_none_or(|(_, least)| cost < least) {
-                    best = Some((candidate, cost));
-                }
+        let near = (0..in_region)
+            .filter_map(|_| draw(own_region, tried))
+            .chain(draw(own_zone, tried));
+        let far = (0..DRAWS_ELSEWHERE).filter_map(|_| draw(elsewhere, tried));
+        match (self.best(now, wish, near), self.best(now, wish, far)) {
+            (Some(near), Some(far)) if !leaves_region(wish, near.1, far.1) => Some(near.0),
+            (_, Some((far, _))) => {
+                let region = self.places.region(&far.zone);
+                self.ways.borrow_mut().asked(now, region);
+                Some(far)
             }
+            (near, None) => near.map(|(destination, _)| destination),
         }
-        best.map(|(destination, _)| destination)
     }
 
-    /// What it costs a request to go there, in seconds, after so many refusals.
-    fn cost(
+    /// The one of these with the least cost, and that.
+    fn best<'a>(
         &self,
         now: Time,
         wish: RequestPreference<'_>,
-        destination: &Destination,
-        refusals: usize,
-    ) -> f64 {
+        candidates: impl Iterator<Item = &'a Destination>,
+    ) -> Option<(&'a Destination, f64)> {
+        candidates
+            .map(|candidate| (candidate, self.cost(now, wish, candidate)))
+            .min_by(|(_, left), (_, right)| left.total_cmp(right))
+    }
+
+    /// What it costs a request to go there, in seconds.
+    fn cost(&self, now: Time, wish: RequestPreference<'_>, destination: &Destination) -> f64 {
         let (expected, avoided) = self.expected(now, wish, destination);
         let ways = self.ways.borrow();
-        let way = ways.time(now, &destination.zone, destination.relation);
-        let cost = match destination.relation {
-            Relation::SameZone => expected + way,
-            Relation::SameRegion => (expected + way) * wish.preference,
-            Relation::OtherRegion => expected + way + region_price(wish, refusals),
-        };
+        let mut cost = expected + ways.time(now, &destination.zone, destination.relation);
+        if destination.relation == Relation::SameRegion {
+            cost *= wish.preference;
+        }
         let region = self.places.region(&destination.zone);
         if avoided || ways.is_avoided(now, region) {
             cost + AVOIDED_COST
@@ -197,13 +220,15 @@
         destination: &Destination,
     ) -> (f64, bool) {
         let seen = self.seen.borrow();
+        let load_there = self.region_load(now, wish.service, destination);
         let Some(seen) = seen.get(&destination.node) else {
-            return (FIRST_TIME, false);
+            return (FIRST_TIME * slowed(load_there), false);
         };
         let weight = remaining(now, seen.reported_at, REPORT_FADES);
         let reported = f64::from(seen.running + WAITING_WEIGHT * seen.waiting) * weight;
         let load = (f64::from(seen.outstanding) + reported) / f64::from(destination.slots.max(1));
-        let mut expected = seen.time.unwrap_or(FIRST_TIME) * (1.0 + load * load * LOAD_STEEPNESS);
+        let load = load.max(load_there);
+        let mut expected = seen.time.unwrap_or(FIRST_TIME) * slowed(load);
         if wish.large && destination.node != *wish.node {
             let weight = remaining(now, seen.reported_at, LINK_REPORT_FADES);
             expected += f64::from(seen.link_ms) / 1000.0 * weight;
@@ -212,6 +237,17 @@
         (expected, now < seen.avoid_until)
     }
 
+    /// How full a service's targets are in the region of a destination, if that is another one.
+    fn region_load(&self, now: Time, service: &str, destination: &Destination) -> f64 {
+        if destination.relation != Relation::OtherRegion {
+            return 0.0;
+        }
+        let region = self.places.region(&destination.zone);
+        let regions = self.regions.borrow();
+        let known = regions.get(&(service.to_owned(), region.to_owned()));
+        known.map_or(0.0, |known| known.now(now))
+    }
+
     /// An answer of a node spent so long on its way there and back.
     pub fn answered(&self, now: Time, destination: &Destination, on_way: Duration) -> ReachChange {
         let mut ways = self.ways.borrow_mut();
@@ -262,13 +298,34 @@
     }
 
     /// A node told how many requests run and wait at its target, and how busy its link is.
-    pub fn reported(&self, now: Time, node: &NodeName, occupancy: Occupancy) {
+    pub fn reported(
+        &self,
+        now: Time,
+        service: &str,
+        destination: &Destination,
+        occupancy: Occupancy,
+    ) {
         let mut seen = self.seen.borrow_mut();
-        let seen = seen.entry(node.clone()).or_default();
+        let seen = seen.entry(destination.node.clone()).or_default();
         seen.running = occupancy.running;
         seen.waiting = occupancy.waiting;
         seen.link_ms = occupancy.link_ms;
         seen.reported_at = now;
+        if destination.relation != Relation::OtherRegion {
+            return;
+        }
+        let busy = occupancy.running + WAITING_WEIGHT * occupancy.waiting;
+        let load = f64::from(busy) / f64::from(destination.slots.max(1));
+        let region = self.places.region(&destination.zone);
+        let mut regions = self.regions.borrow_mut();
+        let region = regions
+            .entry((service.to_owned(), region.to_owned()))
+            .or_default();
+        let known = region.now(now);
+        *region = RegionLoad {
+            load: known + REGION_LOAD_SMOOTHING * (load - known),
+            reported_at: now,
+        };
     }
 
     /// A node couldn't be reached, or refused.
@@ -288,15 +345,21 @@
     }
 }
 
-/// What the way to another region is worth in waiting, in seconds, after so many refusals.
-fn region_price(wish: RequestPreference<'_>, refusals: usize) -> f64 {
+/// How many times longer a request takes where so much of the slots is in use.
+fn slowed(load: f64) -> f64 {
+    1.0 + load * load * LOAD_STEEPNESS
+}
+
+/// Whether a request that costs so much in its region and so much elsewhere is worth the way to another region: it saves
+/// more than the way's price, and arrives where there is room for it.
+fn leaves_region(wish: RequestPreference<'_>, near: f64, far: f64) -> bool {
+    let objective = wish.objective.as_secs_f64();
     let price = if wish.large {
         REGION_PRICE_LARGE
     } else {
         REGION_PRICE
     };
-    let refusals = i32::try_from(refusals).unwrap_or(i32::MAX);
-    wish.objective.as_secs_f64() * price * PRICE_AFTER_REFUSAL.powi(refusals)
+    far + objective * price < near && far < objective
 }
 
 /// One of the destinations that haven't been tried, all alike.
--- a/crates/sidecar/src/ways.rs
+++ b/crates/sidecar/src/ways.rs
@@ -27,6 +27,9 @@
 const UNREACHABLE_WITHIN: Duration = Duration::from_secs(2);
 /// An avoided region is tried again after this: each try that fails costs a request the time to connect.
 const REGION_AVOIDED: Duration = Duration::from_secs(2);
+/// After that time one request tries it, and others only if nothing is known of that one after so long: a connection that
+/// doesn't come up is given up in half of it.
+const TRY_LASTS: Duration = Duration::from_millis(500);
 
 /// How near a node is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -162,6 +165,15 @@
             .is_some_and(|until| now < until)
     }
 
+    /// A request goes to a region; if that was avoided, others wait for what becomes of it.
+    pub fn asked(&mut self, now: Time, region: &str) {
+        if let Some(reach) = self.regions.get_mut(region)
+            && let Some(until) = &mut reach.avoided_until
+        {
+            *until = (*until).max(now + TRY_LASTS);
+        }
+    }
+
     /// A node of another region couldn't be reached.
     pub fn unreachable(&mut self, now: Time, region: &str, node: &NodeName) -> ReachChange {
         let reach = self.regions.entry(region.to_owned()).or_default();
--- /dev/null
+++ b/crates/sidecar/tests/ways.rs
@@ -0,0 +1,141 @@
+//! How near zones are, what is known of the ways to them, when a region is avoided, and when requests leave the region.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use wingspar_ownership::{MemberView, NodeName, Table, TargetState, Time};
+use wingspar_sidecar::directory::Directory;
+use wingspar_sidecar::spill_over::{SpillChange, SpillOver};
+use wingspar_sidecar::ways::{Places, ReachChange, Relation, Ways};
+
+fn places() -> Places {
+    let regions = [("a", "east"), ("b", "east"), ("c", "west")];
+    let named = regions.map(|(zone, region)| (zone.to_owned(), region.to_owned()));
+    Places::new("a", BTreeMap::from(named))
+}
+
+fn node(number: u32) -> NodeName {
+    NodeName::from(format!("node-{number}").as_str())
+}
+
+#[test]
+fn a_zone_without_a_region_counts_as_near() {
+    let places = places();
+    assert_eq!(places.relation("a"), Relation::SameZone);
+    assert_eq!(places.relation("b"), Relation::SameRegion);
+    assert_eq!(places.relation("c"), Relation::OtherRegion);
+    assert_eq!(places.relation("unknown"), Relation::SameRegion);
+    let nothing_known = Places::new("a", BTreeMap::new());
+    assert_eq!(nothing_known.relation("c"), Relation::SameRegion);
+}
+
+#[test]
+fn a_directory_lists_the_nearest_first() {
+    let members = ["c", "b", "a", "c", "a"].into_iter().enumerate();
+    let members = members.map(|(number, zone)| MemberView {
+        node: node(u32::try_from(number).expect("a small number")),
+        zone: zone.to_owned(),
+        address: ([10, 0, 0, 1], 7_000).into(),
+        target: Some(TargetState {
+            id: "life".to_owned(),
+            service: "board".to_owned(),
+            accepting: true,
+            slots: 6,
+            starts_per_s: None,
+        }),
+        leaving: false,
+    });
+    let table = Table {
+        members: members.collect(),
+        ..Table::default()
+    };
+    let directory = Directory::new(table, &places());
+    let zones = directory.destinations("board").iter();
+    let zones = zones.map(|destination| destination.zone.as_str());
+    assert_eq!(zones.collect::<Vec<_>>(), ["a", "a", "b", "c", "c"]);
+}
+
+#[test]
+fn what_was_seen_of_a_full_way_fades() {
+    let mut ways = Ways::default();
+    let usual = ways.time(Time(0), "c", Relation::OtherRegion);
+    assert!(usual < 0.05, "{usual}");
+    for _ in 0..30 {
+        let slow = Duration::from_millis(800);
+        ways.answered(Time(1_000), "c", Relation::OtherRegion, slow);
+    }
+    assert!(ways.time(Time(1_000), "c", Relation::OtherRegion) > 0.7);
+    let later = ways.time(Time(5_000), "c", Relation::OtherRegion);
+    assert!((later - usual).abs() < 1e-9, "{later}");
+}
+
+#[test]
+fn one_machine_that_fails_is_not_a_region() {
+    let mut ways = Ways::default();
+    for at in 0..20 {
+        let change = ways.unreachable(Time(at * 10), "west", &node(1));
+        assert_eq!(change, ReachChange::None);
+    }
+    assert!(!ways.is_avoided(Time(200), "west"));
+}
+
+#[test]
+fn an_answer_in_between_shows_that_the_region_is_there() {
+    let mut ways = Ways::default();
+    ways.unreachable(Time(0), "west", &node(1));
+    ways.unreachable(Time(10), "west", &node(2));
+    assert_eq!(ways.reached("west"), ReachChange::None);
+    assert_eq!(
+        ways.unreachable(Time(20), "west", &node(3)),
+        ReachChange::None
+    );
+    assert!(!ways.is_avoided(Time(20), "west"));
+}
+
+#[test]
+fn nodes_that_failed_long_apart_do_not_count_together() {
+    let mut ways = Ways::default();
+    for number in 0..5 {
+        let at = Time(u64::from(number) * 1_500);
+        let change = ways.unreachable(at, "west", &node(number));
+        assert_eq!(change, ReachChange::None);
+    }
+}
+
+#[test]
+fn a_lost_region_is_tried_by_one_request_at_a_time() {
+    let mut ways = Ways::default();
+    ways.unreachable(Time(0), "west", &node(1));
+    ways.unreachable(Time(10), "west", &node(2));
+    let change = ways.unreachable(Time(20), "west", &node(3));
+    assert_eq!(change, ReachChange::Avoided);
+    assert!(ways.is_avoided(Time(2_000), "west"));
+    assert!(!ways.is_avoided(Time(2_100), "west"));
+    ways.asked(Time(2_100), "west");
+    assert!(ways.is_avoided(Time(2_200), "west"));
+    assert_eq!(
+        ways.unreachable(Time(2_350), "west", &node(4)),
+        ReachChange::None
+    );
+    assert!(ways.is_avoided(Time(4_300), "west"));
+    assert_eq!(ways.reached("west"), ReachChange::Reached);
+    assert!(!ways.is_avoided(Time(4_300), "west"));
+    assert_eq!(ways.reached("west"), ReachChange::None);
+}
+
+#[test]
+fn a_spill_over_is_told_once_with_its_length() {
+    let mut spill_over = SpillOver::default();
+    let mut chosen = |at, relation| spill_over.chosen(Time(at), "board", relation);
+    assert_eq!(chosen(0, Relation::SameZone), SpillChange::None);
+    assert_eq!(chosen(100, Relation::OtherRegion), SpillChange::Begun);
+    assert_eq!(chosen(200, Relation::SameRegion), SpillChange::None);
+    assert_eq!(chosen(900, Relation::OtherRegion), SpillChange::None);
+    assert_eq!(chosen(2_800, Relation::SameZone), SpillChange::None);
+    let ended = SpillChange::Ended {
+        requests: 2,
+        lasted: Duration::from_millis(800),
+    };
+    assert_eq!(chosen(2_900, Relation::SameZone), ended);
+    assert_eq!(chosen(3_000, Relation::SameZone), SpillChange::None);
+}
