--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod selection;
 mod settings;
 pub mod slots;
+pub mod spill_over;
 pub mod start_rate;
 pub mod stop;
 mod store;
@@ -48,6 +49,7 @@
 mod target_calls;
 mod target_end;
 pub mod tenants;
+pub mod ways;
 
 pub use run::{RunError, run};
 pub use settings::{Settings, SettingsError};
--- a/crates/sidecar/src/selection.rs
+++ b/crates/sidecar/src/selection.rs
@@ -1,4 +1,9 @@
 //! Which of several targets a request without an owner goes to.
+//!
+//! The one with the least cost of a few that are drawn from the own region, one of them from the own zone. A cost is a time
+//! in seconds: what the request is expected to take there, with the way. A request leaves its region only where staying
+//! would take it longer by more than the way's price, which is a time too, and where another region has room. So it stays
+//! again as soon as its region has room, and where all are short of room none is asked for another's sake.
 
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -9,6 +14,7 @@
 
 use crate::directory::Destination;
 use crate::hop::Occupancy;
+use crate::ways::{Places, ReachChange, Relation, Ways};
 
 /// Weight of one answer's time against what was known.
 const SMOOTHING: f64 = 0.2;
@@ -18,6 +24,19 @@
 pub const ZONE_PREFERENCE: f64 = 1.35;
 /// The same for large answers, whose bytes between zones cost more than a little waiting.
 pub const ZONE_PREFERENCE_LARGE: f64 = 6.0;
+/// A request rather waits this part of its objective longer than go to another region, whose link is thin, shared by all and
+/// dear: up to the objective its caller is content with the answer.
+const REGION_PRICE: f64 = 1.0;
+/// The same for large answers, which fill such a link by themselves.
+const REGION_PRICE_LARGE: f64 = 4.0;
+/// Targets drawn from the own region, beside one from the own zone.
+const DRAWS_IN_REGION: usize = 3;
+/// The same where there are no regions.
+const DRAWS_IN_ALL: usize = 2;
+/// Targets drawn from other regions.
+const DRAWS_ELSEWHERE: usize = 2;
+/// So many draws may hit a target that was tried before all others are looked through.
+const DRAWS_AGAIN: usize = 4;
 /// Weight of one request's end against the known share of failures.
 const FAILURE_SMOOTHING: f64 = 0.2;
 /// A share of failures fades over this time, so that the target is tried again.
@@ -34,6 +53,11 @@
 const AVOIDED_COST: f64 = 10.0;
 /// What a node reported of its load fades over this time.
 const REPORT_FADES: Duration = Duration::from_millis(400);
+/// What one node of another region reported tells of all others there, over this time: requests go there too seldom to know
+/// each, and a region that is short of room rarely gets it back sooner.
+const REGION_LOAD_FADES: Duration = Duration::from_secs(3);
+/// Weight of one report against what was known of the region.
+const REGION_LOAD_SMOOTHING: f64 = 0.3;
 /// The same for what it reported of its link.
 const LINK_REPORT_FADES: Duration = Duration::from_millis(1_500);
 
@@ -64,6 +88,20 @@
     (1.0 - age).max(0.0)
 }
 
+/// What nodes of another region reported of a service's targets.
+#[derive(Debug, Clone, Copy, Default)]
+struct RegionLoad {
+    /// Smoothed share of slots in use, with those that wait.
+    load: f64,
+    reported_at: Time,
+}
+
+impl RegionLoad {
+    fn now(&self, now: Time) -> f64 {
+        self.load * remaining(now, self.reported_at, REGION_LOAD_FADES)
+    }
+}
+
 /// How a request ended at a node.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Ended {
@@ -80,10 +118,12 @@
 pub struct RequestPreference<'a> {
     /// The node that took it.
     pub node: &'a NodeName,
-    /// The zone of that node.
-    pub zone: &'a str,
-    /// Another zone must look better by this factor.
+    /// The service that is to run it.
+    pub service: &'a str,
+    /// Another zone of the region must look better by this factor.
     pub preference: f64,
+    /// The time in which its caller is content with the answer.
+    pub objective: Duration,
     /// Whether its answer is likely to be large.
     pub large: bool,
 }
@@ -91,12 +131,28 @@
 /// What this node has seen of all targets.
 #[derive(Debug, Default)]
 pub struct Selection {
+    places: Places,
     seen: RefCell<HashMap<NodeName, EndpointStatistics>>,
+    ways: RefCell<Ways>,
+    /// By service and region.
+    regions: RefCell<HashMap<(String, String), RegionLoad>>,
 }
 
 impl Selection {
-    /// Picks one of the destinations that aren't in `tried`: the one with the shortest expected time
-    /// of one in the own zone and two drawn from all.
+    /// The choice of a node at these places.
+    pub fn new(places: Places) -> Self {
+        Self {
+            places,
+            ..Self::default()
+        }
+    }
+
+    /// Where the node is.
+    pub fn places(&self) -> &Places {
+        &self.places
+    }
+
+    /// Picks one of the destinations, the nearest of which come first, that aren't in `tried`.
     pub fn choose<'a>(
         &self,
         now: Time,
@@ -104,48 +160,112 @@
         destinations: &'a [Destination],
         tried: &[NodeName],
     ) -> Option<&'a Destination> {
-        let open = destinations
-            .iter()
-            .filter(|destination| !tried.contains(&destination.node))
-            .collect::<Vec<_>>();
-        let first = draw(&open)?;
-        let mut best = (first, self.cost(now, wish, first));
-        let locals = open
-            .iter()
-            .copied()
-            .filter(|destination| destination.zone == wish.zone)
-            .collect::<Vec<_>>();
-        for candidate in [draw(&open), draw(&locals)].into_iter().flatten() {
-            let cost = self.cost(now, wish, candidate);
-            if cost < best.1 {
-                best = (candidate, cost);
+        let within = |relation| destinations.partition_point(|known| known.relation <= relation);
+        let own_zone = &destinations[..within(Relation::SameZone)];
+        let (own_region, elsewhere) = destinations.split_at(within(Relation::SameRegion));
+        let in_region = if elsewhere.is_empty() {
+            DRAWS_IN_ALL
+        } else {
+            DRAWS_IN_REGION
+        };
+        let near = (0..in_region)
+            .filter_map(|_| draw(own_region, tried))
+            .chain(draw(own_zone, tried));
+        let far = (0..DRAWS_ELSEWHERE).filter_map(|_| draw(elsewhere, tried));
+        match (self.best(now, wish, near), self.best(now, wish, far)) {
+            (Some(near), Some(far)) if !leaves_region(wish, near.1, far.1) => Some(near.0),
+            (_, Some((far, _))) => {
+                let region = self.places.region(&far.zone);
+                self.ways.borrow_mut().asked(now, region);
+                Some(far)
             }
+            (near, None) => near.map(|(destination, _)| destination),
         }
-        Some(best.0)
     }
 
-    /// Expected time of a request there, in seconds, with the handicaps of other zones and failures.
+    /// The one of these with the least cost, and that.
+    fn best<'a>(
+        &self,
+        now: Time,
+        wish: RequestPreference<'_>,
+        candidates: impl Iterator<Item = &'a Destination>,
+    ) -> Option<(&'a Destination, f64)> {
+        candidates
+            .map(|candidate| (candidate, self.cost(now, wish, candidate)))
+            .min_by(|(_, left), (_, right)| left.total_cmp(right))
+    }
+
+    /// What it costs a request to go there, in seconds.
     fn cost(&self, now: Time, wish: RequestPreference<'_>, destination: &Destination) -> f64 {
+        let (expected, avoided) = self.expected(now, wish, destination);
+        let ways = self.ways.borrow();
+        let mut cost = expected + ways.time(now, &destination.zone, destination.relation);
+        if destination.relation == Relation::SameRegion {
+            cost *= wish.preference;
+        }
+        let region = self.places.region(&destination.zone);
+        if avoided || ways.is_avoided(now, region) {
+            cost + AVOIDED_COST
+        } else {
+            cost
+        }
+    }
+
+    /// How long a request is expected to take at a node, in seconds, worse if requests fail there; and whether the node
+    /// is avoided.
+    fn expected(
+        &self,
+        now: Time,
+        wish: RequestPreference<'_>,
+        destination: &Destination,
+    ) -> (f64, bool) {
         let seen = self.seen.borrow();
+        let load_there = self.region_load(now, wish.service, destination);
         let Some(seen) = seen.get(&destination.node) else {
-            return FIRST_TIME;
+            return (FIRST_TIME * slowed(load_there), false);
         };
         let weight = remaining(now, seen.reported_at, REPORT_FADES);
         let reported = f64::from(seen.running + WAITING_WEIGHT * seen.waiting) * weight;
         let load = (f64::from(seen.outstanding) + reported) / f64::from(destination.slots.max(1));
-        let mut cost = seen.time.unwrap_or(FIRST_TIME) * (1.0 + load * load * LOAD_STEEPNESS);
+        let load = load.max(load_there);
+        let mut expected = seen.time.unwrap_or(FIRST_TIME) * slowed(load);
         if wish.large && destination.node != *wish.node {
             let weight = remaining(now, seen.reported_at, LINK_REPORT_FADES);
-            cost += f64::from(seen.link_ms) / 1000.0 * weight;
+            expected += f64::from(seen.link_ms) / 1000.0 * weight;
         }
-        cost *= 1.0 + FAILURE_HANDICAP * seen.failures(now);
-        if destination.zone != wish.zone {
-            cost *= wish.preference;
+        expected *= 1.0 + FAILURE_HANDICAP * seen.failures(now);
+        (expected, now < seen.avoid_until)
+    }
+
+    /// How full a service's targets are in the region of a destination, if that is another one.
+    fn region_load(&self, now: Time, service: &str, destination: &Destination) -> f64 {
+        if destination.relation != Relation::OtherRegion {
+            return 0.0;
         }
-        if now < seen.avoid_until {
-            cost += AVOIDED_COST;
+        let region = self.places.region(&destination.zone);
+        let regions = self.regions.borrow();
+        let known = regions.get(&(service.to_owned(), region.to_owned()));
+        known.map_or(0.0, |known| known.now(now))
+    }
+
+    /// An answer of a node spent so long on its way there and back.
+    pub fn answered(&self, now: Time, destination: &Destination, on_way: Duration) -> ReachChange {
+        let mut ways = self.ways.borrow_mut();
+        ways.answered(now, &destination.zone, destination.relation, on_way);
+        match destination.relation {
+            Relation::OtherRegion => ways.reached(self.places.region(&destination.zone)),
+            Relation::SameZone | Relation::SameRegion => ReachChange::None,
+        }
+    }
+
+    /// No answer came from a node.
+    pub fn unreachable(&self, now: Time, destination: &Destination) -> ReachChange {
+        if destination.relation != Relation::OtherRegion {
+            return ReachChange::None;
         }
-        cost
+        let region = self.places.region(&destination.zone);
+        let mut ways = self.ways.borrow_mut();
+        ways.unreachable(now, region, &destination.node)
     }
 
     /// A request goes out to a node.
@@ -178,13 +298,34 @@
     }
 
     /// A node told how many requests run and wait at its target, and how busy its link is.
-    pub fn reported(&self, now: Time, node: &NodeName, occupancy: Occupancy) {
+    pub fn reported(
+        &self,
+        now: Time,
+        service: &str,
+        destination: &Destination,
+        occupancy: Occupancy,
+    ) {
         let mut seen = self.seen.borrow_mut();
-        let seen = seen.entry(node.clone()).or_default();
+        let seen = seen.entry(destination.node.clone()).or_default();
         seen.running = occupancy.running;
         seen.waiting = occupancy.waiting;
         seen.link_ms = occupancy.link_ms;
         seen.reported_at = now;
+        if destination.relation != Relation::OtherRegion {
+            return;
+        }
+        let busy = occupancy.running + WAITING_WEIGHT * occupancy.waiting;
+        let load = f64::from(busy) / f64::from(destination.slots.max(1));
+        let region = self.places.region(&destination.zone);
+        let mut regions = self.regions.borrow_mut();
+        let region = regions
+            .entry((service.to_owned(), region.to_owned()))
+            .or_default();
+        let known = region.now(now);
+        *region = RegionLoad {
+            load: known + REGION_LOAD_SMOOTHING * (load - known),
+            reported_at: now,
+        };
     }
 
     /// A node couldn't be reached, or refused.
@@ -204,11 +345,38 @@
     }
 }
 
-fn draw<'a>(destinations: &[&'a Destination]) -> Option<&'a Destination> {
+/// How many times longer a request takes where so much of the slots is in use.
+fn slowed(load: f64) -> f64 {
+    1.0 + load * load * LOAD_STEEPNESS
+}
+
+/// Whether a request that costs so much in its region and so much elsewhere is worth the way to another region: it saves
+/// more than the way's price, and arrives where there is room for it.
+fn leaves_region(wish: RequestPreference<'_>, near: f64, far: f64) -> bool {
+    let objective = wish.objective.as_secs_f64();
+    let price = if wish.large {
+        REGION_PRICE_LARGE
+    } else {
+        REGION_PRICE
+    };
+    far + objective * price < near && far < objective
+}
+
+/// One of the destinations that haven't been tried, all alike.
+fn draw<'a>(destinations: &'a [Destination], tried: &[NodeName]) -> Option<&'a Destination> {
     if destinations.is_empty() {
         return None;
     }
-    destinations
-        .get(rand::rng().random_range(0..destinations.len()))
-        .copied()
+    let is_open = |destination: &&Destination| !tried.contains(&destination.node);
+    let mut random = rand::rng();
+    for _ in 0..DRAWS_AGAIN {
+        let drawn = destinations.get(random.random_range(0..destinations.len()));
+        if let Some(drawn) = drawn.filter(is_open) {
+            return Some(drawn);
+        }
+    }
+    // Most of a short list have been tried.
+    let open = destinations.iter().filter(is_open).collect::<Vec<_>>();
+    let drawn = random.random_range(0..open.len().max(1));
+    open.get(drawn).copied()
 }
