--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -12,6 +12,8 @@
 pub mod budget;
 pub mod clock;
 pub mod command;
+mod configuration;
+pub mod configuration_doubts;
 pub mod configuration_fetch;
 mod connections;
 mod control;
@@ -48,6 +50,7 @@
 pub mod target;
 mod target_calls;
 mod target_end;
+pub mod tenant_counts;
 pub mod tenants;
 pub mod ways;
 
--- a/crates/wingspar/tests/sidecar/main.rs
+++ b/crates/wingspar/tests/sidecar/main.rs
@@ -4,12 +4,14 @@
 mod crashing_request;
 mod deployment;
 mod evacuations;
+mod kept_connection;
 mod key_heartbeats;
 mod machine;
 mod network;
 mod pipelined_client;
 mod pipelining;
 mod soak;
+mod tenants;
 
 use std::time::Duration;
 
