--- a/crates/wingspar/src/main.rs
+++ b/crates/wingspar/src/main.rs
@@ -1,5 +1,7 @@
 //! The wingspar process and command line.
 
+mod explain;
+
 use std::ffi::OsString;
 use std::fs;
 use std::path::{Path, PathBuf};
@@ -22,6 +24,7 @@
   wingspar node --settings FILE [FLAGS]  run this machine's node until SIGTERM or SIGINT
   wingspar sidecar --settings FILE       run this machine's node on the users' platform until SIGTERM
   wingspar check FILE [FLAGS]            check settings; report every mistake
+  wingspar explain ID FILE...            tell from nodes' logs what became of a request
   wingspar ctl COMMAND                   operators' commands; see wingspar ctl --help
   wingspar --version
   wingspar --help
@@ -50,6 +53,8 @@
         Some("node") => node(words),
         Some("sidecar") => wingspar_sidecar::command::main(words),
         Some("check") => check(words),
+        Some("explain") => explain::run(&words)
+            .unwrap_or_else(|| usage("explain: an id and a file of log lines are needed")),
         Some("ctl") => ExitCode::from(wingspar_ctl::run(words)),
         Some("--version" | "-V") => {
             println!("wingspar {}", env!("CARGO_PKG_VERSION"));
--- a/crates/wingspar/tests/command_line.rs
+++ b/crates/wingspar/tests/command_line.rs
@@ -85,3 +85,21 @@
     assert_eq!(ctl.status.code(), Some(0));
     assert!(text(&ctl.stdout).contains("wingspar ctl move"));
 }
+
+#[test]
+fn a_request_is_explained_from_log_files() {
+    let folder = std::env::temp_dir().join(format!("wingspar-explain-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let file = folder.join("node.log");
+    let line = r#"{"at_ms":1,"node":"n","event":"request","id":"x1","tried":"","sends":0,"outcome":"no_route","detail":""}"#;
+    std::fs::write(&file, line).expect("a file");
+    let path = file.to_str().expect("a plain path");
+    let told = wingspar(&["explain", "x1", path]);
+    assert!(told.status.success());
+    assert!(String::from_utf8_lossy(&told.stdout).contains("Cause: no_route"));
+    assert_eq!(wingspar(&["explain", "x2", path]).status.code(), Some(1));
+    assert_eq!(wingspar(&["explain", "x1"]).status.code(), Some(2));
+    let missing = wingspar(&["explain", "x1", "no-such-file"]);
+    assert_eq!(missing.status.code(), Some(1));
+    std::fs::remove_dir_all(&folder).expect("the folder goes");
+}
