--- a/crates/wingspar/tests/sidecar/soak/load.rs
+++ b/crates/wingspar/tests/sidecar/soak/load.rs
@@ -7,6 +7,8 @@
 use rand_chacha::ChaCha8Rng;
 use tokio::task::JoinHandle;
 
+use super::credentials::STEADY;
+use super::faults::Faults;
 use crate::deployment::Deployment;
 use crate::pipelined_client::{PipelinedClient, request};
 
@@ -25,6 +27,8 @@
 const PATIENCE: Duration = Duration::from_secs(3);
 /// One in so many steps sends the request under which targets end.
 const CRASHING: u32 = 25;
+/// How long clients wait, in milliseconds.
+const DEADLINE_MS: u64 = 2_000;
 /// Path of the request under which targets end.
 pub const CRASHING_PATH: &str = "/orders/crashing";
 
@@ -48,6 +52,8 @@
     pub id: String,
     /// What it may do.
     pub kind: Kind,
+    /// The credential that the request carried.
+    pub credential: &'static str,
     /// The answer's status; nothing if none came.
     pub status: Option<u16>,
     /// The id in the answer.
@@ -60,10 +66,11 @@
 
 impl Answer {
     /// A request without an answer.
-    fn none(id: String, kind: Kind) -> Self {
+    fn none(id: String, kind: Kind, credential: &'static str) -> Self {
         Self {
             id,
             kind,
+            credential,
             status: None,
             answered_id: None,
             signed: false,
@@ -92,7 +99,12 @@
     }
 
     /// Sends a few requests from random machines.
-    pub fn send_some(&mut self, deployment: &Deployment, random: &mut ChaCha8Rng) {
+    pub fn send_some(
+        &mut self,
+        deployment: &Deployment,
+        faults: &mut Faults,
+        random: &mut ChaCha8Rng,
+    ) {
         for _ in 0..random.random_range(1..=AT_ONCE) {
             self.sent += 1;
             let id = format!("s{}-{}", self.seed, self.sent);
@@ -107,18 +119,22 @@
             } else {
                 &id
             };
+            let credential = faults.draw_credential();
+            let request = |path: &str| {
+                let path = format!("/{path}/{thing}");
+                let request = deployment.request_as(node, &path, &id, Some(credential));
+                request.header("x-wingspar-deadline-ms", DEADLINE_MS)
+            };
             let request = match kind {
-                Kind::Once => deployment.request(node, &format!("/book/{thing}"), &id),
-                Kind::Repeatable => deployment.request(node, &format!("/orders/{thing}"), &id),
-                Kind::Keyed(key) => deployment
-                    .request(node, &format!("/stock/{thing}"), &id)
-                    .header("x-wingspar-shard-key", key),
+                Kind::Once => request("book"),
+                Kind::Repeatable => request("orders"),
+                Kind::Keyed(key) => request("stock").header("x-wingspar-shard-key", key),
                 Kind::Crashing => continue,
             };
-            self.send(request, id, kind);
+            self.send(request, id, kind, credential);
         }
         if random.random_range(0..PIPELINED) == 0 {
-            self.send_pipelined(deployment, random);
+            self.send_pipelined(deployment, faults, random);
         }
         if random.random_range(0..CRASHING) == 0 {
             let node = random.random_range(0..deployment.nodes.len());
@@ -127,7 +143,12 @@
     }
 
     /// Sends several requests on one connection, some of which may run only once.
-    fn send_pipelined(&mut self, deployment: &Deployment, random: &mut ChaCha8Rng) {
+    fn send_pipelined(
+        &mut self,
+        deployment: &Deployment,
+        faults: &mut Faults,
+        random: &mut ChaCha8Rng,
+    ) {
         let node = random.random_range(0..deployment.nodes.len());
         let count = random.random_range(2..=MOST_PIPELINED);
         let requests = (0..count).map(|_| {
@@ -136,9 +157,10 @@
                 0 => Kind::Once,
                 _ => Kind::Repeatable,
             };
-            (format!("s{}-{}-piped", self.seed, self.sent), kind)
+            let id = format!("s{}-{}-piped", self.seed, self.sent);
+            Answer::none(id, kind, faults.draw_credential())
         });
-        let requests = requests.collect();
+        let requests = requests.collect::<Vec<_>>();
         let address = deployment.nodes[node].outbound;
         let leaves = random.random_range(0..4) == 0;
         let client = ask_pipelined(address, requests, leaves);
@@ -150,12 +172,19 @@
         self.sent += 1;
         let id = format!("s{}-{}-crashing", self.seed, self.sent);
         let request = deployment.request(node, CRASHING_PATH, &id);
-        self.send(request, id, Kind::Crashing);
+        self.send(request, id, Kind::Crashing, STEADY);
     }
 
-    fn send(&mut self, request: reqwest::RequestBuilder, id: String, kind: Kind) {
+    fn send(
+        &mut self,
+        request: reqwest::RequestBuilder,
+        id: String,
+        kind: Kind,
+        credential: &'static str,
+    ) {
         let request = request.timeout(PATIENCE);
-        self.running.push(tokio::spawn(ask(request, id, kind)));
+        self.running
+            .push(tokio::spawn(ask(request, id, kind, credential)));
     }
 
     /// Waits for all answers.
@@ -172,20 +201,16 @@
 }
 
 /// Sends requests on one connection and reads answers until it ends; a client that `leaves` reads only the first.
-async fn ask_pipelined(
-    address: SocketAddr,
-    requests: Vec<(String, Kind)>,
-    leaves: bool,
-) -> Vec<Answer> {
-    let mut answers = Vec::with_capacity(requests.len());
-    for (id, kind) in &requests {
-        answers.push(Answer::none(id.clone(), *kind));
-    }
+async fn ask_pipelined(address: SocketAddr, mut answers: Vec<Answer>, leaves: bool) -> Vec<Answer> {
     let exchange = async {
         let mut client = PipelinedClient::connect(address).await?;
-        let bytes = requests.iter().map(|(id, kind)| match kind {
-            Kind::Once => request("POST", &format!("/book/{id}"), id, ""),
-            _ => request("GET", &format!("/orders/{id}"), id, ""),
+        let bytes = answers.iter().map(|asked| {
+            let credential = format!("X-Wingspar-Credential: {}\r\n", asked.credential);
+            let id = &asked.id;
+            match asked.kind {
+                Kind::Once => request("POST", &format!("/book/{id}"), id, &credential),
+                _ => request("GET", &format!("/orders/{id}"), id, &credential),
+            }
         });
         client.send(&bytes.collect::<String>()).await?;
         let read = if leaves { 1 } else { answers.len() };
@@ -204,8 +229,13 @@
     answers
 }
 
-async fn ask(request: reqwest::RequestBuilder, id: String, kind: Kind) -> Answer {
-    let mut answer = Answer::none(id, kind);
+async fn ask(
+    request: reqwest::RequestBuilder,
+    id: String,
+    kind: Kind,
+    credential: &'static str,
+) -> Answer {
+    let mut answer = Answer::none(id, kind, credential);
     let Ok(response) = request.send().await else {
         return answer;
     };
