--- a/crates/ownership/src/leader/assignments.rs
+++ b/crates/ownership/src/leader/assignments.rs
@@ -5,10 +5,10 @@
 use super::*;
 
 /// How often the leader looks for a better plan.
-const REBALANCE_EVERY_MS: u64 = 400;
+pub(super) const REBALANCE_EVERY_MS: u64 = 400;
 /// All known nodes are taken to be here once no other has come for this long; after a loss of all power machines start
 /// within 0.3 s of each other.
-const NOBODY_NEW: Duration = Duration::from_millis(350);
+pub(super) const NOBODY_NEW: Duration = Duration::from_millis(350);
 
 impl Leader {
     /// Lets time pass: leases end, ranges are given and taken back.
@@ -45,6 +45,7 @@
             self.follow_plan(&mut partition, &candidates);
             self.partitions.insert(service, partition);
         }
+        self.deal_shards(now);
         if rebalanced {
             self.rebalanced_at = now;
         }
@@ -79,6 +80,9 @@
             for partition in self.partitions.values_mut() {
                 freed |= partition.free_all_of(node);
             }
+            if let Some(shards) = &mut self.shards {
+                freed |= shards.free_all_of(node);
+            }
             if freed {
                 self.next_assignment(node);
             }
--- a/crates/ownership/src/leader/certainty.rs
+++ b/crates/ownership/src/leader/certainty.rs
@@ -16,7 +16,13 @@
         };
         let unconfirmed = self.confirmed_at < self.last_report_at;
         let reported = unconfirmed && unknown().any(|(name, _)| self.has_reported_all(name));
-        if reported || (unknown_ended && unknown().next().is_some()) {
+        let shards_unknown = self
+            .shards
+            .as_ref()
+            .is_some_and(|shards| shards.has_unknown());
+        let shards_reported = unconfirmed && shards_unknown && self.silent.is_empty();
+        let unknown_left = shards_unknown || unknown().next().is_some();
+        if reported || shards_reported || (unknown_ended && unknown_left) {
             return true;
         }
         self.members.iter().any(|(node, member)| {
@@ -46,8 +52,12 @@
         !self.silent.iter().any(may_hold)
     }
 
-    /// Whether any keys are a node's, or are to be given back by it.
+    /// Whether any keys or shards are a node's, or are to be given back by it.
     fn may_hold(&self, node: &NodeName) -> bool {
+        let shards = self.shards.as_ref();
+        if shards.is_some_and(|shards| shards.may_hold(node)) {
+            return true;
+        }
         let mut slices = self
             .partitions
             .values()
--- a/crates/ownership/src/leader/mod.rs
+++ b/crates/ownership/src/leader/mod.rs
@@ -5,6 +5,7 @@
 mod member;
 mod publish;
 mod renewals;
+mod shards;
 
 pub use member::Member;
 
@@ -13,6 +14,8 @@
 use std::time::Duration;
 
 use crate::partition::{Partition, State};
+use shards::ShardLedger;
+
 use crate::plan::{Candidate, Plan};
 use crate::table_log::TableLog;
 use crate::{
@@ -43,6 +46,8 @@
     sole_since: Option<Time>,
     members: BTreeMap<NodeName, Member>,
     partitions: BTreeMap<String, Partition>,
+    /// Who owns which tenants' quotas; nothing if no tenant has one.
+    shards: Option<ShardLedger>,
     rebalanced_at: Time,
     /// When the last node was heard for the first time.
     joined_at: Time,
@@ -89,6 +94,7 @@
             registered,
             members: BTreeMap::new(),
             partitions: BTreeMap::new(),
+            shards: None,
             rebalanced_at: now,
             joined_at: now,
             ticked_at: Time::default(),
--- a/crates/ownership/src/leader/publish.rs
+++ b/crates/ownership/src/leader/publish.rs
@@ -1,6 +1,6 @@
 //! What the leader tells: each node its assignment, and all of them the table.
 
-use super::Leader;
+use super::{Leader, Member};
 use crate::partition::{Partition, State};
 use crate::{MemberView, NodeName, ServiceTable, Table, Time, Wanted, steps};
 
@@ -60,7 +60,13 @@
         let heard = self.members.values().filter(|member| {
             now < member.lease_until || now.since(member.heard_at) < self.timing.lease
         });
-        let mut members = heard.map(|member| member.view.clone()).collect::<Vec<_>>();
+        let by_owner = self.shards.as_ref().map(|shards| shards.by_owner());
+        let shards_of = |node: &NodeName| by_owner.as_ref()?.get(node).cloned();
+        let view = |member: &Member| MemberView {
+            quota_shards: shards_of(&member.view.node).unwrap_or_default(),
+            ..member.view.clone()
+        };
+        let mut members = heard.map(view).collect::<Vec<_>>();
         if self.is_taking_over(now) {
             let earlier = self.known.members.iter();
             let unheard = earlier.filter(|known| !self.members.contains_key(&known.node));
--- a/crates/ownership/src/leader/renewals.rs
+++ b/crates/ownership/src/leader/renewals.rs
@@ -35,6 +35,9 @@
             for partition in self.partitions.values_mut() {
                 freed |= partition.report(renewal);
             }
+            if let Some(shards) = &mut self.shards {
+                freed |= shards.report(&renewal.node, &renewal.quota_shards);
+            }
             if freed {
                 // Answers that are on their way still name what is free now.
                 self.next_assignment(&renewal.node);
@@ -77,6 +80,10 @@
             configuration_checked_ms_ago: None,
             evacuations: None,
             quarantine: None,
+            quota_shards: self
+                .shards
+                .as_ref()
+                .map_or_else(Vec::new, |shards| shards.owned_by(&renewal.node)),
         })
     }
 
@@ -136,6 +143,11 @@
         } else if renewal.registered_for.is_some() && member.registered_at.is_none() {
             member.registered_at = Some(now);
         }
+        if let Some(shards) = &mut self.shards
+            && restarted
+        {
+            shards.revoke_all_of(&renewal.node);
+        }
         for partition in self.partitions.values_mut() {
             if restarted {
                 partition.revoke_all_of(&renewal.node);
@@ -167,5 +179,6 @@
         address: renewal.address,
         target: renewal.target.clone(),
         leaving: renewal.leaving,
+        quota_shards: Vec::new(),
     }
 }
--- /dev/null
+++ b/crates/ownership/src/leader/shards.rs
@@ -0,0 +1,300 @@
+//! Who owns which shards of tenants' quotas.
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use wingspar_quota::Shard;
+
+use super::assignments::{NOBODY_NEW, REBALANCE_EVERY_MS};
+use super::{Leader, Member};
+use crate::{Epoch, NodeName, ShardReport, Time};
+
+/// How often it is looked whether some own many more shards than others; as often as for keys.
+const REBALANCE_EVERY: Duration = Duration::from_millis(REBALANCE_EVERY_MS);
+/// Most shards that are taken back at once to spread them better: each stops its tenants for a moment.
+const MOST_MOVED: usize = 8;
+
+/// What a leader knows of a shard.
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum State {
+    /// Nobody has reported it since the leader was elected; a silent node may own it.
+    Unknown,
+    /// Nobody owns it.
+    Free,
+    /// A node is to own it; its assignment of that number named it first.
+    Owned { node: NodeName, since: u64 },
+    /// A node is to give it back; its assignment of that number left it out first.
+    Revoked { node: NodeName, since: u64 },
+}
+
+impl State {
+    fn holder(&self) -> Option<(&NodeName, u64)> {
+        match self {
+            Self::Owned { node, since } | Self::Revoked { node, since } => Some((node, *since)),
+            Self::Unknown | Self::Free => None,
+        }
+    }
+}
+
+#[derive(Debug, Clone)]
+struct Entry {
+    state: State,
+    /// When it was last given to a node, or this leader was elected.
+    given_at: Time,
+}
+
+/// All shards as their leader knows them.
+#[derive(Debug)]
+pub struct ShardLedger {
+    /// Least time between the beginnings of two owners of a shard.
+    handover_gap: Duration,
+    /// When it was last looked whether some own many more than others.
+    rebalanced_at: Time,
+    entries: BTreeMap<Shard, Entry>,
+}
+
+impl ShardLedger {
+    /// A ledger of a leader that was elected at that time and knows nothing.
+    pub fn new(elected_at: Time, handover_gap: Duration) -> Self {
+        let entry = |shard| {
+            let (state, given_at) = (State::Unknown, elected_at);
+            (shard, Entry { state, given_at })
+        };
+        Self {
+            handover_gap,
+            rebalanced_at: elected_at,
+            entries: Shard::all().map(entry).collect(),
+        }
+    }
+
+    /// Takes in what a node reports. Returns whether any shard became free.
+    pub fn report(&mut self, node: &NodeName, report: &ShardReport) -> bool {
+        let mut freed = false;
+        for (shard, entry) in &mut self.entries {
+            let is_owned = report.owned.contains(shard);
+            match entry.state.holder() {
+                None if entry.state == State::Unknown && is_owned => {
+                    let node = node.clone();
+                    entry.state = State::Owned { node, since: 0 };
+                }
+                Some((holder, since)) if holder == node && !is_owned && report.applied >= since => {
+                    entry.state = State::Free;
+                    freed = true;
+                }
+                _ => {}
+            }
+        }
+        freed
+    }
+
+    /// Frees what a node owned: its lease has ended.
+    pub fn free_all_of(&mut self, node: &NodeName) -> bool {
+        let mut freed = false;
+        for entry in self.entries.values_mut() {
+            if entry
+                .state
+                .holder()
+                .is_some_and(|(holder, _)| holder == node)
+            {
+                entry.state = State::Free;
+                freed = true;
+            }
+        }
+        freed
+    }
+
+    /// Takes back what a node owned in an earlier life of its process.
+    pub fn revoke_all_of(&mut self, node: &NodeName) {
+        for entry in self.entries.values_mut() {
+            if matches!(&entry.state, State::Owned { node: owner, .. } if owner == node) {
+                let node = node.clone();
+                entry.state = State::Revoked { node, since: 0 };
+            }
+        }
+    }
+
+    /// Frees shards that nobody reported.
+    pub fn free_unknown(&mut self) {
+        for entry in self.entries.values_mut() {
+            if entry.state == State::Unknown {
+                entry.state = State::Free;
+            }
+        }
+    }
+
+    /// Whether there are shards that nobody has reported.
+    pub fn has_unknown(&self) -> bool {
+        let mut entries = self.entries.values();
+        entries.any(|entry| entry.state == State::Unknown)
+    }
+
+    /// Whether any shard is a node's, or is to be given back by it.
+    pub fn may_hold(&self, node: &NodeName) -> bool {
+        let mut holders = self
+            .entries
+            .values()
+            .filter_map(|entry| entry.state.holder());
+        holders.any(|(holder, _)| holder == node)
+    }
+
+    /// The shards that a node is to own.
+    pub fn owned_by(&self, node: &NodeName) -> Vec<Shard> {
+        let is_owner =
+            |state: &State| matches!(state, State::Owned { node: owner, .. } if owner == node);
+        let owned = self
+            .entries
+            .iter()
+            .filter(|(_, entry)| is_owner(&entry.state));
+        owned.map(|(shard, _)| *shard).collect()
+    }
+
+    /// The shards of each owner.
+    pub fn by_owner(&self) -> BTreeMap<&NodeName, Vec<Shard>> {
+        let mut by_owner = BTreeMap::<_, Vec<_>>::new();
+        for (shard, entry) in &self.entries {
+            if let State::Owned { node, .. } = &entry.state {
+                by_owner.entry(node).or_default().push(*shard);
+            }
+        }
+        by_owner
+    }
+
+    /// Free shards that may be given to a node now.
+    fn dealable(&self, now: Time) -> Vec<Shard> {
+        let may_begin = |entry: &Entry| {
+            entry.state == State::Free && now.since(entry.given_at) >= self.handover_gap
+        };
+        let free = self.entries.iter().filter(|(_, entry)| may_begin(entry));
+        free.map(|(shard, _)| *shard).collect()
+    }
+}
+
+/// Nodes that may own shards: how many they own and how much their links carry.
+type Candidates = BTreeMap<NodeName, (usize, u64)>;
+
+impl Leader {
+    /// Tenants have quotas: their shards get owners, of which two begin at least that far apart.
+    pub fn set_quota_shards(&mut self, handover_gap: Duration) {
+        let elected_at = self.elected_at;
+        self.shards
+            .get_or_insert_with(|| ShardLedger::new(elected_at, handover_gap));
+    }
+
+    /// Gives free shards away and takes back those that others should own.
+    pub(super) fn deal_shards(&mut self, now: Time) {
+        let Some(mut shards) = self.shards.take() else {
+            return;
+        };
+        let all_reported = self.silent.is_empty() && self.confirmed_at >= self.last_report_at;
+        if all_reported || self.unknown_until() <= now.min(self.confirmed_at) {
+            shards.free_unknown();
+        }
+        self.take_back_from_leaving(&mut shards);
+        let dealable = shards.dealable(now);
+        let rebalance = now.since(shards.rebalanced_at) >= REBALANCE_EVERY;
+        if self.are_nodes_known(now) && (rebalance || !dealable.is_empty()) {
+            let mut candidates = self.shard_candidates(now, &shards);
+            for shard in dealable {
+                self.give(now, &mut shards, &mut candidates, shard);
+            }
+            if rebalance {
+                shards.rebalanced_at = now;
+                self.take_back_some(&mut shards, &candidates);
+            }
+        }
+        self.shards = Some(shards);
+    }
+
+    /// Whether all nodes that are likely to come have been heard, so that the first don't get everything.
+    fn are_nodes_known(&self, now: Time) -> bool {
+        let all_here =
+            self.epoch > Epoch(1) && self.silent.is_empty() && now >= self.joined_at + NOBODY_NEW;
+        all_here || now >= self.elected_at + self.timing.settle
+    }
+
+    fn shard_candidates(&self, now: Time, shards: &ShardLedger) -> Candidates {
+        let by_owner = shards.by_owner();
+        let can_own = |member: &Member| {
+            // Later leaders wait for a node only if it is registered.
+            let is_registered = member.registered_for.is_some()
+                && member
+                    .registered_at
+                    .is_some_and(|at| at < self.confirmed_at);
+            member.clean && !member.view.leaving && now < member.lease_until && is_registered
+        };
+        let able = self.members.iter().filter(|(_, member)| can_own(member));
+        able.map(|(node, member)| {
+            let owned = by_owner.get(node).map_or(0, Vec::len);
+            let kilobits = member
+                .link_mbps
+                .map_or(u64::MAX, |mbps| (mbps * 1e3) as u64);
+            (node.clone(), (owned, kilobits))
+        })
+        .collect()
+    }
+
+    /// Gives a shard to the node that owns fewest; among equals, to the one whose link carries most.
+    fn give(
+        &mut self,
+        now: Time,
+        shards: &mut ShardLedger,
+        candidates: &mut Candidates,
+        shard: Shard,
+    ) {
+        let best = candidates
+            .iter_mut()
+            .min_by_key(|(_, (owned, kilobits))| (*owned, Reverse(*kilobits)));
+        let Some((node, (owned, _))) = best else {
+            return;
+        };
+        *owned += 1;
+        let node = node.clone();
+        let since = self.next_assignment(&node);
+        let state = State::Owned { node, since };
+        let given_at = now;
+        shards.entries.insert(shard, Entry { state, given_at });
+    }
+
+    /// Takes shards back from nodes that are about to stop.
+    fn take_back_from_leaving(&mut self, shards: &mut ShardLedger) {
+        let is_leaving = |node: &NodeName| {
+            let member = self.members.get(node);
+            member.is_some_and(|member| member.view.leaving)
+        };
+        let owners = shards.by_owner().into_iter();
+        let leaving = owners.filter(|(node, _)| is_leaving(node));
+        let taken = leaving
+            .map(|(node, owned)| (node.clone(), owned))
+            .collect::<Vec<_>>();
+        for (node, owned) in taken {
+            self.take_back(shards, &node, &owned);
+        }
+    }
+
+    /// Takes a shard back from each of some nodes that own many more than others.
+    fn take_back_some(&mut self, shards: &mut ShardLedger, candidates: &Candidates) {
+        let Some(fewest) = candidates.values().map(|(owned, _)| *owned).min() else {
+            return;
+        };
+        let owners = shards.by_owner().into_iter();
+        let overfull = owners.filter(|(_, owned)| owned.len() >= 2 * fewest + 2);
+        let taken = overfull
+            .take(MOST_MOVED)
+            .map(|(node, owned)| (node.clone(), owned[0]))
+            .collect::<Vec<_>>();
+        for (node, shard) in taken {
+            self.take_back(shards, &node, &[shard]);
+        }
+    }
+
+    fn take_back(&mut self, shards: &mut ShardLedger, node: &NodeName, taken: &[Shard]) {
+        let since = self.next_assignment(node);
+        for shard in taken {
+            if let Some(entry) = shards.entries.get_mut(shard) {
+                let node = node.clone();
+                entry.state = State::Revoked { node, since };
+            }
+        }
+    }
+}
--- a/crates/ownership/src/lib.rs
+++ b/crates/ownership/src/lib.rs
@@ -10,6 +10,7 @@
 //! * A leader stops answering renewals when it hasn't confirmed its object for
 //!   [`Timing::leadership`]. A new leader gives away keys that nobody reported only after all
 //!   registered nodes have reported, or after that time and a lease have passed.
+//! * Shards of tenants' quotas have owners by the same leases ([`ShardHolder`]), without a target's part in it.
 //! * Every grant carries a fence made of epoch and counter, so later grants outrank earlier ones.
 
 mod balance;
@@ -24,6 +25,7 @@
 mod partition;
 mod plan;
 mod range;
+mod shard_holder;
 pub mod steps;
 mod table_log;
 mod time;
@@ -36,8 +38,8 @@
 pub use leader::{Leader, Member};
 pub use message::{
     EvacuatedZones, EvacuationReport, Holding, LeaderReference, Leadership, LeaseReply, MemberView,
-    RegisteredNode, Released, Renewal, ServiceChanges, ServiceTable, Table, TableAnswer,
-    TableChanges, TargetState, Wanted,
+    RegisteredNode, Released, Renewal, ServiceChanges, ServiceTable, ShardReport, Table,
+    TableAnswer, TableChanges, TargetState, Wanted,
 };
 pub use node_name::NodeName;
 pub use participant::{
@@ -45,4 +47,5 @@
 };
 pub use plan::{Candidate, Plan};
 pub use range::KeyRange;
+pub use shard_holder::ShardHolder;
 pub use time::{Time, Timing};
--- a/crates/ownership/src/message.rs
+++ b/crates/ownership/src/message.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 use wingspar_quarantine::{Reply, Report};
+use wingspar_quota::Shard;
 
 use crate::{Epoch, Fence, KeyRange, Life, NodeName, Time, steps};
 
@@ -124,6 +125,15 @@
     pub checked_ms_ago: u64,
 }
 
+/// The shards of tenants' quotas that a process owns.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct ShardReport {
+    /// The last assignment that it has taken on.
+    pub applied: u64,
+    /// The shards.
+    pub owned: Vec<Shard>,
+}
+
 /// A node asks its leader for a lease and tells what it holds.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Renewal {
@@ -162,6 +172,9 @@
     /// What it has to tell of requests under which targets end.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub quarantine: Option<Report>,
+    /// The shards of tenants' quotas that it owns.
+    #[serde(default)]
+    pub quota_shards: ShardReport,
 }
 
 /// A leader's answer to a renewal.
@@ -194,6 +207,9 @@
     /// What the leader tells of requests under which targets end.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub quarantine: Option<Reply>,
+    /// The shards of tenants' quotas that the node is to own.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub quota_shards: Vec<Shard>,
 }
 
 /// A node as others see it.
@@ -209,6 +225,9 @@
     pub target: Option<TargetState>,
     /// Whether it is about to stop.
     pub leaving: bool,
+    /// The shards of tenants' quotas that it owns.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub quota_shards: Vec<Shard>,
 }
 
 /// The owners of one service's keys.
--- a/crates/ownership/src/participant/datagrams.rs
+++ b/crates/ownership/src/participant/datagrams.rs
@@ -69,6 +69,8 @@
                     self.renew(now, around, &mut actions);
                 }
             }
+            // It concerns no lease.
+            Datagram::Quota(_) => {}
         }
         actions
     }
@@ -149,6 +151,7 @@
         }
         actions.push(Action::Note(Note::LeaderKnown(leader.clone())));
         self.holder.promise(leader.epoch);
+        self.shards.promise(leader.epoch);
         if let Some(leading) = &self.leader
             && leading.epoch() < leader.epoch
         {
--- a/crates/ownership/src/participant/leadership.rs
+++ b/crates/ownership/src/participant/leadership.rs
@@ -10,6 +10,9 @@
         if around.configuration_version > 0 {
             leader.set_keyed_services(&around.keyed_services);
         }
+        if let Some(handover_gap) = around.quota_handover_gap {
+            leader.set_quota_shards(handover_gap);
+        }
         leader.tick(now);
         let since = now.since(self.last_confirmation);
         let hurried = since >= HURRIED_CONFIRMATION && leader.wants_confirmation(now);
--- a/crates/ownership/src/participant/mod.rs
+++ b/crates/ownership/src/participant/mod.rs
@@ -14,12 +14,13 @@
 
 use serde::{Deserialize, Serialize};
 use wingspar_quarantine::{Reply, Report, Shared};
+use wingspar_quota::Shard;
 
 use crate::{
     Admission, Delivery, Election, Epoch, EvacuatedZones, EvacuationReport, Fitness, GrantResult,
     Holder, KeyAnswer, KeyReport, Leader, LeaderReference, Leadership, LeaseReply, Life,
-    LoadReport, Member, NodeName, Order, PeerView, RegisteredNode, Renewal, Step, Table,
-    TableAnswer, TargetState, Time, Timing,
+    LoadReport, Member, NodeName, Order, PeerView, RegisteredNode, Renewal, ShardHolder, Step,
+    Table, TableAnswer, TargetState, Time, Timing,
 };
 
 /// Two renewals that something hurried on are at least this far apart.
@@ -63,6 +64,8 @@
     Call(Epoch),
     /// The versions of the leader's table and configuration.
     Notice(LeaderReference, u64, u64),
+    /// An ask for tokens of a tenant's quota, or its answer. The node's I/O hands it to the quota's own parts.
+    Quota(wingspar_quota::Message),
 }
 
 /// What the node's I/O is to do.
@@ -136,6 +139,8 @@
     pub link_mbps: Option<f64>,
     /// Services whose keys have owners.
     pub keyed_services: BTreeSet<String>,
+    /// Least time between the beginnings of two owners of a shard of tenants' quotas; nothing if no tenant has a quota.
+    pub quota_handover_gap: Option<Duration>,
 }
 
 /// The leader's object as it was read: its revision and whom it names.
@@ -171,6 +176,7 @@
     identity: Identity,
     timing: Timing,
     holder: Holder,
+    shards: ShardHolder,
     election: Election,
     leader: Option<Leader>,
     table: Table,
@@ -206,6 +212,7 @@
             identity,
             timing,
             holder: Holder::new(timing, clean),
+            shards: ShardHolder::default(),
             election,
             leader: None,
             table: Table::default(),
@@ -282,6 +289,16 @@
         self.holder.admission(now, key)
     }
 
+    /// Since when this process owns a shard of tenants' quotas; nothing if it doesn't.
+    pub fn owns_shard_since(&self, now: Time, shard: Shard) -> Option<Time> {
+        self.shards.owned_since(now, shard)
+    }
+
+    /// The shards of tenants' quotas that this process owns.
+    pub fn owned_shards(&self, now: Time) -> Vec<Shard> {
+        self.shards.owned(now)
+    }
+
     /// Whether the target may hold any keys.
     pub fn holds_any(&mut self, now: Time) -> bool {
         !self.holder.held(now).is_empty()
--- a/crates/ownership/src/participant/renewals.rs
+++ b/crates/ownership/src/participant/renewals.rs
@@ -22,6 +22,7 @@
             store_reachable: around.store_reachable,
             link_mbps: around.link_mbps,
             quarantine: around.quarantine.report(),
+            quota_shards: self.shards.report(now),
         }
     }
 
@@ -97,6 +98,7 @@
             self.next_renewal = self.last_renewal + self.timing.renew_every;
         }
         self.holder.lease(now, reply);
+        self.shards.lease(now, reply);
         self.orders(now, actions);
         if let Some(ago) = reply.configuration_checked_ms_ago
             && reply.configuration_version <= around.configuration_version
--- a/crates/ownership/tests/reminders.rs
+++ b/crates/ownership/tests/reminders.rs
@@ -90,6 +90,7 @@
         store_reachable: false,
         link_mbps: None,
         quarantine: None,
+        quota_shards: Default::default(),
     }
 }
 
--- a/crates/ownership/tests/simulation/world.rs
+++ b/crates/ownership/tests/simulation/world.rs
@@ -21,11 +21,15 @@
     TargetState, Time,
 };
 
+use wingspar_quota::Shard;
+
 use crate::target::{Target, WATCHED, key};
 
 const NODES: usize = 6;
 const SERVICE: &str = "stock";
 const PLAIN_SERVICE: &str = "orders";
+/// Two owners of a shard begin at least that far apart.
+const QUOTA_HANDOVER_GAP: std::time::Duration = std::time::Duration::from_millis(1_666);
 const TICK_MS: u64 = 50;
 const CHECK_MS: u64 = 10;
 
@@ -298,6 +302,7 @@
             store_reachable: !machine.store_cut && self.now >= self.store_down_until,
             link_mbps: None,
             keyed_services: BTreeSet::from([SERVICE.to_owned()]),
+            quota_handover_gap: Some(QUOTA_HANDOVER_GAP),
         }
     }
 
--- a/crates/ownership/tests/simulation/world/checker.rs
+++ b/crates/ownership/tests/simulation/world/checker.rs
@@ -43,6 +43,29 @@
             }
             self.note_served(index, serving.first().copied());
         }
+        self.check_shards();
+    }
+
+    /// A shard of tenants' quotas has one owner at most.
+    fn check_shards(&mut self) {
+        for shard in Shard::all() {
+            let owners = (0..NODES)
+                .filter(|node| self.owns_shard(*node, shard))
+                .collect::<Vec<_>>();
+            if owners.len() > 1 {
+                self.fail(format!("{shard:?} is owned by nodes {owners:?}"));
+            }
+            if self.now + TICK_MS >= END_MS && owners.is_empty() {
+                self.fail(format!("{shard:?} has no owner long after the faults"));
+            }
+        }
+    }
+
+    fn owns_shard(&self, node: usize, shard: Shard) -> bool {
+        let machine = &self.machines[node];
+        let now = self.clock(node);
+        let owned = |participant: &Participant| participant.owns_shard_since(now, shard);
+        self.now >= machine.frozen_until && machine.participant.as_ref().and_then(owned).is_some()
     }
 
     /// Whether a request for the key would start at the node's target now.
--- a/crates/ownership/tests/support/mod.rs
+++ b/crates/ownership/tests/support/mod.rs
@@ -31,5 +31,6 @@
         configuration_checked_ms_ago: None,
         evacuations: None,
         quarantine: Default::default(),
+        quota_shards: Vec::new(),
     }
 }
--- a/crates/ownership/tests/take_over.rs
+++ b/crates/ownership/tests/take_over.rs
@@ -31,6 +31,7 @@
             starts_per_s: None,
         }),
         leaving: false,
+        quota_shards: Vec::new(),
     }
 }
 
@@ -138,6 +139,7 @@
         store_reachable: true,
         link_mbps: None,
         quarantine: None,
+        quota_shards: Default::default(),
     }
 }
 
--- a/crates/sidecar/src/control.rs
+++ b/crates/sidecar/src/control.rs
@@ -21,6 +21,7 @@
 use crate::logs::Event;
 use crate::node::Node;
 use crate::quarantine;
+use crate::quota;
 use crate::registration;
 use crate::store::StoreError;
 
@@ -37,12 +38,14 @@
 /// The control loop.
 pub struct Control {
     node: Rc<Node>,
-    socket: UdpSocket,
+    socket: Rc<UdpSocket>,
 }
 
 impl Control {
     /// A loop on a socket.
     pub fn new(node: Rc<Node>, socket: UdpSocket) -> Rc<Self> {
+        let socket = Rc::new(socket);
+        node.quotas.attach(socket.clone());
         Rc::new(Self { node, socket })
     }
 
@@ -100,6 +103,7 @@
             keyed_services: keyed
                 .map(|service| service.name.clone())
                 .collect::<BTreeSet<_>>(),
+            quota_handover_gap: node.quotas.handover_gap(),
         }
     }
 
@@ -123,6 +127,7 @@
             *next_load = now + LOAD_EVERY;
             self.report_load(now);
         }
+        quota::note_shards(&self.node);
         let node = &self.node;
         node.metrics
             .running
@@ -137,6 +142,10 @@
             self.node.metrics.unreadable_datagrams.inc();
             return;
         };
+        if let Datagram::Quota(message) = datagram {
+            quota::received(&self.node, from, message);
+            return;
+        }
         let around = self.around();
         let now = self.node.now();
         let actions = self
--- a/crates/sidecar/src/directory.rs
+++ b/crates/sidecar/src/directory.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 
 use wingspar_ownership::{NodeName, Table, steps};
+use wingspar_quota::Shard;
 
 /// A node whose target could run a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -24,6 +25,7 @@
     table: Table,
     by_service: HashMap<String, Vec<Destination>>,
     by_node: HashMap<NodeName, Destination>,
+    quota_owners: HashMap<Shard, (NodeName, SocketAddr)>,
 }
 
 impl Directory {
@@ -31,7 +33,11 @@
     pub fn new(table: Table) -> Self {
         let mut by_service = HashMap::<String, Vec<Destination>>::new();
         let mut by_node = HashMap::new();
+        let mut quota_owners = HashMap::new();
         for member in &table.members {
+            let owner = (member.node.clone(), member.address);
+            let shards = member.quota_shards.iter();
+            quota_owners.extend(shards.map(|shard| (*shard, owner.clone())));
             let Some(target) = &member.target else {
                 continue;
             };
@@ -53,6 +59,7 @@
             table,
             by_service,
             by_node,
+            quota_owners,
         }
     }
 
@@ -83,6 +90,11 @@
         self.by_node.get(node)
     }
 
+    /// The node that owns a shard of tenants' quotas, and where it listens for other nodes.
+    pub fn quota_owner(&self, shard: Shard) -> Option<&(NodeName, SocketAddr)> {
+        self.quota_owners.get(&shard)
+    }
+
     /// A node by name.
     pub fn node(&self, node: &NodeName) -> Option<&Destination> {
         self.by_node.get(node)
--- a/crates/sidecar/src/logs.rs
+++ b/crates/sidecar/src/logs.rs
@@ -176,6 +176,24 @@
         /// Who knew: this node's target, another node, the leader, a good end, an operator.
         source: &'a str,
     },
+    /// The node owns other shards of tenants' quotas than before.
+    QuotaShards {
+        /// New ones.
+        gained: Vec<u16>,
+        /// Those that it owns no longer.
+        lost: Vec<u16>,
+        /// How many it owns.
+        owned: usize,
+    },
+    /// The owner of a shard of tenants' quotas began or ended to leave asks unanswered.
+    QuotaOwner {
+        /// The shard.
+        shard: u16,
+        /// Its owner; empty if none is known.
+        owner: &'a str,
+        /// silent or answers.
+        state: &'a str,
+    },
     /// A figure of the target couldn't be read and is passed over.
     TargetUnreadable {
         /// Which.
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -51,6 +51,10 @@
     pub key_orders: Family<OutcomeLabel, Counter>,
     /// Decisions on requests under which targets end, by what was decided.
     pub quarantine: Family<OutcomeLabel, Counter>,
+    /// Requests of tenants with a quota, by what was decided, and what became of their tokens.
+    pub quota: Family<OutcomeLabel, Counter>,
+    /// Shards of tenants' quotas that the node owns.
+    pub quota_shards: Gauge,
     /// Ends of the target with requests in flight.
     pub target_ends: Counter,
     /// Datagrams of other nodes that can't be read.
@@ -80,6 +84,8 @@
             store_calls: Family::default(),
             key_orders: Family::default(),
             quarantine: Family::default(),
+            quota: Family::default(),
+            quota_shards: Gauge::default(),
             target_ends: Counter::default(),
             unreadable_datagrams: Counter::default(),
             running: Gauge::default(),
@@ -123,6 +129,16 @@
             "Decisions on requests under which targets end",
             metrics.quarantine.clone(),
         );
+        registry.register(
+            "quota",
+            "Requests of tenants with a quota, and their tokens",
+            metrics.quota.clone(),
+        );
+        registry.register(
+            "quota_shards",
+            "Shards of tenants' quotas that the node owns",
+            metrics.quota_shards.clone(),
+        );
         registry.register(
             "target_ends",
             "Ends of the target with requests in flight",
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -24,6 +24,7 @@
 use crate::logs::{Event, Log};
 use crate::metrics::Metrics;
 use crate::packed::pack;
+use crate::quota::Quotas;
 use crate::selection::Selection;
 use crate::settings::Settings;
 use crate::slots::{Slots, StartLimit};
@@ -89,6 +90,8 @@
     pub runs: RefCell<InFlight>,
     /// Requests that aren't run, because targets ended under them.
     pub quarantine: RefCell<Quarantine>,
+    /// Quotas of tenants.
+    pub quotas: Quotas,
     /// Its slots.
     pub slots: Rc<Slots>,
     /// The machine's link, for large answers.
@@ -163,6 +166,7 @@
             target_orders: Connections::new(settings.node.target, TARGET_CONNECT_TIMEOUT),
             runs: RefCell::default(),
             quarantine: RefCell::default(),
+            quotas: Quotas::new(life, Duration::from_millis(now.0), &settings.bounds),
             slots: Slots::new(!settings.node.first_start),
             link: Link::new(settings.node.link_mbps),
             key_load: RefCell::new(KeyLoad::new(now)),
@@ -245,6 +249,7 @@
             .configuration
             .set(i64::try_from(configuration.version).unwrap_or(i64::MAX));
         *self.configuration_bytes.borrow_mut() = bytes;
+        self.quotas.configured(&configuration);
         *self.routes.borrow_mut() = Some(Rc::new(RouteTable::new(configuration)));
         self.limit_starts();
         self.control_wakes.notify_one();
--- a/crates/sidecar/src/operations.rs
+++ b/crates/sidecar/src/operations.rs
@@ -1,4 +1,4 @@
-//! The address for operators: metrics, and requests that are refused because targets ended under them.
+//! The address for operators: metrics, requests that are refused because targets ended under them, and tenants' quotas.
 
 use std::rc::Rc;
 
@@ -10,12 +10,17 @@
 use crate::body::Body;
 use crate::node::Node;
 use crate::quarantine;
+use crate::quota;
 
 const QUARANTINE_PATH: &str = "/quarantine";
+const QUOTAS_PATH: &str = "/quotas";
 
 /// Answers an operator, or whoever collects metrics.
 pub async fn answer(node: Rc<Node>, request: Request<Incoming>) -> Response<Body> {
     let path = request.uri().path();
+    if path == QUOTAS_PATH {
+        return quotas(&node);
+    }
     let Some(rest) = path.strip_prefix(QUARANTINE_PATH) else {
         let text = node.metrics.encode();
         return plain(StatusCode::OK, "text/plain; version=0.0.4", text);
@@ -41,6 +46,17 @@
     plain(StatusCode::OK, "text/plain", lines.collect::<String>())
 }
 
+/// The tenants whose quotas this node holds and that have used any of it lately, a line each: requests a second, tokens
+/// left, version of the configuration that set the quota.
+fn quotas(node: &Node) -> Response<Body> {
+    let lines = quota::usage(node).into_iter().map(|usage| {
+        let (tenant, rate, tokens) = (usage.tenant, usage.rate_per_s, usage.tokens);
+        let version = usage.version;
+        format!("{tenant} rate_per_s={rate} tokens={tokens:.1} configuration={version}\n")
+    });
+    plain(StatusCode::OK, "text/plain", lines.collect::<String>())
+}
+
 fn released(node: &Node, name: &str) -> Response<Body> {
     let Ok(fingerprint) = name.parse::<Fingerprint>() else {
         return plain(
--- a/crates/sidecar/tests/packed.rs
+++ b/crates/sidecar/tests/packed.rs
@@ -16,6 +16,7 @@
             starts_per_s: None,
         }),
         leaving: false,
+        quota_shards: Vec::new(),
     };
     Table {
         epoch: Epoch(3),
