--- a/crates/ownership/tests/simulation/main.rs
+++ b/crates/ownership/tests/simulation/main.rs
@@ -96,6 +96,43 @@
     keeps_the_rules(&Options::default());
 }
 
+/// Tenants have quotas, whose shards have owners.
+fn with_quotas() -> Options {
+    Options {
+        has_quotas: true,
+        ..Options::default()
+    }
+}
+
+#[test]
+fn one_owner_a_shard_of_quotas_under_random_faults() {
+    keeps_the_rules(&with_quotas());
+}
+
+#[test]
+fn shards_of_quotas_have_owners_again_after_a_loss_of_all_power() {
+    for fault in [
+        world::FaultPlan::AllKilled,
+        world::FaultPlan::AllKilledOneGone,
+    ] {
+        let options = Options {
+            has_quotas: true,
+            ..Options::only(fault)
+        };
+        for seed in 1..=20 {
+            play(seed, options.clone()).expect("no rule may break");
+        }
+    }
+}
+
+#[test]
+fn the_checker_sees_a_second_owner_of_a_shard() {
+    assert!(fails_without(|options| {
+        options.has_quotas = true;
+        options.shards_ignore_leases = true;
+    }));
+}
+
 /// Seeds that once failed where heartbeat answers give the keys, each with its cause.
 const REGRESSIONS_BY_HEARTBEATS: [(u64, &str); 2] = [
     (
--- a/crates/ownership/tests/simulation/world.rs
+++ b/crates/ownership/tests/simulation/world.rs
@@ -302,7 +302,7 @@
             store_reachable: !machine.store_cut && self.now >= self.store_down_until,
             link_mbps: None,
             keyed_services: BTreeSet::from([SERVICE.to_owned()]),
-            quota_handover_gap: Some(QUOTA_HANDOVER_GAP),
+            quota_handover_gap: self.options.has_quotas.then_some(QUOTA_HANDOVER_GAP),
         }
     }
 
--- a/crates/ownership/tests/simulation/world/checker.rs
+++ b/crates/ownership/tests/simulation/world/checker.rs
@@ -43,7 +43,9 @@
             }
             self.note_served(index, serving.first().copied());
         }
-        self.check_shards();
+        if self.options.has_quotas {
+            self.check_shards();
+        }
     }
 
     /// A shard of tenants' quotas has one owner at most.
@@ -63,7 +65,11 @@
 
     fn owns_shard(&self, node: usize, shard: Shard) -> bool {
         let machine = &self.machines[node];
-        let now = self.clock(node);
+        let now = if self.options.shards_ignore_leases {
+            Time::default()
+        } else {
+            self.clock(node)
+        };
         let owned = |participant: &Participant| participant.owns_shard_since(now, shard);
         self.now >= machine.frozen_until && machine.participant.as_ref().and_then(owned).is_some()
     }
--- a/crates/ownership/tests/simulation/world/options.rs
+++ b/crates/ownership/tests/simulation/world/options.rs
@@ -53,6 +53,10 @@
     pub late_heartbeats_count: bool,
     /// Removes a mechanism: a node's clock doesn't count the time for which its machine is suspended.
     pub clocks_stop_while_suspended: bool,
+    /// Whether tenants have quotas, whose shards are owned.
+    pub has_quotas: bool,
+    /// Removes a mechanism: owners of shards don't look at their lease before they grant tokens.
+    pub shards_ignore_leases: bool,
 }
 
 impl Options {
@@ -81,6 +85,8 @@
             delivery: Delivery::Calls,
             late_heartbeats_count: false,
             clocks_stop_while_suspended: false,
+            has_quotas: false,
+            shards_ignore_leases: false,
         }
     }
 }
--- a/crates/sidecar/src/quota/alone.rs
+++ b/crates/sidecar/src/quota/alone.rs
@@ -4,7 +4,7 @@
 
 use wingspar_quota::Place;
 
-use super::{OverQuota, Source, Subject, time};
+use super::{OverQuota, RefusedBy, Source, Subject, time};
 use crate::node::Node;
 
 /// When a caller may come back that was refused because no owner answered: a lost owner is replaced within a few
@@ -21,9 +21,9 @@
     if admitted {
         Ok(Source::Alone(now))
     } else {
-        node.metrics.count(&node.metrics.quota, "refused_alone");
         Err(OverQuota {
             retry_after: COME_BACK,
+            refused_by: RefusedBy::Alone,
         })
     }
 }
--- a/crates/sidecar/src/quota/mod.rs
+++ b/crates/sidecar/src/quota/mod.rs
@@ -36,6 +36,30 @@
 pub struct OverQuota {
     /// Until there is likely to be room again.
     pub retry_after: Duration,
+    /// Who refused it.
+    pub refused_by: RefusedBy,
+}
+
+/// Who refused a request because of its tenant's quota.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RefusedBy {
+    /// The owner of the tenant's shard, which had no token.
+    Owner,
+    /// The owner, a moment before.
+    EarlierRefusal,
+    /// This node, which had no owner to ask and had used up its own share.
+    Alone,
+}
+
+impl RefusedBy {
+    /// Its name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Owner => "refused",
+            Self::EarlierRefusal => "refused_again",
+            Self::Alone => "refused_alone",
+        }
+    }
 }
 
 /// What a node knows of tenants' quotas.
@@ -208,7 +232,7 @@
     let metric = match &decided {
         Ok(Source::Owner(_)) => "granted",
         Ok(Source::Alone(_)) => "admitted_alone",
-        Err(_) => "refused",
+        Err(over) => over.refused_by.name(),
     };
     node.metrics.count(&node.metrics.quota, metric);
     let source = decided?;
@@ -232,11 +256,17 @@
             .borrow_mut()
             .refuses(time(node), &subject.tenant, &subject.limit, window);
     if let Some(retry_after) = refused {
-        return Err(OverQuota { retry_after });
+        return Err(OverQuota {
+            retry_after,
+            refused_by: RefusedBy::EarlierRefusal,
+        });
     }
     match asks::token(node, subject).await {
         Asked::Granted(returned) => Ok(Source::Owner(returned)),
-        Asked::Refused(retry_after) => Err(OverQuota { retry_after }),
+        Asked::Refused(retry_after) => Err(OverQuota {
+            retry_after,
+            refused_by: RefusedBy::Owner,
+        }),
         Asked::Unanswered => alone::admit(node, subject),
     }
 }
--- a/crates/sidecar/src/router/mod.rs
+++ b/crates/sidecar/src/router/mod.rs
@@ -99,6 +99,7 @@
         Ok(permit) => permit,
         Err(over) => {
             record.retry_after = Some(over.retry_after);
+            record.detail = over.refused_by.name().to_owned();
             return Err(Reason::OverQuota);
         }
     };
