--- /dev/null
+++ b/crates/ownership/tests/shards.rs
@@ -0,0 +1,323 @@
+//! Owners of shards of tenants' quotas: what a process takes on, and whom a leader gives them to.
+
+mod support;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use support::{LEASE_MS, reply};
+use wingspar_ownership::{
+    Datagram, Epoch, Identity, Leader, LeaderReference, Leadership, LeaseReply, Life, NodeName,
+    Participant, RegisteredNode, Renewal, ShardHolder, ShardReport, Surroundings, Table, Time,
+    Timing,
+};
+use wingspar_quota::{SHARDS, Shard};
+
+// --- the node's side ---
+
+fn naming(epoch: u64, sent_at: u64, assignment: u64, shards: &[u16]) -> LeaseReply {
+    LeaseReply {
+        quota_shards: shards.iter().copied().map(Shard).collect(),
+        ..reply(epoch, sent_at, assignment, &[], None)
+    }
+}
+
+#[test]
+fn a_process_owns_a_shard_until_its_lease_ends() {
+    let mut holder = ShardHolder::default();
+    holder.lease(Time(1_005), &naming(1, 1_000, 1, &[3]));
+    let end = 1_000 + LEASE_MS;
+    assert_eq!(
+        holder.owned_since(Time(end - 1), Shard(3)),
+        Some(Time(1_005))
+    );
+    assert_eq!(holder.owned_since(Time(end), Shard(3)), None);
+    assert_eq!(holder.owned_since(Time(1_010), Shard(4)), None);
+    assert!(holder.report(Time(end)).owned.is_empty());
+}
+
+#[test]
+fn a_renewed_shard_is_the_same_and_one_that_was_lost_in_between_isnt() {
+    let mut holder = ShardHolder::default();
+    holder.lease(Time(1_005), &naming(1, 1_000, 1, &[3]));
+    holder.lease(Time(1_405), &naming(1, 1_400, 1, &[3]));
+    assert_eq!(holder.owned_since(Time(1_500), Shard(3)), Some(Time(1_005)));
+    holder.lease(Time(1_805), &naming(1, 1_800, 2, &[]));
+    assert_eq!(holder.owned_since(Time(1_900), Shard(3)), None);
+    holder.lease(Time(2_205), &naming(1, 2_200, 3, &[3]));
+    assert_eq!(holder.owned_since(Time(2_300), Shard(3)), Some(Time(2_205)));
+}
+
+#[test]
+fn an_answer_that_was_overtaken_gives_nothing_back() {
+    let mut holder = ShardHolder::default();
+    holder.lease(Time(1_405), &naming(1, 1_400, 2, &[]));
+    holder.lease(Time(1_406), &naming(1, 1_000, 1, &[3]));
+    assert_eq!(holder.owned_since(Time(1_410), Shard(3)), None);
+}
+
+#[test]
+fn an_answer_whose_renewal_was_sent_before_the_lease_ended_gives_nothing_back() {
+    let mut holder = ShardHolder::default();
+    holder.lease(Time(1_005), &naming(1, 1_000, 1, &[3]));
+    let end = 1_000 + LEASE_MS;
+    assert!(holder.report(Time(end + 10)).owned.is_empty());
+    holder.lease(Time(end + 20), &naming(1, end - 100, 1, &[3]));
+    assert_eq!(holder.owned_since(Time(end + 30), Shard(3)), None);
+}
+
+#[test]
+fn an_answer_of_an_earlier_leader_gives_nothing() {
+    let mut holder = ShardHolder::default();
+    holder.promise(Epoch(2));
+    holder.lease(Time(1_005), &naming(1, 1_000, 1, &[3]));
+    assert_eq!(holder.owned_since(Time(1_010), Shard(3)), None);
+}
+
+/// A process of node 2 in its second life, after an answer of leader 1 to the life of that number.
+fn answered(life: u64) -> Participant {
+    let identity = Identity {
+        node: name(2),
+        life: Life(2),
+        zone: "a".to_owned(),
+        address: address(2),
+    };
+    let leader = LeaderReference {
+        epoch: Epoch(2),
+        node: name(1),
+        life: Life(1),
+        address: address(1),
+    };
+    let mut node = Participant::new(identity, Timing::default(), false, Time(1_000));
+    let told = LeaseReply {
+        life: Life(life),
+        ..naming(2, 1_000, 1, &[3])
+    };
+    let lease = Datagram::Lease(leader, Box::new(told));
+    node.receive(Time(1_005), &Surroundings::default(), address(1), lease);
+    node
+}
+
+#[test]
+fn an_answer_to_an_earlier_process_of_the_node_gives_nothing() {
+    assert!(answered(1).owned_shards(Time(1_010)).is_empty());
+    assert_eq!(answered(2).owned_shards(Time(1_010)), [Shard(3)]);
+}
+
+// --- the leader's side ---
+
+fn name(number: u8) -> NodeName {
+    NodeName::from(format!("node-{number}").as_str())
+}
+
+fn address(number: u8) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, number], 7620))
+}
+
+/// Nodes that renew every 0.1 s, and their leader.
+struct Fleet {
+    now: u64,
+    leader: Leader,
+    holders: BTreeMap<u8, ShardHolder>,
+    leaving: BTreeSet<u8>,
+    links: BTreeMap<u8, f64>,
+}
+
+impl Fleet {
+    /// A leader of epoch 2, elected now; the nodes from 1 to `nodes` are registered, node 9 led before.
+    fn new(nodes: u8) -> Self {
+        let leader = LeaderReference {
+            epoch: Epoch(2),
+            node: name(1),
+            life: Life(1),
+            address: address(1),
+        };
+        let earlier = Some(vec![name(9)]);
+        let leadership = Leadership { leader, earlier };
+        let registered = (1..=nodes).map(|number| RegisteredNode {
+            node: name(number),
+            address: address(number),
+            service: Some("s".to_owned()),
+        });
+        let registered = registered.collect::<Vec<_>>();
+        let (timing, now) = (Timing::default(), Time(10_000));
+        let mut leader = Leader::new(&leadership, timing, now, now, &registered, Table::default());
+        leader.set_quota_shards();
+        Self {
+            now: now.0,
+            leader,
+            holders: (1..=nodes)
+                .map(|number| (number, ShardHolder::default()))
+                .collect(),
+            leaving: BTreeSet::new(),
+            links: BTreeMap::new(),
+        }
+    }
+
+    fn renewal(&mut self, number: u8) -> Renewal {
+        let now = Time(self.now);
+        let holder = self.holders.get_mut(&number).expect("a node that renews");
+        holder.promise(Epoch(2));
+        Renewal {
+            node: name(number),
+            life: Life(u64::from(number)),
+            zone: "a".to_owned(),
+            address: address(number),
+            sent_at: now,
+            no_lease_given_ms: 0,
+            epoch: Epoch(2),
+            applied: 0,
+            clean: true,
+            held: Vec::new(),
+            released: Vec::new(),
+            target: None,
+            leaving: self.leaving.contains(&number),
+            registered_for: Some("s".to_owned()),
+            configuration_version: 1,
+            store_reachable: true,
+            link_mbps: self.links.get(&number).copied(),
+            quarantine: None,
+            quota_shards: holder.report(now),
+        }
+    }
+
+    /// Plays some time, with the store confirming the leader throughout.
+    fn run(&mut self, millis: u64) {
+        let end = self.now + millis;
+        while self.now < end {
+            self.now += 100;
+            let now = Time(self.now);
+            self.leader.confirm(now);
+            self.leader.tick(now);
+            for number in self.holders.keys().copied().collect::<Vec<_>>() {
+                let renewal = self.renewal(number);
+                if let Some(reply) = self.leader.renewal(now, &renewal)
+                    && let Some(holder) = self.holders.get_mut(&number)
+                {
+                    holder.lease(now, &reply);
+                }
+            }
+            self.check_single_owners();
+        }
+    }
+
+    fn check_single_owners(&self) {
+        for shard in Shard::all() {
+            let owns = |holder: &&ShardHolder| holder.owned_since(Time(self.now), shard).is_some();
+            assert!(self.holders.values().filter(owns).count() <= 1, "{shard:?}");
+        }
+    }
+
+    fn owned(&self, number: u8) -> usize {
+        let holder = self.holders.get(&number);
+        holder.map_or(0, |holder| holder.owned(Time(self.now)).len())
+    }
+
+    fn owned_by_all(&self) -> usize {
+        self.holders.keys().map(|number| self.owned(*number)).sum()
+    }
+}
+
+#[test]
+fn shards_are_spread_evenly_soon_after_all_have_reported() {
+    let mut fleet = Fleet::new(8);
+    fleet.run(1_000);
+    for number in 1..=8 {
+        assert_eq!(fleet.owned(number), usize::from(SHARDS) / 8);
+    }
+    let members = &fleet.leader.table().members;
+    let told = members.iter().map(|member| member.quota_shards.len());
+    assert_eq!(told.sum::<usize>(), usize::from(SHARDS));
+}
+
+#[test]
+fn stronger_links_come_first() {
+    let mut fleet = Fleet::new(7);
+    fleet.links = (1..=7).map(|number| (number, f64::from(number))).collect();
+    fleet.run(1_000);
+    // 256 shards are 36 for each of seven nodes, and four more.
+    assert_eq!((fleet.owned(3), fleet.owned(4)), (36, 37));
+}
+
+#[test]
+fn a_node_that_is_about_to_stop_hands_its_shards_over() {
+    let mut fleet = Fleet::new(4);
+    fleet.run(1_000);
+    fleet.leaving.insert(2);
+    fleet.run(500);
+    assert_eq!(fleet.owned(2), 0);
+    assert_eq!(fleet.owned_by_all(), usize::from(SHARDS));
+}
+
+#[test]
+fn shards_of_a_lost_node_wait_for_the_end_of_its_lease() {
+    let mut fleet = Fleet::new(4);
+    fleet.run(1_000);
+    let lost = fleet.owned(2);
+    fleet.holders.remove(&2);
+    fleet.run(2_400);
+    assert_eq!(fleet.owned_by_all(), usize::from(SHARDS) - lost);
+    fleet.run(600);
+    assert_eq!(fleet.owned_by_all(), usize::from(SHARDS));
+}
+
+#[test]
+fn shards_that_nobody_reports_wait_for_a_silent_node() {
+    let mut fleet = Fleet::new(4);
+    fleet.holders.remove(&3);
+    fleet.run(8_000);
+    assert_eq!(
+        fleet.owned_by_all(),
+        0,
+        "an earlier leader may have given them to node 3"
+    );
+    fleet.run(4_500);
+    assert_eq!(fleet.owned_by_all(), usize::from(SHARDS));
+}
+
+#[test]
+fn a_new_leader_leaves_shards_with_those_that_report_them() {
+    let mut fleet = Fleet::new(4);
+    for (shard, number) in (0..SHARDS).zip([1, 2, 3, 4].into_iter().cycle()) {
+        let holder = fleet.holders.get_mut(&number).expect("a node");
+        let before = holder.report(Time(9_900)).owned;
+        let shards = before.into_iter().chain([Shard(shard)]);
+        let told = LeaseReply {
+            quota_shards: shards.collect(),
+            ..naming(1, 9_800, 1, &[])
+        };
+        holder.lease(Time(9_900), &told);
+    }
+    fleet.run(1_500);
+    assert_eq!(fleet.owned_by_all(), usize::from(SHARDS));
+    let since = |number: u8| {
+        fleet.holders[&number].owned_since(Time(fleet.now), Shard(u16::from(number) - 1))
+    };
+    for number in 1..=4 {
+        assert_eq!(since(number), Some(Time(9_900)));
+    }
+}
+
+#[test]
+fn a_node_that_comes_gets_its_part_without_others_losing_more() {
+    let mut fleet = Fleet::new(4);
+    fleet.run(1_000);
+    fleet.holders.insert(5, ShardHolder::default());
+    fleet.run(12_000);
+    assert!(
+        fleet.owned(5) >= usize::from(SHARDS) / 10,
+        "{}",
+        fleet.owned(5)
+    );
+    assert_eq!(fleet.owned_by_all(), usize::from(SHARDS));
+}
+
+#[test]
+fn a_process_that_was_started_again_owns_nothing_until_it_is_told_anew() {
+    let mut fleet = Fleet::new(4);
+    fleet.run(1_000);
+    fleet.holders.insert(2, ShardHolder::default());
+    assert_eq!(fleet.renewal(2).quota_shards, ShardReport::default());
+    fleet.run(1_000);
+    assert_eq!(fleet.owned_by_all(), usize::from(SHARDS));
+}
--- a/crates/wingspar/tests/sidecar/deployment.rs
+++ b/crates/wingspar/tests/sidecar/deployment.rs
@@ -382,6 +382,16 @@
         line.rsplit(' ').next()?.parse().ok()
     }
 
+    /// What a node tells operators of the tenants whose quotas it holds; empty if it doesn't answer.
+    pub async fn quotas(&self, node: usize) -> String {
+        let address = SocketAddr::new(self.nodes[node].ready.ip(), METRICS_PORT);
+        let quotas = self.client.get(format!("http://{address}/quotas"));
+        match quotas.send().await {
+            Ok(answer) => answer.text().await.unwrap_or_default(),
+            Err(_) => String::new(),
+        }
+    }
+
     /// Starts a machine's process.
     pub fn start_process(&mut self, node: usize) {
         let machine = &mut self.nodes[node];
--- a/crates/wingspar/tests/sidecar/main.rs
+++ b/crates/wingspar/tests/sidecar/main.rs
@@ -7,6 +7,7 @@
 mod key_heartbeats;
 mod machine;
 mod network;
+mod quotas;
 mod soak;
 
 use std::time::Duration;
