--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -1,7 +1,7 @@
 //! Quotas of tenants, held by all nodes together.
 //!
 //! Tenants are spread over [`Shard`]s, and each shard has one node as its owner, by a lease. The owner keeps a token
-//! [`Bucket`] a tenant ([`Owner`]); a router asks it for a token a request ([`Ask`], [`Answer`]) before it reads the
+//! bucket a tenant ([`Owner`]); a router asks it for a token a request ([`Ask`], [`Answer`]) before it reads the
 //! request's body. Three things besides let a request through or refuse it:
 //!
 //! * a refusal is kept for a moment, so that what is over the quota costs no message ([`Refusals`]);
@@ -23,7 +23,6 @@
 mod refusals;
 mod shard;
 
-pub use bucket::{Bucket, Taken};
 pub use fallback::{Fallback, Place};
 pub use limit::{Limit, Tolerance};
 pub use message::{Answer, Ask, Decision, Message, Returned, TenureId};
--- a/crates/quota/src/owner.rs
+++ b/crates/quota/src/owner.rs
@@ -3,7 +3,8 @@
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
-use crate::{Ask, Bucket, Decision, TenureId, Tolerance};
+use crate::bucket::Bucket;
+use crate::{Ask, Decision, TenureId, Tolerance};
 
 /// How long an answer is remembered. A router that got none has asked for the last time long before that.
 const REMEMBERED: Duration = Duration::from_secs(1);
@@ -64,21 +65,7 @@
         {
             return *known;
         }
-        let tolerance = self.tolerance;
-        let fresh = || {
-            (
-                tenure.id,
-                Bucket::new(now, tenure.since, ask.limit, tolerance),
-            )
-        };
-        if !self.buckets.contains_key(&ask.tenant) {
-            self.buckets.insert(ask.tenant.clone(), fresh());
-        }
-        let (held_in, bucket) = self.buckets.entry(ask.tenant.clone()).or_insert_with(fresh);
-        if *held_in != tenure.id {
-            // Another node may have granted tokens in between.
-            (*held_in, *bucket) = fresh();
-        }
+        let bucket = self.bucket(now, tenure, ask);
         bucket.set_limit(now, ask.limit);
         for returned in &ask.returned {
             if returned.tenure == tenure.id {
@@ -114,6 +101,18 @@
         usage
     }
 
+    /// The tenant's bucket in this tenure; an empty one if another node may have granted its tokens in between.
+    fn bucket(&mut self, now: Duration, tenure: Tenure, ask: &Ask) -> &mut Bucket {
+        let tolerance = self.tolerance;
+        let fresh = || Bucket::new(now, tenure.since, ask.limit, tolerance);
+        let held = self.buckets.entry(ask.tenant.clone());
+        let (held_in, bucket) = held.or_insert_with(|| (tenure.id, fresh()));
+        if *held_in != tenure.id {
+            (*held_in, *bucket) = (tenure.id, fresh());
+        }
+        bucket
+    }
+
     fn remember(&mut self, now: Duration, number: u64, decision: Decision) {
         self.answers.insert(number, decision);
         self.answered.push_back((now, number));
