--- a/crates/ownership/tests/shards.rs
+++ b/crates/ownership/tests/shards.rs
@@ -121,6 +121,8 @@
     holders: BTreeMap<u8, ShardHolder>,
     leaving: BTreeSet<u8>,
     links: BTreeMap<u8, f64>,
+    /// For how long the processes hadn't given any lease when the leader was elected.
+    no_lease_given_ms: u64,
 }
 
 impl Fleet {
@@ -151,6 +153,7 @@
                 .collect(),
             leaving: BTreeSet::new(),
             links: BTreeMap::new(),
+            no_lease_given_ms: 0,
         }
     }
 
@@ -164,7 +167,7 @@
             zone: "a".to_owned(),
             address: address(number),
             sent_at: now,
-            no_lease_given_ms: 0,
+            no_lease_given_ms: self.no_lease_given_ms,
             epoch: Epoch(2),
             applied: 0,
             clean: true,
@@ -275,6 +278,23 @@
     assert_eq!(fleet.owned_by_all(), usize::from(SHARDS));
 }
 
+/// Shards that have owners a second after the election, while node 3 is silent and the earlier leader, node 9, is back.
+fn owned_after_a_second(no_lease_given_ms: u64) -> usize {
+    let mut fleet = Fleet::new(4);
+    fleet.holders.remove(&3);
+    fleet.holders.insert(9, ShardHolder::default());
+    fleet.no_lease_given_ms = no_lease_given_ms;
+    fleet.run(1_000);
+    fleet.owned_by_all()
+}
+
+#[test]
+fn shards_wait_for_the_last_lease_that_an_earlier_leader_may_have_given() {
+    assert_eq!(owned_after_a_second(0), 0);
+    assert_eq!(owned_after_a_second(1_000), 0);
+    assert_eq!(owned_after_a_second(2_000), usize::from(SHARDS));
+}
+
 #[test]
 fn a_new_leader_leaves_shards_with_those_that_report_them() {
     let mut fleet = Fleet::new(4);
--- a/crates/quota/src/limit.rs
+++ b/crates/quota/src/limit.rs
@@ -7,8 +7,9 @@
 /// Part of the tolerated requests that deepens an owner's bucket: callers that come at random, below the rate on
 /// average, then find it empty no more often than the limit itself means.
 const DEPTH_PART: f64 = 0.6;
-/// Part that all nodes together may admit within a window while no owner answers them: what the bucket leaves.
-const FALLBACK_PART: f64 = 1.0 - DEPTH_PART;
+/// Part that all nodes together may admit within a window while no owner answers them. What is left is a margin: nodes
+/// that know fewer others than there are, because those are cut off, take larger shares.
+const FALLBACK_PART: f64 = 0.25;
 
 /// How many requests a tenant may have run, as of a version of the configuration.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
@@ -34,7 +35,7 @@
 /// What the operator tolerates: within any window a tenant may have `rate * window + burst` requests run, a part more
 /// (`over`) and a number more (`slack`).
 ///
-/// All that is tolerated is divided: the owner's bucket is deeper than the burst by one part, and the other is what all
+/// All that is tolerated is divided: the owner's bucket is deeper than the burst by one part, and another is what all
 /// nodes together may admit without an owner. A new owner starts without any token, so that any number of owners, one
 /// after the other, grant no more than one that fills its bucket before the window: the bound holds whichever of these
 /// happen in it.
