--- a/crates/ownership/src/leader/mod.rs
+++ b/crates/ownership/src/leader/mod.rs
@@ -5,6 +5,7 @@
 mod member;
 mod publish;
 mod renewals;
+mod shards;
 
 pub use member::Member;
 
@@ -13,6 +14,8 @@
 use std::time::Duration;
 
 use crate::partition::{Partition, State};
+use shards::ShardLedger;
+
 use crate::plan::{Candidate, Plan};
 use crate::table_log::TableLog;
 use crate::{
@@ -39,10 +42,14 @@
     last_report_at: Time,
     /// Earlier leaders that haven't reported in this epoch; nothing if they aren't known.
     earlier: Option<BTreeSet<NodeName>>,
-    /// When the last of them reported: none of them leases to anybody since.
+    /// Since when those of them that have reported have given no lease.
+    earlier_gave_none_since: Time,
+    /// Since when none of them has, once all have reported.
     sole_since: Option<Time>,
     members: BTreeMap<NodeName, Member>,
     partitions: BTreeMap<String, Partition>,
+    /// Who owns which tenants' quotas; nothing if no tenant has one.
+    shards: Option<ShardLedger>,
     rebalanced_at: Time,
     /// When the last node was heard for the first time.
     joined_at: Time,
@@ -78,6 +85,7 @@
             sole_since: earlier
                 .as_ref()
                 .and_then(|earlier| earlier.is_empty().then_some(now)),
+            earlier_gave_none_since: Time::default(),
             earlier,
             epoch,
             timing,
@@ -89,6 +97,7 @@
             registered,
             members: BTreeMap::new(),
             partitions: BTreeMap::new(),
+            shards: None,
             rebalanced_at: now,
             joined_at: now,
             ticked_at: Time::default(),
--- a/crates/ownership/tests/take_over.rs
+++ b/crates/ownership/tests/take_over.rs
@@ -31,6 +31,7 @@
             starts_per_s: None,
         }),
         leaving: false,
+        quota_shards: Vec::new(),
     }
 }
 
@@ -126,6 +127,7 @@
         zone: "a".to_owned(),
         address: address(number),
         sent_at: now,
+        no_lease_given_ms: 0,
         epoch: Epoch(4),
         applied: 0,
         clean: true,
@@ -138,6 +140,7 @@
         store_reachable: true,
         link_mbps: None,
         quarantine: None,
+        quota_shards: Default::default(),
     }
 }
 
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -25,6 +25,7 @@
 use crate::link::Link;
 use crate::logs::{Event, Log};
 use crate::metrics::Metrics;
+use crate::quota::Quotas;
 use crate::selection::Selection;
 use crate::settings::Settings;
 use crate::slots::{Slots, StartLimit};
@@ -98,6 +99,8 @@
     pub runs: RefCell<InFlight>,
     /// Requests that aren't run, because targets ended under them.
     pub quarantine: RefCell<Quarantine>,
+    /// Quotas of tenants.
+    pub quotas: Quotas,
     /// Its slots.
     pub slots: Rc<Slots>,
     /// The machine's link, for large answers.
@@ -177,6 +180,7 @@
             target_orders: Connections::new(settings.node.target, TARGET_CONNECT_TIMEOUT),
             runs: RefCell::default(),
             quarantine: RefCell::default(),
+            quotas: Quotas::new(life, Duration::from_millis(now.0), &settings.bounds),
             slots: Slots::new(!settings.node.first_start),
             link: Link::new(settings.node.link_mbps),
             key_load: RefCell::new(KeyLoad::new(now)),
--- a/crates/sidecar/tests/ways.rs
+++ b/crates/sidecar/tests/ways.rs
@@ -44,6 +44,7 @@
             starts_per_s: None,
         }),
         leaving: false,
+        quota_shards: Vec::new(),
     });
     let table = Table {
         members: members.collect(),
--- a/crates/wingspar/tests/sidecar/main.rs
+++ b/crates/wingspar/tests/sidecar/main.rs
@@ -10,6 +10,7 @@
 mod network;
 mod pipelined_client;
 mod pipelining;
+mod quotas;
 mod soak;
 mod tenants;
 
