--- a/crates/sidecar/src/configuration_doubts.rs
+++ b/crates/sidecar/src/configuration_doubts.rs
@@ -2,9 +2,9 @@
 //! allows the request.
 //!
 //! The leader tells all nodes of a later configuration at once, but the word may be on its way or lost. So the node asks
-//! the leader, or the store where there is no other leader to ask. One check serves all
-//! requests that wait for it, and checks that find nothing become rarer, so that unknown credentials and routes don't
-//! cause calls at the rate at which clients send them.
+//! the leader, or the store where there is no other leader to ask. One check serves all requests that wait for it, and
+//! checks that find nothing become rarer, so that unknown credentials and routes don't cause calls at the rate at which
+//! clients send them.
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -24,7 +24,8 @@
 /// Requests that wait for a check at most, so that they take no memory and descriptors from others while the leader is
 /// silent; more are decided at once.
 const MOST_WAITING: usize = 64;
-/// Time between two checks after one that found a later configuration.
+/// Time until the next check after the first one that found nothing: a client that mistypes its credential again and
+/// again costs two calls a second at most, and one whose credential is about to be written is soon let in.
 const FIRST_PAUSE: Duration = Duration::from_millis(500);
 /// Time between two checks after many that found nothing. Then callers that send what nobody knows cost the leader
 /// one call of a node within this time.
--- a/crates/sidecar/src/tenant_counts.rs
+++ b/crates/sidecar/src/tenant_counts.rs
@@ -10,13 +10,13 @@
 /// Tenants that are told apart at most: what an operator can read, at a few hundred bytes each in a process that may
 /// have thousands of tenants.
 const MOST_TENANTS: usize = 50;
-/// All tenants that aren't told apart.
-const OTHERS: &str = "others";
+/// Stands for all tenants that aren't told apart; set in brackets, since a tenant may be called "others".
+const OTHERS: &str = "(others)";
 
 /// Labels of a tenant's request.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct TenantLabels {
-    /// The tenant, or `others`.
+    /// The tenant, or `(others)`.
     pub tenant: String,
     /// How the request ended.
     pub outcome: &'static str,
--- a/crates/sidecar/tests/tenant_counts.rs
+++ b/crates/sidecar/tests/tenant_counts.rs
@@ -19,7 +19,7 @@
     counts.count("south", "answered", true);
     assert_eq!(counted(&counts, "north", "over_quota"), 1);
     assert_eq!(counted(&counts, "north", "answered"), 1);
-    assert_eq!(counted(&counts, "others", "answered"), 2);
+    assert_eq!(counted(&counts, "(others)", "answered"), 2);
 }
 
 #[test]
@@ -32,7 +32,7 @@
         }
         let told = 50 * (round + 1);
         let others = (10_000 - 50) * (round + 1);
-        assert_eq!(counted(&counts, "others", "over_quota"), others);
+        assert_eq!(counted(&counts, "(others)", "over_quota"), others);
         let apart = (0..10_000)
             .map(|tenant| counted_if_there(&counts, &format!("t{tenant}"), "over_quota"))
             .sum::<u64>();
