--- a/crates/sidecar/src/quota/asks.rs
+++ b/crates/sidecar/src/quota/asks.rs
@@ -69,15 +69,7 @@
 pub async fn token(node: &Rc<Node>, subject: &Subject) -> Asked {
     let shard = Shard::of(&subject.tenant);
     if serving::owns(node, shard) {
-        let waiting = 1;
-        let decision = serving::decide(node, shard, &ask(node, subject, waiting));
-        return match decision {
-            Some(decision) => settle(node, subject, &decision, waiting)
-                .into_iter()
-                .next()
-                .unwrap_or(Asked::Unanswered),
-            None => Asked::Unanswered,
-        };
+        return own_token(node, subject, shard);
     }
     if is_silent(node, shard) {
         return Asked::Unanswered;
@@ -95,6 +87,15 @@
     answer.await.unwrap_or(Asked::Unanswered)
 }
 
+/// A token of a shard that this node owns.
+fn own_token(node: &Node, subject: &Subject, shard: Shard) -> Asked {
+    let wanted = 1;
+    let decision = serving::decide(node, shard, &ask(node, subject, wanted));
+    let settled = decision.map(|decision| settle(node, subject, &decision, wanted));
+    let asked = settled.and_then(|settled| settled.first().copied());
+    asked.unwrap_or(Asked::Unanswered)
+}
+
 /// A token whose request hasn't run goes back to its owner.
 pub fn give_back(node: &Rc<Node>, subject: &Subject, token: Returned) {
     let mut queues = node.quotas.queues.borrow_mut();
--- a/crates/sidecar/src/quota/mod.rs
+++ b/crates/sidecar/src/quota/mod.rs
@@ -23,7 +23,6 @@
 use wingspar_quota::{
     Answer, Decision, Fallback, Limit, Message, Owner, Refusals, Returned, Shard, Tolerance,
 };
-
 use wingspar_routes::Configuration;
 
 use crate::internal;
