Waiting at a target by what it can do: timely requests first, late ones by spare slots, callers told when the queue ends

Cause: a request waited a fixed 0.12 of its objective and a refused caller was told 0.15 s. Neither knew the queue; earliest due date first served requests in the moment in which they became late, and a caller that came back took the place of one that could still be in time.

Change: the backlog has two lanes. Who can still be in time waits by priority and due date; who can't waits behind, if the slots that arrivals of the last 2 s leave are expected to serve it before its deadline. Short requests stay in front until their deadline. A router tells from the deadline that a caller gives how long it has waited. The agent tells with each answer when its queue ends, and that is Retry-After, spread a little.

--- a/crates/sidecar/src/agent.rs
+++ b/crates/sidecar/src/agent.rs
@@ -78,7 +78,7 @@
 async fn check_or_wait(node: &Node, hop: &HopRequest) -> Result<(), Refusal> {
     loop {
         match check(node, hop) {
-            Err(Refusal::Arriving) if Instant::now() < hop.patience => {
+            Err(Refusal::Arriving) if Instant::now() < hop.patience.min(hop.turn.due) => {
                 tokio::time::sleep(ARRIVAL_STEP).await;
             }
             checked => return checked,
@@ -121,5 +121,6 @@
         running: u32::try_from(node.slots.running()).unwrap_or(u32::MAX),
         waiting: u32::try_from(node.slots.waiting()).unwrap_or(u32::MAX),
         link_ms: u32::try_from(node.link.expected_wait().as_millis()).unwrap_or(u32::MAX),
+        retry_after_ms: u32::try_from(node.slots.retry_after().as_millis()).unwrap_or(u32::MAX),
     }
 }
--- a/crates/sidecar/src/answer.rs
+++ b/crates/sidecar/src/answer.rs
@@ -4,6 +4,7 @@
 
 use http::header::{CONTENT_TYPE, RETRY_AFTER};
 use http::{HeaderValue, Response, StatusCode};
+use rand::RngExt;
 
 use crate::body::Body;
 
@@ -92,6 +93,10 @@
     }
 }
 
+/// Callers that are refused in the same moment are told times that are longer by up to this part, so that they don't
+/// come back as one. None is told a shorter time: it would be refused again.
+const SPREAD: f64 = 0.3;
+
 /// The answer for a reason; `retry_after` says when to come back if that is known.
 pub fn own(reason: Reason, retry_after: Option<Duration>) -> Response<Body> {
     let mut response = Response::new(Body::whole(reason.name()));
@@ -99,8 +104,9 @@
     let headers = response.headers_mut();
     headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
     let wait = retry_after.or_else(|| reason.retry_after());
+    let spread = 1.0 + rand::rng().random_range(0.0..=SPREAD);
     if let Some(wait) = wait
-        && let Ok(seconds) = HeaderValue::from_str(&format!("{:.3}", wait.as_secs_f64()))
+        && let Ok(seconds) = HeaderValue::from_str(&format!("{:.3}", wait.as_secs_f64() * spread))
     {
         headers.insert(RETRY_AFTER, seconds);
     }
--- a/crates/sidecar/src/hop.rs
+++ b/crates/sidecar/src/hop.rs
@@ -22,6 +22,7 @@
 const PATIENCE_MS: HeaderName = HeaderName::from_static("wingspar-patience-ms");
 const TRANSFER_MS: HeaderName = HeaderName::from_static("wingspar-transfer-ms");
 const DUE_MS: HeaderName = HeaderName::from_static("wingspar-due-ms");
+const OBJECTIVE_MS: HeaderName = HeaderName::from_static("wingspar-objective-ms");
 const FINGERPRINT: HeaderName = HeaderName::from_static("wingspar-fingerprint");
 const PRIORITY: HeaderName = HeaderName::from_static("wingspar-priority");
 const OUTCOME: HeaderName = HeaderName::from_static("wingspar-outcome");
@@ -140,6 +141,8 @@
     pub waiting: u32,
     /// How long one more large answer would wait for the machine's link, in milliseconds.
     pub link_ms: u32,
+    /// When a caller that is refused now may come back, in milliseconds; 0 if the node can't tell.
+    pub retry_after_ms: u32,
 }
 
 /// Takes out headers that belong to one connection, and those that only nodes set.
@@ -201,6 +204,8 @@
     insert_number(&mut headers, PRIORITY, u64::from(request.turn.priority));
     let due = whole_millis(request.turn.due.saturating_duration_since(now));
     insert_number(&mut headers, DUE_MS, due);
+    let objective = whole_millis(request.turn.objective);
+    insert_number(&mut headers, OBJECTIVE_MS, objective);
     if let Ok(fingerprint) = HeaderValue::from_str(&request.fingerprint.to_string()) {
         headers.insert(FINGERPRINT, fingerprint);
     }
@@ -226,6 +231,8 @@
     let patience = read_number(&parts.headers, &PATIENCE_MS)?;
     let priority = read_number(&parts.headers, &PRIORITY)?;
     let due = read_number(&parts.headers, &DUE_MS)?;
+    // A node of an earlier version doesn't send it.
+    let objective = read_number(&parts.headers, &OBJECTIVE_MS).unwrap_or(0);
     let transfer = read_number(&parts.headers, &TRANSFER_MS);
     let fingerprint = parts
         .headers
@@ -253,6 +260,8 @@
         turn: Turn {
             priority: u8::try_from(priority).unwrap_or(u8::MAX),
             due: now + Duration::from_millis(due),
+            deadline: now + Duration::from_millis(left),
+            objective: Duration::from_millis(objective),
         },
         key,
         fingerprint,
@@ -270,8 +279,8 @@
     let headers = response.headers_mut();
     headers.insert(OUTCOME, HeaderValue::from_static(outcome));
     if let Ok(load) = HeaderValue::from_str(&format!(
-        "{},{},{}",
-        occupancy.running, occupancy.waiting, occupancy.link_ms
+        "{},{},{},{}",
+        occupancy.running, occupancy.waiting, occupancy.link_ms, occupancy.retry_after_ms
     )) {
         headers.insert(LOAD, load);
     }
@@ -417,6 +426,7 @@
         running: numbers.next()??,
         waiting: numbers.next()??,
         link_ms: numbers.next().flatten().unwrap_or(0),
+        retry_after_ms: numbers.next().flatten().unwrap_or(0),
     })
 }
 
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -10,6 +10,7 @@
 mod answer;
 pub mod body;
 pub mod budget;
+pub mod caller_age;
 pub mod clock;
 pub mod configuration_fetch;
 mod connections;
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -15,6 +15,7 @@
 use wingspar_routes::{Configuration, RouteTable};
 
 use crate::budget::Budget;
+use crate::caller_age::CallerAges;
 use crate::clock::{Clock, whole_millis};
 use crate::connections::Connections;
 use crate::directory::Directory;
@@ -119,6 +120,8 @@
     peers: RefCell<HashMap<SocketAddr, Rc<Connections>>>,
     /// What is known of targets elsewhere.
     pub selection: Selection,
+    /// How long callers have waited already.
+    pub caller_ages: RefCell<CallerAges>,
     /// Extra sends.
     pub budget: RefCell<Budget>,
     /// Whether the process is about to stop.
@@ -181,6 +184,7 @@
             key_news: Notify::new(),
             peers: RefCell::new(HashMap::new()),
             selection: Selection::default(),
+            caller_ages: RefCell::default(),
             budget: RefCell::new(Budget::new(
                 settings.bounds.budget_ratio,
                 settings.bounds.budget_extra,
--- a/crates/sidecar/src/router/mod.rs
+++ b/crates/sidecar/src/router/mod.rs
@@ -9,7 +9,7 @@
 
 use record::Record;
 use send::send;
-use timing::{Times, times};
+use timing::{Times, asked_time, times};
 
 use std::rc::Rc;
 
@@ -93,7 +93,9 @@
     };
     record.key = key;
     node.budget.borrow_mut().request(node.now(), service);
-    let times = times(route, &parts.headers, arrived);
+    let asked = asked_time(&parts.headers);
+    let age = node.caller_ages.borrow_mut().age(&route.name, asked);
+    let times = times(route, asked, age, arrived);
     check_length(&parts.headers, table.configuration().limits.body_bytes)?;
     let permit = match quota::admit(node, tenant.as_ref()).await {
         Ok(permit) => permit,
--- a/crates/sidecar/src/router/send.rs
+++ b/crates/sidecar/src/router/send.rs
@@ -63,8 +63,9 @@
             continue;
         };
         record.node = destination.node.to_string();
-        let patience = patience_here(node, routed, refusals);
-        let answer = send_to(node, routed, &destination, patience).await;
+        let wait = wait_here(node, routed, refusals);
+        let until = wait.until(routed);
+        let answer = send_to(node, routed, &destination, until, record).await;
         let next = match answer {
             HopAnswer::Answered(response) => {
                 record.sends += 1;
@@ -84,7 +85,7 @@
             HopAnswer::Refused(refusal) => {
                 refusals += 1;
                 note_not_run(routed, record);
-                refused(node, routed, record, &destination, refusal, refusals).await
+                refused(node, routed, record, &destination, refusal, wait).await
             }
             HopAnswer::MayHaveRun(detail) => {
                 record.sends += 1;
@@ -172,15 +173,32 @@
         .cloned()
 }
 
-/// Until when a request may wait at the node that is asked next. While others could run it too, a full
-/// one isn't waited for long.
-fn patience_here(node: &Node, routed: &Routed<'_>, refusals: usize) -> Instant {
+/// How long a request may wait at the node that is asked next.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Wait {
+    /// Others could run it too: not long at a full one.
+    Briefly,
+    /// Nobody else is asked afterwards: as long as an answer can be expected in time.
+    AsLongAsItPays,
+}
+
+impl Wait {
+    fn until(self, routed: &Routed<'_>) -> Instant {
+        match self {
+            Self::Briefly => patience_beside_others(routed.route, routed.times.patience),
+            Self::AsLongAsItPays => routed.times.deadline.timer(),
+        }
+    }
+}
+
+/// How long a request may wait at the node that is asked next, after so many have refused it.
+fn wait_here(node: &Node, routed: &Routed<'_>, refusals: usize) -> Wait {
     let others = node.directory.borrow().destinations(routed.service).len();
     let last = refusals + 1 >= MOST_REFUSALS.min(others);
-    if routed.key.is_some() || last {
-        routed.times.patience
+    if routed.key.is_some() || last || Instant::now() >= routed.times.patience {
+        Wait::AsLongAsItPays
     } else {
-        patience_beside_others(routed.route, routed.times.patience)
+        Wait::Briefly
     }
 }
 
@@ -201,7 +219,8 @@
     node: &Rc<Node>,
     routed: &mut Routed<'_>,
     destination: &Destination,
-    patience: Instant,
+    until: Instant,
+    record: &mut Record,
 ) -> HopAnswer {
     let is_here = destination.node == node.name;
     let request = HopRequest {
@@ -211,12 +230,14 @@
         body: routed.body.take(),
         service: routed.service.to_owned(),
         deadline: routed.times.deadline,
-        patience,
+        patience: until,
         // What stays on this machine doesn't use its link.
         transfer: routed.times.transfer.filter(|_| !is_here),
         turn: Turn {
             priority: routed.route.priority,
             due: routed.times.due,
+            deadline: routed.times.deadline.timer(),
+            objective: routed.times.objective,
         },
         key: routed.key,
         fingerprint: routed.fingerprint,
@@ -232,6 +253,10 @@
     if let Some(occupancy) = occupancy {
         let now = node.now();
         node.selection.reported(now, &destination.node, occupancy);
+        if matches!(answer, HopAnswer::Refused(Refusal::Full)) {
+            let queue_ends = u64::from(occupancy.retry_after_ms);
+            record.retry_after = Some(Duration::from_millis(queue_ends));
+        }
     }
     outstanding.end(&answer);
     answer
@@ -284,7 +309,7 @@
     record: &mut Record,
     destination: &Destination,
     refusal: Refusal,
-    refusals: usize,
+    wait: Wait,
 ) -> Next {
     record.detail = refusal.name().to_owned();
     if refusal == Refusal::Quarantined {
@@ -311,17 +336,15 @@
     } else {
         reason
     };
-    if Instant::now() >= routed.times.patience {
-        return Next::GiveUp(reason);
-    }
     if routed.key.is_none() {
-        let enough = refusals >= MOST_REFUSALS;
-        return if enough {
-            Next::GiveUp(reason)
-        } else {
-            Next::Again
+        return match wait {
+            Wait::Briefly => Next::Again,
+            Wait::AsLongAsItPays => Next::GiveUp(reason),
         };
     }
+    if Instant::now() >= routed.times.patience {
+        return Next::GiveUp(reason);
+    }
     if refusal == Refusal::Full {
         return Next::GiveUp(reason);
     }
--- a/crates/sidecar/src/router/timing.rs
+++ b/crates/sidecar/src/router/timing.rs
@@ -39,19 +39,25 @@
     pub deadline: Deadline,
     /// Its answer earns its full credit until then.
     pub due: Instant,
-    /// It has started, or is refused.
+    /// Time within which the route wants its answer.
+    pub objective: Duration,
+    /// It is refused if nobody is known who could run it.
     pub patience: Instant,
     /// If it is a download, its answer has begun to leave the target's machine.
     pub transfer: Option<Instant>,
 }
 
-/// The times of a request that has `arrived`.
-pub fn times(route: &Route, headers: &HeaderMap, arrived: Instant) -> Times {
-    let asked = headers
+/// The time that a caller gives for the answer.
+pub fn asked_time(headers: &HeaderMap) -> Duration {
+    headers
         .get(headers::DEADLINE_MS)
         .and_then(|value| value.to_str().ok()?.trim().parse::<f64>().ok())
         .and_then(|millis| Duration::try_from_secs_f64(millis / 1000.0).ok())
-        .unwrap_or(DEFAULT_DEADLINE);
+        .unwrap_or(DEFAULT_DEADLINE)
+}
+
+/// The times of a request that has `arrived`, whose caller had waited for `age` before and gives the time `asked`.
+pub fn times(route: &Route, asked: Duration, age: Duration, arrived: Instant) -> Times {
     let held = route.timeout.map_or(asked, |timeout| timeout.min(asked));
     let objective = route.objective.unwrap_or(asked);
     let patience = if comes_once(route, asked, objective) {
@@ -62,7 +68,8 @@
     let deadline = arrived + held.saturating_sub(ANSWER_MARGIN);
     Times {
         deadline: Deadline::at(deadline),
-        due: arrived + objective,
+        due: (arrived + objective).checked_sub(age).unwrap_or(arrived),
+        objective,
         patience: deadline.min(arrived + patience),
         transfer: transfer_time(route, deadline, arrived),
     }
--- a/crates/sidecar/src/slots.rs
+++ b/crates/sidecar/src/slots/mod.rs
@@ -1,22 +1,26 @@
-//! Slots of the target and the requests that wait for one: the most urgent first, then the one whose answer is due
-//! first.
+//! Slots of the target and the requests that wait for one; [`backlog`] decides who waits, and in which order.
 //!
 //! While the target is slow after its start it withstands only few requests a second; then a request waits for its
 //! turn under that limit too, and its expected wait knows it.
 
+pub mod backlog;
+mod demand;
+mod run_times;
+mod turn;
+
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
 use std::rc::Rc;
+use std::time::Duration;
 
 use tokio::sync::oneshot;
 use tokio::time::{Instant, timeout_at};
 
 use crate::clock::whole_millis;
 use crate::start_rate::StartRate;
+use backlog::{Backlog, Lane, Supply, Ticket};
 
-/// No slot came free in time.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct NoSlot;
+pub use backlog::Refused;
+pub use turn::Turn;
 
 /// How many requests may start within a moment, while the target is slow after its start.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -27,19 +31,8 @@
     pub until: Option<Instant>,
 }
 
-/// The order in which requests get a slot.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Turn {
-    /// 0 is the most urgent.
-    pub priority: u8,
-    /// When its answer is due. Earliest due date first serves short inner calls, on which work that has begun
-    /// elsewhere waits, before long requests of the same priority: under overload 0.532 of the possible worth was
-    /// earned, 0.500 by order of arrival.
-    pub due: Instant,
-}
-
-/// A turn and, among equal ones, the order of arrival.
-type Place = (Turn, u64);
+/// Requests that wait, each with the way to tell it its slot.
+type Waiting = Backlog<oneshot::Sender<Slot>>;
 
 /// Slots of one target.
 pub struct Slots {
@@ -49,21 +42,13 @@
     /// Whether a task waits for the time at which the limit lets the next request start.
     awaits_start: Cell<bool>,
     running: Cell<usize>,
-    next: Cell<u64>,
-    waiting: RefCell<BTreeMap<Place, oneshot::Sender<Slot>>>,
-    /// Smoothed time that a request keeps its slot, in milliseconds.
-    service_time_ms: Cell<f64>,
+    backlog: RefCell<Waiting>,
     finished: Cell<u64>,
     busy_ms: Cell<u64>,
 }
 
-/// Weight of one request's time against what was known.
-const SMOOTHING: f64 = 0.05;
-/// Time that a request keeps its slot, before any was seen.
-const FIRST_SERVICE_TIME_MS: f64 = 60.0;
-/// A request waits although its wait is expected to outlast its patience by up to this factor: the expectation is a mean.
-/// Chosen by hand; no round has varied it.
-const EXPECTED_WAIT_SLACK: f64 = 1.5;
+/// A request that waits is decided on anew this often: more may have come before it, or the target turned slow.
+const RECONSIDER: Duration = Duration::from_millis(200);
 
 impl Slots {
     /// No slots until the target tells how many it has. `after_another` says that another process may have sent it
@@ -75,9 +60,7 @@
             starts: RefCell::new(StartRate::new(Instant::now(), after_another)),
             awaits_start: Cell::new(false),
             running: Cell::new(0),
-            next: Cell::new(0),
-            waiting: RefCell::new(BTreeMap::new()),
-            service_time_ms: Cell::new(FIRST_SERVICE_TIME_MS),
+            backlog: RefCell::new(Backlog::new(Instant::now())),
             finished: Cell::new(0),
             busy_ms: Cell::new(0),
         })
@@ -103,7 +86,7 @@
 
     /// Requests that wait.
     pub fn waiting(&self) -> usize {
-        self.waiting.borrow().len()
+        self.backlog.borrow().len()
     }
 
     /// Requests finished and the time their slots were in use, in milliseconds, so far.
@@ -111,49 +94,72 @@
         (self.finished.get(), self.busy_ms.get())
     }
 
-    /// Waits for a slot until `patience`, behind those whose turn comes before. Refuses at once if the queue is too
-    /// long for it.
-    pub async fn acquire(self: &Rc<Self>, turn: Turn, patience: Instant) -> Result<Slot, NoSlot> {
-        if self.waiting.borrow().is_empty() && self.may_start(Instant::now()) {
-            return Ok(self.slot());
-        }
-        let expected = self.expected_wait_ms(turn);
-        let left = patience
-            .saturating_duration_since(Instant::now())
-            .as_secs_f64()
-            * 1000.0;
-        if left <= 0.0 || expected > left * EXPECTED_WAIT_SLACK {
-            return Err(NoSlot);
+    /// Waits for a slot, at most until `until`, if it is expected in time for an answer; refuses at once otherwise, or
+    /// as soon as it no longer is.
+    pub async fn acquire(self: &Rc<Self>, turn: Turn, until: Instant) -> Result<Slot, Refused> {
+        let now = Instant::now();
+        self.backlog.borrow_mut().arrived(now, turn);
+        if self.backlog.borrow().is_empty() && self.may_start(now) {
+            return Ok(self.slot(turn.objective));
         }
-        let key = (turn, self.next.get());
-        self.next.set(key.1 + 1);
-        let (sender, receiver) = oneshot::channel();
-        self.waiting.borrow_mut().insert(key, sender);
+        let mut lane = self.with_supply(now, |backlog, supply| {
+            backlog.admit(now, turn, supply, until)
+        })?;
+        let (sender, mut receiver) = oneshot::channel();
+        let ticket = self.backlog.borrow_mut().enter(lane, turn, sender);
+        let _leave = LeaveBacklog {
+            slots: self,
+            ticket,
+        };
         self.pass_on();
-        let leave = LeaveQueue { slots: self, key };
-        let outcome = timeout_at(patience, receiver).await;
-        drop(leave);
-        match outcome {
-            Ok(Ok(slot)) => Ok(slot),
-            _ => Err(NoSlot),
+        loop {
+            let next_look = self.next_look(lane, turn).min(until);
+            if let Ok(Ok(slot)) = timeout_at(next_look, &mut receiver).await {
+                return Ok(slot);
+            }
+            let now = Instant::now();
+            lane = self.with_supply(now, |backlog, supply| {
+                backlog.reconsider(now, ticket, supply, until)
+            })?;
         }
     }
 
-    fn expected_wait_ms(&self, turn: Turn) -> f64 {
-        let waiting = self.waiting.borrow();
-        let ahead = waiting.range(..(turn, u64::MAX)).count();
-        let capacity = self.capacity.get().max(1) as f64;
-        let for_slot = if self.running.get() + ahead < self.capacity.get() {
-            0.0
+    /// When a caller that is refused now may come back.
+    pub fn retry_after(&self) -> Duration {
+        let now = Instant::now();
+        self.with_supply(now, |backlog, supply| backlog.retry_after(now, supply))
+    }
+
+    /// When a request that waits is decided on anew.
+    fn next_look(&self, lane: Lane, turn: Turn) -> Instant {
+        let now = Instant::now();
+        let latest = self.backlog.borrow().latest_start(lane, turn);
+        if latest > now {
+            latest.min(now + RECONSIDER)
         } else {
-            (ahead as f64 + 1.0) / capacity * self.service_time_ms.get()
+            now + RECONSIDER
+        }
+    }
+
+    /// Has `decide` decide on a request, by what the target can do now.
+    fn with_supply<Decision>(
+        &self,
+        now: Instant,
+        decide: impl FnOnce(&mut Waiting, Supply<'_>) -> Decision,
+    ) -> Decision {
+        let start_after = |ahead| {
+            self.limit(now).map_or(Duration::ZERO, |limit| {
+                let free_at = self.starts.borrow_mut().free_at(now, limit.most, ahead);
+                free_at.duration_since(now)
+            })
         };
-        let now = Instant::now();
-        let for_start = self.limit(now).map_or(0.0, |limit| {
-            let free_at = self.starts.borrow_mut().free_at(now, limit.most, ahead);
-            free_at.duration_since(now).as_secs_f64() * 1000.0
-        });
-        for_slot.max(for_start)
+        let supply = Supply {
+            capacity: self.capacity.get(),
+            running: self.running.get(),
+            starts_per_s: self.limit(now).map(|limit| StartRate::per_s(limit.most)),
+            start_after: &start_after,
+        };
+        decide(&mut self.backlog.borrow_mut(), supply)
     }
 
     /// The limit on starts, if one is in force.
@@ -176,19 +182,20 @@
         self.running.get() < self.capacity.get() && self.start_free_at(now) <= now
     }
 
-    fn slot(self: &Rc<Self>) -> Slot {
+    fn slot(self: &Rc<Self>, objective: Duration) -> Slot {
         self.running.set(self.running.get() + 1);
         self.starts.borrow_mut().started(Instant::now());
         Slot {
             slots: self.clone(),
-            since: std::time::Instant::now(),
+            objective,
+            since: Instant::now(),
             worked: Cell::new(false),
         }
     }
 
     fn pass_on(self: &Rc<Self>) {
         while self.running.get() < self.capacity.get() {
-            if self.waiting.borrow().is_empty() {
+            if self.backlog.borrow().is_empty() {
                 return;
             }
             let now = Instant::now();
@@ -196,10 +203,10 @@
             if free_at > now {
                 return self.pass_on_at(free_at);
             }
-            let Some((_, sender)) = self.waiting.borrow_mut().pop_first() else {
+            let Some((turn, sender)) = self.backlog.borrow_mut().pop() else {
                 return;
             };
-            let slot = self.slot();
+            let slot = self.slot(turn.objective);
             if let Err(unused) = sender.send(slot) {
                 // Its requester has just left; the slot is freed without passing on twice. Its start stays counted,
                 // which errs on the safe side.
@@ -226,22 +233,23 @@
     }
 }
 
-/// Takes a request out of the queue when it stops waiting.
-struct LeaveQueue<'slots> {
+/// Takes a request out of the backlog when it stops waiting.
+struct LeaveBacklog<'slots> {
     slots: &'slots Rc<Slots>,
-    key: Place,
+    ticket: Ticket,
 }
 
-impl Drop for LeaveQueue<'_> {
+impl Drop for LeaveBacklog<'_> {
     fn drop(&mut self) {
-        self.slots.waiting.borrow_mut().remove(&self.key);
+        self.slots.backlog.borrow_mut().leave(self.ticket);
     }
 }
 
 /// A slot in use; it is free again when this is dropped.
 pub struct Slot {
     slots: Rc<Slots>,
-    since: std::time::Instant,
+    objective: Duration,
+    since: Instant,
     worked: Cell<bool>,
 }
 
@@ -263,10 +271,7 @@
         slots.running.set(slots.running.get() - 1);
         if self.worked.get() {
             let time = self.since.elapsed();
-            let known = slots.service_time_ms.get();
-            slots
-                .service_time_ms
-                .set(known + SMOOTHING * (time.as_secs_f64() * 1000.0 - known));
+            slots.backlog.borrow_mut().ended(self.objective, time);
             slots.finished.set(slots.finished.get() + 1);
             let busy = whole_millis(time);
             slots.busy_ms.set(slots.busy_ms.get() + busy);
--- a/crates/sidecar/src/start_rate.rs
+++ b/crates/sidecar/src/start_rate.rs
@@ -30,6 +30,11 @@
         }
     }
 
+    /// Starts a second that a limit of so many within the window allows.
+    pub fn per_s(most: usize) -> f64 {
+        most.max(1) as f64 / WINDOW.as_secs_f64()
+    }
+
     /// A request starts.
     pub fn started(&mut self, now: Instant) {
         self.forget(now);
--- a/crates/sidecar/tests/limits.rs
+++ b/crates/sidecar/tests/limits.rs
@@ -16,6 +16,8 @@
     Turn {
         priority,
         due: soon(due),
+        deadline: soon(due + 2_000),
+        objective: Duration::from_millis(due),
     }
 }
 
--- a/crates/sidecar/tests/start_rate.rs
+++ b/crates/sidecar/tests/start_rate.rs
@@ -103,6 +103,8 @@
     let turn = Turn {
         priority: 1,
         due: begun,
+        deadline: begun + Duration::from_secs(60),
+        objective: Duration::ZERO,
     };
     let one = async || match slots.acquire(turn, after(begun, patience)).await {
         Ok(slot) => {
