Tenants have equal shares of a target's time; within them the more urgent tenant's requests come first

Cause: the queue knew no tenants. One at 7 times its usual load cost each of the others a sixth of its callers.

Change: a tenant over its equal share of the target's recent time goes behind the others, in each lane; one that is served less than 0.35 times as often as everybody isn't over it. The tenant's priority travels in a header of the hop.

--- a/crates/sidecar/src/hop.rs
+++ b/crates/sidecar/src/hop.rs
@@ -15,7 +15,7 @@
 use crate::clock::whole_millis;
 use crate::connections::{Connections, SendError};
 use crate::deadline::Deadline;
-use crate::slots::Turn;
+use crate::slots::{TenantTurn, Turn};
 
 const SERVICE: HeaderName = HeaderName::from_static("wingspar-service");
 const LEFT_MS: HeaderName = HeaderName::from_static("wingspar-left-ms");
@@ -25,6 +25,7 @@
 const OBJECTIVE_MS: HeaderName = HeaderName::from_static("wingspar-objective-ms");
 const FINGERPRINT: HeaderName = HeaderName::from_static("wingspar-fingerprint");
 const PRIORITY: HeaderName = HeaderName::from_static("wingspar-priority");
+const TENANT_PRIORITY: HeaderName = HeaderName::from_static("wingspar-tenant-priority");
 const OUTCOME: HeaderName = HeaderName::from_static("wingspar-outcome");
 const LOAD: HeaderName = HeaderName::from_static("wingspar-load");
 /// Answers of other nodes up to this length, in bytes, are read whole before they are passed on.
@@ -204,6 +205,9 @@
     insert_number(&mut headers, PRIORITY, u64::from(request.turn.priority));
     let due = whole_millis(request.turn.due.saturating_duration_since(now));
     insert_number(&mut headers, DUE_MS, due);
+    if let Some(tenant) = request.turn.tenant {
+        insert_number(&mut headers, TENANT_PRIORITY, u64::from(tenant.priority));
+    }
     let objective = whole_millis(request.turn.objective);
     insert_number(&mut headers, OBJECTIVE_MS, objective);
     if let Ok(fingerprint) = HeaderValue::from_str(&request.fingerprint.to_string()) {
@@ -241,6 +245,7 @@
         .ok()?
         .parse()
         .ok()?;
+    let tenant = read_tenant(&parts.headers);
     let mut headers = parts.headers;
     strip(&mut headers);
     let key = if keyed(&service) {
@@ -258,6 +263,7 @@
         patience: now + Duration::from_millis(patience),
         transfer: transfer.map(|left| now + Duration::from_millis(left)),
         turn: Turn {
+            tenant,
             priority: u8::try_from(priority).unwrap_or(u8::MAX),
             due: now + Duration::from_millis(due),
             deadline: now + Duration::from_millis(left),
@@ -268,6 +274,16 @@
     })
 }
 
+/// The turn of a request's tenant, if it has one.
+fn read_tenant(headers: &HeaderMap) -> Option<TenantTurn> {
+    let name = headers.get(headers::TENANT)?.to_str().ok()?;
+    let priority = read_number(headers, &TENANT_PRIORITY)?;
+    Some(TenantTurn::new(
+        name,
+        u8::try_from(priority).unwrap_or(u8::MAX),
+    ))
+}
+
 /// Writes an agent's answer for the router of another node.
 pub fn encode_answer(answer: HopAnswer, occupancy: Occupancy) -> Response<Body> {
     let (outcome, mut response) = match answer {
--- a/crates/sidecar/src/router/mod.rs
+++ b/crates/sidecar/src/router/mod.rs
@@ -27,6 +27,7 @@
 use crate::hop;
 use crate::node::Node;
 use crate::quota::{self, Permit};
+use crate::slots::TenantTurn;
 use crate::tenants::{RequestTenant, authenticate};
 
 /// Bodies up to this many bytes are kept, so that they can be sent again.
@@ -60,6 +61,7 @@
     times: Times,
     fingerprint: Fingerprint,
     permit: Permit,
+    tenant: Option<TenantTurn>,
 }
 
 async fn take(
@@ -138,6 +140,9 @@
         times,
         fingerprint,
         permit,
+        tenant: tenant
+            .as_ref()
+            .map(|tenant| TenantTurn::new(&tenant.name, tenant.priority)),
     };
     send(node, &mut routed, record).await
 }
--- a/crates/sidecar/src/router/send.rs
+++ b/crates/sidecar/src/router/send.rs
@@ -234,6 +234,7 @@
         // What stays on this machine doesn't use its link.
         transfer: routed.times.transfer.filter(|_| !is_here),
         turn: Turn {
+            tenant: routed.tenant,
             priority: routed.route.priority,
             due: routed.times.due,
             deadline: routed.times.deadline.timer(),
--- a/crates/sidecar/src/slots/backlog.rs
+++ b/crates/sidecar/src/slots/backlog.rs
@@ -8,14 +8,15 @@
 //!
 //! Decisions only: no clock, no timers.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
 use tokio::time::Instant;
 
 use super::demand::Demand;
 use super::run_times::RunTimes;
-use super::turn::Turn;
+use super::shares::Shares;
+use super::turn::{Rank, Turn};
 
 /// Part of the slots' time that a request which arrives counts on. The rest is for what it can't know: more urgent
 /// arrivals, and runs longer than most.
@@ -57,22 +58,22 @@
 }
 
 /// Place of a request that waits; unique, and its order.
-type Place = (Lane, (u8, Instant), u64);
+type Place = (Lane, Rank, Ticket);
 
-/// A request that waits; names it until it leaves.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Ticket {
-    number: u64,
-    turn: Turn,
-}
+/// Names a request that waits until it leaves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Ticket(u64);
 
 /// Requests that wait for a slot of one target.
 #[derive(Debug)]
 pub struct Backlog<Waiter> {
     waiting: BTreeMap<Place, (Turn, Waiter)>,
+    /// Where each of them waits.
+    places: HashMap<Ticket, Place>,
     next: u64,
     run_times: RunTimes,
     demand: Demand,
+    shares: Shares,
 }
 
 impl<Waiter> Backlog<Waiter> {
@@ -80,9 +81,11 @@
     pub fn new(now: Instant) -> Self {
         Self {
             waiting: BTreeMap::new(),
+            places: HashMap::new(),
             next: 0,
             run_times: RunTimes::default(),
             demand: Demand::new(now),
+            shares: Shares::new(now),
         }
     }
 
@@ -98,15 +101,25 @@
 
     /// A request arrives, whether it will wait or not.
     pub fn arrived(&mut self, now: Instant, turn: Turn) {
+        let work = self.run_times.mean_of(turn.objective);
+        self.shares.asked(now, turn.share_key(), work);
         if self.latest_start(Lane::Timely, turn) > now {
-            let work = self.run_times.mean_of(turn.objective);
             self.demand.arrived(now, work);
         }
     }
 
-    /// A request has ended after it kept a slot for so long.
-    pub fn ended(&mut self, objective: Duration, took: Duration) {
-        self.run_times.observe(objective, took);
+    /// A request starts; its tenant is charged with what its kind takes.
+    pub fn started(&mut self, turn: Turn) {
+        let expected = self.run_times.mean_of(turn.objective);
+        self.shares.used(turn.share_key(), expected);
+    }
+
+    /// A request has ended after it kept a slot for so long; its tenant is charged with what it took beyond.
+    pub fn ended(&mut self, turn: Turn, took: Duration) {
+        let expected = self.run_times.mean_of(turn.objective);
+        let beyond = took.as_secs_f64() - expected;
+        self.shares.used(turn.share_key(), beyond);
+        self.run_times.observe(turn.objective, took);
     }
 
     /// Which lane a request that arrives may wait in, if any; `until` is the latest start that its router wants.
@@ -130,12 +143,17 @@
         share: f64,
     ) -> Result<Lane, Refused> {
         let room = |lane| time_to(now, until.min(self.latest_start(lane, turn)));
-        let timely = self.expected_wait(self.ahead(Lane::Timely, turn), supply, share);
+        let timely = self.expected_wait(
+            self.ahead(Lane::Timely, turn, supply.capacity),
+            supply,
+            share,
+        );
         if now < until && timely <= room(Lane::Timely) {
             return Ok(Lane::Timely);
         }
         let spare = self.spare(now, supply).max(0.0);
-        let late = self.expected_wait(self.ahead(Lane::Late, turn), supply, share) / spare;
+        let late = self.expected_wait(self.ahead(Lane::Late, turn, supply.capacity), supply, share)
+            / spare;
         if now < until && late <= room(Lane::Late) {
             return Ok(Lane::Late);
         }
@@ -151,21 +169,18 @@
             .clamp(LEAST_PAUSE, MOST_PAUSE)
     }
 
-    /// Takes a request into a lane.
-    pub fn enter(&mut self, lane: Lane, turn: Turn, waiter: Waiter) -> Ticket {
-        let ticket = Ticket {
-            number: self.next,
-            turn,
-        };
+    /// Takes a request into a lane, at a target of so many slots.
+    pub fn enter(&mut self, lane: Lane, turn: Turn, capacity: usize, waiter: Waiter) -> Ticket {
+        let ticket = Ticket(self.next);
         self.next += 1;
-        self.insert(lane, ticket, waiter);
+        self.insert(ticket, lane, turn, capacity, waiter);
         ticket
     }
 
     /// Takes a request out, if it still waits.
-    pub fn leave(&mut self, ticket: Ticket) -> Option<Waiter> {
-        self.remove(Lane::Timely, ticket)
-            .or_else(|| self.remove(Lane::Late, ticket))
+    pub fn leave(&mut self, ticket: Ticket) -> Option<(Turn, Waiter)> {
+        let place = self.places.remove(&ticket)?;
+        self.waiting.remove(&place)
     }
 
     /// Decides anew on a request that waits, since time has passed: it stays in its lane, is moved, or leaves.
@@ -176,18 +191,20 @@
         supply: Supply<'_>,
         until: Instant,
     ) -> Result<Lane, Refused> {
-        let Some(waiter) = self.leave(ticket) else {
+        let Some((turn, waiter)) = self.leave(ticket) else {
             // It has just got its slot.
             return Ok(Lane::Timely);
         };
-        let lane = self.decide(now, ticket.turn, supply, until, WAITING_SHARE)?;
-        self.insert(lane, ticket, waiter);
+        let lane = self.decide(now, turn, supply, until, WAITING_SHARE)?;
+        self.insert(ticket, lane, turn, supply.capacity, waiter);
         Ok(lane)
     }
 
     /// The next to get a slot.
     pub fn pop(&mut self) -> Option<(Turn, Waiter)> {
-        self.waiting.pop_first().map(|(_, next)| next)
+        let ((.., ticket), next) = self.waiting.pop_first()?;
+        self.places.remove(&ticket);
+        Some(next)
     }
 
     /// The latest start at which a request is likely to be answered by its due date, or by its deadline.
@@ -200,8 +217,19 @@
         end.checked_sub(allowance).unwrap_or(end)
     }
 
-    fn ahead(&self, lane: Lane, turn: Turn) -> usize {
-        self.waiting.range(..(lane, turn.rank(), u64::MAX)).count()
+    /// Whether a request goes behind others since its tenant uses more than its share; short ones never do.
+    fn is_over_share(&self, turn: Turn, capacity: usize) -> bool {
+        !self.run_times.is_short(turn.objective) && self.shares.is_over(turn.share_key(), capacity)
+    }
+
+    /// The order of a request now, at a target of so many slots.
+    fn rank(&self, turn: Turn, capacity: usize) -> Rank {
+        turn.rank(self.is_over_share(turn, capacity))
+    }
+
+    fn ahead(&self, lane: Lane, turn: Turn, capacity: usize) -> usize {
+        let behind_equals = (lane, self.rank(turn, capacity), Ticket(u64::MAX));
+        self.waiting.range(..behind_equals).count()
     }
 
     /// Share of the target's time, or of its starts, that requests which can be in time leave; negative while the target
@@ -226,16 +254,10 @@
         for_slot.max((supply.start_after)(ahead).as_secs_f64())
     }
 
-    fn insert(&mut self, lane: Lane, ticket: Ticket, waiter: Waiter) {
-        self.waiting.insert(
-            (lane, ticket.turn.rank(), ticket.number),
-            (ticket.turn, waiter),
-        );
-    }
-
-    fn remove(&mut self, lane: Lane, ticket: Ticket) -> Option<Waiter> {
-        let place = (lane, ticket.turn.rank(), ticket.number);
-        self.waiting.remove(&place).map(|(_, waiter)| waiter)
+    fn insert(&mut self, ticket: Ticket, lane: Lane, turn: Turn, capacity: usize, waiter: Waiter) {
+        let place = (lane, self.rank(turn, capacity), ticket);
+        self.places.insert(ticket, place);
+        self.waiting.insert(place, (turn, waiter));
     }
 }
 
--- a/crates/sidecar/src/slots/mod.rs
+++ b/crates/sidecar/src/slots/mod.rs
@@ -6,6 +6,7 @@
 pub mod backlog;
 mod demand;
 mod run_times;
+mod shares;
 mod turn;
 
 use std::cell::{Cell, RefCell};
@@ -20,7 +21,7 @@
 use backlog::{Backlog, Lane, Supply, Ticket};
 
 pub use backlog::Refused;
-pub use turn::Turn;
+pub use turn::{TenantTurn, Turn};
 
 /// How many requests may start within a moment, while the target is slow after its start.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -100,13 +101,16 @@
         let now = Instant::now();
         self.backlog.borrow_mut().arrived(now, turn);
         if self.backlog.borrow().is_empty() && self.may_start(now) {
-            return Ok(self.slot(turn.objective));
+            return Ok(self.slot(turn));
         }
         let mut lane = self.with_supply(now, |backlog, supply| {
             backlog.admit(now, turn, supply, until)
         })?;
         let (sender, mut receiver) = oneshot::channel();
-        let ticket = self.backlog.borrow_mut().enter(lane, turn, sender);
+        let ticket = self
+            .backlog
+            .borrow_mut()
+            .enter(lane, turn, self.capacity.get(), sender);
         let _leave = LeaveBacklog {
             slots: self,
             ticket,
@@ -182,12 +186,13 @@
         self.running.get() < self.capacity.get() && self.start_free_at(now) <= now
     }
 
-    fn slot(self: &Rc<Self>, objective: Duration) -> Slot {
+    fn slot(self: &Rc<Self>, turn: Turn) -> Slot {
+        self.backlog.borrow_mut().started(turn);
         self.running.set(self.running.get() + 1);
         self.starts.borrow_mut().started(Instant::now());
         Slot {
             slots: self.clone(),
-            objective,
+            turn,
             since: Instant::now(),
             worked: Cell::new(false),
         }
@@ -206,7 +211,7 @@
             let Some((turn, sender)) = self.backlog.borrow_mut().pop() else {
                 return;
             };
-            let slot = self.slot(turn.objective);
+            let slot = self.slot(turn);
             if let Err(unused) = sender.send(slot) {
                 // Its requester has just left; the slot is freed without passing on twice. Its start stays counted,
                 // which errs on the safe side.
@@ -248,7 +253,7 @@
 /// A slot in use; it is free again when this is dropped.
 pub struct Slot {
     slots: Rc<Slots>,
-    objective: Duration,
+    turn: Turn,
     since: Instant,
     worked: Cell<bool>,
 }
@@ -271,7 +276,7 @@
         slots.running.set(slots.running.get() - 1);
         if self.worked.get() {
             let time = self.since.elapsed();
-            slots.backlog.borrow_mut().ended(self.objective, time);
+            slots.backlog.borrow_mut().ended(self.turn, time);
             slots.finished.set(slots.finished.get() + 1);
             let busy = whole_millis(time);
             slots.busy_ms.set(slots.busy_ms.get() + busy);
--- a/crates/sidecar/tests/limits.rs
+++ b/crates/sidecar/tests/limits.rs
@@ -14,6 +14,7 @@
 /// The turn of a request whose answer is due in so many milliseconds.
 fn turn(priority: u8, due: u64) -> Turn {
     Turn {
+        tenant: None,
         priority,
         due: soon(due),
         deadline: soon(due + 2_000),
--- a/crates/sidecar/tests/start_rate.rs
+++ b/crates/sidecar/tests/start_rate.rs
@@ -101,6 +101,7 @@
     let started = RefCell::new(Vec::new());
     let refused = RefCell::new(0);
     let turn = Turn {
+        tenant: None,
         priority: 1,
         due: begun,
         deadline: begun + Duration::from_secs(60),
--- /dev/null
+++ b/crates/sidecar/tests/waiting/backlog.rs
@@ -0,0 +1,109 @@
+//! Single decisions of the backlog.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+use wingspar_sidecar::slots::Turn;
+use wingspar_sidecar::slots::backlog::{Backlog, Lane, Supply};
+
+/// A backlog of a target with one slot in use, which knows that requests take 100 ms.
+fn busy_backlog(now: Instant) -> Backlog<&'static str> {
+    let mut backlog = Backlog::new(now);
+    for _ in 0..200 {
+        backlog.ended(turn(now, 400, 2_000), Duration::from_millis(100));
+    }
+    backlog
+}
+
+fn turn(now: Instant, due_ms: u64, deadline_ms: u64) -> Turn {
+    Turn {
+        tenant: None,
+        priority: 1,
+        due: now + Duration::from_millis(due_ms),
+        deadline: now + Duration::from_millis(deadline_ms),
+        objective: Duration::from_millis(400),
+    }
+}
+
+const ONE_SLOT: Supply<'static> = Supply {
+    capacity: 1,
+    running: 1,
+    starts_per_s: None,
+    start_after: &|_| Duration::ZERO,
+};
+
+#[test]
+fn who_would_be_late_takes_nobody_elses_place() {
+    let now = Instant::now();
+    let mut backlog = busy_backlog(now);
+    let late = turn(now, 50, 2_000);
+    let lane = backlog.admit(now, late, ONE_SLOT, late.deadline);
+    assert_eq!(lane, Ok(Lane::Late));
+    backlog.enter(Lane::Late, late, 1, "late");
+    let timely = turn(now, 400, 2_000);
+    let lane = backlog.admit(now, timely, ONE_SLOT, timely.deadline);
+    assert_eq!(lane, Ok(Lane::Timely));
+    backlog.enter(Lane::Timely, timely, 1, "timely");
+    assert_eq!(backlog.pop().map(|(_, who)| who), Some("timely"));
+    assert_eq!(backlog.pop().map(|(_, who)| who), Some("late"));
+}
+
+#[test]
+fn nobody_waits_to_be_late_while_the_target_is_overloaded() {
+    let now = Instant::now();
+    let mut backlog = busy_backlog(now);
+    let late = turn(now, 50, 2_000);
+    for _ in 0..40 {
+        backlog.arrived(now, turn(now, 400, 2_000));
+    }
+    assert!(backlog.admit(now, late, ONE_SLOT, late.deadline).is_err());
+    // The burst is over.
+    let after = now + Duration::from_secs(10);
+    let late = turn(after, 50, 2_000);
+    let lane = backlog.admit(after, late, ONE_SLOT, late.deadline);
+    assert_eq!(lane, Ok(Lane::Late));
+}
+
+#[test]
+fn who_can_no_longer_be_in_time_moves_behind_or_leaves() {
+    let now = Instant::now();
+    let mut backlog = busy_backlog(now);
+    let patient = turn(now, 400, 3_000);
+    let ticket = backlog.enter(Lane::Timely, patient, 1, "patient");
+    let hasty = turn(now, 400, 450);
+    let other = backlog.enter(Lane::Timely, hasty, 1, "hasty");
+    let later = now + Duration::from_millis(380);
+    let moved = backlog.reconsider(later, ticket, ONE_SLOT, patient.deadline);
+    assert_eq!(moved, Ok(Lane::Late));
+    let left = backlog.reconsider(later, other, ONE_SLOT, hasty.deadline);
+    assert!(left.is_err());
+    assert_eq!(backlog.len(), 1);
+}
+
+#[test]
+fn short_requests_stay_in_front_until_their_deadline() {
+    let now = Instant::now();
+    let mut backlog = busy_backlog(now);
+    let call = Turn {
+        objective: Duration::from_millis(100),
+        ..turn(now, 1, 500)
+    };
+    for _ in 0..200 {
+        backlog.ended(call, Duration::from_millis(20));
+    }
+    let lane = backlog.admit(now, call, ONE_SLOT, call.deadline);
+    assert_eq!(lane, Ok(Lane::Timely));
+}
+
+#[test]
+fn a_longer_queue_sends_callers_away_for_longer() {
+    let now = Instant::now();
+    let mut backlog = busy_backlog(now);
+    let short = backlog.retry_after(now, ONE_SLOT);
+    for _ in 0..5 {
+        backlog.enter(Lane::Timely, turn(now, 400, 2_000), 1, "one of five");
+    }
+    let long = backlog.retry_after(now, ONE_SLOT);
+    assert!(short >= Duration::from_millis(90), "{short:?}");
+    assert!(long > short * 4, "{long:?} after {short:?}");
+}
--- a/crates/sidecar/tests/waiting.rs
+++ b/crates/sidecar/tests/waiting/trial.rs
@@ -1,13 +1,12 @@
-//! Who waits at a target and who is refused, under patterns of load in virtual time: one target, a backlog, callers
-//! that come back as they are told.
+//! One target, its backlog, and callers that come back as they are told, in virtual time.
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::time::Duration;
 
 use tokio::time::Instant;
-use wingspar_sidecar::slots::Turn;
 use wingspar_sidecar::slots::backlog::{Backlog, Lane, Supply, Ticket};
+use wingspar_sidecar::slots::{TenantTurn, Turn};
 
 /// A reproducible source of numbers between 0 and 1.
 struct Numbers(u64);
@@ -29,12 +28,18 @@
 
 /// One kind of request.
 #[derive(Clone, Copy)]
-struct Kind {
-    priority: u8,
-    run_s: f64,
-    objective_s: f64,
-    deadline_s: f64,
-    returns: u32,
+pub struct Kind {
+    /// Its tenant's name and priority, if it has one.
+    pub tenant: Option<(&'static str, u8)>,
+    pub priority: u8,
+    pub run_s: f64,
+    pub objective_s: f64,
+    pub deadline_s: f64,
+    pub returns: u32,
+    /// Whether its callers come back at once, whatever they are told.
+    pub at_once: bool,
+    /// Factor on its arrivals at a time.
+    pub load: fn(f64) -> f64,
 }
 
 /// Slots of the target in all patterns.
@@ -43,66 +48,84 @@
 const LENGTH_S: f64 = 20.0;
 
 /// What arrives, and what the target can do.
-struct Pattern {
-    kinds: Vec<(Kind, f64)>,
-    /// Factor on the arrivals at a time.
-    load: fn(f64) -> f64,
+pub struct Pattern {
+    pub kinds: Vec<(Kind, f64)>,
     /// Factor on run times at a time.
-    slowness: fn(f64) -> f64,
+    pub slowness: fn(f64) -> f64,
     /// Starts that the target withstands a second.
-    starts_per_s: fn(f64) -> Option<f64>,
+    pub starts_per_s: fn(f64) -> Option<f64>,
 }
 
-fn steadily(_: f64) -> f64 {
+pub fn steadily(_: f64) -> f64 {
     1.0
 }
 
-fn no_limit(_: f64) -> Option<f64> {
+pub fn no_limit(_: f64) -> Option<f64> {
     None
 }
 
-fn lookup() -> Kind {
+pub fn lookup() -> Kind {
     Kind {
+        tenant: None,
         priority: 2,
         run_s: 0.09,
         objective_s: 0.3,
         deadline_s: 2.0,
         returns: 2,
+        at_once: false,
+        load: steadily,
     }
 }
 
 /// Arrivals a second of one kind that keep that share of the slots in use.
-fn rate(kind: Kind, share: f64) -> f64 {
+pub fn rate(kind: Kind, share: f64) -> f64 {
     share * CAPACITY as f64 / kind.run_s
 }
 
 /// Two ways to decide.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
-enum Way {
+pub enum Way {
     /// A fixed part of the objective, one queue by due date, one time to come back.
     FixedPart,
     /// The backlog.
     Backlog,
+    /// The backlog, tenants strictly by priority.
+    StrictTenants,
+    /// The backlog, which knows no tenants.
+    NoTenants,
 }
 
+/// What a late answer is worth to a caller, against one in time.
+const LATE_WORTH: f64 = 0.3;
+
 /// What became of the callers.
 #[derive(Debug, Default, Clone, Copy)]
-struct Outcome {
-    callers: u32,
-    in_time: u32,
-    late: u32,
-    not_served: u32,
+pub struct Outcome {
+    pub callers: u32,
+    pub in_time: u32,
+    pub late: u32,
+    pub not_served: u32,
     /// Seconds that attempts waited which then were refused.
-    held_in_vain_s: f64,
+    pub held_in_vain_s: f64,
 }
 
 impl Outcome {
-    fn share(&self, of: u32) -> f64 {
+    fn with(self, other: Self) -> Self {
+        Self {
+            callers: self.callers + other.callers,
+            in_time: self.in_time + other.in_time,
+            late: self.late + other.late,
+            not_served: self.not_served + other.not_served,
+            held_in_vain_s: self.held_in_vain_s + other.held_in_vain_s,
+        }
+    }
+
+    pub fn share(&self, of: u32) -> f64 {
         f64::from(of) / f64::from(self.callers.max(1))
     }
 
     /// What callers have of it: an answer in time is worth most, a late one a part of it, none is a loss.
-    fn value(&self) -> f64 {
+    pub fn value(&self) -> f64 {
         self.share(self.in_time) + LATE_WORTH * self.share(self.late) - self.share(self.not_served)
     }
 }
@@ -110,6 +133,8 @@
 #[derive(Clone, Copy)]
 struct Caller {
     kind: Kind,
+    /// Its place among the pattern's kinds.
+    number: usize,
     came_s: f64,
     attempts: u32,
 }
@@ -138,7 +163,7 @@
     (seconds * 1e6) as u64
 }
 
-struct Trial<'a> {
+pub struct Trial<'a> {
     way: Way,
     pattern: &'a Pattern,
     numbers: Numbers,
@@ -154,11 +179,11 @@
     mean_run_s: f64,
     running: usize,
     last_start_s: f64,
-    outcome: Outcome,
+    outcomes: Vec<Outcome>,
 }
 
 impl<'a> Trial<'a> {
-    fn run(way: Way, pattern: &'a Pattern, seed: u64) -> Outcome {
+    pub fn run(way: Way, pattern: &'a Pattern, seed: u64) -> Vec<Outcome> {
         let base = Instant::now();
         let mut trial = Trial {
             way,
@@ -175,7 +200,7 @@
             mean_run_s: 0.06,
             running: 0,
             last_start_s: -10.0,
-            outcome: Outcome::default(),
+            outcomes: vec![Outcome::default(); pattern.kinds.len()],
         };
         for kind in 0..pattern.kinds.len() {
             trial.plan(0.0, Event::New(kind));
@@ -185,7 +210,7 @@
             trial.handle(event);
             trial.start();
         }
-        trial.outcome
+        trial.outcomes
     }
 
     fn plan(&mut self, at_s: f64, event: Event) {
@@ -213,17 +238,18 @@
 
     fn new_caller(&mut self, kind: usize) {
         let (what, per_s) = self.pattern.kinds[kind];
-        let factor = (self.pattern.load)(self.now_s);
+        let factor = (what.load)(self.now_s);
         let next = self.now_s + self.numbers.exponential(1.0 / (per_s * factor));
         if next < LENGTH_S {
             self.plan(next, Event::New(kind));
         }
         self.callers.push(Caller {
             kind: what,
+            number: kind,
             came_s: self.now_s,
             attempts: 0,
         });
-        self.outcome.callers += 1;
+        self.outcomes[kind].callers += 1;
         self.attempt(self.callers.len() - 1);
     }
 
@@ -232,11 +258,13 @@
         let caller = self.callers[caller];
         let kind = caller.kind;
         let deadline = self.instant(caller.came_s + kind.deadline_s);
+        let (tenant, priority) = self.rank(kind);
         let turn = Turn {
-            priority: kind.priority,
+            tenant,
+            priority,
             // The router can't tell a caller that comes back from a new one.
             due: self.instant(
-                if self.way == Way::Backlog {
+                if self.way != Way::FixedPart {
                     caller.came_s
                 } else {
                     self.now_s
@@ -247,7 +275,7 @@
         };
         let until = match self.way {
             Way::FixedPart => self.instant(self.now_s + 0.12 * kind.objective_s),
-            Way::Backlog => deadline,
+            _ => deadline,
         };
         self.attempts.push(Attempt {
             caller,
@@ -267,8 +295,8 @@
                     Way::FixedPart => {
                         self.queue.insert((turn.priority, turn.due, number));
                     }
-                    Way::Backlog => {
-                        let ticket = self.backlog.enter(lane, turn, number);
+                    _ => {
+                        let ticket = self.backlog.enter(lane, turn, CAPACITY, number);
                         self.attempts[number].ticket = Some(ticket);
                     }
                 }
@@ -277,6 +305,17 @@
         }
     }
 
+    /// Whose a request is, and how urgent, as this way sees it.
+    fn rank(&self, kind: Kind) -> (Option<TenantTurn>, u8) {
+        match (self.way, kind.tenant) {
+            (Way::Backlog, Some((name, urgency))) => {
+                (Some(TenantTurn::new(name, urgency)), kind.priority)
+            }
+            (Way::StrictTenants, Some((_, urgency))) => (None, urgency * 16 + kind.priority),
+            _ => (None, kind.priority),
+        }
+    }
+
     fn with_supply<T>(&mut self, decide: impl FnOnce(&mut Backlog<usize>, Supply<'_>) -> T) -> T {
         let per_s = (self.pattern.starts_per_s)(self.now_s);
         let since = self.now_s - self.last_start_s;
@@ -297,7 +336,7 @@
     fn admit(&mut self, number: usize) -> Option<Lane> {
         let Attempt { turn, until, .. } = self.attempts[number];
         let now = self.now();
-        if self.way == Way::Backlog {
+        if self.way != Way::FixedPart {
             let free = self.running < CAPACITY && self.may_start();
             if free && self.backlog.is_empty() {
                 return Some(Lane::Timely);
@@ -321,7 +360,7 @@
         let Attempt { turn, until, .. } = self.attempts[number];
         let at = match self.way {
             Way::FixedPart => until,
-            Way::Backlog => {
+            _ => {
                 let latest = self.backlog.latest_start(lane, turn);
                 let step = self.now() + Duration::from_millis(200);
                 if latest > self.now() {
@@ -341,7 +380,7 @@
             return;
         }
         let now = self.now();
-        if let (Way::Backlog, Some(ticket)) = (self.way, attempt.ticket) {
+        if let Some(ticket) = attempt.ticket {
             let decided = self.with_supply(|backlog, supply| {
                 backlog.reconsider(now, ticket, supply, attempt.until)
             });
@@ -359,16 +398,18 @@
         let attempt = &mut self.attempts[number];
         attempt.waits = false;
         let caller = attempt.caller;
-        self.outcome.held_in_vain_s += self.now_s - attempt.since_s;
+        let outcome = &mut self.outcomes[caller.number];
+        outcome.held_in_vain_s += self.now_s - attempt.since_s;
         let left = caller.came_s + caller.kind.deadline_s - self.now_s;
         if caller.attempts > caller.kind.returns || left < 0.05 {
-            self.outcome.not_served += 1;
+            outcome.not_served += 1;
             return;
         }
         let now = self.now();
         let told = match self.way {
+            _ if caller.kind.at_once => 0.0,
             Way::FixedPart => 0.15,
-            Way::Backlog => {
+            _ => {
                 let told = self.with_supply(|backlog, supply| backlog.retry_after(now, supply));
                 told.as_secs_f64() * (1.0 + 0.3 * self.numbers.next())
             }
@@ -395,12 +436,13 @@
             }
             let next = match self.way {
                 Way::FixedPart => self.queue.pop_first().map(|(.., number)| number),
-                Way::Backlog => self.backlog.pop().map(|(_, number)| number),
+                _ => self.backlog.pop().map(|(_, number)| number),
             };
             let Some(number) = next else {
                 return;
             };
             self.attempts[number].waits = false;
+            self.backlog.started(self.attempts[number].turn);
             self.running += 1;
             self.last_start_s = self.now_s;
             let kind = self.attempts[number].caller.kind;
@@ -417,249 +459,33 @@
         self.running -= 1;
         let attempt = self.attempts[number];
         let took = Duration::from_secs_f64(self.now_s - attempt.since_s);
-        self.backlog.ended(attempt.turn.objective, took);
+        self.backlog.ended(attempt.turn, took);
         let whole = self.now_s - attempt.caller.came_s;
         let kind = attempt.caller.kind;
+        let outcome = &mut self.outcomes[attempt.caller.number];
         if whole <= kind.objective_s {
-            self.outcome.in_time += 1;
+            outcome.in_time += 1;
         } else if whole <= kind.deadline_s {
-            self.outcome.late += 1;
+            outcome.late += 1;
         } else {
-            self.outcome.not_served += 1;
+            outcome.not_served += 1;
         }
     }
 }
 
-fn patterns() -> Vec<(&'static str, Pattern)> {
-    let plain = |share| Pattern {
-        kinds: vec![(lookup(), rate(lookup(), share))],
-        load: steadily,
-        slowness: steadily,
-        starts_per_s: no_limit,
-    };
-    let patient = Kind {
-        run_s: 0.16,
-        objective_s: 0.8,
-        deadline_s: 2.0,
-        returns: 1,
-        ..lookup()
-    };
-    let inner = Kind {
-        priority: 0,
-        run_s: 0.022,
-        objective_s: 0.1,
-        deadline_s: 0.25,
-        returns: 0,
-    };
-    let payment = Kind {
-        priority: 1,
-        run_s: 0.12,
-        objective_s: 0.5,
-        deadline_s: 3.0,
-        returns: 2,
-    };
-    vec![
-        ("most of the slots", plain(0.8)),
-        ("steady overload 1.2", plain(1.2)),
-        ("steady overload 2", plain(2.0)),
-        (
-            "burst of 3 s",
-            Pattern {
-                load: |at| if (8.0..11.0).contains(&at) { 2.0 } else { 1.0 },
-                ..plain(0.7)
-            },
-        ),
-        (
-            "burst of 0.5 s",
-            Pattern {
-                load: |at| if at % 4.0 < 0.5 { 3.0 } else { 1.0 },
-                ..plain(0.6)
-            },
-        ),
-        (
-            "hot key",
-            Pattern {
-                load: |at| if (5.0..10.0).contains(&at) { 5.0 } else { 1.0 },
-                ..plain(0.5)
-            },
-        ),
-        (
-            "cold target",
-            Pattern {
-                starts_per_s: |at| (at < 4.0).then_some(15.0),
-                ..plain(0.6)
-            },
-        ),
-        (
-            "slow target",
-            Pattern {
-                slowness: |at| if (5.0..11.0).contains(&at) { 5.0 } else { 1.0 },
-                ..plain(0.5)
-            },
-        ),
-        (
-            "long objective, 1.2",
-            Pattern {
-                kinds: vec![(patient, rate(patient, 1.2))],
-                ..plain(1.0)
-            },
-        ),
-        (
-            "long objective, burst",
-            Pattern {
-                kinds: vec![(patient, rate(patient, 0.7))],
-                load: |at| if (8.0..11.0).contains(&at) { 2.0 } else { 1.0 },
-                ..plain(1.0)
-            },
-        ),
-        (
-            "calls beside payments, 1.3",
-            Pattern {
-                kinds: vec![(inner, rate(inner, 0.4)), (payment, rate(payment, 0.9))],
-                ..plain(1.0)
-            },
-        ),
-    ]
-}
-
-/// What became of the callers of ten runs.
-fn sum_of_runs(way: Way, pattern: &Pattern) -> Outcome {
-    (0..10).fold(Outcome::default(), |sum, seed| {
-        let one = Trial::run(way, pattern, seed);
-        Outcome {
-            callers: sum.callers + one.callers,
-            in_time: sum.in_time + one.in_time,
-            late: sum.late + one.late,
-            not_served: sum.not_served + one.not_served,
-            held_in_vain_s: sum.held_in_vain_s + one.held_in_vain_s,
-        }
-    })
-}
-
-/// What a late answer is worth to a caller, against one in time.
-const LATE_WORTH: f64 = 0.3;
-/// Shares of callers may differ by so much between ways of the same worth.
-const NOISE: f64 = 0.015;
-
-#[test]
-fn the_backlog_is_worth_more_to_callers_than_a_fixed_part_of_the_objective() {
-    for (name, pattern) in patterns() {
-        let fixed = sum_of_runs(Way::FixedPart, &pattern);
-        let backlog = sum_of_runs(Way::Backlog, &pattern);
-        for (way, outcome) in [("fixed part", fixed), ("backlog", backlog)] {
-            println!(
-                "{name:28} {way:10}: in time {:.3}, late {:.3}, not served {:.3}, held in vain {:.1} ms a caller",
-                outcome.share(outcome.in_time),
-                outcome.share(outcome.late),
-                outcome.share(outcome.not_served),
-                outcome.held_in_vain_s * 1000.0 / f64::from(outcome.callers)
-            );
+/// What became of the callers of ten runs, by kind.
+pub fn by_kind(way: Way, pattern: &Pattern) -> Vec<Outcome> {
+    let mut sums = vec![Outcome::default(); pattern.kinds.len()];
+    for seed in 0..10 {
+        for (sum, one) in sums.iter_mut().zip(Trial::run(way, pattern, seed)) {
+            *sum = sum.with(one);
         }
-        let value = backlog.value() - fixed.value();
-        assert!(value > -NOISE, "{name}: {value:.3} of the value");
-        let not_served = backlog.share(backlog.not_served) - fixed.share(fixed.not_served);
-        assert!(not_served < NOISE, "{name}: {not_served:.3} not served");
-    }
-}
-
-/// A backlog of a target with one slot in use, which knows that requests take 100 ms.
-fn busy_backlog(now: Instant) -> Backlog<&'static str> {
-    let mut backlog = Backlog::new(now);
-    for _ in 0..200 {
-        backlog.ended(Duration::from_millis(400), Duration::from_millis(100));
     }
-    backlog
-}
-
-fn turn(now: Instant, due_ms: u64, deadline_ms: u64) -> Turn {
-    Turn {
-        priority: 1,
-        due: now + Duration::from_millis(due_ms),
-        deadline: now + Duration::from_millis(deadline_ms),
-        objective: Duration::from_millis(400),
-    }
-}
-
-const ONE_SLOT: Supply<'static> = Supply {
-    capacity: 1,
-    running: 1,
-    starts_per_s: None,
-    start_after: &|_| Duration::ZERO,
-};
-
-#[test]
-fn who_would_be_late_takes_nobody_elses_place() {
-    let now = Instant::now();
-    let mut backlog = busy_backlog(now);
-    let late = turn(now, 50, 2_000);
-    let lane = backlog.admit(now, late, ONE_SLOT, late.deadline);
-    assert_eq!(lane, Ok(Lane::Late));
-    backlog.enter(Lane::Late, late, "late");
-    let timely = turn(now, 400, 2_000);
-    let lane = backlog.admit(now, timely, ONE_SLOT, timely.deadline);
-    assert_eq!(lane, Ok(Lane::Timely));
-    backlog.enter(Lane::Timely, timely, "timely");
-    assert_eq!(backlog.pop().map(|(_, who)| who), Some("timely"));
-    assert_eq!(backlog.pop().map(|(_, who)| who), Some("late"));
+    sums
 }
 
-#[test]
-fn nobody_waits_to_be_late_while_the_target_is_overloaded() {
-    let now = Instant::now();
-    let mut backlog = busy_backlog(now);
-    let late = turn(now, 50, 2_000);
-    for _ in 0..40 {
-        backlog.arrived(now, turn(now, 400, 2_000));
-    }
-    assert!(backlog.admit(now, late, ONE_SLOT, late.deadline).is_err());
-    // The burst is over.
-    let after = now + Duration::from_secs(10);
-    let late = turn(after, 50, 2_000);
-    let lane = backlog.admit(after, late, ONE_SLOT, late.deadline);
-    assert_eq!(lane, Ok(Lane::Late));
-}
-
-#[test]
-fn who_can_no_longer_be_in_time_moves_behind_or_leaves() {
-    let now = Instant::now();
-    let mut backlog = busy_backlog(now);
-    let patient = turn(now, 400, 3_000);
-    let ticket = backlog.enter(Lane::Timely, patient, "patient");
-    let hasty = turn(now, 400, 450);
-    let other = backlog.enter(Lane::Timely, hasty, "hasty");
-    let later = now + Duration::from_millis(380);
-    let moved = backlog.reconsider(later, ticket, ONE_SLOT, patient.deadline);
-    assert_eq!(moved, Ok(Lane::Late));
-    let left = backlog.reconsider(later, other, ONE_SLOT, hasty.deadline);
-    assert!(left.is_err());
-    assert_eq!(backlog.len(), 1);
-}
-
-#[test]
-fn short_requests_stay_in_front_until_their_deadline() {
-    let now = Instant::now();
-    let mut backlog = busy_backlog(now);
-    let objective = Duration::from_millis(100);
-    for _ in 0..200 {
-        backlog.ended(objective, Duration::from_millis(20));
-    }
-    let call = Turn {
-        objective,
-        ..turn(now, 1, 500)
-    };
-    let lane = backlog.admit(now, call, ONE_SLOT, call.deadline);
-    assert_eq!(lane, Ok(Lane::Timely));
-}
-
-#[test]
-fn a_longer_queue_sends_callers_away_for_longer() {
-    let now = Instant::now();
-    let mut backlog = busy_backlog(now);
-    let short = backlog.retry_after(now, ONE_SLOT);
-    for _ in 0..5 {
-        backlog.enter(Lane::Timely, turn(now, 400, 2_000), "one of five");
-    }
-    let long = backlog.retry_after(now, ONE_SLOT);
-    assert!(short >= Duration::from_millis(90), "{short:?}");
-    assert!(long > short * 4, "{long:?} after {short:?}");
+/// What became of all callers of ten runs.
+pub fn of_all(way: Way, pattern: &Pattern) -> Outcome {
+    let kinds = by_kind(way, pattern);
+    kinds.into_iter().fold(Outcome::default(), Outcome::with)
 }
