--- a/crates/sidecar/src/agent.rs
+++ b/crates/sidecar/src/agent.rs
@@ -11,8 +11,10 @@
 use crate::hop::{HopAnswer, HopRequest, Occupancy, Refusal};
 use crate::key_calls::lease_left_ms;
 use crate::logs::Event;
+use crate::metrics::OutcomeLabel;
 use crate::node::Node;
 use crate::quarantine;
+use crate::slots::{self, Slot};
 use crate::stop::Stop;
 use crate::target_calls::run;
 
@@ -54,7 +56,7 @@
     if is_link_busy(node, &hop) {
         return HopAnswer::Refused(Refusal::LinkBusy);
     }
-    let Ok(slot) = node.slots.acquire(hop.turn, hop.patience).await else {
+    let Ok(slot) = wait_for_slot(node, &hop).await else {
         return HopAnswer::Refused(Refusal::Full);
     };
     // Time has passed while it waited, perhaps much of it: everything is checked anew.
@@ -68,6 +70,18 @@
     run(node, hop, slot).await
 }
 
+/// Waits for a slot, and notes how long that took.
+async fn wait_for_slot(node: &Node, hop: &HopRequest) -> Result<Slot, slots::Refused> {
+    let since = Instant::now();
+    let slot = node.slots.acquire(hop.turn, hop.patience).await;
+    let outcome = if slot.is_ok() { "started" } else { "refused" };
+    node.metrics
+        .waits
+        .get_or_create(&OutcomeLabel { outcome })
+        .observe(since.elapsed().as_secs_f64());
+    slot
+}
+
 /// Whether a large answer would wait too long for the machine's link.
 fn is_link_busy(node: &Node, hop: &HopRequest) -> bool {
     hop.transfer
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -43,6 +43,8 @@
     pub latency: Family<ServiceLabel, Histogram>,
     /// Requests that the agent refused or lost, by reason.
     pub refusals: Family<OutcomeLabel, Counter>,
+    /// Time that requests waited for a slot, by what ended it.
+    pub waits: Family<OutcomeLabel, Histogram>,
     /// Sends beyond a request's first.
     pub repeats: Counter,
     /// Calls to the store, by outcome.
@@ -72,9 +74,13 @@
         let latency = Family::<ServiceLabel, Histogram>::new_with_constructor(|| {
             Histogram::new(LATENCY_BOUNDS)
         });
+        let waits = Family::<OutcomeLabel, Histogram>::new_with_constructor(|| {
+            Histogram::new(LATENCY_BOUNDS)
+        });
         let metrics = Self {
             requests: Family::default(),
             latency,
+            waits,
             refusals: Family::default(),
             repeats: Counter::default(),
             store_calls: Family::default(),
@@ -98,6 +104,11 @@
             "Time to the head of an answer",
             metrics.latency.clone(),
         );
+        registry.register(
+            "waits_seconds",
+            "Time that requests waited for a slot",
+            metrics.waits.clone(),
+        );
         registry.register(
             "refusals",
             "Requests that the agent refused or lost",
--- a/crates/sidecar/src/slots/backlog.rs
+++ b/crates/sidecar/src/slots/backlog.rs
@@ -217,14 +217,13 @@
         end.checked_sub(allowance).unwrap_or(end)
     }
 
-    /// Whether a request goes behind others since its tenant uses more than its share; short ones never do.
-    fn is_over_share(&self, turn: Turn, capacity: usize) -> bool {
-        !self.run_times.is_short(turn.objective) && self.shares.is_over(turn.share_key(), capacity)
-    }
-
     /// The order of a request now, at a target of so many slots.
     fn rank(&self, turn: Turn, capacity: usize) -> Rank {
-        turn.rank(self.is_over_share(turn, capacity))
+        if self.run_times.is_short(turn.objective) {
+            turn.rank_of_short()
+        } else {
+            turn.rank(self.shares.is_over(turn.share_key(), capacity))
+        }
     }
 
     fn ahead(&self, lane: Lane, turn: Turn, capacity: usize) -> usize {
--- a/crates/sidecar/src/slots/turn.rs
+++ b/crates/sidecar/src/slots/turn.rs
@@ -61,6 +61,11 @@
         (over_share, tenant, self.priority, self.due)
     }
 
+    /// The same for a request that is short beside others: before them, whatever they are.
+    pub(super) fn rank_of_short(&self) -> Rank {
+        (false, 0, 0, self.due)
+    }
+
     /// Whose share the request uses.
     pub(super) fn share_key(&self) -> TenantKey {
         self.tenant.map_or(NO_TENANT, |tenant| tenant.key)
