--- a/crates/sidecar/src/hop.rs
+++ b/crates/sidecar/src/hop.rs
@@ -16,15 +16,17 @@
 use crate::clock::whole_millis;
 use crate::connections::{Connections, SendError};
 use crate::deadline::Deadline;
-use crate::slots::Turn;
+use crate::slots::{TenantTurn, Turn};
 
 const SERVICE: HeaderName = HeaderName::from_static("wingspar-service");
 const LEFT_MS: HeaderName = HeaderName::from_static("wingspar-left-ms");
 const PATIENCE_MS: HeaderName = HeaderName::from_static("wingspar-patience-ms");
 const TRANSFER_MS: HeaderName = HeaderName::from_static("wingspar-transfer-ms");
 const DUE_MS: HeaderName = HeaderName::from_static("wingspar-due-ms");
+const OBJECTIVE_MS: HeaderName = HeaderName::from_static("wingspar-objective-ms");
 const FINGERPRINT: HeaderName = HeaderName::from_static("wingspar-fingerprint");
 const PRIORITY: HeaderName = HeaderName::from_static("wingspar-priority");
+const TENANT_PRIORITY: HeaderName = HeaderName::from_static("wingspar-tenant-priority");
 const OUTCOME: HeaderName = HeaderName::from_static("wingspar-outcome");
 const LOAD: HeaderName = HeaderName::from_static("wingspar-load");
 /// Answers of other nodes up to this length, in bytes, are read whole before they are passed on.
@@ -143,6 +145,8 @@
     pub link_ms: u32,
     /// How long the node had the request, in milliseconds; nothing if it didn't tell.
     pub held_ms: Option<u32>,
+    /// When a caller that is refused now may come back, in milliseconds; 0 if the node can't tell.
+    pub retry_after_ms: u32,
 }
 
 /// Takes out headers that belong to one connection, and those that only nodes set.
@@ -204,6 +208,11 @@
     insert_number(&mut headers, PRIORITY, u64::from(request.turn.priority));
     let due = whole_millis(request.turn.due.saturating_duration_since(now));
     insert_number(&mut headers, DUE_MS, due);
+    if let Some(tenant) = request.turn.tenant {
+        insert_number(&mut headers, TENANT_PRIORITY, u64::from(tenant.priority));
+    }
+    let objective = whole_millis(request.turn.objective);
+    insert_number(&mut headers, OBJECTIVE_MS, objective);
     if let Ok(fingerprint) = HeaderValue::from_str(&request.fingerprint.to_string()) {
         headers.insert(FINGERPRINT, fingerprint);
     }
@@ -229,6 +238,8 @@
     let patience = read_number(&parts.headers, &PATIENCE_MS)?;
     let priority = read_number(&parts.headers, &PRIORITY)?;
     let due = read_number(&parts.headers, &DUE_MS)?;
+    // A node of an earlier version doesn't send it.
+    let objective = read_number(&parts.headers, &OBJECTIVE_MS).unwrap_or(0);
     let transfer = read_number(&parts.headers, &TRANSFER_MS);
     let fingerprint = parts
         .headers
@@ -237,6 +248,7 @@
         .ok()?
         .parse()
         .ok()?;
+    let tenant = read_tenant(&parts.headers);
     let mut headers = parts.headers;
     strip(&mut headers);
     let key = if keyed(&service) {
@@ -254,14 +266,27 @@
         patience: now + Duration::from_millis(patience),
         transfer: transfer.map(|left| now + Duration::from_millis(left)),
         turn: Turn {
+            tenant,
             priority: u8::try_from(priority).unwrap_or(u8::MAX),
             due: now + Duration::from_millis(due),
+            deadline: now + Duration::from_millis(left),
+            objective: Duration::from_millis(objective),
         },
         key,
         fingerprint,
     })
 }
 
+/// The turn of a request's tenant, if it has one.
+fn read_tenant(headers: &HeaderMap) -> Option<TenantTurn> {
+    let name = headers.get(headers::TENANT)?.to_str().ok()?;
+    let priority = read_number(headers, &TENANT_PRIORITY)?;
+    Some(TenantTurn::new(
+        name,
+        u8::try_from(priority).unwrap_or(u8::MAX),
+    ))
+}
+
 /// Writes an agent's answer for the router of another node.
 pub fn encode_answer(answer: HopAnswer, occupancy: Occupancy) -> Response<Body> {
     let (outcome, mut response) = match answer {
@@ -273,11 +298,12 @@
     let headers = response.headers_mut();
     headers.insert(OUTCOME, HeaderValue::from_static(outcome));
     if let Ok(load) = HeaderValue::from_str(&format!(
-        "{},{},{},{}",
+        "{},{},{},{},{}",
         occupancy.running,
         occupancy.waiting,
         occupancy.link_ms,
-        occupancy.held_ms.unwrap_or_default()
+        occupancy.held_ms.unwrap_or_default(),
+        occupancy.retry_after_ms
     )) {
         headers.insert(LOAD, load);
     }
@@ -439,6 +465,7 @@
         waiting: numbers.next()??,
         link_ms: numbers.next().flatten().unwrap_or(0),
         held_ms: numbers.next().flatten(),
+        retry_after_ms: numbers.next().flatten().unwrap_or(0),
     })
 }
 
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -60,6 +60,8 @@
     pub hops: Family<RelationLabel, Counter>,
     /// Bytes of those requests and their answers, heads and bodies of known length.
     pub hop_bytes: Family<RelationLabel, Counter>,
+    /// Time that requests waited for a slot, by what ended it.
+    pub waits: Family<OutcomeLabel, Histogram>,
     /// Sends beyond a request's first.
     pub repeats: Counter,
     /// Requests that began while an earlier one of their connection was being answered.
@@ -99,11 +101,15 @@
         let latency = Family::<ServiceLabel, Histogram>::new_with_constructor(|| {
             Histogram::new(LATENCY_BOUNDS)
         });
+        let waits = Family::<OutcomeLabel, Histogram>::new_with_constructor(|| {
+            Histogram::new(LATENCY_BOUNDS)
+        });
         let metrics = Self {
             requests: Family::default(),
             tenants: TenantCounts::default(),
             configuration_doubts: Family::default(),
             latency,
+            waits,
             refusals: Family::default(),
             hops: Family::default(),
             hop_bytes: Family::default(),
@@ -144,6 +150,11 @@
             "Time to the head of an answer",
             metrics.latency.clone(),
         );
+        registry.register(
+            "waits_seconds",
+            "Time that requests waited for a slot",
+            metrics.waits.clone(),
+        );
         registry.register(
             "refusals",
             "Requests that the agent refused or lost",
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -15,6 +15,7 @@
 use wingspar_routes::RouteTable;
 
 use crate::budget::Budget;
+use crate::caller_age::CallerAges;
 use crate::clock::{Clock, whole_millis};
 use crate::configuration::ConfigurationAnswers;
 use crate::configuration_doubts::Doubts;
@@ -142,6 +143,8 @@
     pub selection: Selection,
     /// Services whose requests leave the region.
     pub spill_over: RefCell<SpillOver>,
+    /// How long callers have waited already.
+    pub caller_ages: RefCell<CallerAges>,
     /// Extra sends.
     pub budget: RefCell<Budget>,
     /// Whether the process is about to stop.
@@ -210,6 +213,7 @@
             peers: RefCell::new(HashMap::new()),
             selection: Selection::new(Places::of(&settings)),
             spill_over: RefCell::default(),
+            caller_ages: RefCell::default(),
             budget: RefCell::new(Budget::new(
                 settings.bounds.budget_ratio,
                 settings.bounds.budget_extra,
--- a/crates/sidecar/src/router/mod.rs
+++ b/crates/sidecar/src/router/mod.rs
@@ -11,7 +11,7 @@
 use allowed_regions::AllowedRegions;
 use record::Record;
 use send::send;
-use timing::{Times, times};
+use timing::{Times, asked_time, times};
 
 use std::rc::Rc;
 
@@ -29,6 +29,7 @@
 use crate::hop;
 use crate::node::Node;
 use crate::quota::{self, Permit};
+use crate::slots::TenantTurn;
 use crate::tenants::{RequestTenant, authenticate, is_unknown_credential};
 
 /// Bodies up to this many bytes are kept, so that they can be sent again.
@@ -99,6 +100,7 @@
     fingerprint: Fingerprint,
     permit: Permit,
     allowed_regions: AllowedRegions<'a>,
+    tenant: Option<TenantTurn>,
 }
 
 async fn take(
@@ -132,7 +134,9 @@
     };
     record.key = key;
     node.budget.borrow_mut().request(node.now(), service);
-    let times = times(route, &parts.headers, arrived);
+    let asked = asked_time(&parts.headers);
+    let age = node.caller_ages.borrow_mut().age(&route.name, asked);
+    let times = times(route, asked, age, arrived);
     check_length(&parts.headers, table.configuration().limits.body_bytes)?;
     let permit = match quota::admit(node, tenant.as_ref()).await {
         Ok(permit) => permit,
@@ -177,6 +181,9 @@
         fingerprint,
         permit,
         allowed_regions: AllowedRegions::new(route, tenant.as_ref()),
+        tenant: tenant
+            .as_ref()
+            .map(|tenant| TenantTurn::new(&tenant.name, tenant.priority)),
     };
     send(node, &mut routed, record).await
 }
--- a/crates/sidecar/src/router/send.rs
+++ b/crates/sidecar/src/router/send.rs
@@ -71,8 +71,9 @@
             continue;
         };
         record.node = destination.node.to_string();
-        let patience = patience_here(node, routed, refusals);
-        let answer = send_to(node, routed, &destination, patience).await;
+        let wait = wait_here(node, routed, refusals);
+        let until = wait.until(routed);
+        let answer = send_to(node, routed, &destination, until, record).await;
         let next = match answer {
             HopAnswer::Answered(response) => {
                 record.sends += 1;
@@ -92,7 +93,7 @@
             HopAnswer::Refused(refusal) => {
                 refusals += 1;
                 note_not_run(routed, record);
-                refused(node, routed, record, &destination, refusal, refusals).await
+                refused(node, routed, record, &destination, refusal, wait).await
             }
             HopAnswer::MayHaveRun(detail) => {
                 record.sends += 1;
@@ -217,19 +218,36 @@
     }
 }
 
-/// Until when a request may wait at the node that is asked next. While others could run it too, a full
-/// one isn't waited for long.
-fn patience_here(node: &Node, routed: &Routed<'_>, refusals: usize) -> Instant {
+/// How long a request may wait at the node that is asked next.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Wait {
+    /// Others could run it too: not long at a full one.
+    Briefly,
+    /// Nobody else is asked afterwards: as long as an answer can be expected in time.
+    AsLongAsItPays,
+}
+
+impl Wait {
+    fn until(self, routed: &Routed<'_>) -> Instant {
+        match self {
+            Self::Briefly => patience_beside_others(routed.route, routed.times.patience),
+            Self::AsLongAsItPays => routed.times.deadline.timer(),
+        }
+    }
+}
+
+/// How long a request may wait at the node that is asked next, after so many have refused it.
+fn wait_here(node: &Node, routed: &Routed<'_>, refusals: usize) -> Wait {
     let directory = node.directory.borrow();
     let allowed = routed
         .allowed_regions
         .destinations(&node.settings, &directory, routed.service);
     let others = allowed.len();
     let last = refusals + 1 >= MOST_REFUSALS.min(others);
-    if routed.key.is_some() || last {
-        routed.times.patience
+    if routed.key.is_some() || last || Instant::now() >= routed.times.patience {
+        Wait::AsLongAsItPays
     } else {
-        patience_beside_others(routed.route, routed.times.patience)
+        Wait::Briefly
     }
 }
 
@@ -250,7 +268,8 @@
     node: &Rc<Node>,
     routed: &mut Routed<'_>,
     destination: &Destination,
-    patience: Instant,
+    until: Instant,
+    record: &mut Record,
 ) -> HopAnswer {
     let is_here = destination.node == node.name;
     let request = HopRequest {
@@ -260,12 +279,15 @@
         body: routed.body.take(),
         service: routed.service.to_owned(),
         deadline: routed.times.deadline,
-        patience,
+        patience: until,
         // What stays on this machine doesn't use its link.
         transfer: routed.times.transfer.filter(|_| !is_here),
         turn: Turn {
+            tenant: routed.tenant,
             priority: routed.route.priority,
             due: routed.times.due,
+            deadline: routed.times.deadline.timer(),
+            objective: routed.times.objective,
         },
         key: routed.key,
         fingerprint: routed.fingerprint,
@@ -287,6 +309,10 @@
         let now = node.now();
         node.selection
             .reported(now, routed.service, destination, occupancy);
+        if matches!(answer, HopAnswer::Refused(Refusal::Full)) {
+            let queue_ends = u64::from(occupancy.retry_after_ms);
+            record.retry_after = Some(Duration::from_millis(queue_ends));
+        }
     }
     let on_way = occupancy.and_then(|occupancy| outstanding.on_way(occupancy));
     if !is_here {
@@ -378,7 +404,7 @@
     record: &mut Record,
     destination: &Destination,
     refusal: Refusal,
-    refusals: usize,
+    wait: Wait,
 ) -> Next {
     record.detail = refusal.name().to_owned();
     if refusal == Refusal::Quarantined {
@@ -405,17 +431,15 @@
     } else {
         reason
     };
-    if Instant::now() >= routed.times.patience {
-        return Next::GiveUp(reason);
-    }
     if routed.key.is_none() {
-        let enough = refusals >= MOST_REFUSALS;
-        return if enough {
-            Next::GiveUp(reason)
-        } else {
-            Next::Again
+        return match wait {
+            Wait::Briefly => Next::Again,
+            Wait::AsLongAsItPays => Next::GiveUp(reason),
         };
     }
+    if Instant::now() >= routed.times.patience {
+        return Next::GiveUp(reason);
+    }
     if refusal == Refusal::Full {
         return Next::GiveUp(reason);
     }
--- /dev/null
+++ b/crates/sidecar/tests/waiting/trial.rs
@@ -0,0 +1,491 @@
+//! One target, its backlog, and callers that come back as they are told, in virtual time.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::time::Duration;
+
+use tokio::time::Instant;
+use wingspar_sidecar::slots::backlog::{Backlog, Lane, Supply, Ticket};
+use wingspar_sidecar::slots::{TenantTurn, Turn};
+
+/// A reproducible source of numbers between 0 and 1.
+struct Numbers(u64);
+
+impl Numbers {
+    fn next(&mut self) -> f64 {
+        self.0 = self.0.wrapping_add(0x9E37_79B9_7F4A_7C15);
+        let mut mixed = self.0;
+        mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+        mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
+        ((mixed ^ (mixed >> 31)) >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    /// A time whose mean is `mean`, spread as waiting times are.
+    fn exponential(&mut self, mean: f64) -> f64 {
+        -mean * (1.0 - self.next()).ln()
+    }
+}
+
+/// One kind of request.
+#[derive(Clone, Copy)]
+pub struct Kind {
+    /// Its tenant's name and priority, if it has one.
+    pub tenant: Option<(&'static str, u8)>,
+    pub priority: u8,
+    pub run_s: f64,
+    pub objective_s: f64,
+    pub deadline_s: f64,
+    pub returns: u32,
+    /// Whether its callers come back at once, whatever they are told.
+    pub at_once: bool,
+    /// Factor on its arrivals at a time.
+    pub load: fn(f64) -> f64,
+}
+
+/// Slots of the target in all patterns.
+const CAPACITY: usize = 6;
+/// How long callers come.
+const LENGTH_S: f64 = 20.0;
+
+/// What arrives, and what the target can do.
+pub struct Pattern {
+    pub kinds: Vec<(Kind, f64)>,
+    /// Factor on run times at a time.
+    pub slowness: fn(f64) -> f64,
+    /// Starts that the target withstands a second.
+    pub starts_per_s: fn(f64) -> Option<f64>,
+}
+
+pub fn steadily(_: f64) -> f64 {
+    1.0
+}
+
+pub fn no_limit(_: f64) -> Option<f64> {
+    None
+}
+
+pub fn lookup() -> Kind {
+    Kind {
+        tenant: None,
+        priority: 2,
+        run_s: 0.09,
+        objective_s: 0.3,
+        deadline_s: 2.0,
+        returns: 2,
+        at_once: false,
+        load: steadily,
+    }
+}
+
+/// Arrivals a second of one kind that keep that share of the slots in use.
+pub fn rate(kind: Kind, share: f64) -> f64 {
+    share * CAPACITY as f64 / kind.run_s
+}
+
+/// Two ways to decide.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Way {
+    /// A fixed part of the objective, one queue by due date, one time to come back.
+    FixedPart,
+    /// The backlog.
+    Backlog,
+    /// The backlog, tenants strictly by priority.
+    StrictTenants,
+    /// The backlog, which knows no tenants.
+    NoTenants,
+}
+
+/// What a late answer is worth to a caller, against one in time.
+const LATE_WORTH: f64 = 0.3;
+
+/// What became of the callers.
+#[derive(Debug, Default, Clone, Copy)]
+pub struct Outcome {
+    pub callers: u32,
+    pub in_time: u32,
+    pub late: u32,
+    pub not_served: u32,
+    /// Seconds that attempts waited which then were refused.
+    pub held_in_vain_s: f64,
+}
+
+impl Outcome {
+    fn with(self, other: Self) -> Self {
+        Self {
+            callers: self.callers + other.callers,
+            in_time: self.in_time + other.in_time,
+            late: self.late + other.late,
+            not_served: self.not_served + other.not_served,
+            held_in_vain_s: self.held_in_vain_s + other.held_in_vain_s,
+        }
+    }
+
+    pub fn share(&self, of: u32) -> f64 {
+        f64::from(of) / f64::from(self.callers.max(1))
+    }
+
+    /// What callers have of it: an answer in time is worth most, a late one a part of it, none is a loss.
+    pub fn value(&self) -> f64 {
+        self.share(self.in_time) + LATE_WORTH * self.share(self.late) - self.share(self.not_served)
+    }
+}
+
+#[derive(Clone, Copy)]
+struct Caller {
+    kind: Kind,
+    /// Its place among the pattern's kinds.
+    number: usize,
+    came_s: f64,
+    attempts: u32,
+}
+
+#[derive(Clone, Copy)]
+struct Attempt {
+    caller: Caller,
+    since_s: f64,
+    turn: Turn,
+    until: Instant,
+    ticket: Option<Ticket>,
+    waits: bool,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    New(usize),
+    Back(usize),
+    Look(usize),
+    Ended(usize),
+    Start,
+}
+
+/// Time in microseconds, so that events can be ordered.
+fn micros(seconds: f64) -> u64 {
+    (seconds * 1e6) as u64
+}
+
+pub struct Trial<'a> {
+    way: Way,
+    pattern: &'a Pattern,
+    numbers: Numbers,
+    base: Instant,
+    now_s: f64,
+    events: BinaryHeap<Reverse<(u64, u64, Event)>>,
+    order: u64,
+    callers: Vec<Caller>,
+    attempts: Vec<Attempt>,
+    backlog: Backlog<usize>,
+    /// For the fixed part: attempts that wait.
+    queue: std::collections::BTreeSet<(u8, Instant, usize)>,
+    mean_run_s: f64,
+    running: usize,
+    last_start_s: f64,
+    outcomes: Vec<Outcome>,
+}
+
+impl<'a> Trial<'a> {
+    pub fn run(way: Way, pattern: &'a Pattern, seed: u64) -> Vec<Outcome> {
+        let base = Instant::now();
+        let mut trial = Trial {
+            way,
+            pattern,
+            numbers: Numbers(seed),
+            base,
+            now_s: 0.0,
+            events: BinaryHeap::new(),
+            order: 0,
+            callers: Vec::new(),
+            attempts: Vec::new(),
+            backlog: Backlog::new(base),
+            queue: Default::default(),
+            mean_run_s: 0.06,
+            running: 0,
+            last_start_s: -10.0,
+            outcomes: vec![Outcome::default(); pattern.kinds.len()],
+        };
+        for kind in 0..pattern.kinds.len() {
+            trial.plan(0.0, Event::New(kind));
+        }
+        while let Some(Reverse((at, _, event))) = trial.events.pop() {
+            trial.now_s = at as f64 / 1e6;
+            trial.handle(event);
+            trial.start();
+        }
+        trial.outcomes
+    }
+
+    fn plan(&mut self, at_s: f64, event: Event) {
+        self.order += 1;
+        self.events.push(Reverse((micros(at_s), self.order, event)));
+    }
+
+    fn instant(&self, at_s: f64) -> Instant {
+        self.base + Duration::from_secs_f64(at_s)
+    }
+
+    fn now(&self) -> Instant {
+        self.instant(self.now_s)
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::New(kind) => self.new_caller(kind),
+            Event::Back(caller) => self.attempt(caller),
+            Event::Look(attempt) => self.look(attempt),
+            Event::Ended(attempt) => self.ended(attempt),
+            Event::Start => {}
+        }
+    }
+
+    fn new_caller(&mut self, kind: usize) {
+        let (what, per_s) = self.pattern.kinds[kind];
+        let factor = (what.load)(self.now_s);
+        let next = self.now_s + self.numbers.exponential(1.0 / (per_s * factor));
+        if next < LENGTH_S {
+            self.plan(next, Event::New(kind));
+        }
+        self.callers.push(Caller {
+            kind: what,
+            number: kind,
+            came_s: self.now_s,
+            attempts: 0,
+        });
+        self.outcomes[kind].callers += 1;
+        self.attempt(self.callers.len() - 1);
+    }
+
+    fn attempt(&mut self, caller: usize) {
+        self.callers[caller].attempts += 1;
+        let caller = self.callers[caller];
+        let kind = caller.kind;
+        let deadline = self.instant(caller.came_s + kind.deadline_s);
+        let (tenant, priority) = self.rank(kind);
+        let turn = Turn {
+            tenant,
+            priority,
+            // The router can't tell a caller that comes back from a new one.
+            due: self.instant(
+                if self.way != Way::FixedPart {
+                    caller.came_s
+                } else {
+                    self.now_s
+                } + kind.objective_s,
+            ),
+            deadline,
+            objective: Duration::from_secs_f64(kind.objective_s),
+        };
+        let until = match self.way {
+            Way::FixedPart => self.instant(self.now_s + 0.12 * kind.objective_s),
+            _ => deadline,
+        };
+        self.attempts.push(Attempt {
+            caller,
+            since_s: self.now_s,
+            turn,
+            until,
+            ticket: None,
+            waits: true,
+        });
+        let number = self.attempts.len() - 1;
+        self.backlog.arrived(self.now(), turn);
+        let admitted = self.admit(number);
+        match admitted {
+            None => self.refuse(number),
+            Some(lane) => {
+                match self.way {
+                    Way::FixedPart => {
+                        self.queue.insert((turn.priority, turn.due, number));
+                    }
+                    _ => {
+                        let ticket = self.backlog.enter(lane, turn, CAPACITY, number);
+                        self.attempts[number].ticket = Some(ticket);
+                    }
+                }
+                self.plan_look(number, lane);
+            }
+        }
+    }
+
+    /// Whose a request is, and how urgent, as this way sees it.
+    fn rank(&self, kind: Kind) -> (Option<TenantTurn>, u8) {
+        match (self.way, kind.tenant) {
+            (Way::Backlog, Some((name, urgency))) => {
+                (Some(TenantTurn::new(name, urgency)), kind.priority)
+            }
+            (Way::StrictTenants, Some((_, urgency))) => (None, urgency * 16 + kind.priority),
+            _ => (None, kind.priority),
+        }
+    }
+
+    fn with_supply<T>(&mut self, decide: impl FnOnce(&mut Backlog<usize>, Supply<'_>) -> T) -> T {
+        let per_s = (self.pattern.starts_per_s)(self.now_s);
+        let since = self.now_s - self.last_start_s;
+        let start_after = move |ahead: usize| {
+            per_s.map_or(Duration::ZERO, |per_s| {
+                Duration::from_secs_f64(((ahead as f64 + 1.0) / per_s - since).max(0.0))
+            })
+        };
+        let supply = Supply {
+            capacity: CAPACITY,
+            running: self.running,
+            starts_per_s: per_s,
+            start_after: &start_after,
+        };
+        decide(&mut self.backlog, supply)
+    }
+
+    fn admit(&mut self, number: usize) -> Option<Lane> {
+        let Attempt { turn, until, .. } = self.attempts[number];
+        let now = self.now();
+        if self.way != Way::FixedPart {
+            let free = self.running < CAPACITY && self.may_start();
+            if free && self.backlog.is_empty() {
+                return Some(Lane::Timely);
+            }
+            return self
+                .with_supply(|backlog, supply| backlog.admit(now, turn, supply, until).ok());
+        }
+        let ahead = self
+            .queue
+            .range(..(turn.priority, turn.due, usize::MAX))
+            .count();
+        let wait = if self.running + ahead < CAPACITY {
+            0.0
+        } else {
+            (ahead as f64 + 1.0) / CAPACITY as f64 * self.mean_run_s
+        };
+        (wait <= (until - now).as_secs_f64() * 1.5).then_some(Lane::Timely)
+    }
+
+    fn plan_look(&mut self, number: usize, lane: Lane) {
+        let Attempt { turn, until, .. } = self.attempts[number];
+        let at = match self.way {
+            Way::FixedPart => until,
+            _ => {
+                let latest = self.backlog.latest_start(lane, turn);
+                let step = self.now() + Duration::from_millis(200);
+                if latest > self.now() {
+                    latest.min(step)
+                } else {
+                    step
+                }
+            }
+        };
+        let at_s = (at.min(until) - self.base).as_secs_f64();
+        self.plan(at_s.max(self.now_s), Event::Look(number));
+    }
+
+    fn look(&mut self, number: usize) {
+        let attempt = self.attempts[number];
+        if !attempt.waits {
+            return;
+        }
+        let now = self.now();
+        if let Some(ticket) = attempt.ticket {
+            let decided = self.with_supply(|backlog, supply| {
+                backlog.reconsider(now, ticket, supply, attempt.until)
+            });
+            if let Ok(lane) = decided {
+                self.plan_look(number, lane);
+                return;
+            }
+        }
+        self.queue
+            .remove(&(attempt.turn.priority, attempt.turn.due, number));
+        self.refuse(number);
+    }
+
+    fn refuse(&mut self, number: usize) {
+        let attempt = &mut self.attempts[number];
+        attempt.waits = false;
+        let caller = attempt.caller;
+        let outcome = &mut self.outcomes[caller.number];
+        outcome.held_in_vain_s += self.now_s - attempt.since_s;
+        let left = caller.came_s + caller.kind.deadline_s - self.now_s;
+        if caller.attempts > caller.kind.returns || left < 0.05 {
+            outcome.not_served += 1;
+            return;
+        }
+        let now = self.now();
+        let told = match self.way {
+            _ if caller.kind.at_once => 0.0,
+            Way::FixedPart => 0.15,
+            _ => {
+                let told = self.with_supply(|backlog, supply| backlog.retry_after(now, supply));
+                told.as_secs_f64() * (1.0 + 0.3 * self.numbers.next())
+            }
+        };
+        self.callers.push(caller);
+        let back = self.callers.len() - 1;
+        self.plan(self.now_s + told.min(left / 3.0), Event::Back(back));
+    }
+
+    fn may_start(&self) -> bool {
+        (self.pattern.starts_per_s)(self.now_s)
+            .is_none_or(|per_s| self.now_s - self.last_start_s >= 0.999 / per_s)
+    }
+
+    fn start(&mut self) {
+        while self.running < CAPACITY {
+            if !self.may_start() {
+                if !self.backlog.is_empty() || !self.queue.is_empty() {
+                    let per_s = (self.pattern.starts_per_s)(self.now_s).unwrap_or(1.0);
+                    let at = (self.last_start_s + 1.0 / per_s).max(self.now_s + 1e-4);
+                    self.plan(at, Event::Start);
+                }
+                return;
+            }
+            let next = match self.way {
+                Way::FixedPart => self.queue.pop_first().map(|(.., number)| number),
+                _ => self.backlog.pop().map(|(_, number)| number),
+            };
+            let Some(number) = next else {
+                return;
+            };
+            self.attempts[number].waits = false;
+            self.backlog.started(self.attempts[number].turn);
+            self.running += 1;
+            self.last_start_s = self.now_s;
+            let kind = self.attempts[number].caller.kind;
+            // Half of a run is certain, the rest is spread.
+            let run = kind.run_s / 2.0 + self.numbers.exponential(kind.run_s / 2.0);
+            let run = run * (self.pattern.slowness)(self.now_s);
+            self.mean_run_s += 0.05 * (run - self.mean_run_s);
+            self.attempts[number].since_s = self.now_s;
+            self.plan(self.now_s + run, Event::Ended(number));
+        }
+    }
+
+    fn ended(&mut self, number: usize) {
+        self.running -= 1;
+        let attempt = self.attempts[number];
+        let took = Duration::from_secs_f64(self.now_s - attempt.since_s);
+        self.backlog.ended(attempt.turn, took);
+        let whole = self.now_s - attempt.caller.came_s;
+        let kind = attempt.caller.kind;
+        let outcome = &mut self.outcomes[attempt.caller.number];
+        if whole <= kind.objective_s {
+            outcome.in_time += 1;
+        } else if whole <= kind.deadline_s {
+            outcome.late += 1;
+        } else {
+            outcome.not_served += 1;
+        }
+    }
+}
+
+/// What became of the callers of ten runs, by kind.
+pub fn by_kind(way: Way, pattern: &Pattern) -> Vec<Outcome> {
+    let mut sums = vec![Outcome::default(); pattern.kinds.len()];
+    for seed in 0..10 {
+        for (sum, one) in sums.iter_mut().zip(Trial::run(way, pattern, seed)) {
+            *sum = sum.with(one);
+        }
+    }
+    sums
+}
+
+/// What became of all callers of ten runs.
+pub fn of_all(way: Way, pattern: &Pattern) -> Outcome {
+    let kinds = by_kind(way, pattern);
+    kinds.into_iter().fold(Outcome::default(), Outcome::with)
+}
