Metrics: bytes of control messages between nodes by kind

Cause: what crosses the link between regions beside requests wasn't known. Change: wingspar_control_bytes_total{kind}, counted where datagrams are sent and calls made.

--- a/crates/ownership/src/participant/mod.rs
+++ b/crates/ownership/src/participant/mod.rs
@@ -65,6 +65,22 @@
     Notice(LeaderReference, u64, u64),
 }
 
+impl Datagram {
+    /// Stable name of its kind, for metrics.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Renew(_) => "renewal",
+            Self::Lease(..) => "lease",
+            Self::NotLeading(..) => "not_leading",
+            Self::Ask => "ask",
+            Self::Tell(..) => "tell",
+            Self::TakeOver(_) => "take_over",
+            Self::Call(_) => "call",
+            Self::Notice(..) => "notice",
+        }
+    }
+}
+
 /// What the node's I/O is to do.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Action {
--- a/crates/sidecar/src/control.rs
+++ b/crates/sidecar/src/control.rs
@@ -154,7 +154,10 @@
             match action {
                 // A datagram that can't be sent is as one that is lost.
                 Action::Send(to, datagram) => {
-                    let _sent = self.socket.try_send_to(&internal::encode(&datagram), to);
+                    let bytes = internal::encode(&datagram);
+                    let metrics = &self.node.metrics;
+                    metrics.count_control(datagram.kind(), bytes.len());
+                    let _sent = self.socket.try_send_to(&bytes, to);
                 }
                 Action::Order(order) => {
                     tokio::task::spawn_local(carry_out(self.node.clone(), order));
--- a/crates/sidecar/src/hop.rs
+++ b/crates/sidecar/src/hop.rs
@@ -298,7 +298,7 @@
 ) -> (HopAnswer, Option<Occupancy>) {
     let deadline = request.deadline.timer();
     let request = encode(request);
-    bytes.inc_by(length_of(request.headers(), request.body()));
+    bytes.inc_by(length_of(request.headers(), request.body()) as u64);
     let sent = timeout_at(deadline, connections.send(request)).await;
     let response = match sent {
         Err(_) => return (HopAnswer::MayHaveRun("no answer in time".to_owned()), None),
@@ -306,7 +306,7 @@
         Ok(Err(SendError::MayHaveRun(detail))) => return (HopAnswer::MayHaveRun(detail), None),
         Ok(Ok(response)) => response,
     };
-    bytes.inc_by(length_of(response.headers(), response.body()));
+    bytes.inc_by(length_of(response.headers(), response.body()) as u64);
     let occupancy = read_occupancy(response.headers());
     let outcome = response
         .headers()
@@ -330,14 +330,14 @@
 }
 
 /// Bytes of the headers and, if its length is known, of the body.
-fn length_of(headers: &HeaderMap, body: &impl http_body::Body) -> u64 {
+pub(crate) fn length_of(headers: &HeaderMap, body: &impl http_body::Body) -> usize {
     // A colon, a space and the end of the line.
     const SEPARATORS: usize = 4;
     let lines = headers
         .iter()
         .map(|(name, value)| name.as_str().len() + value.len() + SEPARATORS);
-    let head = u64::try_from(lines.sum::<usize>()).unwrap_or(u64::MAX);
-    head.saturating_add(body.size_hint().exact().unwrap_or_default())
+    let body = body.size_hint().exact().unwrap_or_default();
+    lines.sum::<usize>() + usize::try_from(body).unwrap_or(usize::MAX / 2)
 }
 
 async fn receive(
--- a/crates/sidecar/src/internal.rs
+++ b/crates/sidecar/src/internal.rs
@@ -119,7 +119,8 @@
         let participant = node.participant.borrow();
         (participant.table().epoch, participant.table().version)
     };
-    fetch(node, from, &format!("{TABLE_PATH}{}/{version}", epoch.0)).await
+    let path = format!("{TABLE_PATH}{}/{version}", epoch.0);
+    fetch(node, from, "table", &path).await
 }
 
 /// Fetches another node's configuration.
@@ -127,17 +128,18 @@
     node: &Node,
     from: SocketAddr,
 ) -> Option<wingspar_routes::Configuration> {
-    fetch(node, from, CONFIGURATION_PATH).await
+    fetch(node, from, "configuration", CONFIGURATION_PATH).await
 }
 
 async fn fetch<Value: DeserializeOwned>(
     node: &Node,
     from: SocketAddr,
+    kind: &'static str,
     path: &str,
 ) -> Option<Value> {
     let mut request = Request::new(Body::empty());
     *request.uri_mut() = path.parse().ok()?;
-    let body = call(node, from, request).await?;
+    let body = call(node, from, kind, request).await?;
     unpack(body.as_ref())
 }
 
@@ -146,13 +148,22 @@
     let mut request = Request::new(Body::whole(encode(report)));
     *request.method_mut() = Method::POST;
     *request.uri_mut() = http::Uri::from_static(LOAD_PATH);
-    let _answer = call(node, to, request).await;
+    let _answer = call(node, to, "load", request).await;
 }
 
-async fn call(node: &Node, to: SocketAddr, request: Request<Body>) -> Option<Bytes> {
+async fn call(
+    node: &Node,
+    to: SocketAddr,
+    kind: &'static str,
+    request: Request<Body>,
+) -> Option<Bytes> {
+    let asked = hop::length_of(request.headers(), request.body());
+    node.metrics.count_control(kind, asked);
     let exchange = async {
         let response = node.peer(to).send(request).await.ok()?;
         let done = response.status().is_success();
+        let answered = hop::length_of(response.headers(), response.body());
+        node.metrics.count_control(kind, answered);
         let body = response.into_body().collect().await.ok()?.to_bytes();
         done.then_some(body)
     };
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -34,6 +34,13 @@
     pub service: String,
 }
 
+/// One label for a kind of message between nodes.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct KindLabel {
+    /// The kind.
+    pub kind: &'static str,
+}
+
 /// One label for how near another node is.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct RelationLabel {
@@ -54,6 +61,8 @@
     pub hops: Family<RelationLabel, Counter>,
     /// Bytes of those requests and their answers, heads and bodies of known length.
     pub hop_bytes: Family<RelationLabel, Counter>,
+    /// Bytes of datagrams that the node sent to others, and of its calls to them with their answers, by kind.
+    pub control_bytes: Family<KindLabel, Counter>,
     /// Sends beyond a request's first.
     pub repeats: Counter,
     /// Calls to the store, by outcome.
@@ -89,6 +98,7 @@
             refusals: Family::default(),
             hops: Family::default(),
             hop_bytes: Family::default(),
+            control_bytes: Family::default(),
             repeats: Counter::default(),
             store_calls: Family::default(),
             key_orders: Family::default(),
@@ -122,6 +132,11 @@
             "Bytes of requests to other nodes and of their answers",
             metrics.hop_bytes.clone(),
         );
+        registry.register(
+            "control_bytes",
+            "Bytes of messages between nodes that carry no request",
+            metrics.control_bytes.clone(),
+        );
         registry.register(
             "repeats",
             "Sends beyond a request's first",
@@ -183,6 +198,13 @@
         family.get_or_create(&OutcomeLabel { outcome }).inc();
     }
 
+    /// Counts a message to another node that carries no request.
+    pub fn count_control(&self, kind: &'static str, bytes: usize) {
+        let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
+        let label = KindLabel { kind };
+        self.control_bytes.get_or_create(&label).inc_by(bytes);
+    }
+
     /// All figures as text; empty if one can't be encoded, which is a defect.
     pub fn encode(&self) -> String {
         let mut text = String::new();
