Tables go to a region without the leader once, by relays

Ruled out: a relay that is named by a message (one more thing to lose); a head start for relays instead of a held question (slower for all). Leases and versions still come from the leader itself.

--- a/crates/sidecar/src/internal.rs
+++ b/crates/sidecar/src/internal.rs
@@ -18,8 +18,10 @@
 use crate::body::{Body, BodyError};
 use crate::folded;
 use crate::hop::{self, Occupancy};
+use crate::logs::Event;
 use crate::node::Node;
 use crate::packed::{pack, unpack};
+use crate::relay;
 
 const CBOR: &str = "application/cbor";
 const TABLE_PATH: &str = "/table/";
@@ -34,9 +36,7 @@
         return answer_hop(&node, request).await;
     }
     match (request.method(), request.uri().path()) {
-        (&Method::GET, path) if path.starts_with(TABLE_PATH) => {
-            plain(StatusCode::OK, CBOR, table_bytes(&node, path))
-        }
+        (&Method::GET, path) if path.starts_with(TABLE_PATH) => answer_table(&node, path).await,
         (&Method::GET, CONFIGURATION_PATH) => {
             let bytes = node.configuration_bytes.borrow().clone();
             let status = if bytes.is_empty() {
@@ -61,6 +61,19 @@
     }
 }
 
+/// Answers a node that asks for the table after the version in the path: the leader with what it has, another node as a
+/// relay once it has a later one.
+async fn answer_table(node: &Node, path: &str) -> Response<Body> {
+    let leads = node.participant.borrow().leading().is_some();
+    if !leads
+        && let Some((epoch, version)) = asked_version(path)
+        && !relay::hold(node, epoch, version).await
+    {
+        return plain(StatusCode::NOT_FOUND, "text/plain", "nothing later yet");
+    }
+    plain(StatusCode::OK, CBOR, table_bytes(node, path))
+}
+
 /// The answer to a node that asks for the table after the version in the path, written once for all
 /// who ask the same.
 fn table_bytes(node: &Node, path: &str) -> Bytes {
@@ -73,6 +86,9 @@
     if written.newest != newest {
         written.newest = newest;
         written.answers.clear();
+        // What the leader answered to this node answers others who have the same version.
+        let received = written.received.take();
+        written.answers.extend(received);
     }
     if let Some(bytes) = written.answers.get(path) {
         return bytes.clone();
@@ -119,14 +135,37 @@
     }
 }
 
-/// Fetches another node's table, or what has changed in it since the own one.
-pub async fn fetch_table(node: &Node, from: SocketAddr) -> Option<TableAnswer> {
-    let (epoch, version) = {
+/// Fetches the leader's table, or what has changed in it since the own one, from a relay if there is one.
+pub async fn fetch_table(node: &Node, leader: SocketAddr) -> Option<TableAnswer> {
+    let (path, relay) = {
         let participant = node.participant.borrow();
-        (participant.table().epoch, participant.table().version)
+        let table = participant.table();
+        let path = format!("{TABLE_PATH}{}/{}", table.epoch.0, table.version);
+        let places = node.selection.places();
+        (path, relay::source(table, places, &node.name, leader))
     };
-    let path = format!("{TABLE_PATH}{}/{version}", epoch.0);
-    fetch(node, from, "table", &path).await
+    let Some(relay) = relay.filter(|_| node.relays.borrow().are_asked(node.now())) else {
+        return fetch_from_leader(node, leader, &path).await;
+    };
+    let of_relay = fetch(node, relay, "relayed_table", &path);
+    let of_leader = fetch_from_leader(node, leader, &path);
+    let (answer, gave) = relay::ask_first(of_relay, of_leader).await;
+    node.relays.borrow_mut().answered(node.now(), gave);
+    if !gave {
+        node.log.write(Event::Lost {
+            dependency: "relay",
+            detail: relay.to_string(),
+        });
+    }
+    answer
+}
+
+/// Fetches the leader's table and keeps the answer for nodes that this one is a relay for.
+async fn fetch_from_leader(node: &Node, leader: SocketAddr, path: &str) -> Option<TableAnswer> {
+    let answer = fetch_bytes(node, leader, "table", path).await?;
+    let table = unpack(answer.as_ref());
+    node.table_bytes.borrow_mut().received = Some((path.to_owned(), answer));
+    table
 }
 
 /// Fetches another node's configuration.
@@ -143,10 +182,18 @@
     kind: &'static str,
     path: &str,
 ) -> Option<Value> {
+    unpack(fetch_bytes(node, from, kind, path).await?.as_ref())
+}
+
+async fn fetch_bytes(
+    node: &Node,
+    from: SocketAddr,
+    kind: &'static str,
+    path: &str,
+) -> Option<Bytes> {
     let mut request = Request::new(Body::empty());
     *request.uri_mut() = path.parse().ok()?;
-    let body = call(node, from, kind, request).await?;
-    unpack(body.as_ref())
+    call(node, from, kind, request).await
 }
 
 /// Tells the leader what the node's target has seen.
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -35,6 +35,7 @@
 mod quarantine;
 pub mod quota;
 mod registration;
+pub mod relay;
 mod router;
 mod run;
 pub mod selection;
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -24,6 +24,7 @@
 use crate::logs::{Event, Log};
 use crate::metrics::Metrics;
 use crate::packed::pack;
+use crate::relay::Relays;
 use crate::selection::Selection;
 use crate::settings::Settings;
 use crate::slots::{Slots, StartLimit};
@@ -51,6 +52,8 @@
     pub newest: (u64, u64),
     /// The answers.
     pub answers: HashMap<String, Bytes>,
+    /// The path and the answer by which the leader told this node its latest table.
+    pub received: Option<(String, Bytes)>,
 }
 
 /// One node.
@@ -121,6 +124,8 @@
     peers: RefCell<HashMap<SocketAddr, Rc<Connections>>>,
     /// What is known of targets elsewhere.
     pub selection: Selection,
+    /// Whether tables are fetched from nodes of the own region.
+    pub relays: RefCell<Relays>,
     /// Services whose requests leave the region.
     pub spill_over: RefCell<SpillOver>,
     /// Extra sends.
@@ -185,6 +190,7 @@
             key_news: Notify::new(),
             peers: RefCell::new(HashMap::new()),
             selection: Selection::new(Places::of(&settings)),
+            relays: RefCell::default(),
             spill_over: RefCell::default(),
             budget: RefCell::new(Budget::new(
                 settings.bounds.budget_ratio,
--- a/crates/sidecar/src/ways.rs
+++ b/crates/sidecar/src/ways.rs
@@ -88,9 +88,18 @@
         if zone == self.zone {
             return Relation::SameZone;
         }
-        match (self.regions.get(&self.zone), self.regions.get(zone)) {
-            (Some(own), Some(other)) if own != other => Relation::OtherRegion,
-            _ => Relation::SameRegion,
+        if self.are_apart(&self.zone, zone) {
+            Relation::OtherRegion
+        } else {
+            Relation::SameRegion
+        }
+    }
+
+    /// Whether two zones are known to lie in different regions.
+    pub fn are_apart(&self, zone: &str, other: &str) -> bool {
+        match (self.regions.get(zone), self.regions.get(other)) {
+            (Some(region), Some(other)) => region != other,
+            _ => false,
         }
     }
 
--- /dev/null
+++ b/crates/sidecar/tests/relay.rs
@@ -0,0 +1,141 @@
+//! Nodes far from the leader fetch its table from nodes of their region, and from the leader when those fail.
+
+use std::collections::BTreeMap;
+use std::future::{pending, ready};
+use std::net::SocketAddr;
+
+use tokio::time::{Instant, sleep};
+use wingspar_ownership::{MemberView, NodeName, Table, Time};
+use wingspar_sidecar::relay::{GIVEN_UP, HELD, Relays, ask_first, source};
+use wingspar_sidecar::ways::Places;
+
+const LEADER: usize = 0;
+
+fn address(number: usize) -> SocketAddr {
+    let last = u8::try_from(number).expect("a small number");
+    SocketAddr::from(([10, 0, 0, last], 7_000))
+}
+
+/// Nodes in two zones of each of two regions, by turns; the first one leads.
+fn table(nodes: usize) -> Table {
+    let members = (0..nodes).map(|number| MemberView {
+        node: name(number),
+        zone: ["east-1", "west-1", "east-2", "west-2"][number % 4].to_owned(),
+        address: address(number),
+        target: None,
+        leaving: false,
+    });
+    Table {
+        members: members.collect(),
+        ..Table::default()
+    }
+}
+
+fn name(number: usize) -> NodeName {
+    NodeName::from(format!("node-{number:03}").as_str())
+}
+
+fn places() -> Places {
+    let zones = ["east-1", "east-2", "west-1", "west-2"];
+    let regions = zones.map(|zone| (zone.to_owned(), zone[..4].to_owned()));
+    Places::new("any", BTreeMap::from(regions))
+}
+
+fn source_of_node(table: &Table, number: usize) -> Option<SocketAddr> {
+    source(table, &places(), &name(number), address(LEADER))
+}
+
+#[test]
+fn one_node_of_the_far_region_asks_the_leader_and_the_others_ask_it() {
+    let table = table(40);
+    let far = (0..40).filter(|number| number % 2 == 1);
+    let sources = far.map(|number| (number, source_of_node(&table, number)));
+    let (relays, others) = sources.partition::<Vec<_>, _>(|(_, source)| source.is_none());
+    assert_eq!(relays.len(), 1, "{relays:?}");
+    let relay = address(relays[0].0);
+    assert!(others.iter().all(|(_, source)| *source == Some(relay)));
+}
+
+#[test]
+fn nodes_of_the_leaders_region_ask_it() {
+    let table = table(40);
+    for number in (0..40).filter(|number| number % 2 == 0) {
+        assert_eq!(source_of_node(&table, number), None);
+    }
+}
+
+#[test]
+fn a_relay_that_leaves_or_is_gone_is_replaced() {
+    let mut table = table(40);
+    let relay = source_of_node(&table, 1).or(source_of_node(&table, 3));
+    let leaves = table.members.iter_mut();
+    for member in leaves.filter(|member| Some(member.address) == relay) {
+        member.leaving = true;
+    }
+    let next = source_of_node(&table, 5).or(source_of_node(&table, 7));
+    assert!(next.is_some());
+    assert_ne!(next, relay);
+}
+
+#[test]
+fn who_is_not_in_the_table_or_knows_no_regions_asks_the_leader() {
+    let table = table(40);
+    assert_eq!(source_of_node(&table, 41), None);
+    let no_regions = Places::new("west-1", BTreeMap::new());
+    for number in 0..40 {
+        let source = source(&table, &no_regions, &name(number), address(LEADER));
+        assert_eq!(source, None);
+    }
+}
+
+#[test]
+fn a_relay_takes_turns_with_the_leaders_epoch() {
+    let mut table = table(40);
+    let mut relays = std::collections::BTreeSet::new();
+    for epoch in 1..=20 {
+        table.epoch.0 = epoch;
+        relays.extend((0..40).filter_map(|number| source_of_node(&table, number)));
+    }
+    assert_eq!(relays.len(), 20);
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_leader_is_not_asked_while_the_relay_answers() {
+    let relay = async {
+        sleep(HELD).await;
+        Some("relay")
+    };
+    let leader = async { panic!("the leader was asked") };
+    assert_eq!(ask_first(relay, leader).await, (Some("relay"), true));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_relay_that_is_lost_or_behind_costs_what_it_took_to_say_so() {
+    let began = Instant::now();
+    let relay = async {
+        sleep(HELD).await;
+        None
+    };
+    let answer = ask_first(relay, ready(Some("leader"))).await;
+    assert_eq!(answer, (Some("leader"), false));
+    assert_eq!(began.elapsed(), HELD);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_relay_that_is_cut_off_is_given_up_in_time() {
+    let began = Instant::now();
+    let answer = ask_first(pending(), ready(Some("leader"))).await;
+    assert_eq!(answer, (Some("leader"), false));
+    assert!(began.elapsed() <= GIVEN_UP + std::time::Duration::from_millis(2));
+}
+
+#[test]
+fn after_a_relay_failed_the_leader_is_asked_for_a_while() {
+    let mut relays = Relays::default();
+    assert!(relays.are_asked(Time(0)));
+    relays.answered(Time(1_000), false);
+    assert!(!relays.are_asked(Time(3_900)));
+    assert!(relays.are_asked(Time(4_000)));
+    relays.answered(Time(4_100), true);
+    assert!(relays.are_asked(Time(4_200)));
+}
