--- a/crates/sidecar/src/logs.rs
+++ b/crates/sidecar/src/logs.rs
@@ -262,11 +262,11 @@
         /// The leader's epoch.
         epoch: u64,
     },
-    /// A first request of a service leaves the region, which is short of room.
+    /// Requests of a service begin to leave the region, which is short of room.
     SpillOverBegun {
         /// The service.
         service: &'a str,
-        /// The node that the request goes to.
+        /// The node that the last one goes to.
         tried: &'a str,
     },
     /// All requests of a service stay in the region again.
--- a/crates/sidecar/src/router/record.rs
+++ b/crates/sidecar/src/router/record.rs
@@ -30,6 +30,8 @@
     pub configuration: u64,
     /// The node that was asked last.
     pub node: String,
+    /// Whether it left the region though it might have stayed.
+    pub left_region: bool,
     /// Sends that reached a target.
     pub sends: u32,
     /// Whether one of them may have run.
@@ -59,6 +61,7 @@
             fingerprint: None,
             configuration: 0,
             node: String::new(),
+            left_region: false,
             sends: 0,
             may_have_run: false,
             targets_ended: 0,
@@ -83,7 +86,7 @@
             .latency
             .get_or_create(&service)
             .observe(took.as_secs_f64());
-        if reason.is_none() && self.sends <= 1 {
+        if reason.is_none() && self.sends <= 1 && !self.left_region {
             return;
         }
         node.log.write_request(Event::Request {
--- a/crates/sidecar/src/router/send.rs
+++ b/crates/sidecar/src/router/send.rs
@@ -24,7 +24,7 @@
 use crate::selection::{Ended, RequestPreference, ZONE_PREFERENCE, ZONE_PREFERENCE_LARGE};
 use crate::slots::Turn;
 use crate::spill_over::SpillChange;
-use crate::ways::ReachChange;
+use crate::ways::{ReachChange, Relation};
 
 /// Pause before a key's owner is looked up again, unless the directory changes before.
 const OWNER_PAUSE: Duration = Duration::from_millis(40);
@@ -68,6 +68,7 @@
             continue;
         };
         record.node = destination.node.to_string();
+        record.left_region |= routed.key.is_none() && destination.relation == Relation::OtherRegion;
         let patience = patience_here(node, routed, refusals);
         let answer = send_to(node, routed, &destination, patience).await;
         let next = match answer {
--- a/crates/sidecar/src/spill_over.rs
+++ b/crates/sidecar/src/spill_over.rs
@@ -11,12 +11,15 @@
 /// the region is about as short of room as the others.
 const ENDS_AFTER: Duration = Duration::from_secs(2);
 
+/// It begins with so many requests within that time: single ones leave a region that has room when their few draws were bad.
+const BEGINS_WITH: u64 = 3;
+
 /// What has changed for a service.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SpillChange {
     /// Nothing.
     None,
-    /// A first request leaves the region.
+    /// Requests leave the region.
     Begun,
     /// Requests stay in the region again.
     Ended {
@@ -49,6 +52,9 @@
         match self.services.get(service).copied() {
             Some(spill) if now.since(spill.last_at) >= ENDS_AFTER => {
                 self.services.remove(service);
+                if spill.requests < BEGINS_WITH {
+                    return SpillChange::None;
+                }
                 SpillChange::Ended {
                     requests: spill.requests,
                     lasted: spill.last_at.since(spill.began_at),
@@ -59,17 +65,18 @@
     }
 
     fn left(&mut self, now: Time, service: &str) -> SpillChange {
-        if let Some(spill) = self.services.get_mut(service) {
-            spill.last_at = now;
-            spill.requests += 1;
-            return SpillChange::None;
-        }
         let spill = Spill {
             began_at: now,
             last_at: now,
-            requests: 1,
+            requests: 0,
         };
-        self.services.insert(service.to_owned(), spill);
-        SpillChange::Begun
+        let spill = self.services.entry(service.to_owned()).or_insert(spill);
+        spill.last_at = now;
+        spill.requests += 1;
+        if spill.requests == BEGINS_WITH {
+            SpillChange::Begun
+        } else {
+            SpillChange::None
+        }
     }
 }
