--- a/crates/sidecar/src/selection.rs
+++ b/crates/sidecar/src/selection.rs
@@ -24,8 +24,8 @@
 pub const ZONE_PREFERENCE: f64 = 1.35;
 /// The same for large answers, whose bytes between zones cost more than a little waiting.
 pub const ZONE_PREFERENCE_LARGE: f64 = 6.0;
-/// A request rather waits this part of its objective longer than go to another region, whose link is thin, shared by all and
-/// dear: up to the objective its caller is content with the answer.
+/// A request goes to another region, whose link is thin, shared by all and dear, only where that saves it this part of its
+/// objective: a smaller gain rarely makes a late answer timely.
 const REGION_PRICE: f64 = 1.0;
 /// The same for large answers, which fill such a link by themselves.
 const REGION_PRICE_LARGE: f64 = 4.0;
@@ -53,13 +53,13 @@
 const AVOIDED_COST: f64 = 10.0;
 /// What a node reported of its load fades over this time.
 const REPORT_FADES: Duration = Duration::from_millis(400);
+/// The same for what it reported of its link.
+const LINK_REPORT_FADES: Duration = Duration::from_millis(1_500);
 /// What one node of another region reported tells of all others there, over this time: requests go there too seldom to know
 /// each, and a region that is short of room rarely gets it back sooner.
 const REGION_LOAD_FADES: Duration = Duration::from_secs(3);
 /// Weight of one report against what was known of the region.
 const REGION_LOAD_SMOOTHING: f64 = 0.3;
-/// The same for what it reported of its link.
-const LINK_REPORT_FADES: Duration = Duration::from_millis(1_500);
 
 /// What this node has seen of another's target.
 #[derive(Debug, Clone, Default)]
