--- a/crates/sidecar/src/internal.rs
+++ b/crates/sidecar/src/internal.rs
@@ -19,9 +19,12 @@
 use crate::body::{Body, BodyError};
 use crate::configuration::ConfigurationAnswer;
 use crate::configuration_doubts;
+use crate::folded;
 use crate::hop::{self, Occupancy};
+use crate::logs::Event;
 use crate::node::Node;
 use crate::packed::{pack, unpack};
+use crate::relay;
 
 const CBOR: &str = "application/cbor";
 const TABLE_PATH: &str = "/table/";
@@ -38,9 +41,7 @@
         return answer_hop(&node, request).await;
     }
     match (request.method(), request.uri().path()) {
-        (&Method::GET, path) if path.starts_with(TABLE_PATH) => {
-            plain(StatusCode::OK, CBOR, table_bytes(&node, path))
-        }
+        (&Method::GET, path) if path.starts_with(TABLE_PATH) => answer_table(&node, path).await,
         (&Method::GET, CONFIGURATION_PATH) => {
             answer_configuration(&node, request.uri().query()).await
         }
@@ -85,6 +86,19 @@
     }
 }
 
+/// Answers a node that asks for the table after the version in the path: the leader with what it has, another node as a
+/// relay once it has a later one.
+async fn answer_table(node: &Node, path: &str) -> Response<Body> {
+    let leads = node.participant.borrow().leading().is_some();
+    if !leads
+        && let Some((epoch, version)) = asked_version(path)
+        && !relay::hold(node, epoch, version).await
+    {
+        return plain(StatusCode::NOT_FOUND, "text/plain", "nothing later yet");
+    }
+    plain(StatusCode::OK, CBOR, table_bytes(node, path))
+}
+
 /// The answer to a node that asks for the table after the version in the path, written once for all
 /// who ask the same.
 fn table_bytes(node: &Node, path: &str) -> Bytes {
@@ -97,6 +111,9 @@
     if written.newest != newest {
         written.newest = newest;
         written.answers.clear();
+        // What the leader answered to this node answers others who have the same version.
+        let received = written.received.take();
+        written.answers.extend(received);
     }
     if let Some(bytes) = written.answers.get(path) {
         return bytes.clone();
@@ -115,7 +132,8 @@
 
 async fn answer_hop(node: &Rc<Node>, request: Request<Incoming>) -> Response<Body> {
     let arrived = Instant::now();
-    let (parts, incoming) = request.into_parts();
+    let (mut parts, incoming) = request.into_parts();
+    let folds = folded::unfold(&mut parts.headers);
     let body = Body::stream(incoming.map_err(BodyError::from));
     let Some(request) = hop::decode(parts, body, |service| node.is_keyed(service)) else {
         return plain(StatusCode::BAD_REQUEST, "text/plain", "not a whole request");
@@ -126,7 +144,11 @@
         held_ms: Some(held),
         ..agent::occupancy(node)
     };
-    hop::encode_answer(answer, occupancy).map(|body| node.link.pace(body))
+    let mut answer = hop::encode_answer(answer, occupancy);
+    if folds {
+        folded::fold(answer.headers_mut());
+    }
+    answer.map(|body| node.link.pace(body))
 }
 
 /// Writes a value for another node.
@@ -138,13 +160,37 @@
     }
 }
 
-/// Fetches another node's table, or what has changed in it since the own one.
-pub async fn fetch_table(node: &Node, from: SocketAddr) -> Option<TableAnswer> {
-    let (epoch, version) = {
+/// Fetches the leader's table, or what has changed in it since the own one, from a relay if there is one.
+pub async fn fetch_table(node: &Node, leader: SocketAddr) -> Option<TableAnswer> {
+    let (path, relay) = {
         let participant = node.participant.borrow();
-        (participant.table().epoch, participant.table().version)
+        let table = participant.table();
+        let path = format!("{TABLE_PATH}{}/{}", table.epoch.0, table.version);
+        let places = node.selection.places();
+        (path, relay::source(table, places, &node.name, leader))
     };
-    fetch(node, from, &format!("{TABLE_PATH}{}/{version}", epoch.0)).await
+    let Some(relay) = relay.filter(|_| node.relays.borrow().are_asked(node.now())) else {
+        return fetch_from_leader(node, leader, &path).await;
+    };
+    let of_relay = fetch(node, relay, "relayed_table", &path);
+    let of_leader = fetch_from_leader(node, leader, &path);
+    let (answer, gave) = relay::ask_first(of_relay, of_leader).await;
+    node.relays.borrow_mut().answered(node.now(), gave);
+    if !gave {
+        node.log.write(Event::Lost {
+            dependency: "relay",
+            detail: relay.to_string(),
+        });
+    }
+    answer
+}
+
+/// Fetches the leader's table and keeps the answer for nodes that this one is a relay for.
+async fn fetch_from_leader(node: &Node, leader: SocketAddr, path: &str) -> Option<TableAnswer> {
+    let answer = fetch_bytes(node, leader, "table", path).await?;
+    let table = unpack(answer.as_ref());
+    node.table_bytes.borrow_mut().received = Some((path.to_owned(), answer));
+    table
 }
 
 /// What another node has told of its configuration.
@@ -161,7 +207,7 @@
 pub async fn fetch_configuration(node: &Node, from: SocketAddr) -> Option<Fetched> {
     let version = node.configuration_version();
     let path = format!("{CONFIGURATION_PATH}?{AFTER}{version}");
-    let (status, body) = get(node, from, &path).await?;
+    let (status, body) = get(node, from, "configuration", &path).await?;
     match status {
         StatusCode::NO_CONTENT => Some(Fetched::NoneLater),
         StatusCode::PARTIAL_CONTENT => unpack(&body).map(Fetched::Changes),
@@ -172,16 +218,33 @@
 async fn fetch<Value: DeserializeOwned>(
     node: &Node,
     from: SocketAddr,
+    kind: &'static str,
     path: &str,
 ) -> Option<Value> {
-    let (_status, body) = get(node, from, path).await?;
-    unpack(&body)
+    let (_status, bytes) = get(node, from, kind, path).await?;
+    unpack(&bytes)
 }
 
-async fn get(node: &Node, from: SocketAddr, path: &str) -> Option<(StatusCode, Bytes)> {
+async fn fetch_bytes(
+    node: &Node,
+    from: SocketAddr,
+    kind: &'static str,
+    path: &str,
+) -> Option<Bytes> {
+    get(node, from, kind, path)
+        .await
+        .map(|(_status, bytes)| bytes)
+}
+
+async fn get(
+    node: &Node,
+    from: SocketAddr,
+    kind: &'static str,
+    path: &str,
+) -> Option<(StatusCode, Bytes)> {
     let mut request = Request::new(Body::empty());
     *request.uri_mut() = path.parse().ok()?;
-    call(node, from, request).await
+    call(node, from, kind, request).await
 }
 
 /// Tells the leader what the node's target has seen.
@@ -189,14 +252,23 @@
     let mut request = Request::new(Body::whole(encode(report)));
     *request.method_mut() = Method::POST;
     *request.uri_mut() = http::Uri::from_static(LOAD_PATH);
-    let _answer = call(node, to, request).await;
+    let _answer = call(node, to, "load", request).await;
 }
 
 /// The status and body of a call's answer; nothing if it isn't done.
-async fn call(node: &Node, to: SocketAddr, request: Request<Body>) -> Option<(StatusCode, Bytes)> {
+async fn call(
+    node: &Node,
+    to: SocketAddr,
+    kind: &'static str,
+    request: Request<Body>,
+) -> Option<(StatusCode, Bytes)> {
+    let asked = hop::length_of(request.headers(), request.body());
+    node.metrics.count_control(kind, asked);
     let exchange = async {
         let response = node.peer(to).send(request).await.ok()?;
         let status = response.status();
+        let answered = hop::length_of(response.headers(), response.body());
+        node.metrics.count_control(kind, answered);
         let body = response.into_body().collect().await.ok()?.to_bytes();
         status.is_success().then_some((status, body))
     };
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -27,6 +27,7 @@
 use crate::logs::{Event, Log};
 use crate::metrics::Metrics;
 use crate::quota::Quotas;
+use crate::relay::Relays;
 use crate::selection::Selection;
 use crate::settings::Settings;
 use crate::slots::{Slots, StartLimit};
@@ -61,6 +62,8 @@
     pub newest: (u64, u64),
     /// The answers.
     pub answers: HashMap<String, Bytes>,
+    /// The path and the answer by which the leader told this node its latest table.
+    pub received: Option<(String, Bytes)>,
 }
 
 /// One node.
@@ -141,6 +144,8 @@
     peers: RefCell<HashMap<SocketAddr, Rc<Connections>>>,
     /// What is known of targets elsewhere.
     pub selection: Selection,
+    /// Whether tables are fetched from nodes of the own region.
+    pub relays: RefCell<Relays>,
     /// Services whose requests leave the region.
     pub spill_over: RefCell<SpillOver>,
     /// How long callers have waited already.
@@ -212,6 +217,7 @@
             key_news: Notify::new(),
             peers: RefCell::new(HashMap::new()),
             selection: Selection::new(Places::of(&settings)),
+            relays: RefCell::default(),
             spill_over: RefCell::default(),
             caller_ages: RefCell::default(),
             budget: RefCell::new(Budget::new(
