--- a/crates/sidecar/src/folded.rs
+++ b/crates/sidecar/src/folded.rs
@@ -9,7 +9,7 @@
 pub const FOLDED: HeaderName = HeaderName::from_static("wingspar-hop");
 
 /// Letters and the headers that they stand for. Other nodes may run another version: a letter never changes its meaning.
-static LETTERS: [(char, HeaderName); 9] = [
+static LETTERS: [(char, HeaderName); 11] = [
     ('s', HeaderName::from_static("wingspar-service")),
     ('l', HeaderName::from_static("wingspar-left-ms")),
     ('p', HeaderName::from_static("wingspar-patience-ms")),
@@ -19,6 +19,8 @@
     ('r', HeaderName::from_static("wingspar-priority")),
     ('o', HeaderName::from_static("wingspar-outcome")),
     ('u', HeaderName::from_static("wingspar-load")),
+    ('b', HeaderName::from_static("wingspar-objective-ms")),
+    ('n', HeaderName::from_static("wingspar-tenant-priority")),
 ];
 
 /// Stands between two values; one that contains it isn't folded.
