Shards of quotas are owned beside owners of keys only, so that other silent nodes aren't waited for

Change: shard owners are chosen among nodes registered for keyed services, and only these are waited for. Tests: where_keys_have_owners_a_silent_node_beside_none_of_them_is_not_waited_for, a_silent_node_beside_owners_of_keys_is_waited_for.

--- a/crates/ownership/src/leader/shards.rs
+++ b/crates/ownership/src/leader/shards.rs
@@ -160,7 +160,8 @@
         let Some(mut shards) = self.shards.take() else {
             return;
         };
-        let all_reported = self.silent.is_empty() && self.confirmed_at >= self.last_report_at;
+        let all_reported =
+            self.have_shard_owners_reported() && self.confirmed_at >= self.last_report_at;
         if all_reported || self.unknown_until() <= now.min(self.confirmed_at) {
             shards.free_unknown();
         }
@@ -190,8 +191,9 @@
     fn shard_candidates(&self, now: Time, shards: &ShardLedger) -> Candidates {
         let by_owner = shards.by_owner();
         let can_own = |member: &Member| {
-            // Later leaders wait for a node only if it is registered.
-            let is_registered = member.registered_for.is_some()
+            // Later leaders wait for a node only where it is registered.
+            let registered_for = member.registered_for.as_deref();
+            let is_registered = registered_for.is_some_and(|service| self.may_own_shards(service))
                 && member
                     .registered_at
                     .is_some_and(|at| at < self.confirmed_at);
--- a/crates/ownership/tests/shards.rs
+++ b/crates/ownership/tests/shards.rs
@@ -114,6 +114,36 @@
     SocketAddr::from(([127, 0, 0, number], 7620))
 }
 
+/// When leaders are elected.
+const ELECTED_AT: Time = Time(10_000);
+
+/// A leader of epoch 2 that knows the nodes registered for these services; node 9 led before.
+fn leader(registered: &[(u8, &str)]) -> Leader {
+    let leader = LeaderReference {
+        epoch: Epoch(2),
+        node: name(1),
+        life: Life(1),
+        address: address(1),
+    };
+    let earlier = Some(vec![name(9)]);
+    let leadership = Leadership { leader, earlier };
+    let registered = registered.iter().map(|(number, service)| RegisteredNode {
+        node: name(*number),
+        address: address(*number),
+        service: Some((*service).to_owned()),
+    });
+    let registered = registered.collect::<Vec<_>>();
+    let (timing, known) = (Timing::default(), Table::default());
+    Leader::new(
+        &leadership,
+        timing,
+        ELECTED_AT,
+        ELECTED_AT,
+        &registered,
+        known,
+    )
+}
+
 /// Nodes that renew every 0.1 s, and their leader.
 struct Fleet {
     now: u64,
@@ -121,6 +151,8 @@
     holders: BTreeMap<u8, ShardHolder>,
     leaving: BTreeSet<u8>,
     links: BTreeMap<u8, f64>,
+    /// What nodes are registered for, if it isn't `s`.
+    services: BTreeMap<u8, &'static str>,
     /// For how long the processes hadn't given any lease when the leader was elected.
     no_lease_given_ms: u64,
 }
@@ -128,26 +160,13 @@
 impl Fleet {
     /// A leader of epoch 2, elected now; the nodes from 1 to `nodes` are registered, node 9 led before.
     fn new(nodes: u8) -> Self {
-        let leader = LeaderReference {
-            epoch: Epoch(2),
-            node: name(1),
-            life: Life(1),
-            address: address(1),
-        };
-        let earlier = Some(vec![name(9)]);
-        let leadership = Leadership { leader, earlier };
-        let registered = (1..=nodes).map(|number| RegisteredNode {
-            node: name(number),
-            address: address(number),
-            service: Some("s".to_owned()),
-        });
-        let registered = registered.collect::<Vec<_>>();
-        let (timing, now) = (Timing::default(), Time(10_000));
-        let mut leader = Leader::new(&leadership, timing, now, now, &registered, Table::default());
+        let registered = (1..=nodes).map(|number| (number, "s")).collect::<Vec<_>>();
+        let mut leader = leader(&registered);
         leader.set_quota_shards();
         Self {
-            now: now.0,
+            now: ELECTED_AT.0,
             leader,
+            services: BTreeMap::new(),
             holders: (1..=nodes)
                 .map(|number| (number, ShardHolder::default()))
                 .collect(),
@@ -175,7 +194,7 @@
             released: Vec::new(),
             target: None,
             leaving: self.leaving.contains(&number),
-            registered_for: Some("s".to_owned()),
+            registered_for: Some(self.services.get(&number).unwrap_or(&"s").to_string()),
             configuration_version: 1,
             store_reachable: true,
             link_mbps: self.links.get(&number).copied(),
@@ -278,6 +297,34 @@
     assert_eq!(fleet.owned_by_all(), usize::from(SHARDS));
 }
 
+#[test]
+fn where_keys_have_owners_a_silent_node_beside_none_of_them_is_not_waited_for() {
+    let mut fleet = Fleet::new(4);
+    fleet.holders.remove(&3);
+    let keyed = BTreeSet::from(["keyed".to_owned()]);
+    fleet.leader = leader(&[(1, "keyed"), (2, "keyed"), (3, "other"), (4, "other")]);
+    fleet.leader.set_keyed_services(&keyed);
+    fleet.leader.set_quota_shards();
+    fleet.services = BTreeMap::from([(1, "keyed"), (2, "keyed"), (4, "other")]);
+    fleet.run(1_000);
+    assert_eq!(fleet.owned(4), 0, "a later leader wouldn't wait for it");
+    assert_eq!(fleet.owned_by_all(), usize::from(SHARDS));
+}
+
+#[test]
+fn a_silent_node_beside_owners_of_keys_is_waited_for() {
+    let mut fleet = Fleet::new(4);
+    fleet.holders.remove(&3);
+    fleet.leader = leader(&[(1, "keyed"), (2, "keyed"), (3, "keyed"), (4, "other")]);
+    fleet
+        .leader
+        .set_keyed_services(&BTreeSet::from(["keyed".to_owned()]));
+    fleet.leader.set_quota_shards();
+    fleet.services = BTreeMap::from([(1, "keyed"), (2, "keyed"), (4, "other")]);
+    fleet.run(8_000);
+    assert_eq!(fleet.owned_by_all(), 0);
+}
+
 /// Shards that have owners a second after the election, while node 3 is silent and the earlier leader, node 9, is back.
 fn owned_after_a_second(no_lease_given_ms: u64) -> usize {
     let mut fleet = Fleet::new(4);
--- a/crates/wingspar/tests/sidecar/deployment.rs
+++ b/crates/wingspar/tests/sidecar/deployment.rs
@@ -142,8 +142,10 @@
     /// As [`Self::start`], wired in another way.
     pub async fn start_with(test: u8, wiring: &Wiring) -> Self {
         let (network, [high, low]) = claim_network(test);
-        let folder =
-            std::env::temp_dir().join(format!("wingspar-sidecar-{}-{test}", std::process::id()));
+        let folder = std::env::temp_dir().join(format!(
+            "wingspar-sidecar-{}-{high}-{low}",
+            std::process::id()
+        ));
         std::fs::create_dir_all(&folder).expect("a folder");
         let store = FleetStore::start(SocketAddr::from(([127, high, low, 200], 0)))
             .await
