--- a/crates/explain/src/cause.rs
+++ b/crates/explain/src/cause.rs
@@ -67,14 +67,14 @@
             return story.last_refused().map_or(Self::NotLogged, agent_refused);
         };
         let outcome = request.text("outcome");
-        if let Some(meaning) = meaning_of(outcome) {
+        if let Some(meaning) = meaning_of(outcome, request.text("tried")) {
             return Self::Refused {
                 outcome: outcome.to_owned(),
                 meaning,
             };
         }
         let node = request.text("tried").to_owned();
-        if story.has_before(&node, "stopping", "signal", "SIGTERM") {
+        if story.has_event_before(&node, "stopping") {
             return Self::Stopping { node };
         }
         if is_target_lost(story, request, &node) {
@@ -125,8 +125,11 @@
 }
 
 /// What an outcome means that the node which took the request decides alone.
-fn meaning_of(outcome: &str) -> Option<&'static str> {
+fn meaning_of(outcome: &str, tried: &str) -> Option<&'static str> {
     let meaning = match outcome {
+        "no_owner" if tried.is_empty() => "no node was known to own its key while it could wait",
+        "no_target" if tried.is_empty() => "no node was known whose target takes work",
+        "not_sent_in_time" if tried.is_empty() => "its time was over before a node was asked",
         "malformed" => "its id or its host is missing or doubled",
         "unauthorized" => "its credential is missing, or no tenant of the configuration has it",
         "over_quota" => "its tenant has used up its quota",
--- a/crates/explain/src/story.rs
+++ b/crates/explain/src/story.rs
@@ -84,6 +84,12 @@
         at_tried.or(self.refused.last())
     }
 
+    /// Whether a node wrote of an event shortly before its line about the request.
+    pub fn has_event_before(&self, node: &str, event: &str) -> bool {
+        let mut before = self.before.iter();
+        before.any(|line| line.node == node && line.event == event)
+    }
+
     /// Whether a node wrote of an event, with that text in one of its fields, shortly before its line about the request.
     pub fn has_before(&self, node: &str, event: &str, field: &str, text: &str) -> bool {
         self.before
--- a/crates/explain/tests/stories.rs
+++ b/crates/explain/tests/stories.rs
@@ -63,6 +63,8 @@
         ("unauthorized", "credential"),
         ("over_quota", "quota"),
         ("no_route", "route"),
+        ("no_owner", "own its key"),
+        ("no_target", "takes work"),
         ("quarantined", "ended"),
     ] {
         let line = format!(
--- a/crates/ownership/src/leader/shards.rs
+++ b/crates/ownership/src/leader/shards.rs
@@ -22,9 +22,9 @@
     Unknown,
     /// Nobody owns it.
     Free,
-    /// A node is to own it; its assignment of that number named it first.
+    /// A node is to own it, as of its assignment with that number.
     Owned { node: NodeName, since: u64 },
-    /// A node is to give it back; its assignment of that number left it out first.
+    /// A node is to give it back, as of its assignment with that number.
     Revoked { node: NodeName, since: u64 },
 }
 
@@ -240,7 +240,8 @@
         }
     }
 
-    /// Takes a shard back from each of some nodes that own many more than others: as many as those need.
+    /// Takes one shard back from each node that owns more than about twice as many as the one with fewest: as many shards
+    /// as that one lacks to the mean, at most [`MOST_MOVED`].
     fn take_back_some(&mut self, shards: &mut ShardLedger, candidates: &Candidates) {
         let Some(fewest) = candidates.values().map(|(owned, _)| *owned).min() else {
             return;
--- a/crates/quota/src/history.rs
+++ b/crates/quota/src/history.rs
@@ -18,7 +18,7 @@
 }
 
 impl History {
-    /// Time has passed: the bucket lacks fewer tokens than at any time since the last call that has not been noted.
+    /// Notes how many tokens the bucket lacks now. Called after each passage of time, when it lacks fewest.
     pub fn note(&mut self, now: Duration, lacking: f64) {
         let cell = cell_of(now);
         if cell <= self.newest {
--- a/crates/quota/src/limit.rs
+++ b/crates/quota/src/limit.rs
@@ -14,7 +14,7 @@
 /// How many requests a tenant may have run, as of a version of the configuration.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct Limit {
-    /// The configuration.
+    /// Version of the configuration that set it.
     #[serde(rename = "v")]
     pub version: u64,
     /// Requests a second.
@@ -38,7 +38,7 @@
 /// All that is tolerated is divided: the owner's bucket is deeper than the burst by one part, and another is what all
 /// nodes together may admit without an owner. A new owner starts without any token, so that any number of owners, one
 /// after the other, grant no more than one that fills its bucket before the window: the bound holds whichever of these
-/// happen in it.
+/// happen in it. The two parts are below 1 together; the rest is a margin.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Tolerance {
     /// The window.
--- a/crates/quota/src/message.rs
+++ b/crates/quota/src/message.rs
@@ -74,7 +74,7 @@
     pub decision: Option<Decision>,
 }
 
-/// Either of them.
+/// A datagram between a router and an owner.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Message {
     /// A router asks.
--- a/crates/quota/src/shard.rs
+++ b/crates/quota/src/shard.rs
@@ -3,8 +3,8 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
-/// Shards. The asks of 17,000 nodes, some 200,000 a second, are then below 1,000 a second for an owner; and the owners of
-/// all still fit a table that a leader tells to every node.
+/// Shards: so many that at the largest deployment planned no owner answers more than about 1,000 asks a second, and so
+/// few that all owners fit the table that every node is told.
 pub const SHARDS: u16 = 256;
 
 /// A part of all tenants, whose quotas have the same owner.
--- a/crates/sidecar/src/answer.rs
+++ b/crates/sidecar/src/answer.rs
@@ -8,6 +8,13 @@
 
 use crate::body::Body;
 
+/// A node that has just started has read the configuration by then.
+const BACK_FOR_CONFIGURATION: Duration = Duration::from_millis(500);
+/// A key's next owner, or another target, is mostly known by then.
+const BACK_FOR_TARGET: Duration = Duration::from_millis(300);
+/// Some requests have left a full target by then.
+const BACK_FOR_ROOM: Duration = Duration::from_millis(150);
+
 /// Why a node answers by itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum Reason {
@@ -87,13 +94,12 @@
 
     /// When to come back where the request has not run and nothing better is known.
     fn retry_after(self) -> Option<Duration> {
-        let millis = match self {
-            Self::NoConfiguration => 500,
-            Self::NoTarget | Self::NoOwner | Self::RegionNotAllowed => 300,
-            Self::Full | Self::NotSentInTime => 150,
-            _ => return None,
-        };
-        Some(Duration::from_millis(millis))
+        match self {
+            Self::NoConfiguration => Some(BACK_FOR_CONFIGURATION),
+            Self::NoTarget | Self::NoOwner | Self::RegionNotAllowed => Some(BACK_FOR_TARGET),
+            Self::Full | Self::NotSentInTime => Some(BACK_FOR_ROOM),
+            _ => None,
+        }
     }
 }
 
--- a/crates/sidecar/src/logs.rs
+++ b/crates/sidecar/src/logs.rs
@@ -116,7 +116,7 @@
     },
     /// A dependency was lost.
     Lost {
-        /// Which: store, leader, target.
+        /// Which: store, watch, target, relay.
         dependency: &'a str,
         /// How that showed.
         detail: String,
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -40,9 +40,8 @@
 
 /// Time for a connection to another node to come up.
 const PEER_CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
-/// A connection to another node rests this long. Each holds 16 KB of buffers at both ends: where every node speaks to all
-/// others, connections that rested for six seconds were most of a process's memory (21.6 instead of 16.5 GB x seconds on a
-/// quiet day of 63 nodes). A new one costs a round trip.
+/// A connection to another node rests this long. Each holds 16 KB of buffers at both ends, and every node speaks to all
+/// others, so resting ones take most of a process's memory; a new one costs a round trip.
 const PEER_REST: Duration = Duration::from_millis(1_500);
 /// Time for a connection to the target, on the same machine, to come up.
 const TARGET_CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
--- a/crates/sidecar/src/quota/mod.rs
+++ b/crates/sidecar/src/quota/mod.rs
@@ -113,6 +113,7 @@
 
     /// Datagrams go out there from now on.
     pub fn attach(&self, socket: Rc<UdpSocket>) {
+        // A process has one such socket, which doesn't change.
         let _first = self.socket.set(socket);
     }
 
@@ -138,6 +139,7 @@
     fn send(&self, to: SocketAddr, message: Message) {
         if let Some(socket) = self.socket.get() {
             let bytes = internal::encode(&Datagram::Quota(message));
+            // The router asks again, and decides alone in the end.
             let _sent = socket.try_send_to(&bytes, to);
         }
     }
--- a/crates/sidecar/src/router/record.rs
+++ b/crates/sidecar/src/router/record.rs
@@ -30,7 +30,7 @@
     pub configuration: u64,
     /// The node that was asked last.
     pub node: String,
-    /// Whether it left the region though it might have stayed.
+    /// Whether it has no key and was sent to another region.
     pub left_region: bool,
     /// Sends that reached a target.
     pub sends: u32,
--- a/crates/sidecar/src/router/timing.rs
+++ b/crates/sidecar/src/router/timing.rs
@@ -11,10 +11,8 @@
 
 /// A client that names no deadline waits this long.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(10);
-/// Part of the objective after which a request that hasn't started is refused. A queue need only hold what keeps the
-/// slots in use until the next request comes; while more is asked than the targets can do, a longer one serves no
-/// more, only later, and refuses after a wait what could have been refused at once. Share of the possible worth earned
-/// with somewhat more requests than the slots carry, by this part: 0.40: 0.408, 0.24: 0.458, 0.12: 0.500.
+/// Part of the objective for which a request waits for a node that could run it, and asks one full target after
+/// another: a caller that is refused then still has most of its objective left to come back in.
 const PATIENCE_SHARE: f64 = 0.12;
 /// A caller whose deadline is within this many objectives has no time to come back.
 const URGENT_OBJECTIVES: f64 = 3.2;
@@ -37,7 +35,7 @@
 pub struct Times {
     /// It is given up.
     pub deadline: Deadline,
-    /// Its answer earns its full credit until then.
+    /// Its arrival and the objective, less what its caller had waited before.
     pub due: Instant,
     /// Time within which the route wants its answer.
     pub objective: Duration,
--- a/crates/sidecar/src/slots/backlog.rs
+++ b/crates/sidecar/src/slots/backlog.rs
@@ -1,10 +1,11 @@
 //! Requests that wait for a slot of the target: who waits, in which order, and who is refused when.
 //!
-//! Requests that can still be answered by their due date wait in the *timely* lane, by priority and then by due date.
+//! Requests that can still be answered by their due date wait in the *timely* lane, in the order of [`Turn::rank`].
 //! Those that can't wait in the *late* lane, behind all timely ones and as long as their deadline allows: they get the
-//! slots that nobody else needs. Requests that are short beside others stay in the timely lane until their deadline:
-//! they take little of anybody's time, and mostly work that has begun elsewhere waits on them. Whether such slots are to be expected follows from the target's load: while more work
-//! arrives than it can do, there are none, and who would be late is refused at once.
+//! slots that nobody else needs. Whether there will be such slots follows from the target's load: while more work
+//! arrives than it can do, there are none, and who would be late is refused at once. Requests that are short beside
+//! others stay in the timely lane until their deadline: they take little of anybody's time, and mostly work that has
+//! begun elsewhere waits on them.
 //!
 //! Decisions only: no clock, no timers.
 
--- a/crates/sidecar/src/slots/turn.rs
+++ b/crates/sidecar/src/slots/turn.rs
@@ -42,9 +42,7 @@
     pub tenant: Option<TenantTurn>,
     /// 0 is the most urgent.
     pub priority: u8,
-    /// When its answer is due. Earliest due date first serves short inner calls, on which work that has begun
-    /// elsewhere waits, before long requests of the same priority: under overload 0.532 of the possible worth was
-    /// earned, 0.500 by order of arrival.
+    /// When its answer is due: before that, its caller has the full use of it.
     pub due: Instant,
     /// When its caller gives it up.
     pub deadline: Instant,
--- a/crates/sidecar/src/unseen_work.rs
+++ b/crates/sidecar/src/unseen_work.rs
@@ -46,7 +46,9 @@
         };
     }
 
-    /// A target has come whose life is new to the agent. One that follows an earlier process may know it for long.
+    /// The target's process is new: it has none of the work counted here. What an earlier process of the node may have
+    /// sent stays assumed until the target tells its load, since a node that has just started takes every life for a
+    /// new one.
     pub fn new_life(&mut self) {
         self.count = 0;
     }
--- a/crates/sidecar/src/ways.rs
+++ b/crates/sidecar/src/ways.rs
@@ -70,7 +70,7 @@
 }
 
 impl Places {
-    /// Of a node in `zone`; zones that aren't in `regions` count as of its own region.
+    /// Of a node in `zone`; a zone that isn't in `regions` counts as near when a target is chosen.
     pub fn new(zone: &str, regions: BTreeMap<String, String>) -> Self {
         Self {
             zone: zone.to_owned(),
@@ -103,7 +103,7 @@
         }
     }
 
-    /// The region of a zone; a zone that isn't named is one of its own.
+    /// The region of a zone; a zone that isn't named is one of its own, as in [`Settings::region_of`].
     pub fn region<'a>(&'a self, zone: &'a str) -> &'a str {
         self.regions.get(zone).map_or(zone, String::as_str)
     }
