A full target is waited for where the last one that is asked can't run anything

Cause: a router asks one target after another, each for a moment, and waits as long as it pays at the last one. If that one couldn't be reached, the request was refused at once with no_target, though a full target would have run it a moment later.

Ruled out: the target had room (without_room 0); the agent's wait (refused as full after its moment beside others, as it should be); deadlines (20 s, refused after 0 ms); a connection of the test's client to the process before (the refusal is in the new process's log).

Change: the full ones are asked again, once, and waited at.

--- a/crates/sidecar/src/router/send.rs
+++ b/crates/sidecar/src/router/send.rs
@@ -43,6 +43,8 @@
 enum Next {
     /// Ask another node, or the same again.
     Again,
+    /// Ask those again that were full, and wait there: nobody else can run it.
+    AgainWhereItWasFull,
     /// Give up.
     GiveUp(Reason),
 }
@@ -53,13 +55,12 @@
     routed: &mut Routed<'_>,
     record: &mut Record,
 ) -> Result<Response<Body>, Reason> {
-    let mut tried = Vec::<NodeName>::new();
-    let mut refusals = 0;
+    let mut asked = Asked::default();
     loop {
         if quarantine::refuses(node, routed.fingerprint) {
             return Err(refused_for_good(routed, record));
         }
-        let Some(destination) = choose(node, routed, &tried) else {
+        let Some(destination) = choose(node, routed, &asked.nodes) else {
             if record.sends > 0 {
                 return Err(given_up(routed, record));
             }
@@ -67,12 +68,12 @@
                 return Err(Reason::RegionNotAllowed);
             }
             wait_for_directory(node, routed).await?;
-            tried.clear();
+            asked.nodes.clear();
             continue;
         };
         record.node = destination.node.to_string();
         record.left_region |= routed.key.is_none() && destination.relation == Relation::OtherRegion;
-        let wait = wait_here(node, routed, refusals);
+        let wait = wait_here(node, routed, asked.refusals);
         let until = wait.until(routed);
         let answer = send_to(node, routed, &destination, until, record).await;
         let next = match answer {
@@ -92,7 +93,7 @@
                 after_send(node, routed, record, reason)
             }
             HopAnswer::Refused(refusal) => {
-                refusals += 1;
+                asked.refused(&destination.node, refusal);
                 note_not_run(routed, record);
                 refused(node, routed, record, &destination, refusal, wait).await
             }
@@ -115,15 +116,48 @@
                 }
             }
         };
-        if let Next::GiveUp(reason) = next {
-            return Err(reason);
+        match next {
+            Next::Again => {}
+            Next::AgainWhereItWasFull if asked.ask_full_ones_again(destination.node.clone()) => {
+                continue;
+            }
+            Next::AgainWhereItWasFull => return Err(Reason::NoTarget),
+            Next::GiveUp(reason) => return Err(reason),
         }
         if routed.key.is_none() {
-            tried.push(destination.node);
+            asked.nodes.push(destination.node);
         }
     }
 }
 
+/// The nodes that a request without a key has been given to so far.
+#[derive(Debug, Default)]
+struct Asked {
+    /// Those that aren't asked again.
+    nodes: Vec<NodeName>,
+    /// Those among them that refused only because they were full.
+    full: Vec<NodeName>,
+    refusals: usize,
+}
+
+impl Asked {
+    fn refused(&mut self, node: &NodeName, refusal: Refusal) {
+        self.refusals += 1;
+        if refusal == Refusal::Full {
+            self.full.push(node.clone());
+        }
+    }
+
+    /// Has the full ones asked again, since `last`, which was to be waited at, can't run anything. Returns whether there
+    /// are any.
+    fn ask_full_ones_again(&mut self, last: NodeName) -> bool {
+        let full = std::mem::take(&mut self.full);
+        self.nodes.retain(|node| !full.contains(node));
+        self.nodes.push(last);
+        !full.is_empty()
+    }
+}
+
 /// A send has certainly not run: unless an earlier one may have, the request doesn't count against its quota.
 fn note_not_run(routed: &Routed<'_>, record: &Record) {
     if !record.may_have_run {
@@ -435,6 +469,7 @@
     if routed.key.is_none() {
         return match wait {
             Wait::Briefly => Next::Again,
+            Wait::AsLongAsItPays if reason == Reason::NoTarget => Next::AgainWhereItWasFull,
             Wait::AsLongAsItPays => Next::GiveUp(reason),
         };
     }
--- a/crates/wingspar/tests/sidecar/full_target.rs
+++ b/crates/wingspar/tests/sidecar/full_target.rs
@@ -110,3 +110,14 @@
     let answer = deployment.request(NODE, "/patient/1", "later");
     assert_eq!(answer.send().await.expect("an answer").status(), 200);
 }
+
+#[tokio::test]
+async fn a_full_target_is_waited_for_though_the_other_one_cannot_be_reached() {
+    let deployment = deployment_with(53, Duration::from_secs(1)).await;
+    let _waiting = send(&deployment, "first", 20_000);
+    let _waiting = send(&deployment, "second", 20_000);
+    eventually("all run", || async {
+        target(&deployment).seen().len() == 2 * SLOTS
+    })
+    .await;
+}
