The demonstration plays wingspar sidecar

Need: the first command of the README showed the earlier foundation (wingspar node, a majority in memory), which the users' platform rules out. A newcomer never saw the live system.

Weighed: the nodes within the process of the demonstration, as the old one did (no processes, so no kill and no signals); the demonstration's own program run again as a sidecar (nothing to build, but not the program that users run); cargo building the program `wingspar`, taken: cargo run brings it up to date, anybody else needs it beside wingspar-rehearse.

Change: `wingspar-rehearse demo` starts eight `wingspar sidecar` processes in two regions with two zones each against standins::fleet, and disturbs them one thing after the other under at most 200 requests a second (a surge of one tenant on top). Six promises are checked from what callers and targets saw; `--save` keeps that, `--check` judges it again, which is also how the tests show that each violation ends with 1. Processes end with the demonstration, also at SIGINT and SIGTERM. The measure of unserved time is the one of experiments, which now takes plain requests.

Keys are moved by a planned stop of their owner, since no operator's call moves keys on the live way yet. A drained target is followed by its next version, since a target that has said that it leaves doesn't come back under its id.

--- a/crates/rehearse/src/command/help.rs
+++ b/crates/rehearse/src/command/help.rs
@@ -5,9 +5,13 @@
 Rehearses wingspar: whole deployments on loopback under load and faults.
 
 Usage:
-  wingspar-rehearse demo [--verbose]           a deployment, load and faults in under a minute
+  wingspar-rehearse demo [--short] [--html FILE] [--save FILE]
+                                               wingspar sidecar processes in two regions under load and faults,
+                                               in under a minute
+  wingspar-rehearse demo --check FILE [--html FILE]
+                                               judge again what a demo has saved
   wingspar-rehearse run FILE [--json FILE] [--html FILE] [--seed N] [--verbose]
-                                               run an experiment; see docs/experiments.md
+                                               run an experiment with wingspar node; see docs/experiments.md
   wingspar-rehearse compare A.json B.json      figures of two runs side by side
   wingspar-rehearse bench                      ratios with bounds, measured in one run
   wingspar-rehearse soak [--seeds N] [--from S] [--scenario NAME] [--threads N]
--- a/crates/rehearse/src/command/mod.rs
+++ b/crates/rehearse/src/command/mod.rs
@@ -1,5 +1,6 @@
 //! Reads the command line and runs what it says.
 
+mod demo;
 mod help;
 mod rehearse;
 mod simulate;
@@ -59,7 +60,7 @@
         return Ok(());
     }
     match arguments.subcommand()?.as_deref() {
-        Some("demo") => rehearse::demo(arguments),
+        Some("demo") => demo::run(arguments),
         Some("run") => rehearse::run(arguments),
         Some("compare") => rehearse::compare(arguments),
         Some("bench") => rehearse::bench(arguments),
--- a/crates/rehearse/src/command/rehearse.rs
+++ b/crates/rehearse/src/command/rehearse.rs
@@ -1,4 +1,4 @@
-//! `demo`, `run`, `compare` and `bench`.
+//! `run`, `compare` and `bench`.
 
 use std::fs;
 use std::future::Future;
@@ -9,15 +9,7 @@
 
 use super::{CommandError, nothing_left};
 use crate::experiment::{self, Experiment, Results, TimedNote};
-use crate::{bench, demo, panics, report};
-
-/// Runs the demonstration.
-pub(super) fn demo(mut arguments: Arguments) -> Result<(), CommandError> {
-    let verbose = arguments.contains("--verbose");
-    nothing_left(arguments)?;
-    let results = rehearse(&demo::experiment(), verbose)?;
-    verdict(&results)
-}
+use crate::{bench, panics, report};
 
 /// Runs an experiment from a file.
 pub(super) fn run(mut arguments: Arguments) -> Result<(), CommandError> {
@@ -57,7 +49,7 @@
     serde_json::from_str(&text).map_err(|error| wrong(error.to_string()))
 }
 
-fn write(path: &PathBuf, text: &str) -> Result<(), CommandError> {
+pub(super) fn write(path: &PathBuf, text: &str) -> Result<(), CommandError> {
     let failed = |error| CommandError::Failed(format!("{}: {error}", path.display()));
     fs::write(path, text).map_err(failed)
 }
--- a/crates/rehearse/src/experiment/mod.rs
+++ b/crates/rehearse/src/experiment/mod.rs
@@ -8,6 +8,8 @@
 mod sampler;
 mod unavailable;
 
+pub(crate) use unavailable::{Request, Unavailable};
+
 pub use definition::{Action, DefinitionError, Event, Experiment};
 pub use results::{KindResult, OwnerChange, Results, SecondResult, ServiceResult, TimedNote};
 pub use run::{RunError, run};
--- a/crates/rehearse/src/experiment/unavailable.rs
+++ b/crates/rehearse/src/experiment/unavailable.rs
@@ -4,6 +4,8 @@
 //! that waited longer than [`SLOW_US`], until a request of that bucket that arrived at or after this
 //! one is served; waiting is counted, not only refusals.
 
+use std::collections::BTreeMap;
+
 use wingspar_world::KeyHash;
 
 use crate::load::{Outcome, Record};
@@ -17,23 +19,33 @@
 /// Lengths of all unavailable intervals of a service's buckets, in microseconds, and their sum with
 /// the time observed.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
-pub(super) struct Unavailable {
+pub(crate) struct Unavailable {
     /// Lengths of the intervals, in order of size.
-    pub(super) intervals_us: Vec<u64>,
+    pub(crate) intervals_us: Vec<u64>,
 }
 
 impl Unavailable {
     /// Measures a service's keyed requests.
     pub(super) fn measure<'a>(records: impl Iterator<Item = &'a Record>) -> Self {
-        let mut buckets = vec![Vec::new(); BUCKETS];
-        for record in records {
-            if let Some(key) = record.key {
-                buckets[bucket(key)].push(record);
-            }
+        Self::of_requests(records.filter_map(|record| {
+            Some(Request {
+                bucket: bucket(record.key?),
+                due_us: record.due_us,
+                end_us: record.end_us,
+                served: record.outcome == Outcome::Ran,
+            })
+        }))
+    }
+
+    /// Measures requests that are told apart by their buckets only.
+    pub(crate) fn of_requests(requests: impl Iterator<Item = Request>) -> Self {
+        let mut buckets = BTreeMap::<usize, Vec<Request>>::new();
+        for request in requests {
+            buckets.entry(request.bucket).or_default().push(request);
         }
         let mut intervals_us = Vec::new();
-        for mut bucket in buckets {
-            bucket.sort_by_key(|record| record.due_us);
+        for mut bucket in buckets.into_values() {
+            bucket.sort_by_key(|request| request.due_us);
             collect(&bucket, &mut intervals_us);
         }
         intervals_us.sort_unstable();
@@ -41,7 +53,7 @@
     }
 
     /// The longest interval.
-    pub(super) fn longest_us(&self) -> u64 {
+    pub(crate) fn longest_us(&self) -> u64 {
         self.intervals_us.last().copied().unwrap_or(0)
     }
 
@@ -63,6 +75,24 @@
     (key.0 / (u64::MAX / BUCKETS as u64 + 1)) as usize
 }
 
+/// What matters of a request here.
+pub(crate) struct Request {
+    /// What it shares with the requests that are served if it is.
+    pub(crate) bucket: usize,
+    /// When it was due.
+    pub(crate) due_us: u64,
+    /// When its end was known.
+    pub(crate) end_us: u64,
+    /// Whether the whole answer came.
+    pub(crate) served: bool,
+}
+
+impl Request {
+    fn latency_us(&self) -> u64 {
+        self.end_us.saturating_sub(self.due_us)
+    }
+}
+
 /// An interval that has begun.
 struct Open {
     since: u64,
@@ -73,14 +103,14 @@
 }
 
 /// Walks a bucket's requests in order of arrival.
-fn collect(records: &[&Record], intervals_us: &mut Vec<u64>) {
+fn collect(requests: &[Request], intervals_us: &mut Vec<u64>) {
     let mut open: Option<Open> = None;
-    for record in records {
-        let served = record.outcome == Outcome::Ran;
-        let held_up = !served || record.latency_us() > SLOW_US;
+    for request in requests {
+        let served = request.served;
+        let held_up = !served || request.latency_us() > SLOW_US;
         if let Some(interval) = &open {
-            let earlier = interval.served_at.filter(|at| *at <= record.due_us);
-            let now = (!held_up).then_some(record.end_us);
+            let earlier = interval.served_at.filter(|at| *at <= request.due_us);
+            let now = (!held_up).then_some(request.end_us);
             let ends = [earlier, now, interval.served_at.filter(|_| !held_up)];
             if let Some(end) = ends.into_iter().flatten().min() {
                 intervals_us.push(end.saturating_sub(interval.since));
@@ -89,14 +119,14 @@
         }
         if held_up {
             let interval = open.get_or_insert(Open {
-                since: record.due_us,
+                since: request.due_us,
                 served_at: None,
-                last_end: record.end_us,
+                last_end: request.end_us,
             });
-            interval.last_end = interval.last_end.max(record.end_us);
+            interval.last_end = interval.last_end.max(request.end_us);
             if served {
                 let at = interval.served_at.unwrap_or(u64::MAX);
-                interval.served_at = Some(at.min(record.end_us));
+                interval.served_at = Some(at.min(request.end_us));
             }
         }
     }
--- a/crates/rehearse/src/lib.rs
+++ b/crates/rehearse/src/lib.rs
@@ -6,7 +6,7 @@
 pub mod bench;
 pub mod cluster;
 pub mod command;
-mod demo;
+pub mod demo;
 pub mod experiment;
 pub mod load;
 pub mod panics;
--- a/crates/rehearse/src/report/mod.rs
+++ b/crates/rehearse/src/report/mod.rs
@@ -7,4 +7,6 @@
 
 pub use comparison::comparison;
 pub use html::html;
+pub(crate) use html::page;
+pub(crate) use plots::{Line, Plot, plot};
 pub use text::table;
--- a/crates/rehearse/src/report/plots.rs
+++ b/crates/rehearse/src/report/plots.rs
@@ -13,16 +13,17 @@
 const LABELS: u32 = 50;
 
 /// One plot.
-pub(super) struct Plot {
-    pub(super) title: String,
+pub(crate) struct Plot {
+    pub(crate) title: String,
     /// An `svg` element.
-    pub(super) svg: String,
+    pub(crate) svg: String,
 }
 
 /// A line with its name.
-struct Line {
-    name: String,
-    points: Vec<(f64, f64)>,
+pub(crate) struct Line {
+    pub(crate) name: String,
+    /// Seconds and values.
+    pub(crate) points: Vec<(f64, f64)>,
 }
 
 /// All plots of a run.
@@ -129,7 +130,8 @@
     points
 }
 
-fn plot(title: &str, lines: &[Line]) -> Plot {
+/// Draws lines over the seconds of a run.
+pub(crate) fn plot(title: &str, lines: &[Line]) -> Plot {
     let mut svg = String::new();
     if let Err(error) = draw(&mut svg, lines) {
         svg = format!("<p>this plot can't be drawn: {error}</p>");
