Review of explain and landing.py: causes and results that weren't the request's or the tree's own

Faults found by reading, each with a test that failed first:

* explain: of a request that was answered after another send, the cause named the node that answered it as stopping or as having lost its target (`tried` is the last node).
Answered requests now tell only their sends.
* explain: a request that another region answered at its first send was told as "answered after 1 sends; the one before failed".
* explain: lines of an earlier process of the node counted as "shortly before" when their times were near, though times count from a process's start.
A `started` line begins another process.
* landing.py: what a changed tree had printed was taken for the next changed tree's, since both are named COMMIT-dirty.
It is played again now.

--- a/crates/explain/src/cause.rs
+++ b/crates/explain/src/cause.rs
@@ -51,6 +51,11 @@
         /// What went wrong last.
         detail: String,
     },
+    /// It was answered at its first send, in another region.
+    OtherRegion {
+        /// The node beside the target that answered.
+        node: String,
+    },
     /// An agent refused it for another reason.
     AgentRefused {
         /// The agent's node.
@@ -74,27 +79,35 @@
             };
         }
         let node = request.text("tried").to_owned();
+        let sends = request.number("sends");
+        let detail = request.text("detail").to_owned();
+        if outcome == "answered" {
+            // The node in `tried` is the one that answered, so its stops and losses aren't the cause. Of requests that
+            // were answered at the first send, those that left their region are logged.
+            return if sends > 1 {
+                Self::SentAgain { sends, detail }
+            } else {
+                Self::OtherRegion { node }
+            };
+        }
         if story.has_event_before(&node, "stopping") {
             return Self::Stopping { node };
         }
         if is_target_lost(story, request, &node) {
             return Self::TargetLost { node };
         }
-        let sends = request.number("sends");
-        let detail = request.text("detail").to_owned();
-        match outcome {
-            "answered" => Self::SentAgain { sends, detail },
-            _ if sends > 0 => Self::NoAnswer {
+        if sends > 0 {
+            return Self::NoAnswer {
                 node,
                 sends,
                 detail,
-            },
-            _ => match story.last_refused() {
-                Some(refused) => agent_refused(refused),
-                None => Self::AgentRefused {
-                    node,
-                    reason: detail,
-                },
+            };
+        }
+        match story.last_refused() {
+            Some(refused) => agent_refused(refused),
+            None => Self::AgentRefused {
+                node,
+                reason: detail,
             },
         }
     }
@@ -178,6 +191,9 @@
                 formatter,
                 "answered after {sends} sends; the one before failed: {detail}"
             ),
+            Self::OtherRegion { node } => {
+                write!(formatter, "answered at once by {node}, in another region")
+            }
             Self::AgentRefused { node, reason } => {
                 write!(formatter, "{node} didn't pass it on: {reason}")
             }
--- a/crates/explain/src/story.rs
+++ b/crates/explain/src/story.rs
@@ -1,5 +1,6 @@
 //! The lines that tell of one request.
 
+use std::collections::HashMap;
 use std::fmt;
 
 use crate::{Cause, Line};
@@ -36,25 +37,29 @@
 }
 
 impl Story {
-    /// Picks the lines about the request with an id.
+    /// Picks the lines about the request with an id. The lines of a node are in the order in which it wrote them.
     pub fn of(id: &str, lines: &[Line]) -> Self {
+        let lines = by_process(lines);
         let about = |event: &'static str| {
-            lines
-                .iter()
-                .filter(move |line| line.event == event && line.text("id") == id)
+            let lines = lines.iter();
+            lines.filter(move |(_, line)| line.event == event && line.text("id") == id)
         };
-        let request = about("request").next_back().cloned();
-        let refused = about("refused").cloned().collect::<Vec<_>>();
+        let request = about("request").next_back();
+        let refused = about("refused").collect::<Vec<_>>();
         let own = request.iter().chain(&refused).collect::<Vec<_>>();
-        let is_before = |line: &&Line| {
+        let is_before = |(process, line): &&(usize, &Line)| {
             CHANGES.contains(&line.event.as_str())
-                && own.iter().any(|about| {
+                && own.iter().any(|(own_process, about)| {
                     about.node == line.node
+                        && own_process == process
                         && line.at_ms <= about.at_ms
                         && about.at_ms - line.at_ms <= BEFORE_MS
                 })
         };
-        let before = lines.iter().filter(is_before).cloned().collect();
+        let before = lines.iter().filter(is_before);
+        let before = before.map(|(_, line)| (*line).clone()).collect();
+        let request = request.map(|(_, line)| (*line).clone());
+        let refused = refused.iter().map(|(_, line)| (*line).clone()).collect();
         Self {
             id: id.to_owned(),
             request,
@@ -98,6 +103,19 @@
     }
 }
 
+/// Each line with the number of the process that wrote it among those of its node: times count from a process's start, so
+/// those of two processes can't be compared.
+fn by_process(lines: &[Line]) -> Vec<(usize, &Line)> {
+    let mut starts = HashMap::<&str, usize>::new();
+    let number = |line| {
+        let Line { node, event, .. }: &Line = line;
+        let started = starts.entry(node).or_default();
+        *started += usize::from(event == "started");
+        (*started, line)
+    };
+    lines.iter().map(number).collect()
+}
+
 impl fmt::Display for Story {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(formatter, "Request {}", self.id)?;
--- a/crates/explain/tests/stories.rs
+++ b/crates/explain/tests/stories.rs
@@ -88,6 +88,40 @@
     assert_eq!(Cause::of(&story("x", line)), expected);
 }
 
+#[test]
+fn a_node_that_answered_is_not_told_to_have_lost_its_target() {
+    let line = r#"{"at_ms":1,"node":"n","event":"request","id":"x","tried":"answers","sends":2,"outcome":"answered","detail":"the target ended"}"#;
+    let expected = Cause::SentAgain {
+        sends: 2,
+        detail: "the target ended".to_owned(),
+    };
+    assert_eq!(Cause::of(&story("x", line)), expected);
+}
+
+#[test]
+fn a_request_that_another_region_answered_at_once_has_not_failed_before() {
+    let line = r#"{"at_ms":1,"node":"n","event":"request","id":"x","tried":"far","sends":1,"outcome":"answered","detail":""}"#;
+    let told = story("x", line).to_string();
+    assert!(told.contains("far, in another region"), "{told}");
+    assert!(!told.contains("failed"), "{told}");
+}
+
+#[test]
+fn what_an_earlier_process_of_the_node_wrote_is_not_shortly_before() {
+    let lines = r#"
+{"at_ms":20000,"node":"b-2","event":"stopping","signal":"SIGTERM"}
+{"at_ms":3,"node":"b-2","event":"started","service":"w"}
+{"at_ms":21000,"node":"b-2","event":"refused","id":"x","reason":"full","running":8,"waiting":2}
+{"at_ms":90000,"node":"a-2","event":"request","id":"x","tried":"b-2","sends":0,"outcome":"full","detail":"full"}
+"#;
+    let expected = Cause::Full {
+        node: "b-2".to_owned(),
+        running: 8,
+        waiting: 2,
+    };
+    assert_eq!(Cause::of(&story("x", lines)), expected);
+}
+
 #[test]
 fn a_request_without_lines_is_no_story() {
     assert!(story("nobody", FULL).is_empty());
--- a/crates/rehearse/bench/landing.py
+++ b/crates/rehearse/bench/landing.py
@@ -14,7 +14,8 @@
     jobs = 4                # days at a time
 
 Runs are made one after the other. What each printed lies in OUT_DIR, named by the commit: a run that has ended there
-isn't made again, so that the command may be stopped and begun anew. Ends with a table, and with 1 if a rule or a gate
+isn't made again, so that the command may be stopped and begun anew; where the tree differs from its commit, or the run
+was killed, it is. The names of sites, and of a site's days, must differ. Ends with a table, and with 1 if a rule or a gate
 broke or a run didn't end."""
 
 import concurrent.futures
@@ -25,16 +26,18 @@
 import tomllib
 
 DEFAULT_JOBS = 3
+# How git marks a tree that differs from its commit.
+CHANGED = "-dirty"
 
 
 def commit():
     """The commit that is played, marked if the tree differs from it."""
-    asked = ["git", "describe", "--always", "--dirty", "--exclude=*"]
+    asked = ["git", "describe", "--always", f"--dirty={CHANGED}", "--exclude=*"]
     return subprocess.run(asked, capture_output=True, text=True, check=True).stdout.strip()
 
 
-def runs_of(plan):
-    """Each run of a plan: a name, the arguments of the bench, and how many play at a time."""
+def all_runs_of(plan):
+    """Each run of a plan: a name and the arguments of the bench."""
     for entry in plan["run"]:
         site = entry["site"]
         name = pathlib.Path(site).stem
@@ -49,6 +52,16 @@
             yield f"{name}-{pathlib.Path(day).stem}", ["run", site, day, "--jobs", "1"]
 
 
+def runs_of(plan):
+    """As `all_runs_of`; refuses runs of one name, since the second would be taken for the first."""
+    names = set()
+    for name, arguments in all_runs_of(plan):
+        if name in names:
+            raise ValueError(f"two runs are named {name}: give their files other names")
+        names.add(name)
+        yield name, arguments
+
+
 def verdict(text, code):
     """What a run's output says: whether it is good, and the lines that tell."""
     broken = re.findall(r"^\S+ .*BROKEN: .*$", text, re.M)
@@ -58,14 +71,18 @@
     return good, [row[:160] for row in broken + gates] or [f"exit {code}"]
 
 
-def play(bench, out, why, name, arguments):
-    """Makes one run unless it has ended before; its output and exit code."""
+def play(bench, out, why, name, arguments, reuse=True):
+    """Makes one run, unless it has ended before and that may be reused; its output and exit code."""
     told, ended = out / f"{name}.txt", out / f"{name}.exit"
-    if not ended.exists():
-        with told.open("w") as file:
-            done = subprocess.run([bench, *arguments, "--why", why], stdout=file, stderr=subprocess.STDOUT, check=False)
+    if reuse and ended.exists():
+        return told.read_text(), int(ended.read_text())
+    ended.unlink(missing_ok=True)
+    with told.open("w") as file:
+        done = subprocess.run([bench, *arguments, "--why", why], stdout=file, stderr=subprocess.STDOUT, check=False)
+    # A negative code is a signal's: the run didn't end by itself.
+    if done.returncode >= 0:
         ended.write_text(str(done.returncode))
-    return told.read_text(), int(ended.read_text())
+    return told.read_text(), done.returncode
 
 
 def main():
@@ -78,9 +95,10 @@
     runs = list(runs_of(tomllib.loads(pathlib.Path(plan).read_text())))
     alone = [run for run in runs if run[1][0] != "run"]
     days = [run for run in runs if run[1][0] == "run"]
-    results = [(name, play(bench, out, why, name, arguments)) for name, arguments in alone]
+    reuse = not version.endswith(CHANGED)
+    results = [(name, play(bench, out, why, name, arguments, reuse)) for name, arguments in alone]
     with concurrent.futures.ThreadPoolExecutor(DEFAULT_JOBS) as pool:
-        played = pool.map(lambda run: play(bench, out, why, *run), days)
+        played = pool.map(lambda run: play(bench, out, why, *run, reuse), days)
         results += zip([name for name, _ in days], played)
     bad = 0
     for name, (text, code) in results:
--- a/crates/rehearse/bench/test_landing.py
+++ b/crates/rehearse/bench/test_landing.py
@@ -1,5 +1,7 @@
 """The verdict on a run, and the runs of a plan."""
 
+import pathlib
+import tempfile
 import unittest
 
 import landing
@@ -32,6 +34,27 @@
         names = [name for name, _ in landing.runs_of(plan)]
         self.assertEqual(names, ["a-score", "a-hunt", "a-sweep", "a-x"])
 
+    def test_runs_of_one_name_are_refused(self):
+        plan = {"run": [{"site": "/s/a.toml", "score": True}, {"site": "/t/a.toml", "score": True}]}
+        with self.assertRaises(ValueError):
+            list(landing.runs_of(plan))
+
+    def test_what_a_changed_tree_printed_is_not_taken_for_the_next_ones(self):
+        with tempfile.TemporaryDirectory() as folder:
+            out = pathlib.Path(folder)
+            (out / "a.txt").write_text("of an earlier tree")
+            (out / "a.exit").write_text("0")
+            again = landing.play("echo", out, "why", "a", ["played"], reuse=False)
+            self.assertEqual(again, ("played --why why\n", 0))
+            self.assertEqual(landing.play("false", out, "why", "a", []), again)
+
+    def test_a_run_that_was_killed_is_made_again(self):
+        with tempfile.TemporaryDirectory() as folder:
+            out = pathlib.Path(folder)
+            killed = landing.play("/bin/sh", out, "why", "a", ["-c", "kill -9 $$"])
+            self.assertEqual(killed[1], -9)
+            self.assertEqual(landing.play("true", out, "why", "a", []), ("", 0))
+
 
 if __name__ == "__main__":
     unittest.main()
