Quotas and renewals: faults found in review

The count begins anew with a leader; a notice of a leader that hasn't answered yet is answered with a renewal; a leader without a plan waits for no others once all have reported.

--- a/crates/ownership/src/leader/assignments.rs
+++ b/crates/ownership/src/leader/assignments.rs
@@ -53,11 +53,12 @@
     }
 
     /// Whether the plan for a service may change: nodes that have yet to report to a new leader keep what is planned
-    /// for them for a while. Where nobody holds any keys, the wait ends once all that are known have reported and
-    /// nobody new has come for a moment; but not for the first leader of all, to which few are known yet.
+    /// for them for a while. Where nothing is planned and it is known who holds which keys, the wait ends once all that
+    /// are known have reported and nobody new has come for a moment; but not for the first leader of all, to which few
+    /// are known yet.
     fn is_settled_for(&self, service: &str, partition: &Partition, now: Time) -> bool {
         let all_here = self.epoch > Epoch(1)
-            && partition.is_unheld()
+            && partition.is_only_unplanned()
             && self.has_reported_all(service)
             && now >= self.elected_at + NOBODY_NEW
             && now >= self.joined_at + NOBODY_NEW;
--- a/crates/ownership/src/leader/renewals.rs
+++ b/crates/ownership/src/leader/renewals.rs
@@ -26,6 +26,10 @@
         }
         let no_lease_given = Duration::from_millis(renewal.no_lease_given_ms);
         self.heard_earlier_leader(now.before(no_lease_given), &renewal.node);
+        if has_shards(renewal) {
+            // An earlier leader knew of quotas before this one does.
+            self.set_quota_shards();
+        }
         let mut changed = self.meet(now, renewal);
         let sure = self
             .members
@@ -175,6 +179,11 @@
     }
 }
 
+fn has_shards(renewal: &Renewal) -> bool {
+    let report = renewal.quota_shards.as_ref();
+    report.is_some_and(|report| !report.owned.is_empty())
+}
+
 fn view_of(renewal: &Renewal) -> MemberView {
     MemberView {
         node: renewal.node.clone(),
--- a/crates/ownership/src/participant/datagrams.rs
+++ b/crates/ownership/src/participant/datagrams.rs
@@ -65,7 +65,8 @@
                 {
                     self.catch_up(now, around, &leader, table, configuration, &mut actions);
                 }
-                if is_new {
+                // One that was named before it knew of its election has refused earlier renewals.
+                if is_new || (from == leader.address && self.answered_by < leader.epoch) {
                     self.renew(now, around, &mut actions);
                 }
             }
@@ -159,6 +160,8 @@
             self.leader = None;
         }
         self.next_renewal = now;
+        // What the leader before left unanswered says nothing of this one.
+        self.unanswered = 0;
         true
     }
 }
--- a/crates/ownership/src/participant/mod.rs
+++ b/crates/ownership/src/participant/mod.rs
@@ -203,6 +203,8 @@
     last_renewal: Time,
     /// Renewals since the leader's last answer.
     unanswered: u32,
+    /// The epoch of the last leader that answered one.
+    answered_by: Epoch,
     confirming_since: Option<Time>,
     last_confirmation: Time,
     next_take_over: Time,
@@ -239,6 +241,7 @@
             next_renewal: now,
             last_renewal: Time::default(),
             unanswered: 0,
+            answered_by: Epoch::default(),
             confirming_since: None,
             last_confirmation: Time::default(),
             next_take_over: now,
--- a/crates/ownership/src/participant/renewals.rs
+++ b/crates/ownership/src/participant/renewals.rs
@@ -4,6 +4,9 @@
 
 impl Participant {
     pub(super) fn renewal(&mut self, now: Time, around: &Surroundings) -> Renewal {
+        let shards = self.shards.report(now);
+        // A leader may have given it shards before it has heard of quotas itself.
+        let tells_shards = around.has_quotas || !shards.owned.is_empty();
         Renewal {
             node: self.identity.node.clone(),
             life: self.identity.life,
@@ -23,7 +26,7 @@
             store_reachable: around.store_reachable,
             link_mbps: around.link_mbps,
             quarantine: around.quarantine.report(),
-            quota_shards: around.has_quotas.then(|| self.shards.report(now)),
+            quota_shards: tells_shards.then_some(shards),
         }
     }
 
@@ -99,11 +102,15 @@
         }
         self.election.heard(now);
         self.unanswered = 0;
+        self.answered_by = leader.epoch;
         if reply.renewal_sent_at >= self.last_renewal {
             self.next_renewal = self.last_renewal + self.timing.renew_every;
         }
         self.holder.lease(now, reply);
-        self.shards.lease(now, reply);
+        if self.shards.lease(now, reply) {
+            // Their tenants have nobody to ask until the leader knows.
+            self.next_renewal = (self.last_renewal + HURRIED_RENEWALS).max(now);
+        }
         self.orders(now, actions);
         if let Some(ago) = reply.configuration_checked_ms_ago
             && reply.configuration_version <= around.configuration_version
--- a/crates/ownership/src/partition.rs
+++ b/crates/ownership/src/partition.rs
@@ -174,10 +174,9 @@
         slices.any(|slice| slice.state == State::Unknown)
     }
 
-    /// Whether nobody holds any keys, and no plan is known.
-    pub fn is_unheld(&self) -> bool {
-        let mut slices = self.slices.iter();
-        self.plan.is_empty() && slices.all(|slice| matches!(slice.state, State::Free { .. }))
+    /// Whether no plan is known, but of all keys who holds them.
+    pub fn is_only_unplanned(&self) -> bool {
+        self.plan.is_empty() && !self.has_unknown()
     }
 
     /// Frees ranges that nobody reported.
--- a/crates/ownership/src/shard_holder.rs
+++ b/crates/ownership/src/shard_holder.rs
@@ -30,26 +30,29 @@
         }
     }
 
-    /// Takes in a leader's answer.
-    pub fn lease(&mut self, now: Time, reply: &LeaseReply) {
+    /// Takes in a leader's answer. Returns whether it took any shards back, which the leader waits to hear.
+    pub fn lease(&mut self, now: Time, reply: &LeaseReply) -> bool {
         if reply.epoch < self.epoch {
-            return;
+            return false;
         }
         self.drop_expired(now);
         self.promise(reply.epoch);
         // What an overtaken answer names may be another's by now.
         if reply.renewal_sent_at < self.answered || reply.assignment < self.applied {
-            return;
+            return false;
         }
         self.answered = reply.renewal_sent_at;
         self.applied = reply.assignment;
         let lease = Duration::from_millis(reply.lease_ms);
         self.lease_until = self.lease_until.max(reply.renewal_sent_at + lease);
+        let owned_before = self.owned.len();
         self.owned
             .retain(|shard, _| reply.quota_shards.contains(shard));
+        let gives_back = self.owned.len() < owned_before;
         for shard in &reply.quota_shards {
             self.owned.entry(*shard).or_insert(now);
         }
+        gives_back
     }
 
     /// What the leader is told.
--- a/crates/ownership/tests/simulation/world.rs
+++ b/crates/ownership/tests/simulation/world.rs
@@ -109,6 +109,8 @@
     fences: Vec<BTreeMap<String, Fence>>,
     served_at: [u64; WATCHED],
     last_owner: [Option<usize>; WATCHED],
+    /// When each shard last had an owner.
+    shard_owned_at: BTreeMap<Shard, u64>,
     lost: Option<usize>,
     summary: Summary,
     problem: Option<String>,
@@ -154,6 +156,7 @@
             fences: vec![BTreeMap::new(); WATCHED],
             served_at: [FAULTS.0; WATCHED],
             last_owner: [None; WATCHED],
+            shard_owned_at: BTreeMap::new(),
             lost: None,
             summary: Summary::default(),
             problem: None,
--- a/crates/quota/src/bucket.rs
+++ b/crates/quota/src/bucket.rs
@@ -54,6 +54,10 @@
         if limit.version <= self.limit.version {
             return;
         }
+        if limit.is_as_high_as(&self.limit) {
+            self.limit = limit;
+            return;
+        }
         self.advance(now);
         let (depth, level) = (self.tolerance.depth(&limit), self.level());
         self.limit = limit;
--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -21,6 +21,7 @@
 mod message;
 mod owner;
 mod refusals;
+mod roster;
 mod shard;
 
 pub use fallback::{Fallback, Place};
@@ -28,4 +29,5 @@
 pub use message::{Answer, Ask, Decision, Message, Returned, TenureId};
 pub use owner::{Owner, Tenure, Usage};
 pub use refusals::Refusals;
+pub use roster::Roster;
 pub use shard::{SHARDS, Shard};
--- a/crates/quota/src/limit.rs
+++ b/crates/quota/src/limit.rs
@@ -26,6 +26,11 @@
 }
 
 impl Limit {
+    /// Whether both allow the same, as of whichever versions.
+    pub(crate) fn is_as_high_as(&self, other: &Self) -> bool {
+        (self.rate_per_s, self.burst) == (other.rate_per_s, other.burst)
+    }
+
     /// Time in which so many tokens come.
     pub fn time_for(&self, tokens: f64) -> Duration {
         Duration::try_from_secs_f64(tokens.max(0.0) / self.rate_per_s).unwrap_or(Duration::MAX)
--- a/crates/quota/tests/alone.rs
+++ b/crates/quota/tests/alone.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use support::{TENANT, limit, millis, tolerance};
-use wingspar_quota::{Fallback, Place, Refusals};
+use wingspar_quota::{Fallback, Place, Refusals, Roster};
 
 fn admitted_by(nodes: usize, rate: f64, now: Duration) -> usize {
     let admits = |position: usize| {
@@ -111,3 +111,32 @@
             .is_none()
     );
 }
+
+#[test]
+fn shares_of_nodes_that_are_lost_go_to_nobody() {
+    let rate = limit(1, 8.0);
+    let whole = tolerance().fallback(&rate) as usize;
+    let names = (10..30).map(|number| format!("node-{number}"));
+    let names = names.collect::<Vec<_>>();
+    let mut nodes = names
+        .iter()
+        .map(|name| {
+            (
+                name,
+                Roster::default(),
+                Fallback::new(millis(0), tolerance()),
+            )
+        })
+        .collect::<Vec<_>>();
+    let mut admitted = 0;
+    // One after the other, the first nodes are lost, all within a window.
+    for lost in 0..15 {
+        for (name, roster, fallback) in &mut nodes[lost..] {
+            roster.meet(names[lost..].iter().map(String::as_str));
+            let place = roster.place(name).expect("a known node");
+            let now = millis(6_000 + lost as u64 * 100);
+            admitted += usize::from(fallback.admit(now, place, TENANT, &rate));
+        }
+    }
+    assert!(admitted <= whole, "{admitted} of {whole}");
+}
--- a/crates/quota/tests/owner.rs
+++ b/crates/quota/tests/owner.rs
@@ -190,3 +190,21 @@
     owner.decide(now + millis(10_000), held, &ask(20_000, 1, limit(1, RATE)));
     assert_eq!(owner.usage(now + millis(10_000)).len(), 1);
 }
+
+#[test]
+fn tokens_come_back_across_a_version_that_leaves_the_limit_as_it_was() {
+    let (mut owner, now) = settled();
+    let held = tenure(1, millis(0));
+    owner.decide(now, held, &ask(1, owner_depth(), limit(1, RATE)));
+    let later = now + millis(300);
+    let granted = owner.decide(later, held, &ask(2, 2, limit(1, RATE)));
+    let returned = Returned {
+        tenure: granted.tenure,
+        granted_at_ms: granted.decided_at_ms,
+        tokens: granted.granted,
+    };
+    let before = owner.usage(later)[0].tokens;
+    owner.decide(later, held, &ask(3, 0, limit(2, RATE)));
+    owner.decide(later, held, &giving_back(4, returned));
+    assert_eq!(owner.usage(later)[0].tokens, before + 2.0);
+}
--- a/crates/sidecar/src/control.rs
+++ b/crates/sidecar/src/control.rs
@@ -174,6 +174,8 @@
                 }
                 Action::TableChanged => {
                     let table = self.node.participant.borrow().table().clone();
+                    let members = table.members.iter();
+                    self.node.quotas.meet(members.map(|member| &*member.node));
                     let places = self.node.selection.places();
                     self.node.set_directory(Directory::new(table, places));
                 }
--- a/crates/sidecar/src/quota/alone.rs
+++ b/crates/sidecar/src/quota/alone.rs
@@ -32,13 +32,7 @@
     }
 }
 
-/// The node's place among all; nothing if the leader doesn't name it.
+/// The node's place among all; nothing if no leader has named it yet.
 fn place(node: &Node) -> Option<Place> {
-    let directory = node.directory.borrow();
-    let members = &directory.table().members;
-    let most_nodes = &node.quotas.most_nodes;
-    most_nodes.set(most_nodes.get().max(members.len()));
-    let position = members.iter().position(|member| member.node == node.name)?;
-    let nodes = most_nodes.get();
-    Some(Place { position, nodes })
+    node.quotas.roster.borrow().place(&node.name)
 }
--- a/crates/sidecar/src/quota/mod.rs
+++ b/crates/sidecar/src/quota/mod.rs
@@ -21,7 +21,7 @@
 use tokio::sync::oneshot;
 use wingspar_ownership::{Datagram, Life};
 use wingspar_quota::{
-    Answer, Decision, Fallback, Limit, Message, Owner, Refusals, Returned, Shard, Tolerance,
+    Answer, Decision, Fallback, Limit, Message, Owner, Refusals, Returned, Roster, Shard, Tolerance,
 };
 use wingspar_routes::Configuration;
 
@@ -81,8 +81,8 @@
     silent: RefCell<HashMap<Shard, Silence>>,
     /// Shards that the node was last known to own.
     shards: RefCell<Vec<Shard>>,
-    /// Most nodes that were ever known at once: those that aren't heard any more may still admit requests alone.
-    most_nodes: Cell<usize>,
+    /// The nodes among which shares are dealt.
+    roster: RefCell<Roster>,
 }
 
 impl Quotas {
@@ -107,7 +107,7 @@
             queues: RefCell::default(),
             silent: RefCell::default(),
             shards: RefCell::default(),
-            most_nodes: Cell::new(1),
+            roster: RefCell::default(),
         }
     }
 
@@ -124,6 +124,11 @@
         self.in_use.set(self.in_use.get() || has_quotas);
     }
 
+    /// The leader's table names these nodes.
+    pub fn meet<'a>(&self, nodes: impl IntoIterator<Item = &'a str>) {
+        self.roster.borrow_mut().meet(nodes);
+    }
+
     /// Whether shards need owners.
     pub fn are_in_use(&self) -> bool {
         self.in_use.get()
