Keys are owned only where all routes to their service allow it

Need: allowed_regions bound each choice at the router only, so a key could be owned where its routes don't allow it, and its requests were refused for good although a target elsewhere could own it.

Weighed for routes that differ: the union of their regions (keys at an owner outside of one route's regions refuse that route for good), the intersection (every request of all of them runs). Taken: the intersection; the union only where nothing is common. Tenants' regions aren't taken in: keys aren't tied to tenants.

Change: key_places works the zones out once a version of the configuration; the leader's candidates are in these zones only, and keys of owners outside are taken back by the usual hand-over. A key without owner whose service has no allowed target is refused at once as region_not_allowed.

--- a/crates/ownership/src/leader/assignments.rs
+++ b/crates/ownership/src/leader/assignments.rs
@@ -42,6 +42,7 @@
                 partition.rebalance(&candidates);
                 rebalanced = true;
             }
+            self.take_back_outside(&service, &mut partition);
             self.follow_plan(&mut partition, &candidates);
             self.partitions.insert(service, partition);
         }
@@ -100,6 +101,7 @@
                     .registered_at
                     .is_some_and(|at| at < self.confirmed_at)
             })
+            .filter(|(_, member)| self.owner_zones.allow(service, &member.view.zone))
             // Later leaders wait for it only where it is registered.
             .filter(|(_, member)| member.registered_for.as_deref() == Some(service))
             .filter_map(|(node, member)| {
@@ -122,6 +124,22 @@
         }
     }
 
+    /// Takes back ranges from owners in zones where the service's keys may not be owned, also while no other node could
+    /// own them.
+    fn take_back_outside(&mut self, service: &str, partition: &mut Partition) {
+        for slice in &mut partition.slices {
+            let State::Owned { node, .. } = &slice.state else {
+                continue;
+            };
+            let member = self.members.get(node);
+            if member.is_some_and(|member| !self.owner_zones.allow(service, &member.view.zone)) {
+                let node = node.clone();
+                let since = self.next_assignment(&node);
+                slice.state = State::Revoked { node, since };
+            }
+        }
+    }
+
     /// Takes back ranges that are planned elsewhere and gives free ones to their planned owners.
     pub(super) fn follow_plan(&mut self, partition: &mut Partition, candidates: &[Candidate]) {
         if partition.plan.is_empty() {
--- a/crates/ownership/src/leader/mod.rs
+++ b/crates/ownership/src/leader/mod.rs
@@ -19,8 +19,8 @@
 use crate::plan::{Candidate, Plan};
 use crate::table_log::TableLog;
 use crate::{
-    Epoch, Fence, Leadership, LeaseReply, LoadReport, MemberView, NodeName, RegisteredNode,
-    Renewal, Table, TableAnswer, TableChanges, TargetState, Time, Timing,
+    Epoch, Fence, Leadership, LeaseReply, LoadReport, MemberView, NodeName, OwnerZones,
+    RegisteredNode, Renewal, Table, TableAnswer, TableChanges, TargetState, Time, Timing,
 };
 
 /// A node is called about a changed assignment at most this often.
@@ -48,6 +48,8 @@
     sole_since: Option<Time>,
     members: BTreeMap<NodeName, Member>,
     partitions: BTreeMap<String, Partition>,
+    /// Where their keys may be owned.
+    owner_zones: OwnerZones,
     /// Who owns which tenants' quotas; nothing if no tenant has one.
     shards: Option<ShardLedger>,
     rebalanced_at: Time,
@@ -97,6 +99,7 @@
             registered,
             members: BTreeMap::new(),
             partitions: BTreeMap::new(),
+            owner_zones: OwnerZones::default(),
             shards: None,
             rebalanced_at: now,
             joined_at: now,
@@ -185,6 +188,13 @@
         &self.table
     }
 
+    /// Says in which zones keys may be owned.
+    pub fn set_owner_zones(&mut self, owner_zones: &OwnerZones) {
+        if self.owner_zones != *owner_zones {
+            self.owner_zones = owner_zones.clone();
+        }
+    }
+
     /// Names the services whose keys have owners.
     pub fn set_keyed_services(&mut self, services: &BTreeSet<String>) {
         self.partitions
--- a/crates/ownership/src/lib.rs
+++ b/crates/ownership/src/lib.rs
@@ -21,6 +21,7 @@
 mod leader;
 mod message;
 mod node_name;
+mod owner_zones;
 mod participant;
 mod partition;
 mod plan;
@@ -42,6 +43,7 @@
     TableAnswer, TableChanges, TargetState, Wanted,
 };
 pub use node_name::NodeName;
+pub use owner_zones::OwnerZones;
 pub use participant::{
     Action, ClaimResult, Datagram, Identity, Note, Participant, Stored, Surroundings,
 };
--- a/crates/ownership/src/participant/leadership.rs
+++ b/crates/ownership/src/participant/leadership.rs
@@ -9,6 +9,7 @@
         };
         if around.configuration_version > 0 {
             leader.set_keyed_services(&around.keyed_services);
+            leader.set_owner_zones(&around.owner_zones);
         }
         if around.has_quotas {
             leader.set_quota_shards();
--- a/crates/ownership/src/participant/mod.rs
+++ b/crates/ownership/src/participant/mod.rs
@@ -10,6 +10,7 @@
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -19,8 +20,8 @@
 use crate::{
     Admission, Delivery, Election, Epoch, EvacuatedZones, EvacuationReport, Fitness, GrantResult,
     Holder, KeyAnswer, KeyReport, Leader, LeaderReference, Leadership, LeaseReply, Life,
-    LoadReport, Member, NodeName, Order, PeerView, RegisteredNode, Renewal, ShardHolder, Step,
-    Table, TableAnswer, TargetState, Time, Timing,
+    LoadReport, Member, NodeName, Order, OwnerZones, PeerView, RegisteredNode, Renewal,
+    ShardHolder, Step, Table, TableAnswer, TargetState, Time, Timing,
 };
 
 /// Two renewals that something hurried on are at least this far apart.
@@ -156,6 +157,8 @@
     pub link_mbps: Option<f64>,
     /// Services whose keys have owners.
     pub keyed_services: BTreeSet<String>,
+    /// Where keys of services may be owned.
+    pub owner_zones: Rc<OwnerZones>,
     /// Whether tenants have quotas.
     pub has_quotas: bool,
 }
--- /dev/null
+++ b/crates/ownership/tests/owner_zones.rs
@@ -0,0 +1,197 @@
+//! Keys are owned only in zones where the operator allows it.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use wingspar_ownership::{
+    Epoch, Holding, Leader, LeaderReference, Leadership, Life, NodeName, OwnerZones,
+    RegisteredNode, Released, Renewal, Table, TargetState, Time, Timing, Wanted,
+};
+
+const SERVICE: &str = "s";
+/// Zones of the nodes.
+const ZONES: [&str; 4] = ["a", "b", "a", "b"];
+/// What targets hand over.
+const HANDOVER: &str = "token";
+
+fn name(index: usize) -> NodeName {
+    NodeName::from(format!("node-{index}").as_str())
+}
+
+fn address(index: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, index as u8 + 1], 7620))
+}
+
+fn only_in(zones: &[&str]) -> OwnerZones {
+    let zones = zones.iter().map(|zone| (*zone).to_owned());
+    OwnerZones::new(BTreeMap::from([(SERVICE.to_owned(), zones.collect())]))
+}
+
+/// A node that gives back at once what it isn't to hold.
+#[derive(Default)]
+struct Node {
+    wanted: Vec<Wanted>,
+    released: Vec<Released>,
+    applied: u64,
+}
+
+/// A leader, and nodes that renew with it every 0.1 s.
+struct Fleet {
+    now: u64,
+    leader: Leader,
+    nodes: BTreeMap<usize, Node>,
+}
+
+impl Fleet {
+    fn new(owner_zones: &OwnerZones) -> Self {
+        let now = Time(10_000);
+        let leader = LeaderReference {
+            epoch: Epoch(2),
+            node: name(0),
+            life: Life(0),
+            address: address(0),
+        };
+        let earlier = Some(Vec::new());
+        let leadership = Leadership { leader, earlier };
+        let registered = (0..ZONES.len()).map(|index| RegisteredNode {
+            node: name(index),
+            address: address(index),
+            service: Some(SERVICE.to_owned()),
+        });
+        let registered = registered.collect::<Vec<_>>();
+        let (timing, known) = (Timing::default(), Table::default());
+        let mut leader = Leader::new(&leadership, timing, now, now, &registered, known);
+        leader.set_keyed_services(&BTreeSet::from([SERVICE.to_owned()]));
+        leader.set_owner_zones(owner_zones);
+        let nodes = (0..ZONES.len()).map(|index| (index, Node::default()));
+        Self {
+            now: now.0,
+            leader,
+            nodes: nodes.collect(),
+        }
+    }
+
+    fn renewal(&self, index: usize) -> Renewal {
+        let node = &self.nodes[&index];
+        let held = node.wanted.iter().map(|wanted| Holding {
+            range: wanted.range,
+            fence: wanted.fence,
+        });
+        Renewal {
+            node: name(index),
+            life: Life(index as u64),
+            zone: ZONES[index].to_owned(),
+            address: address(index),
+            sent_at: Time(self.now),
+            no_lease_given_ms: 0,
+            epoch: Epoch(2),
+            applied: node.applied,
+            clean: true,
+            held: held.collect(),
+            released: node.released.clone(),
+            target: Some(TargetState {
+                id: format!("target-{index}"),
+                service: SERVICE.to_owned(),
+                accepting: true,
+                slots: 14,
+                starts_per_s: None,
+            }),
+            leaving: false,
+            registered_for: Some(SERVICE.to_owned()),
+            configuration_version: 1,
+            store_reachable: true,
+            link_mbps: None,
+            quarantine: None,
+            quota_shards: None,
+        }
+    }
+
+    /// Plays some time, with the store confirming the leader throughout. No key may have two owners.
+    fn run(&mut self, millis: u64) {
+        let end = self.now + millis;
+        while self.now < end {
+            self.now += 100;
+            let now = Time(self.now);
+            self.leader.confirm(now);
+            self.leader.tick(now);
+            for index in self.nodes.keys().copied().collect::<Vec<_>>() {
+                let renewal = self.renewal(index);
+                let reply = self.leader.renewal(now, &renewal).expect("a lease");
+                let node = self.nodes.get_mut(&index).expect("a node");
+                let left_out = node.wanted.iter().filter(|held| {
+                    !reply
+                        .wanted
+                        .iter()
+                        .any(|wanted| wanted.range.overlaps(held.range))
+                });
+                node.released = left_out
+                    .map(|held| Released {
+                        range: held.range,
+                        handover: Some(HANDOVER.to_owned()),
+                    })
+                    .collect();
+                node.wanted = reply.wanted;
+                node.applied = reply.assignment;
+            }
+            for key in (0..=u16::MAX).step_by(512) {
+                assert!(self.owners_of(key).len() <= 1, "key {key}");
+            }
+        }
+    }
+
+    fn owners_of(&self, key: u16) -> Vec<usize> {
+        let owns = |node: &Node| node.wanted.iter().any(|wanted| wanted.range.contains(key));
+        let owners = self.nodes.iter().filter(|(_, node)| owns(node));
+        owners.map(|(index, _)| *index).collect()
+    }
+
+    /// The zones in which keys are owned; "" stands for keys without owner.
+    fn zones(&self) -> BTreeSet<&str> {
+        let keys = (0..=u16::MAX).step_by(512);
+        let owners = keys.map(|key| self.owners_of(key).first().copied());
+        owners
+            .map(|owner| owner.map_or("", |index| ZONES[index]))
+            .collect()
+    }
+}
+
+#[test]
+fn keys_are_given_only_to_nodes_in_zones_that_are_allowed() {
+    let mut fleet = Fleet::new(&only_in(&["b"]));
+    fleet.run(2_500);
+    assert_eq!(fleet.zones(), BTreeSet::from(["b"]));
+}
+
+#[test]
+fn a_change_of_the_zones_moves_keys_by_a_hand_over() {
+    let mut fleet = Fleet::new(&OwnerZones::default());
+    fleet.run(2_500);
+    assert_eq!(fleet.zones(), BTreeSet::from(["a", "b"]));
+    let moved = (0..=u16::MAX).step_by(512);
+    let moved = moved.filter(|key| ZONES[fleet.owners_of(*key)[0]] == "a");
+    let moved = moved.collect::<Vec<_>>();
+    fleet.leader.set_owner_zones(&only_in(&["b"]));
+    fleet.run(1_000);
+    assert_eq!(fleet.zones(), BTreeSet::from(["b"]));
+    for key in moved {
+        let owner = &fleet.nodes[&fleet.owners_of(key)[0]];
+        let wanted = owner
+            .wanted
+            .iter()
+            .find(|wanted| wanted.range.contains(key));
+        let handover = wanted.and_then(|wanted| wanted.handover.as_deref());
+        assert_eq!(handover, Some(HANDOVER), "key {key}");
+    }
+}
+
+#[test]
+fn nobody_owns_keys_where_no_node_is_in_a_zone_that_is_allowed() {
+    let mut fleet = Fleet::new(&OwnerZones::default());
+    fleet.run(2_500);
+    fleet.leader.set_owner_zones(&only_in(&["c"]));
+    fleet.run(1_000);
+    assert_eq!(fleet.zones(), BTreeSet::from([""]));
+    fleet.leader.set_owner_zones(&OwnerZones::default());
+    fleet.run(1_000);
+    assert_eq!(fleet.zones(), BTreeSet::from(["a", "b"]));
+}
--- a/crates/ownership/tests/reminders.rs
+++ b/crates/ownership/tests/reminders.rs
@@ -18,6 +18,7 @@
         configuration_version: 1,
         store_reachable: true,
         keyed_services: BTreeSet::new(),
+        owner_zones: Default::default(),
         ..Surroundings::default()
     }
 }
--- a/crates/ownership/tests/simulation/main.rs
+++ b/crates/ownership/tests/simulation/main.rs
@@ -96,6 +96,17 @@
     keeps_the_rules(&Options::default());
 }
 
+#[test]
+fn one_owner_a_key_while_the_zones_of_owners_change_under_random_faults() {
+    for delivery in [Delivery::Calls, Delivery::HeartbeatAnswers] {
+        keeps_the_rules(&Options {
+            owner_zones_change: true,
+            delivery,
+            ..Options::default()
+        });
+    }
+}
+
 /// Tenants have quotas, whose shards have owners.
 fn with_quotas() -> Options {
     Options {
--- a/crates/ownership/tests/simulation/world/options.rs
+++ b/crates/ownership/tests/simulation/world/options.rs
@@ -53,6 +53,8 @@
     pub late_heartbeats_count: bool,
     /// Removes a mechanism: a node's clock doesn't count the time for which its machine is suspended.
     pub clocks_stop_while_suspended: bool,
+    /// Whether the operator changes, again and again, in which zones keys may be owned.
+    pub owner_zones_change: bool,
     /// Whether tenants have quotas, whose shards are owned.
     pub has_quotas: bool,
     /// Removes a mechanism: owners of shards don't look at their lease before they grant tokens.
@@ -85,6 +87,7 @@
             delivery: Delivery::Calls,
             late_heartbeats_count: false,
             clocks_stop_while_suspended: false,
+            owner_zones_change: false,
             has_quotas: false,
             shards_ignore_leases: false,
         }
--- a/crates/sidecar/src/control.rs
+++ b/crates/sidecar/src/control.rs
@@ -1,5 +1,6 @@
 //! The I/O of the node's part in ownership: datagrams, calls to the store, orders to the target.
 
+use std::cell::RefCell;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -8,7 +9,7 @@
 use tokio::net::UdpSocket;
 use tokio::time::{MissedTickBehavior, interval};
 use wingspar_ownership::{
-    Action, ClaimResult, Datagram, Leadership, Note, Stored, Surroundings, Time,
+    Action, ClaimResult, Datagram, Leadership, Note, OwnerZones, Stored, Surroundings, Time,
 };
 use wingspar_platform::FormatError;
 use wingspar_platform::objects::{self, Call, Outcome};
@@ -18,6 +19,7 @@
 use crate::internal;
 use crate::key_calls::carry_out;
 use crate::key_exchange;
+use crate::key_places::owner_zones;
 use crate::logs::Event;
 use crate::node::Node;
 use crate::quarantine;
@@ -39,6 +41,8 @@
 pub struct Control {
     node: Rc<Node>,
     socket: Rc<UdpSocket>,
+    /// Where keys may be owned, as of a version of the configuration.
+    owner_zones: RefCell<(u64, Rc<OwnerZones>)>,
 }
 
 impl Control {
@@ -46,7 +50,11 @@
     pub fn new(node: Rc<Node>, socket: UdpSocket) -> Rc<Self> {
         let socket = Rc::new(socket);
         node.quotas.attach(socket.clone());
-        Rc::new(Self { node, socket })
+        Rc::new(Self {
+            node,
+            socket,
+            owner_zones: RefCell::default(),
+        })
     }
 
     /// Runs until the process ends.
@@ -68,6 +76,20 @@
         }
     }
 
+    /// Where keys may be owned: worked out anew for each version of the configuration only, since it is asked for with
+    /// each datagram.
+    fn owner_zones(&self) -> Rc<OwnerZones> {
+        let mut known = self.owner_zones.borrow_mut();
+        let routes = self.node.routes.borrow();
+        if let Some(configuration) = routes.as_ref().map(|routes| routes.configuration())
+            && configuration.version != known.0
+        {
+            let zones = owner_zones(configuration, &self.node.settings.zones);
+            *known = (configuration.version, Rc::new(zones));
+        }
+        known.1.clone()
+    }
+
     fn around(&self) -> Surroundings {
         let node = &self.node;
         let routes = node.routes.borrow();
@@ -103,6 +125,7 @@
             keyed_services: keyed
                 .map(|service| service.name.clone())
                 .collect::<BTreeSet<_>>(),
+            owner_zones: self.owner_zones(),
             has_quotas: node.quotas.are_in_use(),
         }
     }
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -29,6 +29,7 @@
 mod key_calls;
 mod key_exchange;
 mod key_load;
+pub mod key_places;
 pub mod link;
 mod listen;
 pub mod logs;
--- a/crates/sidecar/src/router/allowed_regions.rs
+++ b/crates/sidecar/src/router/allowed_regions.rs
@@ -57,8 +57,8 @@
         Cow::Owned(allowed.cloned().collect())
     }
 
-    /// Whether a request can't run though others can: all targets that take work, or the owner of its key, are in
-    /// regions where it isn't allowed.
+    /// Whether a request can't run though others can: the owner of its key is in a region where it isn't allowed or, if
+    /// there is no owner, all targets that take work are.
     pub fn rule_all_out(
         &self,
         settings: &Settings,
@@ -69,10 +69,9 @@
         if self.are_all() {
             return false;
         }
-        match key {
-            Some(key) => directory
-                .owner(service, key)
-                .is_some_and(|owner| !self.allow_at(settings, owner)),
+        let owner = key.and_then(|key| directory.owner(service, key));
+        match owner {
+            Some(owner) => !self.allow_at(settings, owner),
             None => {
                 let destinations = directory.destinations(service);
                 !destinations.is_empty()
--- /dev/null
+++ b/crates/sidecar/tests/key_places.rs
@@ -0,0 +1,105 @@
+//! In which zones keys may be owned, as routes and zones say.
+
+use std::collections::BTreeMap;
+
+use wingspar_routes::{Configuration, Limits, Repeatability, Route, Service, WeightedService};
+use wingspar_sidecar::key_places::owner_zones;
+
+const SERVICE: &str = "stock";
+
+fn route(parts: &[(&str, u32)], allowed_regions: &[&str]) -> Route {
+    let destinations = parts.iter().map(|(service, weight)| WeightedService {
+        service: (*service).to_owned(),
+        weight: *weight,
+    });
+    Route {
+        name: "r".to_owned(),
+        host: "a.example".to_owned(),
+        path_prefix: "/".to_owned(),
+        repeatability: Repeatability::Idempotent,
+        timeout: None,
+        objective: None,
+        priority: 0,
+        max_attempts: 1,
+        destinations: destinations.collect(),
+        public: false,
+        allowed_regions: allowed_regions
+            .iter()
+            .map(|region| (*region).to_owned())
+            .collect(),
+    }
+}
+
+/// The zones of those in use in which keys may be owned.
+fn zones(routes: Vec<Route>) -> Vec<&'static str> {
+    let service = Service {
+        name: SERVICE.to_owned(),
+        health_path: "/".to_owned(),
+        max_connections: 1,
+        keyed: true,
+        warmup_requests_per_s: None,
+    };
+    let configuration = Configuration {
+        version: 1,
+        routes,
+        services: vec![service],
+        limits: Limits::default(),
+        tenants: Vec::new(),
+    };
+    let regions = [("e1", "east"), ("e2", "east"), ("w1", "west")];
+    let regions = regions.map(|(zone, region)| (zone.to_owned(), region.to_owned()));
+    let allowed = owner_zones(&configuration, &BTreeMap::from(regions));
+    let in_use = ["e1", "e2", "w1", "lone"].into_iter();
+    in_use.filter(|zone| allowed.allow(SERVICE, zone)).collect()
+}
+
+#[test]
+fn routes_that_say_nothing_leave_all_zones() {
+    let routes = vec![
+        route(&[(SERVICE, 1)], &[]),
+        route(&[("other", 1)], &["west"]),
+    ];
+    assert_eq!(zones(routes), ["e1", "e2", "w1", "lone"]);
+}
+
+#[test]
+fn all_zones_of_an_allowed_region_may_have_owners_also_those_without_a_region() {
+    assert_eq!(zones(vec![route(&[(SERVICE, 1)], &["east"])]), ["e1", "e2"]);
+    assert_eq!(zones(vec![route(&[(SERVICE, 1)], &["lone"])]), ["lone"]);
+}
+
+#[test]
+fn a_route_that_says_nothing_leaves_what_others_say() {
+    let routes = vec![
+        route(&[(SERVICE, 1)], &[]),
+        route(&[(SERVICE, 1)], &["east"]),
+    ];
+    assert_eq!(zones(routes), ["e1", "e2"]);
+}
+
+#[test]
+fn owners_are_where_all_routes_allow_them() {
+    let routes = vec![
+        route(&[(SERVICE, 1)], &["east", "west"]),
+        route(&[("other", 1), (SERVICE, 1)], &["west", "lone"]),
+    ];
+    assert_eq!(zones(routes), ["w1"]);
+}
+
+#[test]
+fn where_nothing_suits_all_routes_each_has_some_owners() {
+    let routes = vec![
+        route(&[(SERVICE, 1)], &["east"]),
+        route(&[(SERVICE, 1)], &["west"]),
+    ];
+    assert_eq!(zones(routes), ["e1", "e2", "w1"]);
+}
+
+#[test]
+fn a_route_that_sends_nothing_there_does_not_count() {
+    let routes = vec![
+        route(&[(SERVICE, 0), ("other", 1)], &["west"]),
+        route(&[(SERVICE, 1)], &["east"]),
+    ];
+    assert_eq!(zones(routes), ["e1", "e2"]);
+}
