--- a/crates/ownership/src/participant/mod.rs
+++ b/crates/ownership/src/participant/mod.rs
@@ -10,6 +10,7 @@
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -19,8 +20,8 @@
 use crate::{
     Admission, Delivery, Election, Epoch, EvacuatedZones, EvacuationReport, Fitness, GrantResult,
     Holder, KeyAnswer, KeyReport, Leader, LeaderReference, Leadership, LeaseReply, Life,
-    LoadReport, Member, NodeName, Order, PeerView, RegisteredNode, Renewal, ShardHolder, Step,
-    Table, TableAnswer, TargetState, Time, Timing,
+    LoadReport, Member, NodeName, Order, OwnerZones, PeerView, RegisteredNode, Renewal,
+    ShardHolder, Step, Table, TableAnswer, TargetState, Time, Timing,
 };
 
 /// Two renewals that something hurried on are at least this far apart.
@@ -156,6 +157,8 @@
     pub link_mbps: Option<f64>,
     /// Services whose keys have owners.
     pub keyed_services: BTreeSet<String>,
+    /// Where keys of services may be owned.
+    pub owner_zones: Rc<OwnerZones>,
     /// Whether tenants have quotas.
     pub has_quotas: bool,
 }
@@ -203,6 +206,8 @@
     last_renewal: Time,
     /// Renewals since the leader's last answer.
     unanswered: u32,
+    /// The epoch of the last leader that answered one.
+    answered_by: Epoch,
     confirming_since: Option<Time>,
     last_confirmation: Time,
     next_take_over: Time,
@@ -239,6 +244,7 @@
             next_renewal: now,
             last_renewal: Time::default(),
             unanswered: 0,
+            answered_by: Epoch::default(),
             confirming_since: None,
             last_confirmation: Time::default(),
             next_take_over: now,
--- a/crates/ownership/tests/simulation/main.rs
+++ b/crates/ownership/tests/simulation/main.rs
@@ -9,6 +9,7 @@
 mod world;
 
 use std::ops::RangeInclusive;
+use std::time::Duration;
 
 use wingspar_ownership::Delivery;
 use world::{Options, World};
@@ -51,6 +52,11 @@
     ),
 ];
 
+/// A lost leader has a successor within this time: suspicion, peers' answers, the longest wait of a node that owns keys.
+const ELECTED_WITHIN: Duration = Duration::from_millis(2_500);
+/// Keys that became free are served within this time: a confirmation and two datagrams, one of them lost.
+const CONFIRMED_AND_GIVEN_WITHIN: Duration = Duration::from_millis(1_000);
+
 fn number(name: &str, default: u64) -> u64 {
     std::env::var(name)
         .ok()
@@ -96,6 +102,17 @@
     keeps_the_rules(&Options::default());
 }
 
+#[test]
+fn one_owner_a_key_while_the_zones_of_owners_change_under_random_faults() {
+    for delivery in [Delivery::Calls, Delivery::HeartbeatAnswers] {
+        keeps_the_rules(&Options {
+            owner_zones_change: true,
+            delivery,
+            ..Options::default()
+        });
+    }
+}
+
 /// Tenants have quotas, whose shards have owners.
 fn with_quotas() -> Options {
     Options {
@@ -185,18 +202,41 @@
 
 #[test]
 fn a_lost_leader_isnt_felt() {
-    let mut slowest = 0;
-    for seed in 1..=40 {
-        let options = Options::only(world::FaultPlan::LeaderLost);
-        let summary = play(seed, options).expect("no rule may break");
-        slowest = slowest.max(summary.longest_unserved_elsewhere_ms);
-    }
+    let first = number("FIRST_SEED", 1);
+    expect_unfelt_loss_of_leader(first..first + number("SEEDS", 40));
+}
+
+/// A node took 400 ms to ask a new leader again, since the one before had left its renewals unanswered, or because it had
+/// named itself before it knew; and a leader that knew no plan kept keys waiting that no node held any more.
+#[test]
+fn seeds_in_which_a_lost_leader_was_felt_pass() {
+    expect_unfelt_loss_of_leader([59, 70, 183]);
+}
+
+fn expect_unfelt_loss_of_leader(seeds: impl IntoIterator<Item = u64>) {
     // What remains is the hand-over of keys to the node that came back, with two datagrams in a hundred
     // lost; the leader's loss itself stops nobody.
-    assert!(
-        slowest <= 700,
-        "keys of others went unserved for {slowest} ms"
-    );
+    const BOUND_MS: u64 = 700;
+    let felt = seeds
+        .into_iter()
+        .map(|seed| {
+            let options = Options::only(world::FaultPlan::LeaderLost);
+            let summary = play(seed, options).expect("no rule may break");
+            (seed, summary.longest_unserved_elsewhere_ms)
+        })
+        .filter(|(_, unserved_ms)| *unserved_ms > BOUND_MS)
+        .collect::<Vec<_>>();
+    assert!(felt.is_empty(), "keys of others went unserved: {felt:?}");
+}
+
+/// The leader may have been cut off instead, and have gone on giving leases until it had to stop.
+#[test]
+fn a_leader_and_an_owner_lost_together_are_replaced_within_the_bound() {
+    let options = Options::only(world::FaultPlan::LeaderAndOwnerLost);
+    let timing = options.timing;
+    let waited_for = timing.leadership + timing.lease + timing.lease_margin;
+    let bound = ELECTED_WITHIN + waited_for + CONFIRMED_AND_GIVEN_WITHIN;
+    serves_again_within(1..=40, bound.as_millis() as u64, &options);
 }
 
 #[test]
@@ -271,15 +311,15 @@
 #[test]
 fn the_checker_sees_leases_without_margin_under_drifting_clocks() {
     assert!(fails_without(|options| {
-        options.timing.lease_margin = std::time::Duration::ZERO;
+        options.timing.lease_margin = Duration::ZERO;
         options.drift = 0.08;
     }));
 }
 
 #[test]
 fn the_checker_sees_heartbeats_that_are_believed_after_later_ones() {
-    // Of the seeds to 2000, 1049, 1140, 1214, 1234, 1504 and 1872 show it.
-    assert!(fails_without_from(1_001, |options| {
+    // Of the seeds to 2000, 441, 523, 669, 793, 938, 1615, 1644 and 1872 show it.
+    assert!(fails_without_from(401, |options| {
         options.delivery = Delivery::HeartbeatAnswers;
         options.late_heartbeats_count = true;
     }));
--- a/crates/ownership/tests/simulation/world/options.rs
+++ b/crates/ownership/tests/simulation/world/options.rs
@@ -9,6 +9,8 @@
     Random,
     /// One node that doesn't lead loses power for good, with its target.
     OneOwnerLost,
+    /// The leader's machine and another owner's lose power for good, with their targets.
+    LeaderAndOwnerLost,
     /// The leader's process is killed and starts again later.
     LeaderLost,
     /// The leader's machine is lost for good, and nobody reaches the store for a time.
@@ -53,6 +55,8 @@
     pub late_heartbeats_count: bool,
     /// Removes a mechanism: a node's clock doesn't count the time for which its machine is suspended.
     pub clocks_stop_while_suspended: bool,
+    /// Whether the operator changes, again and again, in which zones keys may be owned.
+    pub owner_zones_change: bool,
     /// Whether tenants have quotas, whose shards are owned.
     pub has_quotas: bool,
     /// Removes a mechanism: owners of shards don't look at their lease before they grant tokens.
@@ -85,6 +89,7 @@
             delivery: Delivery::Calls,
             late_heartbeats_count: false,
             clocks_stop_while_suspended: false,
+            owner_zones_change: false,
             has_quotas: false,
             shards_ignore_leases: false,
         }
