Versions of a configuration share what doesn't differ between them

Need: each version that a node took in cloned the whole configuration and built all look-ups anew, in proportion to all routes and tenants, on a tenth of a core and at the rate at which an operator writes versions.

Weighed: a map of the standard library a host and a tenant, which rebuilds a host that has most routes; a crate of persistent maps, whose look-ups go through more steps and which is one more dependency for some hundred lines; changing the table in place, which requests that began under the version before don't allow.

Change: a hash map in some √n shards (`SharedMap`); a copy shares all of them, a change copies one. Routes, services and tenants lie in one by name (`NamedList`), routes of a host by prefix and tenants by credential in others (`Index`). A table of changes is made from the one before (`RouteTable::changed`); a whole version that follows a known one goes the same way. Changes that lead to no later version, or whose names don't tell things apart, are refused. Services are found by name without a walk. What nodes send is as before.

Tests that took a list by its place take it by its name.

--- a/crates/rehearse/src/bench/configurations.rs
+++ b/crates/rehearse/src/bench/configurations.rs
@@ -5,7 +5,7 @@
 use std::time::Instant;
 
 use wingspar_platform::parse_configuration;
-use wingspar_routes::{ChangeLog, Configuration, ConfigurationChanges, Route, RouteTable};
+use wingspar_routes::{Configuration, ConfigurationChanges, Credential, Route, RouteTable, Tenant};
 use wingspar_sidecar::packed::{pack, unpack};
 
 use super::{Bound, Row};
@@ -15,7 +15,9 @@
 /// Routes of an operator who has added a large catalogue.
 const MANY: usize = 1_420;
 /// Tenants of both.
-const TENANTS: usize = 84;
+const FEW_TENANTS: usize = 84;
+/// Tenants of an operator whose customers serve themselves.
+const MANY_TENANTS: usize = 10_000;
 /// Look-ups that are timed.
 const LOOK_UPS: usize = 200_000;
 /// Versions that are timed.
@@ -26,15 +28,18 @@
 const LOOK_UP_RATIO: f64 = 4.0;
 /// A version that changes one route takes this part of the whole's bytes at most.
 const CHANGES_SHARE: f64 = 0.05;
+/// Taking in a version that changes one tenant of many takes this part of the time of building the look-ups of all.
+const SHARED_SHARE: f64 = 0.1;
 
 pub(super) fn measure() -> Vec<Row> {
-    let many = configuration(MANY, 1);
+    let many = configuration(MANY, FEW_TENANTS);
     let later = next(&many);
     let changes = ConfigurationChanges::between(&many, &later);
     let changes = pack(&changes.into_iter().collect::<Vec<_>>());
     let mut rows = look_ups(&many);
     rows.extend(bytes(&many, &changes));
     rows.extend(times(&many, &later, &changes));
+    rows.extend(many_tenants());
     rows
 }
 
@@ -48,7 +53,7 @@
 }
 
 fn look_ups(many: &Configuration) -> Vec<Row> {
-    let among_few = look_up_ns(&configuration(FEW, 1));
+    let among_few = look_up_ns(&configuration(FEW, FEW_TENANTS));
     let among_many = look_up_ns(many);
     let ratio = among_many / among_few;
     vec![
@@ -85,7 +90,7 @@
 }
 
 fn times(many: &Configuration, later: &Configuration, changes: &[u8]) -> Vec<Row> {
-    let text = json(MANY, 1);
+    let text = json(MANY, FEW_TENANTS);
     let whole = pack(many);
     let read = millis(|| {
         black_box(parse_configuration(text.as_bytes()).is_ok());
@@ -97,9 +102,7 @@
         black_box(unpack::<Configuration>(&whole));
     });
     let telling = millis(|| {
-        let mut log = ChangeLog::default();
-        log.follow(many, later);
-        black_box(log);
+        black_box(ConfigurationChanges::between(many, later));
     });
     let building = millis(|| {
         black_box(RouteTable::new(many.clone()));
@@ -117,9 +120,63 @@
     .collect()
 }
 
+/// The same for an operator of many tenants: a version gives one of them another credential.
+fn many_tenants() -> Vec<Row> {
+    let known = configuration(MANY, MANY_TENANTS);
+    let mut later = known.clone();
+    later.version += 1;
+    let tenant = known.tenants.get("tenant-7").expect("it is among them");
+    let credential = Credential::new("another".to_owned());
+    later.tenants.put(Tenant {
+        credentials: vec![credential],
+        ..tenant.clone()
+    });
+    let changes = ConfigurationChanges::between(&known, &later).expect("names tell all apart");
+    let changes = pack(&[changes]);
+    let built = millis(|| {
+        black_box(RouteTable::new(known.clone()));
+    });
+    let taken_in = take_in_ms(&known, &changes);
+    let whole = pack(&known).len() as f64;
+    vec![
+        row("10,000 tenants: whole", whole, "bytes", Bound::None),
+        row("10,000 tenants: build the table", built, "ms", Bound::None),
+        row(
+            "10,000 tenants: take changes in",
+            taken_in,
+            "ms",
+            Bound::None,
+        ),
+        row(
+            "10,000 tenants: its share of building",
+            taken_in / built,
+            "",
+            Bound::AtMost(SHARED_SHARE),
+        ),
+        row(
+            "10,000 tenants: look-up of a credential",
+            credential_ns(&known),
+            "ns",
+            Bound::None,
+        ),
+    ]
+}
+
+fn credential_ns(configuration: &Configuration) -> f64 {
+    let table = RouteTable::new(configuration.clone());
+    let tenants = configuration.tenants.iter();
+    let credentials = tenants.flat_map(|tenant| &tenant.credentials);
+    let asked = credentials.map(Credential::secret).collect::<Vec<_>>();
+    let began_at = Instant::now();
+    for credential in asked.iter().cycle().take(LOOK_UPS) {
+        black_box(table.tenant_of(credential));
+    }
+    began_at.elapsed().as_secs_f64() * 1e9 / LOOK_UPS as f64
+}
+
 /// A configuration as the store tells it.
-fn json(routes: usize, version: u64) -> String {
-    let mut text = format!(r#"{{"version": {version}, "routes": ["#);
+fn json(routes: usize, tenants: usize) -> String {
+    let mut text = String::from(r#"{"version": 1, "routes": ["#);
     for number in 0..routes {
         let comma = if number == 0 { "" } else { "," };
         // Writing to a text can't fail.
@@ -132,7 +189,7 @@
         );
     }
     text.push_str(r#"], "services": [], "tenants": ["#);
-    for number in 0..TENANTS {
+    for number in 0..tenants {
         let comma = if number == 0 { "" } else { "," };
         let _written = write!(
             text,
@@ -143,16 +200,20 @@
     text
 }
 
-fn configuration(routes: usize, version: u64) -> Configuration {
-    parse_configuration(json(routes, version).as_bytes()).expect("it is of the store's form")
+fn configuration(routes: usize, tenants: usize) -> Configuration {
+    parse_configuration(json(routes, tenants).as_bytes()).expect("it is of the store's form")
 }
 
 /// The next version, in which one route has another priority.
 fn next(configuration: &Configuration) -> Configuration {
     let mut next = configuration.clone();
     next.version += 1;
-    let changed = next.routes.len() / 2;
-    next.routes[changed].priority += 1;
+    let changed = configuration.routes.get("route-10");
+    let changed = changed.expect("even a small one has it");
+    next.routes.put(Route {
+        priority: changed.priority + 1,
+        ..changed.clone()
+    });
     next
 }
 
@@ -197,13 +258,12 @@
 
 /// Milliseconds that a node takes for a version of which it is given the changes.
 fn take_in_ms(known: &Configuration, changes: &[u8]) -> f64 {
+    let known = RouteTable::new(known.clone());
     millis(|| {
         let changes = unpack::<Vec<ConfigurationChanges>>(changes).unwrap_or_default();
-        let mut configuration = known.clone();
         for changes in &changes {
-            black_box(changes.apply(&mut configuration));
+            black_box(known.changed(changes));
         }
-        black_box(RouteTable::new(configuration));
     })
 }
 
--- a/crates/routes/src/changes.rs
+++ b/crates/routes/src/changes.rs
@@ -3,39 +3,17 @@
 //! A version of an operator with thousands of routes mostly changes a few of them. Nodes give each other these instead
 //! of the whole configuration wherever they know the version that the other one has.
 
-use std::collections::{HashMap, HashSet, VecDeque};
+use std::collections::VecDeque;
 
 use serde::{Deserialize, Serialize};
 
+use crate::named::{Named, NamedList};
 use crate::{Configuration, Limits, Route, Service, Tenant};
 
 /// Versions whose changes a node remembers. A node that lags by more, which takes seconds while versions follow each
 /// other as fast as operators write them, is given the whole configuration.
 const REMEMBERED_VERSIONS: usize = 32;
 
-/// Something that an operator names.
-trait Named: Clone + PartialEq {
-    fn name(&self) -> &str;
-}
-
-impl Named for Route {
-    fn name(&self) -> &str {
-        &self.name
-    }
-}
-
-impl Named for Service {
-    fn name(&self) -> &str {
-        &self.name
-    }
-}
-
-impl Named for Tenant {
-    fn name(&self) -> &str {
-        &self.name
-    }
-}
-
 /// Changes of things that have names.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct NamedChanges<Thing> {
@@ -45,55 +23,35 @@
     pub put: Vec<Thing>,
 }
 
-/// What differs; nothing if a name stands for several things, so that changes by name would be ambiguous.
-fn between<Thing: Named>(old: &[Thing], new: &[Thing]) -> Option<NamedChanges<Thing>> {
-    let old_by_name = by_name(old)?;
-    let new_by_name = by_name(new)?;
-    let removed = old
-        .iter()
-        .filter(|thing| !new_by_name.contains_key(thing.name()))
-        .map(|thing| thing.name().to_owned());
-    let put = new
-        .iter()
-        .filter(|thing| old_by_name.get(thing.name()) != Some(thing))
-        .cloned();
-    Some(NamedChanges {
-        removed: removed.collect(),
-        put: put.collect(),
-    })
-}
+impl<Thing: Named> NamedChanges<Thing> {
+    /// Names of all things that differ.
+    pub(crate) fn names(&self) -> impl Iterator<Item = &str> {
+        let removed = self.removed.iter().map(String::as_str);
+        removed.chain(self.put.iter().map(Named::name))
+    }
 
-/// Makes the changes; things that are new come last.
-fn apply<Thing: Named>(changes: &NamedChanges<Thing>, things: &mut Vec<Thing>) {
-    let gone = changes
-        .removed
-        .iter()
-        .map(String::as_str)
-        .collect::<HashSet<_>>();
-    things.retain(|thing| !gone.contains(thing.name()));
-    let mut changed = changes
-        .put
-        .iter()
-        .map(|thing| (thing.name(), thing))
-        .collect::<HashMap<_, _>>();
-    for thing in things.iter_mut() {
-        if let Some(changed) = changed.remove(thing.name()) {
-            thing.clone_from(changed);
+    fn between(old: &NamedList<Thing>, new: &NamedList<Thing>) -> Self {
+        let removed = old
+            .iter()
+            .map(Named::name)
+            .filter(|name| new.get(name).is_none());
+        let put = new
+            .iter()
+            .filter(|thing| old.get(thing.name()) != Some(thing));
+        Self {
+            removed: removed.map(str::to_owned).collect(),
+            put: put.cloned().collect(),
         }
     }
-    let new = changes
-        .put
-        .iter()
-        .filter(|thing| changed.contains_key(thing.name()));
-    things.extend(new.cloned());
-}
 
-fn by_name<Thing: Named>(things: &[Thing]) -> Option<HashMap<&str, &Thing>> {
-    let by_name = things
-        .iter()
-        .map(|thing| (thing.name(), thing))
-        .collect::<HashMap<_, _>>();
-    (by_name.len() == things.len()).then_some(by_name)
+    fn apply(&self, things: &mut NamedList<Thing>) {
+        for name in &self.removed {
+            things.remove(name);
+        }
+        for thing in &self.put {
+            things.put(thing.clone());
+        }
+    }
 }
 
 /// What turns one version of the configuration into a later one.
@@ -114,28 +72,32 @@
 }
 
 impl ConfigurationChanges {
-    /// What differs; nothing if names don't tell routes, services or tenants apart.
+    /// What differs; nothing if names don't tell routes, services or tenants apart, so that changes by name would be
+    /// ambiguous.
     pub fn between(old: &Configuration, new: &Configuration) -> Option<Self> {
-        Some(Self {
+        let told_apart = old.names_tell_apart() && new.names_tell_apart();
+        told_apart.then(|| Self {
             from: old.version,
             to: new.version,
-            routes: between(&old.routes, &new.routes)?,
-            services: between(&old.services, &new.services)?,
-            tenants: between(&old.tenants, &new.tenants)?,
+            routes: NamedChanges::between(&old.routes, &new.routes),
+            services: NamedChanges::between(&old.services, &new.services),
+            tenants: NamedChanges::between(&old.tenants, &new.tenants),
             limits: new.limits.clone(),
         })
     }
 
-    /// Makes the changes; returns whether they are changes of that version. If not, nothing is changed.
+    /// Makes the changes; returns whether they are changes of that version and lead to a later one, and names tell all
+    /// apart. If not, nothing is changed.
     #[must_use]
     pub fn apply(&self, configuration: &mut Configuration) -> bool {
-        if configuration.version != self.from {
+        let rises = configuration.version == self.from && self.to > self.from;
+        if !rises || !configuration.names_tell_apart() {
             return false;
         }
         configuration.version = self.to;
-        apply(&self.routes, &mut configuration.routes);
-        apply(&self.services, &mut configuration.services);
-        apply(&self.tenants, &mut configuration.tenants);
+        self.routes.apply(&mut configuration.routes);
+        self.services.apply(&mut configuration.services);
+        self.tenants.apply(&mut configuration.tenants);
         configuration.limits = self.limits.clone();
         true
     }
@@ -162,17 +124,13 @@
 }
 
 impl ChangeLog {
-    /// Notes that a version has followed another. What is known of earlier ones is forgotten if the changes can't be
-    /// told, or concern so much that nodes are better given the whole configuration.
-    pub fn follow(&mut self, old: &Configuration, new: &Configuration) {
-        let changes = ConfigurationChanges::between(old, new);
-        match changes {
-            Some(changes) => self.append(changes, new),
-            None => self.changes.clear(),
-        }
+    /// Nobody can tell what led to the latest version.
+    pub fn forget(&mut self) {
+        self.changes.clear();
     }
 
-    /// Notes changes that have led to the latest version.
+    /// Notes changes that have led to the latest version. What is known of earlier ones is forgotten if they concern so
+    /// much that nodes are better given the whole configuration.
     pub fn append(&mut self, changes: ConfigurationChanges, new: &Configuration) {
         let last = self.changes.back().map(|changes| changes.to);
         if last.is_some_and(|last| last != changes.from) {
--- a/crates/routes/src/configuration.rs
+++ b/crates/routes/src/configuration.rs
@@ -1,30 +1,40 @@
 //! Plain values of one version of the configuration.
 
 use std::borrow::Borrow;
+use std::rc::Rc;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
-/// One whole version of what the operator wants.
+use crate::NamedList;
+
+/// One whole version of what the operator wants. Copies share routes, services and tenants.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Configuration {
     /// Rises with every change; a node never goes back to a lower one.
     pub version: u64,
-    /// All routes, in no order.
-    pub routes: Vec<Route>,
+    /// All routes.
+    pub routes: NamedList<Route>,
     /// All services that routes name.
-    pub services: Vec<Service>,
+    pub services: NamedList<Service>,
     /// What a client may send and how long it may rest.
     pub limits: Limits,
     /// All tenants; if there are none, requests need no credential.
     #[serde(default)]
-    pub tenants: Vec<Tenant>,
+    pub tenants: NamedList<Tenant>,
 }
 
 impl Configuration {
     /// The service of that name.
     pub fn service(&self, name: &str) -> Option<&Service> {
-        self.services.iter().find(|service| service.name == name)
+        self.services.get(name)
+    }
+
+    /// Whether each name stands for one route, service or tenant.
+    pub fn names_tell_apart(&self) -> bool {
+        self.routes.names_tell_apart()
+            && self.services.names_tell_apart()
+            && self.tenants.names_tell_apart()
     }
 }
 
@@ -125,15 +135,15 @@
     pub burst: f64,
 }
 
-/// A secret by which a client shows whose it is. It isn't written to logs.
+/// A secret by which a client shows whose it is. It isn't written to logs. Copies share the text.
 #[derive(Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(transparent)]
-pub struct Credential(String);
+pub struct Credential(Rc<str>);
 
 impl Credential {
     /// A credential as clients send it.
     pub fn new(secret: String) -> Self {
-        Self(secret)
+        Self(secret.into())
     }
 
     /// The secret itself.
--- a/crates/routes/src/host_routes.rs
+++ b/crates/routes/src/host_routes.rs
@@ -1,45 +1,76 @@
 //! The routes of one host, found by the prefixes of a path.
 
 use std::cmp::Reverse;
-use std::collections::HashMap;
+use std::rc::Rc;
 
 use crate::Route;
+use crate::index::Index;
 
-/// Indexes of a host's routes by their prefix. A look-up tries each length that a prefix has, so its cost follows from
-/// the number of lengths and not from that of the routes.
-#[derive(Debug, Default)]
+/// Prefixes of one length.
+#[derive(Debug, Clone)]
+struct Length {
+    bytes: usize,
+    routes: usize,
+}
+
+/// A host's routes by their prefix. A look-up tries each length that a prefix has, so its cost follows from the number
+/// of lengths and not from that of the routes.
+#[derive(Debug, Clone, Default)]
 pub(crate) struct HostRoutes {
-    /// Lengths of prefixes in bytes, longest first, each once.
-    lengths: Vec<usize>,
-    by_prefix: HashMap<Box<str>, usize>,
+    /// Longest first, each once.
+    lengths: Vec<Length>,
+    by_prefix: Index<Rc<str>, Route>,
 }
 
 impl HostRoutes {
     /// Adds a route. Of routes with the same prefix that with the lowest name takes the requests, so that all nodes
     /// agree however they learned of them.
-    pub(crate) fn add(&mut self, routes: &[Route], index: usize) {
-        let prefix = routes[index].path_prefix.as_str();
-        let position = self
-            .lengths
-            .binary_search_by_key(&Reverse(prefix.len()), |length| Reverse(*length));
-        if let Err(position) = position {
-            self.lengths.insert(position, prefix.len());
+    pub(crate) fn add(&mut self, route: &Rc<Route>) {
+        let prefix = route.path_prefix.as_str();
+        if !self.by_prefix.add(prefix.into(), route.clone()) {
+            return;
+        }
+        match self.position_of(prefix.len()) {
+            Ok(position) => self.lengths[position].routes += 1,
+            Err(position) => {
+                let length = Length {
+                    bytes: prefix.len(),
+                    routes: 1,
+                };
+                self.lengths.insert(position, length);
+            }
+        }
+    }
+
+    /// Takes a route away.
+    pub(crate) fn remove(&mut self, route: &Rc<Route>) {
+        let prefix = route.path_prefix.as_str();
+        if !self.by_prefix.remove(prefix, route) {
+            return;
         }
-        self.by_prefix
-            .entry(prefix.into())
-            .and_modify(|known| {
-                if routes[index].name < routes[*known].name {
-                    *known = index;
-                }
-            })
-            .or_insert(index);
+        if let Ok(position) = self.position_of(prefix.len()) {
+            self.lengths[position].routes -= 1;
+            self.lengths.retain(|length| length.routes > 0);
+        }
+    }
+
+    /// Whether the host has no routes.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.by_prefix.len() == 0
     }
 
-    /// Index of the route with the longest prefix that begins the path.
-    pub(crate) fn find(&self, path: &str) -> Option<usize> {
+    /// The route with the longest prefix that begins the path.
+    pub(crate) fn find(&self, path: &str) -> Option<&Route> {
         self.lengths
             .iter()
-            .filter_map(|length| path.get(..*length))
-            .find_map(|beginning| self.by_prefix.get(beginning).copied())
+            .filter_map(|length| path.get(..length.bytes))
+            .find_map(|beginning| self.by_prefix.first(beginning))
+            .map(Rc::as_ref)
+    }
+
+    /// Where a length of prefixes stands, or where it would.
+    fn position_of(&self, bytes: usize) -> Result<usize, usize> {
+        self.lengths
+            .binary_search_by_key(&Reverse(bytes), |length| Reverse(length.bytes))
     }
 }
--- a/crates/routes/tests/changes.rs
+++ b/crates/routes/tests/changes.rs
@@ -6,16 +6,9 @@
 use quickcheck::quickcheck;
 use wingspar_routes::{ChangeLog, Configuration, ConfigurationChanges};
 
-/// The same routes, services and tenants, whatever their order.
-fn is_same(one: &Configuration, other: &Configuration) -> bool {
-    let sorted = |configuration: &Configuration| {
-        let mut sorted = configuration.clone();
-        sorted.routes.sort_by(|a, b| a.name.cmp(&b.name));
-        sorted.services.sort_by(|a, b| a.name.cmp(&b.name));
-        sorted.tenants.sort_by(|a, b| a.name.cmp(&b.name));
-        sorted
-    };
-    sorted(one) == sorted(other)
+fn follow(log: &mut ChangeLog, old: &Configuration, new: &Configuration) {
+    let changes = ConfigurationChanges::between(old, new).expect("names tell all apart");
+    log.append(changes, new);
 }
 
 quickcheck! {
@@ -24,7 +17,7 @@
         let new = configuration(2, &new);
         let changes = ConfigurationChanges::between(&old, &new).expect("names tell all apart");
         let mut changed = old.clone();
-        changes.apply(&mut changed) && is_same(&changed, &new)
+        changes.apply(&mut changed) && changed == new
     }
 
     fn a_log_leads_from_any_version_that_it_knows_to_the_latest(versions: Vec<Vec<(u8, u8)>>) -> bool {
@@ -35,7 +28,7 @@
             .collect::<Vec<_>>();
         let mut log = ChangeLog::default();
         for pair in versions.windows(2) {
-            log.follow(&pair[0], &pair[1]);
+            follow(&mut log, &pair[0], &pair[1]);
         }
         versions.iter().all(|from| {
             let Some(changes) = log.since(from.version) else {
@@ -43,7 +36,7 @@
             };
             let mut changed = from.clone();
             changes.iter().all(|changes| changes.apply(&mut changed))
-                && is_same(&changed, versions.last().expect("there is one"))
+                && &changed == versions.last().expect("there is one")
         })
     }
 }
@@ -65,12 +58,12 @@
     let mut log = ChangeLog::default();
     let first = configuration(1, &routes(40));
     let second = configuration(2, &routes(41));
-    log.follow(&first, &second);
+    follow(&mut log, &first, &second);
     assert_eq!(log.since(1).map(|changes| changes.len()), Some(1));
     assert!(log.since(2).is_none(), "nothing has followed it");
     // Most of it differs: whoever lags is better given all of it.
     let third = configuration(3, &routes(200));
-    log.follow(&second, &third);
+    follow(&mut log, &second, &third);
     assert!(log.since(1).is_none() && log.since(2).is_none());
 }
 
@@ -78,7 +71,20 @@
 fn names_that_stand_twice_are_told_as_a_whole() {
     let old = configuration(1, &[(1, 1)]);
     let mut new = configuration(2, &[(1, 1)]);
-    let again = new.routes[0].clone();
-    new.routes.push(again);
+    let again = new.routes.iter().next().expect("there is one").clone();
+    new.routes.add(again);
     assert_eq!(ConfigurationChanges::between(&old, &new), None);
+    assert_eq!(ConfigurationChanges::between(&new, &old), None);
+}
+
+#[test]
+fn changes_that_lead_to_no_later_version_change_nothing() {
+    let old = configuration(5, &[(1, 1)]);
+    for version in [4, 5] {
+        let new = configuration(version, &[(2, 2)]);
+        let changes = ConfigurationChanges::between(&old, &new).expect("names tell all apart");
+        let mut changed = old.clone();
+        assert!(!changes.apply(&mut changed), "{version}");
+        assert_eq!(changed, old);
+    }
 }
--- a/crates/routes/tests/table.rs
+++ b/crates/routes/tests/table.rs
@@ -4,7 +4,9 @@
 
 use common::{route, tenant};
 use quickcheck::quickcheck;
-use wingspar_routes::{Configuration, Limits, Route, RouteTable, SharedCredential, Tenant};
+use wingspar_routes::{
+    Configuration, Limits, NamedList, Route, RouteTable, SharedCredential, Tenant,
+};
 
 fn table(routes: Vec<Route>) -> RouteTable {
     table_with(routes, Vec::new())
@@ -13,10 +15,10 @@
 fn table_with(routes: Vec<Route>, tenants: Vec<Tenant>) -> RouteTable {
     RouteTable::new(Configuration {
         version: 1,
-        routes,
-        services: Vec::new(),
+        routes: routes.into_iter().collect(),
+        services: NamedList::default(),
         limits: Limits::default(),
-        tenants,
+        tenants: tenants.into_iter().collect(),
     })
 }
 
--- a/crates/sidecar/src/configuration.rs
+++ b/crates/sidecar/src/configuration.rs
@@ -32,21 +32,15 @@
 }
 
 impl ConfigurationAnswers {
-    /// Another version is in force.
-    fn follow(&mut self, old: Option<&Configuration>, new: &Configuration) {
+    /// Another version is in force, which these changes have led to; nothing if they can't be told.
+    fn follow(&mut self, changes: Option<Vec<ConfigurationChanges>>, new: &Configuration) {
         self.whole = None;
         self.changes.clear();
-        if let Some(old) = old {
-            self.log.follow(old, new);
-        }
-    }
-
-    /// Another version is in force, which these changes have led to.
-    fn append(&mut self, changes: Vec<ConfigurationChanges>, new: &Configuration) {
-        self.whole = None;
-        self.changes.clear();
-        for changes in changes {
-            self.log.append(changes, new);
+        match changes {
+            Some(changes) => changes
+                .into_iter()
+                .for_each(|changes| self.log.append(changes, new)),
+            None => self.log.forget(),
         }
     }
 
@@ -83,11 +77,14 @@
             return false;
         }
         let known = self.routes.borrow().clone();
-        self.configuration_answers.borrow_mut().follow(
-            known.as_deref().map(RouteTable::configuration),
-            &configuration,
-        );
-        self.put_in_force(configuration, source);
+        let changes = known
+            .as_deref()
+            .and_then(|known| ConfigurationChanges::between(known.configuration(), &configuration));
+        let changed = known.as_deref().zip(changes.as_ref());
+        let table = changed
+            .and_then(|(known, changes)| known.changed(changes))
+            .unwrap_or_else(|| RouteTable::new(configuration));
+        self.put_in_force(table, changes.map(|changes| vec![changes]), source);
         true
     }
 
@@ -100,21 +97,30 @@
         let Some(known) = self.routes.borrow().clone() else {
             return false;
         };
-        let mut configuration = known.configuration().clone();
-        let applied = changes
-            .iter()
-            .all(|changes| changes.apply(&mut configuration));
-        if !applied || configuration.version <= known.configuration().version {
+        let Some((first, rest)) = changes.split_first() else {
             return false;
-        }
-        self.configuration_answers
-            .borrow_mut()
-            .append(changes, &configuration);
-        self.put_in_force(configuration, source);
+        };
+        let changed = known.changed(first).and_then(|table| {
+            rest.iter()
+                .try_fold(table, |table, next| table.changed(next))
+        });
+        let Some(table) = changed else {
+            return false;
+        };
+        self.put_in_force(table, Some(changes), source);
         true
     }
 
-    fn put_in_force(&self, configuration: Configuration, source: &'static str) {
+    fn put_in_force(
+        &self,
+        table: RouteTable,
+        changes: Option<Vec<ConfigurationChanges>>,
+        source: &'static str,
+    ) {
+        let configuration = table.configuration();
+        self.configuration_answers
+            .borrow_mut()
+            .follow(changes, configuration);
         self.log.write(Event::ConfigurationInForce {
             version: configuration.version,
             source,
@@ -124,8 +130,8 @@
         self.metrics
             .configuration
             .set(i64::try_from(configuration.version).unwrap_or(i64::MAX));
-        self.quotas.configured(&configuration);
-        let table = Rc::new(RouteTable::new(configuration));
+        self.quotas.configured(configuration);
+        let table = Rc::new(table);
         let before = self.routes.replace(Some(table.clone()));
         self.log_shared_credentials(before.as_deref(), &table);
         self.configuration_doubts.configured();
@@ -135,7 +141,7 @@
 
     /// Logs which tenants list the same credential, if that is another matter than before.
     fn log_shared_credentials(&self, before: Option<&RouteTable>, table: &RouteTable) {
-        let known = before.map_or(&[][..], RouteTable::shared_credentials);
+        let known = before.map_or_else(Vec::new, RouteTable::shared_credentials);
         let shared = table.shared_credentials();
         if shared == known {
             return;
