--- a/crates/sidecar/src/listen.rs
+++ b/crates/sidecar/src/listen.rs
@@ -125,7 +125,7 @@
         let limits = limits.unwrap_or_default();
         Self {
             time: limits.idle_time.max(limits.header_time) + IDLE_MARGIN,
-            buffer: (limits.header_bytes * 2).max(LEAST_BUFFER),
+            buffer: limits.header_bytes.saturating_mul(2).max(LEAST_BUFFER),
         }
     }
 
