What nodes pack for each other is inflated no further than its value goes

Cause: an answer was inflated whole before it was read, up to 64 MB, which is more than a node takes in all: a spoilt or hostile answer of 60 kB could have the process killed for its memory.

Change: the value is read as it is inflated. Nothing of it is held twice, and what stands behind the value isn't read. The bound stays for values that are themselves too large.

--- a/crates/sidecar/src/packed.rs
+++ b/crates/sidecar/src/packed.rs
@@ -1,7 +1,7 @@
 //! Large values for other nodes: CBOR, deflated. A table of hundreds of nodes repeats zones, services and the
 //! beginnings of names, and goes to all of them at once.
 
-use std::io::{Read, Write};
+use std::io::{BufReader, Read, Write};
 
 use bytes::Bytes;
 use flate2::Compression;
@@ -26,8 +26,7 @@
 
 /// Reads a value; nothing if the bytes aren't one.
 pub fn unpack<Value: DeserializeOwned>(bytes: &[u8]) -> Option<Value> {
-    let mut plain = Vec::new();
-    let mut decoder = DeflateDecoder::new(bytes).take(MOST_BYTES);
-    decoder.read_to_end(&mut plain).ok()?;
-    ciborium::from_reader(plain.as_slice()).ok()
+    // Inflated no further than the value goes, and never held beside it.
+    let inflated = DeflateDecoder::new(bytes).take(MOST_BYTES);
+    ciborium::from_reader(BufReader::new(inflated)).ok()
 }
--- a/crates/sidecar/tests/packed.rs
+++ b/crates/sidecar/tests/packed.rs
@@ -1,5 +1,9 @@
 //! Large values for other nodes are small on the way, and broken ones are noticed.
 
+use std::io::Write;
+
+use flate2::Compression;
+use flate2::write::DeflateEncoder;
 use wingspar_ownership::{Epoch, MemberView, NodeName, Table, TargetState};
 use wingspar_sidecar::packed::{pack, unpack};
 
@@ -48,3 +52,31 @@
     assert_eq!(unpack::<Table>(b"neither deflated nor a table"), None);
     assert_eq!(unpack::<Table>(b""), None);
 }
+
+/// The most memory that the process has had, in bytes.
+fn peak_memory() -> usize {
+    let status = std::fs::read_to_string("/proc/self/status").expect("the kernel tells");
+    let line = status.lines().find(|line| line.starts_with("VmHWM:"));
+    let kilobytes = line.and_then(|line| line.split_whitespace().nth(1));
+    kilobytes
+        .and_then(|number| number.parse::<usize>().ok())
+        .expect("a number")
+        * 1024
+}
+
+#[test]
+fn bytes_that_inflate_without_end_take_no_more_memory_than_the_value() {
+    let mut encoder = DeflateEncoder::new(Vec::new(), Compression::fast());
+    ciborium::into_writer(&table(20), &mut encoder).expect("it can be written");
+    let zeros = vec![0; 1 << 20];
+    for _ in 0..60 {
+        encoder.write_all(&zeros).expect("it can be written");
+    }
+    let bytes = encoder.finish().expect("it can be written");
+    assert!(bytes.len() < 1 << 20);
+    let before = peak_memory();
+    assert_eq!(unpack::<Table>(&bytes), Some(table(20)));
+    // The kernel counts in batches, so that the peak may seem to fall.
+    let more = peak_memory().saturating_sub(before);
+    assert!(more < 4 << 20, "{more} bytes");
+}
