--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -140,126 +140,141 @@
             epoch: Gauge::default(),
             registry: Registry::default(),
         };
+        metrics.register_requests(&mut registry);
+        metrics.register_target(&mut registry);
+        metrics.register_deployment(&mut registry);
+        Self {
+            registry,
+            ..metrics
+        }
+    }
+
+    /// Registers what became of requests of clients.
+    fn register_requests(&self, registry: &mut Registry) {
         registry.register(
             "requests",
             "Requests taken from clients",
-            metrics.requests.clone(),
+            self.requests.clone(),
         );
         registry.register(
             "tenant_requests",
             "Requests taken from clients, of tenants that had one refused",
-            metrics.tenants.requests.clone(),
-        );
-        registry.register(
-            "configuration_doubts",
-            "Checks whether a refusal rests on an outdated configuration",
-            metrics.configuration_doubts.clone(),
+            self.tenants.requests.clone(),
         );
         registry.register(
             "latency_seconds",
             "Time to the head of an answer",
-            metrics.latency.clone(),
-        );
-        registry.register(
-            "waits_seconds",
-            "Time that requests waited for a slot",
-            metrics.waits.clone(),
-        );
-        registry.register(
-            "refusals",
-            "Requests that the agent refused or lost",
-            metrics.refusals.clone(),
-        );
-        registry.register("hops", "Requests sent to other nodes", metrics.hops.clone());
-        registry.register(
-            "hop_bytes",
-            "Bytes of requests to other nodes and of their answers",
-            metrics.hop_bytes.clone(),
-        );
-        registry.register(
-            "control_bytes",
-            "Bytes of messages between nodes that carry no request",
-            metrics.control_bytes.clone(),
+            self.latency.clone(),
         );
         registry.register(
             "repeats",
             "Sends beyond a request's first",
-            metrics.repeats.clone(),
+            self.repeats.clone(),
         );
         registry.register(
             "started_ahead",
             "Requests begun behind another of their connection",
-            metrics.started_ahead.clone(),
+            self.started_ahead.clone(),
         );
         registry.register(
             "pipelines_cut",
             "Connections on which requests begun ahead were given up",
-            metrics.pipelines_cut.clone(),
-        );
-        registry.register(
-            "store_calls",
-            "Calls to the store",
-            metrics.store_calls.clone(),
-        );
-        registry.register(
-            "key_orders",
-            "Grants and releases at the target",
-            metrics.key_orders.clone(),
+            self.pipelines_cut.clone(),
         );
         registry.register(
             "quarantine",
             "Decisions on requests under which targets end",
-            metrics.quarantine.clone(),
+            self.quarantine.clone(),
         );
         registry.register(
             "quota",
             "Requests of tenants with a quota, and their tokens",
-            metrics.quota.clone(),
-        );
-        registry.register(
-            "quota_shards",
-            "Shards of tenants' quotas that the node owns",
-            metrics.quota_shards.clone(),
+            self.quota.clone(),
         );
+    }
+
+    /// Registers work at the target beside the node.
+    fn register_target(&self, registry: &mut Registry) {
         registry.register(
-            "target_ends",
-            "Ends of the target with requests in flight",
-            metrics.target_ends.clone(),
+            "refusals",
+            "Requests that the agent refused or lost",
+            self.refusals.clone(),
         );
         registry.register(
-            "unreadable_datagrams",
-            "Datagrams of other nodes that can't be read",
-            metrics.unreadable_datagrams.clone(),
+            "waits_seconds",
+            "Time that requests waited for a slot",
+            self.waits.clone(),
         );
         registry.register(
             "slots_running",
             "Requests in the target's slots",
-            metrics.running.clone(),
+            self.running.clone(),
         );
         registry.register(
             "slots_waiting",
             "Requests that wait for a slot",
-            metrics.waiting.clone(),
+            self.waiting.clone(),
         );
         registry.register(
             "slots_withheld",
             "Slots left to work at the target that nobody here waits for",
-            metrics.withheld.clone(),
+            self.withheld.clone(),
+        );
+        registry.register(
+            "target_ends",
+            "Ends of the target with requests in flight",
+            self.target_ends.clone(),
+        );
+        registry.register(
+            "key_orders",
+            "Grants and releases at the target",
+            self.key_orders.clone(),
+        );
+    }
+
+    /// Registers what passes between the node, others and the store.
+    fn register_deployment(&self, registry: &mut Registry) {
+        registry.register("hops", "Requests sent to other nodes", self.hops.clone());
+        registry.register(
+            "hop_bytes",
+            "Bytes of requests to other nodes and of their answers",
+            self.hop_bytes.clone(),
+        );
+        registry.register(
+            "control_bytes",
+            "Bytes of messages between nodes that carry no request",
+            self.control_bytes.clone(),
+        );
+        registry.register(
+            "unreadable_datagrams",
+            "Datagrams of other nodes that can't be read",
+            self.unreadable_datagrams.clone(),
+        );
+        registry.register(
+            "store_calls",
+            "Calls to the store",
+            self.store_calls.clone(),
+        );
+        registry.register(
+            "configuration_doubts",
+            "Checks whether a refusal rests on an outdated configuration",
+            self.configuration_doubts.clone(),
         );
         registry.register(
             "configuration_version",
             "Configuration in force",
-            metrics.configuration.clone(),
+            self.configuration.clone(),
         );
         registry.register(
             "leader_epoch",
             "Epoch of the leader followed",
-            metrics.epoch.clone(),
+            self.epoch.clone(),
+        );
+        registry.register(
+            "quota_shards",
+            "Shards of tenants' quotas that the node owns",
+            self.quota_shards.clone(),
         );
-        Self {
-            registry,
-            ..metrics
-        }
     }
 
     /// Counts one thing that happened.
