Reading ahead: the first unanswered request is the current one, the rest are ahead

"Turn" meant a place in a target's queue in slots and the first request of a connection here; "blind" and "open" needed explaining. The module's first lines now say what current and ahead mean, and names follow. No change of behaviour; its tests are as before but for names.

--- a/crates/sidecar/src/pipelining/client.rs
+++ b/crates/sidecar/src/pipelining/client.rs
@@ -20,7 +20,7 @@
 use tokio::net::TcpStream;
 use tokio::task::{JoinError, JoinHandle, spawn_local};
 
-use super::read_ahead::{Blind, ReadAhead};
+use super::read_ahead::{ReadAhead, Stopped};
 use crate::body::Body;
 use crate::listen::Counted;
 use crate::logs::Event;
@@ -149,8 +149,8 @@
     }
 }
 
-/// The request whose turn it is, as far as its route needs it.
-struct Turn {
+/// The current request, as far as its route needs it.
+struct CurrentRequest {
     uri: Uri,
     host: Option<HeaderValue>,
 }
@@ -166,8 +166,8 @@
     read_limit: usize,
     /// Whether the HTTP server has asked for bytes in vain since it was last polled.
     server_waits: Cell<bool>,
-    /// The request whose turn it is, until it is known whether others may run beside it.
-    turn: RefCell<Option<Turn>>,
+    /// The current request, until it is known whether others may run beside it.
+    current: RefCell<Option<CurrentRequest>>,
     /// Requests that run before their turn, in order.
     started: RefCell<VecDeque<Started>>,
     /// Bytes of their answers that are here already.
@@ -186,7 +186,7 @@
             early: RefCell::new(BytesMut::new()),
             read_limit,
             server_waits: Cell::new(false),
-            turn: RefCell::new(None),
+            current: RefCell::new(None),
             started: RefCell::new(VecDeque::new()),
             held: Rc::default(),
             started_any: Cell::new(false),
@@ -199,7 +199,7 @@
         let has_no_body = request.body().is_end_stream();
         let was_started = self.read_ahead.borrow_mut().taken(has_no_body);
         if !was_started {
-            *self.turn.borrow_mut() = has_no_body.then(|| Turn {
+            *self.current.borrow_mut() = has_no_body.then(|| CurrentRequest {
                 uri: request.uri().clone(),
                 host: request.headers().get(HOST).cloned(),
             });
@@ -247,10 +247,10 @@
         if self.stops.get() || !self.read_ahead.borrow().may_start() {
             return;
         }
-        if let Some(turn) = self.turn.take()
-            && !router::may_run_beside_others(&self.node, &turn.uri, turn.host.as_ref())
+        if let Some(current) = self.current.take()
+            && !router::may_run_beside_others(&self.node, &current.uri, current.host.as_ref())
         {
-            self.read_ahead.borrow_mut().close();
+            self.read_ahead.borrow_mut().run_alone();
             return;
         }
         while self.held.get() < HELD_BYTES {
@@ -340,7 +340,7 @@
     /// The connection has ended; what still runs ahead is given up.
     fn ended(&self, end: End) {
         let dropped = self.drop_started();
-        let is_broken_head = self.read_ahead.borrow().blind() == Some(Blind::BrokenHead);
+        let is_broken_head = self.read_ahead.borrow().stopped() == Some(Stopped::BrokenHead);
         if dropped > 0 {
             let reason = match end {
                 End::Closed => "answer_closed",
--- a/crates/sidecar/src/pipelining/read_ahead.rs
+++ b/crates/sidecar/src/pipelining/read_ahead.rs
@@ -1,7 +1,8 @@
 //! Which requests of a connection may start before those ahead of them are answered.
 //!
-//! Sees the bytes that arrive, and is told when the HTTP server takes a request and when its answer has ended. Does
-//! no input or output.
+//! Sees the bytes that arrive, and is told when the HTTP server takes a request and when its answer has ended. The first
+//! request that isn't answered is the *current* one; those behind it that run already were started *ahead*. Does no
+//! input or output.
 
 use bytes::{Buf, BytesMut};
 use http::Request;
@@ -12,9 +13,9 @@
 /// for about as many things at a time; a connection that asks for more is served in steps.
 pub const MOST_AHEAD: usize = 8;
 
-/// Why nothing of a connection is started ahead any more.
+/// Why reading ahead on a connection has stopped.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Blind {
+pub enum Stopped {
     /// Something that isn't a head, or is too long for one; the HTTP server refuses it when its turn comes.
     BrokenHead,
     /// What follows the last request can't be told apart from its body, or isn't read any more.
@@ -34,11 +35,11 @@
     unanswered: usize,
     /// Those of them that were started ahead and that the HTTP server has not taken.
     ahead: usize,
-    /// The head of the request whose turn it is has been seen, and the HTTP server hasn't taken it.
-    turn_is_next: bool,
-    /// Whether requests may start beside the one whose turn it is.
-    open: bool,
-    blind: Option<Blind>,
+    /// The head of the current request has been seen, and the HTTP server hasn't taken it.
+    current_untaken: bool,
+    /// Whether others may run beside the current request.
+    current_may_share: bool,
+    stopped: Option<Stopped>,
     /// Bytes beyond which there is no head.
     longest_head: usize,
 }
@@ -51,42 +52,42 @@
             body_left: 0,
             unanswered: 0,
             ahead: 0,
-            turn_is_next: false,
-            open: false,
-            blind: None,
+            current_untaken: false,
+            current_may_share: false,
+            stopped: None,
             longest_head,
         }
     }
 
     /// Bytes have arrived.
     pub fn arrived(&mut self, bytes: &[u8]) {
-        if self.blind.is_some() {
+        if self.stopped.is_some() {
             return;
         }
         let mut bytes = self.skip_body(bytes);
         if self.unscanned.is_empty() && self.unanswered == 0 {
             // The usual case: one request at a time, each in one piece. Nothing of it is kept.
-            let length = self.see_next_turn(bytes);
+            let length = self.see_current(bytes);
             bytes = self.skip_body(&bytes[length..]);
         }
-        if self.blind.is_none() {
+        if self.stopped.is_none() {
             self.unscanned.extend_from_slice(bytes);
-            self.look_for_next_turn();
+            self.look_for_current();
         }
     }
 
-    /// The HTTP server has taken the request whose turn it is; `open` says whether others may run beside it. Returns
+    /// The HTTP server has taken the current request; `may_share` says whether others may run beside it. Returns
     /// whether it was started ahead.
-    pub fn taken(&mut self, open: bool) -> bool {
-        self.open = open;
-        if std::mem::take(&mut self.turn_is_next) {
+    pub fn taken(&mut self, may_share: bool) -> bool {
+        self.current_may_share = may_share;
+        if std::mem::take(&mut self.current_untaken) {
             return false;
         }
         if self.ahead > 0 {
             self.ahead -= 1;
             return true;
         }
-        if self.blind.is_none() {
+        if self.stopped.is_none() {
             self.out_of_step();
         }
         self.unanswered += 1;
@@ -96,7 +97,7 @@
     /// The answer to the request that was taken last has ended.
     pub fn answered(&mut self) {
         self.unanswered = self.unanswered.saturating_sub(1);
-        self.look_for_next_turn();
+        self.look_for_current();
     }
 
     /// The next request that may start now, in order, if `may_start` says so of it.
@@ -109,7 +110,7 @@
                 let request = head.request.filter(may_start);
                 if request.is_none() {
                     // It waits for its turn, and so do those behind it.
-                    self.open = false;
+                    self.current_may_share = false;
                     return None;
                 }
                 self.unscanned.advance(head.length);
@@ -121,32 +122,32 @@
             }
             Err(NoHead::Partial) => None,
             Err(NoHead::Broken) => {
-                self.give_up(Blind::BrokenHead);
+                self.give_up(Stopped::BrokenHead);
                 None
             }
         }
     }
 
-    /// The request whose turn it is runs alone.
-    pub fn close(&mut self) {
-        self.open = false;
+    /// The current request runs alone.
+    pub fn run_alone(&mut self) {
+        self.current_may_share = false;
     }
 
     /// Whether [`Self::start`] may have something to start.
     pub fn may_start(&self) -> bool {
-        self.is_open() && !self.unscanned.is_empty()
+        self.may_start_more() && !self.unscanned.is_empty()
     }
 
     /// What was started ahead isn't what the HTTP server takes: all of it is forgotten, and nothing more is started.
     pub fn out_of_step(&mut self) {
         self.unanswered = self.unanswered.saturating_sub(self.ahead);
         self.ahead = 0;
-        self.give_up(Blind::OutOfStep);
+        self.give_up(Stopped::OutOfStep);
     }
 
     /// Why nothing is started ahead any more; nothing if it is.
-    pub fn blind(&self) -> Option<Blind> {
-        self.blind
+    pub fn stopped(&self) -> Option<Stopped> {
+        self.stopped
     }
 
     /// Requests that were started ahead and that the HTTP server has not taken.
@@ -156,18 +157,21 @@
 
     /// Whether reading on could show another request, or the client's end, while one is being answered.
     pub fn wants_more(&self) -> bool {
-        self.unanswered > 0 && self.body_left == 0 && self.blind.is_none()
+        self.unanswered > 0 && self.body_left == 0 && self.stopped.is_none()
     }
 
     /// Nothing is started ahead any more; what was started stays.
-    fn give_up(&mut self, why: Blind) {
-        self.blind = Some(why);
-        self.open = false;
+    fn give_up(&mut self, why: Stopped) {
+        self.stopped = Some(why);
+        self.current_may_share = false;
         self.unscanned = BytesMut::new();
     }
 
-    fn is_open(&self) -> bool {
-        self.open && !self.turn_is_next && self.blind.is_none() && self.ahead < MOST_AHEAD
+    fn may_start_more(&self) -> bool {
+        self.current_may_share
+            && !self.current_untaken
+            && self.stopped.is_none()
+            && self.ahead < MOST_AHEAD
     }
 
     fn skip_body<'bytes>(&mut self, bytes: &'bytes [u8]) -> &'bytes [u8] {
@@ -178,31 +182,31 @@
         &bytes[skipped..]
     }
 
-    /// Sees the head of the request whose turn is next at the beginning of some bytes; its length, 0 without one.
-    fn see_next_turn(&mut self, bytes: &[u8]) -> usize {
+    /// Sees the head of the next current request at the beginning of some bytes; its length, 0 without one.
+    fn see_current(&mut self, bytes: &[u8]) -> usize {
         match scan(bytes, false) {
             Err(NoHead::Partial) => 0,
             Err(NoHead::Broken) => {
-                self.give_up(Blind::BrokenHead);
+                self.give_up(Stopped::BrokenHead);
                 0
             }
             Ok(head) => {
                 self.unanswered += 1;
-                self.turn_is_next = true;
+                self.current_untaken = true;
                 self.follow(head.behind);
                 head.length
             }
         }
     }
 
-    /// If nothing is being answered, what stands first has its turn.
-    fn look_for_next_turn(&mut self) {
-        if self.unanswered > 0 || self.unscanned.is_empty() || self.blind.is_some() {
+    /// If nothing is being answered, what stands first becomes the current request.
+    fn look_for_current(&mut self) {
+        if self.unanswered > 0 || self.unscanned.is_empty() || self.stopped.is_some() {
             return;
         }
         let bytes = std::mem::take(&mut self.unscanned);
-        let length = self.see_next_turn(&bytes);
-        if self.blind.is_some() {
+        let length = self.see_current(&bytes);
+        if self.stopped.is_some() {
             return;
         }
         let behind = self.skip_body(&bytes[length..]);
@@ -217,14 +221,14 @@
     fn follow(&mut self, behind: Behind) {
         match behind {
             Behind::Body(length) => self.body_left = length,
-            Behind::Unknown => self.give_up(Blind::EndUnknown),
+            Behind::Unknown => self.give_up(Stopped::EndUnknown),
         }
     }
 
     /// A head that isn't whole after so many bytes is none.
     fn check_length(&mut self) {
         if self.unanswered == 0 && self.unscanned.len() > self.longest_head {
-            self.give_up(Blind::BrokenHead);
+            self.give_up(Stopped::BrokenHead);
         }
     }
 
--- a/crates/sidecar/tests/pipelining.rs
+++ b/crates/sidecar/tests/pipelining.rs
@@ -1,7 +1,7 @@
 //! Which requests of a connection start before their turn.
 
 use quickcheck::{Arbitrary, Gen, quickcheck};
-use wingspar_sidecar::pipelining::read_ahead::{Blind, MOST_AHEAD, ReadAhead};
+use wingspar_sidecar::pipelining::read_ahead::{MOST_AHEAD, ReadAhead, Stopped};
 
 /// Longest head that the connections take, in bytes.
 const LONGEST_HEAD: usize = 4096;
@@ -146,7 +146,7 @@
             self.answer();
         }
         assert_eq!(self.answered, self.sent.len());
-        assert_eq!(self.read_ahead.blind(), None);
+        assert_eq!(self.read_ahead.stopped(), None);
         assert!(!self.read_ahead.wants_more());
         self.ahead
     }
@@ -210,7 +210,7 @@
     connection.bytes.extend(Sent::Lookup.head(2).bytes());
     connection.arrive_all();
     assert_eq!(connection.ahead, [1], "what stands before it is served");
-    assert_eq!(connection.read_ahead.blind(), Some(Blind::BrokenHead));
+    assert_eq!(connection.read_ahead.stopped(), Some(Stopped::BrokenHead));
     assert_eq!(connection.read_ahead.ahead(), 1);
 }
 
@@ -230,7 +230,7 @@
         read_ahead.arrived(format!("{head}{}", Sent::Lookup.head(1)).as_bytes());
         assert!(!read_ahead.taken(true));
         assert!(read_ahead.start(|_| true).is_none(), "{head}");
-        assert_eq!(read_ahead.blind(), Some(Blind::EndUnknown), "{head}");
+        assert_eq!(read_ahead.stopped(), Some(Stopped::EndUnknown), "{head}");
     }
 }
 
@@ -243,7 +243,7 @@
     assert!(read_ahead.start(|_| true).is_none());
     read_ahead.answered();
     assert!(!read_ahead.taken(true), "it has its turn");
-    assert_eq!(read_ahead.blind(), None);
+    assert_eq!(read_ahead.stopped(), None);
 }
 
 #[test]
@@ -254,14 +254,14 @@
     for _ in 0..LONGEST_HEAD / long.len() + 1 {
         read_ahead.arrived(&long);
     }
-    assert_eq!(read_ahead.blind(), Some(Blind::BrokenHead));
+    assert_eq!(read_ahead.stopped(), Some(Stopped::BrokenHead));
 }
 
 #[test]
 fn a_server_that_takes_what_was_not_seen_ends_the_reading_ahead() {
     let mut read_ahead = ReadAhead::new(LONGEST_HEAD);
     assert!(!read_ahead.taken(true));
-    assert_eq!(read_ahead.blind(), Some(Blind::OutOfStep));
+    assert_eq!(read_ahead.stopped(), Some(Stopped::OutOfStep));
     read_ahead.arrived(Sent::Lookup.head(1).as_bytes());
     assert!(read_ahead.start(|_| true).is_none());
 }
