--- a/crates/sidecar/src/pipelining/read_ahead.rs
+++ b/crates/sidecar/src/pipelining/read_ahead.rs
@@ -165,7 +165,7 @@
         self.unanswered == 0
             && self.body_left == 0
             && self.unscanned.is_empty()
-            && self.blind.is_none()
+            && self.stopped.is_none()
     }
 
     /// Nothing is started ahead any more; what was started stays.
