--- a/crates/sidecar/tests/key_places.rs
+++ b/crates/sidecar/tests/key_places.rs
@@ -2,7 +2,9 @@
 
 use std::collections::BTreeMap;
 
-use wingspar_routes::{Configuration, Limits, Repeatability, Route, Service, WeightedService};
+use wingspar_routes::{
+    Configuration, Limits, NamedList, Repeatability, Route, Service, WeightedService,
+};
 use wingspar_sidecar::key_places::owner_zones;
 
 const SERVICE: &str = "stock";
@@ -41,10 +43,10 @@
     };
     let configuration = Configuration {
         version: 1,
-        routes,
-        services: vec![service],
+        routes: routes.into_iter().collect(),
+        services: std::iter::once(service).collect(),
         limits: Limits::default(),
-        tenants: Vec::new(),
+        tenants: NamedList::default(),
     };
     let regions = [("e1", "east"), ("e2", "east"), ("w1", "west")];
     let regions = regions.map(|(zone, region)| (zone.to_owned(), region.to_owned()));
