Review of who waits: three bounds that were missing

* A deadline in a client's header that no clock can hold (1e22 ms) was added to the time of arrival, which panics.
The time a caller gives is now an hour at most.
* Nothing bounded the requests that wait at a target: callers that give an hour for a route without an objective are all "expected in time".
Each keeps up to 64 KB of its body, and each decision counts those ahead.
Now 1,024 wait at most.
* A tenant was charged for a request that the target rejected, and for one whose caller had left before its start, as if it had run.
Under a target that rejects, its tenants counted as over their share.
What a slot wasn't in use for is given back.

Read besides and left: kinds, tenants, regions, zones and spill-overs are bounded in number; shares divide by at least one tenant, load by at least one slot; a division by no spare time gives infinity, which refuses.

--- a/crates/sidecar/src/caller_age.rs
+++ b/crates/sidecar/src/caller_age.rs
@@ -9,6 +9,14 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use http::HeaderMap;
+use wingspar_platform::headers;
+
+/// A client that names no deadline waits this long.
+const DEFAULT_DEADLINE: Duration = Duration::from_secs(10);
+/// Longest time that a caller is believed to wait. No connection rests for longer, and clocks can't hold any time that a
+/// header can name.
+const MOST_ASKED: Duration = Duration::from_secs(3_600);
 /// What a request that gives the usual time adds to the standing of that time, against 1 that any other takes away. A
 /// time counts as usual while more than a quarter of the requests give it: when each caller is refused twice, a third
 /// of the requests still are first attempts.
@@ -22,6 +30,15 @@
 /// configurations have ever named.
 const MOST_ROUTES: usize = 4_096;
 
+/// The time that a caller gives for the answer.
+pub fn asked_time(headers: &HeaderMap) -> Duration {
+    headers
+        .get(headers::DEADLINE_MS)
+        .and_then(|value| value.to_str().ok()?.trim().parse::<f64>().ok())
+        .and_then(|millis| Duration::try_from_secs_f64(millis / 1000.0).ok())
+        .map_or(DEFAULT_DEADLINE, |asked| asked.min(MOST_ASKED))
+}
+
 /// The time that most callers of a route give.
 #[derive(Debug, Clone, Copy)]
 struct Usual {
--- a/crates/sidecar/src/router/mod.rs
+++ b/crates/sidecar/src/router/mod.rs
@@ -11,7 +11,7 @@
 use allowed_regions::AllowedRegions;
 use record::Record;
 use send::send;
-use timing::{Times, asked_time, times};
+use timing::{Times, times};
 
 use std::rc::Rc;
 
@@ -25,6 +25,7 @@
 
 use crate::answer::{Reason, own};
 use crate::body::{Body, RequestBody};
+use crate::caller_age::asked_time;
 use crate::configuration_doubts::later_is_in_force;
 use crate::hop;
 use crate::node::Node;
--- a/crates/sidecar/src/router/timing.rs
+++ b/crates/sidecar/src/router/timing.rs
@@ -2,15 +2,11 @@
 
 use std::time::Duration;
 
-use http::HeaderMap;
 use tokio::time::Instant;
-use wingspar_platform::headers;
 use wingspar_routes::{Repeatability, Route};
 
 use crate::deadline::Deadline;
 
-/// A client that names no deadline waits this long.
-const DEFAULT_DEADLINE: Duration = Duration::from_secs(10);
 /// Part of the objective for which a request waits for a node that could run it, and asks one full target after
 /// another: a caller that is refused then still has most of its objective left to come back in.
 const PATIENCE_SHARE: f64 = 0.12;
@@ -45,15 +41,6 @@
     pub transfer: Option<Instant>,
 }
 
-/// The time that a caller gives for the answer.
-pub fn asked_time(headers: &HeaderMap) -> Duration {
-    headers
-        .get(headers::DEADLINE_MS)
-        .and_then(|value| value.to_str().ok()?.trim().parse::<f64>().ok())
-        .and_then(|millis| Duration::try_from_secs_f64(millis / 1000.0).ok())
-        .unwrap_or(DEFAULT_DEADLINE)
-}
-
 /// The times of a request that has `arrived`, whose caller had waited for `age` before and gives the time `asked`.
 pub fn times(route: &Route, asked: Duration, age: Duration, arrived: Instant) -> Times {
     let held = route.timeout.map_or(asked, |timeout| timeout.min(asked));
--- a/crates/sidecar/src/slots/backlog.rs
+++ b/crates/sidecar/src/slots/backlog.rs
@@ -24,6 +24,8 @@
 const COUNTED_ON_SHARE: f64 = 0.5;
 /// The same for a request that waits already: it leaves only once it can't be in time.
 const WAITING_SHARE: f64 = 1.0;
+/// Most requests that wait: each keeps up to 64 KB of its body, and each decision looks at those ahead of it.
+const MOST_WAITING: usize = 1_024;
 /// Least part of the target's time that is counted on for ending the backlog. Below it nothing is known of when that
 /// ends, and callers shouldn't be sent away for longer than they can wait.
 const LEAST_SPARE: f64 = 0.25;
@@ -115,12 +117,18 @@
         self.shares.used(turn.share_key(), expected);
     }
 
-    /// A request has ended after it kept a slot for so long; its tenant is charged with what it took beyond.
+    /// The target has answered a request that kept a slot for so long.
     pub fn ended(&mut self, turn: Turn, took: Duration) {
+        self.freed(turn, took);
+        self.run_times.observe(turn.objective, took);
+    }
+
+    /// A request without an answer of the target has left its slot after so long. Its tenant is charged with what the
+    /// slot was in use beyond what was expected, which is less than nothing if the target rejected it at once.
+    pub fn freed(&mut self, turn: Turn, took: Duration) {
         let expected = self.run_times.mean_of(turn.objective);
         let beyond = took.as_secs_f64() - expected;
         self.shares.used(turn.share_key(), beyond);
-        self.run_times.observe(turn.objective, took);
     }
 
     /// Which lane a request that arrives may wait in, if any; `until` is the latest start that its router wants.
@@ -131,6 +139,9 @@
         supply: Supply<'_>,
         until: Instant,
     ) -> Result<Lane, Refused> {
+        if self.len() >= MOST_WAITING {
+            return Err(Refused);
+        }
         self.decide(now, turn, supply, until, COUNTED_ON_SHARE)
     }
 
--- a/crates/sidecar/src/slots/mod.rs
+++ b/crates/sidecar/src/slots/mod.rs
@@ -266,6 +266,10 @@
 
     fn forget(self) {
         self.slots.running.set(self.slots.running.get() - 1);
+        self.slots
+            .backlog
+            .borrow_mut()
+            .freed(self.turn, Duration::ZERO);
         std::mem::forget(self);
     }
 }
@@ -274,12 +278,14 @@
     fn drop(&mut self) {
         let slots = &self.slots;
         slots.running.set(slots.running.get() - 1);
+        let time = self.since.elapsed();
         if self.worked.get() {
-            let time = self.since.elapsed();
             slots.backlog.borrow_mut().ended(self.turn, time);
             slots.finished.set(slots.finished.get() + 1);
             let busy = whole_millis(time);
             slots.busy_ms.set(slots.busy_ms.get() + busy);
+        } else {
+            slots.backlog.borrow_mut().freed(self.turn, time);
         }
         slots.pass_on();
     }
--- a/crates/sidecar/tests/caller_age.rs
+++ b/crates/sidecar/tests/caller_age.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use wingspar_sidecar::caller_age::CallerAges;
+use http::{HeaderMap, HeaderValue};
+use wingspar_platform::headers;
+use wingspar_sidecar::caller_age::{CallerAges, asked_time};
 
 fn millis(millis: u64) -> Duration {
     Duration::from_millis(millis)
@@ -59,3 +61,22 @@
     assert_eq!(ages.age("lookup", millis(800)), Duration::ZERO);
     assert_eq!(ages.age("lookup", millis(600)), millis(200));
 }
+
+#[test]
+fn a_time_that_no_clock_can_hold_is_taken_for_a_long_one() {
+    let asked = |millis: &'static str| {
+        let mut headers = HeaderMap::new();
+        headers.insert(headers::DEADLINE_MS, HeaderValue::from_static(millis));
+        asked_time(&headers)
+    };
+    assert_eq!(asked("250"), millis(250));
+    for extreme in ["1e13", "1e22"] {
+        let asked = asked(extreme);
+        // As the router reckons with it.
+        assert!(tokio::time::Instant::now().checked_add(asked).is_some());
+        assert!(asked <= Duration::from_secs(3_600), "{asked:?}");
+    }
+    for unreadable in ["", "-1", "inf", "soon", "1e400"] {
+        assert_eq!(asked(unreadable), Duration::from_secs(10));
+    }
+}
--- a/crates/sidecar/tests/waiting/backlog.rs
+++ b/crates/sidecar/tests/waiting/backlog.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use tokio::time::Instant;
-use wingspar_sidecar::slots::Turn;
 use wingspar_sidecar::slots::backlog::{Backlog, Lane, Supply};
+use wingspar_sidecar::slots::{TenantTurn, Turn};
 
 /// A backlog of a target with one slot in use, which knows that requests take 100 ms.
 fn busy_backlog(now: Instant) -> Backlog<&'static str> {
@@ -107,3 +107,42 @@
     assert!(short >= Duration::from_millis(90), "{short:?}");
     assert!(long > short * 4, "{long:?} after {short:?}");
 }
+
+#[test]
+fn no_more_wait_than_their_bodies_can_be_kept() {
+    let now = Instant::now();
+    let mut backlog = busy_backlog(now);
+    let patient = turn(now, 3_600_000, 3_600_000);
+    let mut admitted = 0;
+    while backlog
+        .admit(now, patient, ONE_SLOT, patient.deadline)
+        .is_ok()
+    {
+        backlog.enter(Lane::Timely, patient, 1, "patient");
+        admitted += 1;
+        assert!(admitted <= 1_024, "too many wait");
+    }
+    assert_eq!(admitted, 1_024);
+}
+
+#[test]
+fn a_tenant_is_not_charged_for_what_the_target_rejects() {
+    let now = Instant::now();
+    let mut backlog = busy_backlog(now);
+    let of = |name, due_ms| Turn {
+        tenant: Some(TenantTurn::new(name, 0)),
+        ..turn(now, due_ms, 2_000)
+    };
+    let (rejected, served) = (of("rejected", 300), of("served", 400));
+    for _ in 0..100 {
+        backlog.arrived(now, rejected);
+        backlog.started(rejected);
+        backlog.freed(rejected, Duration::from_millis(1));
+    }
+    backlog.arrived(now, served);
+    backlog.started(served);
+    backlog.ended(served, Duration::from_millis(100));
+    backlog.enter(Lane::Timely, served, 1, "served");
+    backlog.enter(Lane::Timely, rejected, 1, "rejected");
+    assert_eq!(backlog.pop().map(|(_, who)| who), Some("rejected"));
+}
