A time to come back that follows from what is missing, in place of constants

Need: 503s for a missing owner, target or configuration told 0.3 or 0.5 s whatever was wrong. A lost owner's keys move after some 2.5 s: who came back after 0.3 s was refused again, twice, and had no return left when the keys had an owner.

`expected_return` (decisions only) keeps the lengths of the last gaps by cause, beginning with what the timing of leases says, and the gaps that go on, by service and key. A caller is told when nine in ten of the gaps have ended that lasted as long; if it can't wait so long, the latest end for which it can. While the leader is silent, no key is said to get an owner before the next one can be there. `router/come_back` feeds it from hops' answers and asks it.

--- a/crates/sidecar/src/answer.rs
+++ b/crates/sidecar/src/answer.rs
@@ -8,13 +8,6 @@
 
 use crate::body::Body;
 
-/// A node that has just started has read the configuration by then.
-const BACK_FOR_CONFIGURATION: Duration = Duration::from_millis(500);
-/// A key's next owner, or another target, is mostly known by then.
-const BACK_FOR_TARGET: Duration = Duration::from_millis(300);
-/// Some requests have left a full target by then.
-const BACK_FOR_ROOM: Duration = Duration::from_millis(150);
-
 /// Why a node answers by itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum Reason {
@@ -91,31 +84,22 @@
             Self::MayHaveRun => StatusCode::BAD_GATEWAY,
         }
     }
-
-    /// When to come back where the request has not run and nothing better is known.
-    fn retry_after(self) -> Option<Duration> {
-        match self {
-            Self::NoConfiguration => Some(BACK_FOR_CONFIGURATION),
-            Self::NoTarget | Self::NoOwner | Self::RegionNotAllowed => Some(BACK_FOR_TARGET),
-            Self::Full | Self::NotSentInTime => Some(BACK_FOR_ROOM),
-            _ => None,
-        }
-    }
 }
 
 /// Callers that are refused in the same moment are told times that are longer by up to this part, so that they don't
 /// come back as one. None is told a shorter time: it would be refused again.
 const SPREAD: f64 = 0.3;
+/// Longest time that is told for one that is known, as a part of it.
+pub const LONGEST_SPREAD: f64 = 1.0 + SPREAD;
 
-/// The answer for a reason; `retry_after` says when to come back if that is known.
+/// The answer for a reason; `retry_after` says when to come back, if the caller should.
 pub fn own(reason: Reason, retry_after: Option<Duration>) -> Response<Body> {
     let mut response = Response::new(Body::whole(reason.name()));
     *response.status_mut() = reason.status();
     let headers = response.headers_mut();
     headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
-    let wait = retry_after.or_else(|| reason.retry_after());
     let spread = 1.0 + rand::rng().random_range(0.0..=SPREAD);
-    if let Some(wait) = wait
+    if let Some(wait) = retry_after
         && let Ok(seconds) = HeaderValue::from_str(&format!("{:.3}", wait.as_secs_f64() * spread))
     {
         headers.insert(RETRY_AFTER, seconds);
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod deadline;
 pub mod directory;
 pub mod evacuation;
+pub mod expected_return;
 pub mod folded;
 mod follow;
 mod heartbeats;
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -22,6 +22,7 @@
 use crate::connections::Connections;
 use crate::directory::Directory;
 use crate::evacuation::{Evacuations, OwnZone};
+use crate::expected_return::ExpectedReturns;
 use crate::key_load::KeyLoad;
 use crate::link::Link;
 use crate::logs::{Event, Log};
@@ -147,6 +148,8 @@
     pub relays: RefCell<Relays>,
     /// Services whose requests leave the region.
     pub spill_over: RefCell<SpillOver>,
+    /// How long requests can't be run where an owner, a target or a configuration is missing.
+    pub expected_returns: RefCell<ExpectedReturns>,
     /// How long callers have waited already.
     pub caller_ages: RefCell<CallerAges>,
     /// Extra sends.
@@ -218,6 +221,7 @@
             selection: Selection::new(Places::of(&settings)),
             relays: RefCell::default(),
             spill_over: RefCell::default(),
+            expected_returns: RefCell::new(ExpectedReturns::new(timing)),
             caller_ages: RefCell::default(),
             budget: RefCell::new(Budget::new(
                 settings.bounds.budget_ratio,
--- a/crates/sidecar/src/router/mod.rs
+++ b/crates/sidecar/src/router/mod.rs
@@ -4,6 +4,7 @@
 //! on is answered at once.
 
 mod allowed_regions;
+mod come_back;
 mod record;
 mod send;
 mod timing;
@@ -49,7 +50,7 @@
         None => Err(Reason::NoConfiguration),
     };
     record.finish(&node, arrived, response.as_ref().err().copied());
-    response.unwrap_or_else(|reason| own(reason, record.retry_after))
+    response.unwrap_or_else(|reason| own(reason, come_back::retry_after(&node, reason, &record)))
 }
 
 /// Whether a request may run beside others of its connection: one that may be repeated, and whose answer is small
@@ -136,6 +137,7 @@
     record.key = key;
     node.budget.borrow_mut().request(node.now(), service);
     let asked = asked_time(&parts.headers);
+    record.caller_waits_until = Some(arrived + asked);
     let age = node.caller_ages.borrow_mut().age(&route.name, asked);
     let times = times(route, asked, age, arrived);
     check_length(&parts.headers, table.configuration().limits.body_bytes)?;
--- a/crates/sidecar/src/router/record.rs
+++ b/crates/sidecar/src/router/record.rs
@@ -10,6 +10,7 @@
 use crate::answer::Reason;
 use crate::body::Body;
 use crate::clock::whole_millis;
+use crate::expected_return::Cause;
 use crate::logs::Event;
 use crate::metrics::{RequestLabels, ServiceLabel};
 use crate::node::Node;
@@ -42,8 +43,12 @@
     pub detail: String,
     /// The tenant that it counts for; empty if none is known.
     pub tenant: String,
-    /// When the caller may come back if the request is refused, if that is known.
+    /// When the caller may come back if the request is refused, if whoever refused it told.
     pub retry_after: Option<Duration>,
+    /// What was missing to run it at the node that was asked last, if anything was.
+    pub missing: Option<Cause>,
+    /// Until when its caller waits, if that is known.
+    pub caller_waits_until: Option<Instant>,
 }
 
 impl Record {
@@ -68,6 +73,8 @@
             detail: String::new(),
             tenant: String::new(),
             retry_after: None,
+            missing: None,
+            caller_waits_until: None,
         }
     }
 
--- a/crates/sidecar/src/router/send.rs
+++ b/crates/sidecar/src/router/send.rs
@@ -9,6 +9,7 @@
 use wingspar_routes::Repeatability;
 
 use super::Routed;
+use super::come_back::note_answer;
 use super::record::Record;
 use super::timing::patience_beside_others;
 use crate::agent;
@@ -349,6 +350,13 @@
             record.retry_after = Some(Duration::from_millis(queue_ends));
         }
     }
+    note_answer(
+        node,
+        record,
+        &destination.node,
+        &answer,
+        occupancy.is_some(),
+    );
     let on_way = occupancy.and_then(|occupancy| outstanding.on_way(occupancy));
     if !is_here {
         note_reach(node, destination, on_way, &answer);
