Times to come back: a node that answers that it can't serve a key isn't lost

A node whose target has ended, leaves or is evacuated says so itself and tells the leader, which needn't wait for its lease. Its callers were told what is left of a lease, 2.5 s, where the keys move within some round trips. Only a node that doesn't answer counts as lost now. A table without an owner begins with the length of a hand-over in place of the leader's settling time, which holds for a first start alone.

--- a/crates/sidecar/src/expected_return.rs
+++ b/crates/sidecar/src/expected_return.rs
@@ -43,9 +43,9 @@
     NoConfiguration,
     /// No target of the service takes work.
     NoTarget,
-    /// The key's owner doesn't serve: it is lost, cut off or leaving.
+    /// The key's owner doesn't answer: its keys are given away when its lease has ended.
     OwnerLost,
-    /// The key is on its way from one owner to the next.
+    /// The key is on its way from one owner to the next, or its node says that it can't serve it.
     HandOver,
     /// The table names no owner.
     NoOwner,
@@ -105,7 +105,7 @@
             (Cause::NoTarget, FIRST_TARGET),
             (Cause::OwnerLost, owner_lost),
             (Cause::HandOver, FIRST_HANDOVER),
-            (Cause::NoOwner, timing.settle),
+            (Cause::NoOwner, FIRST_HANDOVER),
         ] {
             lengths[cause as usize].push_back(first);
         }
--- a/crates/sidecar/src/router/come_back.rs
+++ b/crates/sidecar/src/router/come_back.rs
@@ -89,8 +89,10 @@
         return None;
     }
     match refusal {
+        Refusal::Unreachable => Some(Cause::OwnerLost),
+        // The node is there and tells the leader, which needn't wait for its lease to end.
         Refusal::NotOwner | Refusal::Arriving => Some(Cause::HandOver),
-        refusal if is_gone(refusal) => Some(Cause::OwnerLost),
+        refusal if is_gone(refusal) => Some(Cause::HandOver),
         _ => None,
     }
 }
