A breaker beside targets that reject what they are sent

Need: a target that sheds its load answers at once that it hasn't run a request, so its slots look free, and each router finds out by itself, again and again: every rejection is a send that costs its caller a try and the fleet budget.

`breaker` (decisions only) opens after five rejections in a row and lets one request through each 50 to 200 ms; the first that is taken closes it. Answers between nodes tell for how long to leave the target out (a sixth number in the load, which earlier versions pass over); routers draw other targets, and refuse at once where all are left out, also for a key whose owner's target rejects, but for one request each 100 ms. The time to come back follows from how long such times lasted (`Cause::Rejected`).

Draws pass over targets that are avoided for other reasons too: before, a request that drew three avoided ones went to one.

--- a/crates/sidecar/src/agent.rs
+++ b/crates/sidecar/src/agent.rs
@@ -56,6 +56,9 @@
     if is_link_busy(node, &hop) {
         return HopAnswer::Refused(Refusal::LinkBusy);
     }
+    if node.breaker.borrow().refuses(node.now()) {
+        return HopAnswer::Refused(Refusal::Full);
+    }
     let Ok(slot) = wait_for_slot(node, &hop).await else {
         return HopAnswer::Refused(Refusal::Full);
     };
@@ -66,6 +69,9 @@
     if is_link_busy(node, &hop) {
         return HopAnswer::Refused(Refusal::LinkBusy);
     }
+    if !node.breaker.borrow_mut().let_through(node.now()) {
+        return HopAnswer::Refused(Refusal::Full);
+    }
     let _answer_to_come = hop.transfer.map(|_| node.link.expect());
     run(node, hop, slot).await
 }
@@ -131,11 +137,13 @@
 
 /// How full the target is.
 pub fn occupancy(node: &Node) -> Occupancy {
+    let left_out = node.breaker.borrow().left_out_for();
     Occupancy {
         running: u32::try_from(node.slots.running()).unwrap_or(u32::MAX),
         waiting: u32::try_from(node.slots.waiting()).unwrap_or(u32::MAX),
         link_ms: u32::try_from(node.link.expected_wait().as_millis()).unwrap_or(u32::MAX),
         held_ms: None,
+        left_out_ms: u32::try_from(left_out.as_millis()).unwrap_or(u32::MAX),
         retry_after_ms: u32::try_from(node.slots.retry_after().as_millis()).unwrap_or(u32::MAX),
     }
 }
--- a/crates/sidecar/src/expected_return.rs
+++ b/crates/sidecar/src/expected_return.rs
@@ -31,6 +31,8 @@
 const FIRST_CONFIGURATION: Duration = Duration::from_millis(500);
 /// Time until another target is known, before that was seen.
 const FIRST_TARGET: Duration = Duration::from_millis(300);
+/// Time for which a target sheds its load, before that was seen: some requests have left it by then.
+const FIRST_REJECTED: Duration = Duration::from_millis(150);
 /// Most gaps and silent nodes that are remembered; beyond them callers are told the usual length.
 const MOST_REMEMBERED: usize = 4_096;
 /// A gap that nobody has met for so long isn't remembered: how it ended wasn't seen.
@@ -49,10 +51,12 @@
     HandOver,
     /// The table names no owner.
     NoOwner,
+    /// The targets reject what they are sent.
+    Rejected,
 }
 
 impl Cause {
-    const COUNT: usize = 5;
+    const COUNT: usize = 6;
 }
 
 /// What a request asked for: a service, and the key if its keys have owners.
@@ -106,6 +110,7 @@
             (Cause::OwnerLost, owner_lost),
             (Cause::HandOver, FIRST_HANDOVER),
             (Cause::NoOwner, FIRST_HANDOVER),
+            (Cause::Rejected, FIRST_REJECTED),
         ] {
             lengths[cause as usize].push_back(first);
         }
--- a/crates/sidecar/src/hop.rs
+++ b/crates/sidecar/src/hop.rs
@@ -148,6 +148,8 @@
     pub held_ms: Option<u32>,
     /// When a caller that is refused now may come back, in milliseconds; 0 if the node can't tell.
     pub retry_after_ms: u32,
+    /// For how long the target should get nothing, since it rejects what it is sent, in milliseconds; 0 if it doesn't.
+    pub left_out_ms: u32,
 }
 
 /// Takes out headers that belong to one connection, and those that only nodes set.
@@ -299,12 +301,13 @@
     let headers = response.headers_mut();
     headers.insert(OUTCOME, HeaderValue::from_static(outcome));
     if let Ok(load) = HeaderValue::from_str(&format!(
-        "{},{},{},{},{}",
+        "{},{},{},{},{},{}",
         occupancy.running,
         occupancy.waiting,
         occupancy.link_ms,
         occupancy.held_ms.unwrap_or_default(),
-        occupancy.retry_after_ms
+        occupancy.retry_after_ms,
+        occupancy.left_out_ms
     )) {
         headers.insert(LOAD, load);
     }
@@ -478,6 +481,7 @@
         link_ms: numbers.next().flatten().unwrap_or(0),
         held_ms: numbers.next().flatten(),
         retry_after_ms: numbers.next().flatten().unwrap_or(0),
+        left_out_ms: numbers.next().flatten().unwrap_or(0),
     })
 }
 
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -9,6 +9,7 @@
 mod agent;
 mod answer;
 pub mod body;
+pub mod breaker;
 pub mod budget;
 pub mod caller_age;
 pub mod clock;
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -14,6 +14,7 @@
 use wingspar_quarantine::{InFlight, Quarantine};
 use wingspar_routes::RouteTable;
 
+use crate::breaker::Breaker;
 use crate::budget::Budget;
 use crate::caller_age::CallerAges;
 use crate::clock::{Clock, whole_millis};
@@ -110,6 +111,8 @@
     pub quotas: Quotas,
     /// Its slots.
     pub slots: Rc<Slots>,
+    /// Whether the target rejects what it is sent.
+    pub breaker: RefCell<Breaker>,
     /// Work at the target that nobody here waits for.
     pub unseen_work: RefCell<UnseenWork>,
     /// Told when such work leaves fewer slots than the target has.
@@ -199,6 +202,7 @@
             quarantine: RefCell::default(),
             quotas: Quotas::new(life, Duration::from_millis(now.0), &settings.bounds),
             slots: Slots::new(!settings.node.first_start),
+            breaker: RefCell::default(),
             unseen_work: RefCell::new(UnseenWork::new(!settings.node.first_start)),
             slots_reduced: Notify::new(),
             link: Link::new(settings.node.link_mbps),
--- a/crates/sidecar/src/router/come_back.rs
+++ b/crates/sidecar/src/router/come_back.rs
@@ -8,7 +8,7 @@
 use super::record::Record;
 use crate::answer::{LONGEST_SPREAD, Reason};
 use crate::expected_return::{Cause, Wanted};
-use crate::hop::{HopAnswer, Refusal};
+use crate::hop::{HopAnswer, Occupancy, Refusal};
 use crate::node::Node;
 
 /// Some requests have left a full target by then, if its node, of an earlier version, didn't tell.
@@ -20,8 +20,7 @@
         Reason::NoConfiguration => Cause::NoConfiguration,
         Reason::NoTarget | Reason::RegionNotAllowed => Cause::NoTarget,
         Reason::NoOwner => Cause::NoOwner,
-        Reason::Full => return record.retry_after.or(Some(ROOM_UNTOLD)),
-        Reason::NotSentInTime => match record.missing {
+        Reason::Full | Reason::NotSentInTime => match record.missing {
             Some(cause) => cause,
             None => return record.retry_after.or(Some(ROOM_UNTOLD)),
         },
@@ -34,7 +33,7 @@
     };
     let now = node.now();
     let mut returns = node.expected_returns.borrow_mut();
-    if record.missing.is_none() {
+    if record.missing.is_none() || record.key.is_none() {
         returns.refused(now, wanted, cause, None);
     }
     let patience = record.caller_waits_until.map_or(Duration::MAX, |until| {
@@ -52,55 +51,49 @@
     record: &mut Record,
     asked: &NodeName,
     answer: &HopAnswer,
-    has_told_load: bool,
+    occupancy: Option<Occupancy>,
 ) {
     let now = node.now();
-    let wanted = Wanted {
-        service: &record.service,
-        key: record.key,
-    };
     let mut returns = node.expected_returns.borrow_mut();
-    if has_told_load {
+    if occupancy.is_some() {
         returns.heard(asked);
     } else {
         returns.silent(now, asked);
     }
-    match answer {
-        HopAnswer::Refused(refusal) => match missing(*refusal, record.key.is_some()) {
-            Some(cause) => {
-                returns.refused(now, wanted, cause, Some(asked));
-                record.missing = Some(cause);
-            }
-            // One target of several that doesn't take work says nothing of the others.
-            None if record.key.is_none() && is_gone(*refusal) => {}
-            None => {
-                returns.served(now, wanted);
-                record.missing = None;
-            }
-        },
-        HopAnswer::Answered(_) => returns.served(now, wanted),
-        HopAnswer::MayHaveRun(_) | HopAnswer::TargetEnded => {}
+    let is_left_out = occupancy.is_some_and(|occupancy| occupancy.left_out_ms > 0);
+    let is_keyed = record.key.is_some();
+    record.missing = match answer {
+        HopAnswer::Refused(Refusal::Full | Refusal::Rejected) if is_left_out => {
+            Some(Cause::Rejected)
+        }
+        HopAnswer::Refused(refusal) if is_keyed => missing(*refusal),
+        _ => None,
+    };
+    let wanted = Wanted {
+        service: &record.service,
+        key: record.key,
+    };
+    match (record.missing, answer) {
+        // One of several targets says nothing of the others.
+        (Some(_), _) if !is_keyed => {}
+        (Some(cause), _) => returns.refused(now, wanted, cause, Some(asked)),
+        (None, HopAnswer::Answered(_)) => returns.served(now, wanted),
+        // The owner is there, though it has no room.
+        (None, HopAnswer::Refused(_)) if is_keyed => returns.served(now, wanted),
+        (None, _) => {}
     }
 }
 
-/// What is missing if the node that a request for a key belongs to refuses it.
-fn missing(refusal: Refusal, is_keyed: bool) -> Option<Cause> {
-    if !is_keyed {
-        return None;
-    }
+/// What is missing if the owner of a request's key refuses it.
+fn missing(refusal: Refusal) -> Option<Cause> {
     match refusal {
         Refusal::Unreachable => Some(Cause::OwnerLost),
         // The node is there and tells the leader, which needn't wait for its lease to end.
-        Refusal::NotOwner | Refusal::Arriving => Some(Cause::HandOver),
-        refusal if is_gone(refusal) => Some(Cause::HandOver),
+        Refusal::NotOwner
+        | Refusal::Arriving
+        | Refusal::Leaving
+        | Refusal::Evacuated
+        | Refusal::NoTarget => Some(Cause::HandOver),
         _ => None,
     }
 }
-
-/// Whether a refusal says that there is no target at that node, or soon won't be.
-fn is_gone(refusal: Refusal) -> bool {
-    matches!(
-        refusal,
-        Refusal::Unreachable | Refusal::Leaving | Refusal::Evacuated | Refusal::NoTarget
-    )
-}
--- a/crates/sidecar/src/router/send.rs
+++ b/crates/sidecar/src/router/send.rs
@@ -17,6 +17,7 @@
 use crate::body::Body;
 use crate::clock::whole_millis;
 use crate::directory::Destination;
+use crate::expected_return::Cause;
 use crate::hop::{self, HopAnswer, HopRequest, Occupancy, Refusal};
 use crate::logs::Event;
 use crate::metrics::RelationLabel;
@@ -72,6 +73,9 @@
             asked.nodes.clear();
             continue;
         };
+        if node.selection.is_left_out(node.now(), &destination.node) {
+            return Err(all_reject(routed, record));
+        }
         record.node = destination.node.to_string();
         record.left_region |= routed.key.is_none() && destination.relation == Relation::OtherRegion;
         let wait = wait_here(node, routed, asked.refusals);
@@ -159,6 +163,16 @@
     }
 }
 
+/// The reason to give if all targets that could run a request reject what they are sent, as their nodes have told.
+fn all_reject(routed: &Routed<'_>, record: &mut Record) -> Reason {
+    record.missing = Some(Cause::Rejected);
+    if record.may_have_run {
+        given_up(routed, record)
+    } else {
+        Reason::Full
+    }
+}
+
 /// A send has certainly not run: unless an earlier one may have, the request doesn't count against its quota.
 fn note_not_run(routed: &Routed<'_>, record: &Record) {
     if !record.may_have_run {
@@ -350,13 +364,7 @@
             record.retry_after = Some(Duration::from_millis(queue_ends));
         }
     }
-    note_answer(
-        node,
-        record,
-        &destination.node,
-        &answer,
-        occupancy.is_some(),
-    );
+    note_answer(node, record, &destination.node, &answer, occupancy);
     let on_way = occupancy.and_then(|occupancy| outstanding.on_way(occupancy));
     if !is_here {
         note_reach(node, destination, on_way, &answer);
--- a/crates/sidecar/src/selection.rs
+++ b/crates/sidecar/src/selection.rs
@@ -5,7 +5,7 @@
 //! would take it longer by more than the way's price, which is a time too, and where another region has room. So it stays
 //! again as soon as its region has room, and where all are short of room none is asked for another's sake.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -35,7 +35,7 @@
 const DRAWS_IN_ALL: usize = 2;
 /// Targets drawn from other regions.
 const DRAWS_ELSEWHERE: usize = 2;
-/// So many draws may hit a target that was tried before all others are looked through.
+/// So many draws may hit a target that was tried, or is avoided, before all others are looked through.
 const DRAWS_AGAIN: usize = 4;
 /// Weight of one request's end against the known share of failures.
 const FAILURE_SMOOTHING: f64 = 0.2;
@@ -49,6 +49,9 @@
 const LOAD_STEEPNESS: f64 = 2.0;
 /// A request that waits counts as so many that run. Chosen by hand.
 const WAITING_WEIGHT: u32 = 3;
+/// While all targets that could run a request are left out, one is asked this often: few requests of many routers, and
+/// soon enough that callers who come back find them in use.
+const ASK_LEFT_OUT_EVERY: Duration = Duration::from_millis(100);
 /// Seconds that an avoided node looks worse by: longer than any request takes.
 const AVOIDED_COST: f64 = 10.0;
 /// What a node reported of its load fades over this time.
@@ -73,6 +76,8 @@
     link_ms: u32,
     reported_at: Time,
     avoid_until: Time,
+    /// The target rejects what it is sent, and its node asked to leave it out until then.
+    left_out_until: Time,
 }
 
 impl EndpointStatistics {
@@ -80,6 +85,10 @@
     fn failures(&self, now: Time) -> f64 {
         self.failures * remaining(now, self.failed_at, FAILURES_FADE)
     }
+
+    fn is_avoided(&self, now: Time) -> bool {
+        now < self.avoid_until || now < self.left_out_until
+    }
 }
 
 /// What is left of a fact of that age, from 1 to 0.
@@ -134,6 +143,8 @@
     places: Places,
     seen: RefCell<HashMap<NodeName, EndpointStatistics>>,
     ways: RefCell<Ways>,
+    /// When a target that is left out was asked last, though nothing else could be.
+    asked_left_out_at: Cell<Time>,
     /// By service and region.
     regions: RefCell<HashMap<(String, String), RegionLoad>>,
 }
@@ -168,10 +179,11 @@
         } else {
             DRAWS_IN_REGION
         };
+        let draw = |among| draw(among, tried, |node| self.avoids(now, node));
         let near = (0..in_region)
-            .filter_map(|_| draw(own_region, tried))
-            .chain(draw(own_zone, tried));
-        let far = (0..DRAWS_ELSEWHERE).filter_map(|_| draw(elsewhere, tried));
+            .filter_map(|_| draw(own_region))
+            .chain(draw(own_zone));
+        let far = (0..DRAWS_ELSEWHERE).filter_map(|_| draw(elsewhere));
         match (self.best(now, wish, near), self.best(now, wish, far)) {
             (Some(near), Some(far)) if !leaves_region(wish, near.1, far.1) => Some(near.0),
             (_, Some((far, _))) => {
@@ -234,7 +246,7 @@
             expected += f64::from(seen.link_ms) / 1000.0 * weight;
         }
         expected *= 1.0 + FAILURE_HANDICAP * seen.failures(now);
-        (expected, now < seen.avoid_until)
+        (expected, seen.is_avoided(now))
     }
 
     /// How full a service's targets are in the region of a destination, if that is another one.
@@ -311,6 +323,12 @@
         seen.waiting = occupancy.waiting;
         seen.link_ms = occupancy.link_ms;
         seen.reported_at = now;
+        if occupancy.left_out_ms > 0 {
+            let left_out = Duration::from_millis(u64::from(occupancy.left_out_ms));
+            seen.left_out_until = now + left_out;
+        } else {
+            seen.left_out_until = now;
+        }
         if destination.relation != Relation::OtherRegion {
             return;
         }
@@ -337,6 +355,26 @@
             .avoid_until = now + AVOID;
     }
 
+    /// Whether a node is avoided.
+    fn avoids(&self, now: Time, node: &NodeName) -> bool {
+        let seen = self.seen.borrow();
+        seen.get(node).is_some_and(|seen| seen.is_avoided(now))
+    }
+
+    /// Whether a node's target rejects what it is sent, so that asking it now is in vain. One request now and then is to
+    /// ask all the same, so that it is soon seen when the target takes work again.
+    pub fn is_left_out(&self, now: Time, node: &NodeName) -> bool {
+        let seen = self.seen.borrow();
+        if seen.get(node).is_none_or(|seen| now >= seen.left_out_until) {
+            return false;
+        }
+        let may_ask = now.since(self.asked_left_out_at.get()) >= ASK_LEFT_OUT_EVERY;
+        if may_ask {
+            self.asked_left_out_at.set(now);
+        }
+        !may_ask
+    }
+
     /// Forgets nodes that are gone.
     pub fn retain(&self, known: impl Fn(&NodeName) -> bool) {
         self.seen
@@ -362,8 +400,12 @@
     far + objective * price < near && far < objective
 }
 
-/// One of the destinations that haven't been tried, all alike.
-fn draw<'a>(destinations: &'a [Destination], tried: &[NodeName]) -> Option<&'a Destination> {
+/// One of the destinations that haven't been tried, all alike; one that is avoided only if most of them are.
+fn draw<'a>(
+    destinations: &'a [Destination],
+    tried: &[NodeName],
+    is_avoided: impl Fn(&NodeName) -> bool,
+) -> Option<&'a Destination> {
     if destinations.is_empty() {
         return None;
     }
@@ -371,12 +413,16 @@
     let mut random = rand::rng();
     for _ in 0..DRAWS_AGAIN {
         let drawn = destinations.get(random.random_range(0..destinations.len()));
-        if let Some(drawn) = drawn.filter(is_open) {
+        let drawn = drawn.filter(is_open);
+        if let Some(drawn) = drawn.filter(|drawn| !is_avoided(&drawn.node)) {
             return Some(drawn);
         }
     }
-    // Most of a short list have been tried.
-    let open = destinations.iter().filter(is_open).collect::<Vec<_>>();
+    // Most of them have been tried, or are avoided.
+    let mut open = destinations.iter().filter(is_open).collect::<Vec<_>>();
+    if open.iter().any(|open| !is_avoided(&open.node)) {
+        open.retain(|open| !is_avoided(&open.node));
+    }
     let drawn = random.random_range(0..open.len().max(1));
     open.get(drawn).copied()
 }
--- a/crates/sidecar/src/target_calls.rs
+++ b/crates/sidecar/src/target_calls.rs
@@ -10,6 +10,7 @@
 use wingspar_platform::{TargetLoad, headers, parse_load};
 
 use crate::body::{Body, Keeping};
+use crate::breaker::{Breaker, BreakerChange};
 use crate::clock::whole_millis;
 use crate::connections::{ConnectionBody, SendError};
 use crate::deadline::Deadline;
@@ -74,12 +75,16 @@
     }
     if has_not_run(&response) {
         run.answered();
+        if sheds(&response) {
+            note_breaker(node, |breaker| breaker.rejected(node.now()));
+        }
         return rejected(node, response, &expected, key).await;
     }
     if response.status().is_success() && !is_targets_own(&response) {
         return HopAnswer::MayHaveRun("an answer without the target's signature".to_owned());
     }
     slot.worked();
+    note_breaker(node, Breaker::took);
     match pass_on(node, response, deadline, slot).await {
         HopAnswer::MayHaveRun(detail) if !deadline.is_over() => {
             broken(node, run, &expected, detail).await
@@ -176,6 +181,32 @@
         || response.status() == StatusCode::MISDIRECTED_REQUEST
 }
 
+/// Whether the target rejects a request for want of room and not for what it is.
+fn sheds(response: &Response<ConnectionBody>) -> bool {
+    matches!(
+        response.status(),
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS
+    )
+}
+
+/// Tells the breaker of the target's answer, and the log whether the target is left out from now on. A target that rejects
+/// half of what it is sent changes often, so the lines are bounded as those of requests are.
+fn note_breaker(node: &Node, answered: impl FnOnce(&mut Breaker) -> BreakerChange) {
+    let change = answered(&mut node.breaker.borrow_mut());
+    let dependency = "target";
+    match change {
+        BreakerChange::None => {}
+        BreakerChange::Opened => node.log.write_request(Event::Lost {
+            dependency,
+            detail: "it rejects what it is sent".to_owned(),
+        }),
+        BreakerChange::Closed => node.log.write_request(Event::Regained {
+            dependency,
+            detail: "it takes work again".to_owned(),
+        }),
+    }
+}
+
 fn is_targets_own(response: &Response<ConnectionBody>) -> bool {
     response.headers().contains_key(headers::SIGNATURE)
         && !response.headers().contains_key(CONTENT_ENCODING)
@@ -255,6 +286,7 @@
     node.limit_starts();
     if heard == Heard::NewLife {
         node.unseen_work.borrow_mut().new_life();
+        node.breaker.borrow_mut().new_life();
     }
     let target = node.target.borrow();
     let change = match heard {
--- /dev/null
+++ b/crates/sidecar/tests/breaker.rs
@@ -0,0 +1,325 @@
+//! Targets that reject what they are sent, with and without a breaker beside each, in virtual time.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::ops::Range;
+use std::time::Duration;
+
+use wingspar_ownership::{NodeName, Time};
+use wingspar_sidecar::breaker::{Breaker, BreakerChange};
+use wingspar_sidecar::directory::Destination;
+use wingspar_sidecar::hop::Occupancy;
+use wingspar_sidecar::selection::{Ended, RequestPreference, Selection};
+use wingspar_sidecar::ways::Relation;
+
+const SERVICE: &str = "board";
+const TARGETS: usize = 15;
+const ROUTERS: usize = 20;
+const SLOTS: u32 = 6;
+const RUN_MS: u64 = 90;
+/// Two fifths of what all targets together can do.
+const REQUESTS_PER_S: u64 = 400;
+const LASTS_MS: u64 = 10_000;
+/// While some targets reject.
+const REJECTING_MS: Range<u64> = 3_000..7_000;
+/// Sends of one request that may reach a target, and refusals before one is sent.
+const MOST_SENDS: u32 = 3;
+const MOST_REFUSALS: u32 = 4;
+
+/// How routers learn that a target rejects.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Way {
+    /// Each by its own share of failures.
+    Handicap,
+    /// The node beside the target tells all.
+    Breaker,
+}
+
+/// So many of the targets reject, and that many in ten of their requests.
+#[derive(Debug, Clone, Copy)]
+struct Pattern {
+    name: &'static str,
+    targets: usize,
+    in_ten: u64,
+}
+
+#[derive(Debug, Default, Clone, Copy)]
+struct Tally {
+    callers: u32,
+    served: u32,
+    /// Sends that a target rejected.
+    rejected: u32,
+}
+
+impl Tally {
+    fn served_share(&self) -> f64 {
+        f64::from(self.served) / f64::from(self.callers)
+    }
+}
+
+struct Target {
+    running: u32,
+    breaker: Breaker,
+    opened: u32,
+    arrivals: u64,
+}
+
+struct Model {
+    way: Way,
+    pattern: Pattern,
+    destinations: Vec<Destination>,
+    targets: Vec<Target>,
+    routers: Vec<Selection>,
+    ends: BinaryHeap<Reverse<(u64, usize, usize)>>,
+}
+
+impl Model {
+    fn new(way: Way, pattern: Pattern) -> Self {
+        let destination = |number: usize| Destination {
+            node: NodeName::from(format!("node-{number}").as_str()),
+            zone: "a".to_owned(),
+            address: ([10, 0, 0, 1], 7_000).into(),
+            slots: SLOTS,
+            relation: Relation::SameZone,
+        };
+        let target = |_| Target {
+            running: 0,
+            breaker: Breaker::default(),
+            opened: 0,
+            arrivals: 0,
+        };
+        Self {
+            way,
+            pattern,
+            destinations: (0..TARGETS).map(destination).collect(),
+            targets: (0..TARGETS).map(target).collect(),
+            routers: (0..ROUTERS).map(|_| Selection::default()).collect(),
+            ends: BinaryHeap::new(),
+        }
+    }
+
+    /// What became of the callers while some targets rejected, and after that.
+    fn play(way: Way, pattern: Pattern) -> (Tally, Tally, u32) {
+        let mut model = Self::new(way, pattern);
+        let (mut during, mut after) = (Tally::default(), Tally::default());
+        for caller in 0..LASTS_MS * REQUESTS_PER_S / 1_000 {
+            let now = caller * 1_000 / REQUESTS_PER_S;
+            model.end_until(now);
+            let seen = model.request(now, caller as usize % ROUTERS);
+            let tally = match now {
+                now if REJECTING_MS.contains(&now) => &mut during,
+                now if now >= REJECTING_MS.end => &mut after,
+                _ => continue,
+            };
+            tally.callers += 1;
+            tally.served += seen.served;
+            tally.rejected += seen.rejected;
+        }
+        let opened = model.targets.iter().map(|target| target.opened).sum();
+        (during, after, opened)
+    }
+
+    fn end_until(&mut self, now: u64) {
+        while let Some(Reverse((at, target, router))) = self.ends.peek().copied()
+            && at <= now
+        {
+            self.ends.pop();
+            self.targets[target].running -= 1;
+            let took = Duration::from_millis(RUN_MS);
+            self.ended(at, router, target, Ended::Useful(took));
+        }
+    }
+
+    /// A request is sent until it runs or is given up.
+    fn request(&mut self, now: u64, router: usize) -> Tally {
+        let mut seen = Tally::default();
+        let (mut tried, mut refusals) = (Vec::new(), 0);
+        while seen.rejected < MOST_SENDS && refusals < MOST_REFUSALS {
+            let Some(target) = self.choose(now, router, &tried) else {
+                break;
+            };
+            let node = &self.destinations[target].node;
+            if self.routers[router].is_left_out(Time(now), node) {
+                break;
+            }
+            self.routers[router].sent(&self.destinations[target].node);
+            tried.push(self.destinations[target].node.clone());
+            if !self.has_room(now, target) {
+                refusals += 1;
+                self.ended(now, router, target, Ended::Unknown);
+            } else if self.rejects(now, target) {
+                seen.rejected += 1;
+                self.ended(now, router, target, Ended::Failed);
+            } else {
+                seen.served = 1;
+                self.targets[target].running += 1;
+                self.ends.push(Reverse((now + RUN_MS, target, router)));
+                return seen;
+            }
+        }
+        seen
+    }
+
+    fn choose(&self, now: u64, router: usize, tried: &[NodeName]) -> Option<usize> {
+        let wish = RequestPreference {
+            node: &self.destinations[0].node,
+            service: SERVICE,
+            preference: 1.35,
+            objective: Duration::from_millis(300),
+            large: false,
+        };
+        let chosen = self.routers[router].choose(Time(now), wish, &self.destinations, tried)?;
+        self.destinations
+            .iter()
+            .position(|known| known.node == chosen.node)
+    }
+
+    /// Whether the node beside a target lets a request through.
+    fn has_room(&mut self, now: u64, target: usize) -> bool {
+        let way = self.way;
+        let target = &mut self.targets[target];
+        let is_open = way == Way::Handicap || target.breaker.let_through(Time(now));
+        is_open && target.running < SLOTS
+    }
+
+    fn rejects(&mut self, now: u64, number: usize) -> bool {
+        let target = &mut self.targets[number];
+        target.arrivals += 1;
+        // Ten in a row are spread: 0, 7, 4, 1, 8, 5, 2, 9, 6, 3.
+        let is_rejected = REJECTING_MS.contains(&now)
+            && number < self.pattern.targets
+            && target.arrivals * 7 % 10 < self.pattern.in_ten;
+        if is_rejected {
+            let change = target.breaker.rejected(Time(now));
+            target.opened += u32::from(change == BreakerChange::Opened);
+        } else {
+            target.breaker.took();
+        }
+        is_rejected
+    }
+
+    fn ended(&mut self, now: u64, router: usize, target: usize, ended: Ended) {
+        let known = &self.targets[target];
+        let left_out = match self.way {
+            Way::Handicap => Duration::ZERO,
+            Way::Breaker => known.breaker.left_out_for(),
+        };
+        let occupancy = Occupancy {
+            running: known.running,
+            left_out_ms: left_out.as_millis() as u32,
+            ..Occupancy::default()
+        };
+        let destination = &self.destinations[target];
+        let selection = &self.routers[router];
+        selection.reported(Time(now), SERVICE, destination, occupancy);
+        selection.ended(Time(now), &destination.node, ended);
+    }
+}
+
+const PATTERNS: [Pattern; 4] = [
+    Pattern {
+        name: "most shed all",
+        targets: 13,
+        in_ten: 10,
+    },
+    Pattern {
+        name: "half of them shed all",
+        targets: 8,
+        in_ten: 10,
+    },
+    Pattern {
+        name: "half of them shed half",
+        targets: 8,
+        in_ten: 5,
+    },
+    Pattern {
+        name: "all shed all",
+        targets: 15,
+        in_ten: 10,
+    },
+];
+
+/// Shares of callers may differ by so much between plays of the same pattern.
+const NOISE: f64 = 0.03;
+/// Part of the three seconds afterwards, 0.15 s, that may be lost until routers have seen that targets take work again.
+const NOTICED_WITHIN: f64 = 0.05;
+
+#[test]
+fn with_a_breaker_as_many_are_served_with_fewer_rejected_sends() {
+    for pattern in PATTERNS {
+        let (without, without_after, _) = Model::play(Way::Handicap, pattern);
+        let (with, with_after, opened) = Model::play(Way::Breaker, pattern);
+        println!(
+            "{:24} served {:.3} -> {:.3}, rejected sends {} -> {}, served afterwards {:.3} -> {:.3}, opened {opened}",
+            pattern.name,
+            without.served_share(),
+            with.served_share(),
+            without.rejected,
+            with.rejected,
+            without_after.served_share(),
+            with_after.served_share()
+        );
+        let name = pattern.name;
+        assert!(
+            with.served_share() > without.served_share() - NOISE,
+            "{name}: {without:?} {with:?}"
+        );
+        assert!(
+            with_after.served_share() > without_after.served_share() - NOTICED_WITHIN,
+            "{name}: {without_after:?} {with_after:?}"
+        );
+        if pattern.in_ten == 10 {
+            assert!(
+                with.rejected * 3 < without.rejected,
+                "{name}: {without:?} {with:?}"
+            );
+        }
+    }
+}
+
+#[test]
+fn a_target_that_rejects_one_in_ten_stays_in_use() {
+    let pattern = Pattern {
+        name: "one in ten",
+        targets: TARGETS,
+        in_ten: 1,
+    };
+    let (during, _, opened) = Model::play(Way::Breaker, pattern);
+    assert!(during.served_share() > 0.99, "{during:?}");
+    assert_eq!(opened, 0);
+}
+
+#[test]
+fn a_target_that_rejects_gets_a_bounded_trickle_and_is_back_with_the_first_it_takes() {
+    let mut breaker = Breaker::default();
+    for at in 0..4 {
+        assert_eq!(breaker.rejected(Time(at)), BreakerChange::None);
+        assert!(breaker.let_through(Time(at)));
+    }
+    assert_eq!(breaker.rejected(Time(4)), BreakerChange::Opened);
+    assert!(breaker.refuses(Time(5)));
+    assert_eq!(breaker.left_out_for(), Duration::from_millis(50));
+    let mut through = 0;
+    for at in 5..2_005 {
+        if breaker.let_through(Time(at)) {
+            through += 1;
+            assert_eq!(breaker.rejected(Time(at)), BreakerChange::None);
+        }
+    }
+    assert!((9..=12).contains(&through), "{through} in two seconds");
+    assert_eq!(breaker.left_out_for(), Duration::from_millis(600));
+    assert_eq!(breaker.took(), BreakerChange::Closed);
+    assert!(breaker.let_through(Time(2_005)));
+    assert_eq!(breaker.left_out_for(), Duration::ZERO);
+}
+
+#[test]
+fn another_life_of_the_target_begins_in_use() {
+    let mut breaker = Breaker::default();
+    for _ in 0..5 {
+        breaker.rejected(Time(0));
+    }
+    assert!(breaker.refuses(Time(1)));
+    breaker.new_life();
+    assert!(!breaker.refuses(Time(1)));
+}
--- a/crates/sidecar/tests/regions/model.rs
+++ b/crates/sidecar/tests/regions/model.rs
@@ -425,6 +425,7 @@
             link_ms: 0,
             held_ms: Some(held_ms),
             retry_after_ms: 0,
+            left_out_ms: 0,
         };
         selection.reported(Time(now), SERVICE, &destination, occupancy);
         let on_way = Duration::from_millis(now - sent - u64::from(held_ms));
