Router: what follows a failed send, and having nobody to ask, as functions of their own

No change in behaviour: `send` chose, sent and judged in one function of 80 lines. The rule that "not run" isn't said once a send may have run stood four times and is `not_run_or` now.

--- a/crates/sidecar/src/router/send.rs
+++ b/crates/sidecar/src/router/send.rs
@@ -63,13 +63,7 @@
             return Err(refused_for_good(routed, record));
         }
         let Some(destination) = choose(node, routed, &asked.nodes) else {
-            if record.sends > 0 {
-                return Err(given_up(routed, record));
-            }
-            if is_ruled_out(node, routed) {
-                return Err(Reason::RegionNotAllowed);
-            }
-            wait_for_directory(node, routed).await?;
+            nobody_to_ask(node, routed, record).await?;
             asked.nodes.clear();
             continue;
         };
@@ -91,40 +85,12 @@
                 record.sends += 1;
                 return Ok(response);
             }
-            HopAnswer::Refused(Refusal::Rejected) => {
-                record.sends += 1;
-                note_not_run(routed, record);
-                record.detail = "rejected by the target".to_owned();
-                let reason = if record.may_have_run {
-                    given_up(routed, record)
-                } else {
-                    Reason::Full
-                };
-                after_send(node, routed, record, reason)
-            }
-            HopAnswer::Refused(refusal) => {
+            HopAnswer::Refused(refusal) if refusal != Refusal::Rejected => {
                 asked.refused(&destination.node, refusal, record);
                 note_not_run(routed, record);
                 refused(node, routed, record, &destination, refusal, wait).await
             }
-            HopAnswer::MayHaveRun(detail) => {
-                record.sends += 1;
-                record.may_have_run = true;
-                record.detail = detail;
-                after_lost_send(node, routed, record)
-            }
-            HopAnswer::TargetEnded => {
-                record.sends += 1;
-                record.may_have_run = true;
-                record.targets_ended += 1;
-                record.detail = "the target ended".to_owned();
-                node.selection.avoid(node.now(), &destination.node);
-                if record.targets_ended < ENDS_TO_GIVE_UP {
-                    after_lost_send(node, routed, record)
-                } else {
-                    Next::GiveUp(given_up(routed, record))
-                }
-            }
+            sent => after_failed_send(node, routed, record, &destination, sent),
         };
         match next {
             Next::Again => {}
@@ -140,6 +106,52 @@
     }
 }
 
+/// No node is left that could be asked: waits for another one, or gives up.
+async fn nobody_to_ask(node: &Node, routed: &Routed<'_>, record: &Record) -> Result<(), Reason> {
+    if record.sends > 0 {
+        return Err(given_up(routed, record));
+    }
+    if is_ruled_out(node, routed) {
+        return Err(Reason::RegionNotAllowed);
+    }
+    wait_for_directory(node, routed).await
+}
+
+/// A send has reached a target and came to nothing: whether another may follow.
+fn after_failed_send(
+    node: &Node,
+    routed: &Routed<'_>,
+    record: &mut Record,
+    destination: &Destination,
+    answer: HopAnswer,
+) -> Next {
+    record.sends += 1;
+    match answer {
+        HopAnswer::Answered(_) | HopAnswer::Refused(_) => {
+            note_not_run(routed, record);
+            record.detail = "rejected by the target".to_owned();
+            let reason = not_run_or(routed, record, Reason::Full);
+            after_send(node, routed, record, reason)
+        }
+        HopAnswer::MayHaveRun(detail) => {
+            record.may_have_run = true;
+            record.detail = detail;
+            after_lost_send(node, routed, record)
+        }
+        HopAnswer::TargetEnded => {
+            record.may_have_run = true;
+            record.targets_ended += 1;
+            record.detail = "the target ended".to_owned();
+            node.selection.avoid(node.now(), &destination.node);
+            if record.targets_ended < ENDS_TO_GIVE_UP {
+                after_lost_send(node, routed, record)
+            } else {
+                Next::GiveUp(given_up(routed, record))
+            }
+        }
+    }
+}
+
 /// The nodes that a request without a key has been given to so far.
 #[derive(Debug, Default)]
 struct Asked {
@@ -171,10 +183,15 @@
 /// The reason to give if all targets that could run a request reject what they are sent, as their nodes have told.
 fn all_reject(routed: &Routed<'_>, record: &mut Record) -> Reason {
     record.missing = Some(Cause::Rejected);
+    not_run_or(routed, record, Reason::Full)
+}
+
+/// The reason `not_run`, unless an earlier send may have run: then that would be untrue.
+fn not_run_or(routed: &Routed<'_>, record: &Record, not_run: Reason) -> Reason {
     if record.may_have_run {
         given_up(routed, record)
     } else {
-        Reason::Full
+        not_run
     }
 }
 
@@ -187,11 +204,7 @@
 
 /// The reason to give for a request under which targets ended again and again.
 fn refused_for_good(routed: &Routed<'_>, record: &Record) -> Reason {
-    if record.may_have_run {
-        given_up(routed, record)
-    } else {
-        Reason::Quarantined
-    }
+    not_run_or(routed, record, Reason::Quarantined)
 }
 
 /// The answer to a send was lost: whether another may follow.
@@ -481,12 +494,7 @@
         Refusal::NotOwner | Refusal::Arriving => Reason::NoOwner,
         _ => Reason::NoTarget,
     };
-    // Once a send may have run, "not run" would be untrue.
-    let reason = if record.may_have_run {
-        given_up(routed, record)
-    } else {
-        reason
-    };
+    let reason = not_run_or(routed, record, reason);
     if routed.key.is_none() {
         return match wait {
             Wait::Briefly => Next::Again,
