--- a/crates/sidecar/src/router/mod.rs
+++ b/crates/sidecar/src/router/mod.rs
@@ -17,6 +17,7 @@
 use std::rc::Rc;
 
 use http::header::{EXPECT, HOST};
+use http::request::Parts;
 use http::uri::{Authority, PathAndQuery};
 use http::{HeaderMap, HeaderValue, Method, Request, Response, Uri};
 use tokio::time::{Instant, timeout_at};
@@ -105,6 +106,15 @@
     tenant: Option<TenantTurn>,
 }
 
+/// What the configuration says of a request.
+struct Picked<'a> {
+    route: &'a Route,
+    tenant: Option<RequestTenant>,
+    service: &'a str,
+    key: Option<u16>,
+}
+
+/// Takes a request: *picks* its route and service, *admits* it under its tenant's quota, *reads* its body, and sends it.
 async fn take(
     node: &Rc<Node>,
     table: &RouteTable,
@@ -115,55 +125,17 @@
     let (parts, received) = request.into_parts();
     only_one_id(&parts.headers)?;
     let host = host_of(&parts.uri, &parts.headers).ok_or(Reason::Malformed)?;
-    let route = table.find(&host, parts.uri.path()).ok_or(Reason::NoRoute)?;
-    record.route.clone_from(&route.name);
-    let tenant = authenticate(table, route, &parts.headers)?;
-    if let Some(tenant) = &tenant {
-        record.tenant = tenant.name.to_string();
-    }
-    let service = table
-        .choose_service(route, record.id.as_bytes())
-        .ok_or(Reason::NoTarget)?;
-    record.service = service.to_owned();
-    let keyed = table
-        .configuration()
-        .service(service)
-        .is_some_and(|service| service.keyed);
-    let key = if keyed {
-        hop::key_of(&parts.headers)
-    } else {
-        None
-    };
-    record.key = key;
-    node.budget.borrow_mut().request(node.now(), service);
-    let asked = asked_time(&parts.headers);
-    record.caller_waits_until = Some(arrived + asked);
-    let age = node.caller_ages.borrow_mut().age(&route.name, asked);
-    let times = times(route, asked, age, arrived);
+    let picked = pick(table, &parts, &host, record)?;
+    node.budget.borrow_mut().request(node.now(), picked.service);
+    let times = times_of(node, picked.route, &parts.headers, arrived, record);
     check_length(&parts.headers, table.configuration().limits.body_bytes)?;
-    let permit = match quota::admit(node, tenant.as_ref()).await {
-        Ok(permit) => permit,
-        Err(over) => {
-            record.retry_after = Some(over.retry_after);
-            record.detail = over.refused_by.name().to_owned();
-            return Err(Reason::OverQuota);
-        }
-    };
+    let permit = admit(node, picked.tenant.as_ref(), record).await?;
     let path = parts
         .uri
         .path_and_query()
         .cloned()
         .ok_or(Reason::Malformed)?;
-    let body = match timeout_at(
-        times.deadline.timer(),
-        RequestBody::read(received, KEEP_BODY),
-    )
-    .await
-    {
-        Err(_) => return Err(Reason::NotSentInTime),
-        Ok(Err(_)) => return Err(Reason::BodyCut),
-        Ok(Ok(body)) => body,
-    };
+    let body = read_body(received, &times).await?;
     let fingerprint = Fingerprint::of(&Content {
         method: parts.method.as_str(),
         host: &host,
@@ -172,25 +144,96 @@
         body_length: body_length(&body, &parts.headers),
     });
     record.fingerprint = Some(fingerprint);
+    let tenant = picked.tenant.as_ref();
     let mut routed = Routed {
-        route,
-        service,
-        key,
+        route: picked.route,
+        service: picked.service,
+        key: picked.key,
         method: parts.method,
         path,
-        headers: forwarded_headers(node, parts.headers, &host, tenant.as_ref()),
+        headers: forwarded_headers(node, parts.headers, &host, tenant),
         body,
         times,
         fingerprint,
         permit,
-        allowed_regions: AllowedRegions::new(route, tenant.as_ref()),
-        tenant: tenant
-            .as_ref()
-            .map(|tenant| TenantTurn::new(&tenant.name, tenant.priority)),
+        allowed_regions: AllowedRegions::new(picked.route, tenant),
+        tenant: tenant.map(|tenant| TenantTurn::new(&tenant.name, tenant.priority)),
     };
     send(node, &mut routed, record).await
 }
 
+/// Picks a request's route, tenant, service and key, as far as the configuration lets it through.
+fn pick<'a>(
+    table: &'a RouteTable,
+    parts: &Parts,
+    host: &str,
+    record: &mut Record,
+) -> Result<Picked<'a>, Reason> {
+    let route = table.find(host, parts.uri.path()).ok_or(Reason::NoRoute)?;
+    record.route.clone_from(&route.name);
+    let tenant = authenticate(table, route, &parts.headers)?;
+    if let Some(tenant) = &tenant {
+        record.tenant = tenant.name.to_string();
+    }
+    let service = table
+        .choose_service(route, record.id.as_bytes())
+        .ok_or(Reason::NoTarget)?;
+    record.service = service.to_owned();
+    let keyed = table
+        .configuration()
+        .service(service)
+        .is_some_and(|service| service.keyed);
+    let key = if keyed {
+        hop::key_of(&parts.headers)
+    } else {
+        None
+    };
+    record.key = key;
+    Ok(Picked {
+        route,
+        tenant,
+        service,
+        key,
+    })
+}
+
+/// The times of a request, by what its caller gives and has waited before.
+fn times_of(
+    node: &Node,
+    route: &Route,
+    headers: &HeaderMap,
+    arrived: Instant,
+    record: &mut Record,
+) -> Times {
+    let asked = asked_time(headers);
+    record.caller_waits_until = Some(arrived + asked);
+    let age = node.caller_ages.borrow_mut().age(&route.name, asked);
+    times(route, asked, age, arrived)
+}
+
+/// Takes a token of the tenant's quota, if it has one.
+async fn admit(
+    node: &Rc<Node>,
+    tenant: Option<&RequestTenant>,
+    record: &mut Record,
+) -> Result<Permit, Reason> {
+    quota::admit(node, tenant).await.map_err(|over| {
+        record.retry_after = Some(over.retry_after);
+        record.detail = over.refused_by.name().to_owned();
+        Reason::OverQuota
+    })
+}
+
+/// Reads as much of a body as is kept, until the request's deadline.
+async fn read_body(received: Body, times: &Times) -> Result<RequestBody, Reason> {
+    let read = RequestBody::read(received, KEEP_BODY);
+    match timeout_at(times.deadline.timer(), read).await {
+        Err(_) => Err(Reason::NotSentInTime),
+        Ok(Err(_)) => Err(Reason::BodyCut),
+        Ok(Ok(body)) => Ok(body),
+    }
+}
+
 fn only_one_id(headers: &HeaderMap) -> Result<(), Reason> {
     let mut ids = headers.get_all(headers::REQUEST_ID).iter();
     match (ids.next(), ids.next()) {
