Breaker: sends count in the order in which they went out

A rejection is answered at once, and what a target takes is answered when it is done. Counted by answers, five rejections in a row were seen at a target that took every other request, and the answer of a request from before closed the breaker again 1 to 130 ms later (seen in a node's log beside a target that rejects about half, seven times in three seconds at two nodes). Now each send has a number; the breaker opens when the last eight sends are all rejected, so that one that still runs prevents it, and only a send that went out after that closes it.

--- a/crates/sidecar/src/agent.rs
+++ b/crates/sidecar/src/agent.rs
@@ -69,11 +69,11 @@
     if is_link_busy(node, &hop) {
         return HopAnswer::Refused(Refusal::LinkBusy);
     }
-    if !node.breaker.borrow_mut().let_through(node.now()) {
+    let Some(number) = node.breaker.borrow_mut().let_through(node.now()) else {
         return HopAnswer::Refused(Refusal::Full);
-    }
+    };
     let _answer_to_come = hop.transfer.map(|_| node.link.expect());
-    run(node, hop, slot).await
+    run(node, hop, slot, number).await
 }
 
 /// Waits for a slot, and notes how long that took.
--- a/crates/sidecar/src/breaker.rs
+++ b/crates/sidecar/src/breaker.rs
@@ -7,13 +7,14 @@
 //!
 //! Decisions only: no clock, no timers.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use wingspar_ownership::Time;
 
-/// Rejections in a row that open the breaker. A target that rejects one in ten opens it once in a hundred thousand
-/// requests; one that rejects half, and still serves half, once in some sixty.
-const REJECTIONS_TO_OPEN: u32 = 5;
+/// Sends in a row that open the breaker if all of them are rejected. A target that rejects half, and still serves half,
+/// opens it once in some five hundred sends; one that rejects one in ten, hardly ever.
+const REJECTIONS_TO_OPEN: usize = 8;
 /// Pause before the first request goes through again: what opening by chance costs.
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 /// Longest pause between two of them: so late at most is it noticed that the target takes work again.
@@ -33,16 +34,32 @@
     Closed,
 }
 
+/// Names a send to the target; later ones are larger.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct SendNumber(u64);
+
+/// A send, and whether the target has rejected it. A rejection comes at once, and what the target takes shows only when it
+/// is done: so sends count in the order in which they went out.
+#[derive(Debug, Clone, Copy)]
+struct LastSend {
+    number: SendNumber,
+    is_rejected: bool,
+}
+
 /// The breaker of one target.
 #[derive(Debug, Default)]
 pub struct Breaker {
-    rejections_in_a_row: u32,
+    sends: u64,
+    /// The last sends, the latest at the end.
+    last: VecDeque<LastSend>,
     open: Option<Open>,
 }
 
 /// While the target is left out.
 #[derive(Debug, Clone, Copy)]
 struct Open {
+    /// The first send after it was opened.
+    first: SendNumber,
     pause: Duration,
     next_probe_at: Time,
     /// For how long routers leave the target out.
@@ -50,13 +67,19 @@
 }
 
 impl Breaker {
-    /// The target has rejected a request since it sheds load.
-    pub fn rejected(&mut self, now: Time) -> BreakerChange {
-        self.rejections_in_a_row = self.rejections_in_a_row.saturating_add(1);
-        if self.open.is_some() || self.rejections_in_a_row < REJECTIONS_TO_OPEN {
+    /// The target has rejected a send since it sheds load.
+    pub fn rejected(&mut self, now: Time, number: SendNumber) -> BreakerChange {
+        let send = self.last.iter_mut().find(|send| send.number == number);
+        if let Some(send) = send {
+            send.is_rejected = true;
+        }
+        let all_rejected =
+            self.last.len() == REJECTIONS_TO_OPEN && self.last.iter().all(|send| send.is_rejected);
+        if self.open.is_some() || !all_rejected {
             return BreakerChange::None;
         }
         self.open = Some(Open {
+            first: SendNumber(self.sends),
             pause: FIRST_PAUSE,
             next_probe_at: now + FIRST_PAUSE,
             left_out: FIRST_PAUSE,
@@ -64,18 +87,20 @@
         BreakerChange::Opened
     }
 
-    /// The target has taken a request.
-    pub fn took(&mut self) -> BreakerChange {
-        self.rejections_in_a_row = 0;
-        match self.open.take() {
-            Some(_) => BreakerChange::Closed,
-            None => BreakerChange::None,
+    /// The target has taken a send. One that went out before the breaker opened doesn't show that it still does.
+    pub fn took(&mut self, number: SendNumber) -> BreakerChange {
+        if self.open.is_some_and(|open| number >= open.first) {
+            self.open = None;
+            self.last.clear();
+            return BreakerChange::Closed;
         }
+        BreakerChange::None
     }
 
     /// Another life of the target has begun, of which nothing is known.
     pub fn new_life(&mut self) {
-        *self = Self::default();
+        self.open = None;
+        self.last.clear();
     }
 
     /// Whether a request that arrives is refused.
@@ -85,17 +110,25 @@
 
     /// Lets a request that has its slot go to the target, or refuses it. While the target is left out, one that goes
     /// through is the only one for a while.
-    pub fn let_through(&mut self, now: Time) -> bool {
-        let Some(open) = &mut self.open else {
-            return true;
-        };
-        if now < open.next_probe_at {
-            return false;
+    pub fn let_through(&mut self, now: Time) -> Option<SendNumber> {
+        if let Some(open) = &mut self.open {
+            if now < open.next_probe_at {
+                return None;
+            }
+            open.pause = (open.pause * 2).min(LONGEST_PAUSE);
+            open.next_probe_at = now + open.pause;
+            open.left_out = (open.left_out * 2).min(LONGEST_LEFT_OUT);
+        }
+        let number = SendNumber(self.sends);
+        self.sends += 1;
+        if self.last.len() >= REJECTIONS_TO_OPEN {
+            self.last.pop_front();
         }
-        open.pause = (open.pause * 2).min(LONGEST_PAUSE);
-        open.next_probe_at = now + open.pause;
-        open.left_out = (open.left_out * 2).min(LONGEST_LEFT_OUT);
-        true
+        self.last.push_back(LastSend {
+            number,
+            is_rejected: false,
+        });
+        Some(number)
     }
 
     /// For how long routers should leave the target out.
--- a/crates/sidecar/src/target_calls.rs
+++ b/crates/sidecar/src/target_calls.rs
@@ -10,7 +10,7 @@
 use wingspar_platform::{TargetLoad, headers, parse_load};
 
 use crate::body::{Body, Keeping};
-use crate::breaker::{Breaker, BreakerChange};
+use crate::breaker::{Breaker, BreakerChange, SendNumber};
 use crate::clock::whole_millis;
 use crate::connections::{ConnectionBody, SendError};
 use crate::deadline::Deadline;
@@ -37,9 +37,9 @@
 /// one request, and the questions take less than a slot in a hundred.
 const LOAD_STEP: Duration = Duration::from_millis(400);
 
-/// Sends a request to the target; the caller has checked that it may start. The slot stays in use
+/// Sends a request to the target under that number; the caller has checked that it may start. The slot stays in use
 /// until the answer has ended.
-pub async fn run(node: &Rc<Node>, hop: HopRequest, slot: Slot) -> HopAnswer {
+pub async fn run(node: &Rc<Node>, hop: HopRequest, slot: Slot, number: SendNumber) -> HopAnswer {
     let Some(expected) = node.target.borrow().id().map(str::to_owned) else {
         return HopAnswer::Refused(Refusal::NoTarget);
     };
@@ -76,7 +76,7 @@
     if has_not_run(&response) {
         run.answered();
         if sheds(&response) {
-            note_breaker(node, |breaker| breaker.rejected(node.now()));
+            note_breaker(node, |breaker| breaker.rejected(node.now(), number));
         }
         return rejected(node, response, &expected, key).await;
     }
@@ -84,7 +84,7 @@
         return HopAnswer::MayHaveRun("an answer without the target's signature".to_owned());
     }
     slot.worked();
-    note_breaker(node, Breaker::took);
+    note_breaker(node, |breaker| breaker.took(number));
     match pass_on(node, response, deadline, slot).await {
         HopAnswer::MayHaveRun(detail) if !deadline.is_over() => {
             broken(node, run, &expected, detail).await
