--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -9,6 +9,7 @@
 mod agent;
 mod answer;
 pub mod body;
+pub mod breaker;
 pub mod budget;
 pub mod caller_age;
 pub mod clock;
@@ -21,6 +22,7 @@
 pub mod deadline;
 pub mod directory;
 pub mod evacuation;
+pub mod expected_return;
 pub mod folded;
 mod follow;
 mod heartbeats;
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -14,6 +14,7 @@
 use wingspar_quarantine::{InFlight, Quarantine};
 use wingspar_routes::RouteTable;
 
+use crate::breaker::Breaker;
 use crate::budget::Budget;
 use crate::caller_age::CallerAges;
 use crate::clock::{Clock, whole_millis};
@@ -22,6 +23,7 @@
 use crate::connections::Connections;
 use crate::directory::Directory;
 use crate::evacuation::{Evacuations, OwnZone};
+use crate::expected_return::ExpectedReturns;
 use crate::key_load::KeyLoad;
 use crate::link::Link;
 use crate::logs::{Event, Log};
@@ -109,6 +111,8 @@
     pub quotas: Quotas,
     /// Its slots.
     pub slots: Rc<Slots>,
+    /// Whether the target rejects what it is sent.
+    pub breaker: RefCell<Breaker>,
     /// Work at the target that nobody here waits for.
     pub unseen_work: RefCell<UnseenWork>,
     /// Told when such work leaves fewer slots than the target has.
@@ -147,6 +151,8 @@
     pub relays: RefCell<Relays>,
     /// Services whose requests leave the region.
     pub spill_over: RefCell<SpillOver>,
+    /// How long requests can't be run where an owner, a target or a configuration is missing.
+    pub expected_returns: RefCell<ExpectedReturns>,
     /// How long callers have waited already.
     pub caller_ages: RefCell<CallerAges>,
     /// Extra sends.
@@ -196,6 +202,7 @@
             quarantine: RefCell::default(),
             quotas: Quotas::new(life, Duration::from_millis(now.0), &settings.bounds),
             slots: Slots::new(!settings.node.first_start),
+            breaker: RefCell::default(),
             unseen_work: RefCell::new(UnseenWork::new(!settings.node.first_start)),
             slots_reduced: Notify::new(),
             link: Link::new(settings.node.link_mbps),
@@ -218,6 +225,7 @@
             selection: Selection::new(Places::of(&settings)),
             relays: RefCell::default(),
             spill_over: RefCell::default(),
+            expected_returns: RefCell::new(ExpectedReturns::new(timing)),
             caller_ages: RefCell::default(),
             budget: RefCell::new(Budget::new(
                 settings.bounds.budget_ratio,
--- /dev/null
+++ b/crates/sidecar/src/router/come_back.rs
@@ -0,0 +1,99 @@
+//! What a refused caller is told of when to come back.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+use wingspar_ownership::NodeName;
+
+use super::record::Record;
+use crate::answer::{LONGEST_SPREAD, Reason};
+use crate::expected_return::{Cause, Wanted};
+use crate::hop::{HopAnswer, Occupancy, Refusal};
+use crate::node::Node;
+
+/// Some requests have left a full target by then, if its node, of an earlier version, didn't tell.
+const ROOM_UNTOLD: Duration = Duration::from_millis(150);
+
+/// When the caller of a refused request may come back; nothing if it shouldn't, or if the request may have run.
+pub fn retry_after(node: &Node, reason: Reason, record: &Record) -> Option<Duration> {
+    let usual_cause = match reason {
+        Reason::NoConfiguration => Cause::NoConfiguration,
+        Reason::NoTarget | Reason::RegionNotAllowed => Cause::NoTarget,
+        Reason::NoOwner => Cause::NoOwner,
+        Reason::Full | Reason::NotSentInTime => match record.missing {
+            Some(cause) => cause,
+            None => return record.retry_after.or(Some(ROOM_UNTOLD)),
+        },
+        _ => return record.retry_after,
+    };
+    let cause = record.missing.unwrap_or(usual_cause);
+    let wanted = Wanted {
+        service: &record.service,
+        key: record.key,
+    };
+    let now = node.now();
+    let mut returns = node.expected_returns.borrow_mut();
+    if record.missing.is_none() || record.key.is_none() {
+        returns.refused(now, wanted, cause, None);
+    }
+    let patience = record.caller_waits_until.map_or(Duration::MAX, |until| {
+        let left = until.saturating_duration_since(Instant::now());
+        left.div_f64(LONGEST_SPREAD)
+    });
+    let lease_until = node.participant.borrow().lease_until();
+    let leader_heard_at = lease_until.before(returns.timing().lease);
+    Some(returns.retry_after(now, wanted, cause, patience, leader_heard_at))
+}
+
+/// Takes in what a node's answer shows of who can run requests of that kind.
+pub fn note_answer(
+    node: &Node,
+    record: &mut Record,
+    asked: &NodeName,
+    answer: &HopAnswer,
+    occupancy: Option<Occupancy>,
+) {
+    let now = node.now();
+    let mut returns = node.expected_returns.borrow_mut();
+    if occupancy.is_some() {
+        returns.heard(asked);
+    } else {
+        returns.silent(now, asked);
+    }
+    let is_left_out = occupancy.is_some_and(|occupancy| occupancy.left_out_ms > 0);
+    let is_keyed = record.key.is_some();
+    record.missing = match answer {
+        HopAnswer::Refused(Refusal::Full | Refusal::Rejected) if is_left_out => {
+            Some(Cause::Rejected)
+        }
+        HopAnswer::Refused(refusal) if is_keyed => missing(*refusal),
+        _ => None,
+    };
+    let wanted = Wanted {
+        service: &record.service,
+        key: record.key,
+    };
+    match (record.missing, answer) {
+        // One of several targets says nothing of the others.
+        (Some(_), _) if !is_keyed => {}
+        (Some(cause), _) => returns.refused(now, wanted, cause, Some(asked)),
+        (None, HopAnswer::Answered(_)) => returns.served(now, wanted),
+        // The owner is there, though it has no room.
+        (None, HopAnswer::Refused(_)) if is_keyed => returns.served(now, wanted),
+        (None, _) => {}
+    }
+}
+
+/// What is missing if the owner of a request's key refuses it.
+fn missing(refusal: Refusal) -> Option<Cause> {
+    match refusal {
+        Refusal::Unreachable => Some(Cause::OwnerLost),
+        // The node is there and tells the leader, which needn't wait for its lease to end.
+        Refusal::NotOwner
+        | Refusal::Arriving
+        | Refusal::Leaving
+        | Refusal::Evacuated
+        | Refusal::NoTarget => Some(Cause::HandOver),
+        _ => None,
+    }
+}
--- a/crates/sidecar/src/router/send.rs
+++ b/crates/sidecar/src/router/send.rs
@@ -9,6 +9,7 @@
 use wingspar_routes::Repeatability;
 
 use super::Routed;
+use super::come_back::note_answer;
 use super::record::Record;
 use super::timing::patience_beside_others;
 use crate::agent;
@@ -16,6 +17,7 @@
 use crate::body::Body;
 use crate::clock::whole_millis;
 use crate::directory::Destination;
+use crate::expected_return::Cause;
 use crate::hop::{self, HopAnswer, HopRequest, Occupancy, Refusal};
 use crate::logs::Event;
 use crate::metrics::RelationLabel;
@@ -61,16 +63,18 @@
             return Err(refused_for_good(routed, record));
         }
         let Some(destination) = choose(node, routed, &asked.nodes) else {
-            if record.sends > 0 {
-                return Err(given_up(routed, record));
-            }
-            if is_ruled_out(node, routed) {
-                return Err(Reason::RegionNotAllowed);
-            }
-            wait_for_directory(node, routed).await?;
+            nobody_to_ask(node, routed, record).await?;
             asked.nodes.clear();
             continue;
         };
+        if node.selection.is_left_out(node.now(), &destination.node) {
+            // Those that are merely full are waited for rather than ask one that rejects.
+            if asked.ask_full_ones_again(destination.node) {
+                asked.refusals = MOST_REFUSALS;
+                continue;
+            }
+            return Err(all_reject(routed, record));
+        }
         record.node = destination.node.to_string();
         record.left_region |= routed.key.is_none() && destination.relation == Relation::OtherRegion;
         let wait = wait_here(node, routed, asked.refusals);
@@ -81,40 +85,12 @@
                 record.sends += 1;
                 return Ok(response);
             }
-            HopAnswer::Refused(Refusal::Rejected) => {
-                record.sends += 1;
-                note_not_run(routed, record);
-                record.detail = "rejected by the target".to_owned();
-                let reason = if record.may_have_run {
-                    given_up(routed, record)
-                } else {
-                    Reason::Full
-                };
-                after_send(node, routed, record, reason)
-            }
-            HopAnswer::Refused(refusal) => {
-                asked.refused(&destination.node, refusal);
+            HopAnswer::Refused(refusal) if refusal != Refusal::Rejected => {
+                asked.refused(&destination.node, refusal, record);
                 note_not_run(routed, record);
                 refused(node, routed, record, &destination, refusal, wait).await
             }
-            HopAnswer::MayHaveRun(detail) => {
-                record.sends += 1;
-                record.may_have_run = true;
-                record.detail = detail;
-                after_lost_send(node, routed, record)
-            }
-            HopAnswer::TargetEnded => {
-                record.sends += 1;
-                record.may_have_run = true;
-                record.targets_ended += 1;
-                record.detail = "the target ended".to_owned();
-                node.selection.avoid(node.now(), &destination.node);
-                if record.targets_ended < ENDS_TO_GIVE_UP {
-                    after_lost_send(node, routed, record)
-                } else {
-                    Next::GiveUp(given_up(routed, record))
-                }
-            }
+            sent => after_failed_send(node, routed, record, &destination, sent),
         };
         match next {
             Next::Again => {}
@@ -130,6 +106,52 @@
     }
 }
 
+/// No node is left that could be asked: waits for another one, or gives up.
+async fn nobody_to_ask(node: &Node, routed: &Routed<'_>, record: &Record) -> Result<(), Reason> {
+    if record.sends > 0 {
+        return Err(given_up(routed, record));
+    }
+    if is_ruled_out(node, routed) {
+        return Err(Reason::RegionNotAllowed);
+    }
+    wait_for_directory(node, routed).await
+}
+
+/// A send has reached a target and came to nothing: whether another may follow.
+fn after_failed_send(
+    node: &Node,
+    routed: &Routed<'_>,
+    record: &mut Record,
+    destination: &Destination,
+    answer: HopAnswer,
+) -> Next {
+    record.sends += 1;
+    match answer {
+        HopAnswer::Answered(_) | HopAnswer::Refused(_) => {
+            note_not_run(routed, record);
+            record.detail = "rejected by the target".to_owned();
+            let reason = not_run_or(routed, record, Reason::Full);
+            after_send(node, routed, record, reason)
+        }
+        HopAnswer::MayHaveRun(detail) => {
+            record.may_have_run = true;
+            record.detail = detail;
+            after_lost_send(node, routed, record)
+        }
+        HopAnswer::TargetEnded => {
+            record.may_have_run = true;
+            record.targets_ended += 1;
+            record.detail = "the target ended".to_owned();
+            node.selection.avoid(node.now(), &destination.node);
+            if record.targets_ended < ENDS_TO_GIVE_UP {
+                after_lost_send(node, routed, record)
+            } else {
+                Next::GiveUp(given_up(routed, record))
+            }
+        }
+    }
+}
+
 /// The nodes that a request without a key has been given to so far.
 #[derive(Debug, Default)]
 struct Asked {
@@ -141,9 +163,9 @@
 }
 
 impl Asked {
-    fn refused(&mut self, node: &NodeName, refusal: Refusal) {
+    fn refused(&mut self, node: &NodeName, refusal: Refusal, record: &Record) {
         self.refusals += 1;
-        if refusal == Refusal::Full {
+        if refusal == Refusal::Full && record.missing != Some(Cause::Rejected) {
             self.full.push(node.clone());
         }
     }
@@ -158,6 +180,21 @@
     }
 }
 
+/// The reason to give if all targets that could run a request reject what they are sent, as their nodes have told.
+fn all_reject(routed: &Routed<'_>, record: &mut Record) -> Reason {
+    record.missing = Some(Cause::Rejected);
+    not_run_or(routed, record, Reason::Full)
+}
+
+/// The reason `not_run`, unless an earlier send may have run: then that would be untrue.
+fn not_run_or(routed: &Routed<'_>, record: &Record, not_run: Reason) -> Reason {
+    if record.may_have_run {
+        given_up(routed, record)
+    } else {
+        not_run
+    }
+}
+
 /// A send has certainly not run: unless an earlier one may have, the request doesn't count against its quota.
 fn note_not_run(routed: &Routed<'_>, record: &Record) {
     if !record.may_have_run {
@@ -167,11 +204,7 @@
 
 /// The reason to give for a request under which targets ended again and again.
 fn refused_for_good(routed: &Routed<'_>, record: &Record) -> Reason {
-    if record.may_have_run {
-        given_up(routed, record)
-    } else {
-        Reason::Quarantined
-    }
+    not_run_or(routed, record, Reason::Quarantined)
 }
 
 /// The answer to a send was lost: whether another may follow.
@@ -349,6 +382,7 @@
             record.retry_after = Some(Duration::from_millis(queue_ends));
         }
     }
+    note_answer(node, record, &destination.node, &answer, occupancy);
     let on_way = occupancy.and_then(|occupancy| outstanding.on_way(occupancy));
     if !is_here {
         note_reach(node, destination, on_way, &answer);
@@ -460,12 +494,7 @@
         Refusal::NotOwner | Refusal::Arriving => Reason::NoOwner,
         _ => Reason::NoTarget,
     };
-    // Once a send may have run, "not run" would be untrue.
-    let reason = if record.may_have_run {
-        given_up(routed, record)
-    } else {
-        reason
-    };
+    let reason = not_run_or(routed, record, reason);
     if routed.key.is_none() {
         return match wait {
             Wait::Briefly => Next::Again,
