Demonstration: its program is built with the workspace's features; the short play shows that its promises were at stake

Cause: cargo built the program `wingspar` with the features of its package alone, so what it shares with the demonstration was compiled again, silently: over a minute on this machine.

The test of the short play now reads what was seen and checks that each promise could have been broken: two owners of the key, work that may run once, refusals, a tenant over its quota, a drained target that had run work. A machine's `Place` is a `Location`, since what is emptied is a `Place` too.

--- a/crates/rehearse/src/demo/build.rs
+++ b/crates/rehearse/src/demo/build.rs
@@ -12,20 +12,16 @@
 const PACKAGE: &str = "CARGO_MANIFEST_DIR";
 
 /// The program; where cargo runs the demonstration, it brings the program up to date first.
-pub(super) fn program() -> Result<PathBuf, DemoError> {
+pub(super) fn program(progress: &dyn Fn(&str)) -> Result<PathBuf, DemoError> {
     let own = env::current_exe()?;
     let folder = own.parent().unwrap_or(Path::new("."));
     if let (Some(cargo), Some(package)) = (env::var_os(CARGO), env::var_os(PACKAGE)) {
+        progress("cargo brings the program wingspar up to date");
         let mut build = Command::new(cargo);
+        // Of the whole workspace, as cargo has built this program: with the features of one package alone, cargo would
+        // compile what both share again.
         build
-            .args([
-                "build",
-                "--quiet",
-                "--package",
-                "wingspar",
-                "--bin",
-                "wingspar",
-            ])
+            .args(["build", "--workspace", "--bin", "wingspar"])
             .arg("--manifest-path")
             .arg(Path::new(&package).join("Cargo.toml"));
         if let Some(target) = folder.parent() {
--- a/crates/rehearse/src/demo/deployment.rs
+++ b/crates/rehearse/src/demo/deployment.rs
@@ -11,7 +11,7 @@
 
 use super::DemoError;
 use super::evidence::{QuotaBound, Run};
-use super::machine::{Machine, Place};
+use super::machine::{Location, Machine};
 
 /// The service whose keys have owners.
 pub(super) const KEYED: &str = "stock";
@@ -104,7 +104,7 @@
             for (service, keyed) in [(KEYED, true), (PLAIN, false)] {
                 let number = machines.len() as u8;
                 let ip = Ipv4Addr::new(127, high, low, number + 1);
-                let place = Place {
+                let location = Location {
                     number,
                     ip,
                     zone,
@@ -112,7 +112,7 @@
                     service,
                     keyed,
                 };
-                machines.push(Machine::start(place, &folder.0).await?);
+                machines.push(Machine::start(location, &folder.0).await?);
             }
         }
         let mut deployment = Self {
@@ -235,7 +235,7 @@
     pub(super) fn runs(&self, began_at: Instant) -> Vec<Run> {
         let mut runs = Vec::new();
         for machine in &self.machines {
-            let zone = machine.place.zone;
+            let zone = machine.location.zone;
             for ended in &machine.ended_targets {
                 runs.extend(
                     ended
--- a/crates/rehearse/src/demo/load.rs
+++ b/crates/rehearse/src/demo/load.rs
@@ -22,7 +22,7 @@
 /// A caller gives up then, when nothing came at all.
 const GIVES_UP: Duration = Duration::from_secs(4);
 /// Keys that are asked for, evenly spread over the key space.
-pub(super) const KEYS: u16 = 64;
+const KEYS: u16 = 64;
 /// Every so many requests of the steady load are the tenant's with the quota.
 const GUEST_EVERY: u64 = 10;
 
--- a/crates/rehearse/src/demo/machine.rs
+++ b/crates/rehearse/src/demo/machine.rs
@@ -26,7 +26,7 @@
 
 /// Where a machine is and what it serves.
 #[derive(Debug, Clone)]
-pub(super) struct Place {
+pub(super) struct Location {
     pub(super) number: u8,
     pub(super) ip: Ipv4Addr,
     pub(super) zone: &'static str,
@@ -60,7 +60,7 @@
 
 /// One machine.
 pub(super) struct Machine {
-    pub(super) place: Place,
+    pub(super) location: Location,
     pub(super) target: Option<FleetTarget>,
     pub(super) ended_targets: Vec<EndedTarget>,
     /// Whether the target says that it takes new work.
@@ -73,12 +73,12 @@
 
 impl fmt::Display for Machine {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Place {
+        let Location {
             zone,
             region,
             service,
             ..
-        } = &self.place;
+        } = &self.location;
         let (name, address) = (self.name(), self.entrance());
         write!(
             formatter,
@@ -89,11 +89,11 @@
 
 impl Machine {
     /// Starts the machine's target; its process isn't started.
-    pub(super) async fn start(place: Place, folder: &Path) -> Result<Self, DemoError> {
+    pub(super) async fn start(location: Location, folder: &Path) -> Result<Self, DemoError> {
         let mut machine = Self {
-            target_address: SocketAddr::new(IpAddr::V4(place.ip), 0),
-            settings: folder.join(format!("node-{}.toml", place.number)),
-            place,
+            target_address: SocketAddr::new(IpAddr::V4(location.ip), 0),
+            settings: folder.join(format!("node-{}.toml", location.number)),
+            location,
             target: None,
             ended_targets: Vec::new(),
             accepting: true,
@@ -106,7 +106,7 @@
 
     /// Name of its node.
     pub(super) fn name(&self) -> String {
-        format!("node-{}", self.place.number)
+        format!("node-{}", self.location.number)
     }
 
     /// Where callers send requests.
@@ -120,13 +120,13 @@
     }
 
     fn socket(&self, port: u16) -> SocketAddr {
-        SocketAddr::new(IpAddr::V4(self.place.ip), port)
+        SocketAddr::new(IpAddr::V4(self.location.ip), port)
     }
 
     /// Starts the next life of its target, at the address of the one before.
     pub(super) async fn start_target(&mut self) -> Result<(), DemoError> {
-        let id = format!("target-{}-{}", self.place.number, self.lives);
-        let target = FleetTarget::start(self.target_address, &id, self.place.keyed).await?;
+        let id = format!("target-{}-{}", self.location.number, self.lives);
+        let target = FleetTarget::start(self.target_address, &id, self.location.keyed).await?;
         self.target_address = target.local_addr();
         self.target = Some(target);
         self.accepting = true;
@@ -167,9 +167,9 @@
         zones: &[(&str, &str)],
         first_start: bool,
     ) -> String {
-        let Place {
+        let Location {
             ip, zone, service, ..
-        } = &self.place;
+        } = &self.location;
         let (name, target) = (self.name(), self.target_address);
         let (outbound, ready, heartbeats) =
             (self.entrance(), self.ready(), self.socket(HEARTBEAT_PORT));
@@ -236,7 +236,7 @@
         let state = if self.accepting { "ready" } else { "draining" };
         let body = json!({
             "address": target.local_addr().to_string(),
-            "info": {"service": self.place.service, "version": "v1", "zone": self.place.zone, "capacity": 8},
+            "info": {"service": self.location.service, "version": "v1", "zone": self.location.zone, "capacity": 8},
             "status": {"state": state, "seq": sequence, "warmup_left_s": 0.0},
         });
         Some((url, body))
--- a/crates/rehearse/src/demo/mod.rs
+++ b/crates/rehearse/src/demo/mod.rs
@@ -43,7 +43,7 @@
 /// # Errors
 /// When the deployment can't be started, or a process of it can't be started again.
 pub async fn play(short: bool, progress: &dyn Fn(&str)) -> Result<Evidence, DemoError> {
-    let program = build::program()?;
+    let program = build::program(progress)?;
     let mut deployment = Deployment::start(&program).await?;
     for machine in &deployment.machines {
         progress(&format!("        {machine}"));
--- a/crates/rehearse/src/demo/steps.rs
+++ b/crates/rehearse/src/demo/steps.rs
@@ -187,7 +187,7 @@
         let machines = &mut self.deployment.machines;
         let plain = machines
             .iter()
-            .position(|machine| machine.place.service == PLAIN);
+            .position(|machine| machine.location.service == PLAIN);
         let drained = plain.unwrap_or_default();
         machines[drained].accepting = false;
         let id = machines[drained].target.as_ref().map(|target| target.id());
--- a/crates/rehearse/tests/demo.rs
+++ b/crates/rehearse/tests/demo.rs
@@ -1,5 +1,6 @@
 //! The demonstration: played short with real processes, and its verdict on recorded violations.
 
+use std::collections::BTreeSet;
 use std::fs;
 use std::io::{BufRead, BufReader};
 use std::path::{Path, PathBuf};
@@ -42,9 +43,14 @@
 
 #[test]
 fn the_short_demonstration_keeps_all_promises_and_leaves_nothing_behind() {
-    let page = std::env::temp_dir().join(format!("wingspar-page-{}.html", std::process::id()));
+    let written = std::env::temp_dir().join(format!("wingspar-written-{}", std::process::id()));
+    let (page, saved) = (
+        written.with_extension("html"),
+        written.with_extension("json"),
+    );
     let mut command = demo();
     let command = command.args(["--short", "--html"]).arg(&page);
+    let command = command.arg("--save").arg(&saved);
     let child = command.stdout(Stdio::piped()).spawn().unwrap();
     let id = child.id();
     let output = child.wait_with_output().unwrap();
@@ -61,9 +67,42 @@
     let html = fs::read_to_string(&page).unwrap();
     fs::remove_file(&page).unwrap();
     assert!(html.contains("<svg"));
+    let seen = fs::read_to_string(&saved).unwrap();
+    fs::remove_file(&saved).unwrap();
+    assert_promises_were_at_stake(&serde_json::from_str(&seen).unwrap());
     assert_nothing_left(id);
 }
 
+/// Each promise could have been broken by what was seen.
+fn assert_promises_were_at_stake(evidence: &Evidence) {
+    let runs = || evidence.runs.iter();
+    let owners = runs().filter(|run| run.key == Some(0) && run.fence.is_some());
+    let owners = owners.map(|run| &run.target).collect::<BTreeSet<_>>();
+    assert!(owners.len() > 1, "{owners:?}");
+    let answers = || evidence.answers.iter();
+    let once = answers().filter(|answer| !answer.repeatable && answer.own);
+    assert!(once.count() > 100);
+    let not_run = answers().filter(|answer| !answer.repeatable && answer.status == Some(503));
+    assert!(not_run.count() > 0);
+    let over_quota = answers().filter(|answer| answer.status == Some(429));
+    assert!(over_quota.count() > 100);
+    let of_guest = runs().filter(|run| run.tenants == ["guest"]);
+    assert!(of_guest.count() > 100);
+    let [
+        Emptied {
+            place,
+            from_us,
+            until_us,
+        },
+    ] = evidence.emptied.as_slice()
+    else {
+        panic!("{:?}", evidence.emptied);
+    };
+    assert!(until_us - from_us > SECOND_US);
+    let target = |run: &&Run| *place == Place::Target(run.target.clone());
+    assert!(runs().filter(target).count() > 0);
+}
+
 #[test]
 fn a_demonstration_that_is_interrupted_ends_its_processes() {
     for signal in [Signal::INT, Signal::TERM] {
