--- a/crates/ownership/src/leader/renewals.rs
+++ b/crates/ownership/src/leader/renewals.rs
@@ -37,28 +37,40 @@
             .get(&renewal.node)
             .is_some_and(|member| self.is_process_sure(member));
         if sure {
-            let mut freed = false;
-            for partition in self.partitions.values_mut() {
-                freed |= partition.report(renewal);
-            }
-            if let Some(shards) = &mut self.shards {
-                let report = renewal.quota_shards.clone().unwrap_or_default();
-                freed |= shards.report(&renewal.node, &report);
-            }
-            if freed {
-                // Answers that are on their way still name what is free now.
-                self.next_assignment(&renewal.node);
-            }
-            changed |= freed;
+            changed |= self.take_report(renewal);
         }
         // With many members a renewal must not cost a look at all of them; what time brings is seen at the next tick.
         let gap = Duration::from_millis(self.members.len() as u64 / MEMBERS_A_MILLISECOND);
         if changed && now.since(self.ticked_at) >= gap {
             self.tick(now);
         }
-        if !self.may_lease(now) {
-            return None;
+        if self.may_lease(now) {
+            self.give_lease(now, renewal)
+        } else {
+            None
+        }
+    }
+
+    /// Takes in what a node reports of its keys and shards. Returns whether any are free now.
+    fn take_report(&mut self, renewal: &Renewal) -> bool {
+        let mut freed = false;
+        for partition in self.partitions.values_mut() {
+            freed |= partition.report(renewal);
         }
+        if let Some(shards) = &mut self.shards {
+            let report = renewal.quota_shards.clone().unwrap_or_default();
+            freed |= shards.report(&renewal.node, &report);
+        }
+        if freed {
+            // Answers that are on their way still name what is free now.
+            self.next_assignment(&renewal.node);
+        }
+        freed
+    }
+
+    /// Gives a node a lease on what it is assigned; one that hasn't cleared its target gets no time, but a fence to clear
+    /// it with. No answer if the node isn't known.
+    fn give_lease(&mut self, now: Time, renewal: &Renewal) -> Option<LeaseReply> {
         let lease = if renewal.clean {
             self.timing.lease
         } else {
@@ -151,24 +163,29 @@
         } else if renewal.registered_for.is_some() && member.registered_at.is_none() {
             member.registered_at = Some(now);
         }
+        self.end_earlier_life(&renewal.node, restarted, replaced);
+        changed
+    }
+
+    /// Takes back or frees what a node had, if its process has restarted or its target was replaced by another.
+    fn end_earlier_life(&mut self, node: &NodeName, restarted: bool, replaced: bool) {
         if let Some(shards) = &mut self.shards
             && restarted
         {
-            shards.revoke_all_of(&renewal.node);
+            shards.revoke_all_of(node);
         }
         for partition in self.partitions.values_mut() {
             if restarted {
-                partition.revoke_all_of(&renewal.node);
+                partition.revoke_all_of(node);
             }
             if replaced && !restarted {
                 // The earlier life of the target has ended: another answers at its address.
-                partition.free_all_of(&renewal.node);
+                partition.free_all_of(node);
             }
             if replaced {
-                partition.load.forget(&renewal.node);
+                partition.load.forget(node);
             }
         }
-        changed
     }
 
     /// Takes in an owner's load.
--- a/crates/routes/src/index.rs
+++ b/crates/routes/src/index.rs
@@ -73,7 +73,7 @@
     }
 
     /// How many keys there are.
-    pub(crate) fn keys(&self) -> usize {
+    pub(crate) fn key_count(&self) -> usize {
         self.by_key.len()
     }
 
--- a/crates/routes/src/named.rs
+++ b/crates/routes/src/named.rs
@@ -81,7 +81,7 @@
 
     /// Whether each name stands for one thing.
     pub fn names_tell_apart(&self) -> bool {
-        self.0.keys() == self.0.len()
+        self.0.key_count() == self.0.len()
     }
 
     /// All things, in no order.
--- a/crates/routes/src/shared_map.rs
+++ b/crates/routes/src/shared_map.rs
@@ -9,9 +9,9 @@
 use std::hash::{BuildHasher, Hash, RandomState};
 use std::rc::Rc;
 
-/// Entries of a map with one shard at most; a map of s shards holds s² times as many. Copying so many entries costs
-/// about as much as finding out which shard they are in, for a map that is small.
-const SMALL: usize = 16;
+/// Most entries of a map with one shard; a map of s shards holds s² times as many. With more, a change in a small map
+/// copies more than it must; with fewer, most small maps pay for hashing a key twice.
+const ENTRIES_OF_ONE_SHARD: usize = 16;
 /// The bits of a hash that tell the shard begin here: a shard itself goes by the lowest and the highest.
 const SHARD_BITS: u32 = 32;
 
@@ -111,7 +111,7 @@
     /// once they have become four times as many.
     fn grow(&mut self) {
         let count = self.shards.len();
-        if self.len <= SMALL * count * count {
+        if self.len <= ENTRIES_OF_ONE_SHARD * count * count {
             return;
         }
         let old = std::mem::take(&mut self.shards);
--- a/crates/sidecar/src/hop.rs
+++ b/crates/sidecar/src/hop.rs
@@ -152,6 +152,14 @@
     pub left_out_ms: u32,
 }
 
+impl Occupancy {
+    /// When a caller that is refused now may come back, if the node can tell.
+    pub fn retry_after(&self) -> Option<Duration> {
+        let told = self.retry_after_ms > 0;
+        told.then(|| Duration::from_millis(self.retry_after_ms.into()))
+    }
+}
+
 /// Takes out headers that belong to one connection, and those that only nodes set.
 pub fn strip(headers: &mut HeaderMap) {
     let named = headers
--- a/crates/sidecar/src/router/send.rs
+++ b/crates/sidecar/src/router/send.rs
@@ -85,12 +85,19 @@
                 record.sends += 1;
                 return Ok(response);
             }
-            HopAnswer::Refused(refusal) if refusal != Refusal::Rejected => {
+            HopAnswer::Refused(Refusal::Rejected) => after_rejection(node, routed, record),
+            HopAnswer::Refused(refusal) => {
                 asked.refused(&destination.node, refusal, record);
                 note_not_run(routed, record);
                 refused(node, routed, record, &destination, refusal, wait).await
             }
-            sent => after_failed_send(node, routed, record, &destination, sent),
+            HopAnswer::MayHaveRun(detail) => {
+                record.sends += 1;
+                record.may_have_run = true;
+                record.detail = detail;
+                after_lost_send(node, routed, record)
+            }
+            HopAnswer::TargetEnded => after_target_end(node, routed, record, &destination),
         };
         match next {
             Next::Again => {}
@@ -117,42 +124,35 @@
     wait_for_directory(node, routed).await
 }
 
-/// A send has reached a target and came to nothing: whether another may follow.
-fn after_failed_send(
+/// A target has rejected a send: whether another may follow.
+fn after_rejection(node: &Node, routed: &Routed<'_>, record: &mut Record) -> Next {
+    record.sends += 1;
+    record.detail = "rejected by the target".to_owned();
+    note_not_run(routed, record);
+    let reason = not_run_or(routed, record, Reason::Full);
+    after_send(node, routed, record, reason)
+}
+
+/// The target has ended with a send: whether another may follow.
+fn after_target_end(
     node: &Node,
     routed: &Routed<'_>,
     record: &mut Record,
     destination: &Destination,
-    answer: HopAnswer,
 ) -> Next {
     record.sends += 1;
-    match answer {
-        HopAnswer::Answered(_) | HopAnswer::Refused(_) => {
-            note_not_run(routed, record);
-            record.detail = "rejected by the target".to_owned();
-            let reason = not_run_or(routed, record, Reason::Full);
-            after_send(node, routed, record, reason)
-        }
-        HopAnswer::MayHaveRun(detail) => {
-            record.may_have_run = true;
-            record.detail = detail;
-            after_lost_send(node, routed, record)
-        }
-        HopAnswer::TargetEnded => {
-            record.may_have_run = true;
-            record.targets_ended += 1;
-            record.detail = "the target ended".to_owned();
-            node.selection.avoid(node.now(), &destination.node);
-            if record.targets_ended < ENDS_TO_GIVE_UP {
-                after_lost_send(node, routed, record)
-            } else {
-                Next::GiveUp(given_up(routed, record))
-            }
-        }
+    record.may_have_run = true;
+    record.targets_ended += 1;
+    record.detail = "the target ended".to_owned();
+    node.selection.avoid(node.now(), &destination.node);
+    if record.targets_ended < ENDS_TO_GIVE_UP {
+        after_lost_send(node, routed, record)
+    } else {
+        Next::GiveUp(given_up(routed, record))
     }
 }
 
-/// The nodes that a request without a key has been given to so far.
+/// The nodes that have been asked to run a request so far.
 #[derive(Debug, Default)]
 struct Asked {
     /// Those that aren't asked again.
@@ -378,8 +378,7 @@
         node.selection
             .reported(now, routed.service, destination, occupancy);
         if matches!(answer, HopAnswer::Refused(Refusal::Full)) {
-            let queue_ends = u64::from(occupancy.retry_after_ms);
-            record.retry_after = Some(Duration::from_millis(queue_ends));
+            record.retry_after = occupancy.retry_after();
         }
     }
     note_answer(node, record, &destination.node, &answer, occupancy);
--- a/crates/sidecar/tests/breaker.rs
+++ b/crates/sidecar/tests/breaker.rs
@@ -332,7 +332,7 @@
 }
 
 #[test]
-fn a_target_that_rejects_gets_a_bounded_trickle_and_is_back_with_the_first_it_takes() {
+fn a_target_that_rejects_gets_a_bounded_rate_and_is_back_with_the_first_it_takes() {
     let mut breaker = opened(4);
     assert!(breaker.refuses(Time(5)));
     assert_eq!(breaker.left_out_for(), Duration::from_millis(50));
