A leader that is elected again in a new process waits for the leases of the one before

Cause: among earlier leaders its own node was left out, as if it had never given leases. Where the others had reported, the new leader counted from the time at which *they* had given the last one, and gave shards (keys by the same rule) to a second owner while a silent node still had a lease of its own node's earlier process.

Change: its own node counts as an earlier leader, and its own first renewal tells since when its process has given none.

--- a/crates/ownership/src/leader/mod.rs
+++ b/crates/ownership/src/leader/mod.rs
@@ -79,10 +79,8 @@
             .collect::<BTreeMap<_, _>>();
         let epoch = leadership.leader.epoch;
         let earlier = leadership.earlier.as_ref();
-        let mut earlier = earlier.map(|nodes| nodes.iter().cloned().collect::<BTreeSet<_>>());
-        if let Some(earlier) = &mut earlier {
-            earlier.remove(&leadership.leader.node);
-        }
+        // The leader's own node may be among them: its first renewal tells since when its process has given no lease.
+        let earlier = earlier.map(|nodes| nodes.iter().cloned().collect::<BTreeSet<_>>());
         Self {
             sole_since: earlier
                 .as_ref()
--- a/crates/ownership/tests/shards.rs
+++ b/crates/ownership/tests/shards.rs
@@ -137,13 +137,19 @@
 
 /// A leader of epoch 2 that knows the nodes registered for these services; node 9 led before.
 fn leader(registered: &[(u8, &str)]) -> Leader {
+    leader_after(&[9], registered)
+}
+
+/// The same after other nodes.
+fn leader_after(earlier: &[u8], registered: &[(u8, &str)]) -> Leader {
     let leader = LeaderReference {
         epoch: Epoch(2),
         node: name(1),
         life: Life(1),
         address: address(1),
     };
-    let earlier = Some(vec![name(9)]);
+    let earlier = earlier.iter().copied().map(name).collect();
+    let earlier = Some(earlier);
     let leadership = Leadership { leader, earlier };
     let registered = registered.iter().map(|(number, service)| RegisteredNode {
         node: name(*number),
@@ -425,3 +431,21 @@
     assert_eq!(other.len(), usize::from(SHARDS) / 2);
     assert!(!other.contains(&Shard(3)));
 }
+
+#[test]
+fn a_leader_waits_for_leases_that_the_process_before_it_gave_at_its_own_node() {
+    let mut fleet = Fleet::new(4);
+    fleet.holders.remove(&3);
+    fleet.holders.insert(9, ShardHolder::default());
+    fleet.leader = leader_after(&[9, 1], &[(1, "s"), (2, "s"), (3, "s"), (4, "s")]);
+    fleet.leader.set_quota_shards();
+    for (number, no_lease_given_ms) in [(9, 5_000), (1, 100)] {
+        fleet.no_lease_given_ms = no_lease_given_ms;
+        let renewal = fleet.renewal(number);
+        fleet.leader.renewal(Time(fleet.now), &renewal);
+    }
+    fleet.run(2_000);
+    assert_eq!(fleet.owned_by_all(), 0);
+    fleet.run(1_500);
+    assert_eq!(fleet.owned_by_all(), usize::from(SHARDS));
+}
--- a/crates/ownership/tests/simulation/main.rs
+++ b/crates/ownership/tests/simulation/main.rs
@@ -126,6 +126,12 @@
     keeps_the_rules(&with_quotas());
 }
 
+#[test]
+fn a_seed_in_which_a_shard_had_two_owners_passes() {
+    // A leader that was elected again, in a new process, took no account of the leases of the one before.
+    play(73, with_quotas()).unwrap_or_else(|problem| panic!("{problem}"));
+}
+
 #[test]
 fn shards_of_quotas_have_owners_again_after_a_loss_of_all_power() {
     for fault in [
