Stand-in of a target: cut by concern, and it can make calls of its own

Change: state, grants, calls and answers are modules of their own; what a target does is as before unless it is given a call to make.

--- a/crates/standins/src/fleet/mod.rs
+++ b/crates/standins/src/fleet/mod.rs
@@ -5,7 +5,7 @@
 mod target;
 
 pub use store::{FleetStore, StoreFaults};
-pub use target::{FleetTarget, Seen, TargetFaults, TargetKeys};
+pub use target::{FleetTarget, Seen, TargetCall, TargetFaults, TargetKeys};
 
 use salvo::http::StatusCode;
 
--- /dev/null
+++ b/crates/standins/src/fleet/target/handler.rs
@@ -0,0 +1,150 @@
+//! How a target answers.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use salvo::{Depot, FlowCtrl, Handler, Request, Response, async_trait};
+use serde_json::{Value, json};
+
+use super::state::{Seen, Shared, lock};
+use crate::fleet::answer;
+
+/// Answers the requests to a target.
+pub(super) struct TargetHandler(pub(super) Arc<Shared>);
+
+fn text(request: &Request, name: &str) -> String {
+    request.header::<String>(name).unwrap_or_default()
+}
+
+/// Each value of a header.
+fn texts(request: &Request, name: &str) -> Vec<String> {
+    let values = request.headers().get_all(name).iter();
+    values
+        .map(|value| String::from_utf8_lossy(value.as_bytes()).into_owned())
+        .collect()
+}
+
+#[async_trait]
+impl Handler for TargetHandler {
+    async fn handle(
+        &self,
+        request: &mut Request,
+        _depot: &mut Depot,
+        response: &mut Response,
+        _control: &mut FlowCtrl,
+    ) {
+        let shared = &self.0;
+        let _id = response.add_header("x-wingspar-instance-id", shared.id(), true);
+        let path = request.uri().path().to_owned();
+        let body = request.payload().await.cloned().unwrap_or_default();
+        match path.as_str() {
+            "/healthz" => {
+                if !shared.has_room() {
+                    std::future::pending::<()>().await;
+                }
+                let _load = response.add_header("x-wingspar-server-load", shared.load(), true);
+                let warmup = lock(&shared.faults).warmup.as_millis().to_string();
+                let _warmup = response.add_header("x-wingspar-warmup-ms", warmup, true);
+                return answer(response, 200, &Value::Null);
+            }
+            "/grant" => {
+                let order = serde_json::from_slice(&body).unwrap_or(Value::Null);
+                return answer(response, shared.grant(&order), &Value::Null);
+            }
+            "/release" => {
+                shared.release(&serde_json::from_slice(&body).unwrap_or(Value::Null));
+                let _token = response.add_header("x-wingspar-handover", "token", true);
+                return answer(response, 200, &Value::Null);
+            }
+            _ => {}
+        }
+        self.run(request, response, &body).await;
+    }
+}
+
+impl TargetHandler {
+    /// Works to the end, whether or not its caller still waits.
+    async fn work_on(&self, time: Duration) {
+        let shared = Arc::clone(&self.0);
+        *lock(&shared.at_work) += 1;
+        let work = tokio::spawn(async move {
+            tokio::time::sleep(time).await;
+            *lock(&shared.at_work) -= 1;
+        });
+        let _done = work.await;
+    }
+
+    /// Makes the target's own call for a request, unless the request is such a call.
+    async fn call_for(&self, request: &Request, id: &str) {
+        let call = lock(&self.0.call).clone();
+        let Some(call) = call.filter(|call| call.path != request.uri().path()) else {
+            return;
+        };
+        let answered = match call.make(id).await {
+            Ok(line) => line,
+            Err(error) => error.to_string(),
+        };
+        lock(&self.0.calls_answered).push(answered);
+    }
+
+    async fn run(&self, request: &Request, response: &mut Response, body: &[u8]) {
+        let shared = &self.0;
+        let faults = *lock(&shared.faults);
+        let key = text(request, "x-wingspar-shard-key").parse::<u16>().ok();
+        let expected = text(request, "x-wingspar-expect-instance");
+        let misdirected = !expected.is_empty() && expected != shared.id();
+        let foreign = shared.keyed && !key.is_some_and(|key| shared.holds(key));
+        if misdirected || foreign {
+            let _not_run = response.add_header("x-wingspar-not-executed", "1", true);
+            return answer(response, 421, &Value::Null);
+        }
+        if faults.sheds {
+            let _not_run = response.add_header("x-wingspar-not-executed", "1", true);
+            return answer(response, 503, &Value::Null);
+        }
+        if !shared.has_room() {
+            *lock(&shared.without_room) += 1;
+            std::future::pending::<()>().await;
+        }
+        let id = text(request, "x-wingspar-request-id");
+        lock(&shared.seen).push(Seen {
+            id: id.clone(),
+            key,
+            caller: text(request, "x-wingspar-caller-service"),
+            tenants: texts(request, "x-wingspar-tenant"),
+            credential: request.headers().contains_key("x-wingspar-credential"),
+            deadline_ms: text(request, "x-wingspar-deadline-ms").parse().unwrap_or(0),
+            body: String::from_utf8_lossy(body).into_owned(),
+            at: Instant::now(),
+            fence: key.and_then(|key| shared.fence_of(key)),
+        });
+        self.call_for(request, &id).await;
+        if faults.crashes_on == Some(request.uri().path()) {
+            shared.crash.notify_one();
+            std::future::pending::<()>().await;
+        }
+        if faults.room.is_some() {
+            self.work_on(faults.work).await;
+            let _load = response.add_header("x-wingspar-server-load", shared.load(), true);
+        } else {
+            tokio::time::sleep(faults.work).await;
+        }
+        if faults.silent {
+            std::future::pending::<()>().await;
+        }
+        let answered = if faults.wrong_id {
+            "another".to_owned()
+        } else {
+            id
+        };
+        let _id = response.add_header("x-wingspar-request-id", answered, true);
+        if !faults.unsigned {
+            let _signature = response.add_header("x-wingspar-response-signature", "s", true);
+        }
+        if faults.answer_bytes > 0 {
+            let _written = response.write_body(vec![b'w'; faults.answer_bytes]);
+            return;
+        }
+        answer(response, 200, &json!({"ran_at": shared.id()}));
+    }
+}
--- /dev/null
+++ b/crates/standins/src/fleet/target/state.rs
@@ -0,0 +1,108 @@
+//! What a target does wrong, what it has run and what it works on.
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use tokio::sync::Notify;
+
+use super::call::TargetCall;
+use super::grants::Grant;
+
+/// What the target does wrong.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct TargetFaults {
+    /// Runs requests and answers with the id of another.
+    pub wrong_id: bool,
+    /// Runs requests and answers without its signature.
+    pub unsigned: bool,
+    /// Rejects requests and says so.
+    pub sheds: bool,
+    /// Runs requests and never answers.
+    pub silent: bool,
+    /// Works this long on each request.
+    pub work: Duration,
+    /// Answers with so many bytes.
+    pub answer_bytes: usize,
+    /// Says that it is slow from its start for this much longer.
+    pub warmup: Duration,
+    /// Has room for so many requests at once, those of callers that have left included; never answers one that comes
+    /// beyond, nor anything behind it on its connection. Nothing: it has room for all.
+    pub room: Option<usize>,
+    /// Ends under each request of such a path, some time after it began to run it.
+    pub crashes_on: Option<&'static str>,
+}
+
+/// Requests that it says it works on at once.
+const SLOTS: usize = 8;
+
+/// A request that the target has run.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Seen {
+    /// Its id.
+    pub id: String,
+    /// Its key.
+    pub key: Option<u16>,
+    /// Who called.
+    pub caller: String,
+    /// The tenants that it was told, each that stands in a header.
+    pub tenants: Vec<String>,
+    /// Whether it was shown a credential.
+    pub credential: bool,
+    /// How long its caller waits, in milliseconds.
+    pub deadline_ms: u64,
+    /// Its body.
+    pub body: String,
+    /// When it began.
+    pub at: Instant,
+    /// Fence of the grant under which the target held its key.
+    pub fence: Option<u64>,
+}
+
+/// What the parts of a running target share.
+#[derive(Debug)]
+pub(super) struct Shared {
+    pub(super) first_id: String,
+    pub(super) keyed: bool,
+    /// Lives before this one.
+    pub(super) past_lives: Mutex<u32>,
+    pub(super) crash: Notify,
+    pub(super) grants: Mutex<Vec<Grant>>,
+    /// Ranges let go since the last acknowledged heartbeat.
+    pub(super) let_go: Mutex<Vec<(u64, u64)>>,
+    pub(super) seen: Mutex<Vec<Seen>>,
+    pub(super) faults: Mutex<TargetFaults>,
+    /// Requests that it works on, while its room is bounded.
+    pub(super) at_work: Mutex<usize>,
+    pub(super) without_room: Mutex<usize>,
+    pub(super) call: Mutex<Option<TargetCall>>,
+    /// The first lines of the answers to its calls.
+    pub(super) calls_answered: Mutex<Vec<String>>,
+}
+
+pub(super) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Shared {
+    pub(super) fn id(&self) -> String {
+        match *lock(&self.past_lives) {
+            0 => self.first_id.clone(),
+            past => format!("{}-{past}", self.first_id),
+        }
+    }
+
+    pub(super) fn has_room(&self) -> bool {
+        let room = lock(&self.faults).room;
+        room.is_none_or(|room| *lock(&self.at_work) < room)
+    }
+
+    /// Its load: requests running, requests waiting, slots and how long work takes in parts of a hundred.
+    pub(super) fn load(&self) -> String {
+        let at_work = *lock(&self.at_work);
+        format!(
+            "{},{},{SLOTS},100",
+            at_work.min(SLOTS),
+            at_work.saturating_sub(SLOTS)
+        )
+    }
+}
