Quotas, regions and pipelined clients under failure with real processes; the soak plays them

Change: tests of the owner of a quota frozen, lost with the leader and cut off from the store, of a restart of all processes and of a lower quota, each with the bound checked in any window from what clients sent and targets ran; of a region's targets and of a whole region lost and back; of calls of targets under a tenant's allowed regions; of five open requests under a planned stop, an unread request whose client left, and a node that says ready. The soak puts its zones into two regions, pauses regions, pauses and kills the owner of a quota, lets two tenants send many times their usual while one's quota changes, checks the bound, and at rest the lower quota and that few below it are refused. The tests of main.rs are cut by concern; none is lost or changed.

Weighed: proxies between nodes. A node binds the address that it tells others in renewals, so nothing can stand between two of them without a setting that parts the two; the soak pauses regions instead.

--- a/crates/wingspar/tests/sidecar/configuration.rs
+++ b/crates/wingspar/tests/sidecar/configuration.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
+use wingspar_standins::fleet::StoreFaults;
 use wingspar_standins::net::Harm;
 
 use super::deployment::{self, Deployment, Wiring, eventually};
@@ -120,3 +121,65 @@
         }
     }
 }
+
+#[tokio::test]
+async fn no_route_no_id_and_a_configuration_that_changes() {
+    let deployment = Deployment::start(4).await;
+    let unknown = deployment
+        .request(0, "/nothing/1", "a")
+        .send()
+        .await
+        .expect("an answer");
+    assert_eq!(unknown.status(), 404);
+    let client = reqwest::Client::new();
+    let url = format!("http://{}/orders/1", deployment.nodes[0].outbound);
+    let without_id = client
+        .get(url)
+        .header("host", "shop.example")
+        .send()
+        .await
+        .expect("an answer");
+    assert_eq!(without_id.status(), 400);
+    deployment.configure(
+        9,
+        json!([deployment::route("late", "/late/", "idempotent", "orders")]),
+    );
+    eventually("the new route is served and the old one isn't", || async {
+        let late = deployment.request(2, "/late/1", "b").send().await;
+        let old = deployment.request(2, "/orders/1", "c").send().await;
+        late.is_ok_and(|answer| answer.status() == 200)
+            && old.is_ok_and(|answer| answer.status() == 404)
+    })
+    .await;
+    // A broken configuration is passed over, and the one in force stays.
+    deployment
+        .store
+        .write("config", "main", json!({"version": 10, "routes": "none"}));
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let still = deployment
+        .request(2, "/late/1", "d")
+        .send()
+        .await
+        .expect("an answer");
+    assert_eq!(still.status(), 200);
+}
+
+#[tokio::test]
+async fn a_configuration_is_in_force_everywhere_though_no_watch_tells_of_it() {
+    let deployment = Deployment::start(18).await;
+    deployment.store.set_faults(StoreFaults {
+        hides_kinds: true,
+        ..StoreFaults::default()
+    });
+    // The watches that wait already tell of the first change; nothing tells of the second.
+    let routes = |name| json!([deployment::route(name, "/late/", "idempotent", "orders")]);
+    for version in [9, 10] {
+        deployment.configure(version, routes("late"));
+        for node in 0..deployment.nodes.len() {
+            eventually("it is in force", || async {
+                deployment.configuration_version(node).await == Some(version)
+            })
+            .await;
+        }
+    }
+}
--- a/crates/wingspar/tests/sidecar/deployment.rs
+++ b/crates/wingspar/tests/sidecar/deployment.rs
@@ -3,14 +3,14 @@
 use std::future::Future;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::PathBuf;
-use std::process::{Child, Command};
+use std::process::Child;
 use std::time::Duration;
 
 use serde_json::{Value, json};
 use wingspar_standins::fleet::{FleetStore, FleetTarget, Seen, TargetFaults};
 use wingspar_standins::net::Proxy;
 
-use crate::machine::{log_file, logs, machine};
+use crate::machine::machine;
 use crate::network::claim_network;
 
 /// Where nodes serve their metrics.
@@ -35,8 +35,14 @@
     pub two_zones: bool,
     /// Whether nodes' logs are kept, for [`Deployment::log`].
     pub keeps_logs: bool,
+    /// More lines for the table of bounds in the settings of nodes.
+    pub bounds: &'static str,
+    /// Whether zones `a` and `b` lie in regions of their own, `north` and `south`.
+    pub two_regions: bool,
 }
 
+/// How long a node's read-out for operators may take: it may be stopped.
+const READ_OUT: Duration = Duration::from_millis(300);
 /// Time between two heartbeats of a target that takes its keys in the answers.
 const HEARTBEAT: Duration = Duration::from_millis(300);
 /// The same while it lets go of keys.
@@ -48,6 +54,8 @@
     pub outbound: SocketAddr,
     /// Service of its target.
     pub service: String,
+    /// Its zone.
+    pub zone: &'static str,
     /// Its target, while that is up.
     pub target: Option<FleetTarget>,
     /// Between its node and the store.
@@ -297,11 +305,15 @@
 
     /// How often, and how, a request has run.
     pub fn seen(&self, id: &str) -> Vec<Seen> {
+        let mut seen = self.all_seen();
+        seen.retain(|seen| seen.id == id);
+        seen
+    }
+
+    /// All requests that targets have run.
+    pub fn all_seen(&self) -> Vec<Seen> {
         let targets = self.nodes.iter().filter_map(|node| node.target.as_ref());
-        targets
-            .flat_map(FleetTarget::seen)
-            .filter(|seen| seen.id == id)
-            .collect()
+        targets.flat_map(FleetTarget::seen).collect()
     }
 
     /// Sends a heartbeat for a machine's target.
@@ -350,7 +362,7 @@
         let target = machine.target.as_ref().filter(|target| target.is_up())?;
         let body = json!({
             "address": target.local_addr().to_string(),
-            "info": {"service": machine.service, "version": "v1", "zone": "a", "capacity": 8},
+            "info": {"service": machine.service, "version": "v1", "zone": machine.zone, "capacity": 8},
             "status": {"state": state, "seq": sequence, "warmup_left_s": target.warmup().as_secs_f64()},
         });
         let url = format!("http://{}/instances/{}", machine.heartbeats, target.id());
@@ -377,17 +389,18 @@
         }
     }
 
+    /// Whether a node says within a short time that it is ready.
+    pub async fn is_ready(&self, node: usize) -> bool {
+        let asked = self
+            .client
+            .get(format!("http://{}/readyz", self.nodes[node].ready));
+        let answer = asked.timeout(READ_OUT).send().await;
+        answer.is_ok_and(|answer| answer.status() == 200)
+    }
+
     /// Waits until a node is ready.
     pub async fn ready(&self, node: usize) {
-        eventually("the node is ready", || async {
-            let url = format!("http://{}/readyz", self.nodes[node].ready);
-            self.client
-                .get(url)
-                .send()
-                .await
-                .is_ok_and(|answer| answer.status() == 200)
-        })
-        .await;
+        eventually("the node is ready", || self.is_ready(node)).await;
     }
 
     /// What a node has logged.
@@ -421,79 +434,22 @@
     pub async fn quotas(&self, node: usize) -> String {
         let address = SocketAddr::new(self.nodes[node].ready.ip(), METRICS_PORT);
         let quotas = self.client.get(format!("http://{address}/quotas"));
+        let quotas = quotas.timeout(READ_OUT);
         match quotas.send().await {
             Ok(answer) => answer.text().await.unwrap_or_default(),
             Err(_) => String::new(),
         }
     }
 
-    /// Starts a machine's process.
-    pub fn start_process(&mut self, node: usize) {
-        let machine = &mut self.nodes[node];
-        let process = Command::new(env!("CARGO_BIN_EXE_wingspar"))
-            .args(["sidecar", "--settings"])
-            .arg(&machine.settings)
-            .stdout(match &machine.log {
-                Some(path) => log_file(path),
-                None => logs(),
-            })
-            .spawn()
-            .expect("it starts");
-        machine.process = Some(process);
-        // From now on it isn't the system's first start.
-        let text = std::fs::read_to_string(&machine.settings).expect("settings");
-        let later = text.replace("first_start = true", "first_start = false");
-        if later != text {
-            std::thread::sleep(Duration::from_millis(300));
-            std::fs::write(&machine.settings, later).expect("settings");
-        }
-    }
-
-    /// Kills a machine's process.
-    pub fn kill(&mut self, node: usize) {
-        if let Some(mut process) = self.nodes[node].process.take() {
-            process.kill().expect("it is ours");
-            process.wait().expect("it ends");
-        }
-    }
-
-    /// Takes a machine away with its process and its target.
-    pub async fn lose(&mut self, node: usize) {
-        self.kill(node);
-        if let Some(sending) = self.nodes[node].sending.take() {
-            sending.abort();
-        }
-        if let Some(target) = self.nodes[node].target.take() {
-            target.shutdown().await;
-        }
-    }
-
-    /// Asks a machine's process to stop.
-    pub fn terminate(&self, node: usize) {
-        self.signal(node, "-TERM");
-    }
-
-    /// Sends a signal to a machine's process.
-    pub fn signal(&self, node: usize, signal: &str) {
-        let process = self.nodes[node].process.as_ref().expect("a process");
-        let id = process.id().to_string();
-        let told = Command::new("kill")
-            .args([signal, &id])
-            .status()
-            .expect("kill");
-        assert!(told.success());
-    }
-
-    /// Waits for a machine's process to end; whether it did so as planned.
-    pub async fn exited_well(&mut self, node: usize) -> bool {
-        let mut process = self.nodes[node].process.take().expect("a process");
-        for _ in 0..400 {
-            if let Some(status) = process.try_wait().expect("a status") {
-                return status.success();
+    /// The machine whose node owns a tenant's quota, if one tells so.
+    pub async fn owner_of_quota(&self, tenant: &str) -> Option<usize> {
+        for node in 0..self.nodes.len() {
+            let quotas = self.quotas(node).await;
+            let mut tenants = quotas.lines().filter_map(|line| line.split(' ').next());
+            if tenants.any(|named| named == tenant) {
+                return Some(node);
             }
-            tokio::time::sleep(Duration::from_millis(50)).await;
         }
-        let _killed = process.kill();
-        false
+        None
     }
 }
--- a/crates/wingspar/tests/sidecar/machine.rs
+++ b/crates/wingspar/tests/sidecar/machine.rs
@@ -61,24 +61,31 @@
     } else {
         ""
     };
+    let zones = if wiring.two_regions {
+        "[zones]\na = \"north\"\nb = \"south\"\n"
+    } else {
+        ""
+    };
     let text = format!(
         "[node]\nname = \"node-{index}\"\nzone = \"{zone}\"\nservice = \"{service}\"\naddress = \"{ip}\"\n\
          target = \"{}\"\nfirst_start = true\n{}\n\
          [listen]\noutbound = \"{}\"\nready = \"{}\"\nheartbeats = \"{}\"\ninternal_port = 7620\nmetrics_port = 7621\n\
          [store]\naddress = \"{}\"\n\
-         [bounds]\ndrain_s = 2\ngrace_s = 6\nbudget_ratio = 0.2\nbudget_window_s = 10\nbudget_extra = 60\nmax_hold_s = 10\n{more_bounds}",
+         [bounds]\ndrain_s = 2\ngrace_s = 6\nbudget_ratio = 0.2\nbudget_window_s = 10\nbudget_extra = 60\nmax_hold_s = 10\n{more_bounds}{}{zones}",
         through(&target_link, target.local_addr()),
         wiring.node_settings,
         socket(7600),
         socket(7601),
         socket(7602),
         through(&store_link, store.local_addr()),
+        wiring.bounds,
     );
     let settings = folder.join(format!("node-{index}.toml"));
     std::fs::write(&settings, text).expect("settings");
     Machine {
         outbound: socket(7600),
         service: service.to_owned(),
+        zone,
         target: Some(target),
         store_link,
         target_link,
--- a/crates/wingspar/tests/sidecar/pipelining.rs
+++ b/crates/wingspar/tests/sidecar/pipelining.rs
@@ -192,6 +192,46 @@
     assert!(deployment.exited_well(0).await);
 }
 
+#[tokio::test]
+async fn requests_that_are_open_when_a_planned_stop_begins_are_answered() {
+    let mut deployment = Deployment::start(49).await;
+    // They end after the process has begun to close its connections.
+    deployment.plain_targets_do(works(900));
+    let ids = ["a", "b", "c", "d", "e"];
+    let mut client = client_of(&deployment, 0).await;
+    client.send(&ids.map(lookup).concat()).await.expect("sent");
+    eventually("all run", || async {
+        ids.iter().all(|id| deployment.seen(id).len() == 1)
+    })
+    .await;
+    deployment.terminate(0);
+    for id in ids {
+        let answer = answer(&mut client).await;
+        assert_eq!((answer.status, answer.id()), (200, Some(id)));
+        assert_eq!(deployment.seen(id).len(), 1, "{id} ran once");
+    }
+    assert!(matches!(client.answer().await, Ok(None)));
+    assert!(deployment.exited_well(0).await);
+}
+
+#[tokio::test]
+async fn what_a_client_that_leaves_has_not_had_read_never_runs() {
+    let deployment = Deployment::start(55).await;
+    deployment.plain_targets_do(works(600));
+    let mut client = client_of(&deployment, 0).await;
+    // Neither may run beside another, so the second one isn't read before the first one is answered.
+    let once = |id| request("POST", "/book/1", id, "Content-Length: 0\r\n");
+    let sent = once("first") + &once("unread");
+    client.send(&sent).await.expect("sent");
+    eventually("the first runs", || async {
+        deployment.seen("first").len() == 1
+    })
+    .await;
+    drop(client);
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    assert!(deployment.seen("unread").is_empty());
+}
+
 #[tokio::test]
 async fn heads_without_bodies_and_other_versions_keep_their_place() {
     let deployment = Deployment::start(47).await;
--- a/crates/wingspar/tests/sidecar/soak/checks.rs
+++ b/crates/wingspar/tests/sidecar/soak/checks.rs
@@ -4,9 +4,10 @@
 
 use wingspar_standins::fleet::Seen;
 
-use super::credentials::{Credentials, STEADY};
+use super::credentials::{Credentials, LISTED};
 use super::faults::Faults;
 use super::load::{Answer, Kind};
+use super::quotas;
 use crate::deployment::Deployment;
 
 /// Targets answer with their name under this word.
@@ -14,6 +15,7 @@
 
 /// Everything that was seen in a run.
 pub struct Promises<'a> {
+    deployment: &'a Deployment,
     answers: &'a [Answer],
     /// Target's id and what it ran, in the order of time.
     runs: Vec<(String, Seen)>,
@@ -23,7 +25,7 @@
 
 impl<'a> Promises<'a> {
     /// What callers and targets have seen in a run with these faults.
-    pub fn new(deployment: &Deployment, answers: &'a [Answer], faults: &'a Faults) -> Self {
+    pub fn new(deployment: &'a Deployment, answers: &'a [Answer], faults: &'a Faults) -> Self {
         let targets = deployment
             .nodes
             .iter()
@@ -36,6 +38,7 @@
             .collect::<Vec<_>>();
         runs.sort_by_key(|(_, seen)| seen.at);
         Self {
+            deployment,
             answers,
             runs,
             credentials: faults.credentials(),
@@ -53,15 +56,17 @@
         };
         let none = self.answers.iter().filter(|answer| answer.status.is_none());
         format!(
-            "{} requests, {} runs, 200: {}, 401: {}, 502: {}, 503: {}, 504: {}, no answer: {}; {} faults",
+            "{} requests, {} runs, 200: {}, 401: {}, 429: {}, 502: {}, 503: {}, 504: {}, no answer: {}; {}; {} faults",
             self.answers.len(),
             self.runs.len(),
             with(200),
             with(401),
+            with(429),
             with(502),
             with(503),
             with(504),
             none.count(),
+            quotas::summary(self.deployment, self.answers),
             self.log.len(),
         )
     }
@@ -76,6 +81,7 @@
             self.innocents_are_run(),
             self.tenant_is_told(),
             self.who_is_listed_is_not_turned_away(),
+            quotas::hold(self.deployment, self.answers),
         ];
         for check in checks {
             check.map_err(|problem| format!("{problem}\n  {}", self.log.join("\n  ")))?;
@@ -116,12 +122,12 @@
         Ok(())
     }
 
-    /// A credential that every version lists is never refused.
+    /// Who sends a credential that every version lists is never refused.
     fn who_is_listed_is_not_turned_away(&self) -> Result<(), String> {
         let mut listed = self
             .answers
             .iter()
-            .filter(|answer| answer.credential == STEADY);
+            .filter(|answer| LISTED.contains(&answer.credential));
         match listed.find(|answer| answer.status == Some(401)) {
             Some(answer) => Err(format!("{} was refused for its credential", answer.id)),
             None => Ok(()),
--- a/crates/wingspar/tests/sidecar/soak/credentials.rs
+++ b/crates/wingspar/tests/sidecar/soak/credentials.rs
@@ -8,12 +8,15 @@
 use serde_json::{Value, json};
 
 use super::faults::Faults;
+use super::quotas::{self, METERED, VARIED};
 use crate::deployment::Deployment;
 
 /// A credential that every version lists.
 pub const STEADY: &str = "steady";
 /// The tenant that holds it.
 const STEADY_TENANT: &str = "house";
+/// Credentials that every version lists.
+pub const LISTED: [&str; 3] = [STEADY, METERED, VARIED];
 /// Credentials that come and go.
 const MOVING: [&str; 4] = ["moving-1", "moving-2", "moving-3", "moving-4"];
 /// Tenants that hold them.
@@ -43,9 +46,13 @@
         }
     }
 
-    /// The tenants of the next version.
-    pub fn next_version(&mut self) -> Value {
-        let mut holders = Holders::from([(STEADY, STEADY_TENANT)]);
+    /// The tenants of the next version; `lowered` says whether one has a smaller quota.
+    pub fn next_version(&mut self, lowered: bool) -> Value {
+        let mut holders = Holders::from([
+            (STEADY, STEADY_TENANT),
+            (METERED, METERED),
+            (VARIED, VARIED),
+        ]);
         for credential in MOVING {
             let drawn = self.random.random_range(0..=TENANTS.len());
             if let Some(tenant) = TENANTS.get(drawn) {
@@ -59,14 +66,17 @@
         };
         let mut tenants = TENANTS.map(tenant).to_vec();
         tenants.push(tenant(STEADY_TENANT));
+        tenants.extend(quotas::tenants(lowered));
         self.versions.push((Instant::now(), holders));
         Value::Array(tenants)
     }
 
     /// A credential for a request: mostly one that is always listed.
     pub fn draw(&mut self) -> &'static str {
-        match self.random.random_range(0..8) {
+        match self.random.random_range(0..10) {
             0 => STRANGER,
+            8 => METERED,
+            9 => VARIED,
             1..=3 => MOVING[self.random.random_range(0..MOVING.len())],
             _ => STEADY,
         }
@@ -85,13 +95,13 @@
 }
 
 /// With no fault under way, a later version holds at every node once the operator's bound is over: who isn't listed is
-/// refused, and targets are told who is.
+/// refused, and targets are told who is. It leaves the smaller quota in force.
 pub async fn the_last_version_holds(
     deployment: &Deployment,
     faults: &mut Faults,
     seed: u64,
 ) -> Result<(), String> {
-    faults.configure(deployment);
+    faults.configure_quotas(deployment, true);
     let until = Instant::now() + BOUND;
     while Instant::now() < until {
         deployment.try_heartbeats().await;
--- a/crates/wingspar/tests/sidecar/soak/faults.rs
+++ b/crates/wingspar/tests/sidecar/soak/faults.rs
@@ -10,6 +10,7 @@
 
 use super::credentials::Credentials;
 use super::load::CRASHING_PATH;
+use super::quotas::{METERED, VARIED};
 use crate::deployment::{Deployment, route};
 
 /// Time between the beginnings of two faults, in milliseconds.
@@ -17,7 +18,7 @@
 /// How long a fault lasts, in milliseconds.
 const LASTS_MS: std::ops::Range<u64> = 300..4_000;
 
-/// Zones that may be evacuated.
+/// Zones, each a region of its own.
 const ZONES: [&str; 2] = ["a", "b"];
 /// What a target that is slow after its start tells of it, until it is told otherwise.
 const SLOW_FOR: Duration = Duration::from_secs(3);
@@ -32,6 +33,7 @@
     Start(usize),
     Evacuation(&'static str),
     SlowTarget(usize),
+    Storm(&'static str),
 }
 
 /// Faults that are under way, and the story of all.
@@ -73,12 +75,27 @@
         self.credentials.draw()
     }
 
-    /// Writes the next configuration.
+    /// Tenants that send many times their usual now.
+    pub fn storming(&self) -> Vec<&'static str> {
+        let storming = self.ends.iter().filter_map(|(_, end)| match end {
+            End::Storm(credential) => Some(*credential),
+            _ => None,
+        });
+        storming.collect()
+    }
+
+    /// Writes the next configuration; each second one has a tenant's smaller quota.
     pub fn configure(&mut self, deployment: &Deployment) {
+        let lowered = self.configuration % 2 == 1;
+        self.configure_quotas(deployment, lowered);
+    }
+
+    /// Writes the next configuration, with a tenant's smaller quota or the larger one.
+    pub fn configure_quotas(&mut self, deployment: &Deployment, lowered: bool) {
         self.configuration += 1;
         let version = self.configuration;
         self.note(&format!("configuration {version}"));
-        let tenants = self.credentials.next_version();
+        let tenants = self.credentials.next_version(lowered);
         deployment.configure_tenants(version, routes(), tenants);
     }
 
@@ -132,7 +149,7 @@
         until: Instant,
     ) {
         let away = self.is_away(node);
-        match random.random_range(0..12) {
+        match random.random_range(0..17) {
             0 | 1 => {
                 let harm = draw_harm(random);
                 deployment.nodes[node].store_link.set(harm);
@@ -162,16 +179,32 @@
                 self.note(&format!("the target of {node} is slow after its start"));
                 self.ends.push((until, End::SlowTarget(node)));
             }
-            5 | 6 if !away => {
-                deployment.signal(node, "-STOP");
-                self.note(&format!("{node} is paused"));
-                self.ends.push((until, End::Resume(node)));
+            12 => {
+                if let Some(owner) = self.owner_of_quota(deployment).await {
+                    self.pause(deployment, owner, until);
+                }
             }
-            7 if !away => {
-                deployment.kill(node);
-                self.note(&format!("{node} is killed"));
-                self.ends.push((until, End::Start(node)));
+            13 => {
+                if let Some(owner) = self.owner_of_quota(deployment).await {
+                    self.kill(deployment, owner, until);
+                }
+            }
+            14 => {
+                let zone = ZONES[random.random_range(0..ZONES.len())];
+                self.note(&format!("the region of zone {zone} is lost"));
+                for node in 0..deployment.nodes.len() {
+                    if deployment.nodes[node].zone == zone && !self.is_away(node) {
+                        self.pause(deployment, node, until);
+                    }
+                }
+            }
+            15 | 16 => {
+                let tenant = [METERED, VARIED][random.random_range(0..2)];
+                self.note(&format!("{tenant} sends many times its usual"));
+                self.ends.push((until, End::Storm(tenant)));
             }
+            5 | 6 if !away => self.pause(deployment, node, until),
+            7 if !away => self.kill(deployment, node, until),
             8 if !away => {
                 self.note(&format!("{node} is stopped in order"));
                 deployment.terminate(node);
@@ -184,6 +217,26 @@
         }
     }
 
+    fn pause(&mut self, deployment: &Deployment, node: usize, until: Instant) {
+        deployment.signal(node, "-STOP");
+        self.note(&format!("{node} is paused"));
+        self.ends.push((until, End::Resume(node)));
+    }
+
+    fn kill(&mut self, deployment: &mut Deployment, node: usize, until: Instant) {
+        deployment.kill(node);
+        self.note(&format!("{node} is killed"));
+        self.ends.push((until, End::Start(node)));
+    }
+
+    /// The machine whose node owns a tenant's quota, if one that runs says so.
+    async fn owner_of_quota(&mut self, deployment: &Deployment) -> Option<usize> {
+        let owner = deployment.owner_of_quota(METERED).await;
+        let owner = owner.filter(|owner| !self.is_away(*owner))?;
+        self.note(&format!("{owner} owns the quota of {METERED}"));
+        Some(owner)
+    }
+
     async fn end(&mut self, deployment: &mut Deployment, end: End) {
         match end {
             End::StoreLink(node) => deployment.nodes[node].store_link.set(Harm::None),
@@ -195,6 +248,7 @@
                 deployment.store.remove("evacuations", zone);
             }
             End::SlowTarget(node) => set_warmup(deployment, node, Duration::ZERO),
+            End::Storm(_) => {}
         }
         self.note(&format!("over: {end:?}"));
     }
--- a/crates/wingspar/tests/sidecar/soak/load.rs
+++ b/crates/wingspar/tests/sidecar/soak/load.rs
@@ -1,7 +1,7 @@
 //! Requests of clients, and what became of each.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
@@ -14,6 +14,8 @@
 
 /// Requests sent at each step, at most.
 const AT_ONCE: usize = 4;
+/// Further requests of a tenant at each step while it sends many times its usual.
+const STORM: usize = 6;
 /// Keys are drawn from so many, so that each is asked for often.
 const KEYS: u16 = 12;
 
@@ -54,6 +56,8 @@
     pub kind: Kind,
     /// The credential that the request carried.
     pub credential: &'static str,
+    /// When it was sent.
+    pub sent_at: Instant,
     /// The answer's status; nothing if none came.
     pub status: Option<u16>,
     /// The id in the answer.
@@ -71,6 +75,7 @@
             id,
             kind,
             credential,
+            sent_at: Instant::now(),
             status: None,
             answered_id: None,
             signed: false,
@@ -133,6 +138,17 @@
             };
             self.send(request, id, kind, credential);
         }
+        for credential in faults.storming() {
+            for _ in 0..STORM {
+                self.sent += 1;
+                let id = format!("s{}-{}-storm", self.seed, self.sent);
+                let node = random.random_range(0..deployment.nodes.len());
+                let path = format!("/orders/{id}");
+                let request = deployment.request_as(node, &path, &id, Some(credential));
+                let request = request.header("x-wingspar-deadline-ms", DEADLINE_MS);
+                self.send(request, id, Kind::Repeatable, credential);
+            }
+        }
         if random.random_range(0..PIPELINED) == 0 {
             self.send_pipelined(deployment, faults, random);
         }
@@ -204,6 +220,8 @@
 async fn ask_pipelined(address: SocketAddr, mut answers: Vec<Answer>, leaves: bool) -> Vec<Answer> {
     let exchange = async {
         let mut client = PipelinedClient::connect(address).await?;
+        let sent_at = Instant::now();
+        answers.iter_mut().for_each(|asked| asked.sent_at = sent_at);
         let bytes = answers.iter().map(|asked| {
             let credential = format!("X-Wingspar-Credential: {}\r\n", asked.credential);
             let id = &asked.id;
--- a/crates/wingspar/tests/sidecar/soak/mod.rs
+++ b/crates/wingspar/tests/sidecar/soak/mod.rs
@@ -1,21 +1,27 @@
 //! A soak of real processes with faults from outside them, and the promises checked while it runs.
 //!
-//! Each seed starts a deployment of four machines whose nodes reach the store and their targets through
-//! proxies, sends requests, and injects faults: connections that are delayed, reset, cut one way or
-//! silenced; processes that are paused, killed, stopped in order and started again; a store that is down,
-//! throttles or forgets; tenants whose credentials come and go; zones that are evacuated; targets that say that they are slow after their start; a request
-//! under which targets end. `SOAK_SEEDS=N SOAK_FIRST=S SOAK_SECONDS=T cargo test --release -p wingspar --test
-//! sidecar soak -- --nocapture` plays other seeds than the fixed ones.
+//! Each seed starts a deployment of four machines in two regions whose nodes reach the store and their targets through
+//! proxies, sends requests, and injects faults: connections that are delayed, reset, cut one way or silenced;
+//! processes that are paused, killed, stopped in order and started again; a store that is down, throttles or forgets;
+//! tenants whose credentials come and go, whose quotas are lowered, and that send many times their usual while the
+//! owner of their quota is paused or killed; regions that are lost; zones that are evacuated; targets that say that
+//! they are slow after their start; a request under which targets end. Nodes aren't cut off from each other: they tell
+//! others the address that they listen on, so nothing can stand between them.
+//!
+//! `SOAK_SEEDS=N SOAK_FIRST=S SOAK_SECONDS=T cargo test --release -p wingspar --test sidecar soak -- --nocapture` plays
+//! other seeds than the fixed ones.
 
 mod checks;
 mod credentials;
 mod faults;
 mod load;
+mod quotas;
 
 use std::time::{Duration, Instant};
 
 use crate::deployment::{Deployment, Wiring, eventually};
 use crate::evacuations::{BOUND, ZONE_B};
+use crate::quota_bound;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
@@ -58,6 +64,8 @@
     let wiring = Wiring {
         through_proxies: true,
         two_zones: true,
+        two_regions: true,
+        bounds: quota_bound::SETTINGS,
         ..Wiring::default()
     };
     let mut deployment = Deployment::start_with(network, &wiring).await;
@@ -132,10 +140,13 @@
     Ok(())
 }
 
-/// After all that, with no fault under way, an evacuated zone still gets nothing once the operator's bound is over.
+/// After all that, with no fault under way, an evacuated zone still gets nothing once the operator's bound is over, and quotas hold.
 async fn evacuates_still(deployment: &Deployment, seed: u64) -> Result<(), String> {
     deployment.store.write("evacuations", "b", json!({}));
-    tokio::time::sleep(BOUND).await;
+    let written_at = Instant::now();
+    // The operator's bound leaves time for what needs a rest from faults, too.
+    quotas::hold_at_rest(deployment, seed).await?;
+    tokio::time::sleep(BOUND.saturating_sub(written_at.elapsed())).await;
     for step in 0..20 {
         deployment.try_heartbeats().await;
         let id = format!("evacuated-{seed}-{step}");
