Soak: quotas that storms reach; a target that stays full over new connections and a restart

Change: quotas of 12 and 4 a second, storms of ten requests a step that last a window longer than other faults; the summary tells the most that ran in a window. A test keeps a target full by callers that leave soon, each on its own connection, while its node starts again: nothing reaches it without room.

--- a/crates/wingspar/tests/sidecar/full_target.rs
+++ b/crates/wingspar/tests/sidecar/full_target.rs
@@ -121,3 +121,48 @@
     })
     .await;
 }
+
+/// Callers that leave soon, each on a connection of its own, keep the target full, also while its node starts again and
+/// asks the target how it is.
+#[tokio::test]
+async fn a_target_that_stays_full_is_sent_no_more_than_it_holds_over_new_connections_and_a_restart()
+{
+    let mut deployment = deployment_with(54, Duration::from_secs(2)).await;
+    for step in 0..80 {
+        let request = deployment.request_within(NODE, "/patient/1", &format!("n{step}"), 400);
+        let request = request.header("connection", "close");
+        tokio::spawn(async move {
+            let _whatever = request.send().await;
+        });
+        if step == 40 {
+            deployment.kill(NODE);
+            follows_another(&deployment);
+            deployment.start_process(NODE);
+            deployment.heartbeats(2).await;
+            deployment.ready(NODE).await;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    let seen = target(&deployment).seen();
+    let began = |from: usize| {
+        let ids = from..from + 40;
+        let ids = ids.map(|step| format!("n{step}")).collect::<Vec<_>>();
+        seen.iter().filter(|seen| ids.contains(&seen.id)).count()
+    };
+    assert!(
+        began(0) >= SLOTS && began(40) > 0,
+        "{} and {}",
+        began(0),
+        began(40)
+    );
+    assert_eq!(target(&deployment).without_room(), 0);
+    eventually("it is used again", || async {
+        let request = deployment.request_within(NODE, "/patient/1", "later", 5_000);
+        request
+            .send()
+            .await
+            .is_ok_and(|answer| answer.status() == 200)
+    })
+    .await;
+    assert_eq!(target(&deployment).without_room(), 0);
+}
--- a/crates/wingspar/tests/sidecar/soak/faults.rs
+++ b/crates/wingspar/tests/sidecar/soak/faults.rs
@@ -12,12 +12,15 @@
 use super::load::CRASHING_PATH;
 use super::quotas::{METERED, VARIED};
 use crate::deployment::{Deployment, route};
+use crate::quota_bound;
 
 /// Time between the beginnings of two faults, in milliseconds.
 const PAUSE_MS: std::ops::Range<u64> = 300..1_500;
 /// How long a fault lasts, in milliseconds.
 const LASTS_MS: std::ops::Range<u64> = 300..4_000;
 
+/// How much longer than other faults a tenant sends many times its usual: as long as its quota's window.
+const STORM_LASTS: Duration = quota_bound::WINDOW;
 /// Zones, each a region of its own.
 const ZONES: [&str; 2] = ["a", "b"];
 /// What a target that is slow after its start tells of it, until it is told otherwise.
@@ -201,7 +204,7 @@
             15 | 16 => {
                 let tenant = [METERED, VARIED][random.random_range(0..2)];
                 self.note(&format!("{tenant} sends many times its usual"));
-                self.ends.push((until, End::Storm(tenant)));
+                self.ends.push((until + STORM_LASTS, End::Storm(tenant)));
             }
             5 | 6 if !away => self.pause(deployment, node, until),
             7 if !away => self.kill(deployment, node, until),
--- a/crates/wingspar/tests/sidecar/soak/load.rs
+++ b/crates/wingspar/tests/sidecar/soak/load.rs
@@ -15,7 +15,7 @@
 /// Requests sent at each step, at most.
 const AT_ONCE: usize = 4;
 /// Further requests of a tenant at each step while it sends many times its usual.
-const STORM: usize = 6;
+const STORM: usize = 10;
 /// Keys are drawn from so many, so that each is asked for often.
 const KEYS: u16 = 12;
 
--- a/crates/wingspar/tests/sidecar/soak/quotas.rs
+++ b/crates/wingspar/tests/sidecar/soak/quotas.rs
@@ -15,20 +15,20 @@
 pub const VARIED: &str = "varied";
 /// The quota of the first tenant, and the larger one of the second.
 const FULL: Terms = Terms {
-    rate: 20.0,
-    burst: 10.0,
+    rate: 12.0,
+    burst: 6.0,
 };
 /// The smaller one of the second.
 const LOWERED: Terms = Terms {
-    rate: 8.0,
-    burst: 4.0,
+    rate: 4.0,
+    burst: 3.0,
 };
 /// How long each of the checks sends that need no fault under way.
 const AT_REST: Duration = Duration::from_millis(2_400);
-/// Time between two requests far above the smaller quota: seven times as many.
+/// Time between two requests far above the smaller quota: fourteen times as many.
 const STORM_PAUSE: Duration = Duration::from_millis(18);
 /// Time between two requests at half of the larger quota.
-const USUAL_PAUSE: Duration = Duration::from_millis(100);
+const USUAL_PAUSE: Duration = Duration::from_millis(160);
 /// One in so many requests below the limit may be refused while nothing is wrong: on a busy machine an owner that runs
 /// may miss the time for its answer.
 const FEW: usize = 10;
@@ -75,7 +75,7 @@
     let [metered, varied] =
         [METERED, VARIED].map(|tenant| most(deployment, &sent_by(tenant, answers)));
     format!(
-        "in a window {METERED} {metered}, {VARIED} {varied} of {}",
+        "in a window {METERED} {metered}, {VARIED} {varied} of {:.0}",
         FULL.most()
     )
 }
