--- a/crates/wingspar/tests/sidecar/main.rs
+++ b/crates/wingspar/tests/sidecar/main.rs
@@ -17,6 +17,9 @@
 mod quota_bound;
 mod quota_failures;
 mod quotas;
+mod regions;
+mod requests;
+mod resting;
 mod soak;
 mod tenants;
 
