--- a/crates/sidecar/src/router/come_back.rs
+++ b/crates/sidecar/src/router/come_back.rs
@@ -24,7 +24,8 @@
             Some(cause) => cause,
             None => return record.retry_after.or(Some(ROOM_UNTOLD)),
         },
-        _ => return record.retry_after,
+        Reason::OverQuota => return record.retry_after,
+        _ => return None,
     };
     let cause = record.missing.unwrap_or(usual_cause);
     let wanted = Wanted {
