Breaker: only a target that rejects nearly all is left out

After eight rejected sends in a row a target that rejects two in three, and still serves a third, was left out by chance, again and again. Now twenty-four in a row open it: hardly ever at such a target, a quarter of a second later at one that rejects all.

--- a/crates/sidecar/src/breaker.rs
+++ b/crates/sidecar/src/breaker.rs
@@ -12,9 +12,9 @@
 
 use wingspar_ownership::Time;
 
-/// Sends in a row that open the breaker if all of them are rejected. A target that rejects half, and still serves half,
-/// opens it once in some five hundred sends; one that rejects one in ten, hardly ever.
-const REJECTIONS_TO_OPEN: usize = 8;
+/// Sends in a row that open the breaker if all of them are rejected. A target that rejects two in three, and still serves
+/// the third, hardly ever opens it, since each time costs what it would have served in the pause.
+const REJECTIONS_TO_OPEN: usize = 24;
 /// Pause before the first request goes through again: what opening by chance costs.
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 /// Longest pause between two of them: so late at most is it noticed that the target takes work again.
