--- a/crates/sidecar/src/router/come_back.rs
+++ b/crates/sidecar/src/router/come_back.rs
@@ -26,7 +26,8 @@
             Some(cause) => cause,
             None => return record.retry_after.or(Some(FULL_RETRY_AFTER)),
         },
-        _ => return record.retry_after,
+        Reason::OverQuota => return record.retry_after,
+        _ => return None,
     };
     let cause = record.missing.unwrap_or(usual_cause);
     let wanted = Wanted {
