Ownership: a node that hasn't heard of quotas tells which shards it gave back

A node may be given shards before it has the configuration with quotas. Once it had given all of them back, its renewals told nothing of shards, which the leader reads as a report of no assignment: the shards it had taken back stayed without an owner until the node heard of quotas. A node now reports shards as soon as it has taken on any assignment; without quotas that is an empty list in each renewal.

--- a/crates/ownership/src/participant/mod.rs
+++ b/crates/ownership/src/participant/mod.rs
@@ -21,7 +21,7 @@
     Admission, Delivery, Election, Epoch, EvacuatedZones, EvacuationReport, Fitness, GrantResult,
     Holder, KeyAnswer, KeyReport, Leader, LeaderReference, Leadership, LeaseReply, Life,
     LoadReport, Member, NodeName, Order, OwnerZones, PeerView, RegisteredNode, Renewal,
-    ShardHolder, Step, Table, TableAnswer, TargetState, Time, Timing,
+    ShardHolder, ShardReport, Step, Table, TableAnswer, TargetState, Time, Timing,
 };
 
 /// Two renewals that something hurried on are at least this far apart.
--- a/crates/ownership/src/participant/renewals.rs
+++ b/crates/ownership/src/participant/renewals.rs
@@ -5,8 +5,8 @@
 impl Participant {
     pub(super) fn renewal(&mut self, now: Time, around: &Surroundings) -> Renewal {
         let shards = self.shards.report(now);
-        // A leader may have given it shards before it has heard of quotas itself.
-        let tells_shards = around.has_quotas || !shards.owned.is_empty();
+        // A leader may have given it shards before it has heard of quotas itself, and waits to hear which it gave back.
+        let tells_shards = around.has_quotas || shards != ShardReport::default();
         Renewal {
             node: self.identity.node.clone(),
             life: self.identity.life,
--- a/crates/ownership/tests/shards.rs
+++ b/crates/ownership/tests/shards.rs
@@ -122,6 +122,34 @@
     assert_eq!(told.map(|report| report.owned), Some(vec![Shard(3)]));
 }
 
+#[test]
+fn a_process_that_has_not_heard_of_quotas_tells_that_it_gave_its_shards_back() {
+    let mut node = answered(2);
+    let leader = LeaderReference {
+        epoch: Epoch(2),
+        node: name(1),
+        life: Life(1),
+        address: address(1),
+    };
+    let told = LeaseReply {
+        life: Life(2),
+        ..naming(2, 1_010, 2, &[])
+    };
+    let around = Surroundings::default();
+    let lease = Datagram::Lease(leader, Box::new(told));
+    node.receive(Time(1_015), &around, address(1), lease);
+    let actions = node.receive(Time(1_020), &around, address(1), Datagram::Call(Epoch(2)));
+    let told = actions.into_iter().find_map(|action| match action {
+        Action::Send(_, Datagram::Renew(renewal)) => renewal.quota_shards,
+        _ => None,
+    });
+    let given_back = ShardReport {
+        applied: 2,
+        owned: Vec::new(),
+    };
+    assert_eq!(told, Some(given_back));
+}
+
 // --- the leader's side ---
 
 fn name(number: u8) -> NodeName {
