Count a gap that only its own callers meet to the middle of the time unseen

A gap's length was counted until the request that saw its end. Where one caller alone asks for a key, that is when it was told to come back, and a bit later by the spread; so each gap taught a longer time than the one before, up to the most that is told. If most of a gap lies after it was last met, half of that part no longer counts. Always counting to the middle was ruled out: the test of expected ends then lost callers at hand-overs.

--- a/crates/sidecar/src/expected_return.rs
+++ b/crates/sidecar/src/expected_return.rs
@@ -76,6 +76,21 @@
     met_at: Time,
 }
 
+impl Gap {
+    /// How long a gap lasted whose end is seen now. If it was met only long before, it may have ended at any time since:
+    /// counted until now, gaps that only their own callers meet would last as long as those were told to stay away, and
+    /// each time longer.
+    fn length(&self, now: Time) -> Duration {
+        let length = now.since(self.began_at);
+        let unseen = now.since(self.met_at);
+        if unseen * 2 > length {
+            length.saturating_sub(unseen / 2)
+        } else {
+            length
+        }
+    }
+}
+
 /// A time during which a node didn't answer.
 #[derive(Debug, Clone, Copy)]
 struct Silence {
@@ -204,7 +219,7 @@
             if lengths.len() >= LENGTHS_KEPT {
                 lengths.pop_front();
             }
-            lengths.push_back(now.since(gap.began_at));
+            lengths.push_back(gap.length(now));
         }
     }
 
--- a/crates/sidecar/tests/expected_return.rs
+++ b/crates/sidecar/tests/expected_return.rs
@@ -245,3 +245,25 @@
     }
     assert_eq!(returns.remembered(), 4_096);
 }
+
+#[test]
+fn callers_who_alone_ask_for_their_keys_are_not_told_longer_and_longer_times() {
+    let mut returns = ExpectedReturns::new(Timing::default());
+    let mut told = Duration::ZERO;
+    for key in 0..200 {
+        let wanted = Wanted {
+            service: "board",
+            key: Some(key),
+        };
+        let mut now = Time(u64::from(key) * 10_000);
+        let ends_at = now + millis(250);
+        while now < ends_at {
+            returns.refused(now, wanted, Cause::HandOver, None);
+            told = returns.retry_after(now, wanted, Cause::HandOver, ENDLESS, now);
+            now = now + told.mul_f64(1.0 + SPREAD / 2.0);
+        }
+        returns.served(now, wanted);
+        assert!(told < millis(600), "{told:?} for key {key}");
+    }
+    assert!(told >= millis(50), "{told:?}");
+}
