Ownership: a new leader takes keys back from zones only once it is settled

A leader that was elected with an earlier version of the configuration took keys back at its first look, by zones that are replaced a moment later, and had no plan yet for whom to give them to: they stayed without an owner until it was settled. Routers check regions themselves, so nothing runs outside meanwhile.

The new test failed before (no owner). Tests of the crate pass, the simulation included.

--- a/crates/ownership/src/leader/assignments.rs
+++ b/crates/ownership/src/leader/assignments.rs
@@ -42,7 +42,10 @@
                 partition.rebalance(&candidates);
                 rebalanced = true;
             }
-            self.take_back_outside(&service, &mut partition);
+            // A new leader may have yet to catch up with the configuration, and has no plan yet for what it takes back.
+            if settled {
+                self.take_back_outside(&service, &mut partition);
+            }
             self.follow_plan(&mut partition, &candidates);
             self.partitions.insert(service, partition);
         }
--- a/crates/ownership/tests/owner_zones.rs
+++ b/crates/ownership/tests/owner_zones.rs
@@ -4,8 +4,8 @@
 use std::net::SocketAddr;
 
 use wingspar_ownership::{
-    Epoch, Holding, Leader, LeaderReference, Leadership, Life, NodeName, OwnerZones,
-    RegisteredNode, Released, Renewal, Table, TargetState, Time, Timing, Wanted,
+    Epoch, Fence, Holding, KeyRange, Leader, LeaderReference, Leadership, Life, NodeName,
+    OwnerZones, RegisteredNode, Released, Renewal, Table, TargetState, Time, Timing, Wanted,
 };
 
 const SERVICE: &str = "s";
@@ -195,3 +195,23 @@
     fleet.run(1_000);
     assert_eq!(fleet.zones(), BTreeSet::from(["a", "b"]));
 }
+
+#[test]
+fn a_new_leader_leaves_keys_where_they_are_until_it_has_caught_up() {
+    // It was elected with an earlier version of the configuration, which is replaced soon after.
+    let mut fleet = Fleet::new(&only_in(&["b"]));
+    let all = Wanted {
+        range: KeyRange {
+            from: 0,
+            to: u16::MAX,
+        },
+        fence: Fence::first_of(Epoch(1)),
+        handover: None,
+    };
+    fleet.nodes.get_mut(&0).expect("a node").wanted = vec![all];
+    fleet.run(300);
+    assert_eq!(fleet.zones(), BTreeSet::from(["a"]));
+    fleet.leader.set_owner_zones(&OwnerZones::default());
+    fleet.run(2_500);
+    assert_eq!(fleet.zones(), BTreeSet::from(["a", "b"]));
+}
