Sidecar tests: wait for the router to know the owner before statuses are checked

Targets hold their keys before a router has fetched the table that says so; with the table before, it refuses at once. Found by reading; the test wasn't seen to fail. The check of each key's status and place is as it was.

--- a/crates/wingspar/tests/sidecar/tenants.rs
+++ b/crates/wingspar/tests/sidecar/tenants.rs
@@ -368,6 +368,17 @@
         keys().all(|key| deployment::key_owned_by(&deployment, key) == Some(1))
     })
     .await;
+    // Its router may hear of the last of them a moment later.
+    for key in keys() {
+        eventually("the router knows the owner", || async {
+            let request = deployment.request(2, "/stock/1", &format!("known-{key}"));
+            let request = request
+                .header(CREDENTIAL, "any")
+                .header("x-wingspar-shard-key", key);
+            request.send().await.expect("an answer").status() == 200
+        })
+        .await;
+    }
     for key in keys() {
         let id = format!("keyed-{key}");
         let request = deployment.request(2, "/stock/1", &id);
