Answer what has arrived when a client's connection at rest is closed

A connection at rest that was used as the process began to close its connections was closed unanswered, for two reasons: a new HTTP server that is told to stop before its first look closes at once, though a request has arrived; and the runtime may not have seen the bytes yet. Now the HTTP server is told after it has looked, and the runtime looks once more before the close. The test stops the process's clock (SIGSTOP) over both moments; it fails with either half of the change alone.

--- a/crates/sidecar/src/pipelining/client.rs
+++ b/crates/sidecar/src/pipelining/client.rs
@@ -17,7 +17,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::task::{JoinError, JoinHandle, spawn_local};
+use tokio::task::{JoinError, JoinHandle, spawn_local, yield_now};
 use tokio::time::timeout;
 
 use super::read_ahead::{ReadAhead, Stopped};
@@ -73,7 +73,12 @@
         );
         match next.await {
             Ok(Rested::MoreToRead) => {}
-            Ok(Rested::Closing) | Err(_) => break End::Closed,
+            Ok(Rested::Closing) => {
+                if !client.has_late_bytes().await {
+                    break End::Closed;
+                }
+            }
+            Err(_) => break End::Closed,
         }
     };
     client.ended(end);
@@ -103,16 +108,18 @@
     let pause = poll_fn(|context| {
         client.look_for_stop(context, closing.as_mut());
         loop {
-            if client.answers_last() && !announced {
-                // The answer in progress announces the close; a resting connection ends at once.
-                announced = true;
-                Pin::new(&mut *connection).graceful_shutdown();
-            }
             client.server_waits.set(false);
             if let Poll::Ready(served) = Pin::new(&mut *connection).poll(context) {
                 let end = served.map_or(End::Broken, |()| End::Closed);
                 return Poll::Ready(Pause::Ended(end));
             }
+            if client.answers_last() && !announced {
+                // The answer in progress announces the close; a resting connection ends at once. Only now, since an HTTP
+                // server that hasn't looked for a request yet would close the connection on one that has arrived.
+                announced = true;
+                Pin::new(&mut *connection).graceful_shutdown();
+                continue;
+            }
             if client.poll_read_ahead(context).is_ready() {
                 return Poll::Ready(Pause::Ended(End::Broken));
             }
@@ -277,6 +284,17 @@
         }
     }
 
+    /// Whether bytes, or the client's end, have arrived that the runtime hadn't seen yet when the process began to close
+    /// its connections.
+    async fn has_late_bytes(&self) -> bool {
+        yield_now().await;
+        poll_fn(|context| {
+            let polled = self.stream.borrow().poll_read_ready(context);
+            Poll::Ready(polled.is_ready())
+        })
+        .await
+    }
+
     /// Notes whether the client takes what the HTTP server writes.
     fn wrote(&self, polled: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         self.write_is_blocked.set(polled.is_pending());
--- a/crates/wingspar/tests/sidecar/resting.rs
+++ b/crates/wingspar/tests/sidecar/resting.rs
@@ -132,3 +132,45 @@
     }
     assert_eq!(rest_of(never_used).await, "");
 }
+
+/// The process sleeps while requests arrive and the time to close its connections comes, so that it sees both at once.
+#[tokio::test]
+async fn requests_that_arrive_as_connections_are_closed_are_answered() {
+    /// Shortly before a node that was told to stop closes its connections, and after that.
+    const BEFORE_CLOSING: Duration = Duration::from_millis(1_300);
+    const OVER_CLOSING: Duration = Duration::from_millis(1_300);
+    let deployment = Deployment::start(73).await;
+    let mut resting = Vec::new();
+    for number in 0..5 {
+        let mut connection = connected(&deployment).await;
+        let request = format!(
+            "GET /orders/1 HTTP/1.1\r\nhost: shop.example\r\nx-wingspar-request-id: early-{number}\r\n\r\n"
+        );
+        connection
+            .write_all(request.as_bytes())
+            .await
+            .expect("sent");
+        let mut answer = [0; 4096];
+        let length = connection.read(&mut answer).await.expect("an answer");
+        assert!(answer[..length].starts_with(b"HTTP/1.1 200"));
+        resting.push(connection);
+    }
+    deployment.terminate(NODE);
+    tokio::time::sleep(BEFORE_CLOSING).await;
+    deployment.signal(NODE, "-STOP");
+    for (number, connection) in resting.iter_mut().enumerate() {
+        let request = format!(
+            "GET /orders/1 HTTP/1.1\r\nhost: shop.example\r\nx-wingspar-request-id: closing-{number}\r\n\r\n"
+        );
+        connection
+            .write_all(request.as_bytes())
+            .await
+            .expect("sent");
+    }
+    tokio::time::sleep(OVER_CLOSING).await;
+    deployment.signal(NODE, "-CONT");
+    for (number, connection) in resting.into_iter().enumerate() {
+        let said = rest_of(connection).await;
+        assert!(said.starts_with("HTTP/1.1 "), "{number}: {said:?}");
+    }
+}
