--- a/crates/rehearse/bench/landing.py
+++ b/crates/rehearse/bench/landing.py
@@ -30,10 +30,13 @@
 CHANGED = "-dirty"
 
 
-def commit():
-    """The commit that is played, marked if the tree differs from it."""
-    asked = ["git", "describe", "--always", f"--dirty={CHANGED}", "--exclude=*"]
-    return subprocess.run(asked, capture_output=True, text=True, check=True).stdout.strip()
+def commit(tree="."):
+    """The commit that is played, marked if the tree differs from it. The journal doesn't count: the bench adds its entries
+    as it plays, and the next run of the plan would be taken for another tree's."""
+    asked = ["git", "-C", tree, "describe", "--always", "--exclude=*"]
+    name = subprocess.run(asked, capture_output=True, text=True, check=True).stdout.strip()
+    differs = subprocess.run(["git", "-C", tree, "diff", "--quiet", "HEAD", "--", ".", ":!journal"], check=False)
+    return name + (CHANGED if differs.returncode else "")
 
 
 def all_runs_of(plan):
--- a/crates/rehearse/bench/test_landing.py
+++ b/crates/rehearse/bench/test_landing.py
@@ -1,6 +1,7 @@
 """The verdict on a run, and the runs of a plan."""
 
 import pathlib
+import subprocess
 import tempfile
 import unittest
 
@@ -48,6 +49,24 @@
             self.assertEqual(again, ("played --why why\n", 0))
             self.assertEqual(landing.play("false", out, "why", "a", []), again)
 
+    def test_entries_of_the_journal_do_not_change_the_tree(self):
+        with tempfile.TemporaryDirectory() as folder:
+            def git(*arguments):
+                author = ["-c", "user.name=a", "-c", "user.email=a@example"]
+                subprocess.run(["git", "-C", folder, *author, *arguments], capture_output=True, check=True)
+
+            code, journal = pathlib.Path(folder, "code"), pathlib.Path(folder, "journal")
+            journal.mkdir()
+            code.write_text("one")
+            git("init")
+            git("add", ".")
+            git("commit", "-m", "one")
+            (journal / "entry.json").write_text("{}")
+            git("add", ".")
+            self.assertFalse(landing.commit(folder).endswith(landing.CHANGED))
+            code.write_text("two")
+            self.assertTrue(landing.commit(folder).endswith(landing.CHANGED))
+
     def test_a_run_that_was_killed_is_made_again(self):
         with tempfile.TemporaryDirectory() as folder:
             out = pathlib.Path(folder)
