--- /dev/null
+++ b/crates/rehearse/bench/test_landing.py
@@ -0,0 +1,37 @@
+"""The verdict on a run, and the runs of a plan."""
+
+import unittest
+
+import landing
+
+GOOD = """\
+quiet-1                 59/0   0.40  0.560  0.934   0.028  0.001  nines 0.52
+GATE passed
+"""
+BROKEN = """\
+scale-1                 83/0   0.00  0.346  0.651   0.192  0.117  worst windows 0.21  BROKEN: QUOTA 1 (else 0.77)
+GATE failed: scale-1: QUOTA broken
+"""
+
+
+class Landing(unittest.TestCase):
+    """What a run says and what a plan asks for."""
+
+    def test_a_run_without_broken_rules_is_good(self):
+        self.assertEqual(landing.verdict(GOOD, 0), (True, ["GATE passed"]))
+
+    def test_a_broken_rule_a_failed_gate_and_an_exit_code_are_bad(self):
+        good, lines = landing.verdict(BROKEN, 0)
+        self.assertFalse(good)
+        self.assertEqual(len(lines), 2)
+        self.assertFalse(landing.verdict(GOOD, 1)[0])
+        self.assertEqual(landing.verdict("", 2), (False, ["exit 2"]))
+
+    def test_a_plan_names_each_run_once(self):
+        plan = {"run": [{"site": "/s/a.toml", "score": True, "hunt": 8, "sweep": 300, "days": ["d/x.toml"], "jobs": 2}]}
+        names = [name for name, _ in landing.runs_of(plan)]
+        self.assertEqual(names, ["a-score", "a-hunt", "a-sweep", "a-x"])
+
+
+if __name__ == "__main__":
+    unittest.main()
