Sight: how old a node's configuration is when it decides, why a fetch brought nothing, what the store's answers carry

Where a node lags behind the configuration, logs told neither how long ago it was last sure of it, nor why another node's answer wasn't put in force, nor how much of a store's answer had come when the call was given up. So they couldn't tell a node that can't read from one that believes it is up to date, or from one that is given changes that don't fit. Request lines now tell the age, failed fetches their reason, failed reads the bytes that had come; metrics count the store's bytes, whole and given up. No decision changes.

--- a/crates/sidecar/src/configuration_doubts.rs
+++ b/crates/sidecar/src/configuration_doubts.rs
@@ -206,7 +206,7 @@
 /// Whether what this node knows of the configuration rests on a recent check, so that another node that asks it need
 /// not ask the store.
 pub fn is_sure(node: &Node) -> bool {
-    let checked_at = node.configuration_checked_at.get();
     let recent = follow::recently_checked(node);
-    checked_at.is_some_and(|checked_at| node.now().since(checked_at) < recent)
+    node.configuration_checked_ago()
+        .is_some_and(|ago| ago < recent)
 }
--- a/crates/sidecar/src/configuration_fetch.rs
+++ b/crates/sidecar/src/configuration_fetch.rs
@@ -12,6 +12,7 @@
 
 use crate::configuration_doubts::Finding;
 use crate::internal::{self, Fetched};
+use crate::logs::Event;
 use crate::node::Node;
 
 /// Nodes that fetch from one other node at most. What has changed has a few hundred bytes, so this many answers take
@@ -60,18 +61,33 @@
 
 /// Asks another node for a later configuration and puts it in force.
 pub async fn ask(node: &Node, source: SocketAddr) -> Finding {
+    let version = node.configuration_version();
     let later = match internal::fetch_configuration(node, source).await {
-        Some(Fetched::Whole(configuration)) => node.configure(configuration, "node"),
-        Some(Fetched::Changes(changes)) => node.change_configuration(changes, "changes"),
-        Some(Fetched::NoneLater) => return Finding::NoneLater,
-        None => return Finding::Unknown,
+        Ok(Fetched::Whole(configuration)) => node.configure(configuration, "node"),
+        Ok(Fetched::Changes(changes)) => node.change_configuration(changes, "changes"),
+        Ok(Fetched::NoneLater) => return Finding::NoneLater,
+        Err(error) => {
+            not_fetched(node, source, version, error.to_string());
+            return Finding::Unknown;
+        }
     };
     if later {
-        Finding::Later
-    } else {
-        // Another call has brought the same or a later one meanwhile.
-        Finding::Unknown
+        return Finding::Later;
+    }
+    if node.configuration_version() == version {
+        let problem = "what has changed begins with another version".to_owned();
+        not_fetched(node, source, version, problem);
     }
+    // Otherwise another call has brought the same or a later one meanwhile.
+    Finding::Unknown
+}
+
+fn not_fetched(node: &Node, source: SocketAddr, version: u64, problem: String) {
+    node.log.write(Event::ConfigurationNotFetched {
+        from: source.to_string(),
+        version,
+        problem,
+    });
 }
 
 /// The node of the own zone to fetch a version from; nothing if this node is to ask the leader.
--- a/crates/sidecar/src/control.rs
+++ b/crates/sidecar/src/control.rs
@@ -114,10 +114,7 @@
                 .get()
                 .then(|| node.settings.node.service.clone()),
             configuration_version: node.configuration_version(),
-            configuration_checked_ago: node
-                .configuration_checked_at
-                .get()
-                .map(|checked_at| node.now().since(checked_at)),
+            configuration_checked_ago: node.configuration_checked_ago(),
             evacuations: node.evacuation_report(),
             quarantine: node.quarantine.borrow_mut().shared(node.clock.uptime()),
             store_reachable: node.store_reachable.get(),
@@ -153,6 +150,10 @@
         }
         quota::note_shards(&self.node);
         let node = &self.node;
+        let checked_ago = node.configuration_checked_ago();
+        let checked_ms_ago =
+            checked_ago.map_or(-1, |ago| i64::try_from(ago.as_millis()).unwrap_or(i64::MAX));
+        node.metrics.configuration_age.set(checked_ms_ago);
         node.metrics
             .running
             .set(i64::try_from(node.slots.running()).unwrap_or(0));
--- a/crates/sidecar/src/internal.rs
+++ b/crates/sidecar/src/internal.rs
@@ -1,5 +1,6 @@
 //! The address that other nodes use: requests for the target, the table, the configuration, load.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -24,6 +25,7 @@
 use crate::logs::Event;
 use crate::node::Node;
 use crate::packed::{pack, unpack};
+use crate::receive;
 use crate::relay;
 
 const CBOR: &str = "application/cbor";
@@ -35,6 +37,26 @@
 /// Calls between nodes without an answer for this long are given up.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// Why a call to another node told nothing.
+#[derive(Debug, thiserror::Error)]
+pub enum CallError {
+    /// Its path is none; a defect of this node.
+    #[error("the call can't be written: {0}")]
+    Unwritable(#[from] http::uri::InvalidUri),
+    /// No connection, or one that failed.
+    #[error("no answer: {0}")]
+    NoAnswer(String),
+    /// Too little of an answer within [`CALL_TIMEOUT`].
+    #[error("{0} bytes of an answer in time")]
+    Late(usize),
+    /// The node answers that it can't tell.
+    #[error("the node answers {0}")]
+    Refused(StatusCode),
+    /// Another version of the program, or a defect.
+    #[error("the answer can't be read")]
+    Unreadable,
+}
+
 /// Answers another node.
 pub async fn answer(node: Rc<Node>, request: Request<Incoming>) -> Response<Body> {
     if hop::is_hop(request.headers()) {
@@ -187,7 +209,7 @@
 
 /// Fetches the leader's table and keeps the answer for nodes that this one is a relay for.
 async fn fetch_from_leader(node: &Node, leader: SocketAddr, path: &str) -> Option<TableAnswer> {
-    let answer = fetch_bytes(node, leader, "table", path).await?;
+    let (_status, answer) = get(node, leader, "table", path).await.ok()?;
     let table = unpack(answer.as_ref());
     node.table_bytes.borrow_mut().received = Some((path.to_owned(), answer));
     table
@@ -204,15 +226,16 @@
 }
 
 /// Fetches another node's configuration, or what has changed in it since the own one.
-pub async fn fetch_configuration(node: &Node, from: SocketAddr) -> Option<Fetched> {
+pub async fn fetch_configuration(node: &Node, from: SocketAddr) -> Result<Fetched, CallError> {
     let version = node.configuration_version();
     let path = format!("{CONFIGURATION_PATH}?{AFTER}{version}");
     let (status, body) = get(node, from, "configuration", &path).await?;
-    match status {
+    let fetched = match status {
         StatusCode::NO_CONTENT => Some(Fetched::NoneLater),
         StatusCode::PARTIAL_CONTENT => unpack(&body).map(Fetched::Changes),
         _ => unpack(&body).map(Fetched::Whole),
-    }
+    };
+    fetched.ok_or(CallError::Unreadable)
 }
 
 async fn fetch<Value: DeserializeOwned>(
@@ -221,29 +244,18 @@
     kind: &'static str,
     path: &str,
 ) -> Option<Value> {
-    let (_status, bytes) = get(node, from, kind, path).await?;
+    let (_status, bytes) = get(node, from, kind, path).await.ok()?;
     unpack(&bytes)
 }
 
-async fn fetch_bytes(
-    node: &Node,
-    from: SocketAddr,
-    kind: &'static str,
-    path: &str,
-) -> Option<Bytes> {
-    get(node, from, kind, path)
-        .await
-        .map(|(_status, bytes)| bytes)
-}
-
 async fn get(
     node: &Node,
     from: SocketAddr,
     kind: &'static str,
     path: &str,
-) -> Option<(StatusCode, Bytes)> {
+) -> Result<(StatusCode, Bytes), CallError> {
     let mut request = Request::new(Body::empty());
-    *request.uri_mut() = path.parse().ok()?;
+    *request.uri_mut() = path.parse()?;
     call(node, from, kind, request).await
 }
 
@@ -255,22 +267,31 @@
     let _answer = call(node, to, "load", request).await;
 }
 
-/// The status and body of a call's answer; nothing if it isn't done.
+/// The status and body of a call's answer.
 async fn call(
     node: &Node,
     to: SocketAddr,
     kind: &'static str,
     request: Request<Body>,
-) -> Option<(StatusCode, Bytes)> {
+) -> Result<(StatusCode, Bytes), CallError> {
     let asked = hop::length_of(request.headers(), request.body());
     node.metrics.count_control(kind, asked);
+    let received = Cell::new(0);
     let exchange = async {
-        let response = node.peer(to).send(request).await.ok()?;
+        let sent = node.peer(to).send(request).await;
+        let response = sent.map_err(|error| CallError::NoAnswer(error.to_string()))?;
         let status = response.status();
         let answered = hop::length_of(response.headers(), response.body());
         node.metrics.count_control(kind, answered);
-        let body = response.into_body().collect().await.ok()?.to_bytes();
-        status.is_success().then_some((status, body))
+        if !status.is_success() {
+            return Err(CallError::Refused(status));
+        }
+        let body = receive::whole(response.into_body(), &received).await;
+        let body = body.map_err(|error| CallError::NoAnswer(error.to_string()))?;
+        Ok((status, body))
     };
-    timeout(CALL_TIMEOUT, exchange).await.ok().flatten()
+    match timeout(CALL_TIMEOUT, exchange).await {
+        Ok(answer) => answer,
+        Err(_) => Err(CallError::Late(received.get())),
+    }
 }
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod pipelining;
 mod quarantine;
 pub mod quota;
+mod receive;
 mod registration;
 pub mod relay;
 mod router;
--- a/crates/sidecar/src/logs.rs
+++ b/crates/sidecar/src/logs.rs
@@ -104,6 +104,15 @@
         /// What is wrong with it.
         problem: String,
     },
+    /// Another node that was asked for a later configuration gave none that could be put in force.
+    ConfigurationNotFetched {
+        /// The address that was asked.
+        from: String,
+        /// Version in force here.
+        version: u64,
+        /// Why.
+        problem: String,
+    },
     /// Other zones are evacuated than before.
     ZonesEvacuated {
         /// The zones, none if all are in service.
@@ -271,6 +280,8 @@
         fingerprint: String,
         /// Version of the configuration that decided.
         configuration: u64,
+        /// How long ago the version in force was last known to be the latest, in milliseconds; none if it never was.
+        checked_ms_ago: Option<u64>,
         /// The node that was tried last.
         tried: &'a str,
         /// Sends that reached, or may have reached, a target.
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -79,6 +79,8 @@
     pub pipelines_cut: Family<OutcomeLabel, Counter>,
     /// Calls to the store, by outcome.
     pub store_calls: Family<OutcomeLabel, Counter>,
+    /// Bytes of the store's answers: `whole` ones, and those that were `given_up`.
+    pub store_bytes: Family<OutcomeLabel, Counter>,
     /// Grants and releases at the target, by outcome.
     pub key_orders: Family<OutcomeLabel, Counter>,
     /// Decisions on requests under which targets end, by what was decided.
@@ -99,6 +101,8 @@
     pub withheld: Gauge,
     /// Version of the configuration in force.
     pub configuration: Gauge,
+    /// How long ago, in milliseconds, it was last known to be the latest; -1 if it never was.
+    pub configuration_age: Gauge,
     /// Epoch of the leader that is followed.
     pub epoch: Gauge,
 }
@@ -127,6 +131,7 @@
             started_ahead: Counter::default(),
             pipelines_cut: Family::default(),
             store_calls: Family::default(),
+            store_bytes: Family::default(),
             key_orders: Family::default(),
             quarantine: Family::default(),
             quota: Family::default(),
@@ -137,6 +142,7 @@
             waiting: Gauge::default(),
             withheld: Gauge::default(),
             configuration: Gauge::default(),
+            configuration_age: Gauge::default(),
             epoch: Gauge::default(),
             registry: Registry::default(),
         };
@@ -255,6 +261,11 @@
             "Calls to the store",
             self.store_calls.clone(),
         );
+        registry.register(
+            "store_bytes",
+            "Bytes of the store's answers",
+            self.store_bytes.clone(),
+        );
         registry.register(
             "configuration_doubts",
             "Checks whether a refusal rests on an outdated configuration",
@@ -265,6 +276,11 @@
             "Configuration in force",
             self.configuration.clone(),
         );
+        registry.register(
+            "configuration_checked_milliseconds_ago",
+            "Time since the configuration in force was known to be the latest; -1: it never was",
+            self.configuration_age.clone(),
+        );
         registry.register(
             "leader_epoch",
             "Epoch of the leader followed",
@@ -289,6 +305,14 @@
         self.control_bytes.get_or_create(&label).inc_by(bytes);
     }
 
+    /// Counts the bytes of an answer of the store.
+    pub fn count_store_bytes(&self, is_whole: bool, bytes: usize) {
+        let outcome = if is_whole { "whole" } else { "given_up" };
+        let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
+        let label = OutcomeLabel { outcome };
+        self.store_bytes.get_or_create(&label).inc_by(bytes);
+    }
+
     /// All figures as text; empty if one can't be encoded, which is a defect.
     pub fn encode(&self) -> String {
         let mut text = String::new();
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -284,6 +284,12 @@
         self.configuration_checked_at.set(known.max(Some(at)));
     }
 
+    /// How long ago the configuration in force was last known to be the latest in the store; nothing if it never was.
+    pub fn configuration_checked_ago(&self) -> Option<Duration> {
+        let checked_at = self.configuration_checked_at.get()?;
+        Some(self.now().since(checked_at))
+    }
+
     /// The time by which an evacuation must be in force; nothing if the settings tell none.
     pub fn evacuation_bound(&self) -> Option<Duration> {
         self.settings.bounds.evacuate_s.map(Duration::from_secs_f64)
--- a/crates/sidecar/src/router/record.rs
+++ b/crates/sidecar/src/router/record.rs
@@ -112,6 +112,7 @@
                 .fingerprint
                 .map_or_else(String::new, |fingerprint| fingerprint.to_string()),
             configuration: self.configuration,
+            checked_ms_ago: node.configuration_checked_ago().map(whole_millis),
             tried: &self.node,
             sends: self.sends,
             outcome: labels.outcome,
--- a/crates/sidecar/src/store.rs
+++ b/crates/sidecar/src/store.rs
@@ -1,5 +1,6 @@
 //! Calls to the store that lasts.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -7,7 +8,6 @@
 use bytes::Bytes;
 use http::header::{CONTENT_TYPE, HOST};
 use http::{HeaderValue, Request};
-use http_body_util::BodyExt;
 use tokio::time::timeout;
 use wingspar_platform::FormatError;
 use wingspar_platform::objects::{Call, Outcome};
@@ -15,6 +15,7 @@
 use crate::body::Body;
 use crate::connections::Connections;
 use crate::node::Node;
+use crate::receive;
 
 /// A call without an answer for this long is given up; its connection isn't used again.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_200);
@@ -60,18 +61,24 @@
         }
     }
 
-    async fn call(&self, call: &Call, time: Duration) -> Result<Reply, StoreError> {
-        match timeout(time, self.exchange(call)).await {
+    async fn call(
+        &self,
+        call: &Call,
+        time: Duration,
+        received: &Cell<usize>,
+    ) -> Result<Reply, StoreError> {
+        match timeout(time, self.exchange(call, received)).await {
             Ok(reply) => reply,
             Err(_) => {
                 // Once an answer is lost, its connection says nothing further; others may be as old.
                 self.connections.close_idle();
-                Err(StoreError::NoAnswer("no answer in time".to_owned()))
+                let problem = format!("{} bytes of an answer in time", received.get());
+                Err(StoreError::NoAnswer(problem))
             }
         }
     }
 
-    async fn exchange(&self, call: &Call) -> Result<Reply, StoreError> {
+    async fn exchange(&self, call: &Call, received: &Cell<usize>) -> Result<Reply, StoreError> {
         let no_answer = |error: &dyn std::fmt::Display| StoreError::NoAnswer(error.to_string());
         let mut request = Request::new(Body::whole(call.body.clone()));
         *request.method_mut() = call.method.clone();
@@ -88,15 +95,10 @@
             .await
             .map_err(|error| no_answer(&error))?;
         let outcome = Outcome::from_status(response.status());
-        let body = response
-            .into_body()
-            .collect()
+        let body = receive::whole(response.into_body(), received)
             .await
             .map_err(|error| no_answer(&error))?;
-        Ok(Reply {
-            outcome,
-            body: body.to_bytes(),
-        })
+        Ok(Reply { outcome, body })
     }
 }
 
@@ -108,7 +110,11 @@
         call: &Call,
         time: Option<Duration>,
     ) -> Result<Reply, StoreError> {
-        let reply = self.store.call(call, time.unwrap_or(CALL_TIMEOUT)).await;
+        let received = Cell::new(0);
+        let time = time.unwrap_or(CALL_TIMEOUT);
+        let reply = self.store.call(call, time, &received).await;
+        self.metrics
+            .count_store_bytes(reply.is_ok(), received.get());
         let outcome = reply.as_ref().ok().map(|reply| reply.outcome);
         let name = outcome.map_or("no_answer", outcome_name);
         self.metrics.count(&self.metrics.store_calls, name);
