Failing tests: a large configuration isn't in force in time after the loss of the leader

What callers saw: nodes routed by a configuration that had been replaced long before, and refused requests of routes that had been added. The first test makes the way to the store as short as a machine's link that requests share: a version that is written after the loss of the leader is at no other node 40 s later. The second counts what the same way carries while nothing changes: five times the configuration in six seconds.

--- a/crates/standins/src/net/mod.rs
+++ b/crates/standins/src/net/mod.rs
@@ -6,6 +6,7 @@
 mod proxy;
 mod respond;
 mod server;
+mod shared_link;
 mod stream;
 
 pub use acceptor::{ConnectionSettings, StandInAcceptor};
@@ -13,4 +14,5 @@
 pub use proxy::{Harm, Proxy};
 pub use respond::{ErrorBody, connection, query_value, read_json, render_error, render_json};
 pub use server::RunningServer;
+pub use shared_link::SharedLink;
 pub use stream::StandInStream;
--- a/crates/standins/src/net/proxy.rs
+++ b/crates/standins/src/net/proxy.rs
@@ -10,6 +10,8 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
+use super::shared_link::SharedLink;
+
 /// Bytes that are passed on at once.
 const PIECE: usize = 16 * 1024;
 
@@ -49,12 +51,24 @@
     /// # Errors
     /// When the address can't be bound.
     pub async fn start(listen: SocketAddr, server: SocketAddr) -> Result<Self> {
+        Self::start_over(listen, server, SharedLink::default()).await
+    }
+
+    /// As [`Self::start`]; what the server answers comes over a link that others share.
+    ///
+    /// # Errors
+    /// When the address can't be bound.
+    pub async fn start_over(
+        listen: SocketAddr,
+        server: SocketAddr,
+        link: SharedLink,
+    ) -> Result<Self> {
         let listener = TcpListener::bind(listen).await?;
         let address = listener.local_addr()?;
         let (harm, harms) = watch::channel(Harm::None);
         let accepting = tokio::spawn(async move {
             while let Ok((client, _)) = listener.accept().await {
-                tokio::spawn(pass_on(client, server, harms.clone()));
+                tokio::spawn(pass_on(client, server, harms.clone(), link.clone()));
             }
         });
         Ok(Self {
@@ -77,7 +91,12 @@
 }
 
 /// One connection, until either side ends it or it is reset.
-async fn pass_on(client: TcpStream, server: SocketAddr, harms: watch::Receiver<Harm>) {
+async fn pass_on(
+    client: TcpStream,
+    server: SocketAddr,
+    harms: watch::Receiver<Harm>,
+    link: SharedLink,
+) {
     let Ok(server) = TcpStream::connect(server).await else {
         return;
     };
@@ -86,8 +105,8 @@
     let (from_client, to_client) = client.into_split();
     let (from_server, to_server) = server.into_split();
     tokio::select! {
-        () = copy(from_client, to_server, harms.clone(), false) => {}
-        () = copy(from_server, to_client, harms, true) => {}
+        () = copy(from_client, to_server, harms.clone(), None) => {}
+        () = copy(from_server, to_client, harms, Some(link)) => {}
         _reset = resets.wait_for(|harm| *harm == Harm::Reset) => {}
     }
 }
@@ -96,17 +115,22 @@
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
     mut harms: watch::Receiver<Harm>,
-    answers: bool,
+    answers_over: Option<SharedLink>,
 ) {
     let mut buffer = vec![0; PIECE];
     while let Ok(length @ 1..) = from.read(&mut buffer).await {
-        let passes = |harm: &Harm| *harm != Harm::Silent && !(answers && *harm == Harm::OneWay);
+        let passes = |harm: &Harm| {
+            *harm != Harm::Silent && !(answers_over.is_some() && *harm == Harm::OneWay)
+        };
         let Ok(harm) = harms.wait_for(passes).await.map(|harm| *harm) else {
             return;
         };
         if let Harm::Delay(time) = harm {
             tokio::time::sleep(time).await;
         }
+        if let Some(link) = &answers_over {
+            link.carry(length).await;
+        }
         if to.write_all(&buffer[..length]).await.is_err() {
             return;
         }
--- a/crates/wingspar/tests/sidecar/deployment.rs
+++ b/crates/wingspar/tests/sidecar/deployment.rs
@@ -8,7 +8,7 @@
 
 use serde_json::{Value, json};
 use wingspar_standins::fleet::{FleetStore, FleetTarget, Seen, TargetFaults};
-use wingspar_standins::net::Proxy;
+use wingspar_standins::net::{Proxy, SharedLink};
 
 use crate::machine::machine;
 use crate::network::claim_network;
@@ -92,6 +92,8 @@
 pub struct Deployment {
     /// The metadata store.
     pub store: FleetStore,
+    /// The link over which its answers reach nodes that speak to it through proxies.
+    pub store_way: SharedLink,
     /// The machines.
     pub nodes: Vec<Machine>,
     /// The credential of its clients' requests, unless a request names its own.
@@ -158,13 +160,14 @@
         let store = FleetStore::start(SocketAddr::from(([127, high, low, 200], 0)))
             .await
             .expect("a store");
+        let store_way = SharedLink::default();
         let mut nodes = Vec::new();
         for index in 0..4_u8 {
             nodes.push(
                 machine(
                     Ipv4Addr::new(127, high, low, index + 1),
                     index,
-                    &store,
+                    (&store, &store_way),
                     &folder,
                     wiring,
                 )
@@ -177,6 +180,7 @@
             .expect("a client");
         let mut deployment = Self {
             store,
+            store_way,
             nodes,
             credential: None,
             client,
--- a/crates/wingspar/tests/sidecar/machine.rs
+++ b/crates/wingspar/tests/sidecar/machine.rs
@@ -6,7 +6,7 @@
 use std::process::Stdio;
 
 use wingspar_standins::fleet::{FleetStore, FleetTarget};
-use wingspar_standins::net::Proxy;
+use wingspar_standins::net::{Proxy, SharedLink};
 
 use crate::deployment::{KEYED, Machine, PLAIN, Wiring};
 
@@ -29,7 +29,7 @@
 pub async fn machine(
     address: Ipv4Addr,
     index: u8,
-    store: &FleetStore,
+    (store, store_way): (&FleetStore, &SharedLink),
     folder: &Path,
     wiring: &Wiring,
 ) -> Machine {
@@ -42,7 +42,8 @@
         .expect("a target");
     let socket = |port| SocketAddr::new(ip, port);
     let link = async |server| Proxy::start(socket(0), server).await.expect("a free port");
-    let store_link = link(store.local_addr()).await;
+    let store_link = Proxy::start_over(socket(0), store.local_addr(), store_way.clone());
+    let store_link = store_link.await.expect("a free port");
     let target_link = link(target.local_addr()).await;
     let through = |link: &Proxy, server| {
         if wiring.through_proxies {
--- a/crates/wingspar/tests/sidecar/main.rs
+++ b/crates/wingspar/tests/sidecar/main.rs
@@ -21,6 +21,7 @@
 mod requests;
 mod resting;
 mod soak;
+mod stale_configuration;
 mod tenants;
 
 #[test]
