Answers are waited for as long as more of them comes

What callers saw: nodes stayed at a configuration that had been replaced long before. Cause: a call to the store was given up after 1.2 s in all, so on a link that others use too a large configuration was never read; what had come was thrown away and the next try carried it again. Calls between nodes had the same limit, 0.8 s. The limit now holds for the beginning of an answer and for each pause in it, with a second one for the whole that the largest object meets at a seventh of the slowest link. An answer that is silent is given up as early as before.

--- a/crates/sidecar/src/internal.rs
+++ b/crates/sidecar/src/internal.rs
@@ -25,7 +25,7 @@
 use crate::logs::Event;
 use crate::node::Node;
 use crate::packed::{pack, unpack};
-use crate::receive;
+use crate::receive::{self, Patience, ReceiveError};
 use crate::relay;
 
 const CBOR: &str = "application/cbor";
@@ -34,8 +34,14 @@
 /// In the query of a question for the configuration: the version that the asking node has.
 const AFTER: &str = "after=";
 const LOAD_PATH: &str = "/load";
-/// Calls between nodes without an answer for this long are given up.
+/// Calls between nodes whose answer doesn't begin, or stands still, for this long are given up.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
+/// Longest time for the rest of an answer once it has begun. A whole configuration of thousands of routes has some
+/// 60 KB, and one node gives it to two dozen others at once: 1.2 s of a link of 10 Mbit/s that carries nothing else.
+const PATIENCE: Patience = Patience {
+    pause: CALL_TIMEOUT,
+    whole: Duration::from_secs(3),
+};
 
 /// Why a call to another node told nothing.
 #[derive(Debug, thiserror::Error)]
@@ -46,9 +52,12 @@
     /// No connection, or one that failed.
     #[error("no answer: {0}")]
     NoAnswer(String),
-    /// Too little of an answer within [`CALL_TIMEOUT`].
-    #[error("{0} bytes of an answer in time")]
-    Late(usize),
+    /// The answer didn't begin within [`CALL_TIMEOUT`].
+    #[error("no answer in time")]
+    Late,
+    /// The answer began, and its rest isn't there.
+    #[error(transparent)]
+    NotReceived(#[from] ReceiveError),
     /// The node answers that it can't tell.
     #[error("the node answers {0}")]
     Refused(StatusCode),
@@ -276,22 +285,16 @@
 ) -> Result<(StatusCode, Bytes), CallError> {
     let asked = hop::length_of(request.headers(), request.body());
     node.metrics.count_control(kind, asked);
-    let received = Cell::new(0);
-    let exchange = async {
-        let sent = node.peer(to).send(request).await;
-        let response = sent.map_err(|error| CallError::NoAnswer(error.to_string()))?;
-        let status = response.status();
-        let answered = hop::length_of(response.headers(), response.body());
-        node.metrics.count_control(kind, answered);
-        if !status.is_success() {
-            return Err(CallError::Refused(status));
-        }
-        let body = receive::whole(response.into_body(), &received).await;
-        let body = body.map_err(|error| CallError::NoAnswer(error.to_string()))?;
-        Ok((status, body))
-    };
-    match timeout(CALL_TIMEOUT, exchange).await {
-        Ok(answer) => answer,
-        Err(_) => Err(CallError::Late(received.get())),
+    let sent = timeout(CALL_TIMEOUT, node.peer(to).send(request)).await;
+    let response = sent
+        .map_err(|_| CallError::Late)?
+        .map_err(|error| CallError::NoAnswer(error.to_string()))?;
+    let status = response.status();
+    let answered = hop::length_of(response.headers(), response.body());
+    node.metrics.count_control(kind, answered);
+    if !status.is_success() {
+        return Err(CallError::Refused(status));
     }
+    let body = receive::whole(response.into_body(), PATIENCE, &Cell::new(0)).await?;
+    Ok((status, body))
 }
--- a/crates/sidecar/src/store.rs
+++ b/crates/sidecar/src/store.rs
@@ -7,18 +7,25 @@
 
 use bytes::Bytes;
 use http::header::{CONTENT_TYPE, HOST};
-use http::{HeaderValue, Request};
+use http::{HeaderValue, Request, Response};
 use tokio::time::timeout;
 use wingspar_platform::FormatError;
 use wingspar_platform::objects::{Call, Outcome};
 
 use crate::body::Body;
-use crate::connections::Connections;
+use crate::connections::{ConnectionBody, Connections};
 use crate::node::Node;
-use crate::receive;
+use crate::receive::{self, Patience, ReceiveError};
 
-/// A call without an answer for this long is given up; its connection isn't used again.
+/// A call whose answer doesn't begin, or stands still, for this long is given up; its connection isn't used again.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// Longest time for the rest of an answer once it has begun: an object has 1 MB at most, so this is a seventh of the
+/// slowest machine's link of 10 Mbit/s.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(6);
+const PATIENCE: Patience = Patience {
+    pause: CALL_TIMEOUT,
+    whole: ANSWER_TIMEOUT,
+};
 /// Time for a connection to come up.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
 
@@ -67,18 +74,26 @@
         time: Duration,
         received: &Cell<usize>,
     ) -> Result<Reply, StoreError> {
-        match timeout(time, self.exchange(call, received)).await {
-            Ok(reply) => reply,
-            Err(_) => {
-                // Once an answer is lost, its connection says nothing further; others may be as old.
-                self.connections.close_idle();
-                let problem = format!("{} bytes of an answer in time", received.get());
-                Err(StoreError::NoAnswer(problem))
-            }
+        let response = match timeout(time, self.send(call)).await {
+            Ok(response) => response?,
+            Err(_) => return Err(self.late(0)),
+        };
+        let outcome = Outcome::from_status(response.status());
+        match receive::whole(response.into_body(), PATIENCE, received).await {
+            Ok(body) => Ok(Reply { outcome, body }),
+            Err(ReceiveError::Late(bytes)) => Err(self.late(bytes)),
+            Err(ReceiveError::Broken(error)) => Err(StoreError::NoAnswer(error.to_string())),
         }
     }
 
-    async fn exchange(&self, call: &Call, received: &Cell<usize>) -> Result<Reply, StoreError> {
+    /// No more of an answer came in time.
+    fn late(&self, bytes: usize) -> StoreError {
+        // Once an answer is lost, its connection says nothing further; others may be as old.
+        self.connections.close_idle();
+        StoreError::NoAnswer(ReceiveError::Late(bytes).to_string())
+    }
+
+    async fn send(&self, call: &Call) -> Result<Response<ConnectionBody>, StoreError> {
         let no_answer = |error: &dyn std::fmt::Display| StoreError::NoAnswer(error.to_string());
         let mut request = Request::new(Body::whole(call.body.clone()));
         *request.method_mut() = call.method.clone();
@@ -89,22 +104,16 @@
                 .headers_mut()
                 .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
         }
-        let response = self
-            .connections
+        self.connections
             .send(request)
             .await
-            .map_err(|error| no_answer(&error))?;
-        let outcome = Outcome::from_status(response.status());
-        let body = receive::whole(response.into_body(), received)
-            .await
-            .map_err(|error| no_answer(&error))?;
-        Ok(Reply { outcome, body })
+            .map_err(|error| no_answer(&error))
     }
 }
 
 impl Node {
-    /// Makes a call to the store, counts it and notes whether the store can be reached. `time` is how long a call may
-    /// take that is answered late, as a watch is.
+    /// Makes a call to the store, counts it and notes whether the store can be reached. `time` is how long a call waits
+    /// for its answer to begin if that comes late, as a watch's does.
     pub async fn call_store(
         &self,
         call: &Call,
