The configuration is read only if the store has changed

What callers saw: requests were late or refused, and nodes stayed behind, once the configuration had thousands of routes. Cause: the leader read all of it four times in the time by which a change must be in force, changed or not: two thirds of a link of 10 Mbit/s for nothing, and three times at once when a version came (watch, steady read, new watch). Now it asks for the store's revision, some 50 bytes: while that is the one at which it read the configuration, there is no later one. One read is under way at a time, and none beside a watch that is telling. A watch's word counts for an earlier question only if the change is as late as the revision that was told. A change of anything else in the store still causes one read.

--- a/crates/sidecar/src/follow/configuration.rs
+++ b/crates/sidecar/src/follow/configuration.rs
@@ -8,6 +8,7 @@
 use crate::logs::Event;
 use crate::node::Node;
 use crate::store::StoreError;
+use crate::stored_configuration::Look;
 
 /// Reads what the store's caches have, at a tenth of the price: a process that has just started needs some
 /// configuration at once, and hears from the leader whether there is a later one. Returns whether the store answered.
@@ -26,26 +27,59 @@
     false
 }
 
-/// Reads the configuration itself; afterwards the node is sure that it knew no older one when it asked.
-pub(super) async fn check(node: &Node) -> Result<(), StoreError> {
-    let asked_at = node.now();
+/// How a check has ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Checked {
+    /// The node is sure that it knew no older configuration when it asked.
+    Sure,
+    /// Another read was under way and has ended, or the watch has told of a change.
+    ByAnother,
+}
+
+/// Makes sure of the configuration: asks for the store's revision, and reads the configuration if it may have changed.
+pub(super) async fn check(node: &Node) -> Result<Checked, StoreError> {
+    let reads = &node.configuration_reads;
+    let Some(_read) = reads.begin() else {
+        reads.ended().await;
+        return Ok(Checked::ByAnother);
+    };
+    let look = look(node).await?;
+    if reads.known.borrow_mut().looked(look) {
+        node.configuration_checked(look.asked_at);
+        return Ok(Checked::Sure);
+    }
+    if reads.told_bytes.get() > 0 {
+        // The watch tells of a change already; reading it beside would take twice as long.
+        reads.ended().await;
+        return Ok(Checked::ByAnother);
+    }
     let call = objects::get(CONFIGURATION_KIND, CONFIGURATION_NAME);
     let body = node.read_store(&call, None).await?;
     take_body(node, &body, "store")?;
-    node.configuration_checked(asked_at);
-    Ok(())
+    reads.known.borrow_mut().read_after(look);
+    node.configuration_checked(look.asked_at);
+    Ok(Checked::Sure)
 }
 
-/// Lists the configuration; returns the store's revision.
-pub(super) async fn list(node: &Node) -> Result<u64, StoreError> {
+/// Asks for the store's revision, by a listing of what comes behind the configuration, which is nothing.
+async fn look(node: &Node) -> Result<Look, StoreError> {
     let asked_at = node.now();
-    let call = objects::list(CONFIGURATION_KIND, None);
+    let call = objects::list(CONFIGURATION_KIND, Some(CONFIGURATION_NAME));
     let page = objects::parse_page(&node.read_store(&call, None).await?)?;
-    for object in &page.objects {
-        watched(node, object);
-    }
-    node.configuration_checked(asked_at);
-    Ok(page.revision)
+    Ok(Look {
+        revision: page.revision,
+        asked_at,
+    })
+}
+
+/// Makes sure of the configuration; returns the store's revision from which a watch tells of everything later.
+pub(super) async fn watch_from(node: &Node) -> Result<u64, StoreError> {
+    check(node).await?;
+    let mut known = node.configuration_reads.known.borrow_mut();
+    known.watched(node.configuration_version());
+    known
+        .watch_from()
+        .ok_or_else(|| StoreError::NoAnswer("another read has failed".to_owned()))
 }
 
 /// Takes in what the watch has told.
@@ -56,14 +90,16 @@
         .iter()
         .rev()
         .find(|(object, gone)| !gone && object.name == CONFIGURATION_NAME);
-    if let Some((object, _)) = latest {
-        watched(node, object);
+    if let Some((object, _)) = latest
+        && let Some(version) = take(node, object, "store")
+    {
+        node.configuration_reads.known.borrow_mut().watched(version);
     }
 }
 
 /// What shows that the watch is behind: a later configuration is in force than it has told of.
 pub(super) fn behind(node: &Node) -> Option<String> {
-    let watched = node.watched_version.get();
+    let watched = node.configuration_reads.known.borrow().watched_version();
     let in_force = node.configuration_version();
     (watched < in_force).then(|| format!("told of version {watched}, {in_force} is in force"))
 }
@@ -73,32 +109,24 @@
     Ok(())
 }
 
-/// Takes in what a listing or the watch has told.
-fn watched(node: &Node, object: &Object) {
-    if let Some(version) = take(node, object, "store") {
-        let known = node.watched_version.get();
-        node.watched_version.set(known.max(version));
-    }
-}
-
 /// Puts a stored configuration in force and returns its version; one that can't be read is passed over, and the
 /// one in force stays.
 fn take(node: &Node, object: &Object, source: &'static str) -> Option<u64> {
     if object.name != CONFIGURATION_NAME {
         return None;
     }
-    if let Some((revision, version)) = node.configuration_read.get()
-        && revision == object.revision
-    {
-        // It has been read before, as it mostly has when the store is asked whether there is a later one.
+    let known = &node.configuration_reads.known;
+    if let Some(version) = known.borrow().version_at(object.revision) {
         return Some(version);
     }
     match parse_configuration(&object.content) {
         Ok(configuration) => {
             let version = configuration.version;
             node.configure(configuration, source);
-            node.configuration_read
-                .set(Some((object.revision, version)));
+            let explained = known.borrow_mut().read(object.revision, version);
+            if let Some(asked_at) = explained {
+                node.configuration_checked(asked_at);
+            }
             Some(version)
         }
         Err(error) => {
--- a/crates/sidecar/src/follow/mod.rs
+++ b/crates/sidecar/src/follow/mod.rs
@@ -1,7 +1,7 @@
 //! Keeps what the operator writes into the store up to date: the configuration, and which zones are evacuated.
 //!
-//! Only the leader watches the store. Since a watch may say nothing while there are changes, it also reads at a
-//! steady rate. With each renewal of a lease it tells what it knows and how long ago it last knew that the store held
+//! Only the leader watches the store. Since a watch may say nothing while there are changes, it also asks the store at a
+//! steady rate whether there are. With each renewal of a lease it tells what it knows and how long ago it last knew that the store held
 //! nothing later. A node to which that hasn't been true for too long, because the leader is gone, can't be reached or
 //! doesn't reach the store itself, reads the store. So the number of calls doesn't grow with the number of nodes
 //! while all is well.
@@ -12,11 +12,15 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use rand::RngExt;
 use wingspar_ownership::Time;
-use wingspar_platform::objects::{self, Changes};
+use wingspar_platform::objects::{self, Call, Changes};
 use wingspar_platform::{CONFIGURATION_KIND, EVACUATION_KIND};
 
+use configuration::Checked;
+
+use crate::configuration_doubts::is_sure;
 use crate::logs::Event;
 use crate::node::Node;
 use crate::store::StoreError;
@@ -35,10 +39,10 @@
 const LONGEST_PAUSE: Duration = Duration::from_millis(3_000);
 /// The same for the leader, on which all others rely.
 const LONGEST_LEADER_PAUSE: Duration = Duration::from_millis(600);
-/// The leader reads this often, in parts of the time by which a change must be in force everywhere.
+/// The leader asks the store this often, in parts of the time by which a change must be in force everywhere.
 /// With a renewal interval of 0.4 s others are then sure of what they know within half of that time.
 const LEADER_CHECK_SHARE: f64 = 0.25;
-/// A node that wasn't sure for this part of that time reads the store itself; the rest is for the call.
+/// A node that wasn't sure for this part of that time asks the store itself; the rest is for the call.
 const UNSURE_SHARE: f64 = 0.6;
 
 /// What the operator writes and nodes follow.
@@ -83,22 +87,42 @@
         }
     }
 
-    /// Reads all there is from the store; afterwards the node is sure of what it knows.
+    /// Makes sure with the store of what the node knows.
     async fn check(self, node: &Node) -> Result<(), StoreError> {
         match self {
-            Self::Configuration => configuration::check(node).await,
+            Self::Configuration => configuration::check(node).await.map(|_| ()),
             Self::Evacuations => evacuations::check(node).await.map(|_| ()),
         }
     }
 
-    /// Lists all there is and returns the revision from which a watch goes on.
-    async fn list(self, node: &Node) -> Result<u64, StoreError> {
+    /// Makes sure with the store of what the node knows and returns the revision from which a watch goes on.
+    async fn watch_from(self, node: &Node) -> Result<u64, StoreError> {
         match self {
-            Self::Configuration => configuration::list(node).await,
+            Self::Configuration => configuration::watch_from(node).await,
             Self::Evacuations => evacuations::check(node).await,
         }
     }
 
+    /// The answer to a watch, once it is whole.
+    async fn watched(self, node: &Node, request: &Call) -> Result<Bytes, StoreError> {
+        let time = Some(Duration::from_millis(WATCH_MS) + WATCH_SLACK);
+        match self {
+            Self::Configuration => {
+                let received = &node.configuration_reads.told_bytes;
+                node.read_store_counting(request, time, received).await
+            }
+            Self::Evacuations => node.read_store(request, time).await,
+        }
+    }
+
+    /// A watch has ended, and what it told was taken in.
+    fn ended(self, node: &Node) {
+        match self {
+            Self::Configuration => node.configuration_reads.told(),
+            Self::Evacuations => {}
+        }
+    }
+
     /// Takes in what the watch has told.
     fn told(self, node: &Node, changes: &Changes) {
         match self {
@@ -117,10 +141,11 @@
     }
 }
 
-/// Reads the configuration from the store; whether the store told it.
+/// Makes sure of the configuration with the store; whether the store told it.
 pub async fn check_configuration(node: &Node) -> bool {
     match configuration::check(node).await {
-        Ok(()) => true,
+        Ok(Checked::Sure) => true,
+        Ok(Checked::ByAnother) => is_sure(node),
         Err(error) => {
             log_failure(node, Subject::Configuration, "read", &error);
             false
@@ -174,7 +199,9 @@
         if !leads(&node) {
             continue;
         }
-        if let Err(error) = list_and_watch(&node, subject).await {
+        let ended = watch(&node, subject).await;
+        subject.ended(&node);
+        if let Err(error) = ended {
             log_failure(&node, subject, "watch", &error);
             tokio::time::sleep(LONGEST_LEADER_PAUSE).await;
         }
@@ -197,19 +224,19 @@
     node.now().since(sure_at) >= subject.bound(node).mul_f64(share)
 }
 
-/// Lists a subject, then watches it until a call fails, the store has forgotten its history, the watch turns
+/// Makes sure of a subject, then watches it until a call fails, the store has forgotten its history, the watch turns
 /// out to be behind, or the node leads no longer.
-async fn list_and_watch(node: &Node, subject: Subject) -> Result<(), StoreError> {
-    let mut revision = subject.list(node).await?;
-    let time = Duration::from_millis(WATCH_MS) + WATCH_SLACK;
+async fn watch(node: &Node, subject: Subject) -> Result<(), StoreError> {
+    let mut revision = subject.watch_from(node).await?;
     loop {
         let request = objects::watch(subject.kind(), revision, WATCH_MS);
         let body = tokio::select! {
-            body = node.read_store(&request, Some(time)) => body?,
+            body = subject.watched(node, &request) => body?,
             () = is_over(node, subject) => return Ok(()),
         };
         let changes = objects::parse_changes(&body)?;
         subject.told(node, &changes);
+        subject.ended(node);
         revision = changes.revision;
     }
 }
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -54,6 +54,7 @@
 pub mod start_rate;
 pub mod stop;
 mod store;
+pub mod stored_configuration;
 pub mod target;
 mod target_calls;
 mod target_end;
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -36,6 +36,7 @@
 use crate::spill_over::SpillOver;
 use crate::stop::Stop;
 use crate::store::Store;
+use crate::stored_configuration::ConfigurationReads;
 use crate::target::{Target, Warmth};
 use crate::unseen_work::UnseenWork;
 use crate::ways::Places;
@@ -123,10 +124,8 @@
     pub key_load: RefCell<KeyLoad>,
     /// The node's part in ownership.
     pub participant: RefCell<Participant>,
-    /// Version of the last configuration that the store's watch, or a listing, has told.
-    pub watched_version: Cell<u64>,
-    /// Revision of the store in which the configuration was read last, and the version read.
-    pub configuration_read: Cell<Option<(u64, u64)>>,
+    /// What was read of the stored configuration.
+    pub configuration_reads: ConfigurationReads,
     /// When the process started.
     pub started_at: Time,
     /// When the configuration in force was last known to be the latest in the store; nothing if it never was.
@@ -211,8 +210,7 @@
                 Participant::new(identity, timing, settings.node.first_start, now)
                     .with_delivery(settings.node.delivery()),
             ),
-            watched_version: Cell::new(0),
-            configuration_read: Cell::new(None),
+            configuration_reads: ConfigurationReads::default(),
             started_at: now,
             configuration_checked_at: Cell::new(None),
             configuration_announced: Cell::new(0),
--- a/crates/sidecar/src/store.rs
+++ b/crates/sidecar/src/store.rs
@@ -119,9 +119,18 @@
         call: &Call,
         time: Option<Duration>,
     ) -> Result<Reply, StoreError> {
-        let received = Cell::new(0);
+        self.call_store_counting(call, time, &Cell::new(0)).await
+    }
+
+    /// As [`Self::call_store`]; `received` counts the bytes of the answer as they come.
+    async fn call_store_counting(
+        &self,
+        call: &Call,
+        time: Option<Duration>,
+        received: &Cell<usize>,
+    ) -> Result<Reply, StoreError> {
         let time = time.unwrap_or(CALL_TIMEOUT);
-        let reply = self.store.call(call, time, &received).await;
+        let reply = self.store.call(call, time, received).await;
         self.metrics
             .count_store_bytes(reply.is_ok(), received.get());
         let outcome = reply.as_ref().ok().map(|reply| reply.outcome);
@@ -141,7 +150,17 @@
         call: &Call,
         time: Option<Duration>,
     ) -> Result<Bytes, StoreError> {
-        let reply = self.call_store(call, time).await?;
+        self.read_store_counting(call, time, &Cell::new(0)).await
+    }
+
+    /// As [`Self::read_store`]; `received` counts the bytes of the answer as they come.
+    pub async fn read_store_counting(
+        &self,
+        call: &Call,
+        time: Option<Duration>,
+        received: &Cell<usize>,
+    ) -> Result<Bytes, StoreError> {
+        let reply = self.call_store_counting(call, time, received).await?;
         match reply.outcome {
             Outcome::Done => Ok(reply.body),
             other => Err(StoreError::Answered(other)),
--- /dev/null
+++ b/crates/sidecar/src/stored_configuration.rs
@@ -0,0 +1,120 @@
+//! What this node knows of the configuration in the store, as a state machine without I/O.
+//!
+//! A configuration of thousands of routes is most of a megabyte, as much as the weakest link carries in a second. So it is
+//! read only if it may have changed: the store's revision, which costs a few bytes, rises with every change, and as long
+//! as it is the one at which the configuration was read, that is still the latest.
+
+use std::cell::{Cell, RefCell};
+
+use tokio::sync::Notify;
+use wingspar_ownership::Time;
+
+/// The store's revision, asked for at a time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Look {
+    /// The revision.
+    pub revision: u64,
+    /// When it was asked for: it was no lower then.
+    pub asked_at: Time,
+}
+
+/// What is known of the stored configuration.
+#[derive(Debug, Default)]
+pub struct StoredConfiguration {
+    /// Revision of the last change of the object that was read, and the version in it.
+    read: Option<(u64, u64)>,
+    /// The store's revision at which that was still the latest.
+    latest_at: Option<u64>,
+    /// A look that showed that something has changed since, until it is known whether it was the configuration.
+    unexplained: Option<Look>,
+    /// Version that the watch, or a read for it, has told last.
+    watched_version: u64,
+}
+
+impl StoredConfiguration {
+    /// Takes in the store's revision; whether the configuration that was read is still the latest.
+    pub fn looked(&mut self, look: Look) -> bool {
+        if self.latest_at == Some(look.revision) {
+            self.unexplained = None;
+            return true;
+        }
+        self.unexplained.get_or_insert(look);
+        false
+    }
+
+    /// The version in an object that has been read before.
+    pub fn version_at(&self, revision: u64) -> Option<u64> {
+        let (read, version) = self.read?;
+        (read == revision).then_some(version)
+    }
+
+    /// The object as of its last change at `revision` has been read. If that explains an earlier look, it was the latest
+    /// when that was asked for: the time is returned.
+    pub fn read(&mut self, revision: u64, version: u64) -> Option<Time> {
+        self.read = Some((revision, version));
+        self.latest_at = self.latest_at.max(Some(revision));
+        let look = self.unexplained.take_if(|look| look.revision <= revision)?;
+        Some(look.asked_at)
+    }
+
+    /// The object was read after a look: it is the latest as of that.
+    pub fn read_after(&mut self, look: Look) {
+        let read_at = self.read.map_or(0, |(revision, _)| revision);
+        self.latest_at = Some(look.revision.max(read_at));
+        self.unexplained = None;
+    }
+
+    /// The store's revision from which a watch tells of everything later; nothing if none is known.
+    pub fn watch_from(&self) -> Option<u64> {
+        self.latest_at
+    }
+
+    /// The watch has told of a version.
+    pub fn watched(&mut self, version: u64) {
+        self.watched_version = self.watched_version.max(version);
+    }
+
+    /// The latest version that it has told of.
+    pub fn watched_version(&self) -> u64 {
+        self.watched_version
+    }
+}
+
+/// What a node has read of the stored configuration, and whether it is reading it.
+#[derive(Debug, Default)]
+pub struct ConfigurationReads {
+    /// What is known.
+    pub known: RefCell<StoredConfiguration>,
+    /// Bytes that have come of a watch's answer, which holds whole configurations; 0 while the watch has nothing to tell.
+    pub told_bytes: Cell<usize>,
+    reading: Cell<bool>,
+    ended: Notify,
+}
+
+impl ConfigurationReads {
+    /// Begins a read; nothing if one is under way. One at a time takes no longer for all than for the first.
+    pub fn begin(&self) -> Option<Read<'_>> {
+        (!self.reading.replace(true)).then_some(Read(self))
+    }
+
+    /// Ends when the read that is under way, or the watch's answer, has ended.
+    pub async fn ended(&self) {
+        self.ended.notified().await;
+    }
+
+    /// The watch's answer has ended.
+    pub fn told(&self) {
+        self.told_bytes.set(0);
+        self.ended.notify_waiters();
+    }
+}
+
+/// A read that is under way.
+pub struct Read<'a>(&'a ConfigurationReads);
+
+impl Drop for Read<'_> {
+    fn drop(&mut self) {
+        self.0.reading.set(false);
+        self.0.ended.notify_waiters();
+    }
+}
--- a/crates/standins/src/fleet/store.rs
+++ b/crates/standins/src/fleet/store.rs
@@ -102,6 +102,12 @@
         objects.objects.get(&key).map(|(_, spec)| spec.clone())
     }
 
+    /// Revision of the last change.
+    #[must_use]
+    pub fn revision(&self) -> u64 {
+        lock(&self.shared.objects).revision
+    }
+
     /// Calls answered or swallowed so far.
     #[must_use]
     pub fn calls(&self) -> u64 {
