Tenants' quotas have owners though no machine of a keyed service is left

What callers saw: after the loss of all machines beside owners of keys, tenants of other services were held to what each node admits alone, 1 request in 2 s where 20 are allowed. Cause: only nodes beside owners of keys may own shards of quotas, so that a new leader waits for no others. Now nodes of any service own shards once none of the others has been there for 2 s, and the leader's object in the store says so before the first is given; later leaders then wait for all silent nodes. Why it holds: who owns under the wider rule was given that after the object was read back at a later revision than any narrowing that may still be under way, and a leader reads the object before it gives anything.

--- a/crates/ownership/src/leader/certainty.rs
+++ b/crates/ownership/src/leader/certainty.rs
@@ -22,7 +22,8 @@
             .is_some_and(|shards| shards.has_unknown());
         let shards_reported = unconfirmed && shards_unknown && self.have_shard_owners_reported();
         let unknown_left = shards_unknown || unknown().next().is_some();
-        if reported || shards_reported || (unknown_ended && unknown_left) {
+        let rescopes = self.wanted_shard_scope(now).is_some();
+        if reported || shards_reported || rescopes || (unknown_ended && unknown_left) {
             return true;
         }
         self.members.iter().any(|(node, member)| {
@@ -61,12 +62,6 @@
         !self.silent.iter().any(may_own)
     }
 
-    /// Whether nodes of a service may own shards: where keys have owners, only nodes beside those owners. A leader then
-    /// waits for the same silent nodes before it gives shards away as before it gives keys away.
-    pub(super) fn may_own_shards(&self, service: &str) -> bool {
-        self.partitions.is_empty() || self.partitions.contains_key(service)
-    }
-
     /// Whether any keys or shards are a node's, or are to be given back by it.
     fn may_hold(&self, node: &NodeName) -> bool {
         let shards = self.shards.as_ref();
--- a/crates/ownership/src/leader/mod.rs
+++ b/crates/ownership/src/leader/mod.rs
@@ -5,6 +5,7 @@
 mod member;
 mod publish;
 mod renewals;
+mod shard_scope;
 mod shards;
 
 pub use member::Member;
@@ -14,6 +15,7 @@
 use std::time::Duration;
 
 use crate::partition::{Partition, State};
+use shard_scope::ShardScope;
 use shards::ShardLedger;
 
 use crate::plan::{Candidate, Plan};
@@ -52,6 +54,7 @@
     owner_zones: OwnerZones,
     /// Who owns which tenants' quotas; nothing if no tenant has one.
     shards: Option<ShardLedger>,
+    shard_scope: ShardScope,
     rebalanced_at: Time,
     /// When the last node was heard for the first time.
     joined_at: Time,
@@ -99,6 +102,7 @@
             partitions: BTreeMap::new(),
             owner_zones: OwnerZones::default(),
             shards: None,
+            shard_scope: ShardScope::new(leadership.shards_anywhere, now),
             rebalanced_at: now,
             joined_at: now,
             ticked_at: Time::default(),
--- a/crates/ownership/src/leader/shards.rs
+++ b/crates/ownership/src/leader/shards.rs
@@ -6,8 +6,8 @@
 
 use wingspar_quota::Shard;
 
+use super::Leader;
 use super::assignments::{NOBODY_NEW, REBALANCE_EVERY_MS};
-use super::{Leader, Member};
 use crate::{Epoch, NodeName, ShardReport, Time};
 
 /// How often it is looked whether some own many more shards than others; as often as for keys.
@@ -136,6 +136,13 @@
         by_owner
     }
 
+    /// Those owners that are meant, with their shards.
+    fn owners(&self, is_meant: impl Fn(&NodeName) -> bool) -> Vec<(NodeName, Vec<Shard>)> {
+        let owners = self.by_owner().into_iter();
+        let meant = owners.filter(|(node, _)| is_meant(node));
+        meant.map(|(node, owned)| (node.clone(), owned)).collect()
+    }
+
     /// Shards that may be given to a node.
     fn free(&self) -> Vec<Shard> {
         let free = self.states.iter();
@@ -165,7 +172,9 @@
         if all_reported || self.unknown_until() <= now.min(self.confirmed_at) {
             shards.free_unknown();
         }
+        self.look_for_first_owners(now);
         self.take_back_from_leaving(&mut shards);
+        self.take_back_from_others(now, &mut shards);
         let free = shards.free();
         let rebalance = now.since(shards.rebalanced_at) >= REBALANCE_EVERY;
         if self.are_nodes_known(now) && (rebalance || !free.is_empty()) {
@@ -190,24 +199,16 @@
 
     fn shard_candidates(&self, now: Time, shards: &ShardLedger) -> Candidates {
         let by_owner = shards.by_owner();
-        let can_own = |member: &Member| {
-            // Later leaders wait for a node only where it is registered.
-            let registered_for = member.registered_for.as_deref();
-            let is_registered = registered_for.is_some_and(|service| self.may_own_shards(service))
-                && member
-                    .registered_at
-                    .is_some_and(|at| at < self.confirmed_at);
-            member.clean && !member.view.leaving && now < member.lease_until && is_registered
-        };
-        let able = self.members.iter().filter(|(_, member)| can_own(member));
-        able.map(|(node, member)| {
-            let owned = by_owner.get(node).map_or(0, Vec::len);
-            let kilobits = member
-                .link_mbps
-                .map_or(u64::MAX, |mbps| (mbps * 1e3) as u64);
-            (node.clone(), (owned, kilobits))
-        })
-        .collect()
+        self.shard_owners(now)
+            .map(|member| {
+                let node = &member.view.node;
+                let owned = by_owner.get(node).map_or(0, Vec::len);
+                let kilobits = member
+                    .link_mbps
+                    .map_or(u64::MAX, |mbps| (mbps * 1e3) as u64);
+                (node.clone(), (owned, kilobits))
+            })
+            .collect()
     }
 
     /// Gives a shard to the node that owns fewest; among equals, to the one whose link carries most.
@@ -230,11 +231,27 @@
             let member = self.members.get(node);
             member.is_some_and(|member| member.view.leaving)
         };
-        let owners = shards.by_owner().into_iter();
-        let leaving = owners.filter(|(node, _)| is_leaving(node));
-        let taken = leaving
-            .map(|(node, owned)| (node.clone(), owned))
-            .collect::<Vec<_>>();
+        let leaving = shards.owners(is_leaving);
+        self.take_back_all(shards, leaving);
+    }
+
+    /// Takes shards back from nodes that own them only while no others can, once one can.
+    fn take_back_from_others(&mut self, now: Time, shards: &mut ShardLedger) {
+        let is_other = |node: &NodeName| {
+            let member = self.members.get(node);
+            member.is_some_and(|member| !self.comes_first(member))
+        };
+        if self
+            .shard_owners(now)
+            .all(|member| !self.comes_first(member))
+        {
+            return;
+        }
+        let others = shards.owners(is_other);
+        self.take_back_all(shards, others);
+    }
+
+    fn take_back_all(&mut self, shards: &mut ShardLedger, taken: Vec<(NodeName, Vec<Shard>)>) {
         for (node, owned) in taken {
             self.take_back(shards, &node, &owned);
         }
--- a/crates/ownership/src/message.rs
+++ b/crates/ownership/src/message.rs
@@ -29,6 +29,9 @@
     pub leader: LeaderReference,
     /// Nodes that led before it and may not have noticed yet; nothing if there were too many to tell.
     pub earlier: Option<Vec<NodeName>>,
+    /// Whether nodes of any service may own shards of tenants' quotas, since none beside owners of keys is left.
+    #[serde(default)]
+    pub shards_anywhere: bool,
 }
 
 impl Leadership {
@@ -47,6 +50,7 @@
         Self {
             leader,
             earlier: earlier.filter(|earlier| earlier.len() <= Self::MOST_EARLIER),
+            shards_anywhere: self.shards_anywhere,
         }
     }
 }
--- a/crates/ownership/src/participant/elections.rs
+++ b/crates/ownership/src/participant/elections.rs
@@ -112,6 +112,7 @@
                 let first = Leadership {
                     leader: leader(Epoch(1)),
                     earlier: Some(Vec::new()),
+                    shards_anywhere: false,
                 };
                 (None, first)
             }
--- a/crates/ownership/src/participant/leadership.rs
+++ b/crates/ownership/src/participant/leadership.rs
@@ -99,6 +99,16 @@
             return actions;
         }
         leader.confirm(sent_at);
+        leader.shard_scope_read(revision, leadership.shards_anywhere);
+        if let Some(shards_anywhere) = leader.wanted_shard_scope(now) {
+            leader.rewriting_shard_scope(revision, shards_anywhere);
+            let rewritten = Leadership {
+                shards_anywhere,
+                ..leadership
+            };
+            actions.push(Action::Rewrite(revision, rewritten));
+            return actions;
+        }
         let is_alone = leadership.earlier.as_ref().is_some_and(Vec::is_empty);
         if leader.is_settled(now) && !is_alone && self.rewritten != leader.epoch() {
             // Later leaders needn't wait for those before this one.
--- a/crates/ownership/tests/owner_zones.rs
+++ b/crates/ownership/tests/owner_zones.rs
@@ -52,7 +52,11 @@
             address: address(0),
         };
         let earlier = Some(Vec::new());
-        let leadership = Leadership { leader, earlier };
+        let leadership = Leadership {
+            leader,
+            earlier,
+            shards_anywhere: false,
+        };
         let registered = (0..ZONES.len()).map(|index| RegisteredNode {
             node: name(index),
             address: address(index),
--- a/crates/ownership/tests/shards.rs
+++ b/crates/ownership/tests/shards.rs
@@ -170,6 +170,11 @@
 
 /// The same after other nodes.
 fn leader_after(earlier: &[u8], registered: &[(u8, &str)]) -> Leader {
+    leader_reading(false, earlier, registered)
+}
+
+/// The same; its object says whether nodes of any service may own shards.
+fn leader_reading(shards_anywhere: bool, earlier: &[u8], registered: &[(u8, &str)]) -> Leader {
     let leader = LeaderReference {
         epoch: Epoch(2),
         node: name(1),
@@ -178,7 +183,11 @@
     };
     let earlier = earlier.iter().copied().map(name).collect();
     let earlier = Some(earlier);
-    let leadership = Leadership { leader, earlier };
+    let leadership = Leadership {
+        leader,
+        earlier,
+        shards_anywhere,
+    };
     let registered = registered.iter().map(|(number, service)| RegisteredNode {
         node: name(*number),
         address: address(*number),
@@ -477,3 +486,69 @@
     fleet.run(1_500);
     assert_eq!(fleet.owned_by_all(), usize::from(SHARDS));
 }
+
+/// Nodes 1 and 2 beside owners of keys, 3 and 4 of another service; the leader's object says that as it is.
+fn fleet_with_keys(shards_anywhere: bool) -> Fleet {
+    let mut fleet = Fleet::new(4);
+    let registered = [(1, "keyed"), (2, "keyed"), (3, "other"), (4, "other")];
+    fleet.leader = leader_reading(shards_anywhere, &[9], &registered);
+    fleet
+        .leader
+        .set_keyed_services(&BTreeSet::from(["keyed".to_owned()]));
+    fleet.leader.set_quota_shards();
+    fleet.services = BTreeMap::from(registered);
+    fleet
+}
+
+#[test]
+fn nodes_of_other_services_own_shards_once_the_store_says_so_and_none_beside_owners_of_keys_is_left()
+ {
+    let mut fleet = fleet_with_keys(false);
+    fleet.run(1_000);
+    assert_eq!(fleet.leader.wanted_shard_scope(Time(fleet.now)), None);
+    for lost in [1, 2] {
+        fleet.holders.remove(&lost);
+    }
+    fleet.run(11_000);
+    assert_eq!(fleet.owned_by_all(), 0, "later leaders wouldn't wait");
+    assert_eq!(fleet.leader.wanted_shard_scope(Time(fleet.now)), Some(true));
+    fleet.leader.rewriting_shard_scope(7, true);
+    fleet.leader.shard_scope_read(7, true);
+    fleet.run(500);
+    assert_eq!(fleet.owned_by_all(), 0, "a narrowing may be under way");
+    fleet.leader.shard_scope_read(8, true);
+    fleet.run(500);
+    assert_eq!(fleet.owned_by_all(), usize::from(SHARDS));
+    assert_eq!(fleet.leader.wanted_shard_scope(Time(fleet.now)), None);
+}
+
+#[test]
+fn nodes_of_other_services_give_shards_back_and_the_store_says_so_after_that() {
+    let mut fleet = fleet_with_keys(true);
+    for lost in [1, 2] {
+        fleet.holders.remove(&lost);
+    }
+    fleet.run(12_000);
+    assert_eq!(fleet.owned_by_all(), usize::from(SHARDS));
+    fleet.holders.insert(1, ShardHolder::default());
+    fleet.run(100);
+    assert_eq!(fleet.leader.wanted_shard_scope(Time(fleet.now)), None);
+    fleet.run(1_000);
+    assert_eq!(fleet.owned(1), usize::from(SHARDS));
+    assert_eq!(
+        fleet.leader.wanted_shard_scope(Time(fleet.now)),
+        Some(false)
+    );
+}
+
+#[test]
+fn a_leader_waits_for_silent_nodes_of_all_services_that_may_own_shards() {
+    let mut fleet = fleet_with_keys(true);
+    fleet.holders.remove(&3);
+    fleet.run(1_000);
+    assert_eq!(fleet.owned_by_all(), 0);
+    let mut fleet = fleet_with_keys(false);
+    fleet.holders.remove(&3);
+    fleet.run(1_000);
+    assert_eq!(fleet.owned_by_all(), usize::from(SHARDS));
+}
--- a/crates/ownership/tests/take_over.rs
+++ b/crates/ownership/tests/take_over.rs
@@ -63,6 +63,7 @@
     let leadership = Leadership {
         leader: reference,
         earlier: Some(vec![name(1)]),
+        shards_anywhere: false,
     };
     let registered = (0..64).map(|number| RegisteredNode {
         node: name(number),
