Failing tests: the store comes back from a copy

The stand-in's store comes back from a copy: what was written since is lost, revisions are given out again, its era rises by one, watches from revisions that it doesn't have get 410. The soak plays it too.

--- a/crates/standins/src/fleet/mod.rs
+++ b/crates/standins/src/fleet/mod.rs
@@ -4,7 +4,7 @@
 mod store;
 mod target;
 
-pub use store::{FleetStore, StoreFaults};
+pub use store::{FleetStore, StoreCopy, StoreFaults};
 pub use target::{FleetTarget, Seen, TargetCall, TargetFaults, TargetKeys};
 
 use salvo::http::StatusCode;
--- a/crates/standins/src/fleet/store.rs
+++ b/crates/standins/src/fleet/store.rs
@@ -33,8 +33,18 @@
     pub history_from: u64,
 }
 
+/// All that the store holds at a moment.
+#[derive(Debug, Clone)]
+pub struct StoreCopy {
+    revision: u64,
+    objects: BTreeMap<(String, String), (u64, Value)>,
+    changes: Vec<(u64, String, String, bool)>,
+}
+
 #[derive(Debug, Default)]
 struct Objects {
+    /// How often it has come back from a copy.
+    era: u64,
     revision: u64,
     objects: BTreeMap<(String, String), (u64, Value)>,
     /// Revision, kind, name, whether it is gone.
@@ -102,6 +112,29 @@
         objects.objects.get(&key).map(|(_, spec)| spec.clone())
     }
 
+    /// A copy of all that it holds.
+    #[must_use]
+    pub fn copy(&self) -> StoreCopy {
+        let objects = lock(&self.shared.objects);
+        StoreCopy {
+            revision: objects.revision,
+            objects: objects.objects.clone(),
+            changes: objects.changes.clone(),
+        }
+    }
+
+    /// Comes back from a copy: what was written since is lost, and its revisions are given out again.
+    pub fn come_back(&self, copy: StoreCopy) {
+        let mut objects = lock(&self.shared.objects);
+        objects.era += 1;
+        objects.revision = copy.revision;
+        objects.objects = copy.objects;
+        objects.changes = copy.changes;
+        drop(objects);
+        // Watches that wait are cut.
+        self.shared.changed.send_replace(copy.revision);
+    }
+
     /// Revision of the last change.
     #[must_use]
     pub fn revision(&self) -> u64 {
@@ -197,10 +230,15 @@
         (events, objects.revision)
     }
 
+    /// What has changed since a revision, or nothing within a time; no answer if the store comes back from a copy.
     async fn watch(&self, kind: &str, since: u64, wait: Duration) -> Value {
         let mut changed = self.changed.subscribe();
+        let era = lock(&self.objects).era;
         let events = async {
             loop {
+                if lock(&self.objects).era != era {
+                    std::future::pending::<()>().await;
+                }
                 let (events, at) = self.events(kind, since);
                 if !events.is_empty() {
                     return json!({"events": events, "at": at});
@@ -243,6 +281,8 @@
         let path = request.uri().path().to_owned();
         let words = path.trim_start_matches('/').split('/').collect::<Vec<_>>();
         let method = request.method().clone();
+        let era = lock(&shared.objects).era;
+        let _header = response.add_header("store-era", era, true);
         let body = match request.payload().await {
             Ok(bytes) => serde_json::from_slice::<Value>(bytes).unwrap_or(Value::Null),
             Err(_) => Value::Null,
@@ -283,7 +323,8 @@
                 .unwrap_or_default();
             return answer(response, 200, &self.0.list(kind, &after));
         };
-        if since < faults.history_from {
+        let is_unknown = since > lock(&self.0.objects).revision;
+        if since < faults.history_from || is_unknown {
             return answer(response, 410, &Value::Null);
         }
         let wait = query_value::<u64>(request, "wait_ms")
--- a/crates/wingspar/tests/sidecar/deployment.rs
+++ b/crates/wingspar/tests/sidecar/deployment.rs
@@ -226,6 +226,15 @@
         number.parse().expect("its number")
     }
 
+    /// Waits until nothing in the store has changed for a while: the first leader of all hands on to one that is fitter.
+    pub async fn nothing_changes(&self) {
+        let mut revision = 0;
+        while revision != self.store.revision() {
+            revision = self.store.revision();
+            tokio::time::sleep(Duration::from_secs(6)).await;
+        }
+    }
+
     /// Writes a configuration without tenants.
     pub fn configure(&self, version: u64, routes: Value) {
         self.configure_tenants(version, routes, json!([]));
--- a/crates/wingspar/tests/sidecar/main.rs
+++ b/crates/wingspar/tests/sidecar/main.rs
@@ -20,6 +20,7 @@
 mod regions;
 mod requests;
 mod resting;
+mod restored_store;
 mod soak;
 mod stale_configuration;
 mod tenants;
--- a/crates/wingspar/tests/sidecar/soak/faults.rs
+++ b/crates/wingspar/tests/sidecar/soak/faults.rs
@@ -1,11 +1,12 @@
 //! Faults from outside the processes: their links, their signals, their store.
 
+use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
-use serde_json::json;
-use wingspar_standins::fleet::{StoreFaults, TargetFaults};
+use serde_json::{Value, json};
+use wingspar_standins::fleet::{StoreCopy, StoreFaults, TargetFaults};
 use wingspar_standins::net::Harm;
 
 use super::credentials::Credentials;
@@ -21,13 +22,19 @@
 
 /// How much longer than other faults a tenant sends many times its usual: as long as its quota's window.
 const STORM_LASTS: Duration = quota_bound::WINDOW;
+/// How often a copy of the store is kept.
+const COPY_EVERY: Duration = Duration::from_millis(700);
+/// How old the copy is, at most, that the store comes back from.
+const OLDEST_COPY: Duration = Duration::from_secs(8);
+/// How long the operator takes to write again what the store has lost.
+const WRITTEN_AGAIN: Duration = Duration::from_millis(400);
 /// Zones, each a region of its own.
 const ZONES: [&str; 2] = ["a", "b"];
 /// What a target that is slow after its start tells of it, until it is told otherwise.
 const SLOW_FOR: Duration = Duration::from_secs(3);
 
 /// How a fault ends.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug)]
 enum End {
     StoreLink(usize),
     TargetLink(usize),
@@ -37,6 +44,10 @@
     Evacuation(&'static str),
     SlowTarget(usize),
     Storm(&'static str),
+    /// The store is away, and comes back from a copy.
+    StoreAway(StoreCopy),
+    /// What the operator has written is written again.
+    WrittenAgain,
 }
 
 /// Faults that are under way, and the story of all.
@@ -46,6 +57,10 @@
     ends: Vec<(Instant, End)>,
     configuration: u64,
     credentials: Credentials,
+    /// Copies of the store of the last seconds.
+    copies: VecDeque<(Instant, StoreCopy)>,
+    /// The last configuration, as the store holds it.
+    written: Value,
     log: Vec<String>,
 }
 
@@ -59,6 +74,8 @@
             ends: Vec::new(),
             configuration: 100,
             credentials: Credentials::new(seed),
+            copies: VecDeque::new(),
+            written: Value::Null,
             log: Vec::new(),
         }
     }
@@ -100,6 +117,57 @@
         self.note(&format!("configuration {version}"));
         let tenants = self.credentials.next_version(lowered);
         deployment.configure_tenants(version, routes(), tenants);
+        let written = deployment.store.read("config", "main");
+        self.written = written.expect("it has been written");
+    }
+
+    /// Keeps a copy of the store now and then.
+    fn keep_copy(&mut self, deployment: &Deployment, now: Instant) {
+        if self
+            .copies
+            .back()
+            .is_some_and(|(at, _)| now - *at < COPY_EVERY)
+        {
+            return;
+        }
+        self.copies.push_back((now, deployment.store.copy()));
+        while self
+            .copies
+            .front()
+            .is_some_and(|(at, _)| now - *at > OLDEST_COPY)
+        {
+            self.copies.pop_front();
+        }
+    }
+
+    /// The store is away for a moment; then it comes back from a copy.
+    fn restore(&mut self, deployment: &Deployment, random: &mut ChaCha8Rng, until: Instant) {
+        let (at, copy) = &self.copies[random.random_range(0..self.copies.len())];
+        let age = at.elapsed().as_millis();
+        self.ends.push((until, End::StoreAway(copy.clone())));
+        deployment.store.set_faults(StoreFaults {
+            unavailable: true,
+            ..StoreFaults::default()
+        });
+        self.note(&format!("the store is away and has a copy {age} ms old"));
+    }
+
+    /// Writes again what the operator has written and the store may have lost.
+    fn write_again(&self, deployment: &Deployment) {
+        let store = &deployment.store;
+        store.write("config", "main", self.written.clone());
+        for zone in ZONES {
+            let is_evacuated =
+                |(_, end): &(_, End)| matches!(end, End::Evacuation(of) if *of == zone);
+            let evacuated = self.ends.iter().any(is_evacuated);
+            match (evacuated, store.read("evacuations", zone).is_some()) {
+                (true, false) => store.write("evacuations", zone, json!({})),
+                (false, true) => {
+                    store.remove("evacuations", zone);
+                }
+                _ => {}
+            }
+        }
     }
 
     /// Version of the last configuration.
@@ -115,6 +183,7 @@
         for (_, end) in over {
             self.end(deployment, end).await;
         }
+        self.keep_copy(deployment, now);
         if now < self.next_at {
             return;
         }
@@ -126,8 +195,11 @@
 
     /// Ends all faults.
     pub async fn heal(&mut self, deployment: &mut Deployment) {
-        for (_, end) in std::mem::take(&mut self.ends) {
-            self.end(deployment, end).await;
+        // One that comes back from a copy is written to again afterwards.
+        while !self.ends.is_empty() {
+            for (_, end) in std::mem::take(&mut self.ends) {
+                self.end(deployment, end).await;
+            }
         }
         self.note("all faults end");
     }
@@ -152,7 +224,8 @@
         until: Instant,
     ) {
         let away = self.is_away(node);
-        match random.random_range(0..17) {
+        match random.random_range(0..19) {
+            17 | 18 => self.restore(deployment, random, until),
             0 | 1 => {
                 let harm = draw_harm(random);
                 deployment.nodes[node].store_link.set(harm);
@@ -252,6 +325,15 @@
             }
             End::SlowTarget(node) => set_warmup(deployment, node, Duration::ZERO),
             End::Storm(_) => {}
+            End::StoreAway(copy) => {
+                self.copies.clear();
+                deployment.store.come_back(copy);
+                deployment.store.set_faults(StoreFaults::default());
+                let until = Instant::now() + WRITTEN_AGAIN;
+                self.ends.push((until, End::WrittenAgain));
+                return self.note("the store has come back from its copy");
+            }
+            End::WrittenAgain => self.write_again(deployment),
         }
         self.note(&format!("over: {end:?}"));
     }
--- a/crates/wingspar/tests/sidecar/stale_configuration.rs
+++ b/crates/wingspar/tests/sidecar/stale_configuration.rs
@@ -82,19 +82,10 @@
     }
 }
 
-/// Waits until nothing in the store has changed for a while: the first leader of all hands on to one that is fitter.
-async fn nothing_changes(deployment: &Deployment) {
-    let mut revision = 0;
-    while revision != deployment.store.revision() {
-        revision = deployment.store.revision();
-        tokio::time::sleep(2 * CONVERGED).await;
-    }
-}
-
 #[tokio::test]
 async fn a_configuration_that_stays_the_same_is_not_carried_again() {
     let deployment = deployment_with_many_routes(51).await;
-    nothing_changes(&deployment).await;
+    deployment.nothing_changes().await;
     let before = deployment.store_way.carried();
     tokio::time::sleep(2 * CONVERGED).await;
     let carried = deployment.store_way.carried() - before;
