A store that comes back from a copy breaks no promise

What callers saw: two targets held the same key, an evacuated zone got requests, a new configuration was never in force. Cause: the store had lost claims of the leadership and registrations that it had acknowledged, and gave its revisions out again, while nodes took each of these for lasting: an epoch for taken once, a revision for one state, a silent node for a registered one. Now all that rests on the store belongs to an era of it, which each of its answers names. Why it holds: a leader whose claim is of an earlier era leads no longer; epochs leave out more than a copy can lack; until all leases of leaders that nobody knows have ended, nothing is freed that wasn't reported; what was read at revisions is forgotten, evacuations are ordered by era, and zones stay evacuated until the operator has had time to write again.

--- a/crates/ownership/src/election.rs
+++ b/crates/ownership/src/election.rs
@@ -275,6 +275,11 @@
         Some(Step::Claim)
     }
 
+    /// The node replaces its own object, which counts no more.
+    pub fn claiming(&mut self, now: Time) {
+        self.phase = Phase::Claiming { since: now };
+    }
+
     /// The object couldn't be read, or a claim ended without a clear answer.
     pub fn look_again(&mut self, now: Time) {
         if matches!(
--- a/crates/ownership/src/leader/assignments.rs
+++ b/crates/ownership/src/leader/assignments.rs
@@ -61,7 +61,7 @@
     /// are known have reported and nobody new has come for a moment; but not for the first leader of all, to which few
     /// are known yet.
     fn is_settled_for(&self, service: &str, partition: &Partition, now: Time) -> bool {
-        let all_here = self.epoch > Epoch(1)
+        let all_here = !self.is_first
             && partition.lacks_only_plan()
             && self.has_reported_all(service)
             && now >= self.elected_at + NOBODY_NEW
--- a/crates/ownership/src/leader/certainty.rs
+++ b/crates/ownership/src/leader/certainty.rs
@@ -44,22 +44,28 @@
         member.previous_life.is_none() || self.confirmed_at >= member.life_known_at
     }
 
-    /// Whether every registered node that may hold keys of a service has reported.
+    /// Whether every node that may hold keys of a service has reported: those that the store may have lost can't be known.
     pub(super) fn has_reported_all(&self, service: &str) -> bool {
         let may_hold = |node: &NodeName| {
             let known = self.registered.get(node).and_then(Option::as_deref);
             known.is_none_or(|known| known == service)
         };
-        !self.silent.iter().any(may_hold)
+        self.knows_registered() && !self.silent.iter().any(may_hold)
     }
 
-    /// Whether every registered node that may own shards has reported.
+    /// The same for nodes that may own shards.
     pub(super) fn have_shard_owners_reported(&self) -> bool {
         let may_own = |node: &NodeName| {
             let known = self.registered.get(node).and_then(Option::as_deref);
             known.is_none_or(|service| self.may_own_shards(service))
         };
-        !self.silent.iter().any(may_own)
+        self.knows_registered() && !self.silent.iter().any(may_own)
+    }
+
+    /// Whether no node that isn't registered any more can hold anything.
+    fn knows_registered(&self) -> bool {
+        self.lost_until
+            .is_none_or(|lost_until| lost_until <= self.confirmed_at)
     }
 
     /// Whether any keys or shards are a node's, or are to be given back by it.
@@ -93,10 +99,11 @@
     pub(super) fn unknown_until(&self) -> Time {
         let lease = self.timing.lease + self.timing.lease_margin;
         let at_the_latest = self.elected_at + self.timing.leadership + lease;
-        match self.sole_since {
+        let known = match self.sole_since {
             Some(since) => at_the_latest.min(since + lease),
             None => at_the_latest,
-        }
+        };
+        known.max(self.lost_until.unwrap_or_default())
     }
 
     /// Whether every lease of earlier leaders has ended, so that later ones needn't wait for those.
--- a/crates/ownership/src/leader/mod.rs
+++ b/crates/ownership/src/leader/mod.rs
@@ -22,7 +22,7 @@
 use crate::table_log::TableLog;
 use crate::{
     Epoch, Fence, Leadership, LeaseReply, LoadReport, MemberView, NodeName, OwnerZones,
-    RegisteredNode, Renewal, Table, TableAnswer, TableChanges, TargetState, Time, Timing,
+    RegisteredNode, Renewal, StoreEra, Table, TableAnswer, TableChanges, TargetState, Time, Timing,
 };
 
 /// A node is called about a changed assignment at most this often.
@@ -42,6 +42,12 @@
     silent: BTreeSet<NodeName>,
     /// When the last of the registered nodes reported for the first time.
     last_report_at: Time,
+    /// The store's era in which the leadership was claimed.
+    era: StoreEra,
+    /// Until when leases hold that leaders have given whose claims the store may have lost, to nodes that it may have lost.
+    lost_until: Option<Time>,
+    /// Whether no other has led before.
+    is_first: bool,
     /// Earlier leaders that haven't reported in this epoch; nothing if they aren't known.
     earlier: Option<BTreeSet<NodeName>>,
     /// Since when those of them that have reported have given no lease.
@@ -82,6 +88,7 @@
             .collect::<BTreeMap<_, _>>();
         let epoch = leadership.leader.epoch;
         let earlier = leadership.earlier.as_ref();
+        let is_first = earlier.is_some_and(Vec::is_empty);
         // The leader's own node may be among them: its first renewal tells since when its process has given no lease.
         let earlier = earlier.map(|nodes| nodes.iter().cloned().collect::<BTreeSet<_>>());
         Self {
@@ -90,6 +97,12 @@
                 .and_then(|earlier| earlier.is_empty().then_some(now)),
             earlier_gave_none_since: Time::default(),
             earlier,
+            era: leadership.era,
+            lost_until: leadership.restored_ms_ago.map(|ago| {
+                let lease = timing.lease + timing.lease_margin;
+                (now + timing.leadership + lease).before(Duration::from_millis(ago))
+            }),
+            is_first,
             epoch,
             timing,
             elected_at: now,
@@ -122,6 +135,11 @@
         self.epoch
     }
 
+    /// The store's era in which the leadership was claimed.
+    pub fn era(&self) -> StoreEra {
+        self.era
+    }
+
     /// When the last successful confirmation was sent.
     pub fn confirmed_at(&self) -> Time {
         self.confirmed_at
--- a/crates/ownership/src/leader/renewals.rs
+++ b/crates/ownership/src/leader/renewals.rs
@@ -98,6 +98,7 @@
             table_version: self.table.version,
             configuration_version: 0,
             configuration_checked_ms_ago: None,
+            store_era: self.era,
             evacuations: None,
             quarantine: None,
             quota_shards: self
@@ -155,14 +156,17 @@
         member.configuration_version = renewal.configuration_version;
         member.heard_at = now;
         let known_for = self.registered.get(&renewal.node);
-        let is_as_known = known_for.is_some_and(|service| *service == renewal.registered_for);
-        member.registered_for.clone_from(&renewal.registered_for);
-        if is_as_known && renewal.registered_for.is_some() {
+        // The store may have lost what it acknowledged in an earlier era.
+        let is_stored = renewal.registered_in >= self.era;
+        let registered_for = renewal.registered_for.clone().filter(|_| is_stored);
+        let is_as_known = known_for.is_some_and(|service| *service == registered_for);
+        if is_as_known && registered_for.is_some() {
             // Any later leader knows it too.
             member.registered_at = Some(Time::default());
-        } else if renewal.registered_for.is_some() && member.registered_at.is_none() {
+        } else if registered_for.is_some() && member.registered_at.is_none() {
             member.registered_at = Some(now);
         }
+        member.registered_for = registered_for;
         self.end_earlier_life(&renewal.node, restarted, replaced);
         changed
     }
--- a/crates/ownership/src/leader/shards.rs
+++ b/crates/ownership/src/leader/shards.rs
@@ -8,7 +8,7 @@
 
 use super::Leader;
 use super::assignments::{NOBODY_NEW, REBALANCE_EVERY_MS};
-use crate::{Epoch, NodeName, ShardReport, Time};
+use crate::{NodeName, ShardReport, Time};
 
 /// How often it is looked whether some own many more shards than others; as often as for keys.
 const REBALANCE_EVERY: Duration = Duration::from_millis(REBALANCE_EVERY_MS);
@@ -194,7 +194,7 @@
     /// first leader of all few are known yet.
     fn are_nodes_known(&self, now: Time) -> bool {
         let nobody_new = now >= self.elected_at + NOBODY_NEW && now >= self.joined_at + NOBODY_NEW;
-        (self.epoch > Epoch(1) && nobody_new) || now >= self.elected_at + self.timing.settle
+        (!self.is_first && nobody_new) || now >= self.elected_at + self.timing.settle
     }
 
     fn shard_candidates(&self, now: Time, shards: &ShardLedger) -> Candidates {
--- a/crates/ownership/src/message.rs
+++ b/crates/ownership/src/message.rs
@@ -7,7 +7,7 @@
 use wingspar_quarantine::{Reply, Report};
 use wingspar_quota::Shard;
 
-use crate::{Epoch, Fence, KeyRange, Life, NodeName, Time, steps};
+use crate::{Epoch, Fence, KeyRange, Life, NodeName, StoreEra, Time, steps};
 
 /// Names the leader of an epoch.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -32,14 +32,26 @@
     /// Whether nodes of any service may own shards of tenants' quotas, since none beside owners of keys is left.
     #[serde(default)]
     pub shards_anywhere: bool,
+    /// The store's era in which this was written.
+    #[serde(default)]
+    pub era: StoreEra,
+    /// How long ago, in milliseconds, the store had come back from a copy at least, as long as leases from before that may
+    /// still hold. What it lost isn't known: leaders, registered nodes.
+    #[serde(default)]
+    pub restored_ms_ago: Option<u64>,
 }
 
 impl Leadership {
     /// Most earlier leaders that are told.
     const MOST_EARLIER: usize = 12;
 
-    /// What a node that takes over from this leadership writes.
-    pub fn succeeded_by(&self, leader: LeaderReference) -> Self {
+    /// What a node writes that takes over from this leadership in an era of the store, which began that long ago at least.
+    pub fn succeeded_by(&self, leader: LeaderReference, era: StoreEra, began_ms_ago: u64) -> Self {
+        let restored_ms_ago = if era == self.era {
+            self.restored_ms_ago.map(|ago| ago.max(began_ms_ago))
+        } else {
+            Some(began_ms_ago)
+        };
         let earlier = self.earlier.as_ref().map(|earlier| {
             let mut earlier = earlier.clone();
             if !earlier.contains(&self.leader.node) {
@@ -51,6 +63,8 @@
             leader,
             earlier: earlier.filter(|earlier| earlier.len() <= Self::MOST_EARLIER),
             shards_anywhere: self.shards_anywhere,
+            era,
+            restored_ms_ago,
         }
     }
 }
@@ -114,12 +128,22 @@
 /// The zones whose targets are to get nothing, as of a revision of the store.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct EvacuatedZones {
-    /// Rises with every change in the store.
+    /// The store's era, before which its revisions say nothing.
+    #[serde(default)]
+    pub era: StoreEra,
+    /// Rises with every change in the store, within an era.
     pub revision: u64,
     /// The zones.
     pub zones: BTreeSet<String>,
 }
 
+impl EvacuatedZones {
+    /// Orders what the store said at different times.
+    pub fn as_of(&self) -> (StoreEra, u64) {
+        (self.era, self.revision)
+    }
+}
+
 /// What a node knows of evacuated zones, and how old that is.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EvacuationReport {
@@ -170,6 +194,9 @@
     pub leaving: bool,
     /// The service that the store has the node registered for, once it has acknowledged that.
     pub registered_for: Option<String>,
+    /// The store's era in which it acknowledged that.
+    #[serde(default)]
+    pub registered_in: StoreEra,
     /// Version of its configuration.
     pub configuration_version: u64,
     /// Whether its last call to the store succeeded.
@@ -210,6 +237,9 @@
     /// How long ago the leader last knew that the store held no later configuration, in milliseconds;
     /// nothing if it never did.
     pub configuration_checked_ms_ago: Option<u64>,
+    /// The store's era, as far as the leader knows.
+    #[serde(default)]
+    pub store_era: StoreEra,
     /// What the leader knows of evacuated zones; nothing if it never knew.
     #[serde(default)]
     pub evacuations: Option<EvacuationReport>,
--- a/crates/ownership/src/participant/elections.rs
+++ b/crates/ownership/src/participant/elections.rs
@@ -79,43 +79,76 @@
             self.election.look_again(now);
             return actions;
         };
+        self.first_era.get_or_insert(self.store_era);
+        let others = stored
+            .as_ref()
+            .filter(|(_, leadership)| !self.is_own(&leadership.leader));
+        let named = others.map(|(_, leadership)| leadership.leader.clone());
         if let Some((_, leadership)) = &stored {
-            if self.is_own(&leadership.leader) && self.leader.is_none() {
+            let is_own = named.is_none();
+            if is_own && self.leader.is_none() && leadership.era == self.store_era {
                 // An earlier claim was done after all: it held when this read was sent.
                 self.won = Some((leadership.clone(), sent_at));
                 return vec![Action::ListRegistered];
             }
-            self.follow(now, &leadership.leader, &mut actions);
         }
-        let named = stored.as_ref().map(|(_, leadership)| &leadership.leader);
-        if self.election.object_read(now, named) == Some(Step::Claim) {
-            let (revision, leadership) = self.next_leadership(stored);
+        if let Some(named) = &named {
+            self.follow(now, named, &mut actions);
+        }
+        if self.election.object_read(now, named.as_ref()) == Some(Step::Claim) {
+            let (revision, leadership) = self.next_leadership(now, stored);
             actions.push(Action::Claim(revision, leadership));
         }
         actions
     }
 
     /// What to replace the stored leadership with.
-    pub(super) fn next_leadership(&self, stored: Stored) -> (Option<u64>, Leadership) {
+    pub(super) fn next_leadership(&self, now: Time, stored: Stored) -> (Option<u64>, Leadership) {
         let leader = |epoch| LeaderReference {
             epoch,
             node: self.identity.node.clone(),
             life: self.identity.life,
             address: self.identity.address,
         };
+        let known = self
+            .followed()
+            .map_or(Epoch::default(), |known| known.epoch);
+        let era = self.store_era;
         match stored {
             Some((revision, before)) => {
-                let next = leader(Epoch(before.leader.epoch.0 + 1));
-                (Some(revision), before.succeeded_by(next))
+                // Others may have claimed since in what the store has lost; they must not have the same epoch.
+                let lost = era.0.saturating_sub(before.era.0);
+                let epoch = before.leader.epoch.above_lost(lost);
+                let next = leader(epoch.max(known.above_lost(0)));
+                let began_ago = u64::try_from(now.since(self.era_seen_at).as_millis());
+                let began_ms_ago = began_ago.unwrap_or(u64::MAX);
+                (Some(revision), before.succeeded_by(next, era, began_ms_ago))
             }
-            None => {
+            None if known == Epoch::default()
+                && self.first_era == Some(era)
+                && self.is_first_start =>
+            {
                 let first = Leadership {
                     leader: leader(Epoch(1)),
                     earlier: Some(Vec::new()),
                     shards_anywhere: false,
+                    era,
+                    restored_ms_ago: None,
                 };
                 (None, first)
             }
+            // The store has lost the object.
+            None => {
+                let epoch = known.above_lost(1).max(Epoch::default().above_lost(era.0));
+                let next = Leadership {
+                    leader: leader(epoch),
+                    earlier: None,
+                    shards_anywhere: true,
+                    era,
+                    restored_ms_ago: Some(0),
+                };
+                (None, next)
+            }
         }
     }
 
@@ -158,7 +191,8 @@
             return actions;
         };
         let leader = leadership.leader.clone();
-        let Some(registered) = registered else {
+        // What was claimed in an earlier era is lost, and what is registered may be.
+        let Some(registered) = registered.filter(|_| leadership.era == self.store_era) else {
             self.election.look_again(now);
             return actions;
         };
--- a/crates/ownership/src/participant/leadership.rs
+++ b/crates/ownership/src/participant/leadership.rs
@@ -88,6 +88,10 @@
         let Some((revision, leadership)) = stored else {
             return actions;
         };
+        if self.has_lost_claim(&leadership) {
+            self.claim_again(now, (revision, leadership), &mut actions);
+            return actions;
+        }
         if !self.is_own(&leadership.leader) {
             self.follow(now, &leadership.leader, &mut actions);
             return actions;
@@ -109,7 +113,8 @@
             actions.push(Action::Rewrite(revision, rewritten));
             return actions;
         }
-        let is_alone = leadership.earlier.as_ref().is_some_and(Vec::is_empty);
+        let is_alone = leadership.earlier.as_ref().is_some_and(Vec::is_empty)
+            && leadership.restored_ms_ago.is_none();
         if leader.is_settled(now) && !is_alone && self.rewritten != leader.epoch() {
             // Later leaders needn't wait for those before this one.
             self.rewritten = leader.epoch();
@@ -118,6 +123,7 @@
                 revision,
                 Leadership {
                     earlier,
+                    restored_ms_ago: None,
                     ..leadership
                 },
             ));
@@ -125,6 +131,27 @@
         actions
     }
 
+    /// Whether the store has come back from a copy since this node was elected, and nobody has claimed the leadership in that
+    /// era yet: another node may have claimed it in what was lost, so that even an object that names this one counts no more.
+    /// The same if the object has been replaced by one of an earlier epoch, as a late call from before the copy may do.
+    fn has_lost_claim(&self, stored: &Leadership) -> bool {
+        let era = self.store_era;
+        self.leader.as_ref().is_some_and(|leader| {
+            let is_before = leader.era() != era && stored.era != era;
+            is_before || stored.leader.epoch < leader.epoch()
+        })
+    }
+
+    /// Leads no longer, and claims the leadership anew.
+    fn claim_again(&mut self, now: Time, stored: (u64, Leadership), actions: &mut Vec<Action>) {
+        if let Some(leader) = self.leader.take() {
+            actions.push(Action::Note(Note::LeadershipLost(leader.epoch())));
+        }
+        self.election.claiming(now);
+        let (revision, leadership) = self.next_leadership(now, Some(stored));
+        actions.push(Action::Claim(revision, leadership));
+    }
+
     /// Asks a node that reaches the store to lead: one that is fitter, or any if this one must not go on.
     pub(super) fn ask_to_take_over(
         &mut self,
--- a/crates/ownership/src/participant/mod.rs
+++ b/crates/ownership/src/participant/mod.rs
@@ -21,7 +21,7 @@
     Admission, Delivery, Election, Epoch, EvacuatedZones, EvacuationReport, Fitness, GrantResult,
     Holder, KeyAnswer, KeyReport, Leader, LeaderReference, Leadership, LeaseReply, Life,
     LoadReport, Member, NodeName, Order, OwnerZones, PeerView, RegisteredNode, Renewal,
-    ShardHolder, ShardReport, Step, Table, TableAnswer, TargetState, Time, Timing,
+    ShardHolder, ShardReport, Step, StoreEra, Table, TableAnswer, TargetState, Time, Timing,
 };
 
 /// Two renewals that something hurried on are at least this far apart.
@@ -111,6 +111,8 @@
     FetchConfiguration(SocketAddr, u64),
     /// No configuration later than the node's own existed at that time.
     ConfigurationChecked(Time),
+    /// The leader knows this era of the store.
+    StoreEra(StoreEra),
     /// The leader knew this of evacuated zones, which the store still said at that time.
     EvacuationsTold(EvacuatedZones, Time),
     /// A node has told this one, which leads, of requests under which targets end.
@@ -143,6 +145,8 @@
     pub leaving: bool,
     /// The service that the store has it registered for, once it has acknowledged that.
     pub registered_for: Option<String>,
+    /// The store's era in which it acknowledged that.
+    pub registered_in: StoreEra,
     /// Version of its configuration.
     pub configuration_version: u64,
     /// How long ago it last knew that the store held no later configuration; nothing if it never did.
@@ -216,6 +220,13 @@
     noticed_at: Time,
     /// A claim that was won, and when it was sent, while registered nodes are listed.
     won: Option<(Leadership, Time)>,
+    /// The store's era, and the one in which this process first read the leader's object.
+    store_era: StoreEra,
+    first_era: Option<StoreEra>,
+    /// When the process first heard of the era.
+    era_seen_at: Time,
+    /// Whether the whole system starts for the first time, as the settings say.
+    is_first_start: bool,
     /// Whether the object has been rewritten in this epoch, without earlier leaders.
     rewritten: Epoch,
     counter: u64,
@@ -239,6 +250,10 @@
             holder: Holder::new(timing, clean),
             shards: ShardHolder::default(),
             election,
+            store_era: StoreEra::default(),
+            first_era: None,
+            era_seen_at: now,
+            is_first_start: clean,
             leader: None,
             table: Table::default(),
             next_renewal: now,
@@ -354,6 +369,12 @@
         }
     }
 
+    /// The store is in an era later than the one known.
+    pub fn store_is_in(&mut self, now: Time, era: StoreEra) {
+        self.store_era = era;
+        self.era_seen_at = now;
+    }
+
     /// Something has changed that the leader should hear of.
     pub fn hurry(&mut self, now: Time, around: &Surroundings) -> Vec<Action> {
         let earliest = (self.last_renewal + HURRIED_RENEWALS).max(now);
--- a/crates/ownership/src/participant/renewals.rs
+++ b/crates/ownership/src/participant/renewals.rs
@@ -22,6 +22,7 @@
             target: around.target.clone(),
             leaving: around.leaving,
             registered_for: around.registered_for.clone(),
+            registered_in: around.registered_in,
             configuration_version: around.configuration_version,
             store_reachable: around.store_reachable,
             link_mbps: around.link_mbps,
@@ -76,6 +77,7 @@
         let checked_ago = around.configuration_checked_ago;
         reply.configuration_checked_ms_ago =
             checked_ago.and_then(|ago| u64::try_from(ago.as_millis()).ok());
+        reply.store_era = self.store_era;
         reply.evacuations.clone_from(&around.evacuations);
         reply.quarantine = around.quarantine.reply_to(renewal.quarantine.as_ref());
         Some(reply)
@@ -119,6 +121,9 @@
             let checked_at = reply.renewal_sent_at.before(Duration::from_millis(ago));
             actions.push(Action::ConfigurationChecked(checked_at));
         }
+        if reply.store_era > self.store_era {
+            actions.push(Action::StoreEra(reply.store_era));
+        }
         if let Some(report) = &reply.evacuations {
             let ago = Duration::from_millis(report.checked_ms_ago);
             let checked_at = reply.renewal_sent_at.before(ago);
--- a/crates/ownership/tests/owner_zones.rs
+++ b/crates/ownership/tests/owner_zones.rs
@@ -5,7 +5,8 @@
 
 use wingspar_ownership::{
     Epoch, Fence, Holding, KeyRange, Leader, LeaderReference, Leadership, Life, NodeName,
-    OwnerZones, RegisteredNode, Released, Renewal, Table, TargetState, Time, Timing, Wanted,
+    OwnerZones, RegisteredNode, Released, Renewal, StoreEra, Table, TargetState, Time, Timing,
+    Wanted,
 };
 
 const SERVICE: &str = "s";
@@ -56,6 +57,8 @@
             leader,
             earlier,
             shards_anywhere: false,
+            era: StoreEra::default(),
+            restored_ms_ago: None,
         };
         let registered = (0..ZONES.len()).map(|index| RegisteredNode {
             node: name(index),
@@ -102,6 +105,7 @@
             }),
             leaving: false,
             registered_for: Some(SERVICE.to_owned()),
+            registered_in: StoreEra::default(),
             configuration_version: 1,
             store_reachable: true,
             link_mbps: None,
--- a/crates/ownership/tests/reminders.rs
+++ b/crates/ownership/tests/reminders.rs
@@ -5,7 +5,7 @@
 
 use wingspar_ownership::{
     Action, ClaimResult, Datagram, Identity, Life, NodeName, Participant, RegisteredNode, Renewal,
-    Surroundings, Time, Timing,
+    StoreEra, Surroundings, Time, Timing,
 };
 
 fn address(node: u8) -> SocketAddr {
@@ -15,6 +15,7 @@
 fn around() -> Surroundings {
     Surroundings {
         registered_for: Some("s".to_owned()),
+        registered_in: StoreEra::default(),
         configuration_version: 1,
         store_reachable: true,
         keyed_services: BTreeSet::new(),
@@ -88,6 +89,7 @@
         target: None,
         leaving: false,
         registered_for: Some("s".to_owned()),
+        registered_in: StoreEra::default(),
         configuration_version: 1,
         store_reachable: false,
         link_mbps: None,
--- a/crates/ownership/tests/shards.rs
+++ b/crates/ownership/tests/shards.rs
@@ -8,8 +8,8 @@
 use support::{LEASE_MS, reply};
 use wingspar_ownership::{
     Action, Datagram, Epoch, Identity, Leader, LeaderReference, Leadership, LeaseReply, Life,
-    NodeName, Participant, RegisteredNode, Renewal, ShardHolder, ShardReport, Surroundings, Table,
-    Time, Timing,
+    NodeName, Participant, RegisteredNode, Renewal, ShardHolder, ShardReport, StoreEra,
+    Surroundings, Table, Time, Timing,
 };
 use wingspar_quota::{SHARDS, Shard};
 
@@ -187,6 +187,8 @@
         leader,
         earlier,
         shards_anywhere,
+        era: StoreEra::default(),
+        restored_ms_ago: None,
     };
     let registered = registered.iter().map(|(number, service)| RegisteredNode {
         node: name(*number),
@@ -256,6 +258,7 @@
             target: None,
             leaving: self.leaving.contains(&number),
             registered_for: Some(self.services.get(&number).unwrap_or(&"s").to_string()),
+            registered_in: StoreEra::default(),
             configuration_version: 1,
             store_reachable: true,
             link_mbps: self.links.get(&number).copied(),
--- a/crates/ownership/tests/simulation/main.rs
+++ b/crates/ownership/tests/simulation/main.rs
@@ -113,6 +113,43 @@
     }
 }
 
+/// The store comes back from copies.
+fn with_restores() -> Options {
+    Options {
+        store_restores: true,
+        ..Options::default()
+    }
+}
+
+#[test]
+fn one_owner_a_key_though_the_store_comes_back_from_copies() {
+    for delivery in [Delivery::Calls, Delivery::HeartbeatAnswers] {
+        keeps_the_rules(&Options {
+            delivery,
+            ..with_restores()
+        });
+    }
+}
+
+#[test]
+fn one_owner_a_shard_though_the_store_comes_back_from_copies() {
+    keeps_the_rules(&Options {
+        has_quotas: true,
+        plain_nodes: 2,
+        ..with_restores()
+    });
+}
+
+#[test]
+fn the_checker_notices_that_eras_of_the_store_are_not_heeded() {
+    let hidden = Options {
+        eras_are_hidden: true,
+        ..with_restores()
+    };
+    let broken = (1..=150).any(|seed| play(seed, hidden.clone()).is_err());
+    assert!(broken);
+}
+
 /// Tenants have quotas, whose shards have owners.
 fn with_quotas() -> Options {
     Options {
--- a/crates/ownership/tests/simulation/world.rs
+++ b/crates/ownership/tests/simulation/world.rs
@@ -18,7 +18,7 @@
 use rand_chacha::ChaCha8Rng;
 use wingspar_ownership::{
     Action, Admission, ClaimResult, Datagram, Delivery, Fence, GrantResult, Identity, Leadership,
-    Life, NodeName, Order, OwnerZones, Participant, RegisteredNode, Stored, Surroundings,
+    Life, NodeName, Order, OwnerZones, Participant, RegisteredNode, StoreEra, Stored, Surroundings,
     TableAnswer, TargetState, Time,
 };
 
@@ -46,7 +46,8 @@
     Check,
     Datagram(usize, SocketAddr, Box<Datagram>),
     StoreArrives(usize, u64, StoreCall),
-    StoreAnswers(usize, u64, StoreCall, StoreReply),
+    /// The era in which the store has answered; none if it hasn't.
+    StoreAnswers(usize, u64, StoreCall, StoreReply, Option<StoreEra>),
     OrderArrives(usize, u64, String, Order, Time),
     OrderAnswers(usize, u64, Order, Time, bool, Option<GrantResult>),
     TableArrives(usize, u64, Option<TableAnswer>),
@@ -84,6 +85,9 @@
     /// When it woke up, and how long it had slept, each time.
     suspensions: Vec<(u64, u64)>,
     registered: bool,
+    registered_in: StoreEra,
+    /// The store's era, as far as the process knows.
+    known_era: StoreEra,
     leaving: bool,
     target: Target,
     target_known: bool,
@@ -108,6 +112,9 @@
     earlier_objects: Vec<(u64, Stored)>,
     revision: u64,
     registered: BTreeMap<NodeName, RegisteredNode>,
+    era: StoreEra,
+    /// Earlier states of the store and when each ended, if it comes back from copies.
+    copies: Vec<(u64, store::Copy)>,
     store_down_until: u64,
     /// For each key: the highest fence that each target life held it under.
     fences: Vec<BTreeMap<String, Fence>>,
@@ -135,6 +142,8 @@
                 frozen_until: 0,
                 suspensions: Vec::new(),
                 registered: false,
+                registered_in: StoreEra::default(),
+                known_era: StoreEra::default(),
                 leaving: false,
                 target: Target::new(format!("t{index}-0")),
                 target_known: true,
@@ -156,6 +165,8 @@
             earlier_objects: Vec::new(),
             revision: 0,
             registered: BTreeMap::new(),
+            era: StoreEra::default(),
+            copies: Vec::new(),
             store_down_until: 0,
             fences: vec![BTreeMap::new(); WATCHED],
             served_at: [FAULTS.0; WATCHED],
@@ -215,6 +226,7 @@
         let machine = &mut self.machines[index];
         machine.life = life;
         machine.registered = false;
+        machine.known_era = StoreEra::default();
         machine.leaving = false;
         machine.target_known = first;
         machine.heard = None;
@@ -312,6 +324,7 @@
             registered_for: machine
                 .registered
                 .then(|| self.service_of(index).to_owned()),
+            registered_in: machine.registered_in,
             configuration_version: 1,
             configuration_checked_ago: None,
             evacuations: None,
@@ -382,8 +395,8 @@
                 });
             }
             Event::StoreArrives(index, life, call) => self.store_arrives(index, life, call),
-            Event::StoreAnswers(index, life, call, reply) => {
-                self.store_answers(index, life, call, reply)
+            Event::StoreAnswers(index, life, call, reply, era) => {
+                self.store_answers(index, life, call, reply, era);
             }
             Event::OrderArrives(index, life, id, order, sent_at) => {
                 self.order_arrives(index, life, &id, order, sent_at)
--- a/crates/ownership/tests/simulation/world/actions.rs
+++ b/crates/ownership/tests/simulation/world/actions.rs
@@ -55,6 +55,7 @@
                 self.after(delay, Event::TableArrives(index, life, table));
             }
             Action::Note(note) => self.trace(|| format!("node {index}: {note:?}")),
+            Action::StoreEra(era) => self.store_is_in(index, era),
             Action::FetchConfiguration(..)
             | Action::ConfigurationChecked(_)
             | Action::EvacuationsTold(..)
--- a/crates/ownership/tests/simulation/world/faults.rs
+++ b/crates/ownership/tests/simulation/world/faults.rs
@@ -4,6 +4,9 @@
 
 impl World {
     pub(super) fn plan_faults(&mut self) {
+        if self.options.store_restores {
+            self.plan_restores();
+        }
         match self.options.faults {
             FaultPlan::Random => self.after(FAULTS.0, Event::Fault),
             FaultPlan::OneOwnerLost => self.heal_at(FAULTS.0, |world| {
--- a/crates/ownership/tests/simulation/world/options.rs
+++ b/crates/ownership/tests/simulation/world/options.rs
@@ -44,6 +44,10 @@
     pub drift: f64,
     /// Part of the calls to the store that are lost, and as many again that are done late.
     pub store_trouble: f64,
+    /// Whether the store comes back, again and again, from a copy of some seconds before.
+    pub store_restores: bool,
+    /// Removes a mechanism: the store doesn't tell that it has come back from a copy.
+    pub eras_are_hidden: bool,
     /// Part of the orders to targets that get no answer and are carried out seconds later; of heartbeats that
     /// come late, and of their answers that are lost.
     pub late_orders: f64,
@@ -84,6 +88,8 @@
             leaders_dont_wait: false,
             drift: 0.01,
             store_trouble: 0.03,
+            store_restores: false,
+            eras_are_hidden: false,
             late_orders: 0.02,
             plain_nodes: 0,
             delivery: Delivery::Calls,
--- a/crates/ownership/tests/simulation/world/store.rs
+++ b/crates/ownership/tests/simulation/world/store.rs
@@ -1,8 +1,86 @@
-//! Calls to the platform's store, which may be lost, late or refused.
+//! Calls to the platform's store, which may be lost, late or refused, and which may come back from a copy.
 
 use super::*;
 
+/// Time between two times that the store comes back, in milliseconds.
+const RESTORED_EVERY_MS: std::ops::Range<u64> = 2_500..11_000;
+/// How old its copy is.
+const COPY_AGE_MS: std::ops::Range<u64> = 200..9_000;
+/// How long it is away before.
+const AWAY_MS: std::ops::Range<u64> = 50..1_500;
+
+/// A state of the store.
+#[derive(Clone)]
+pub struct Copy {
+    object: Stored,
+    revision: u64,
+    registered: BTreeMap<NodeName, RegisteredNode>,
+}
+
 impl World {
+    fn copy(&self) -> Copy {
+        Copy {
+            object: self.object.clone(),
+            revision: self.revision,
+            registered: self.registered.clone(),
+        }
+    }
+
+    /// The store is about to change.
+    fn keep_copy(&mut self) {
+        if self.options.store_restores {
+            self.copies.push((self.now, self.copy()));
+        }
+    }
+
+    /// Has the store come back from copies until the faults end.
+    pub(super) fn plan_restores(&mut self) {
+        let delay = self.rng.random_range(RESTORED_EVERY_MS);
+        if self.now + delay >= FAULTS.1 {
+            return;
+        }
+        self.heal_at(delay, |world| {
+            world.restore();
+            world.plan_restores();
+        });
+    }
+
+    fn restore(&mut self) {
+        let age = self.rng.random_range(COPY_AGE_MS);
+        let away = self.rng.random_range(AWAY_MS);
+        let as_of = self.now.saturating_sub(age);
+        self.store_down_until = self.store_down_until.max(self.now + away);
+        self.trace(|| format!("the store comes back from a copy {age} ms old"));
+        let copies = self.copies.iter();
+        let Some(copy) = copies.clone().find(|(until, _)| *until > as_of) else {
+            return;
+        };
+        let copy = copy.1.clone();
+        let lost = std::mem::replace(&mut self.object, copy.object);
+        self.earlier_objects.push((self.now, lost));
+        self.revision = copy.revision;
+        self.registered = copy.registered;
+        self.copies.retain(|(until, _)| *until <= as_of);
+        if !self.options.eras_are_hidden {
+            self.era = StoreEra(self.era.0 + 1);
+        }
+    }
+
+    /// A node has heard of an era of the store; what it knew to be registered may be lost.
+    pub(super) fn store_is_in(&mut self, index: usize, era: StoreEra) {
+        let now = self.clock(index);
+        let machine = &mut self.machines[index];
+        if era <= machine.known_era {
+            return;
+        }
+        machine.known_era = era;
+        machine.registered = false;
+        if let Some(participant) = &mut machine.participant {
+            participant.store_is_in(now, era);
+            self.store_call(index, StoreCall::Register);
+        }
+    }
+
     pub(super) fn store_call(&mut self, index: usize, call: StoreCall) {
         let life = self.machines[index].life;
         let unreachable = self.machines[index].store_cut || self.now < self.store_down_until;
@@ -10,7 +88,7 @@
         if unreachable || lost {
             self.after(
                 1_200,
-                Event::StoreAnswers(index, life, call, StoreReply::Failed),
+                Event::StoreAnswers(index, life, call, StoreReply::Failed, None),
             );
             return;
         }
@@ -23,7 +101,7 @@
         if late {
             self.after(
                 1_200,
-                Event::StoreAnswers(index, life, call.clone(), StoreReply::Failed),
+                Event::StoreAnswers(index, life, call.clone(), StoreReply::Failed, None),
             );
         }
         self.after(
@@ -59,15 +137,18 @@
                     address: self.machines[index].address,
                     service: Some(self.service_of(index).to_owned()),
                 };
+                self.keep_copy();
                 self.registered.insert(name, known);
                 StoreReply::Registered
             }
         };
         let delay = self.rng.random_range(1..20);
-        self.after(delay, Event::StoreAnswers(index, life, call, reply));
+        let era = Some(self.era);
+        self.after(delay, Event::StoreAnswers(index, life, call, reply, era));
     }
 
     fn write_object(&mut self, leadership: Leadership) {
+        self.keep_copy();
         self.revision += 1;
         let next = Some((self.revision, leadership));
         let before = std::mem::replace(&mut self.object, next);
@@ -90,10 +171,25 @@
         life: u64,
         call: StoreCall,
         reply: StoreReply,
+        era: Option<StoreEra>,
     ) {
+        if self.machines[index].life != life {
+            return;
+        }
+        let known = self.machines[index].known_era;
+        // An answer from before the store came back tells nothing.
+        let reply = if era.is_none_or(|era| era < known) {
+            StoreReply::Failed
+        } else {
+            reply
+        };
+        if let Some(era) = era {
+            self.store_is_in(index, era);
+        }
         match (call, reply) {
             (StoreCall::Register, StoreReply::Registered) if self.machines[index].life == life => {
                 self.machines[index].registered = true;
+                self.machines[index].registered_in = self.machines[index].known_era;
             }
             (StoreCall::Rewrite(..), _) => {}
             (StoreCall::Register, _) => {
@@ -131,10 +227,11 @@
                 });
             }
             (StoreCall::Claim(sent_at, _, leader), reply) => {
-                let result = if let StoreReply::Claimed(result) = reply {
-                    result
-                } else {
-                    ClaimResult::Failed
+                let is_in_its_era = leader.era == self.machines[index].known_era;
+                let result = match reply {
+                    StoreReply::Claimed(ClaimResult::Won) if !is_in_its_era => ClaimResult::Failed,
+                    StoreReply::Claimed(result) => result,
+                    _ => ClaimResult::Failed,
                 };
                 self.input(index, life, |participant, now, around| {
                     participant.claim_ended(now, around, sent_at, leader, result)
--- a/crates/ownership/tests/support/mod.rs
+++ b/crates/ownership/tests/support/mod.rs
@@ -1,6 +1,6 @@
 //! A leader's answers for tests of the holder.
 
-use wingspar_ownership::{Epoch, Fence, KeyRange, LeaseReply, Life, Time, Wanted};
+use wingspar_ownership::{Epoch, Fence, KeyRange, LeaseReply, Life, StoreEra, Time, Wanted};
 
 /// How long such an answer leases, in milliseconds.
 pub const LEASE_MS: u64 = 2_400;
@@ -30,6 +30,7 @@
         table_version: 0,
         configuration_version: 0,
         configuration_checked_ms_ago: None,
+        store_era: StoreEra::default(),
         evacuations: None,
         quarantine: Default::default(),
         quota_shards: Vec::new(),
--- a/crates/ownership/tests/take_over.rs
+++ b/crates/ownership/tests/take_over.rs
@@ -5,7 +5,7 @@
 
 use wingspar_ownership::{
     Epoch, Leader, LeaderReference, Leadership, Life, MemberView, NodeName, RegisteredNode,
-    Renewal, ServiceTable, Table, TableAnswer, TargetState, Time, Timing,
+    Renewal, ServiceTable, StoreEra, Table, TableAnswer, TargetState, Time, Timing,
 };
 
 const SERVICE: &str = "s";
@@ -64,6 +64,8 @@
         leader: reference,
         earlier: Some(vec![name(1)]),
         shards_anywhere: false,
+        era: StoreEra::default(),
+        restored_ms_ago: None,
     };
     let registered = (0..64).map(|number| RegisteredNode {
         node: name(number),
@@ -137,6 +139,7 @@
         target: member(number).target,
         leaving: false,
         registered_for: Some(SERVICE.to_owned()),
+        registered_in: StoreEra::default(),
         configuration_version: 1,
         store_reachable: true,
         link_mbps: None,
--- a/crates/sidecar/src/control.rs
+++ b/crates/sidecar/src/control.rs
@@ -110,9 +110,9 @@
             target,
             leaving: node.is_stopping(),
             registered_for: node
-                .registered
-                .get()
+                .is_registered()
                 .then(|| node.settings.node.service.clone()),
+            registered_in: node.registered.get().unwrap_or_default(),
             configuration_version: node.configuration_version(),
             configuration_checked_ago: node.configuration_checked_ago(),
             evacuations: node.evacuation_report(),
@@ -234,6 +234,9 @@
                         version,
                     ));
                 }
+                Action::StoreEra(era) => {
+                    self.node.store_is_in(era);
+                }
                 Action::ConfigurationChecked(at) => self.node.configuration_checked(at),
                 Action::QuarantineReported(report) => quarantine::reported(&self.node, &report),
                 Action::QuarantineAnswered(reply) => quarantine::answered(&self.node, &reply),
@@ -345,7 +348,10 @@
         };
         let sent_at = self.node.now();
         let result = match self.node.call_store(&call, None).await {
-            Ok(reply) if reply.outcome == Outcome::Done => ClaimResult::Won,
+            // One that was done after the store had come back may have replaced another than was read.
+            Ok(reply) if reply.outcome == Outcome::Done && reply.era == leader.era => {
+                ClaimResult::Won
+            }
             Ok(reply) if reply.outcome == Outcome::Conflict => {
                 ClaimResult::Conflict(self.told(read_leader(&reply.body).map(Some)).flatten())
             }
--- a/crates/sidecar/src/evacuation.rs
+++ b/crates/sidecar/src/evacuation.rs
@@ -41,6 +41,8 @@
     checked_at: Option<Time>,
     /// If the node's own zone is evacuated.
     last_starts: Option<LastStarts>,
+    /// Until when zones stay evacuated that the store doesn't name any more since it came back from a copy.
+    kept_until: Option<Time>,
 }
 
 impl Evacuations {
@@ -71,11 +73,18 @@
         now: Time,
         own_zone: &str,
         bound: Duration,
-        told: EvacuatedZones,
+        mut told: EvacuatedZones,
     ) -> Option<OwnZone> {
-        if told.revision < self.evacuated.revision {
+        if told.as_of() < self.evacuated.as_of() {
             return None;
         }
+        if told.era > self.evacuated.era {
+            // The operator writes again what the copy lacks; meanwhile it still holds.
+            self.kept_until = Some(now + bound);
+        }
+        if self.kept_until.is_some_and(|until| now < until) {
+            told.zones.extend(self.evacuated.zones.iter().cloned());
+        }
         let same = told.zones == self.evacuated.zones;
         self.evacuated = told;
         if same {
--- a/crates/sidecar/src/follow/configuration.rs
+++ b/crates/sidecar/src/follow/configuration.rs
@@ -50,6 +50,7 @@
         return Ok(Checked::ByAnother);
     };
     let look = look(node).await?;
+    let era = node.store_era.get();
     if reads.known.borrow_mut().looked(look) {
         node.configuration_checked(look.asked_at);
         return Ok(Checked::Sure);
@@ -60,6 +61,10 @@
     let call = objects::get(CONFIGURATION_KIND, CONFIGURATION_NAME);
     let body = node.read_store(&call, None).await?;
     take_body(node, &body, "store")?;
+    if node.store_era.get() != era {
+        // The store has come back between the two answers; another look tells.
+        return Ok(Checked::ByAnother);
+    }
     reads.known.borrow_mut().read_after(look);
     node.configuration_checked(look.asked_at);
     Ok(Checked::Sure)
--- a/crates/sidecar/src/follow/evacuations.rs
+++ b/crates/sidecar/src/follow/evacuations.rs
@@ -21,6 +21,7 @@
         }
         let names = page.objects.iter().map(|object| object.name.clone());
         evacuated.zones.extend(names);
+        evacuated.era = node.store_era.get();
         match page.objects.last() {
             Some(last) if page.more => after = Some(last.name.clone()),
             _ => break,
@@ -36,13 +37,14 @@
 /// known may be later than the watch's start, but not than its answer; then the other zones are as known.
 pub(super) fn told(node: &Node, changes: &Changes) {
     let known = node.evacuations.borrow().evacuated().clone();
-    if changes.revision <= known.revision {
-        return;
-    }
     let mut evacuated = EvacuatedZones {
+        era: node.store_era.get(),
         revision: changes.revision,
-        ..known
+        zones: known.zones.clone(),
     };
+    if evacuated.as_of() <= known.as_of() {
+        return;
+    }
     for (object, gone) in &changes.events {
         if *gone {
             evacuated.zones.remove(&object.name);
--- a/crates/sidecar/src/follow/mod.rs
+++ b/crates/sidecar/src/follow/mod.rs
@@ -16,7 +16,7 @@
 
 use bytes::Bytes;
 use rand::RngExt;
-use wingspar_ownership::Time;
+use wingspar_ownership::{StoreEra, Time};
 use wingspar_platform::objects::{self, Call, Changes};
 use wingspar_platform::{CONFIGURATION_KIND, EVACUATION_KIND};
 
@@ -237,26 +237,31 @@
 /// out to be behind, or the node leads no longer.
 async fn watch(node: &Node, subject: Subject) -> Result<(), StoreError> {
     let mut revision = subject.watch_from(node).await?;
+    let era = node.store_era.get();
     loop {
         let request = objects::watch(subject.kind(), revision, WATCH_MS);
         let body = tokio::select! {
             body = subject.watched(node, &request) => body?,
-            () = is_over(node, subject) => return Ok(()),
+            () = is_over(node, subject, era) => return Ok(()),
         };
         let changes = objects::parse_changes(&body)?;
         subject.told(node, &changes);
         subject.ended(node);
+        if node.store_era.get() != era {
+            // The revision that was watched from is another one now.
+            return Ok(());
+        }
         revision = changes.revision;
     }
 }
 
-/// Ends when a watch is of no more use: the node leads no longer, or a change has been known for a while that the
+/// Ends when a watch is of no more use: the node leads no longer, the store has come back from a copy, or a change has been known for a while that the
 /// watch hasn't told of.
-async fn is_over(node: &Node, subject: Subject) {
+async fn is_over(node: &Node, subject: Subject, era: StoreEra) {
     let mut looks = 0;
     loop {
         tokio::time::sleep(BEHIND_STEP).await;
-        if !leads(node) {
+        if !leads(node) || node.store_era.get() != era {
             return;
         }
         match subject.behind(node) {
--- a/crates/sidecar/src/logs.rs
+++ b/crates/sidecar/src/logs.rs
@@ -138,6 +138,11 @@
         /// What is known of it.
         detail: String,
     },
+    /// The store has come back from a copy and lacks what it had acknowledged last.
+    StoreCameBack {
+        /// How often it has.
+        era: u64,
+    },
     /// A call to the store told nothing.
     StoreCallFailed {
         /// What was tried: read, cached read, watch, list, write.
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use tokio::sync::{Notify, watch};
 use wingspar_ownership::{
-    EvacuatedZones, EvacuationReport, Identity, Life, NodeName, Participant, Time, Timing,
+    EvacuatedZones, EvacuationReport, Identity, Life, NodeName, Participant, StoreEra, Time, Timing,
 };
 use wingspar_quarantine::{InFlight, Quarantine};
 use wingspar_routes::RouteTable;
@@ -84,8 +84,12 @@
     pub store: Store,
     /// Whether the last call to the store succeeded.
     pub store_reachable: Cell<bool>,
-    /// Whether the store has acknowledged the node's registration.
-    pub registered: Cell<bool>,
+    /// The store's era.
+    pub store_era: Cell<StoreEra>,
+    /// Told when that changes.
+    pub store_came_back: Notify,
+    /// The store's era in which it acknowledged the node's registration; nothing if it hasn't.
+    pub registered: Cell<Option<StoreEra>>,
     /// The configuration in force.
     pub routes: RefCell<Option<Rc<RouteTable>>>,
     /// What others are given of it.
@@ -187,7 +191,9 @@
             metrics: Metrics::new(),
             store: Store::new(settings.store.address),
             store_reachable: Cell::new(true),
-            registered: Cell::new(false),
+            store_era: Cell::default(),
+            store_came_back: Notify::new(),
+            registered: Cell::default(),
             routes: RefCell::new(None),
             configuration_answers: RefCell::default(),
             configuration_doubts: Doubts::default(),
@@ -327,11 +333,11 @@
 
     /// The leader told of evacuated zones, which the store still said at `checked_at`.
     pub fn evacuations_told(&self, told: EvacuatedZones, checked_at: Time) {
-        let revision = told.revision;
+        let as_of = told.as_of();
         self.evacuate(told, "leader");
         let mut evacuations = self.evacuations.borrow_mut();
         // What the leader knows may be older than what this node has read itself.
-        if revision >= evacuations.evacuated().revision {
+        if as_of >= evacuations.evacuated().as_of() {
             evacuations.checked(checked_at);
         }
     }
@@ -410,6 +416,27 @@
         self.directory_changed.notify_waiters();
     }
 
+    /// The store, or another node that has heard from it, has told its era. Whether that is no earlier than the one known.
+    ///
+    /// With a later one, the store has lost what it had acknowledged last, and its revisions begin anew: nothing that rests on
+    /// either counts any more.
+    pub fn store_is_in(&self, era: StoreEra) -> bool {
+        let known = self.store_era.get();
+        if era > known {
+            self.store_era.set(era);
+            self.log.write(Event::StoreCameBack { era: era.0 });
+            self.configuration_reads.store_came_back();
+            self.participant.borrow_mut().store_is_in(self.now(), era);
+            self.store_came_back.notify_waiters();
+        }
+        era >= known
+    }
+
+    /// Whether the store has acknowledged the node's registration, and hasn't come back from a copy since.
+    pub fn is_registered(&self) -> bool {
+        self.registered.get() == Some(self.store_era.get())
+    }
+
     /// Notes whether a call to the store succeeded; logs when that changes.
     pub fn store_answered(&self, answered: bool, detail: &str) {
         if self.store_reachable.replace(answered) == answered {
--- a/crates/sidecar/src/registration.rs
+++ b/crates/sidecar/src/registration.rs
@@ -29,20 +29,32 @@
     pub service: Option<String>,
 }
 
+/// Writes the node's object, and again whenever the store has come back from a copy, which may lack it.
+pub async fn keep_registered(node: Rc<Node>) {
+    loop {
+        let came_back = node.store_came_back.notified();
+        if !node.is_registered() && !node.is_stopping() {
+            register(&node).await;
+        } else {
+            came_back.await;
+        }
+    }
+}
+
 /// Writes the node's object, until that succeeds.
-pub async fn register(node: Rc<Node>) {
+async fn register(node: &Node) {
     let content = Registration {
         address: node.settings.internal(),
         service: Some(node.settings.node.service.clone()),
     };
     loop {
-        match write(&node, &content).await {
+        match write(node, &content).await {
             Ok(()) => {
-                node.registered.set(true);
+                node.registered.set(Some(node.store_era.get()));
                 node.control_wakes.notify_one();
                 return;
             }
-            Err(error) => failed(&node, "write", &error),
+            Err(error) => failed(node, "write", &error),
         }
         let jitter = rand::rng().random_range(0.5..1.5);
         tokio::time::sleep(PAUSE.mul_f64(jitter)).await;
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -103,7 +103,7 @@
     }
     spawn_local(check_target(node.clone()));
     spawn_local(target_calls::follow_unseen_work(node.clone()));
-    spawn_local(registration::register(node.clone()));
+    spawn_local(registration::keep_registered(node.clone()));
     spawn_local(watch_settings(node.clone(), path.to_owned(), hangup));
     if !node.settings.node.first_start {
         spawn_local(probe(node.clone()));
@@ -258,7 +258,7 @@
         requests: node.in_flight.get() + node.slots.running(),
         holds_keys: node.participant.borrow_mut().holds_any(node.now()),
         connections: node.connections.get(),
-        registered: node.registered.get(),
+        registered: node.registered.get().is_some(),
     }
 }
 
@@ -267,5 +267,5 @@
     while !registration::unregister(&node).await {
         tokio::time::sleep(END_STEP).await;
     }
-    node.registered.set(false);
+    node.registered.set(None);
 }
--- a/crates/sidecar/src/store.rs
+++ b/crates/sidecar/src/store.rs
@@ -7,9 +7,11 @@
 
 use bytes::Bytes;
 use http::header::{CONTENT_TYPE, HOST};
-use http::{HeaderValue, Request, Response};
+use http::{HeaderMap, HeaderValue, Request, Response};
 use tokio::time::timeout;
+use wingspar_ownership::StoreEra;
 use wingspar_platform::FormatError;
+use wingspar_platform::headers::STORE_ERA;
 use wingspar_platform::objects::{Call, Outcome};
 
 use crate::body::Body;
@@ -38,6 +40,9 @@
     /// Another answer than the one that was hoped for.
     #[error("the store answered {0:?}")]
     Answered(Outcome),
+    /// The answer is from before the store came back from a copy: it tells of what is lost.
+    #[error("the store has come back from a copy since it answered")]
+    Outdated,
     /// The answer isn't of the documented form.
     #[error("the store's answer can't be read: {0}")]
     Unreadable(#[from] FormatError),
@@ -50,6 +55,8 @@
     pub outcome: Outcome,
     /// The answer's body.
     pub body: Bytes,
+    /// The store's era.
+    pub era: StoreEra,
 }
 
 /// Speaks to the store.
@@ -79,8 +86,9 @@
             Err(_) => return Err(self.late(0)),
         };
         let outcome = Outcome::from_status(response.status());
+        let era = era_of(response.headers());
         match receive::whole(response.into_body(), PATIENCE, received).await {
-            Ok(body) => Ok(Reply { outcome, body }),
+            Ok(body) => Ok(Reply { outcome, body, era }),
             Err(ReceiveError::Late(bytes)) => Err(self.late(bytes)),
             Err(ReceiveError::Broken(error)) => Err(StoreError::NoAnswer(error.to_string())),
         }
@@ -141,7 +149,11 @@
             None | Some(Outcome::Throttled | Outcome::Unavailable | Outcome::Unexpected(_))
         );
         self.store_answered(!refused, name);
-        reply
+        let reply = reply?;
+        if !self.store_is_in(reply.era) {
+            return Err(StoreError::Outdated);
+        }
+        Ok(reply)
     }
 
     /// The body of the answer to a reading call that was done.
@@ -168,6 +180,12 @@
     }
 }
 
+/// The era that an answer names; a store that never came back from a copy names none.
+fn era_of(headers: &HeaderMap) -> StoreEra {
+    let era = headers.get(STORE_ERA).and_then(|era| era.to_str().ok());
+    StoreEra(era.and_then(|era| era.parse().ok()).unwrap_or_default())
+}
+
 /// The name of an outcome in logs and metrics.
 fn outcome_name(outcome: Outcome) -> &'static str {
     match outcome {
--- a/crates/sidecar/src/stored_configuration.rs
+++ b/crates/sidecar/src/stored_configuration.rs
@@ -100,6 +100,11 @@
 }
 
 impl ConfigurationReads {
+    /// The store's revisions begin anew: what was read at them says nothing of what it holds now.
+    pub fn store_came_back(&self) {
+        self.known.replace(StoredConfiguration::default());
+    }
+
     /// The watch's answer has ended.
     pub fn told(&self) {
         self.watches.set(false);
--- a/crates/sidecar/tests/evacuation.rs
+++ b/crates/sidecar/tests/evacuation.rs
@@ -3,13 +3,14 @@
 use std::time::Duration;
 
 use quickcheck::quickcheck;
-use wingspar_ownership::{EvacuatedZones, Time};
+use wingspar_ownership::{EvacuatedZones, StoreEra, Time};
 use wingspar_sidecar::evacuation::{Evacuations, OwnZone};
 
 const BOUND: Duration = Duration::from_secs(5);
 
 fn zones(revision: u64, names: &[&str]) -> EvacuatedZones {
     EvacuatedZones {
+        era: StoreEra::default(),
         revision,
         zones: names.iter().map(|name| (*name).to_owned()).collect(),
     }
