Targets that start again under their id, and heartbeats of other writers

What callers saw: a target that had started again under its id got no work, since its counts began anew and its heartbeats were taken for late ones; a heartbeat that named a service of nobody's took the place of the machine's target, whose requests were refused. Cause: a life was told by the target's id alone, and any heartbeat of the right form was believed. A life's name now holds the moment of its start where the target tells it; an earlier one of the same target is over once a later one is known; what only a probe has named keeps its name, so that no leader takes it for another. A heartbeat must be of the machine's service or of one that the configuration names.

--- a/crates/sidecar/src/heartbeats.rs
+++ b/crates/sidecar/src/heartbeats.rs
@@ -5,11 +5,12 @@
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use wingspar_platform::{Heartbeat, acknowledgement, parse_heartbeat, paths};
+use wingspar_platform::{Heartbeat, acknowledgement, life_name, parse_heartbeat, paths};
 
 use crate::answer::plain;
 use crate::body::Body;
 use crate::key_exchange;
+use crate::logs::Event;
 use crate::node::Node;
 use crate::target_calls::heard_of_target;
 
@@ -50,16 +51,24 @@
 }
 
 async fn heard(node: &Rc<Node>, id: &str, heartbeat: &Heartbeat) -> Response<Body> {
-    let is_late = node.target.borrow().is_late(id, heartbeat.sequence);
+    if !is_service(node, &heartbeat.service) {
+        node.log.write(Event::TargetUnreadable {
+            what: "heartbeat",
+            problem: format!("no service is named {:?}", heartbeat.service),
+        });
+        return plain(StatusCode::BAD_REQUEST, "text/plain", "no such service");
+    }
+    let life = life_name(id, heartbeat.born);
+    let is_late = node.target.borrow().is_late(&life, heartbeat.sequence);
     let heard = node
         .target
         .borrow_mut()
-        .heartbeat(node.now(), id, heartbeat);
+        .heartbeat(node.now(), &life, heartbeat);
     heard_of_target(node, heard);
     let grants = if is_late {
         None
     } else {
-        key_exchange::answer(node, id, heartbeat).await
+        key_exchange::answer(node, &life, heartbeat).await
     };
     plain(
         StatusCode::OK,
@@ -67,3 +76,13 @@
         acknowledgement(grants.as_ref()),
     )
 }
+
+/// Whether a target may be of that service: that of the machine, or one that the configuration names. Another writer's
+/// heartbeat must not take the place of the target's own.
+fn is_service(node: &Node, service: &str) -> bool {
+    let routes = node.routes.borrow();
+    service == node.settings.node.service
+        || routes
+            .as_ref()
+            .is_none_or(|routes| routes.configuration().service(service).is_some())
+}
--- a/crates/sidecar/src/target.rs
+++ b/crates/sidecar/src/target.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use wingspar_ownership::{TargetState, Time};
-use wingspar_platform::{Heartbeat, LifecycleState};
+use wingspar_platform::{Heartbeat, LifecycleState, born, id_of_life};
 
 /// New requests still start this long after the target said that it leaves, while routers learn of it.
 const DRAIN_GRACE: Duration = Duration::from_millis(700);
@@ -13,7 +13,10 @@
 /// The target beside the node.
 #[derive(Debug, Default)]
 pub struct Target {
-    id: Option<String>,
+    /// Name of its life.
+    life: Option<String>,
+    /// When that began, if it told that later than its id. Its name stays, since others know it by that.
+    born_told: Option<u64>,
     service: String,
     past: Vec<String>,
     sequence: u64,
@@ -80,11 +83,16 @@
 
     /// Its id.
     pub fn id(&self) -> Option<&str> {
-        self.id.as_deref()
+        self.life.as_deref().map(id_of_life)
     }
 
-    /// Id of the life before; nothing if none is known.
-    pub fn past_id(&self) -> Option<&str> {
+    /// Name of its life.
+    pub fn life(&self) -> Option<&str> {
+        self.life.as_deref()
+    }
+
+    /// Name of the life before; nothing if none is known.
+    pub fn past_life(&self) -> Option<&str> {
         self.past.last().map(String::as_str)
     }
 
@@ -99,28 +107,48 @@
     }
 
     /// Whether a heartbeat comes after a later one of the same life, or from a life that has ended.
-    pub fn is_late(&self, id: &str, sequence: u64) -> bool {
-        let is_past = self.past.iter().any(|past| past == id);
-        is_past || (self.id.as_deref() == Some(id) && sequence <= self.sequence)
+    pub fn is_late(&self, life: &str, sequence: u64) -> bool {
+        self.is_past(life) || (self.is_present(life) && sequence <= self.sequence)
+    }
+
+    /// When the present life began, if it has told.
+    fn born(&self) -> Option<u64> {
+        self.life().and_then(born).or(self.born_told)
+    }
+
+    /// Whether that is the present life, as far as the target has told.
+    fn is_present(&self, life: &str) -> bool {
+        let is_same = self.id() == Some(id_of_life(life));
+        is_same && (self.born().is_none() || self.born() == born(life))
+    }
+
+    /// Whether a life has ended: it has said so, or a later one of the same target is known.
+    fn is_past(&self, life: &str) -> bool {
+        let is_same = self.id() == Some(id_of_life(life));
+        let is_earlier = born(life)
+            .zip(self.born())
+            .is_some_and(|(it, own)| it < own);
+        self.past.iter().any(|past| past == life) || (is_same && is_earlier)
     }
 
     /// Whether a heartbeat is the last of the present life.
-    pub fn is_newest(&self, id: &str, sequence: u64) -> bool {
-        self.id.as_deref() == Some(id) && self.sequence == sequence
+    pub fn is_newest(&self, life: &str, sequence: u64) -> bool {
+        self.is_present(life) && self.sequence == sequence
     }
 
     /// Takes in a heartbeat.
-    pub fn heartbeat(&mut self, now: Time, id: &str, heartbeat: &Heartbeat) -> Heard {
-        if self.past.iter().any(|past| past == id) {
+    pub fn heartbeat(&mut self, now: Time, life: &str, heartbeat: &Heartbeat) -> Heard {
+        if self.is_past(life) {
             return Heard::Nothing;
         }
-        let new_life = self.id.as_deref() != Some(id);
+        let new_life = !self.is_present(life);
         if !new_life && heartbeat.sequence <= self.sequence {
             return Heard::Nothing;
         }
         if new_life {
-            self.begin_life(id);
+            self.begin_life(life);
         }
+        self.born_told = self.born().or(born(life));
         let before = (self.accepting(now), self.slots);
         self.sequence = heartbeat.sequence;
         self.heard_at = now;
@@ -143,11 +171,12 @@
 
     /// The target says that it is gone.
     pub fn leave(&mut self, now: Time, id: &str) -> Heard {
-        if self.id.as_deref() != Some(id) {
+        let present = self.life.clone().filter(|_| self.id() == Some(id));
+        let Some(present) = present else {
             self.remember(id);
             return Heard::Nothing;
-        }
-        self.remember(id);
+        };
+        self.remember(&present);
         self.leaving_since.get_or_insert(now);
         Heard::Leaves
     }
@@ -155,10 +184,11 @@
     /// The answer to a health check, and the id in it.
     pub fn probed(&mut self, now: Time, id: &str, health: Health) -> Heard {
         self.probe_until = None;
-        if self.past.iter().any(|past| past == id) {
+        // It doesn't tell when it started; a heartbeat will.
+        let new_life = self.id() != Some(id);
+        if new_life && self.is_past(id) {
             return Heard::Nothing;
         }
-        let new_life = self.id.as_deref() != Some(id);
         if new_life {
             self.begin_life(id);
         }
@@ -213,10 +243,10 @@
     /// Another target than the known one answered at its address: the known one has ended. Which
     /// service the other belongs to isn't known before its heartbeat, so nothing starts until then.
     pub fn other_answered(&mut self, id: &str) {
-        if self.id.as_deref() == Some(id) {
+        if self.id() == Some(id) {
             return;
         }
-        if let Some(before) = self.id.take() {
+        if let Some(before) = self.life.take() {
             self.remember(&before);
         }
     }
@@ -224,7 +254,7 @@
     /// Whether routers should send it new work.
     pub fn accepting(&self, now: Time) -> bool {
         let probed = self.probe_until.is_none_or(|until| now >= until);
-        self.id.is_some()
+        self.life.is_some()
             && probed
             && self.leaving_since.is_none()
             && !self.unreachable
@@ -241,13 +271,13 @@
         let drained = self
             .leaving_since
             .is_some_and(|since| now.since(since) >= DRAIN_GRACE);
-        self.id.is_some() && !drained && self.slots > 0
+        self.life.is_some() && !drained && self.slots > 0
     }
 
     /// What other nodes are told.
     pub fn state(&self, now: Time) -> Option<TargetState> {
         Some(TargetState {
-            id: self.id.clone()?,
+            id: self.life.clone()?,
             service: self.service.clone(),
             accepting: self.accepting(now),
             slots: self.slots,
@@ -255,23 +285,24 @@
         })
     }
 
-    fn begin_life(&mut self, id: &str) {
-        if let Some(before) = self.id.take() {
+    fn begin_life(&mut self, life: &str) {
+        if let Some(before) = self.life.take() {
             self.remember(&before);
         }
-        self.id = Some(id.to_owned());
+        self.life = Some(life.to_owned());
+        self.born_told = None;
         self.sequence = 0;
         self.leaving_since = None;
         self.unreachable = false;
         self.suspected_slow = None;
     }
 
-    fn remember(&mut self, id: &str) {
+    fn remember(&mut self, life: &str) {
         if self.past.len() >= PAST_LIVES {
             self.past.remove(0);
         }
-        if !self.past.iter().any(|past| past == id) {
-            self.past.push(id.to_owned());
+        if !self.past.iter().any(|past| past == life) {
+            self.past.push(life.to_owned());
         }
     }
 }
--- a/crates/sidecar/src/target_calls.rs
+++ b/crates/sidecar/src/target_calls.rs
@@ -295,10 +295,10 @@
         Heard::Leaves => "leaves",
         Heard::Changed => "changed",
     };
-    let Some(id) = target.id() else {
+    let Some(id) = target.life() else {
         return;
     };
-    if let (Heard::NewLife, Some(past)) = (heard, target.past_id()) {
+    if let (Heard::NewLife, Some(past)) = (heard, target.past_life()) {
         target_end::ended(node, past, "next_life");
     }
     node.log.write(Event::TargetChanged {
--- a/crates/sidecar/tests/target.rs
+++ b/crates/sidecar/tests/target.rs
@@ -8,6 +8,7 @@
 
 fn heartbeat(state: LifecycleState, sequence: u64) -> Heartbeat {
     Heartbeat {
+        born: None,
         address: "10.0.0.1:80".to_owned(),
         service: "s".to_owned(),
         slots: 18,
@@ -201,3 +202,59 @@
     target.heartbeat(START, "a", &slow_for(2, 0.0));
     assert_eq!(target.warmth(START), Warmth::Warm);
 }
+
+/// The name of a life of target `a`.
+fn life(born: u64) -> String {
+    wingspar_platform::life_name("a", Some(born))
+}
+
+#[test]
+fn a_target_that_starts_again_under_its_id_is_another_life_whose_counts_begin_anew() {
+    let mut target = Target::unknown("s", None);
+    let beat = |sequence| heartbeat(LifecycleState::Ready, sequence);
+    assert_eq!(target.heartbeat(START, &life(5), &beat(40)), Heard::NewLife);
+    assert_eq!(target.heartbeat(START, &life(9), &beat(1)), Heard::NewLife);
+    assert_eq!(target.id(), Some("a"));
+    assert!(target.is_newest(&life(9), 1));
+    assert!(target.is_late(&life(5), 41), "its life has ended");
+    assert_eq!(target.heartbeat(START, &life(5), &beat(41)), Heard::Nothing);
+    assert_eq!(target.past_life(), Some(&*life(5)));
+}
+
+#[test]
+fn a_heartbeat_of_a_life_that_was_never_heard_of_before_a_later_one_is_late() {
+    let mut target = Target::unknown("s", None);
+    let beat = heartbeat(LifecycleState::Ready, 1);
+    target.heartbeat(START, &life(9), &beat);
+    assert!(target.is_late(&life(7), 80));
+    assert_eq!(target.heartbeat(START, &life(7), &beat), Heard::Nothing);
+}
+
+#[test]
+fn a_target_that_leaves_and_starts_again_under_its_id_takes_work() {
+    let mut target = Target::unknown("s", None);
+    let beat = heartbeat(LifecycleState::Ready, 1);
+    target.heartbeat(START, &life(5), &beat);
+    assert_eq!(target.leave(START, "a"), Heard::Leaves);
+    assert_eq!(target.heartbeat(START, &life(6), &beat), Heard::NewLife);
+    assert!(target.accepting(START));
+}
+
+#[test]
+fn a_probed_target_keeps_the_name_of_its_life_when_it_tells_when_that_began() {
+    let mut target = Target::unknown("s", None);
+    let health = Health {
+        takes_work: true,
+        slots: Some(18),
+        warmup_left: Duration::ZERO,
+    };
+    target.probed(START, "a", health);
+    let beat = heartbeat(LifecycleState::Ready, 3);
+    assert_ne!(target.heartbeat(START, &life(5), &beat), Heard::NewLife);
+    assert_eq!(target.life(), Some("a"));
+    assert!(target.is_late(&life(5), 3));
+    assert_eq!(
+        target.heartbeat(START, &life(8), &heartbeat(LifecycleState::Ready, 1)),
+        Heard::NewLife
+    );
+}
--- a/crates/standins/src/fleet/target/mod.rs
+++ b/crates/standins/src/fleet/target/mod.rs
@@ -87,12 +87,18 @@
         lock(&self.server).is_some()
     }
 
-    /// Its id; each life has its own.
+    /// Its id; each life has its own, unless it keeps it.
     #[must_use]
     pub fn id(&self) -> String {
         self.shared.id()
     }
 
+    /// When its present life began, in Unix milliseconds; rises with each.
+    #[must_use]
+    pub fn born(&self) -> u64 {
+        1_700_000_000_000 + u64::from(self.crashes())
+    }
+
     /// How often a request has ended it.
     #[must_use]
     pub fn crashes(&self) -> u32 {
--- a/crates/standins/src/fleet/target/state.rs
+++ b/crates/standins/src/fleet/target/state.rs
@@ -30,6 +30,8 @@
     pub room: Option<usize>,
     /// Ends under each request of such a path, some time after it began to run it.
     pub crashes_on: Option<&'static str>,
+    /// It starts again under the id that it had.
+    pub keeps_id: bool,
 }
 
 /// Requests that it says it works on at once.
@@ -86,6 +88,7 @@
 impl Shared {
     pub(super) fn id(&self) -> String {
         match *lock(&self.past_lives) {
+            _ if lock(&self.faults).keeps_id => self.first_id.clone(),
             0 => self.first_id.clone(),
             past => format!("{}-{past}", self.first_id),
         }
--- a/crates/wingspar/tests/sidecar/main.rs
+++ b/crates/wingspar/tests/sidecar/main.rs
@@ -5,6 +5,7 @@
 mod deployment;
 mod evacuations;
 mod full_target;
+mod heartbeats_of_others;
 mod kept_connection;
 mod key_heartbeats;
 mod losses;
