Who makes sure for another node says so once it has; a store that tells no revision is still read

A node whose leader vouched for its configuration counted that word as too old to vouch itself, so that a node that couldn't hear the leader would have asked it again without a pause (found by reading, not seen). It answers by how its question ended now, and the age that the asker takes covers a question that had begun before. A store that leaves listings unanswered left the configuration unread, since its revision is asked for by one (test: no watch tells of it); the object is read then.

--- a/crates/sidecar/src/follow/configuration.rs
+++ b/crates/sidecar/src/follow/configuration.rs
@@ -49,15 +49,26 @@
         reads.reading.ended().await;
         return Ok(Checked::ByAnother);
     };
-    let look = look(node).await?;
+    let look = match look(node).await {
+        Ok(look) => Some(look),
+        // A store that tells no revision may still tell the object.
+        Err(error @ StoreError::NoAnswer(_)) => {
+            log_failure(node, Subject::Configuration, "look", &error);
+            None
+        }
+        Err(error) => return Err(error),
+    };
     let era = node.store_era.get();
-    if reads.known.borrow_mut().looked(look) {
+    if let Some(look) = look
+        && reads.known.borrow_mut().looked(look)
+    {
         node.configuration_checked(look.asked_at);
         return Ok(Checked::Sure);
     }
-    if watch_tells(node).await {
+    if look.is_some() && watch_tells(node).await {
         return Ok(Checked::ByAnother);
     }
+    let asked_at = look.map_or_else(|| node.now(), |look| look.asked_at);
     let call = objects::get(CONFIGURATION_KIND, CONFIGURATION_NAME);
     let body = node.read_store(&call, None).await?;
     take_body(node, &body, "store")?;
@@ -65,8 +76,10 @@
         // The store has come back between the two answers; another look tells.
         return Ok(Checked::ByAnother);
     }
-    reads.known.borrow_mut().read_after(look);
-    node.configuration_checked(look.asked_at);
+    if let Some(look) = look {
+        reads.known.borrow_mut().read_after(look);
+    }
+    node.configuration_checked(asked_at);
     Ok(Checked::Sure)
 }
 
--- a/crates/sidecar/src/follow/mod.rs
+++ b/crates/sidecar/src/follow/mod.rs
@@ -21,7 +21,7 @@
 use wingspar_platform::{CONFIGURATION_KIND, EVACUATION_KIND};
 
 use configuration::Checked;
-pub use readers::{ask_others, make_sure};
+pub use readers::{Assurance, ask_others, make_sure};
 
 use crate::configuration_doubts::is_sure;
 use crate::logs::Event;
--- a/crates/sidecar/src/follow/readers.rs
+++ b/crates/sidecar/src/follow/readers.rs
@@ -76,8 +76,9 @@
         match finding {
             Finding::NotYet => {}
             Finding::NoneLater => {
-                // It was sure of that for no longer than this.
-                node.configuration_checked(asked_at.before(recently_checked(node)));
+                // It had been sure of that for no longer than this, and may have begun to find out for another node.
+                let oldest = recently_checked(node) + HELD;
+                node.configuration_checked(asked_at.before(oldest));
                 return finding;
             }
             Finding::Later | Finding::Unknown => return finding,
@@ -85,36 +86,57 @@
     }
 }
 
-/// Finds out for another node whether there is a later configuration; one read serves all who ask meanwhile. Whether
-/// that may still come: who asks again is told.
-pub async fn make_sure(node: &Rc<Node>) -> bool {
+/// What a node can say to another one that wants to be sure.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Assurance {
+    /// It has the latest configuration.
+    Sure,
+    /// It is finding out; who asks again is told.
+    NotYet,
+    /// It can't find out.
+    Unsure,
+}
+
+/// Finds out for another node whether there is a later configuration; one read serves all who ask meanwhile.
+pub async fn make_sure(node: &Rc<Node>) -> Assurance {
     if is_sure(node) {
-        return false;
+        return Assurance::Sure;
     }
     let reads = &node.configuration_reads;
     let ended = reads.finding_out.ended();
     if !reads.finding_out.is_under_way() {
         tokio::task::spawn_local(find_out(node.clone()));
     }
-    let ended = timeout(HELD, ended).await.is_ok();
-    !(ended && reads.not_found_out.get())
+    if timeout(HELD, ended).await.is_err() {
+        return Assurance::NotYet;
+    }
+    if reads.has_found_out.get() {
+        Assurance::Sure
+    } else {
+        Assurance::Unsure
+    }
 }
 
-/// Reads the store, unless the leader tells.
+/// Asks the leader, or reads the store.
 async fn find_out(node: Rc<Node>) {
     let reads = &node.configuration_reads;
     let Some(_turn) = reads.finding_out.begin() else {
         return;
     };
-    reads.not_found_out.set(false);
+    let is_told = ask_leader(&node).await.is_certain() || is_read(&node).await;
+    reads.has_found_out.set(is_told);
+}
+
+/// Reads the store until what it said is recent.
+async fn is_read(node: &Node) -> bool {
     for _ in 0..MOST_READS {
-        if is_sure(&node) || ask_leader(&node).await.is_certain() {
-            return;
+        if let Err(error) = configuration::check(node).await {
+            log_failure(node, Subject::Configuration, "read", &error);
+            return false;
         }
-        if let Err(error) = configuration::check(&node).await {
-            log_failure(&node, Subject::Configuration, "read", &error);
-            reads.not_found_out.set(true);
-            return;
+        if is_sure(node) {
+            return true;
         }
     }
+    false
 }
--- a/crates/sidecar/src/internal.rs
+++ b/crates/sidecar/src/internal.rs
@@ -21,7 +21,7 @@
 use crate::configuration::ConfigurationAnswer;
 use crate::configuration_doubts;
 use crate::folded;
-use crate::follow;
+use crate::follow::{self, Assurance};
 use crate::hop::{self, Occupancy};
 use crate::logs::Event;
 use crate::node::Node;
@@ -103,9 +103,9 @@
         .strip_prefix(AFTER)
         .and_then(|version| version.parse().ok())
         .unwrap_or(0);
-    let mut may_still_tell = false;
+    let mut assurance = Assurance::Unsure;
     if after.is_some() && version >= node.configuration_version() {
-        may_still_tell = follow::make_sure(node).await;
+        assurance = follow::make_sure(node).await;
     } else if node.participant.borrow().leading().is_some() {
         // Whoever asks for a later one than the leader's wants to be sure.
         configuration_doubts::later_is_in_force(node, version).await;
@@ -120,10 +120,12 @@
     match answer {
         ConfigurationAnswer::Whole(bytes) => plain(StatusCode::OK, CBOR, bytes),
         ConfigurationAnswer::Changes(bytes) => plain(StatusCode::PARTIAL_CONTENT, CBOR, bytes),
-        ConfigurationAnswer::NoneLater if configuration_doubts::is_sure(node) => {
+        ConfigurationAnswer::NoneLater
+            if assurance == Assurance::Sure || configuration_doubts::is_sure(node) =>
+        {
             plain(StatusCode::NO_CONTENT, CBOR, Bytes::new())
         }
-        ConfigurationAnswer::NoneLater if may_still_tell => {
+        ConfigurationAnswer::NoneLater if assurance == Assurance::NotYet => {
             plain(StatusCode::ACCEPTED, CBOR, Bytes::new())
         }
         ConfigurationAnswer::NoneLater => plain(StatusCode::NOT_FOUND, "text/plain", "not sure"),
--- a/crates/sidecar/src/logs.rs
+++ b/crates/sidecar/src/logs.rs
@@ -145,7 +145,7 @@
     },
     /// A call to the store told nothing.
     StoreCallFailed {
-        /// What was tried: read, cached read, watch, list, write.
+        /// What was tried: look, read, cached read, watch, list, write.
         call: &'a str,
         /// What it was about.
         subject: &'a str,
--- a/crates/sidecar/src/stored_configuration.rs
+++ b/crates/sidecar/src/stored_configuration.rs
@@ -93,8 +93,8 @@
     pub reading: OneAtATime,
     /// What is done for other nodes that want to be sure.
     pub finding_out: OneAtATime,
-    /// Whether that couldn't be done the last time.
-    pub not_found_out: Cell<bool>,
+    /// Whether that could be done the last time.
+    pub has_found_out: Cell<bool>,
     /// Turns by which the nodes that are asked have changed, since those before didn't tell.
     pub turn: Cell<u64>,
 }
