A link that a large configuration fills is too weak for a leader

What callers saw: beside a configuration that grew to 4 200 routes, nodes had a version only as its bound was over, and leaders lost their office at each growth. Cause: the leader reads the version and gives it on over its own link, which at 10 Mbit/s is full for a second or more; renewals aren't answered meanwhile. Fitness counted members only. A link that the stored configuration takes a quarter of a second of now counts as weak, so that a node with a stronger one is asked to lead. Nothing changes below 2 000 routes at 10 Mbit/s, or where all links are alike.

--- a/crates/ownership/src/fitness.rs
+++ b/crates/ownership/src/fitness.rs
@@ -9,9 +9,21 @@
 const BYTES_A_MEMBER: f64 = 2_250.0;
 /// Part of its link that a leader may use.
 const LINK_SHARE: f64 = 0.2;
+/// Longest time, in seconds, that a changed configuration may take on the leader's link, which renewals and its own calls need
+/// meanwhile: a node that isn't answered for four times as long takes the leader for lost.
+const CONFIGURATION_TIME: f64 = 0.25;
 /// While the members aren't known, a link below this rate, in megabits a second, counts as weak.
 const WEAK_MBPS: f64 = 50.0;
 
+/// What a leader has to carry.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Duties {
+    /// Nodes that it leads; 0 if their number isn't known.
+    pub members: usize,
+    /// Bytes of the stored configuration, about.
+    pub configuration_bytes: usize,
+}
+
 /// How well a node is placed to lead; the lower the better.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Fitness {
@@ -20,22 +32,21 @@
     /// Its target owns keys, and a leader and an owner lost together leave keys unserved for longer; or
     /// it has no target that takes work, so its machine may go soon.
     Burdened,
-    /// Its link doesn't carry that many members.
+    /// Its link doesn't carry that many members, or a configuration of that size.
     WeakLink,
 }
 
 impl Fitness {
-    /// The fitness of a node with that target and link, in megabits a second, to lead `members` nodes;
-    /// 0 members if their number isn't known.
+    /// The fitness of a node with that target and link, in megabits a second.
     pub fn of(
         target: Option<&TargetState>,
         keyed_services: &BTreeSet<String>,
         link_mbps: Option<f64>,
-        members: usize,
+        duties: Duties,
     ) -> Self {
         let burdened = target
             .is_none_or(|target| !target.accepting || keyed_services.contains(&target.service));
-        if link_mbps.is_some_and(|link| is_weak(link, members)) {
+        if link_mbps.is_some_and(|link| is_weak(link, duties)) {
             Self::WeakLink
         } else if burdened {
             Self::Burdened
@@ -54,9 +65,11 @@
     }
 }
 
-fn is_weak(link_mbps: f64, members: usize) -> bool {
-    if members == 0 {
-        return link_mbps < WEAK_MBPS;
+fn is_weak(link_mbps: f64, duties: Duties) -> bool {
+    let bytes_a_second = link_mbps * 1e6 / 8.0;
+    let is_slow = duties.configuration_bytes as f64 > bytes_a_second * CONFIGURATION_TIME;
+    if duties.members == 0 {
+        return is_slow || link_mbps < WEAK_MBPS;
     }
-    members as f64 * BYTES_A_MEMBER > link_mbps * 1e6 / 8.0 * LINK_SHARE
+    is_slow || duties.members as f64 * BYTES_A_MEMBER > bytes_a_second * LINK_SHARE
 }
--- a/crates/ownership/src/lib.rs
+++ b/crates/ownership/src/lib.rs
@@ -34,7 +34,7 @@
 pub use balance::{BUCKETS, KEYS_PER_BUCKET, Load, LoadReport, bucket_of};
 pub use election::{Election, PeerView, Step};
 pub use fence::{Epoch, Fence, Life, StoreEra};
-pub use fitness::Fitness;
+pub use fitness::{Duties, Fitness};
 pub use holder::{Admission, Delivery, GrantResult, Holder, KeyAnswer, KeyReport, Order};
 pub use leader::{Leader, Member};
 pub use message::{
--- a/crates/ownership/src/participant/elections.rs
+++ b/crates/ownership/src/participant/elections.rs
@@ -12,7 +12,7 @@
             around.target.as_ref(),
             &around.keyed_services,
             around.link_mbps,
-            known,
+            Self::duties(around, known),
         );
         self.election.set_handicap(fitness.handicap());
         let peers = self.table.members.len().saturating_sub(1);
--- a/crates/ownership/src/participant/leadership.rs
+++ b/crates/ownership/src/participant/leadership.rs
@@ -35,7 +35,7 @@
             around.target.as_ref(),
             &around.keyed_services,
             around.link_mbps,
-            leader.members().len(),
+            Self::duties(around, leader.members().len()),
         );
         let hands_on = match fitness {
             Fitness::Free => false,
@@ -173,10 +173,10 @@
             .filter(|(_, member)| now.since(member.heard_at) < self.timing.suspect_after)
             .map(|(_, member)| member)
             .collect::<Vec<_>>();
-        let members = leader.members().len();
+        let duties = Self::duties(around, leader.members().len());
         let fitness_of = |member: &Member| {
             let target = member.view.target.as_ref();
-            Fitness::of(target, &around.keyed_services, member.link_mbps, members)
+            Fitness::of(target, &around.keyed_services, member.link_mbps, duties)
         };
         let Some(best) = heirs.iter().map(|member| fitness_of(member)).min() else {
             return;
--- a/crates/ownership/src/participant/mod.rs
+++ b/crates/ownership/src/participant/mod.rs
@@ -18,9 +18,9 @@
 use wingspar_quota::Shard;
 
 use crate::{
-    Admission, Delivery, Election, Epoch, EvacuatedZones, EvacuationReport, Fitness, GrantResult,
-    Holder, KeyAnswer, KeyReport, Leader, LeaderReference, Leadership, LeaseReply, Life,
-    LoadReport, Member, NodeName, Order, OwnerZones, PeerView, RegisteredNode, Renewal,
+    Admission, Delivery, Duties, Election, Epoch, EvacuatedZones, EvacuationReport, Fitness,
+    GrantResult, Holder, KeyAnswer, KeyReport, Leader, LeaderReference, Leadership, LeaseReply,
+    Life, LoadReport, Member, NodeName, Order, OwnerZones, PeerView, RegisteredNode, Renewal,
     ShardHolder, ShardReport, Step, StoreEra, Table, TableAnswer, TargetState, Time, Timing,
 };
 
@@ -149,6 +149,8 @@
     pub registered_in: StoreEra,
     /// Version of its configuration.
     pub configuration_version: u64,
+    /// Bytes of the stored configuration, about; 0 if none is known.
+    pub configuration_bytes: usize,
     /// How long ago it last knew that the store held no later configuration; nothing if it never did.
     pub configuration_checked_ago: Option<Duration>,
     /// What it knows of evacuated zones; nothing if it never knew.
@@ -375,6 +377,14 @@
         self.era_seen_at = now;
     }
 
+    /// What a leader of that many members has to carry.
+    pub(super) fn duties(around: &Surroundings, members: usize) -> Duties {
+        Duties {
+            members,
+            configuration_bytes: around.configuration_bytes,
+        }
+    }
+
     /// Something has changed that the leader should hear of.
     pub fn hurry(&mut self, now: Time, around: &Surroundings) -> Vec<Action> {
         let earliest = (self.last_renewal + HURRIED_RENEWALS).max(now);
--- a/crates/ownership/tests/fitness.rs
+++ b/crates/ownership/tests/fitness.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use wingspar_ownership::{Fitness, TargetState};
+use wingspar_ownership::{Duties, Fitness, TargetState};
 
 fn target(service: &str, accepting: bool) -> TargetState {
     TargetState {
@@ -16,7 +16,11 @@
 
 fn fitness(service: &str, link_mbps: Option<f64>, members: usize) -> Fitness {
     let keyed = BTreeSet::from(["keyed".to_owned()]);
-    Fitness::of(Some(&target(service, true)), &keyed, link_mbps, members)
+    let duties = Duties {
+        members,
+        configuration_bytes: 0,
+    };
+    Fitness::of(Some(&target(service, true)), &keyed, link_mbps, duties)
 }
 
 #[test]
@@ -26,10 +30,13 @@
     let leaving = target("plain", false);
     let keyed = BTreeSet::new();
     assert_eq!(
-        Fitness::of(Some(&leaving), &keyed, None, 50),
+        Fitness::of(Some(&leaving), &keyed, None, Duties::default()),
+        Fitness::Burdened
+    );
+    assert_eq!(
+        Fitness::of(None, &keyed, None, Duties::default()),
         Fitness::Burdened
     );
-    assert_eq!(Fitness::of(None, &keyed, None, 50), Fitness::Burdened);
 }
 
 #[test]
@@ -47,3 +54,19 @@
         fitness("keyed", Some(200.0), 0).handicap() < fitness("plain", Some(10.0), 0).handicap()
     );
 }
+
+#[test]
+fn a_link_is_weak_for_a_large_configuration() {
+    let with = |link_mbps, configuration_bytes| {
+        let duties = Duties {
+            members: 59,
+            configuration_bytes,
+        };
+        let target = target("plain", true);
+        Fitness::of(Some(&target), &BTreeSet::new(), Some(link_mbps), duties)
+    };
+    // 250 and 630 KB of a link that carries 1.25 MB a second.
+    assert_eq!(with(10.0, 250_000), Fitness::Free);
+    assert_eq!(with(10.0, 630_000), Fitness::WeakLink);
+    assert_eq!(with(200.0, 630_000), Fitness::Free);
+}
--- a/crates/ownership/tests/simulation/world.rs
+++ b/crates/ownership/tests/simulation/world.rs
@@ -326,6 +326,7 @@
                 .then(|| self.service_of(index).to_owned()),
             registered_in: machine.registered_in,
             configuration_version: 1,
+            configuration_bytes: 0,
             configuration_checked_ago: None,
             evacuations: None,
             quarantine: Default::default(),
--- a/crates/sidecar/src/configuration.rs
+++ b/crates/sidecar/src/configuration.rs
@@ -10,6 +10,11 @@
 use crate::node::Node;
 use crate::packed::{pack, pack_tightly};
 
+/// What a route takes in the stored configuration, with the names of its fields.
+const ROUTE_BYTES: usize = 150;
+/// What a tenant with its credentials takes there.
+const TENANT_BYTES: usize = 150;
+
 /// What a node answers another one that has a version of the configuration.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ConfigurationAnswer {
@@ -71,6 +76,14 @@
             .map_or(0, |routes| routes.configuration().version)
     }
 
+    /// Bytes that the configuration in force takes in the store, about; 0 if there is none.
+    pub fn configuration_bytes(&self) -> usize {
+        self.routes.borrow().as_ref().map_or(0, |routes| {
+            let configuration = routes.configuration();
+            configuration.routes.len() * ROUTE_BYTES + configuration.tenants.len() * TENANT_BYTES
+        })
+    }
+
     /// Puts a configuration in force unless a later one is. Returns whether it did.
     pub fn configure(&self, configuration: Configuration, source: &'static str) -> bool {
         if configuration.version <= self.configuration_version() {
--- a/crates/sidecar/src/control.rs
+++ b/crates/sidecar/src/control.rs
@@ -114,6 +114,7 @@
                 .then(|| node.settings.node.service.clone()),
             registered_in: node.registered.get().unwrap_or_default(),
             configuration_version: node.configuration_version(),
+            configuration_bytes: node.configuration_bytes(),
             configuration_checked_ago: node.configuration_checked_ago(),
             evacuations: node.evacuation_report(),
             quarantine: node.quarantine.borrow_mut().shared(node.clock.uptime()),
