--- a/crates/ownership/src/fitness.rs
+++ b/crates/ownership/src/fitness.rs
@@ -9,8 +9,8 @@
 const BYTES_A_MEMBER: f64 = 2_250.0;
 /// Part of its link that a leader may use.
 const LINK_SHARE: f64 = 0.2;
-/// Longest time, in seconds, that a changed configuration may take on the leader's link, which renewals and its own calls need
-/// meanwhile: a node that isn't answered for four times as long takes the leader for lost.
+/// Longest time, in seconds, that a changed configuration may take on the leader's link, which renewals and its own calls
+/// need meanwhile: a node that isn't answered for four times as long takes the leader for lost.
 const CONFIGURATION_TIME: f64 = 0.25;
 /// While the members aren't known, a link below this rate, in megabits a second, counts as weak.
 const WEAK_MBPS: f64 = 50.0;
--- a/crates/ownership/src/participant/leadership.rs
+++ b/crates/ownership/src/participant/leadership.rs
@@ -131,9 +131,9 @@
         actions
     }
 
-    /// Whether the store has come back from a copy since this node was elected, and nobody has claimed the leadership in that
-    /// era yet: another node may have claimed it in what was lost, so that even an object that names this one counts no more.
-    /// The same if the object has been replaced by one of an earlier epoch, as a late call from before the copy may do.
+    /// Whether the store has come back from a copy since this node was elected, and nobody has claimed the leadership in
+    /// that era yet: another node may have claimed it in what was lost, so that even an object that names this one counts
+    /// no more. The same if the object has been replaced by one of an earlier epoch, as a late call from before may do.
     fn has_lost_claim(&self, stored: &Leadership) -> bool {
         let era = self.store_era;
         self.leader.as_ref().is_some_and(|leader| {
--- a/crates/sidecar/src/follow/mod.rs
+++ b/crates/sidecar/src/follow/mod.rs
@@ -1,11 +1,11 @@
 //! Keeps what the operator writes into the store up to date: the configuration, and which zones are evacuated.
 //!
 //! Only the leader watches the store. Since a watch may say nothing while there are changes, it also asks the store at a
-//! steady rate whether there are. With each renewal of a lease it tells what it knows and how long ago it last knew that the store held
-//! nothing later. A node to which that hasn't been true for too long, because the leader is gone, can't be reached or
-//! doesn't reach the store itself, finds out by itself: for the configuration, which may be large, from the leader if
-//! that answers at all, then through one of a few nodes of its region, and only then from the store. So neither calls nor bytes grow with the number of nodes, least of all
-//! when links are short.
+//! steady rate whether there are. With each renewal of a lease it tells what it knows and how long ago it last knew that
+//! the store held nothing later. A node to which that hasn't been true for too long, because the leader is gone, can't be
+//! reached or doesn't reach the store itself, finds out by itself: for the configuration, which may be large, from the
+//! leader if that answers at all, then through one of a few nodes of its region, and only then from the store. So neither
+//! calls nor bytes grow with the number of nodes, least of all when links are short.
 
 mod configuration;
 mod evacuations;
@@ -255,8 +255,8 @@
     }
 }
 
-/// Ends when a watch is of no more use: the node leads no longer, the store has come back from a copy, or a change has been known for a while that the
-/// watch hasn't told of.
+/// Ends when a watch is of no more use: the node leads no longer, the store has come back from a copy, or a change has been
+/// known for a while that the watch hasn't told of.
 async fn is_over(node: &Node, subject: Subject, era: StoreEra) {
     let mut looks = 0;
     loop {
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -418,8 +418,8 @@
 
     /// The store, or another node that has heard from it, has told its era. Whether that is no earlier than the one known.
     ///
-    /// With a later one, the store has lost what it had acknowledged last, and its revisions begin anew: nothing that rests on
-    /// either counts any more.
+    /// With a later one, the store has lost what it had acknowledged last, and its revisions begin anew: nothing that rests
+    /// on either counts any more.
     pub fn store_is_in(&self, era: StoreEra) -> bool {
         let known = self.store_era.get();
         if era > known {
--- a/crates/wingspar/tests/sidecar/heartbeats_of_others.rs
+++ b/crates/wingspar/tests/sidecar/heartbeats_of_others.rs
@@ -36,8 +36,9 @@
         first == 200 && last == 200
     })
     .await;
+    // Keys are dealt by their load, so it may be only the few that were asked for.
     eventually("it holds keys again", || async {
-        (0..=65_535).step_by(1_000).any(|key| target.holds(key))
+        (0..=65_535).any(|key| target.holds(key))
     })
     .await;
 }
