A small configuration is read from the store without asking other nodes first

Where the configuration is small, a node that isn't told reads the store as it did before; a node that knows that it doesn't reach the store says so at once.

--- a/crates/sidecar/src/follow/configuration.rs
+++ b/crates/sidecar/src/follow/configuration.rs
@@ -91,9 +91,14 @@
     false
 }
 
+/// Whether reading the configuration takes longer than another call.
+pub(super) fn is_large(node: &Node) -> bool {
+    node.configuration_bytes() >= LARGE_BYTES
+}
+
 /// Asks for the store's revision before a configuration is read that takes long; nothing otherwise, or if it isn't told.
 async fn look_if_large(node: &Node) -> Result<Option<Look>, StoreError> {
-    if node.configuration_bytes() < LARGE_BYTES {
+    if !is_large(node) {
         return Ok(None);
     }
     match look(node).await {
--- a/crates/sidecar/src/follow/mod.rs
+++ b/crates/sidecar/src/follow/mod.rs
@@ -179,7 +179,9 @@
             continue;
         }
         knows_nothing = false;
-        if subject == Subject::Configuration && ask_others(&node).await.is_certain() {
+        // A small one is read sooner than a leader that is cut off from the store can say that it can't tell.
+        let is_large = subject == Subject::Configuration && configuration::is_large(&node);
+        if is_large && ask_others(&node).await.is_certain() {
             pause = FIRST_PAUSE;
             continue;
         }
--- a/crates/sidecar/src/follow/readers.rs
+++ b/crates/sidecar/src/follow/readers.rs
@@ -102,6 +102,10 @@
     if is_sure(node) {
         return Assurance::Sure;
     }
+    if !node.store_reachable.get() {
+        // Who asks has no time to wait until that changes.
+        return Assurance::Unsure;
+    }
     let reads = &node.configuration_reads;
     let ended = reads.finding_out.ended();
     if !reads.finding_out.is_under_way() {
