--- a/crates/wingspar/tests/sidecar/stale_configuration.rs
+++ b/crates/wingspar/tests/sidecar/stale_configuration.rs
@@ -11,8 +11,8 @@
 //! more nodes were told nothing, leaders lost their office, and the congestion kept itself up for as long as nodes were
 //! unsure: for good.
 //!
-//! Proof: on two plays of such a day 752 reads were given up, most of them with a third of the answer there, while the
-//! store refused nothing, and nodes decided by configurations that they had last been sure of 25 s before. In the first
+//! Proof: on two plays of such a day 752 reads were given up, over a third of them with nearly half of the answer there,
+//! while the store refused nothing, and nodes decided by configurations that they had last been sure of 25 s before. In the first
 //! test a version never arrives on the code as it was.
 
 use std::time::{Duration, Instant};
