--- a/crates/wingspar/tests/sidecar/full_target.rs
+++ b/crates/wingspar/tests/sidecar/full_target.rs
@@ -4,7 +4,7 @@
 
 use wingspar_standins::fleet::{FleetTarget, TargetFaults};
 
-use crate::deployment::{Deployment, eventually};
+use crate::deployment::{Deployment, eventually, follows_another};
 
 /// Requests that the target has room for: 8 slots and a queue for half as many.
 const ROOM: usize = 12;
@@ -30,14 +30,6 @@
     deployment.nodes[NODE].target.as_ref().expect("a target")
 }
 
-/// Has the next process of the machine know that it isn't the first.
-fn follows_another(deployment: &Deployment) {
-    let path = &deployment.nodes[NODE].settings;
-    let settings = std::fs::read_to_string(path).expect("settings");
-    let settings = settings.replace("first_start = true", "first_start = false");
-    std::fs::write(path, settings).expect("settings");
-}
-
 /// Sends requests that wait for their answers in tasks of their own.
 fn send(deployment: &Deployment, name: &str, deadline_ms: u64) -> Vec<tokio::task::JoinHandle<()>> {
     let requests = (0..SLOTS).map(|number| {
@@ -59,7 +51,7 @@
     })
     .await;
     deployment.kill(NODE);
-    follows_another(&deployment);
+    follows_another(&deployment, NODE);
     deployment.start_process(NODE);
     deployment.heartbeats(2).await;
     deployment.ready(NODE).await;
@@ -136,7 +128,7 @@
         });
         if step == 40 {
             deployment.kill(NODE);
-            follows_another(&deployment);
+            follows_another(&deployment, NODE);
             deployment.start_process(NODE);
             deployment.heartbeats(2).await;
             deployment.ready(NODE).await;
--- a/crates/wingspar/tests/sidecar/main.rs
+++ b/crates/wingspar/tests/sidecar/main.rs
@@ -10,6 +10,7 @@
 mod key_heartbeats;
 mod losses;
 mod machine;
+mod named_limit;
 mod network;
 mod pipelined_client;
 mod pipelining;
--- /dev/null
+++ b/crates/wingspar/tests/sidecar/named_limit.rs
@@ -0,0 +1,155 @@
+//! Targets that name a limit on the requests that they take from all nodes together.
+
+use std::time::{Duration, Instant};
+
+use reqwest::StatusCode;
+use wingspar_standins::fleet::{FleetTarget, TargetFaults};
+
+use crate::deployment::{Deployment, eventually, follows_another};
+
+/// The span over which a target counts what it gets.
+const SPAN: Duration = Duration::from_secs(4);
+/// Time between two requests of each load: 50 a second, five times as many as the limits.
+const GAP: Duration = Duration::from_millis(20);
+/// The machines of the service without owners.
+const PLAIN_NODES: [usize; 2] = [2, 3];
+
+/// Most requests within [`SPAN`] that a target puts up with which has named that limit.
+fn allowed(requests_per_s: f64) -> usize {
+    (1.5 * requests_per_s * SPAN.as_secs_f64() + 5.0) as usize
+}
+
+/// How a request ended.
+struct End {
+    status: StatusCode,
+    took: Duration,
+    retry_after: Option<f64>,
+}
+
+fn limited(limit: &'static str) -> TargetFaults {
+    TargetFaults {
+        names_limit: Some(limit),
+        work: Duration::from_millis(100),
+        ..TargetFaults::default()
+    }
+}
+
+fn target(deployment: &Deployment, node: usize) -> &FleetTarget {
+    deployment.nodes[node].target.as_ref().expect("a target")
+}
+
+/// Sends requests to all nodes in turn for so long.
+async fn load(deployment: &Deployment, name: &str, path: &str, lasts: Duration) -> Vec<End> {
+    let begun = Instant::now();
+    let mut requests = Vec::new();
+    let mut gaps = tokio::time::interval(GAP);
+    for number in 0.. {
+        gaps.tick().await;
+        if begun.elapsed() >= lasts {
+            break;
+        }
+        let node = number % deployment.nodes.len();
+        let request = deployment.request(node, path, &format!("{name}-{number}"));
+        let key = number * 7_919 % 65_536;
+        let request = request.header("x-wingspar-shard-key", key);
+        requests.push(tokio::spawn(async move {
+            let begun = Instant::now();
+            let answer = request.send().await.ok()?;
+            let retry_after = answer.headers().get("retry-after");
+            let retry_after = retry_after.and_then(|told| told.to_str().ok()?.parse().ok());
+            Some(End {
+                status: answer.status(),
+                took: begun.elapsed(),
+                retry_after,
+            })
+        }));
+    }
+    let mut ends = Vec::new();
+    for request in requests {
+        ends.extend(request.await.expect("no panic"));
+    }
+    ends
+}
+
+/// The most requests that a target has run within [`SPAN`], of those that began at `from` or later.
+fn most_within_span(target: &FleetTarget, from: Instant) -> usize {
+    let seen = target.seen();
+    let mut at = seen.iter().map(|seen| seen.at).collect::<Vec<_>>();
+    at.retain(|at| *at >= from);
+    at.sort();
+    let within = at
+        .iter()
+        .map(|first| at.iter().filter(|at| (*first..*first + SPAN).contains(at)));
+    within.map(Iterator::count).max().unwrap_or(0)
+}
+
+/// Guards against targets that get more requests than the limit that they name, from all nodes together.
+#[tokio::test]
+async fn a_target_gets_no_more_requests_than_the_limit_that_it_names() {
+    let deployment = Deployment::start(74).await;
+    deployment.plain_targets_do(limited("5.1"));
+    load(&deployment, "before", "/book/1", Duration::from_secs(1)).await;
+    let told_at = Instant::now();
+    let ends = load(&deployment, "after", "/book/1", Duration::from_secs(6)).await;
+    for node in PLAIN_NODES {
+        let most = most_within_span(target(&deployment, node), told_at);
+        assert!(most <= allowed(5.1), "node {node}: {most} requests");
+        assert!(
+            most >= 10,
+            "node {node}: {most} requests, though it takes 20"
+        );
+    }
+    let refused = ends
+        .iter()
+        .filter(|end| end.status == StatusCode::SERVICE_UNAVAILABLE)
+        .collect::<Vec<_>>();
+    assert!(refused.len() > ends.len() / 2, "most find no room");
+    for end in refused {
+        assert!(end.retry_after.is_some(), "it is told when to come back");
+        assert!(end.took < Duration::from_millis(1_500), "{:?}", end.took);
+    }
+}
+
+/// Guards against a flood from a process that has just started and doesn't know of the limit yet.
+#[tokio::test]
+async fn a_process_that_starts_beside_a_limited_target_sends_no_more_than_the_limit() {
+    let mut deployment = Deployment::start(75).await;
+    deployment.lose(3).await;
+    target(&deployment, 2).set_faults(TargetFaults {
+        health_tells_nothing: true,
+        ..limited("1.5")
+    });
+    load(&deployment, "before", "/patient/1", Duration::from_secs(1)).await;
+    let told_at = Instant::now();
+    for restart in 0..2 {
+        deployment.kill(2);
+        follows_another(&deployment, 2);
+        deployment.start_process(2);
+        deployment.heartbeat(2, "ready", 2 + restart).await;
+        deployment.ready(2).await;
+        let name = format!("after-{restart}");
+        load(&deployment, &name, "/patient/1", Duration::from_secs(2)).await;
+    }
+    let most = most_within_span(target(&deployment, 2), told_at);
+    assert!(most <= allowed(1.5), "{most} requests");
+}
+
+/// Guards against a limit that outlasts the target's word, and against one that is lifted by a target's silence.
+#[tokio::test]
+async fn a_limit_ends_when_the_target_no_longer_names_it() {
+    let deployment = Deployment::start(76).await;
+    deployment.plain_targets_do(limited("0"));
+    load(&deployment, "none", "/book/1", Duration::from_secs(1)).await;
+    let told_at = Instant::now();
+    load(&deployment, "still", "/book/1", Duration::from_secs(4)).await;
+    for node in PLAIN_NODES {
+        let most = most_within_span(target(&deployment, node), told_at);
+        assert!(most <= allowed(0.0), "node {node}: {most} requests");
+    }
+    deployment.plain_targets_do(TargetFaults::default());
+    eventually("both take everything again", || async {
+        let ends = load(&deployment, "again", "/book/1", Duration::from_millis(300)).await;
+        ends.iter().all(|end| end.status == StatusCode::OK)
+    })
+    .await;
+}
