The agent keeps to the limit on requests that its target names

Cause: no node read the limit; the agent starts requests as slots are free. Change: every request to a target passes the agent beside it, so the agent alone can keep the limit for all nodes. A named rate is a cap on starts beside the one of targets that are slow after their start; the stricter counts, waits and times to come back know both. A rate that isn't whole is kept to over the span in which it makes a whole number, nothing is saved up, and at 0 one request in five seconds shows when the target takes work again. A process that has started beside a target it doesn't know sends two requests until the first answer has told whether there is a limit: the nodes that were told before go on sending to it. Why it works: what is counted for all nodes passes one place, also after that place has lost its memory.

--- a/crates/sidecar/src/announcements.rs
+++ b/crates/sidecar/src/announcements.rs
@@ -27,6 +27,7 @@
     if let Some(named) = readable(node, parse_request_limit(headers)) {
         let change = node.request_limit.borrow_mut().named(request, named);
         note_limit(node, change);
+        node.limit_slots();
     }
 }
 
@@ -51,7 +52,7 @@
         LimitChange::Set(requests_per_s) => Some(requests_per_s),
         LimitChange::Lifted => None,
     };
-    node.metrics.show_request_limit(requests_per_s);
+    node.limit_requests(requests_per_s);
     let target = node.target.borrow();
     node.log.write_request(Event::TargetLimit {
         target: target.life().unwrap_or(""),
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -223,7 +223,7 @@
             quarantine: RefCell::default(),
             quotas: Quotas::new(life, Duration::from_millis(now.0), &settings.bounds),
             slots: Slots::new(!settings.node.first_start),
-            request_limit: RefCell::default(),
+            request_limit: RefCell::new(RequestLimit::new(!settings.node.first_start)),
             breaker: RefCell::default(),
             unseen_work: RefCell::new(UnseenWork::new(!settings.node.first_start)),
             slots_reduced: Notify::new(),
@@ -405,12 +405,20 @@
         self.slots.set_start_limit(limit);
     }
 
+    /// Sets, or lifts, the limit that the target names, in requests a second.
+    pub fn limit_requests(&self, requests_per_s: Option<f64>) {
+        self.metrics.show_request_limit(requests_per_s);
+        self.slots.set_request_limit(requests_per_s);
+    }
+
     /// Brings the number of slots up to date with what is known of the target and of other work there. Returns whether
     /// that work takes some of them.
     pub fn limit_slots(&self) -> bool {
         let slots = self.target.borrow().slots() as usize;
         let usable = self.unseen_work.borrow().usable(slots);
-        self.slots.set_capacity(usable);
+        let most_at_once = self.request_limit.borrow().most_at_once();
+        self.slots
+            .set_capacity(most_at_once.map_or(usable, |most| most.min(usable)));
         let withheld = i64::try_from(slots - usable).unwrap_or(i64::MAX);
         self.metrics.withheld.set(withheld);
         if usable < slots {
--- a/crates/sidecar/src/request_limit.rs
+++ b/crates/sidecar/src/request_limit.rs
@@ -5,6 +5,10 @@
 //!
 //! Decisions only: no clock, no timers.
 
+/// Requests that a process sends before the target has answered the first: one may fail without an answer, and the other
+/// still tells within the time of a request.
+const FIRST_REQUESTS: usize = 2;
+
 /// Number of a request to the target; later ones are larger.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct RequestNumber(u64);
@@ -28,9 +32,25 @@
     requests: u64,
     /// The first request after the answer that set the limit.
     first_after: u64,
+    /// An earlier process of the node may have known of a limit, and the target hasn't answered this one yet.
+    is_unknown: bool,
 }
 
 impl RequestLimit {
+    /// Nothing is known yet; `after_another` says that an earlier process may have sent requests right before.
+    pub fn new(after_another: bool) -> Self {
+        Self {
+            is_unknown: after_another,
+            ..Self::default()
+        }
+    }
+
+    /// Most requests that may be at the target at once; nothing if that isn't limited. Before it is known whether there
+    /// is a limit, few go out: their answers tell.
+    pub fn most_at_once(&self) -> Option<usize> {
+        self.is_unknown.then_some(FIRST_REQUESTS)
+    }
+
     /// Requests a second; nothing while there is no limit.
     pub fn requests_per_s(&self) -> Option<f64> {
         self.requests_per_s
@@ -51,6 +71,7 @@
         if !lowers && !is_later {
             return LimitChange::None;
         }
+        self.is_unknown = false;
         let before = std::mem::replace(&mut self.requests_per_s, named);
         self.first_after = self.requests;
         match named {
@@ -60,7 +81,8 @@
         }
     }
 
-    /// Another life of the target has begun, which has named nothing.
+    /// Another life of the target has begun, which has named nothing. A process that has just started takes every life
+    /// for a new one: what it doesn't know yet stays unknown.
     pub fn new_life(&mut self) {
         self.requests_per_s = None;
         self.first_after = self.requests;
--- a/crates/sidecar/src/slots/mod.rs
+++ b/crates/sidecar/src/slots/mod.rs
@@ -1,7 +1,7 @@
 //! Slots of the target and the requests that wait for one; [`backlog`] decides who waits, and in which order.
 //!
-//! While the target is slow after its start it withstands only few requests a second; then a request waits for its
-//! turn under that limit too, and its expected wait knows it.
+//! While the target is slow after its start it withstands only few requests a second, and it may name a limit on them
+//! itself; then a request waits for its turn under these limits too, and its expected wait knows them.
 
 pub mod backlog;
 mod demand;
@@ -17,7 +17,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::clock::whole_millis;
-use crate::start_rate::StartRate;
+use crate::start_rate::{StartCap, StartRate};
 use backlog::{Backlog, Lane, Supply, Ticket};
 
 pub use backlog::Refused;
@@ -26,7 +26,7 @@
 /// How many requests may start within a moment, while the target is slow after its start.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct StartLimit {
-    /// Most of them in the window of [`StartRate`].
+    /// Most of them within a second.
     pub most: usize,
     /// Until when that holds; nothing if it isn't known.
     pub until: Option<Instant>,
@@ -39,6 +39,8 @@
 pub struct Slots {
     capacity: Cell<usize>,
     start_limit: Cell<Option<StartLimit>>,
+    /// The limit that the target names.
+    request_cap: Cell<Option<StartCap>>,
     starts: RefCell<StartRate>,
     /// Whether a task waits for the time at which the limit lets the next request start.
     awaits_start: Cell<bool>,
@@ -58,6 +60,7 @@
         Rc::new(Self {
             capacity: Cell::new(0),
             start_limit: Cell::new(None),
+            request_cap: Cell::new(None),
             starts: RefCell::new(StartRate::new(Instant::now(), after_another)),
             awaits_start: Cell::new(false),
             running: Cell::new(0),
@@ -73,13 +76,29 @@
         self.pass_on();
     }
 
-    /// Sets, or lifts, the limit on starts.
+    /// Sets, or lifts, the limit on starts while the target is slow after its start.
     pub fn set_start_limit(self: &Rc<Self>, limit: Option<StartLimit>) {
         if self.start_limit.replace(limit) != limit {
             self.pass_on();
         }
     }
 
+    /// Sets, or lifts, the limit that the target names, in requests a second.
+    pub fn set_request_limit(self: &Rc<Self>, requests_per_s: Option<f64>) {
+        let cap = requests_per_s.map(StartCap::per_second);
+        if self.request_cap.replace(cap) != cap {
+            self.pass_on();
+        }
+    }
+
+    /// Slots that requests can keep in use under the limit that the target names, at least one; nothing if it names
+    /// none.
+    pub fn usable_under_limit(&self) -> Option<u32> {
+        let starts_per_s = self.request_cap.get()?.starts_per_s();
+        let slots = starts_per_s * self.backlog.borrow().mean_run_time_s();
+        Some((slots.round() as u32).max(1))
+    }
+
     /// Requests in slots.
     pub fn running(&self) -> usize {
         self.running.get()
@@ -151,39 +170,35 @@
         now: Instant,
         decide: impl FnOnce(&mut Waiting, Supply<'_>) -> Decision,
     ) -> Decision {
-        let start_after = |ahead| {
-            self.limit(now).map_or(Duration::ZERO, |limit| {
-                let free_at = self.starts.borrow_mut().free_at(now, limit.most, ahead);
-                free_at.duration_since(now)
-            })
-        };
+        let start_after = |ahead| self.start_free_at(now, ahead).duration_since(now);
+        let rates = self.caps(now).map(StartCap::starts_per_s);
         let supply = Supply {
             capacity: self.capacity.get(),
             running: self.running.get(),
-            starts_per_s: self.limit(now).map(|limit| StartRate::per_s(limit.most)),
+            starts_per_s: rates.min_by(f64::total_cmp),
             start_after: &start_after,
         };
         decide(&mut self.backlog.borrow_mut(), supply)
     }
 
-    /// The limit on starts, if one is in force.
-    fn limit(&self, now: Instant) -> Option<StartLimit> {
-        self.start_limit
-            .get()
-            .filter(|limit| limit.until.is_none_or(|until| now < until))
+    /// The limits on starts that are in force.
+    fn caps(&self, now: Instant) -> impl Iterator<Item = StartCap> {
+        let slow = self.start_limit.get();
+        let slow = slow.filter(|limit| limit.until.is_none_or(|until| now < until));
+        let slow = slow.map(|limit| StartCap::within_a_second(limit.most));
+        slow.into_iter().chain(self.request_cap.get())
     }
 
-    /// When the limit on starts lets one more request start.
-    fn start_free_at(&self, now: Instant) -> Instant {
-        match self.limit(now) {
-            Some(limit) => self.starts.borrow_mut().free_at(now, limit.most, 0),
-            None => now,
-        }
+    /// When the limits on starts let one more request start behind `ahead` others.
+    fn start_free_at(&self, now: Instant, ahead: usize) -> Instant {
+        let mut starts = self.starts.borrow_mut();
+        let free_at = |cap| starts.free_at(now, cap, ahead);
+        self.caps(now).map(free_at).fold(now, Instant::max)
     }
 
     /// Whether a request that is the next may start.
     fn may_start(&self, now: Instant) -> bool {
-        self.running.get() < self.capacity.get() && self.start_free_at(now) <= now
+        self.running.get() < self.capacity.get() && self.start_free_at(now, 0) <= now
     }
 
     fn slot(self: &Rc<Self>, turn: Turn) -> Slot {
@@ -204,7 +219,7 @@
                 return;
             }
             let now = Instant::now();
-            let free_at = self.start_free_at(now);
+            let free_at = self.start_free_at(now, 0);
             if free_at > now {
                 return self.pass_on_at(free_at);
             }
@@ -222,7 +237,7 @@
 }
 
 impl Slots {
-    /// Looks at the queue again when the limit on starts lets the next request start, or ends.
+    /// Looks at the queue again when the limits on starts let the next request start, or one of them ends.
     fn pass_on_at(self: &Rc<Self>, free_at: Instant) {
         if self.awaits_start.replace(true) {
             return;
--- a/crates/sidecar/src/target_calls.rs
+++ b/crates/sidecar/src/target_calls.rs
@@ -34,6 +34,8 @@
 /// How often a target is asked for its load while other work takes its slots: a slot is back within about the time of
 /// one request, and the questions take less than a slot in a hundred.
 const LOAD_STEP: Duration = Duration::from_millis(400);
+/// The same for a target that names a limit on requests: it is short of what the questions take.
+const LIMITED_LOAD_STEP: Duration = Duration::from_secs(2);
 
 /// Sends a request to the target under that number; the caller has checked that it may start. The slot stays in use
 /// until the answer has ended.
@@ -280,7 +282,7 @@
         node.unseen_work.borrow_mut().new_life();
         node.breaker.borrow_mut().new_life();
         node.request_limit.borrow_mut().new_life();
-        node.metrics.show_request_limit(None);
+        node.limit_requests(None);
     }
     let target = node.target.borrow();
     let change = match heard {
@@ -363,7 +365,13 @@
     loop {
         node.slots_reduced.notified().await;
         while node.limit_slots() {
-            tokio::time::sleep(LOAD_STEP).await;
+            let names_limit = node.request_limit.borrow().requests_per_s().is_some();
+            let step = if names_limit {
+                LIMITED_LOAD_STEP
+            } else {
+                LOAD_STEP
+            };
+            tokio::time::sleep(step).await;
             if node.limit_slots() {
                 ask_load(&node).await;
             }
--- a/crates/sidecar/tests/start_rate.rs
+++ b/crates/sidecar/tests/start_rate.rs
@@ -7,7 +7,7 @@
 use tokio::task::LocalSet;
 use tokio::time::Instant;
 use wingspar_sidecar::slots::{Slots, StartLimit, Turn};
-use wingspar_sidecar::start_rate::StartRate;
+use wingspar_sidecar::start_rate::{StartCap, StartRate};
 
 /// The span over which the target counts what arrives.
 const SECOND: Duration = Duration::from_secs(1);
@@ -28,7 +28,7 @@
         let mut starts = Vec::new();
         for gap in gaps {
             now += Duration::from_millis(u64::from(gap) / 8);
-            if rate.free_at(now, most, 0) <= now {
+            if rate.free_at(now, StartCap::within_a_second(most), 0) <= now {
                 rate.started(now);
                 starts.push(now);
             }
@@ -54,7 +54,7 @@
     let mut arrivals = Vec::new();
     for step in 0..4_000_u64 {
         let now = after(begun, step);
-        if rate.free_at(now, 25, 0) <= now {
+        if rate.free_at(now, StartCap::within_a_second(25), 0) <= now {
             rate.started(now);
             // What starts within a stall is sent at its end; there is one each second and a half.
             let since_stall = Duration::from_millis(step % 1_500);
@@ -73,21 +73,25 @@
 async fn who_waits_behind_others_is_told_a_later_time() {
     let start = Instant::now();
     let mut rate = StartRate::default();
-    assert_eq!(rate.free_at(start, 2, 1), start, "two may start at once");
-    assert_eq!(rate.free_at(start, 2, 2), after(start, 1_300));
+    let two = StartCap::within_a_second(2);
+    assert_eq!(rate.free_at(start, two, 1), start, "two may start at once");
+    assert_eq!(rate.free_at(start, two, 2), after(start, 1_300));
     rate.started(start);
     rate.started(after(start, 400));
     let now = after(start, 500);
-    assert_eq!(rate.free_at(now, 2, 0), after(start, 1_300));
-    assert_eq!(rate.free_at(now, 2, 1), after(start, 1_700));
-    assert_eq!(rate.free_at(now, 2, 2), after(start, 2_600));
+    assert_eq!(rate.free_at(now, two, 0), after(start, 1_300));
+    assert_eq!(rate.free_at(now, two, 1), after(start, 1_700));
+    assert_eq!(rate.free_at(now, two, 2), after(start, 2_600));
 }
 
 #[tokio::test(start_paused = true)]
 async fn a_process_that_follows_another_counts_what_that_may_have_sent() {
     let start = Instant::now();
     let mut rate = StartRate::new(start, true);
-    assert_eq!(rate.free_at(start, 5, 0), after(start, 1_300));
+    assert_eq!(
+        rate.free_at(start, StartCap::within_a_second(5), 0),
+        after(start, 1_300)
+    );
 }
 
 /// Starts `requests` at once at a target of 60 slots with a limit of 10, which keep their slots for 30 ms each;
@@ -171,3 +175,64 @@
         })
         .await;
 }
+
+/// Starts as many requests as a cap allows for a minute; returns when each started, in milliseconds.
+fn starts_under(cap: StartCap) -> Vec<u64> {
+    let begun = Instant::now();
+    let mut rate = StartRate::default();
+    let mut starts = Vec::new();
+    for millis in 0..60_000 {
+        let now = after(begun, millis);
+        if rate.free_at(now, cap, 0) <= now {
+            rate.started(now);
+            starts.push(millis);
+        }
+    }
+    starts
+}
+
+/// Guards against a rate that isn't a whole number being rounded to one, or saved up.
+#[tokio::test(start_paused = true)]
+async fn a_rate_a_second_is_kept_to_in_every_span_and_used() {
+    for rate in [0.3, 0.9, 1.0, 1.5, 5.1, 8.8, 9.6, 30.0] {
+        let starts = starts_under(StartCap::per_second(rate));
+        let used = starts.len() as f64 / 60.0;
+        assert!(used > rate * 0.9, "{used} of {rate} a second");
+        for seconds in [1, 4, 10] {
+            let most = rate * (seconds as f64 + 1.0) + 1.0;
+            let within = starts.iter().map(|first| {
+                let in_span = *first..first + seconds * 1_000;
+                starts.iter().filter(|at| in_span.contains(at)).count()
+            });
+            let seen = within.max().unwrap_or(0);
+            assert!(seen as f64 <= most, "{seen} in {seconds} s at {rate}");
+        }
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_rate_of_nothing_lets_a_request_through_now_and_then() {
+    assert_eq!(
+        starts_under(StartCap::per_second(0.0))[..3],
+        [0, 5_000, 10_000]
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_stricter_of_two_limits_counts() {
+    let local = LocalSet::new();
+    local
+        .run_until(async {
+            let slots = limited(10, None);
+            slots.set_request_limit(Some(2.0));
+            let (started, refused) = start_all(&slots, 6, 5_000).await;
+            assert_eq!(
+                (started, refused),
+                (vec![0, 0, 1_000, 1_000, 2_000, 2_000], 0)
+            );
+            slots.set_request_limit(None);
+            let (started, _) = start_all(&slots, 30, 300).await;
+            assert_eq!(started.len(), 8, "two have started within the last second");
+        })
+        .await;
+}
