The leader deals keys by the limit that a target names

Cause: an owner's capacity was measured by its slots and the time of a request, and both look well at a target that gets little. Change: the rate of starts that a node reports is the stricter of the two limits, and the plan already knows such a rate. It is left out of the table, which only the leader's plan needed it for: a limit that changes with each answer would have told a new table to the whole fleet each time. Tests: keys_move_away_from_an_owner_that_names_a_limit (without the change: not nine in ten served within 40 s), a_targets_rate_of_starts_changes_no_table (fails while the table carries the rate).

--- a/crates/ownership/src/leader/assignments.rs
+++ b/crates/ownership/src/leader/assignments.rs
@@ -127,8 +127,8 @@
             .collect()
     }
 
-    /// Slots of a target that requests can keep in use: while it is slow after its start, few may begin a second, so
-    /// it is given only as many keys as that serves.
+    /// Slots of a target that requests can keep in use: where few may begin a second, since it is slow after its start
+    /// or names a limit, it is given only as many keys as that serves.
     fn usable_slots(&self, service: &str, node: &NodeName, target: &TargetState) -> u32 {
         let load = self.partitions.get(service).map(|known| &known.load);
         match (target.starts_per_s, load) {
--- a/crates/ownership/src/leader/publish.rs
+++ b/crates/ownership/src/leader/publish.rs
@@ -62,9 +62,14 @@
         });
         let by_owner = self.shards.as_ref().map(|shards| shards.by_owner());
         let shards_of = |node: &NodeName| by_owner.as_ref()?.get(node).cloned();
-        let view = |member: &Member| MemberView {
-            quota_shards: shards_of(&member.view.node).unwrap_or_default(),
-            ..member.view.clone()
+        let view = |member: &Member| {
+            let mut view = member.view.clone();
+            view.quota_shards = shards_of(&view.node).unwrap_or_default();
+            if let Some(target) = &mut view.target {
+                // It may change with each renewal, and only the leader deals by it.
+                target.starts_per_s = None;
+            }
+            view
         };
         let mut members = heard.map(view).collect::<Vec<_>>();
         if self.is_taking_over(now) {
--- a/crates/ownership/src/message.rs
+++ b/crates/ownership/src/message.rs
@@ -124,7 +124,7 @@
     pub accepting: bool,
     /// Requests that it works on at once.
     pub slots: u32,
-    /// Most requests that may start there within a second, while it is slow after its start.
+    /// Most requests that may start there within a second, while it is slow after its start or names a limit itself.
     #[serde(default)]
     pub starts_per_s: Option<u32>,
 }
--- a/crates/ownership/tests/registry.rs
+++ b/crates/ownership/tests/registry.rs
@@ -334,3 +334,21 @@
         assert_eq!(deployment.calls == 0, by_themselves);
     }
 }
+
+/// Guards against a table that is told to the whole fleet each time a target names another limit.
+#[test]
+fn a_targets_rate_of_starts_changes_no_table() {
+    let mut deployment = Deployment::new();
+    deployment.nodes.extend(0..4);
+    deployment.run(Duration::from_secs(4));
+    let before = deployment.leader.table().clone();
+    assert_eq!(before.members.len(), 4);
+    for starts_per_s in 1..20 {
+        let now = deployment.now;
+        let mut renewal = renewal(1, Epoch(1), now, false);
+        renewal.target.as_mut().expect("a target").starts_per_s = Some(starts_per_s);
+        let _granted = deployment.leader.renewal(now, &renewal);
+        deployment.leader.tick(now);
+    }
+    assert_eq!(deployment.leader.table(), &before);
+}
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -371,9 +371,15 @@
         })
     }
 
-    /// Most requests that may start at the target within a second; nothing if it isn't slow after its start, or no
-    /// bound is known.
+    /// Most requests that may start at the target within a second; nothing if that isn't limited.
     pub fn starts_per_s(&self) -> Option<u32> {
+        let named = self.request_limit.borrow().requests_per_s();
+        let named = named.map(|requests_per_s| requests_per_s.round().max(1.0) as u32);
+        named.into_iter().chain(self.slow_starts_per_s()).min()
+    }
+
+    /// The same while it is slow after its start; nothing if it isn't, or no bound is known.
+    fn slow_starts_per_s(&self) -> Option<u32> {
         let target = self.target.borrow();
         if target.warmth(self.now()) == Warmth::Warm {
             return None;
@@ -398,7 +404,7 @@
             Warmth::SlowUntil(until) => Some(tokio::time::Instant::now() + until.since(self.now())),
             Warmth::Warm | Warmth::Suspected => None,
         };
-        let limit = self.starts_per_s().map(|most| StartLimit {
+        let limit = self.slow_starts_per_s().map(|most| StartLimit {
             most: most as usize,
             until,
         });
--- a/crates/wingspar/tests/sidecar/named_limit.rs
+++ b/crates/wingspar/tests/sidecar/named_limit.rs
@@ -153,3 +153,26 @@
     })
     .await;
 }
+
+/// Guards against an owner of keys that names a limit and keeps more keys than that serves.
+#[tokio::test]
+async fn keys_move_away_from_an_owner_that_names_a_limit() {
+    let deployment = Deployment::start(77).await;
+    let work = TargetFaults {
+        work: Duration::from_millis(100),
+        ..TargetFaults::default()
+    };
+    deployment.all_targets_do(work);
+    load(&deployment, "before", "/stock/1", Duration::from_secs(2)).await;
+    target(&deployment, 0).set_faults(limited("6"));
+    let told_at = Instant::now();
+    eventually("nine in ten are served", || async {
+        let ends = load(&deployment, "after", "/stock/1", Duration::from_secs(1)).await;
+        let served = ends.iter().filter(|end| end.status == StatusCode::OK);
+        served.count() * 10 >= ends.len() * 9
+    })
+    .await;
+    let told_at = told_at + Duration::from_secs(1);
+    let most = most_within_span(target(&deployment, 0), told_at);
+    assert!(most <= allowed(6.0), "{most} requests");
+}
