Routers count a limited target as full by its limit

What callers saw: a target that may run little looks idle by its slots, draws requests, and each of them costs its caller a hop to be refused. Change: with each answer a node tells the slots that the limit leaves in use; routers reckon the load there by them, for three seconds after the last report. Older nodes pass over the further figure. Tests: limited_targets (of a hundred requests, fewer than 45 go to a target with both of its two usable slots in use beside one that is half full; more than 55 once it names none).

--- a/crates/sidecar/src/agent.rs
+++ b/crates/sidecar/src/agent.rs
@@ -156,5 +156,6 @@
         held_ms: None,
         left_out_ms: u32::try_from(left_out.as_millis()).unwrap_or(u32::MAX),
         retry_after_ms: u32::try_from(node.slots.retry_after().as_millis()).unwrap_or(u32::MAX),
+        usable_slots: node.slots.usable_under_limit().unwrap_or(0),
     }
 }
--- a/crates/sidecar/src/hop.rs
+++ b/crates/sidecar/src/hop.rs
@@ -155,6 +155,8 @@
     pub retry_after_ms: u32,
     /// For how long the target should get nothing, since it rejects what it is sent, in milliseconds; 0 if it doesn't.
     pub left_out_ms: u32,
+    /// Slots that requests can keep in use under the limit that the target names; 0 if it names none.
+    pub usable_slots: u32,
 }
 
 impl Occupancy {
@@ -315,13 +317,14 @@
     let headers = response.headers_mut();
     headers.insert(OUTCOME, HeaderValue::from_static(outcome));
     if let Ok(load) = HeaderValue::from_str(&format!(
-        "{},{},{},{},{},{}",
+        "{},{},{},{},{},{},{}",
         occupancy.running,
         occupancy.waiting,
         occupancy.link_ms,
         occupancy.held_ms.unwrap_or_default(),
         occupancy.retry_after_ms,
-        occupancy.left_out_ms
+        occupancy.left_out_ms,
+        occupancy.usable_slots
     )) {
         headers.insert(LOAD, load);
     }
@@ -439,6 +442,7 @@
         held_ms: numbers.next().flatten(),
         retry_after_ms: numbers.next().flatten().unwrap_or(0),
         left_out_ms: numbers.next().flatten().unwrap_or(0),
+        usable_slots: numbers.next().flatten().unwrap_or(0),
     })
 }
 
--- a/crates/sidecar/src/selection.rs
+++ b/crates/sidecar/src/selection.rs
@@ -60,6 +60,9 @@
 const REPORT_FADES: Duration = Duration::from_millis(400);
 /// The same for what it reported of its link.
 const LINK_REPORT_FADES: Duration = Duration::from_millis(1_500);
+/// A limit that a target names is taken to hold for so long after the report of it: a target in need rarely recovers
+/// sooner, and one that few requests are sent to is seldom heard of.
+const LIMIT_REPORT_HOLDS: Duration = Duration::from_secs(3);
 /// What one node of another region reported tells of all others there, over this time: requests go there too seldom to know
 /// each, and a region that is short of room rarely gets it back sooner.
 const REGION_LOAD_FADES: Duration = Duration::from_secs(3);
@@ -80,6 +83,8 @@
     avoid_until: Time,
     /// The target rejects what it is sent, and its node asked to leave it out until then.
     left_out_until: Time,
+    /// Slots that the limit which the target names leaves in use; 0 if it names none.
+    usable_slots: u32,
 }
 
 impl EndpointStatistics {
@@ -91,6 +96,17 @@
     fn is_avoided(&self, now: Time) -> bool {
         now < self.avoid_until || now < self.left_out_until
     }
+
+    /// Slots of a target that requests can keep in use, at least one.
+    fn slots(&self, now: Time, slots: u32) -> u32 {
+        let is_recent = now.since(self.reported_at) < LIMIT_REPORT_HOLDS;
+        let usable = match self.usable_slots {
+            0 => slots,
+            usable if is_recent => slots.min(usable),
+            _ => slots,
+        };
+        usable.max(1)
+    }
 }
 
 /// What is left of a fact of that age, from 1 to 0.
@@ -240,7 +256,8 @@
         };
         let weight = remaining(now, seen.reported_at, REPORT_FADES);
         let reported = f64::from(seen.running + WAITING_WEIGHT * seen.waiting) * weight;
-        let load = (f64::from(seen.outstanding) + reported) / f64::from(destination.slots.max(1));
+        let slots = seen.slots(now, destination.slots);
+        let load = (f64::from(seen.outstanding) + reported) / f64::from(slots);
         let load = load.max(load_there);
         let mut expected = seen.time.unwrap_or(FIRST_TIME) * slowed(load);
         if wish.large && destination.node != *wish.node {
@@ -324,6 +341,7 @@
         seen.running = occupancy.running;
         seen.waiting = occupancy.waiting;
         seen.link_ms = occupancy.link_ms;
+        seen.usable_slots = occupancy.usable_slots;
         seen.reported_at = now;
         if occupancy.left_out_ms > 0 {
             let left_out = Duration::from_millis(u64::from(occupancy.left_out_ms));
--- /dev/null
+++ b/crates/sidecar/tests/limited_targets.rs
@@ -0,0 +1,80 @@
+//! Routers and targets that name a limit on the requests that they take.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use wingspar_ownership::{NodeName, Time};
+use wingspar_sidecar::directory::Destination;
+use wingspar_sidecar::hop::Occupancy;
+use wingspar_sidecar::selection::{RequestPreference, Selection};
+use wingspar_sidecar::ways::Relation;
+
+const SLOTS: u32 = 18;
+
+fn destination(name: &str) -> Destination {
+    Destination {
+        node: NodeName::from(name),
+        zone: "a".to_owned(),
+        address: SocketAddr::from(([10, 0, 0, 1], 7_000)),
+        slots: SLOTS,
+        relation: Relation::SameZone,
+    }
+}
+
+/// Of a hundred requests, those that are sent to the first of two targets at that time.
+fn sent_to_first(selection: &Selection, destinations: &[Destination; 2], now: Time) -> usize {
+    let router = NodeName::from("router");
+    let wish = RequestPreference {
+        node: &router,
+        service: "search",
+        preference: 1.0,
+        objective: Duration::from_millis(600),
+        large: false,
+    };
+    let chosen = (0..100).filter_map(|_| selection.choose(now, wish, destinations, &[]));
+    chosen
+        .filter(|chosen| chosen.node == destinations[0].node)
+        .count()
+}
+
+/// Guards against a limited target that looks idle, since it runs little, and draws more requests than it may take.
+#[test]
+fn a_target_that_names_a_limit_is_as_full_as_the_limit_makes_it() {
+    let selection = Selection::default();
+    let destinations = [destination("limited"), destination("other")];
+    let report = |now, destination, running, usable_slots| {
+        let occupancy = Occupancy {
+            running,
+            usable_slots,
+            ..Occupancy::default()
+        };
+        selection.reported(now, "search", destination, occupancy);
+    };
+    let now = Time(1_000);
+    report(now, &destinations[0], 2, 2);
+    report(now, &destinations[1], 9, 0);
+    // One of its two draws may hit the limited target twice.
+    let sent = sent_to_first(&selection, &destinations, now);
+    assert!(sent < 45, "{sent} of 100");
+    report(now, &destinations[0], 2, 0);
+    let sent = sent_to_first(&selection, &destinations, now);
+    assert!(sent > 55, "{sent} of 100 once it names none");
+}
+
+/// Guards against a target that is left alone for good since nobody hears that its limit is gone.
+#[test]
+fn a_limit_that_was_reported_long_ago_is_no_longer_counted() {
+    let selection = Selection::default();
+    let destinations = [destination("limited"), destination("other")];
+    let limited = Occupancy {
+        usable_slots: 1,
+        ..Occupancy::default()
+    };
+    selection.reported(Time(1_000), "search", &destinations[0], limited);
+    selection.sent(&destinations[0].node);
+    selection.sent(&destinations[1].node);
+    let sent = sent_to_first(&selection, &destinations, Time(1_500));
+    assert!(sent < 45, "{sent} of 100");
+    let sent = sent_to_first(&selection, &destinations, Time(9_000));
+    assert!((25..75).contains(&sent), "{sent} of 100");
+}
--- a/crates/sidecar/tests/regions/model.rs
+++ b/crates/sidecar/tests/regions/model.rs
@@ -426,6 +426,7 @@
             held_ms: Some(held_ms),
             retry_after_ms: 0,
             left_out_ms: 0,
+            usable_slots: 0,
         };
         selection.reported(Time(now), SERVICE, &destination, occupancy);
         let on_way = Duration::from_millis(now - sent - u64::from(held_ms));
