Failing tests of targets that say in their answers that they leave

What callers and targets see: a target that names its leaving only in its answers goes on getting work from every node. The steady load of the tests of named limits has a module of its own.

--- a/crates/wingspar/tests/sidecar/main.rs
+++ b/crates/wingspar/tests/sidecar/main.rs
@@ -1,5 +1,6 @@
 //! The sidecar as real processes on loopback, against stand-ins of the users' platform.
 
+mod announced_leaving;
 mod configuration;
 mod crashing_request;
 mod deployment;
@@ -25,6 +26,7 @@
 mod restored_store;
 mod soak;
 mod stale_configuration;
+mod steady_load;
 mod tenants;
 mod unreadable_entries;
 mod uploads;
--- a/crates/wingspar/tests/sidecar/named_limit.rs
+++ b/crates/wingspar/tests/sidecar/named_limit.rs
@@ -6,11 +6,10 @@
 use wingspar_standins::fleet::{FleetTarget, TargetFaults};
 
 use crate::deployment::{Deployment, eventually, follows_another};
+use crate::steady_load::load;
 
 /// The span over which a target counts what it gets.
 const SPAN: Duration = Duration::from_secs(4);
-/// Time between two requests of each load: 50 a second, five times as many as the limits.
-const GAP: Duration = Duration::from_millis(20);
 /// The machines of the service without owners.
 const PLAIN_NODES: [usize; 2] = [2, 3];
 
@@ -19,13 +18,6 @@
     (1.5 * requests_per_s * SPAN.as_secs_f64() + 5.0) as usize
 }
 
-/// How a request ended.
-struct End {
-    status: StatusCode,
-    took: Duration,
-    retry_after: Option<f64>,
-}
-
 fn limited(limit: &'static str) -> TargetFaults {
     TargetFaults {
         names_limit: Some(limit),
@@ -38,39 +30,6 @@
     deployment.nodes[node].target.as_ref().expect("a target")
 }
 
-/// Sends requests to all nodes in turn for so long.
-async fn load(deployment: &Deployment, name: &str, path: &str, lasts: Duration) -> Vec<End> {
-    let begun = Instant::now();
-    let mut requests = Vec::new();
-    let mut gaps = tokio::time::interval(GAP);
-    for number in 0.. {
-        gaps.tick().await;
-        if begun.elapsed() >= lasts {
-            break;
-        }
-        let node = number % deployment.nodes.len();
-        let request = deployment.request(node, path, &format!("{name}-{number}"));
-        let key = number * 7_919 % 65_536;
-        let request = request.header("x-wingspar-shard-key", key);
-        requests.push(tokio::spawn(async move {
-            let begun = Instant::now();
-            let answer = request.send().await.ok()?;
-            let retry_after = answer.headers().get("retry-after");
-            let retry_after = retry_after.and_then(|told| told.to_str().ok()?.parse().ok());
-            Some(End {
-                status: answer.status(),
-                took: begun.elapsed(),
-                retry_after,
-            })
-        }));
-    }
-    let mut ends = Vec::new();
-    for request in requests {
-        ends.extend(request.await.expect("no panic"));
-    }
-    ends
-}
-
 /// The most requests that a target has run within [`SPAN`], of those that began at `from` or later.
 fn most_within_span(target: &FleetTarget, from: Instant) -> usize {
     let seen = target.seen();
