Routers remember which targets elsewhere leave

What callers and targets saw: a process that starts beside a leaving target knows nothing of it, says that the target takes work, and the nodes that had passed on its word sent it requests again (1 to 3 within the first moments). Cause: only the node beside the target knew, in memory. Change: with each answer a node tells the life of its target if that leaves.

--- a/crates/sidecar/src/agent.rs
+++ b/crates/sidecar/src/agent.rs
@@ -10,6 +10,7 @@
 use crate::clock::whole_millis;
 use crate::hop::{HopAnswer, HopRequest, Occupancy, Refusal};
 use crate::key_calls::lease_left_ms;
+use crate::leaving_targets::LifeDigest;
 use crate::logs::Event;
 use crate::metrics::OutcomeLabel;
 use crate::node::Node;
@@ -157,5 +158,13 @@
         left_out_ms: u32::try_from(left_out.as_millis()).unwrap_or(u32::MAX),
         retry_after_ms: u32::try_from(node.slots.retry_after().as_millis()).unwrap_or(u32::MAX),
         usable_slots: node.slots.usable_under_limit().unwrap_or(0),
+        leaving: leaving_life(node),
     }
 }
+
+/// The life of the target, if that leaves.
+fn leaving_life(node: &Node) -> Option<LifeDigest> {
+    let target = node.target.borrow();
+    let life = target.life().filter(|_| target.is_leaving())?;
+    Some(LifeDigest::of(life))
+}
--- a/crates/sidecar/src/directory.rs
+++ b/crates/sidecar/src/directory.rs
@@ -6,6 +6,7 @@
 use wingspar_ownership::{NodeName, Table, steps};
 use wingspar_quota::Shard;
 
+use crate::leaving_targets::LifeDigest;
 use crate::ways::{Places, Relation};
 
 /// A node whose target could run a request.
@@ -19,6 +20,8 @@
     pub address: SocketAddr,
     /// Slots of its target.
     pub slots: u32,
+    /// The life of its target.
+    pub life: LifeDigest,
     /// How near it is.
     pub relation: Relation,
 }
@@ -50,6 +53,7 @@
                 zone: member.zone.clone(),
                 address: member.address,
                 slots: target.slots,
+                life: LifeDigest::of(&target.id),
                 relation: places.relation(&member.zone),
             };
             if target.accepting && !member.leaving {
--- a/crates/sidecar/src/hop.rs
+++ b/crates/sidecar/src/hop.rs
@@ -20,6 +20,7 @@
 use crate::connections::SendError;
 use crate::deadline::Deadline;
 use crate::folded;
+use crate::leaving_targets::LifeDigest;
 use crate::node::Node;
 use crate::requested_body::send_body_when_asked;
 use crate::slots::{TenantTurn, Turn};
@@ -39,6 +40,8 @@
 const KEEP_WHOLE: u64 = 256 * 1024;
 /// Outcome of a request that was in flight when the target ended.
 const TARGET_ENDED: &str = "target_ended";
+/// Place among the figures of [`LOAD`] from which on they tell the life of a target that leaves.
+const LEAVING_FIGURES: usize = 7;
 /// Begins the names of headers that only nodes set.
 const OWN_PREFIX: &str = "wingspar-";
 
@@ -157,6 +160,8 @@
     pub left_out_ms: u32,
     /// Slots that requests can keep in use under the limit that the target names; 0 if it names none.
     pub usable_slots: u32,
+    /// The life of the target, if that leaves.
+    pub leaving: Option<LifeDigest>,
 }
 
 impl Occupancy {
@@ -317,14 +322,16 @@
     let headers = response.headers_mut();
     headers.insert(OUTCOME, HeaderValue::from_static(outcome));
     if let Ok(load) = HeaderValue::from_str(&format!(
-        "{},{},{},{},{},{},{}",
+        "{},{},{},{},{},{},{},{},{}",
         occupancy.running,
         occupancy.waiting,
         occupancy.link_ms,
         occupancy.held_ms.unwrap_or_default(),
         occupancy.retry_after_ms,
         occupancy.left_out_ms,
-        occupancy.usable_slots
+        occupancy.usable_slots,
+        occupancy.leaving.map_or(0, |life| life.id),
+        occupancy.leaving.and_then(|life| life.born).unwrap_or(0)
     )) {
         headers.insert(LOAD, load);
     }
@@ -429,12 +436,8 @@
 }
 
 fn read_occupancy(headers: &HeaderMap) -> Option<Occupancy> {
-    let mut numbers = headers
-        .get(LOAD)?
-        .to_str()
-        .ok()?
-        .split(',')
-        .map(|number| number.parse().ok());
+    let figures = headers.get(LOAD)?.to_str().ok()?;
+    let mut numbers = figures.split(',').map(|number| number.parse().ok());
     Some(Occupancy {
         running: numbers.next()??,
         waiting: numbers.next()??,
@@ -443,6 +446,17 @@
         retry_after_ms: numbers.next().flatten().unwrap_or(0),
         left_out_ms: numbers.next().flatten().unwrap_or(0),
         usable_slots: numbers.next().flatten().unwrap_or(0),
+        leaving: read_leaving(figures),
+    })
+}
+
+/// The life of a target that leaves, as the last two figures tell it; they are 0 if none does.
+fn read_leaving(figures: &str) -> Option<LifeDigest> {
+    let figures = figures.split(',').skip(LEAVING_FIGURES);
+    let mut figures = figures.map(|figure| figure.parse::<u64>().ok().filter(|told| *told != 0));
+    Some(LifeDigest {
+        id: figures.next()??,
+        born: figures.next().flatten(),
     })
 }
 
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -35,6 +35,7 @@
 mod key_calls;
 mod key_exchange;
 mod key_load;
+pub mod leaving_targets;
 pub mod length_limit;
 pub mod link;
 mod listen;
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -27,6 +27,7 @@
 use crate::held_bytes::HeldBytes;
 use crate::inbound::Inbound;
 use crate::key_load::KeyLoad;
+use crate::leaving_targets::LeavingTargets;
 use crate::link::{LARGE, Link};
 use crate::logs::{Event, Log};
 use crate::metrics::Metrics;
@@ -161,6 +162,8 @@
     peers: RefCell<HashMap<SocketAddr, Rc<Connections>>>,
     /// What is known of targets elsewhere.
     pub selection: Selection,
+    /// Targets elsewhere that leave.
+    pub leaving_targets: LeavingTargets,
     /// Whether tables are fetched from nodes of the own region.
     pub relays: RefCell<Relays>,
     /// Services whose requests leave the region.
@@ -246,6 +249,7 @@
             key_news: Notify::new(),
             peers: RefCell::new(HashMap::new()),
             selection: Selection::new(Places::of(&settings)),
+            leaving_targets: LeavingTargets::default(),
             relays: RefCell::default(),
             spill_over: RefCell::default(),
             expected_returns: RefCell::new(ExpectedReturns::new(timing)),
@@ -445,6 +449,7 @@
     /// Takes on another directory.
     pub fn set_directory(&self, directory: Directory) {
         self.selection.retain(|node| directory.node(node).is_some());
+        self.leaving_targets.retain(self.now(), &directory);
         *self.directory.borrow_mut() = Rc::new(directory);
         self.directory_changed.notify_waiters();
     }
--- a/crates/sidecar/src/router/send.rs
+++ b/crates/sidecar/src/router/send.rs
@@ -216,6 +216,7 @@
         let owner = directory.owner(routed.service, key);
         return owner
             .filter(|owner| routed.allowed_regions.allow_at(&node.settings, owner))
+            .filter(|owner| !node.leaving_targets.is_closed(node.now(), owner))
             .cloned();
     }
     let destinations =
@@ -238,7 +239,13 @@
         large: routed.times.transfer.is_some(),
     };
     let now = node.now();
-    let chosen = node.selection.choose(now, wish, &destinations, tried)?;
+    let choose_but = |mut unwanted: Vec<NodeName>| {
+        unwanted.extend_from_slice(tried);
+        node.selection.choose(now, wish, &destinations, &unwanted)
+    };
+    let leaving = &node.leaving_targets;
+    let chosen = choose_but(leaving.among(&destinations))
+        .or_else(|| choose_but(leaving.closed_among(now, &destinations)))?;
     note_spill_over(node, routed.service, chosen);
     Some(chosen.clone())
 }
@@ -355,6 +362,9 @@
         let now = node.now();
         node.selection
             .reported(now, routed.service, destination, occupancy);
+        if let Some(life) = occupancy.leaving {
+            node.leaving_targets.told(now, &destination.node, life);
+        }
         if matches!(answer, HopAnswer::Refused(Refusal::Full)) {
             record.retry_after = occupancy.retry_after();
         }
--- a/crates/sidecar/tests/breaker.rs
+++ b/crates/sidecar/tests/breaker.rs
@@ -9,6 +9,7 @@
 use wingspar_sidecar::breaker::{Breaker, BreakerChange, SendNumber};
 use wingspar_sidecar::directory::Destination;
 use wingspar_sidecar::hop::Occupancy;
+use wingspar_sidecar::leaving_targets::LifeDigest;
 use wingspar_sidecar::selection::{Ended, RequestPreference, Selection};
 use wingspar_sidecar::ways::Relation;
 
@@ -90,6 +91,7 @@
             zone: "a".to_owned(),
             address: ([10, 0, 0, 1], 7_000).into(),
             slots: SLOTS,
+            life: LifeDigest::of("target"),
             relation: Relation::SameZone,
         };
         let target = |_| Target {
--- /dev/null
+++ b/crates/sidecar/tests/leaving_targets.rs
@@ -0,0 +1,110 @@
+//! What a router remembers of targets that leave.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use wingspar_ownership::{MemberView, NodeName, Table, TargetState, Time};
+use wingspar_sidecar::directory::{Destination, Directory};
+use wingspar_sidecar::leaving_targets::{LeavingTargets, LifeDigest};
+use wingspar_sidecar::ways::{Places, Relation};
+
+const TOLD_AT: Time = Time(1_000);
+/// By then nothing new may reach a target that leaves.
+const DRAINED: Time = Time(3_000);
+
+fn destination(life: &str) -> Destination {
+    Destination {
+        node: NodeName::from("node"),
+        zone: "a".to_owned(),
+        address: SocketAddr::from(([10, 0, 0, 1], 7_000)),
+        slots: 8,
+        life: LifeDigest::of(life),
+        relation: Relation::SameZone,
+    }
+}
+
+fn told(life: &str) -> LeavingTargets {
+    let leaving = LeavingTargets::default();
+    let destination = destination(life);
+    leaving.told(TOLD_AT, &destination.node, destination.life);
+    leaving
+}
+
+#[test]
+fn a_target_that_leaves_is_asked_last_and_soon_not_at_all() {
+    let leaving = told("target 17");
+    let known = destination("target 17");
+    assert_eq!(leaving.among(std::slice::from_ref(&known)).len(), 1);
+    assert!(
+        !leaving.is_closed(TOLD_AT, &known),
+        "work on its way may come"
+    );
+    assert!(leaving.is_closed(DRAINED, &known));
+}
+
+#[test]
+fn hearing_it_again_gives_no_more_time() {
+    let leaving = told("target 17");
+    let known = destination("target 17");
+    leaving.told(DRAINED, &known.node, known.life);
+    assert!(leaving.is_closed(DRAINED, &known));
+}
+
+#[test]
+fn a_life_whose_beginning_is_not_known_again_is_the_same() {
+    assert!(told("target 17").is_closed(DRAINED, &destination("target")));
+    assert!(told("target").is_closed(DRAINED, &destination("target 17")));
+}
+
+#[test]
+fn another_life_does_not_leave() {
+    let leaving = told("target 17");
+    assert!(!leaving.is_closed(DRAINED, &destination("target 18")));
+    assert!(!leaving.is_closed(DRAINED, &destination("other")));
+}
+
+fn directory(life: Option<&str>) -> Directory {
+    let member = life.map(|life| MemberView {
+        target: Some(TargetState {
+            id: life.to_owned(),
+            service: "search".to_owned(),
+            accepting: true,
+            slots: 8,
+            starts_per_s: None,
+        }),
+        ..member()
+    });
+    let table = Table {
+        members: member.into_iter().collect(),
+        ..Table::default()
+    };
+    Directory::new(table, &Places::default())
+}
+
+fn member() -> MemberView {
+    MemberView {
+        node: NodeName::from("node"),
+        zone: "a".to_owned(),
+        address: SocketAddr::from(([10, 0, 0, 1], 7_000)),
+        leaving: false,
+        target: None,
+        quota_shards: Vec::new(),
+    }
+}
+
+#[test]
+fn a_node_that_is_away_for_a_while_leaves_its_target_known() {
+    let leaving = told("target 17");
+    leaving.retain(DRAINED, &directory(None));
+    assert!(leaving.is_closed(DRAINED, &destination("target 17")));
+    leaving.retain(DRAINED, &directory(Some("target 18")));
+    assert!(!leaving.is_closed(DRAINED, &destination("target 17")));
+}
+
+#[test]
+fn what_was_heard_long_ago_is_forgotten() {
+    let leaving = told("target 17");
+    let late = TOLD_AT + Duration::from_secs(3_600);
+    leaving.retain(late, &directory(Some("target 17")));
+    assert!(!leaving.is_closed(late, &destination("target 17")));
+}
--- a/crates/sidecar/tests/limited_targets.rs
+++ b/crates/sidecar/tests/limited_targets.rs
@@ -6,6 +6,7 @@
 use wingspar_ownership::{NodeName, Time};
 use wingspar_sidecar::directory::Destination;
 use wingspar_sidecar::hop::Occupancy;
+use wingspar_sidecar::leaving_targets::LifeDigest;
 use wingspar_sidecar::selection::{RequestPreference, Selection};
 use wingspar_sidecar::ways::Relation;
 
@@ -17,6 +18,7 @@
         zone: "a".to_owned(),
         address: SocketAddr::from(([10, 0, 0, 1], 7_000)),
         slots: SLOTS,
+        life: LifeDigest::of("target"),
         relation: Relation::SameZone,
     }
 }
--- a/crates/sidecar/tests/regions/model.rs
+++ b/crates/sidecar/tests/regions/model.rs
@@ -10,6 +10,7 @@
 use wingspar_ownership::{NodeName, Time};
 use wingspar_sidecar::directory::Destination;
 use wingspar_sidecar::hop::Occupancy;
+use wingspar_sidecar::leaving_targets::LifeDigest;
 use wingspar_sidecar::selection::{Ended, RequestPreference, Selection, ZONE_PREFERENCE};
 use wingspar_sidecar::ways::{Places, ReachChange};
 
@@ -196,6 +197,7 @@
                     zone: ZONES[zone_of(target)].0.to_owned(),
                     address: SocketAddr::from(([10, 0, 0, 1], 7_000)),
                     slots: SLOTS as u32,
+                    life: LifeDigest::of("target"),
                     relation: places.relation(ZONES[zone_of(target)].0),
                 })
                 .collect::<Vec<_>>();
@@ -422,11 +424,8 @@
         let occupancy = Occupancy {
             running,
             waiting,
-            link_ms: 0,
             held_ms: Some(held_ms),
-            retry_after_ms: 0,
-            left_out_ms: 0,
-            usable_slots: 0,
+            ..Occupancy::default()
         };
         selection.reported(Time(now), SERVICE, &destination, occupancy);
         let on_way = Duration::from_millis(now - sent - u64::from(held_ms));
