Keys are dealt by parts of a slot where few requests may start

What callers saw: an owner that names less than about five requests a second kept a whole slot's worth of keys, several times what it may run, and their callers were refused though other owners had room. Cause: its usable slots were rounded up to one. Change: candidates' slots are numbers with parts.

--- a/crates/ownership/src/balance.rs
+++ b/crates/ownership/src/balance.rs
@@ -22,6 +22,8 @@
 const SERVICE_TIME_REQUESTS: f64 = 60.0;
 /// Share of the load that is spread evenly over all keys, so that idle ones are dealt too.
 const EVEN_SHARE: f64 = 0.05;
+/// A target counts for so much of a slot at least: a capacity of nothing couldn't be compared.
+const LEAST_SLOTS: f64 = 0.01;
 /// Service time of a target that hasn't been seen at work, in seconds.
 const DEFAULT_SERVICE_TIME: f64 = 0.1;
 
@@ -196,14 +198,13 @@
     }
 
     /// Requests a second that a node's target can finish.
-    pub fn capacity(&self, node: &NodeName, slots: u32) -> f64 {
-        f64::from(slots.max(1)) / self.service_time(node)
+    pub fn capacity(&self, node: &NodeName, slots: f64) -> f64 {
+        slots.max(LEAST_SLOTS) / self.service_time(node)
     }
 
-    /// Slots of a node's target that so many requests a second keep in use, at least one.
-    pub fn slots_in_use(&self, node: &NodeName, requests_per_s: u32) -> u32 {
-        let slots = f64::from(requests_per_s) * self.service_time(node);
-        (slots.round() as u32).max(1)
+    /// Slots of a node's target that so many requests a second keep in use: less than one, if they are few.
+    pub fn slots_in_use(&self, node: &NodeName, requests_per_s: u32) -> f64 {
+        f64::from(requests_per_s) * self.service_time(node)
     }
 
     /// Seconds that a request keeps a slot of a node's target.
--- a/crates/ownership/src/leader/assignments.rs
+++ b/crates/ownership/src/leader/assignments.rs
@@ -129,13 +129,12 @@
 
     /// Slots of a target that requests can keep in use: where few may begin a second, since it is slow after its start
     /// or names a limit, it is given only as many keys as that serves.
-    fn usable_slots(&self, service: &str, node: &NodeName, target: &TargetState) -> u32 {
+    fn usable_slots(&self, service: &str, node: &NodeName, target: &TargetState) -> f64 {
+        let slots = f64::from(target.slots);
         let load = self.partitions.get(service).map(|known| &known.load);
         match (target.starts_per_s, load) {
-            (Some(starts_per_s), Some(load)) => {
-                target.slots.min(load.slots_in_use(node, starts_per_s))
-            }
-            _ => target.slots,
+            (Some(starts_per_s), Some(load)) => slots.min(load.slots_in_use(node, starts_per_s)),
+            _ => slots,
         }
     }
 
--- a/crates/ownership/src/plan.rs
+++ b/crates/ownership/src/plan.rs
@@ -32,8 +32,9 @@
 /// Fewest deviations of an owner's load that are taken for chance.
 const LEAST_CHANCE: f64 = 1.5;
 
-/// An owner that takes keys, with the slots of its target.
-pub type Candidate = (NodeName, u32);
+/// An owner that takes keys, with the slots of its target that it can use: less than one where few requests may start a
+/// second.
+pub type Candidate = (NodeName, f64);
 
 impl Plan {
     /// A plan from ranges in order; empty unless they cover all keys.
--- a/crates/ownership/tests/plan.rs
+++ b/crates/ownership/tests/plan.rs
@@ -2,7 +2,7 @@
 
 use quickcheck::quickcheck;
 use wingspar_ownership::{
-    BUCKETS, Candidate, KEYS_PER_BUCKET, KeyRange, Load, LoadReport, NodeName, Plan,
+    BUCKETS, Candidate, KEYS_PER_BUCKET, KeyRange, Load, LoadReport, NodeName, Plan, bucket_of,
 };
 
 /// Keys that get half of the load.
@@ -11,7 +11,7 @@
 fn candidates(names: &[&str]) -> Vec<Candidate> {
     names
         .iter()
-        .map(|name| (NodeName::from(*name), 18))
+        .map(|name| (NodeName::from(*name), 18.0))
         .collect()
 }
 
@@ -54,6 +54,17 @@
         .sum()
 }
 
+/// Requests a second for the keys that a plan gives an owner.
+fn rate_of(plan: &Plan, load: &Load, name: &str) -> f64 {
+    let weights = load.weights();
+    let own = plan.ranges().filter(|(_, node)| ***node == *name);
+    let rates = own.map(|(range, _)| {
+        let buckets = bucket_of(range.from)..=bucket_of(range.to);
+        weights[buckets].iter().sum::<f64>()
+    });
+    rates.sum()
+}
+
 #[test]
 fn without_load_all_get_the_same() {
     let mut plan = Plan::default();
@@ -113,17 +124,10 @@
     load.record(&report, &[KeyRange::ALL]);
     assert!(plan.rebalance(&owners, &load));
     assert!(covers_all(&plan));
-    let weights = load.weights();
-    let carried = |name: &str| {
-        let own = plan.ranges().filter(|(_, node)| ***node == *name);
-        own.map(|(range, _)| {
-            let buckets =
-                wingspar_ownership::bucket_of(range.from)..=wingspar_ownership::bucket_of(range.to);
-            weights[buckets].iter().sum::<f64>()
-        })
-        .sum::<f64>()
-    };
-    let loads = names.iter().map(|name| carried(name)).collect::<Vec<_>>();
+    let loads = names
+        .iter()
+        .map(|name| rate_of(&plan, &load, name))
+        .collect::<Vec<_>>();
     let mean = loads.iter().sum::<f64>() / loads.len() as f64;
     let busiest = loads.iter().copied().fold(0.0, f64::max);
     assert!(busiest < 1.5 * mean, "{busiest} of {mean}");
@@ -238,7 +242,7 @@
 
 fn many_owners(count: usize) -> Vec<Candidate> {
     (0..count)
-        .map(|number| (NodeName::from(format!("node-{number:03}").as_str()), 14))
+        .map(|number| (NodeName::from(format!("node-{number:03}").as_str()), 14.0))
         .collect()
 }
 
@@ -355,3 +359,30 @@
     plan.repair(&two, &load);
     assert!(share(&plan, "a") > 2 * share(&plan, "b"));
 }
+
+/// Guards against an owner that is given a slot's worth of keys though its target takes far fewer requests.
+#[test]
+fn an_owner_that_may_get_one_request_a_second_keeps_keys_for_one() {
+    const SERVICE_TIME_S: f64 = 0.2;
+    let mut owners = candidates(&["a", "b", "c", "d"]);
+    let mut plan = Plan::default();
+    plan.repair(&owners, &Load::default());
+    let mut load = Load::default();
+    for node in ["a", "b", "c", "d"] {
+        let finished = 600;
+        let report = LoadReport {
+            finished,
+            busy_ms: (f64::from(finished) * SERVICE_TIME_S * 1_000.0) as u64,
+            ..report_of(node, 100_000, |bucket| u32::from(bucket % 8 == 0))
+        };
+        load.record(&report, &[KeyRange::ALL]);
+    }
+    let limited = load.slots_in_use(&owners[0].0, 1);
+    assert!((limited - SERVICE_TIME_S).abs() < 0.01, "{limited} slots");
+    owners[0].1 = limited;
+    for _ in 0..8 {
+        plan.rebalance(&owners, &load);
+    }
+    let rate = rate_of(&plan, &load, "a");
+    assert!(rate <= 1.0, "{rate} requests a second");
+}
