Router: what a node tells of its target in a module of its own, without zeros at the end

Each answer between nodes carries these figures, and the three that name limits and leaving are 0 as a rule: bytes between zones are dear. Older versions read what is left out as 0 already (occupancy).

--- a/crates/sidecar/src/agent.rs
+++ b/crates/sidecar/src/agent.rs
@@ -8,12 +8,13 @@
 use wingspar_platform::headers;
 
 use crate::clock::whole_millis;
-use crate::hop::{HopAnswer, HopRequest, Occupancy, Refusal};
+use crate::hop::{HopAnswer, HopRequest, Refusal};
 use crate::key_calls::lease_left_ms;
 use crate::leaving_targets::LifeDigest;
 use crate::logs::Event;
 use crate::metrics::OutcomeLabel;
 use crate::node::Node;
+use crate::occupancy::Occupancy;
 use crate::quarantine;
 use crate::slots::{self, Slot};
 use crate::stop::Stop;
--- a/crates/sidecar/src/hop.rs
+++ b/crates/sidecar/src/hop.rs
@@ -20,8 +20,8 @@
 use crate::connections::SendError;
 use crate::deadline::Deadline;
 use crate::folded;
-use crate::leaving_targets::LifeDigest;
 use crate::node::Node;
+use crate::occupancy::Occupancy;
 use crate::requested_body::send_body_when_asked;
 use crate::slots::{TenantTurn, Turn};
 
@@ -40,8 +40,6 @@
 const KEEP_WHOLE: u64 = 256 * 1024;
 /// Outcome of a request that was in flight when the target ended.
 const TARGET_ENDED: &str = "target_ended";
-/// Place among the figures of [`LOAD`] from which on they tell the life of a target that leaves.
-const LEAVING_FIGURES: usize = 7;
 /// Begins the names of headers that only nodes set.
 const OWN_PREFIX: &str = "wingspar-";
 
@@ -143,35 +141,6 @@
     TargetEnded,
 }
 
-/// Requests that run and wait at a node's target.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub struct Occupancy {
-    /// In slots.
-    pub running: u32,
-    /// Waiting.
-    pub waiting: u32,
-    /// How long one more large answer would wait for the machine's link, in milliseconds.
-    pub link_ms: u32,
-    /// How long the node had the request, in milliseconds; nothing if it didn't tell.
-    pub held_ms: Option<u32>,
-    /// When a caller that is refused now may come back, in milliseconds; 0 if the node can't tell.
-    pub retry_after_ms: u32,
-    /// For how long the target should get nothing, since it rejects what it is sent, in milliseconds; 0 if it doesn't.
-    pub left_out_ms: u32,
-    /// Slots that requests can keep in use under the limit that the target names; 0 if it names none.
-    pub usable_slots: u32,
-    /// The life of the target, if that leaves.
-    pub leaving: Option<LifeDigest>,
-}
-
-impl Occupancy {
-    /// When a caller that is refused now may come back, if the node can tell.
-    pub fn retry_after(&self) -> Option<Duration> {
-        let told = self.retry_after_ms > 0;
-        told.then(|| Duration::from_millis(self.retry_after_ms.into()))
-    }
-}
-
 /// Takes out headers that belong to one connection, and those that only nodes set.
 pub fn strip(headers: &mut HeaderMap) {
     let named = headers
@@ -321,18 +290,7 @@
     };
     let headers = response.headers_mut();
     headers.insert(OUTCOME, HeaderValue::from_static(outcome));
-    if let Ok(load) = HeaderValue::from_str(&format!(
-        "{},{},{},{},{},{},{},{},{}",
-        occupancy.running,
-        occupancy.waiting,
-        occupancy.link_ms,
-        occupancy.held_ms.unwrap_or_default(),
-        occupancy.retry_after_ms,
-        occupancy.left_out_ms,
-        occupancy.usable_slots,
-        occupancy.leaving.map_or(0, |life| life.id),
-        occupancy.leaving.and_then(|life| life.born).unwrap_or(0)
-    )) {
+    if let Ok(load) = HeaderValue::from_str(&occupancy.figures()) {
         headers.insert(LOAD, load);
     }
     response
@@ -436,28 +394,7 @@
 }
 
 fn read_occupancy(headers: &HeaderMap) -> Option<Occupancy> {
-    let figures = headers.get(LOAD)?.to_str().ok()?;
-    let mut numbers = figures.split(',').map(|number| number.parse().ok());
-    Some(Occupancy {
-        running: numbers.next()??,
-        waiting: numbers.next()??,
-        link_ms: numbers.next().flatten().unwrap_or(0),
-        held_ms: numbers.next().flatten(),
-        retry_after_ms: numbers.next().flatten().unwrap_or(0),
-        left_out_ms: numbers.next().flatten().unwrap_or(0),
-        usable_slots: numbers.next().flatten().unwrap_or(0),
-        leaving: read_leaving(figures),
-    })
-}
-
-/// The life of a target that leaves, as the last two figures tell it; they are 0 if none does.
-fn read_leaving(figures: &str) -> Option<LifeDigest> {
-    let figures = figures.split(',').skip(LEAVING_FIGURES);
-    let mut figures = figures.map(|figure| figure.parse::<u64>().ok().filter(|told| *told != 0));
-    Some(LifeDigest {
-        id: figures.next()??,
-        born: figures.next().flatten(),
-    })
+    Occupancy::read(headers.get(LOAD)?.to_str().ok()?)
 }
 
 fn read_number(headers: &HeaderMap, name: &HeaderName) -> Option<u64> {
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod logs;
 mod metrics;
 mod node;
+pub mod occupancy;
 mod operations;
 pub mod owner_zones;
 pub mod packed;
--- a/crates/sidecar/src/router/come_back.rs
+++ b/crates/sidecar/src/router/come_back.rs
@@ -8,8 +8,9 @@
 use super::record::Record;
 use crate::answer::{LONGEST_SPREAD, Reason};
 use crate::expected_return::{Cause, Wanted};
-use crate::hop::{HopAnswer, Occupancy, Refusal};
+use crate::hop::{HopAnswer, Refusal};
 use crate::node::Node;
+use crate::occupancy::Occupancy;
 
 /// Told to the caller of a request that was refused at a full target, where the target's node, of an earlier version,
 /// doesn't say when it has room: some requests have left it by then.
--- a/crates/sidecar/src/router/outstanding.rs
+++ b/crates/sidecar/src/router/outstanding.rs
@@ -6,9 +6,10 @@
 use wingspar_ownership::NodeName;
 
 use crate::directory::Destination;
-use crate::hop::{HopAnswer, Occupancy, Refusal};
+use crate::hop::{HopAnswer, Refusal};
 use crate::logs::Event;
 use crate::node::Node;
+use crate::occupancy::Occupancy;
 use crate::selection::Ended;
 use crate::ways::ReachChange;
 
--- a/crates/sidecar/src/selection.rs
+++ b/crates/sidecar/src/selection.rs
@@ -13,7 +13,7 @@
 use wingspar_ownership::{NodeName, Time};
 
 use crate::directory::Destination;
-use crate::hop::Occupancy;
+use crate::occupancy::Occupancy;
 use crate::ways::{Places, ReachChange, Relation, Ways};
 
 /// Weight of one answer's time against what was known.
--- a/crates/sidecar/tests/regions/model.rs
+++ b/crates/sidecar/tests/regions/model.rs
@@ -9,8 +9,8 @@
 
 use wingspar_ownership::{NodeName, Time};
 use wingspar_sidecar::directory::Destination;
-use wingspar_sidecar::hop::Occupancy;
 use wingspar_sidecar::leaving_targets::LifeDigest;
+use wingspar_sidecar::occupancy::Occupancy;
 use wingspar_sidecar::selection::{Ended, RequestPreference, Selection, ZONE_PREFERENCE};
 use wingspar_sidecar::ways::{Places, ReachChange};
 
