Soak: targets that name a limit on requests for a while

The limit binds three seconds after it was first named; within any four seconds its target gets at most one and a half times what it allows and five requests. Spans beside a harmed link of the target or its new beginning aren't counted: what a link held up arrives together.

--- a/crates/wingspar/tests/sidecar/soak/checks.rs
+++ b/crates/wingspar/tests/sidecar/soak/checks.rs
@@ -6,6 +6,7 @@
 
 use super::credentials::{Credentials, LISTED};
 use super::faults::Faults;
+use super::limits::Limits;
 use super::load::{Answer, Kind};
 use super::quotas;
 use crate::deployment::Deployment;
@@ -20,6 +21,7 @@
     /// Target's id and what it ran, in the order of time.
     runs: Vec<(String, Seen)>,
     credentials: &'a Credentials,
+    limits: &'a Limits,
     log: &'a [String],
 }
 
@@ -42,6 +44,7 @@
             answers,
             runs,
             credentials: faults.credentials(),
+            limits: faults.limits(),
             log: faults.log(),
         }
     }
@@ -82,6 +85,7 @@
             self.tenant_is_told(),
             self.who_is_listed_is_not_turned_away(),
             quotas::hold(self.deployment, self.answers),
+            self.limits.hold(self.deployment),
         ];
         for check in checks {
             check.map_err(|problem| format!("{problem}\n  {}", self.log.join("\n  ")))?;
--- a/crates/wingspar/tests/sidecar/soak/faults.rs
+++ b/crates/wingspar/tests/sidecar/soak/faults.rs
@@ -6,11 +6,11 @@
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 use serde_json::{Value, json};
-use wingspar_standins::fleet::{StoreCopy, StoreFaults, TargetFaults};
+use wingspar_standins::fleet::{StoreCopy, StoreFaults};
 use wingspar_standins::net::Harm;
 
 use super::credentials::Credentials;
-use super::load::CRASHING_PATH;
+use super::limits::Limits;
 use super::quotas::{METERED, VARIED};
 use crate::deployment::{Deployment, route};
 use crate::quota_bound;
@@ -22,6 +22,8 @@
 
 /// How much longer than other faults a tenant sends many times its usual: as long as its quota's window.
 const STORM_LASTS: Duration = quota_bound::WINDOW;
+/// How much longer than other faults a target names a limit: until it binds, and for a span in which it is counted.
+const LIMIT_LASTS: Duration = Duration::from_secs(8);
 /// How often a copy of the store is kept.
 const COPY_EVERY: Duration = Duration::from_millis(700);
 /// How old the copy is, at most, that the store comes back from.
@@ -43,6 +45,7 @@
     Start(usize),
     Evacuation(&'static str),
     SlowTarget(usize),
+    Limit(usize),
     Storm(&'static str),
     /// The store is away, and comes back from a copy.
     StoreAway(StoreCopy),
@@ -57,6 +60,7 @@
     ends: Vec<(Instant, End)>,
     configuration: u64,
     credentials: Credentials,
+    limits: Limits,
     /// Copies of the store of the last seconds.
     copies: VecDeque<(Instant, StoreCopy)>,
     /// The last configuration, as the store holds it.
@@ -74,6 +78,7 @@
             ends: Vec::new(),
             configuration: 100,
             credentials: Credentials::new(seed),
+            limits: Limits::default(),
             copies: VecDeque::new(),
             written: Value::Null,
             log: Vec::new(),
@@ -90,6 +95,11 @@
         &self.credentials
     }
 
+    /// The limits that targets have named.
+    pub fn limits(&self) -> &Limits {
+        &self.limits
+    }
+
     /// A credential for a request.
     pub fn draw_credential(&mut self) -> &'static str {
         self.credentials.draw()
@@ -184,6 +194,7 @@
             self.end(deployment, end).await;
         }
         self.keep_copy(deployment, now);
+        self.limits.note_crashes(deployment);
         if now < self.next_at {
             return;
         }
@@ -224,7 +235,12 @@
         until: Instant,
     ) {
         let away = self.is_away(node);
-        match random.random_range(0..19) {
+        match random.random_range(0..21) {
+            19 | 20 => {
+                let limit = self.limits.begin(deployment, random, node);
+                self.note(&format!("the target of {node} names a limit of {limit}"));
+                self.ends.push((until + LIMIT_LASTS, End::Limit(node)));
+            }
             17 | 18 => self.restore(deployment, random, until),
             0 | 1 => {
                 let harm = draw_harm(random);
@@ -235,6 +251,7 @@
             2 | 3 => {
                 let harm = draw_harm(random);
                 deployment.nodes[node].target_link.set(harm);
+                self.limits.link_changed(node);
                 self.note(&format!("target link of {node}: {harm:?}"));
                 self.ends.push((until, End::TargetLink(node)));
             }
@@ -251,7 +268,7 @@
                 self.ends.push((until, End::Evacuation(zone)));
             }
             11 => {
-                set_warmup(deployment, node, SLOW_FOR);
+                self.limits.set_warmup(deployment, node, SLOW_FOR);
                 self.note(&format!("the target of {node} is slow after its start"));
                 self.ends.push((until, End::SlowTarget(node)));
             }
@@ -316,14 +333,18 @@
     async fn end(&mut self, deployment: &mut Deployment, end: End) {
         match end {
             End::StoreLink(node) => deployment.nodes[node].store_link.set(Harm::None),
-            End::TargetLink(node) => deployment.nodes[node].target_link.set(Harm::None),
+            End::TargetLink(node) => {
+                deployment.nodes[node].target_link.set(Harm::None);
+                self.limits.link_changed(node);
+            }
             End::Store => deployment.store.set_faults(StoreFaults::default()),
             End::Resume(node) => deployment.signal(node, "-CONT"),
             End::Start(node) => deployment.start_process(node),
             End::Evacuation(zone) => {
                 deployment.store.remove("evacuations", zone);
             }
-            End::SlowTarget(node) => set_warmup(deployment, node, Duration::ZERO),
+            End::SlowTarget(node) => self.limits.set_warmup(deployment, node, Duration::ZERO),
+            End::Limit(node) => self.limits.end(deployment, node),
             End::Storm(_) => {}
             End::StoreAway(copy) => {
                 self.copies.clear();
@@ -339,17 +360,6 @@
     }
 }
 
-/// Has a machine's target tell that it is slow for so long.
-fn set_warmup(deployment: &Deployment, node: usize, warmup: Duration) {
-    if let Some(target) = &deployment.nodes[node].target {
-        target.set_faults(TargetFaults {
-            warmup,
-            crashes_on: Some(CRASHING_PATH),
-            ..TargetFaults::default()
-        });
-    }
-}
-
 /// The routes that the load uses.
 fn routes() -> serde_json::Value {
     json!([
