--- a/crates/sidecar/src/announcements.rs
+++ b/crates/sidecar/src/announcements.rs
@@ -24,6 +24,7 @@
     }
 }
 
+/// Takes in what the present life of the target announces.
 fn note_present(node: &Node, request: Option<RequestNumber>, headers: &HeaderMap) {
     if let Some(named) = readable(node, parse_request_limit(headers)) {
         let change = node.request_limit.borrow_mut().named(request, named);
@@ -51,6 +52,7 @@
     }
 }
 
+/// Puts a changed limit in force.
 fn note_limit(node: &Node, change: LimitChange) {
     let requests_per_s = match change {
         LimitChange::None => return,
--- a/crates/sidecar/src/internal.rs
+++ b/crates/sidecar/src/internal.rs
@@ -22,7 +22,7 @@
 use crate::configuration_doubts;
 use crate::folded;
 use crate::follow::{self, Assurance};
-use crate::hop::{self};
+use crate::hop;
 use crate::logs::Event;
 use crate::node::Node;
 use crate::occupancy::Occupancy;
--- a/crates/sidecar/src/router/send.rs
+++ b/crates/sidecar/src/router/send.rs
@@ -239,13 +239,13 @@
         large: routed.times.transfer.is_some(),
     };
     let now = node.now();
-    let choose_but = |mut unwanted: Vec<NodeName>| {
+    let choose_without = |mut unwanted: Vec<NodeName>| {
         unwanted.extend_from_slice(tried);
         node.selection.choose(now, wish, &destinations, &unwanted)
     };
     let leaving = &node.leaving_targets;
-    let chosen = choose_but(leaving.among(&destinations))
-        .or_else(|| choose_but(leaving.closed_among(now, &destinations)))?;
+    let chosen = choose_without(leaving.among(&destinations))
+        .or_else(|| choose_without(leaving.closed_among(now, &destinations)))?;
     note_spill_over(node, routed.service, chosen);
     Some(chosen.clone())
 }
--- a/crates/sidecar/src/selection.rs
+++ b/crates/sidecar/src/selection.rs
@@ -100,10 +100,11 @@
     /// Slots of a target that requests can keep in use, at least one.
     fn slots(&self, now: Time, slots: u32) -> u32 {
         let is_recent = now.since(self.reported_at) < LIMIT_REPORT_HOLDS;
-        let usable = match self.usable_slots {
-            0 => slots,
-            usable if is_recent => slots.min(usable),
-            _ => slots,
+        let is_limited = self.usable_slots > 0 && is_recent;
+        let usable = if is_limited {
+            slots.min(self.usable_slots)
+        } else {
+            slots
         };
         usable.max(1)
     }
--- a/crates/sidecar/src/start_rate.rs
+++ b/crates/sidecar/src/start_rate.rs
@@ -5,12 +5,9 @@
 
 use tokio::time::Instant;
 
-/// Starts under the limit of a target that is slow after its start are counted over this span. It is longer than the
-/// second over which the target counts arrivals by the time
-/// for which the process may stand still between a start and the send: what was held up then arrives together with
-/// what follows. A tenth of a second, for which a process stands still that has spent its share of the processor,
-/// wasn't enough: 28 arrivals in a second where 25 starts in 1.1 s were allowed, seen once in eight runs of half a
-/// minute, 1.7 s after a restart on a tenth of a core. It costs a sixth of what a slow target gets.
+/// Starts at a target that is slow after its start are counted over this span. It is longer than the second over which
+/// the target counts arrivals by the time for which the process may stand still between a start and the send: what was
+/// held up then arrives together with what follows.
 const WINDOW: Duration = Duration::from_millis(1_300);
 
 /// Requests a second that even a target with a lower limit gets: their answers show when it takes more again.
