Routers send a process that has just started the limit that they were told

What callers saw: a process that starts beside a target it doesn't know kept two requests there until the first answer, at each restart of any node, though hardly any target names a limit. Nothing is held back where nobody was told of a limit. Nodes tell the limit itself, and routers work out the slots that it leaves in use by the time that requests take there. Tests: named_limit, request_limit, limited_targets, occupancy.

--- a/crates/sidecar/src/agent.rs
+++ b/crates/sidecar/src/agent.rs
@@ -7,6 +7,7 @@
 use wingspar_ownership::Admission;
 use wingspar_platform::headers;
 
+use crate::announcements;
 use crate::clock::whole_millis;
 use crate::hop::{HopAnswer, HopRequest, Refusal};
 use crate::key_calls::lease_left_ms;
@@ -52,6 +53,9 @@
 }
 
 async fn admit(node: &Rc<Node>, hop: HopRequest) -> HopAnswer {
+    if let Some(limit) = hop.told_limit {
+        announcements::note_told(node, limit);
+    }
     if let Err(refusal) = check_or_wait(node, &hop).await {
         return HopAnswer::Refused(refusal);
     }
@@ -155,12 +159,12 @@
         running: u32::try_from(node.slots.running()).unwrap_or(u32::MAX),
         waiting: u32::try_from(node.slots.waiting()).unwrap_or(u32::MAX),
         link_ms: u32::try_from(node.link.expected_wait().as_millis()).unwrap_or(u32::MAX),
-        held_ms: None,
         left_out_ms: u32::try_from(left_out.as_millis()).unwrap_or(u32::MAX),
         retry_after_ms: u32::try_from(node.slots.retry_after().as_millis()).unwrap_or(u32::MAX),
-        usable_slots: node.slots.usable_under_limit().unwrap_or(0),
         leaving: leaving_life(node),
+        ..Occupancy::default()
     }
+    .with_limit(node.request_limit.borrow().requests_per_s())
 }
 
 /// The life of the target, if that leaves.
--- a/crates/sidecar/src/announcements.rs
+++ b/crates/sidecar/src/announcements.rs
@@ -24,12 +24,20 @@
     }
 }
 
+/// Takes in a limit that a router was told of, and sends along.
+pub fn note_told(node: &Node, requests_per_s: f64) {
+    let change = node
+        .request_limit
+        .borrow_mut()
+        .told_by_router(requests_per_s);
+    note_limit(node, change);
+}
+
 /// Takes in what the present life of the target announces.
 fn note_present(node: &Node, request: Option<RequestNumber>, headers: &HeaderMap) {
     if let Some(named) = readable(node, parse_request_limit(headers)) {
         let change = node.request_limit.borrow_mut().named(request, named);
         note_limit(node, change);
-        node.limit_slots();
     }
     if readable(node, parse_leaving(headers)) == Some(true) {
         let heard = node.target.borrow_mut().announces_leaving(node.now());
--- a/crates/sidecar/src/hop.rs
+++ b/crates/sidecar/src/hop.rs
@@ -34,6 +34,7 @@
 const FINGERPRINT: HeaderName = HeaderName::from_static("wingspar-fingerprint");
 const PRIORITY: HeaderName = HeaderName::from_static("wingspar-priority");
 const TENANT_PRIORITY: HeaderName = HeaderName::from_static("wingspar-tenant-priority");
+const TOLD_LIMIT: HeaderName = HeaderName::from_static("wingspar-told-limit");
 const OUTCOME: HeaderName = HeaderName::from_static("wingspar-outcome");
 const LOAD: HeaderName = HeaderName::from_static("wingspar-load");
 /// Answers of other nodes up to this length, in bytes, are read whole before they are passed on.
@@ -67,6 +68,8 @@
     pub key: Option<u16>,
     /// What it is, whatever its id.
     pub fingerprint: Fingerprint,
+    /// The limit that the router was told of the target, in requests a second.
+    pub told_limit: Option<f64>,
 }
 
 /// Why an agent didn't pass a request on.
@@ -208,6 +211,11 @@
     if let Ok(fingerprint) = HeaderValue::from_str(&request.fingerprint.to_string()) {
         headers.insert(FINGERPRINT, fingerprint);
     }
+    if let Some(limit) = request.told_limit
+        && let Ok(limit) = HeaderValue::from_str(&limit.to_string())
+    {
+        headers.insert(TOLD_LIMIT, limit);
+    }
     if let Ok(service) = HeaderValue::from_str(&request.service) {
         headers.insert(SERVICE, service);
     }
@@ -241,6 +249,7 @@
         .parse()
         .ok()?;
     let tenant = read_tenant(&parts.headers);
+    let told_limit = read_told_limit(&parts.headers);
     let mut headers = parts.headers;
     strip(&mut headers);
     headers.remove(EXPECT);
@@ -267,9 +276,17 @@
         },
         key,
         fingerprint,
+        told_limit,
     })
 }
 
+/// The limit that another node's router was told of the target.
+fn read_told_limit(headers: &HeaderMap) -> Option<f64> {
+    let limit = headers.get(TOLD_LIMIT)?.to_str().ok()?;
+    let limit = limit.parse::<f64>().ok()?;
+    (limit.is_finite() && limit >= 0.0).then_some(limit)
+}
+
 /// The turn of a request's tenant, if it has one.
 fn read_tenant(headers: &HeaderMap) -> Option<TenantTurn> {
     let name = headers.get(headers::TENANT)?.to_str().ok()?;
--- a/crates/sidecar/src/leaving_targets.rs
+++ b/crates/sidecar/src/leaving_targets.rs
@@ -36,7 +36,7 @@
     }
 
     /// Whether both may be the same life: a node that has just started may not know yet when it began.
-    fn may_be(self, other: Self) -> bool {
+    pub fn may_be(self, other: Self) -> bool {
         let born = self.born.zip(other.born);
         self.id == other.id && born.is_none_or(|(born, other)| born == other)
     }
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -31,6 +31,7 @@
 use crate::link::{LARGE, Link};
 use crate::logs::{Event, Log};
 use crate::metrics::Metrics;
+use crate::named_limits::NamedLimits;
 use crate::quota::Quotas;
 use crate::relay::Relays;
 use crate::request_limit::RequestLimit;
@@ -162,6 +163,8 @@
     peers: RefCell<HashMap<SocketAddr, Rc<Connections>>>,
     /// What is known of targets elsewhere.
     pub selection: Selection,
+    /// Limits that targets elsewhere have named.
+    pub named_limits: NamedLimits,
     /// Targets elsewhere that leave.
     pub leaving_targets: LeavingTargets,
     /// Whether tables are fetched from nodes of the own region.
@@ -249,6 +252,7 @@
             key_news: Notify::new(),
             peers: RefCell::new(HashMap::new()),
             selection: Selection::new(Places::of(&settings)),
+            named_limits: NamedLimits::default(),
             leaving_targets: LeavingTargets::default(),
             relays: RefCell::default(),
             spill_over: RefCell::default(),
@@ -426,9 +430,7 @@
     pub fn limit_slots(&self) -> bool {
         let slots = self.target.borrow().slots() as usize;
         let usable = self.unseen_work.borrow().usable(slots);
-        let most_at_once = self.request_limit.borrow().most_at_once();
-        self.slots
-            .set_capacity(most_at_once.map_or(usable, |most| most.min(usable)));
+        self.slots.set_capacity(usable);
         let withheld = i64::try_from(slots - usable).unwrap_or(i64::MAX);
         self.metrics.withheld.set(withheld);
         if usable < slots {
@@ -450,6 +452,7 @@
     pub fn set_directory(&self, directory: Directory) {
         self.selection.retain(|node| directory.node(node).is_some());
         self.leaving_targets.retain(self.now(), &directory);
+        self.named_limits.forget_old(self.now());
         *self.directory.borrow_mut() = Rc::new(directory);
         self.directory_changed.notify_waiters();
     }
--- a/crates/sidecar/src/occupancy.rs
+++ b/crates/sidecar/src/occupancy.rs
@@ -26,8 +26,8 @@
     pub retry_after_ms: u32,
     /// For how long the target should get nothing, since it rejects what it is sent, in milliseconds; 0 if it doesn't.
     pub left_out_ms: u32,
-    /// Slots that requests can keep in use under the limit that the target names; 0 if it names none.
-    pub usable_slots: u32,
+    /// Requests that the target takes within a thousand seconds, by the limit that it names; 0 if it names none.
+    pub limit_per_1000_s: u32,
     /// The life of the target, if that leaves.
     pub leaving: Option<LifeDigest>,
 }
@@ -39,6 +39,21 @@
         told.then(|| Duration::from_millis(self.retry_after_ms.into()))
     }
 
+    /// The same with the limit that the target names, in requests a second.
+    pub fn with_limit(self, requests_per_s: Option<f64>) -> Self {
+        let limit = requests_per_s.map_or(0, |limit| (limit * 1000.0).round().max(1.0) as u32);
+        Self {
+            limit_per_1000_s: limit,
+            ..self
+        }
+    }
+
+    /// The limit that the target names, in requests a second.
+    pub fn limit(&self) -> Option<f64> {
+        let is_named = self.limit_per_1000_s > 0;
+        is_named.then(|| f64::from(self.limit_per_1000_s) / 1000.0)
+    }
+
     /// The figures, with commas between them. Later ones are 0 as a rule, and left out at the end.
     pub fn figures(&self) -> String {
         let life = self.leaving;
@@ -49,7 +64,7 @@
             u64::from(self.held_ms.unwrap_or_default()),
             u64::from(self.retry_after_ms),
             u64::from(self.left_out_ms),
-            u64::from(self.usable_slots),
+            u64::from(self.limit_per_1000_s),
             life.map_or(0, |life| life.id),
             life.and_then(|life| life.born).unwrap_or_default(),
         ];
@@ -70,7 +85,7 @@
             held_ms: numbers.next().flatten(),
             retry_after_ms: numbers.next().flatten().unwrap_or(0),
             left_out_ms: numbers.next().flatten().unwrap_or(0),
-            usable_slots: numbers.next().flatten().unwrap_or(0),
+            limit_per_1000_s: numbers.next().flatten().unwrap_or(0),
             leaving: read_leaving(figures),
         })
     }
--- a/crates/sidecar/src/request_limit.rs
+++ b/crates/sidecar/src/request_limit.rs
@@ -5,10 +5,6 @@
 //!
 //! Decisions only: no clock, no timers.
 
-/// Requests that a process sends before the target has answered the first: one may fail without an answer, and the other
-/// still tells within the time of a request.
-const FIRST_REQUESTS: usize = 2;
-
 /// Number of a request to the target; later ones are larger.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct RequestNumber(u64);
@@ -45,12 +41,6 @@
         }
     }
 
-    /// Most requests that may be at the target at once; nothing if that isn't limited. Before it is known whether there
-    /// is a limit, few go out: their answers tell.
-    pub fn most_at_once(&self) -> Option<usize> {
-        self.is_unknown.then_some(FIRST_REQUESTS)
-    }
-
     /// Requests a second; nothing while there is no limit.
     pub fn requests_per_s(&self) -> Option<f64> {
         self.requests_per_s
@@ -81,6 +71,16 @@
         }
     }
 
+    /// A router sends along a limit that the target has named before. It counts until the target has answered this process.
+    pub fn told_by_router(&mut self, requests_per_s: f64) -> LimitChange {
+        let lowers = self.requests_per_s.is_none_or(|now| requests_per_s < now);
+        if !self.is_unknown || !lowers {
+            return LimitChange::None;
+        }
+        self.requests_per_s = Some(requests_per_s);
+        LimitChange::Set(requests_per_s)
+    }
+
     /// Another life of the target has begun, which has named nothing. A process that has just started takes every life
     /// for a new one: what it doesn't know yet stays unknown.
     pub fn new_life(&mut self) {
--- a/crates/sidecar/src/selection.rs
+++ b/crates/sidecar/src/selection.rs
@@ -83,8 +83,8 @@
     avoid_until: Time,
     /// The target rejects what it is sent, and its node asked to leave it out until then.
     left_out_until: Time,
-    /// Slots that the limit which the target names leaves in use; 0 if it names none.
-    usable_slots: u32,
+    /// Requests a second that the target takes, if it names a limit.
+    limit: Option<f64>,
 }
 
 impl EndpointStatistics {
@@ -98,15 +98,12 @@
     }
 
     /// Slots of a target that requests can keep in use, at least one.
-    fn slots(&self, now: Time, slots: u32) -> u32 {
+    fn slots(&self, now: Time, slots: u32) -> f64 {
         let is_recent = now.since(self.reported_at) < LIMIT_REPORT_HOLDS;
-        let is_limited = self.usable_slots > 0 && is_recent;
-        let usable = if is_limited {
-            slots.min(self.usable_slots)
-        } else {
-            slots
-        };
-        usable.max(1)
+        let limit = self.limit.filter(|_| is_recent);
+        let usable = limit.map(|per_s| per_s * self.time.unwrap_or(FIRST_TIME));
+        let slots = f64::from(slots);
+        usable.map_or(slots, |usable| usable.min(slots)).max(1.0)
     }
 }
 
@@ -258,7 +255,7 @@
         let weight = remaining(now, seen.reported_at, REPORT_FADES);
         let reported = f64::from(seen.running + WAITING_WEIGHT * seen.waiting) * weight;
         let slots = seen.slots(now, destination.slots);
-        let load = (f64::from(seen.outstanding) + reported) / f64::from(slots);
+        let load = (f64::from(seen.outstanding) + reported) / slots;
         let load = load.max(load_there);
         let mut expected = seen.time.unwrap_or(FIRST_TIME) * slowed(load);
         if wish.large && destination.node != *wish.node {
@@ -342,7 +339,7 @@
         seen.running = occupancy.running;
         seen.waiting = occupancy.waiting;
         seen.link_ms = occupancy.link_ms;
-        seen.usable_slots = occupancy.usable_slots;
+        seen.limit = occupancy.limit();
         seen.reported_at = now;
         if occupancy.left_out_ms > 0 {
             let left_out = Duration::from_millis(u64::from(occupancy.left_out_ms));
--- a/crates/sidecar/src/slots/backlog.rs
+++ b/crates/sidecar/src/slots/backlog.rs
@@ -102,11 +102,6 @@
         self.waiting.is_empty()
     }
 
-    /// How long requests keep a slot on average, in seconds.
-    pub fn mean_run_time_s(&self) -> f64 {
-        self.run_times.mean()
-    }
-
     /// A request arrives, whether it will wait or not.
     pub fn arrived(&mut self, now: Instant, turn: Turn) {
         let work = self.run_times.mean_of(turn.objective);
--- a/crates/sidecar/src/slots/mod.rs
+++ b/crates/sidecar/src/slots/mod.rs
@@ -91,14 +91,6 @@
         }
     }
 
-    /// Slots that requests can keep in use under the limit that the target names, at least one; nothing if it names
-    /// none.
-    pub fn usable_under_limit(&self) -> Option<u32> {
-        let starts_per_s = self.request_cap.get()?.starts_per_s();
-        let slots = starts_per_s * self.backlog.borrow().mean_run_time_s();
-        Some((slots.round() as u32).max(1))
-    }
-
     /// Requests in slots.
     pub fn running(&self) -> usize {
         self.running.get()
--- a/crates/sidecar/tests/request_limit.rs
+++ b/crates/sidecar/tests/request_limit.rs
@@ -53,3 +53,19 @@
     assert_eq!(limit.requests_per_s(), None);
     assert_eq!(limit.named(Some(first), None), LimitChange::None);
 }
+
+#[test]
+fn a_process_that_starts_beside_a_known_target_believes_routers_until_it_has_been_answered() {
+    let mut limit = RequestLimit::new(true);
+    assert_eq!(limit.told_by_router(3.0), LimitChange::Set(3.0));
+    assert_eq!(limit.told_by_router(4.0), LimitChange::None);
+    let first = limit.sent();
+    assert_eq!(limit.named(Some(first), None), LimitChange::Lifted);
+    assert_eq!(limit.told_by_router(3.0), LimitChange::None);
+}
+
+#[test]
+fn the_first_process_of_all_believes_no_router() {
+    let mut limit = RequestLimit::new(false);
+    assert_eq!(limit.told_by_router(3.0), LimitChange::None);
+}
