A leader reminds nodes that came after its election, too

What callers saw: a node whose process starts again while the store refuses it wasn't ready for as long as that lasted, though the leader and all other nodes were well. Cause: a leader told only those nodes who leads that the store knew when it was elected. The first leader of a system finds none; where it is fit to stay, nobody ever reminds the others. Change: nodes that were heard since the election and are silent now are reminded as well, at the same rate.

--- a/crates/ownership/src/participant/leadership.rs
+++ b/crates/ownership/src/participant/leadership.rs
@@ -58,7 +58,8 @@
         self.tell_changes(now, around, actions);
     }
 
-    /// Tells registered nodes that haven't been heard lately who leads, some at a time.
+    /// Tells nodes that haven't been heard lately who leads, some at a time: those that were registered before the election,
+    /// and those that were heard since.
     fn remind_silent(&mut self, now: Time, around: &Surroundings, actions: &mut Vec<Action>) {
         if now < self.next_reminders {
             return;
@@ -68,15 +69,20 @@
         else {
             return;
         };
-        let is_silent = |name: &NodeName| {
-            let member = leader.members().get(name);
-            member.is_none_or(|member| now.since(member.heard_at) >= self.timing.suspect_after)
-        };
-        let silent = self
+        let members = leader.members();
+        let heard_once = members
+            .values()
+            .filter(|member| now.since(member.heard_at) >= self.timing.suspect_after)
+            .map(|member| (&member.view.node, member.view.address));
+        let never_heard = self
             .registered
             .iter()
-            .filter(|known| known.node != self.identity.node && is_silent(&known.node))
-            .map(|known| known.address)
+            .filter(|known| !members.contains_key(&known.node))
+            .map(|known| (&known.node, known.address));
+        let silent = heard_once
+            .chain(never_heard)
+            .filter(|(name, _)| **name != self.identity.node)
+            .map(|(_, address)| address)
             .collect::<Vec<_>>();
         self.counter += 1;
         let version = leader.table().version;
--- a/crates/ownership/tests/reminders.rs
+++ b/crates/ownership/tests/reminders.rs
@@ -25,8 +25,18 @@
     }
 }
 
-/// A leader since time 1000; node 2 is registered and hasn't been heard.
+/// A leader since time 3000; node 2 is registered and hasn't been heard.
 fn leader() -> Participant {
+    let (node, told) = leader_that_lists(&[("one", 1), ("two", 2)]);
+    assert!(
+        notices(&told, address(2)) > 0,
+        "all registered nodes are told at once"
+    );
+    node
+}
+
+/// A leader since time 3000 that found these nodes registered, and what it does first.
+fn leader_that_lists(names: &[(&str, u8)]) -> (Participant, Vec<Action>) {
     let identity = Identity {
         node: NodeName::from("one"),
         life: Life(1),
@@ -48,21 +58,17 @@
     };
     let claimed = node.claim_ended(now, &around(), now, leadership.clone(), ClaimResult::Won);
     assert_eq!(claimed, [Action::ListRegistered]);
-    let registered = [("one", 1), ("two", 2)].map(|(name, last)| RegisteredNode {
-        node: NodeName::from(name),
-        address: address(last),
+    let registered = names.iter().map(|(name, last)| RegisteredNode {
+        node: NodeName::from(*name),
+        address: address(*last),
         service: Some("s".to_owned()),
     });
     let registered = RegisteredNodes {
-        by_themselves: registered.to_vec(),
+        by_themselves: registered.collect(),
         ..RegisteredNodes::default()
     };
     let told = node.registered_listed(now, &around(), Some(registered));
-    assert!(
-        notices(&told, address(2)) > 0,
-        "all registered nodes are told at once"
-    );
-    node
+    (node, told)
 }
 
 fn notices(actions: &[Action], to: SocketAddr) -> usize {
@@ -127,3 +133,14 @@
     assert!(told <= 3, "{told} notices");
     assert_eq!(told_between(&mut node, 8_100, 9_000), 0);
 }
+
+/// Guards against a node that came after the election, starts again where the store refuses it, and is told by nobody.
+#[test]
+fn a_silent_node_that_came_after_the_election_is_reminded_again_and_again() {
+    let (mut node, _) = leader_that_lists(&[]);
+    let datagram = Datagram::Renew(Box::new(renewal(3_100)));
+    let _lease = node.receive(Time(3_100), &around(), address(2), datagram);
+    told_between(&mut node, 3_200, 5_000);
+    let times = told_between(&mut node, 5_000, 10_000);
+    assert!((3..=8).contains(&times), "{times} times in five seconds");
+}
