One memory of a limit that a target elsewhere has named

Routers kept it twice, once to weigh targets by and once to send it along. Both uses read what selection knows of the node, which outlasts the node's absence from the table while the limit is sent along. Calls of the node's own note what their answers announce where it is known whose answers they are.

--- a/crates/sidecar/src/key_calls.rs
+++ b/crates/sidecar/src/key_calls.rs
@@ -8,6 +8,7 @@
 use wingspar_ownership::{GrantResult, KeyRange, Order};
 use wingspar_platform::{GrantOrder, ReleaseOrder, headers};
 
+use crate::announcements;
 use crate::body::Body;
 use crate::clock::whole_millis;
 use crate::logs::Event;
@@ -116,5 +117,7 @@
     request
         .headers_mut()
         .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-    call(node, request, time).await
+    let answer = call(node, request, time).await?;
+    announcements::note_own_call(node, answer.headers());
+    Some(answer)
 }
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -41,7 +41,6 @@
 mod listen;
 pub mod logs;
 mod metrics;
-pub mod named_limits;
 mod node;
 pub mod occupancy;
 mod operations;
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -31,7 +31,6 @@
 use crate::link::{LARGE, Link};
 use crate::logs::{Event, Log};
 use crate::metrics::Metrics;
-use crate::named_limits::NamedLimits;
 use crate::quota::Quotas;
 use crate::relay::Relays;
 use crate::request_limit::RequestLimit;
@@ -163,8 +162,6 @@
     peers: RefCell<HashMap<SocketAddr, Rc<Connections>>>,
     /// What is known of targets elsewhere.
     pub selection: Selection,
-    /// Limits that targets elsewhere have named.
-    pub named_limits: NamedLimits,
     /// Targets elsewhere that leave.
     pub leaving_targets: LeavingTargets,
     /// Whether tables are fetched from nodes of the own region.
@@ -252,7 +249,6 @@
             key_news: Notify::new(),
             peers: RefCell::new(HashMap::new()),
             selection: Selection::new(Places::of(&settings)),
-            named_limits: NamedLimits::default(),
             leaving_targets: LeavingTargets::default(),
             relays: RefCell::default(),
             spill_over: RefCell::default(),
@@ -450,9 +446,10 @@
 
     /// Takes on another directory.
     pub fn set_directory(&self, directory: Directory) {
-        self.selection.retain(|node| directory.node(node).is_some());
-        self.leaving_targets.retain(self.now(), &directory);
-        self.named_limits.forget_old(self.now());
+        let now = self.now();
+        self.selection
+            .retain(now, |node| directory.node(node).is_some());
+        self.leaving_targets.retain(now, &directory);
         *self.directory.borrow_mut() = Rc::new(directory);
         self.directory_changed.notify_waiters();
     }
--- a/crates/sidecar/src/router/send.rs
+++ b/crates/sidecar/src/router/send.rs
@@ -344,7 +344,7 @@
         },
         key: routed.key,
         fingerprint: routed.fingerprint,
-        told_limit: node.named_limits.of(node.now(), destination),
+        told_limit: node.selection.told_limit(node.now(), destination),
     };
     routed.permit.sending();
     let outstanding = Outstanding::begin(node, &destination.node);
@@ -363,7 +363,6 @@
         let now = node.now();
         node.selection
             .reported(now, routed.service, destination, occupancy);
-        node.named_limits.told(now, destination, occupancy.limit());
         if let Some(life) = occupancy.leaving {
             node.leaving_targets.told(now, &destination.node, life);
         }
--- a/crates/sidecar/src/selection.rs
+++ b/crates/sidecar/src/selection.rs
@@ -13,6 +13,7 @@
 use wingspar_ownership::{NodeName, Time};
 
 use crate::directory::Destination;
+use crate::leaving_targets::LifeDigest;
 use crate::occupancy::Occupancy;
 use crate::ways::{Places, ReachChange, Relation, Ways};
 
@@ -60,15 +61,26 @@
 const REPORT_FADES: Duration = Duration::from_millis(400);
 /// The same for what it reported of its link.
 const LINK_REPORT_FADES: Duration = Duration::from_millis(1_500);
-/// A limit that a target names is taken to hold for so long after the report of it: a target in need rarely recovers
-/// sooner, and one that few requests are sent to is seldom heard of.
-const LIMIT_REPORT_HOLDS: Duration = Duration::from_secs(3);
+/// A limit that a target names is counted on for so long after the report of it: a target in need rarely recovers sooner,
+/// and one that few requests are sent to is seldom heard of.
+const LIMIT_COUNTS: Duration = Duration::from_secs(3);
+/// It is sent along with requests for so long: the process beside the target may start again meanwhile, and know nothing
+/// of it.
+const LIMIT_SENT_ALONG: Duration = Duration::from_secs(15);
 /// What one node of another region reported tells of all others there, over this time: requests go there too seldom to know
 /// each, and a region that is short of room rarely gets it back sooner.
 const REGION_LOAD_FADES: Duration = Duration::from_secs(3);
 /// Weight of one report against what was known of the region.
 const REGION_LOAD_SMOOTHING: f64 = 0.3;
 
+/// A limit on requests that a life of a target has named.
+#[derive(Debug, Clone, Copy)]
+struct ToldLimit {
+    life: LifeDigest,
+    requests_per_s: f64,
+    told_at: Time,
+}
+
 /// What this node has seen of another's target.
 #[derive(Debug, Clone, Default)]
 struct EndpointStatistics {
@@ -83,8 +95,8 @@
     avoid_until: Time,
     /// The target rejects what it is sent, and its node asked to leave it out until then.
     left_out_until: Time,
-    /// Requests a second that the target takes, if it names a limit.
-    limit: Option<f64>,
+    /// The limit that the target names, if it does.
+    limit: Option<ToldLimit>,
 }
 
 impl EndpointStatistics {
@@ -99,12 +111,16 @@
 
     /// Slots of a target that requests can keep in use, at least one.
     fn slots(&self, now: Time, slots: u32) -> f64 {
-        let is_recent = now.since(self.reported_at) < LIMIT_REPORT_HOLDS;
-        let limit = self.limit.filter(|_| is_recent);
-        let usable = limit.map(|per_s| per_s * self.time.unwrap_or(FIRST_TIME));
         let slots = f64::from(slots);
+        let limit = self.limit_since(now, LIMIT_COUNTS);
+        let usable = limit.map(|limit| limit.requests_per_s * self.time.unwrap_or(FIRST_TIME));
         usable.map_or(slots, |usable| usable.min(slots)).max(1.0)
     }
+
+    /// The limit, if it was told within that time.
+    fn limit_since(&self, now: Time, span: Duration) -> Option<ToldLimit> {
+        self.limit.filter(|limit| now.since(limit.told_at) < span)
+    }
 }
 
 /// What is left of a fact of that age, from 1 to 0.
@@ -339,7 +355,11 @@
         seen.running = occupancy.running;
         seen.waiting = occupancy.waiting;
         seen.link_ms = occupancy.link_ms;
-        seen.limit = occupancy.limit();
+        seen.limit = occupancy.limit().map(|requests_per_s| ToldLimit {
+            life: destination.life,
+            requests_per_s,
+            told_at: now,
+        });
         seen.reported_at = now;
         if occupancy.left_out_ms > 0 {
             let left_out = Duration::from_millis(u64::from(occupancy.left_out_ms));
@@ -394,11 +414,23 @@
         may_ask
     }
 
-    /// Forgets nodes that are gone.
-    pub fn retain(&self, known: impl Fn(&NodeName) -> bool) {
-        self.seen
-            .borrow_mut()
-            .retain(|node, seen| seen.outstanding > 0 || known(node));
+    /// The limit to send along with a request: what the node beside the target has told of this life of it, in requests a
+    /// second.
+    pub fn told_limit(&self, now: Time, destination: &Destination) -> Option<f64> {
+        let seen = self.seen.borrow();
+        let limit = seen
+            .get(&destination.node)?
+            .limit_since(now, LIMIT_SENT_ALONG)?;
+        let is_same = limit.life.may_be(destination.life);
+        is_same.then_some(limit.requests_per_s)
+    }
+
+    /// Forgets nodes that are gone, but for those that may come back beside a target that names a limit.
+    pub fn retain(&self, now: Time, known: impl Fn(&NodeName) -> bool) {
+        self.seen.borrow_mut().retain(|node, seen| {
+            let names_limit = seen.limit_since(now, LIMIT_SENT_ALONG).is_some();
+            seen.outstanding > 0 || names_limit || known(node)
+        });
     }
 }
 
--- a/crates/sidecar/src/target_calls.rs
+++ b/crates/sidecar/src/target_calls.rs
@@ -322,7 +322,6 @@
         let response = node.target_orders.send(request).await.ok()?;
         let (parts, body) = response.into_parts();
         let _rest = body.collect().await.ok()?;
-        announcements::note_own_call(node, &parts.headers);
         Some(Response::from_parts(parts, ()))
     };
     timeout(time, exchange).await.ok().flatten()
@@ -355,7 +354,6 @@
     };
     let heard = node.target.borrow_mut().probed(node.now(), id, health);
     heard_of_target(node, heard);
-    // Only now is it known whose answer this is.
     announcements::note_own_call(node, answer.headers());
     note_load(node, &answer, node.slots.running());
 }
@@ -387,6 +385,7 @@
     let mut request = Request::new(Body::empty());
     *request.uri_mut() = uri;
     if let Some(answer) = call(node, request, PROBE_TIMEOUT).await {
+        announcements::note_own_call(node, answer.headers());
         note_load(node, &answer, node.slots.running());
     }
 }
--- a/crates/sidecar/tests/limited_targets.rs
+++ b/crates/sidecar/tests/limited_targets.rs
@@ -6,7 +6,6 @@
 use wingspar_ownership::{NodeName, Time};
 use wingspar_sidecar::directory::Destination;
 use wingspar_sidecar::leaving_targets::LifeDigest;
-use wingspar_sidecar::named_limits::NamedLimits;
 use wingspar_sidecar::occupancy::Occupancy;
 use wingspar_sidecar::selection::{RequestPreference, Selection};
 use wingspar_sidecar::ways::Relation;
@@ -82,17 +81,20 @@
 /// Guards against a process that has just started beside a limited target, which routers don't tell of the limit.
 #[test]
 fn a_limit_is_sent_along_for_a_while_to_the_same_life() {
-    let limits = NamedLimits::default();
+    let selection = Selection::default();
     let known = destination("limited");
     let (told_at, later) = (Time(1_000), Time(11_000));
-    limits.told(told_at, &known, Some(9.5));
-    assert_eq!(limits.of(later, &known), Some(9.5));
+    let limited = Occupancy::default().with_limit(Some(9.5));
+    selection.reported(told_at, "search", &known, limited);
+    // The node is missing from the directory while its process starts again.
+    selection.retain(later, |_| false);
+    assert_eq!(selection.told_limit(later, &known), Some(9.5));
     let other = Destination {
         life: LifeDigest::of("another"),
         ..known.clone()
     };
-    assert_eq!(limits.of(later, &other), None);
-    assert_eq!(limits.of(Time(60_000), &known), None);
-    limits.told(later, &known, None);
-    assert_eq!(limits.of(later, &known), None);
+    assert_eq!(selection.told_limit(later, &other), None);
+    assert_eq!(selection.told_limit(Time(60_000), &known), None);
+    selection.reported(later, "search", &known, Occupancy::default());
+    assert_eq!(selection.told_limit(later, &known), None);
 }
