Tests: limits that can't be read, calls of targets under a limit; soak: targets that say in their answers that they leave

Two process tests: what is no limit changes nothing and is counted; calls of targets keep to the limit.

--- a/crates/standins/src/fleet/target/handler.rs
+++ b/crates/standins/src/fleet/target/handler.rs
@@ -116,6 +116,7 @@
         let id = text(request, "x-wingspar-request-id");
         lock(&shared.seen).push(Seen {
             id: id.clone(),
+            target: shared.id(),
             key,
             caller: text(request, "x-wingspar-caller-service"),
             tenants: texts(request, "x-wingspar-tenant"),
--- a/crates/standins/src/fleet/target/mod.rs
+++ b/crates/standins/src/fleet/target/mod.rs
@@ -105,6 +105,11 @@
         *lock(&self.shared.past_lives)
     }
 
+    /// Ends its life; the next begins a little later.
+    pub fn begin_anew(&self) {
+        self.shared.crash.notify_one();
+    }
+
     /// Requests that came while it had no room.
     #[must_use]
     pub fn without_room(&self) -> usize {
--- a/crates/standins/src/fleet/target/state.rs
+++ b/crates/standins/src/fleet/target/state.rs
@@ -57,6 +57,8 @@
 pub struct Seen {
     /// Its id.
     pub id: String,
+    /// The id of the target's life that ran it.
+    pub target: String,
     /// Its key.
     pub key: Option<u16>,
     /// Who called.
--- a/crates/wingspar/tests/sidecar/named_limit.rs
+++ b/crates/wingspar/tests/sidecar/named_limit.rs
@@ -2,8 +2,8 @@
 
 use std::time::{Duration, Instant};
 
-use reqwest::StatusCode;
-use wingspar_standins::fleet::{FleetTarget, TargetFaults};
+use reqwest::{Method, StatusCode};
+use wingspar_standins::fleet::{FleetTarget, TargetCall, TargetFaults};
 
 use crate::deployment::{Deployment, eventually};
 use crate::steady_load::load;
@@ -134,3 +134,53 @@
     let most = most_within_span(target(&deployment, 0), told_at);
     assert!(most <= allowed(6.0), "{most} requests");
 }
+
+/// Guards against a header that can't be read being taken for a limit, or for the end of one.
+#[tokio::test]
+async fn what_is_no_limit_changes_nothing() {
+    let deployment = Deployment::start(81).await;
+    deployment.plain_targets_do(limited("-1"));
+    let ends = load(&deployment, "none", "/book/1", Duration::from_secs(1)).await;
+    let unserved = ends.iter().filter(|end| end.status != StatusCode::OK);
+    assert_eq!(unserved.count(), 0, "no limit was named");
+    deployment.plain_targets_do(limited("5.1"));
+    load(&deployment, "named", "/book/1", Duration::from_secs(1)).await;
+    let told_at = Instant::now();
+    deployment.plain_targets_do(limited("many"));
+    load(&deployment, "still", "/book/1", Duration::from_secs(5)).await;
+    for node in PLAIN_NODES {
+        let most = most_within_span(target(&deployment, node), told_at);
+        assert!(most <= allowed(5.1), "node {node}: {most} requests");
+    }
+    let metrics = deployment.operate(2, Method::GET, "/metrics").await;
+    let unreadable = metrics
+        .lines()
+        .find_map(|line| line.strip_prefix("wingspar_unreadable_announcements_total "));
+    assert!(
+        unreadable.is_some_and(|count| count != "0"),
+        "{unreadable:?}"
+    );
+}
+
+/// Guards against calls that targets make through their own nodes passing a limit by.
+#[tokio::test]
+async fn calls_of_targets_count_against_the_limit() {
+    let deployment = Deployment::start(82).await;
+    deployment.plain_targets_do(limited("5.1"));
+    for node in [0, 1] {
+        target(&deployment, node).set_call(TargetCall {
+            node: deployment.nodes[node].outbound,
+            host: "shop.example".to_owned(),
+            path: "/orders/1".to_owned(),
+            credential: String::new(),
+        });
+    }
+    load(&deployment, "before", "/stock/1", Duration::from_secs(1)).await;
+    let told_at = Instant::now();
+    load(&deployment, "after", "/stock/1", Duration::from_secs(5)).await;
+    for node in PLAIN_NODES {
+        let most = most_within_span(target(&deployment, node), told_at);
+        assert!(most <= allowed(5.1), "node {node}: {most} requests");
+        assert!(most >= 10, "node {node}: {most} calls, though it takes 20");
+    }
+}
--- a/crates/wingspar/tests/sidecar/soak/limits.rs
+++ b/crates/wingspar/tests/sidecar/soak/announcements.rs
@@ -1,4 +1,4 @@
-//! Targets that name a limit on requests for a while.
+//! Targets that name a limit on requests for a while, or say that they leave.
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
@@ -10,8 +10,14 @@
 use super::load::CRASHING_PATH;
 use crate::deployment::Deployment;
 
-/// Limits that are named, in requests a second.
-const LIMITS: [(&str, f64); 3] = [("0.3", 0.3), ("2", 2.0), ("4.5", 4.5)];
+/// Limits that are named, in requests a second; what can't be read is none.
+const LIMITS: [(&str, Option<f64>); 5] = [
+    ("0.3", Some(0.3)),
+    ("2", Some(2.0)),
+    ("4.5", Some(4.5)),
+    ("-1", None),
+    ("many", None),
+];
 /// The limit binds this long after it was first named.
 const BINDS_AFTER: Duration = Duration::from_secs(3);
 /// The span over which a target counts what it gets.
@@ -26,9 +32,9 @@
     until: Option<Instant>,
 }
 
-/// What targets do wrong beside the other faults, and the limits that they have named.
+/// What targets do wrong and announce beside the other faults, and the limits that they have named.
 #[derive(Default)]
-pub struct Limits {
+pub struct Announcements {
     faults: BTreeMap<usize, TargetFaults>,
     named: Vec<Named>,
     /// Moments from which a target may get more than its node sends: its link was harmed or healed, or it began anew.
@@ -36,7 +42,7 @@
     crashes: BTreeMap<usize, u32>,
 }
 
-impl Limits {
+impl Announcements {
     /// Changes what a machine's target does wrong.
     fn change(
         &mut self,
@@ -61,26 +67,28 @@
     }
 
     /// Has a machine's target name a limit; the limit.
-    pub fn begin(
+    pub fn begin_limit(
         &mut self,
         deployment: &Deployment,
         random: &mut ChaCha8Rng,
         node: usize,
     ) -> &'static str {
         let (text, requests_per_s) = LIMITS[random.random_range(0..LIMITS.len())];
-        self.end(deployment, node);
+        self.end_limit(deployment, node);
         self.change(deployment, node, |faults| faults.names_limit = Some(text));
-        self.named.push(Named {
-            node,
-            requests_per_s,
-            from: Instant::now(),
-            until: None,
-        });
+        if let Some(requests_per_s) = requests_per_s {
+            self.named.push(Named {
+                node,
+                requests_per_s,
+                from: Instant::now(),
+                until: None,
+            });
+        }
         text
     }
 
     /// Has a machine's target name no limit any more.
-    pub fn end(&mut self, deployment: &Deployment, node: usize) {
+    pub fn end_limit(&mut self, deployment: &Deployment, node: usize) {
         self.change(deployment, node, |faults| faults.names_limit = None);
         let open = self.named.iter_mut().filter(|named| named.node == node);
         for named in open {
@@ -88,6 +96,19 @@
         }
     }
 
+    /// Has a machine's target say that it leaves.
+    pub fn begin_leaving(&mut self, deployment: &Deployment, node: usize) {
+        self.change(deployment, node, |faults| faults.says_leaving = true);
+    }
+
+    /// A machine's target that has left ends, and begins anew.
+    pub fn end_leaving(&mut self, deployment: &Deployment, node: usize) {
+        if let Some(target) = &deployment.nodes[node].target {
+            target.begin_anew();
+        }
+        self.change(deployment, node, |faults| faults.says_leaving = false);
+    }
+
     /// The link to a machine's target was harmed or healed.
     pub fn link_changed(&mut self, node: usize) {
         self.disturbed.push((node, Instant::now()));
@@ -104,7 +125,7 @@
     }
 
     /// No target gets more than one and a half times what its limit allows and five requests, within any span.
-    pub fn hold(&self, deployment: &Deployment) -> Result<(), String> {
+    pub fn limits_hold(&self, deployment: &Deployment) -> Result<(), String> {
         for named in &self.named {
             let Some(target) = &deployment.nodes[named.node].target else {
                 continue;
--- a/crates/wingspar/tests/sidecar/soak/checks.rs
+++ b/crates/wingspar/tests/sidecar/soak/checks.rs
@@ -4,9 +4,10 @@
 
 use wingspar_standins::fleet::Seen;
 
+use super::announcements::Announcements;
 use super::credentials::{Credentials, LISTED};
 use super::faults::Faults;
-use super::limits::Limits;
+use super::leaving::{self, Interruptions};
 use super::load::{Answer, Kind};
 use super::quotas;
 use crate::deployment::Deployment;
@@ -21,7 +22,8 @@
     /// Target's id and what it ran, in the order of time.
     runs: Vec<(String, Seen)>,
     credentials: &'a Credentials,
-    limits: &'a Limits,
+    announcements: &'a Announcements,
+    interruptions: &'a Interruptions,
     log: &'a [String],
 }
 
@@ -44,7 +46,8 @@
             answers,
             runs,
             credentials: faults.credentials(),
-            limits: faults.limits(),
+            announcements: faults.announcements(),
+            interruptions: faults.interruptions(),
             log: faults.log(),
         }
     }
@@ -85,7 +88,8 @@
             self.tenant_is_told(),
             self.who_is_listed_is_not_turned_away(),
             quotas::hold(self.deployment, self.answers),
-            self.limits.hold(self.deployment),
+            self.announcements.limits_hold(self.deployment),
+            leaving::hold(self.answers, &self.runs, self.interruptions),
         ];
         for check in checks {
             check.map_err(|problem| format!("{problem}\n  {}", self.log.join("\n  ")))?;
--- a/crates/wingspar/tests/sidecar/soak/faults.rs
+++ b/crates/wingspar/tests/sidecar/soak/faults.rs
@@ -9,8 +9,9 @@
 use wingspar_standins::fleet::{StoreCopy, StoreFaults};
 use wingspar_standins::net::Harm;
 
+use super::announcements::Announcements;
 use super::credentials::Credentials;
-use super::limits::Limits;
+use super::leaving::Interruptions;
 use super::quotas::{METERED, VARIED};
 use crate::deployment::{Deployment, route};
 use crate::quota_bound;
@@ -24,6 +25,8 @@
 const STORM_LASTS: Duration = quota_bound::WINDOW;
 /// How much longer than other faults a target names a limit: until it binds, and for a span in which it is counted.
 const LIMIT_LASTS: Duration = Duration::from_secs(8);
+/// How much longer than other faults a target leaves before it ends: nodes may send it nothing for a while by then.
+const LEAVING_LASTS: Duration = Duration::from_secs(5);
 /// How often a copy of the store is kept.
 const COPY_EVERY: Duration = Duration::from_millis(700);
 /// How old the copy is, at most, that the store comes back from.
@@ -46,6 +49,7 @@
     Evacuation(&'static str),
     SlowTarget(usize),
     Limit(usize),
+    Leaving(usize),
     Storm(&'static str),
     /// The store is away, and comes back from a copy.
     StoreAway(StoreCopy),
@@ -60,7 +64,8 @@
     ends: Vec<(Instant, End)>,
     configuration: u64,
     credentials: Credentials,
-    limits: Limits,
+    announcements: Announcements,
+    interruptions: Interruptions,
     /// Copies of the store of the last seconds.
     copies: VecDeque<(Instant, StoreCopy)>,
     /// The last configuration, as the store holds it.
@@ -78,7 +83,8 @@
             ends: Vec::new(),
             configuration: 100,
             credentials: Credentials::new(seed),
-            limits: Limits::default(),
+            announcements: Announcements::default(),
+            interruptions: Interruptions::default(),
             copies: VecDeque::new(),
             written: Value::Null,
             log: Vec::new(),
@@ -95,9 +101,14 @@
         &self.credentials
     }
 
-    /// The limits that targets have named.
-    pub fn limits(&self) -> &Limits {
-        &self.limits
+    /// What targets have announced.
+    pub fn announcements(&self) -> &Announcements {
+        &self.announcements
+    }
+
+    /// When processes were interrupted.
+    pub fn interruptions(&self) -> &Interruptions {
+        &self.interruptions
     }
 
     /// A credential for a request.
@@ -194,7 +205,7 @@
             self.end(deployment, end).await;
         }
         self.keep_copy(deployment, now);
-        self.limits.note_crashes(deployment);
+        self.announcements.note_crashes(deployment);
         if now < self.next_at {
             return;
         }
@@ -235,9 +246,14 @@
         until: Instant,
     ) {
         let away = self.is_away(node);
-        match random.random_range(0..21) {
+        match random.random_range(0..22) {
+            21 => {
+                self.announcements.begin_leaving(deployment, node);
+                self.note(&format!("the target of {node} says that it leaves"));
+                self.ends.push((until + LEAVING_LASTS, End::Leaving(node)));
+            }
             19 | 20 => {
-                let limit = self.limits.begin(deployment, random, node);
+                let limit = self.announcements.begin_limit(deployment, random, node);
                 self.note(&format!("the target of {node} names a limit of {limit}"));
                 self.ends.push((until + LIMIT_LASTS, End::Limit(node)));
             }
@@ -251,7 +267,7 @@
             2 | 3 => {
                 let harm = draw_harm(random);
                 deployment.nodes[node].target_link.set(harm);
-                self.limits.link_changed(node);
+                self.announcements.link_changed(node);
                 self.note(&format!("target link of {node}: {harm:?}"));
                 self.ends.push((until, End::TargetLink(node)));
             }
@@ -268,7 +284,7 @@
                 self.ends.push((until, End::Evacuation(zone)));
             }
             11 => {
-                self.limits.set_warmup(deployment, node, SLOW_FOR);
+                self.announcements.set_warmup(deployment, node, SLOW_FOR);
                 self.note(&format!("the target of {node} is slow after its start"));
                 self.ends.push((until, End::SlowTarget(node)));
             }
@@ -301,6 +317,7 @@
             8 if !away => {
                 self.note(&format!("{node} is stopped in order"));
                 deployment.terminate(node);
+                self.interruptions.note(node);
                 if !deployment.exited_well(node).await {
                     self.note(&format!("{node} didn't end by itself"));
                 }
@@ -312,12 +329,14 @@
 
     fn pause(&mut self, deployment: &Deployment, node: usize, until: Instant) {
         deployment.signal(node, "-STOP");
+        self.interruptions.note(node);
         self.note(&format!("{node} is paused"));
         self.ends.push((until, End::Resume(node)));
     }
 
     fn kill(&mut self, deployment: &mut Deployment, node: usize, until: Instant) {
         deployment.kill(node);
+        self.interruptions.note(node);
         self.note(&format!("{node} is killed"));
         self.ends.push((until, End::Start(node)));
     }
@@ -335,16 +354,26 @@
             End::StoreLink(node) => deployment.nodes[node].store_link.set(Harm::None),
             End::TargetLink(node) => {
                 deployment.nodes[node].target_link.set(Harm::None);
-                self.limits.link_changed(node);
+                self.announcements.link_changed(node);
             }
             End::Store => deployment.store.set_faults(StoreFaults::default()),
-            End::Resume(node) => deployment.signal(node, "-CONT"),
-            End::Start(node) => deployment.start_process(node),
+            End::Resume(node) => {
+                deployment.signal(node, "-CONT");
+                self.interruptions.note(node);
+            }
+            End::Start(node) => {
+                deployment.start_process(node);
+                self.interruptions.note(node);
+            }
             End::Evacuation(zone) => {
                 deployment.store.remove("evacuations", zone);
             }
-            End::SlowTarget(node) => self.limits.set_warmup(deployment, node, Duration::ZERO),
-            End::Limit(node) => self.limits.end(deployment, node),
+            End::SlowTarget(node) => {
+                self.announcements
+                    .set_warmup(deployment, node, Duration::ZERO)
+            }
+            End::Leaving(node) => self.announcements.end_leaving(deployment, node),
+            End::Limit(node) => self.announcements.end_limit(deployment, node),
             End::Storm(_) => {}
             End::StoreAway(copy) => {
                 self.copies.clear();
--- a/crates/wingspar/tests/sidecar/soak/load.rs
+++ b/crates/wingspar/tests/sidecar/soak/load.rs
@@ -52,6 +52,8 @@
 pub struct Answer {
     /// The request's id.
     pub id: String,
+    /// The machine whose node it was sent to.
+    pub node: usize,
     /// What it may do.
     pub kind: Kind,
     /// The credential that the request carried.
@@ -66,13 +68,18 @@
     pub signed: bool,
     /// Its body, if it came whole.
     pub body: Option<String>,
+    /// When the answer began.
+    pub answered_at: Option<Instant>,
+    /// Whether the target says in it that it leaves.
+    pub says_leaving: bool,
 }
 
 impl Answer {
     /// A request without an answer.
-    fn none(id: String, kind: Kind, credential: &'static str) -> Self {
+    fn none(id: String, node: usize, kind: Kind, credential: &'static str) -> Self {
         Self {
             id,
+            node,
             kind,
             credential,
             sent_at: Instant::now(),
@@ -80,8 +87,17 @@
             answered_id: None,
             signed: false,
             body: None,
+            answered_at: None,
+            says_leaving: false,
         }
     }
+
+    /// The life of the target that says in the answer that it leaves.
+    pub fn leaving_target(&self) -> Option<String> {
+        let body = self.body.as_ref().filter(|_| self.says_leaving)?;
+        let body = serde_json::from_str::<serde_json::Value>(body).ok()?;
+        Some(body["ran_at"].as_str()?.to_owned())
+    }
 }
 
 /// All requests of a run.
@@ -136,7 +152,7 @@
                 Kind::Keyed(key) => request("stock").header("x-wingspar-shard-key", key),
                 Kind::Crashing => continue,
             };
-            self.send(request, id, kind, credential);
+            self.send(request, (id, node), kind, credential);
         }
         for credential in faults.storming() {
             for _ in 0..STORM {
@@ -146,7 +162,7 @@
                 let path = format!("/orders/{id}");
                 let request = deployment.request_as(node, &path, &id, Some(credential));
                 let request = request.header("x-wingspar-deadline-ms", DEADLINE_MS);
-                self.send(request, id, Kind::Repeatable, credential);
+                self.send(request, (id, node), Kind::Repeatable, credential);
             }
         }
         if random.random_range(0..PIPELINED) == 0 {
@@ -174,7 +190,7 @@
                 _ => Kind::Repeatable,
             };
             let id = format!("s{}-{}-piped", self.seed, self.sent);
-            Answer::none(id, kind, faults.draw_credential())
+            Answer::none(id, node, kind, faults.draw_credential())
         });
         let requests = requests.collect::<Vec<_>>();
         let address = deployment.nodes[node].outbound;
@@ -188,19 +204,19 @@
         self.sent += 1;
         let id = format!("s{}-{}-crashing", self.seed, self.sent);
         let request = deployment.request(node, CRASHING_PATH, &id);
-        self.send(request, id, Kind::Crashing, STEADY);
+        self.send(request, (id, node), Kind::Crashing, STEADY);
     }
 
     fn send(
         &mut self,
         request: reqwest::RequestBuilder,
-        id: String,
+        (id, node): (String, usize),
         kind: Kind,
         credential: &'static str,
     ) {
         let request = request.timeout(PATIENCE);
-        self.running
-            .push(tokio::spawn(ask(request, id, kind, credential)));
+        let unanswered = Answer::none(id, node, kind, credential);
+        self.running.push(tokio::spawn(ask(request, unanswered)));
     }
 
     /// Waits for all answers.
@@ -239,6 +255,8 @@
             answer.status = Some(next.status);
             answer.answered_id = next.id().map(str::to_owned);
             answer.signed = next.header("x-wingspar-response-signature").is_some();
+            answer.answered_at = Some(Instant::now());
+            answer.says_leaving = next.header("server-leaving").is_some();
             answer.body = Some(next.body);
         }
         std::io::Result::Ok(())
@@ -247,13 +265,7 @@
     answers
 }
 
-async fn ask(
-    request: reqwest::RequestBuilder,
-    id: String,
-    kind: Kind,
-    credential: &'static str,
-) -> Answer {
-    let mut answer = Answer::none(id, kind, credential);
+async fn ask(request: reqwest::RequestBuilder, mut answer: Answer) -> Answer {
     let Ok(response) = request.send().await else {
         return answer;
     };
@@ -264,6 +276,8 @@
     answer.status = Some(response.status().as_u16());
     answer.answered_id = text("x-wingspar-request-id");
     answer.signed = text("x-wingspar-response-signature").is_some();
+    answer.answered_at = Some(Instant::now());
+    answer.says_leaving = text("server-leaving").is_some();
     answer.body = response.text().await.ok();
     answer
 }
--- a/crates/wingspar/tests/sidecar/soak/mod.rs
+++ b/crates/wingspar/tests/sidecar/soak/mod.rs
@@ -5,16 +5,18 @@
 //! processes that are paused, killed, stopped in order and started again; a store that is down, throttles or forgets;
 //! tenants whose credentials come and go, whose quotas are lowered, and that send many times their usual while the
 //! owner of their quota is paused or killed; regions that are lost; zones that are evacuated; targets that say that
-//! they are slow after their start, or name a limit on requests; a request under which targets end. Nodes aren't cut off from each other: they tell
+//! they are slow after their start, that name a limit on requests, or
+//! something that can't be read as one, and that say in their answers that they leave; a request under which targets end. Nodes aren't cut off from each other: they tell
 //! others the address that they listen on, so nothing can stand between them.
 //!
 //! `SOAK_SEEDS=N SOAK_FIRST=S SOAK_SECONDS=T cargo test --release -p wingspar --test sidecar soak -- --nocapture` plays
 //! other seeds than the fixed ones.
 
+mod announcements;
 mod checks;
 mod credentials;
 mod faults;
-mod limits;
+mod leaving;
 mod load;
 mod quotas;
 
