Simulation: the check of late heartbeats doesn't depend on the order of other events

Change: a fifth of the heartbeats is late in this test. The other checks of removed mechanisms ask for two owners too, where any problem was enough.

--- a/crates/ownership/tests/simulation/main.rs
+++ b/crates/ownership/tests/simulation/main.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 use wingspar_ownership::Delivery;
-use world::{Options, World};
+use world::{Options, Rule, Violation, World};
 
 /// What three of the seeds below show.
 const OVERTAKEN: &str =
@@ -64,17 +64,18 @@
         .unwrap_or(default)
 }
 
-fn play(seed: u64, options: Options) -> Result<world::Summary, String> {
-    World::new(seed, options)
-        .play()
-        .map_err(|problem| format!("seed {seed}: {problem}"))
+fn play(seed: u64, options: Options) -> Result<world::Summary, Violation> {
+    World::new(seed, options).play()
 }
 
 /// Plays random faults for the seeds that were asked for; no rule may break.
 fn keeps_the_rules(options: &Options) {
     let first = number("FIRST_SEED", 1);
     let failures = (first..first + number("SEEDS", 150))
-        .filter_map(|seed| play(seed, options.clone()).err())
+        .filter_map(|seed| {
+            let violation = play(seed, options.clone()).err()?;
+            Some(format!("seed {seed}: {violation}"))
+        })
         .collect::<Vec<_>>();
     assert!(
         failures.is_empty(),
@@ -130,7 +131,9 @@
 
 #[test]
 fn the_checker_notices_that_registered_nodes_are_lost() {
-    assert!(fails_without(|options| options.pages_are_lost = true));
+    assert!(has_two_owners_without(
+        |options| options.pages_are_lost = true
+    ));
 }
 
 /// The store comes back from copies.
@@ -166,7 +169,7 @@
         eras_are_hidden: true,
         ..with_restores()
     };
-    let broken = (1..=150).any(|seed| play(seed, hidden.clone()).is_err());
+    let broken = (1..=150).any(|seed| has_two_owners(seed, hidden.clone()));
     assert!(broken);
 }
 
@@ -186,7 +189,7 @@
 #[test]
 fn a_seed_in_which_a_shard_had_two_owners_passes() {
     // A leader that was elected again, in a new process, took no account of the leases of the one before.
-    play(73, with_quotas()).unwrap_or_else(|problem| panic!("{problem}"));
+    play(73, with_quotas()).unwrap_or_else(|violation| panic!("{violation}"));
 }
 
 #[test]
@@ -207,7 +210,7 @@
 
 #[test]
 fn the_checker_sees_a_second_owner_of_a_shard() {
-    assert!(fails_without(|options| {
+    assert!(has_two_owners_without(|options| {
         options.has_quotas = true;
         options.shards_ignore_leases = true;
     }));
@@ -254,10 +257,12 @@
 #[test]
 fn seeds_that_once_failed_pass() {
     for (seed, cause) in REGRESSIONS {
-        play(seed, Options::default()).unwrap_or_else(|problem| panic!("{problem} (was: {cause})"));
+        play(seed, Options::default())
+            .unwrap_or_else(|violation| panic!("seed {seed}: {violation} (was: {cause})"));
     }
     for (seed, cause) in REGRESSIONS_BY_HEARTBEATS {
-        play(seed, by_heartbeats()).unwrap_or_else(|problem| panic!("{problem} (was: {cause})"));
+        play(seed, by_heartbeats())
+            .unwrap_or_else(|violation| panic!("seed {seed}: {violation} (was: {cause})"));
     }
 }
 
@@ -352,49 +357,62 @@
 
 // For each mechanism: without it the checker must find something, else the checker proves nothing.
 
-fn fails_without(change: impl Fn(&mut Options)) -> bool {
-    fails_without_from(1, change)
-}
-
-/// The same for 400 seeds from another first one: some faults show with three seeds in a thousand only.
-fn fails_without_from(first: u64, change: impl Fn(&mut Options)) -> bool {
-    (first..first + 400).any(|seed| {
+/// Whether one of 400 seeds shows two owners once a mechanism is removed.
+fn has_two_owners_without(remove: impl Fn(&mut Options)) -> bool {
+    (1..=400).any(|seed| {
         let mut options = Options::default();
-        change(&mut options);
-        play(seed, options).is_err()
+        remove(&mut options);
+        has_two_owners(seed, options)
     })
 }
 
+fn has_two_owners(seed: u64, options: Options) -> bool {
+    play(seed, options).is_err_and(|violation| violation.rule == Rule::OneOwner)
+}
+
 #[test]
 fn the_checker_sees_an_agent_that_doesnt_look_at_its_lease() {
-    assert!(fails_without(|options| options.agents_ignore_leases = true));
+    assert!(has_two_owners_without(|options| options
+        .agents_ignore_leases =
+        true));
 }
 
 #[test]
 fn the_checker_sees_a_new_leader_that_doesnt_wait_for_silent_nodes() {
-    assert!(fails_without(|options| options.leaders_dont_wait = true));
+    assert!(has_two_owners_without(|options| options
+        .leaders_dont_wait =
+        true));
 }
 
 #[test]
 fn the_checker_sees_leases_without_margin_under_drifting_clocks() {
-    assert!(fails_without(|options| {
+    assert!(has_two_owners_without(|options| {
         options.timing.lease_margin = Duration::ZERO;
         options.drift = 0.08;
     }));
 }
 
+/// Guards against a checker that sees the fault in a few seeds in a thousand only: which ones changes with each message
+/// more or less.
 #[test]
 fn the_checker_sees_heartbeats_that_are_believed_after_later_ones() {
-    // Of the seeds to 2000, 441, 523, 669, 793, 938, 1615, 1644 and 1872 show it.
-    assert!(fails_without_from(401, |options| {
-        options.delivery = Delivery::HeartbeatAnswers;
-        options.late_heartbeats_count = true;
-    }));
+    const LATE_HEARTBEATS: f64 = 0.2;
+    let with_late_heartbeats = |late_heartbeats_count| Options {
+        late_orders: LATE_HEARTBEATS,
+        late_heartbeats_count,
+        ..by_heartbeats()
+    };
+    let shows_fault = |seed: &u64| has_two_owners(*seed, with_late_heartbeats(true));
+    let seed = (1..=400)
+        .find(shows_fault)
+        .expect("a seed that shows the fault");
+    let with_mechanism = has_two_owners(seed, with_late_heartbeats(false));
+    assert!(!with_mechanism, "seed {seed} shows another fault");
 }
 
 #[test]
 fn the_checker_sees_clocks_that_stop_while_their_machine_is_suspended() {
-    assert!(fails_without(|options| options
+    assert!(has_two_owners_without(|options| options
         .clocks_stop_while_suspended =
         true));
 }
--- a/crates/ownership/tests/simulation/world.rs
+++ b/crates/ownership/tests/simulation/world.rs
@@ -7,7 +7,7 @@
 mod options;
 mod store;
 
-pub use options::{FaultPlan, Options, Summary};
+pub use options::{FaultPlan, Options, Rule, Summary, Violation};
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
@@ -129,7 +129,7 @@
     shard_owned_at: BTreeMap<Shard, u64>,
     lost: Option<usize>,
     summary: Summary,
-    problem: Option<String>,
+    violation: Option<Violation>,
     tracing: bool,
 }
 
@@ -180,7 +180,7 @@
             shard_owned_at: BTreeMap::new(),
             lost: None,
             summary: Summary::default(),
-            problem: None,
+            violation: None,
             tracing: std::env::var("TRACE").is_ok_and(|value| !value.is_empty()),
         };
         for index in 0..NODES {
@@ -193,18 +193,18 @@
     }
 
     /// Plays to the end.
-    pub fn play(mut self) -> Result<Summary, String> {
+    pub fn play(mut self) -> Result<Summary, Violation> {
         while let Some(Reverse(at)) = self.queue.pop() {
             self.now = at.0;
-            if self.now > END_MS || self.problem.is_some() {
+            if self.now > END_MS || self.violation.is_some() {
                 break;
             }
             if let Some(event) = self.events.remove(&at) {
                 self.handle(event);
             }
         }
-        match self.problem {
-            Some(problem) => Err(problem),
+        match self.violation {
+            Some(violation) => Err(violation),
             None => Ok(self.summary),
         }
     }
--- a/crates/ownership/tests/simulation/world/checker.rs
+++ b/crates/ownership/tests/simulation/world/checker.rs
@@ -6,9 +6,13 @@
 const SHARD_MOVED_WITHIN_MS: u64 = 1_000;
 
 impl World {
-    pub(super) fn fail(&mut self, problem: String) {
-        if self.problem.is_none() {
-            self.problem = Some(format!("at {} ms: {problem}", self.now));
+    pub(super) fn fail(&mut self, rule: Rule, detail: String) {
+        if self.violation.is_none() {
+            self.violation = Some(Violation {
+                rule,
+                at_ms: self.now,
+                detail,
+            });
         }
     }
 
@@ -22,9 +26,9 @@
             .iter()
             .find(|(holder, held)| *holder != id && **held >= fence);
         if let Some((holder, held)) = other {
-            let problem =
+            let detail =
                 format!("key {key} went to {id} under {fence:?}, {holder} had it under {held:?}");
-            self.fail(problem);
+            self.fail(Rule::OneOwner, detail);
         }
         let known = self.fences[key].entry(id.to_owned()).or_default();
         *known = (*known).max(fence);
@@ -40,9 +44,8 @@
                     .iter()
                     .map(|node| self.machines[*node].target.fence(self.now, index))
                     .collect::<Vec<_>>();
-                self.fail(format!(
-                    "key {index} is served by nodes {serving:?} under {fences:?}"
-                ));
+                let detail = format!("key {index} is served by nodes {serving:?} under {fences:?}");
+                self.fail(Rule::OneOwner, detail);
             }
             self.note_served(index, serving.first().copied());
         }
@@ -58,7 +61,8 @@
                 .filter(|node| self.owns_shard(*node, shard))
                 .collect::<Vec<_>>();
             if owners.len() > 1 {
-                self.fail(format!("{shard:?} is owned by nodes {owners:?}"));
+                let detail = format!("{shard:?} is owned by nodes {owners:?}");
+                self.fail(Rule::OneOwner, detail);
             }
             if !owners.is_empty() {
                 self.shard_owned_at.insert(shard, self.now);
@@ -66,7 +70,8 @@
             let owned_at = self.shard_owned_at.get(&shard).copied().unwrap_or_default();
             // Shards still go, one by one, to nodes that came back last: each has no owner for a moment.
             if self.now + TICK_MS >= END_MS && self.now > owned_at + SHARD_MOVED_WITHIN_MS {
-                self.fail(format!("{shard:?} has no owner long after the faults"));
+                let detail = format!("{shard:?} has no owner long after the faults");
+                self.fail(Rule::ServedAgain, detail);
             }
         }
     }
@@ -136,9 +141,10 @@
                     );
                 }
             }
-            self.fail(format!(
+            let detail = format!(
                 "key {index} is served by nobody, {SERVED_AGAIN_MS} ms after the last fault"
-            ));
+            );
+            self.fail(Rule::ServedAgain, detail);
         }
     }
 }
--- a/crates/ownership/tests/simulation/world/heartbeats.rs
+++ b/crates/ownership/tests/simulation/world/heartbeats.rs
@@ -186,9 +186,8 @@
             *node != taker && target.up && target.rows.works_on(now, key)
         });
         if let Some(worker) = worker {
-            self.fail(format!(
-                "key {key} went to node {taker} while node {worker} worked on it"
-            ));
+            let detail = format!("key {key} went to node {taker} while node {worker} worked on it");
+            self.fail(Rule::OneOwner, detail);
         }
     }
 }
--- a/crates/ownership/tests/simulation/world/options.rs
+++ b/crates/ownership/tests/simulation/world/options.rs
@@ -119,3 +119,29 @@
     /// The same for keys that weren't at a node that was lost.
     pub longest_unserved_elsewhere_ms: u64,
 }
+
+/// What must hold.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Rule {
+    /// A key, or a shard of quotas, has one owner at most.
+    OneOwner,
+    /// Each has an owner again after the faults.
+    ServedAgain,
+}
+
+/// The first break of a rule in a run.
+#[derive(Debug, Clone)]
+pub struct Violation {
+    /// What was broken.
+    pub rule: Rule,
+    /// When, in milliseconds of the run.
+    pub at_ms: u64,
+    /// What was seen.
+    pub detail: String,
+}
+
+impl std::fmt::Display for Violation {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(formatter, "at {} ms: {}", self.at_ms, self.detail)
+    }
+}
