A leaving target's last requests start within the deployment's own bound

What callers saw: nothing on the deployments so far, which allow two seconds or more for a leave. Where one allows less than 0.7 s, new requests would have gone to a leaving target after its bound. Cause: agents and routers took requests on for a constant time after the target's word, whatever the settings allow. Change: they do so for about a third of the bound, and 0.7 s at most as before. Test: requests_end_within_the_time_that_a_deployment_allows_for_a_leave; with the constant it failed at a bound of 0.2 s.

--- a/crates/sidecar/src/agent.rs
+++ b/crates/sidecar/src/agent.rs
@@ -136,7 +136,8 @@
     if target.id().is_none() || target.service() != hop.service {
         return Err(Refusal::NoTarget);
     }
-    if !target.may_start(now) || *node.stop.borrow() == Stop::Closing {
+    let drain_grace = node.settings.bounds.drain_grace();
+    if !target.may_start(now, drain_grace) || *node.stop.borrow() == Stop::Closing {
         return Err(Refusal::Leaving);
     }
     if !node.evacuations.borrow().may_start(now, hop.key.is_some()) {
--- a/crates/sidecar/src/leaving_targets.rs
+++ b/crates/sidecar/src/leaving_targets.rs
@@ -12,7 +12,6 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::directory::{Destination, Directory};
-use crate::target::DRAIN_GRACE;
 
 /// A target that leaves is gone after this time at the latest; then it is forgotten.
 const LONGEST_LEAVING: Duration = Duration::from_secs(600);
@@ -50,13 +49,24 @@
 }
 
 /// What a router has heard of targets that leave, by their nodes.
-#[derive(Debug, Default)]
-pub struct LeavingTargets(RefCell<HashMap<NodeName, Leaving>>);
+#[derive(Debug)]
+pub struct LeavingTargets {
+    drain_grace: Duration,
+    by_node: RefCell<HashMap<NodeName, Leaving>>,
+}
 
 impl LeavingTargets {
+    /// None yet; each gets new requests for the grace time after the router was told of it.
+    pub fn new(drain_grace: Duration) -> Self {
+        Self {
+            drain_grace,
+            by_node: RefCell::default(),
+        }
+    }
+
     /// The node beside a target has told that this life of it leaves.
     pub fn told(&self, now: Time, node: &NodeName, life: LifeDigest) {
-        let mut known = self.0.borrow_mut();
+        let mut known = self.by_node.borrow_mut();
         if known.get(node).is_none_or(|known| !known.life.may_be(life)) {
             known.insert(node.clone(), Leaving { life, since: now });
         }
@@ -65,7 +75,7 @@
     /// Whether a destination's target gets nothing from this router any more.
     pub fn is_closed(&self, now: Time, destination: &Destination) -> bool {
         let since = self.leaving_since(destination);
-        since.is_some_and(|since| now.since(since) >= DRAIN_GRACE)
+        since.is_some_and(|since| now.since(since) >= self.drain_grace)
     }
 
     /// The nodes among some destinations whose targets leave.
@@ -84,7 +94,7 @@
         destinations: &[Destination],
         holds: impl Fn(&&Destination) -> bool,
     ) -> Vec<NodeName> {
-        if self.0.borrow().is_empty() {
+        if self.by_node.borrow().is_empty() {
             return Vec::new();
         }
         let found = destinations.iter().filter(holds);
@@ -92,7 +102,7 @@
     }
 
     fn leaving_since(&self, destination: &Destination) -> Option<Time> {
-        let known = self.0.borrow();
+        let known = self.by_node.borrow();
         let leaving = known.get(&destination.node)?;
         leaving
             .life
@@ -102,7 +112,7 @@
 
     /// Forgets lives that are over. A node that isn't in the directory may come back beside the same life.
     pub fn retain(&self, now: Time, directory: &Directory) {
-        self.0.borrow_mut().retain(|node, leaving| {
+        self.by_node.borrow_mut().retain(|node, leaving| {
             let present = directory.node(node);
             present.is_none_or(|present| present.life.may_be(leaving.life))
                 && now.since(leaving.since) < LONGEST_LEAVING
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -57,7 +57,7 @@
 mod router;
 mod run;
 pub mod selection;
-mod settings;
+pub mod settings;
 pub mod slots;
 pub mod spill_over;
 pub mod start_rate;
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -249,7 +249,7 @@
             key_news: Notify::new(),
             peers: RefCell::new(HashMap::new()),
             selection: Selection::new(Places::of(&settings)),
-            leaving_targets: LeavingTargets::default(),
+            leaving_targets: LeavingTargets::new(settings.bounds.drain_grace()),
             relays: RefCell::default(),
             spill_over: RefCell::default(),
             expected_returns: RefCell::new(ExpectedReturns::new(timing)),
--- a/crates/sidecar/src/settings.rs
+++ b/crates/sidecar/src/settings.rs
@@ -121,6 +121,12 @@
     pub address: SocketAddr,
 }
 
+/// New requests still start for so much of the time that is allowed for it at a target that has said that it leaves: the
+/// rest is for those that are on their way.
+const DRAIN_GRACE_SHARE: f64 = 0.35;
+/// No longer than this, however much time is allowed: routers have learnt of it by then.
+const LONGEST_DRAIN_GRACE: Duration = Duration::from_millis(700);
+
 /// Bounds that others rely on; times in seconds.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
 pub struct Bounds {
@@ -162,6 +168,11 @@
 }
 
 impl Bounds {
+    /// New requests still start this long after a target has said that it leaves, while routers learn of it.
+    pub fn drain_grace(&self) -> Duration {
+        Duration::from_secs_f64(self.drain_s * DRAIN_GRACE_SHARE).min(LONGEST_DRAIN_GRACE)
+    }
+
     /// Most requests within a second that a target may get while it is slow after its start, where the configuration
     /// names `per_s`; nothing if no bound is known.
     pub fn warmup_requests(&self, per_s: f64) -> Option<f64> {
--- a/crates/sidecar/src/target.rs
+++ b/crates/sidecar/src/target.rs
@@ -5,8 +5,6 @@
 use wingspar_ownership::{TargetState, Time};
 use wingspar_platform::{Heartbeat, LifecycleState, born, id_of_life};
 
-/// New requests still start this long after the target said that it leaves, while routers learn of it.
-pub const DRAIN_GRACE: Duration = Duration::from_millis(700);
 /// Lives of the target that are remembered, so that their late heartbeats don't count.
 const PAST_LIVES: usize = 16;
 
@@ -280,11 +278,11 @@
         now.since(self.heard_at) >= span
     }
 
-    /// Whether a request that has arrived may start.
-    pub fn may_start(&self, now: Time) -> bool {
+    /// Whether a request that has arrived may start; at a target that leaves, for the grace time only.
+    pub fn may_start(&self, now: Time, drain_grace: Duration) -> bool {
         let drained = self
             .leaving_since
-            .is_some_and(|since| now.since(since) >= DRAIN_GRACE);
+            .is_some_and(|since| now.since(since) >= drain_grace);
         self.life.is_some() && !drained && self.slots > 0
     }
 
--- a/crates/sidecar/tests/leaving_targets.rs
+++ b/crates/sidecar/tests/leaving_targets.rs
@@ -9,6 +9,7 @@
 use wingspar_sidecar::ways::{Places, Relation};
 
 const TOLD_AT: Time = Time(1_000);
+const DRAIN_GRACE: Duration = Duration::from_millis(700);
 /// By then nothing new may reach a target that leaves.
 const DRAINED: Time = Time(3_000);
 
@@ -24,7 +25,7 @@
 }
 
 fn told(life: &str) -> LeavingTargets {
-    let leaving = LeavingTargets::default();
+    let leaving = LeavingTargets::new(DRAIN_GRACE);
     let destination = destination(life);
     leaving.told(TOLD_AT, &destination.node, destination.life);
     leaving
--- a/crates/sidecar/tests/target.rs
+++ b/crates/sidecar/tests/target.rs
@@ -4,6 +4,7 @@
 
 use wingspar_ownership::Time;
 use wingspar_platform::{Heartbeat, LifecycleState};
+use wingspar_sidecar::settings::Bounds;
 use wingspar_sidecar::target::{Health, Heard, Target, Warmth};
 
 fn heartbeat(state: LifecycleState, sequence: u64) -> Heartbeat {
@@ -21,6 +22,7 @@
 }
 
 const START: Time = Time(10_000);
+const DRAIN_GRACE: Duration = Duration::from_millis(700);
 
 fn ready() -> Target {
     let mut target = Target::unknown("s", None);
@@ -58,7 +60,7 @@
 #[test]
 fn a_target_that_leaves_gets_nothing_new_soon_and_a_late_heartbeat_changes_nothing() {
     let mut target = ready();
-    assert!(target.accepting(START) && target.may_start(START));
+    assert!(target.accepting(START) && target.may_start(START, DRAIN_GRACE));
     assert_eq!(
         target.heartbeat(START, "a", &heartbeat(LifecycleState::Draining, 5)),
         Heard::Leaves
@@ -68,8 +70,34 @@
         Heard::Nothing
     );
     assert!(!target.accepting(START));
-    assert!(target.may_start(START), "routers learn of it meanwhile");
-    assert!(!target.may_start(START + Duration::from_millis(1_000)));
+    assert!(
+        target.may_start(START, DRAIN_GRACE),
+        "routers learn of it meanwhile"
+    );
+    assert!(!target.may_start(START + Duration::from_millis(1_000), DRAIN_GRACE));
+}
+
+fn bounds(drain_s: f64) -> Bounds {
+    let text = format!(
+        "drain_s = {drain_s:?}\ngrace_s = 6\nbudget_ratio = 0.2\nbudget_window_s = 10\nbudget_extra = 60\nmax_hold_s = 10"
+    );
+    toml::from_str(&text).expect("bounds")
+}
+
+/// Guards against requests that still start at a leaving target after the time that its deployment allows.
+#[test]
+fn requests_end_within_the_time_that_a_deployment_allows_for_a_leave() {
+    for drain_s in [0.2, 0.5, 1.0, 2.0, 60.0] {
+        let drain_grace = bounds(drain_s).drain_grace();
+        let mut target = ready();
+        assert_eq!(target.announces_leaving(START), Heard::Leaves);
+        assert!(target.may_start(START, drain_grace));
+        let half = START + Duration::from_secs_f64(drain_s / 2.0);
+        assert!(
+            !target.may_start(half, drain_grace),
+            "{drain_grace:?} of {drain_s} s"
+        );
+    }
 }
 
 #[test]
@@ -81,7 +109,7 @@
         Heard::Nothing
     );
     assert!(!target.accepting(START));
-    assert!(!target.may_start(START + Duration::from_millis(1_000)));
+    assert!(!target.may_start(START + Duration::from_millis(1_000), DRAIN_GRACE));
 }
 
 #[test]
@@ -138,7 +166,7 @@
 fn another_target_at_the_address_gets_nothing_before_its_heartbeat() {
     let mut target = ready();
     target.other_answered("other");
-    assert!(!target.accepting(START) && !target.may_start(START));
+    assert!(!target.accepting(START) && !target.may_start(START, DRAIN_GRACE));
     let late = target.heartbeat(START, "a", &heartbeat(LifecycleState::Ready, 9));
     assert_eq!(late, Heard::Nothing, "the one before has ended");
     let mut of_another_service = heartbeat(LifecycleState::Ready, 1);
@@ -265,10 +293,10 @@
     let mut target = ready();
     assert_eq!(target.announces_leaving(START), Heard::Leaves);
     assert_eq!(target.announces_leaving(START), Heard::Nothing);
-    assert!(!target.accepting(START) && target.may_start(START));
+    assert!(!target.accepting(START) && target.may_start(START, DRAIN_GRACE));
     let later = START + Duration::from_secs(2);
     target.heartbeat(later, "a", &heartbeat(LifecycleState::Ready, 2));
-    assert!(!target.accepting(later) && !target.may_start(later));
+    assert!(!target.accepting(later) && !target.may_start(later, DRAIN_GRACE));
     target.heartbeat(later, "b", &heartbeat(LifecycleState::Ready, 1));
     assert!(target.accepting(later) && !target.is_leaving());
 }
