A raised limit lets those that wait start at once

What callers saw: a request that waited at a target with a low limit went on waiting by it after the target had named a higher one or none in a second answer: up to five seconds, or until another request came or ended there. Cause: the pass that is due when the limit lets the next request start stood for the first limit; while it was awaited, no earlier one could be arranged. The same held where the limit of a slow start gave way to a weaker one. Change: an earlier pass takes the place of a later one. Test: a_higher_limit_lets_those_that_wait_start_sooner (0.25 a second raised to 1 after half a second: the second request started after 4,000 ms before, after 1,000 ms now).

--- a/crates/sidecar/src/slots/mod.rs
+++ b/crates/sidecar/src/slots/mod.rs
@@ -42,8 +42,8 @@
     /// The limit that the target names.
     request_cap: Cell<Option<StartCap>>,
     starts: RefCell<StartRate>,
-    /// Whether a task waits for the time at which the limit lets the next request start.
-    awaits_start: Cell<bool>,
+    /// When the queue is looked at again, if the limits on starts hold the next request back.
+    next_pass: Cell<Option<Instant>>,
     running: Cell<usize>,
     backlog: RefCell<Waiting>,
     finished: Cell<u64>,
@@ -62,7 +62,7 @@
             start_limit: Cell::new(None),
             request_cap: Cell::new(None),
             starts: RefCell::new(StartRate::new(Instant::now(), after_another)),
-            awaits_start: Cell::new(false),
+            next_pass: Cell::new(None),
             running: Cell::new(0),
             backlog: RefCell::new(Backlog::new(Instant::now())),
             finished: Cell::new(0),
@@ -231,16 +231,20 @@
 impl Slots {
     /// Looks at the queue again when the limits on starts let the next request start, or one of them ends.
     fn pass_on_at(self: &Rc<Self>, free_at: Instant) {
-        if self.awaits_start.replace(true) {
+        let ends = self.start_limit.get().and_then(|limit| limit.until);
+        let at = ends.map_or(free_at, |ends| ends.min(free_at));
+        if self.next_pass.get().is_some_and(|next| next <= at) {
             return;
         }
-        let ends = self.start_limit.get().and_then(|limit| limit.until);
-        let wakes_at = ends.map_or(free_at, |ends| ends.min(free_at));
+        self.next_pass.set(Some(at));
         let slots = self.clone();
         tokio::task::spawn_local(async move {
-            tokio::time::sleep_until(wakes_at).await;
-            slots.awaits_start.set(false);
-            slots.pass_on();
+            tokio::time::sleep_until(at).await;
+            // A limit that was raised meanwhile has brought an earlier pass in its place.
+            if slots.next_pass.get() == Some(at) {
+                slots.next_pass.set(None);
+                slots.pass_on();
+            }
         });
     }
 }
--- a/crates/sidecar/tests/start_rate.rs
+++ b/crates/sidecar/tests/start_rate.rs
@@ -236,3 +236,22 @@
         })
         .await;
 }
+
+/// Guards against requests that wait by a limit which the target has raised meanwhile.
+#[tokio::test(start_paused = true)]
+async fn a_higher_limit_lets_those_that_wait_start_sooner() {
+    let local = LocalSet::new();
+    local
+        .run_until(async {
+            let slots = limited(10, None);
+            slots.set_start_limit(None);
+            slots.set_request_limit(Some(0.25));
+            let raised = async {
+                tokio::time::sleep(Duration::from_millis(500)).await;
+                slots.set_request_limit(Some(1.0));
+            };
+            let ((started, refused), ()) = tokio::join!(start_all(&slots, 2, 30_000), raised);
+            assert_eq!((started, refused), (vec![0, 1_000], 0));
+        })
+        .await;
+}
