--- a/crates/ownership/src/plan.rs
+++ b/crates/ownership/src/plan.rs
@@ -3,8 +3,8 @@
 use crate::balance::{BUCKETS, KEYS_PER_BUCKET, Load, bucket_of};
 use crate::{KeyRange, NodeName, steps};
 
-/// The busiest owner's utilisation, in parts of the mean, from which load is taken off it. Chosen by hand; no
-/// round has varied it alone.
+/// The busiest owner's utilisation, in parts of the mean, from which load is taken off it: each move leaves its keys
+/// unserved for a moment.
 const IMBALANCE_THRESHOLD: f64 = 1.18;
 /// The same, down to which that goes on; below the threshold, so that the next report doesn't set it off again.
 const IMBALANCE_TARGET: f64 = 1.07;
--- a/crates/quarantine/src/in_flight.rs
+++ b/crates/quarantine/src/in_flight.rs
@@ -6,11 +6,10 @@
 use crate::Fingerprint;
 
 /// A run that ended without an answer is a suspect if the target ended at most this much later: work may go on for a
-/// moment after its caller has left. Connections of a process that ends break within a millisecond of each other, and
-/// requests that end a target were seen to do so 55 to 110 ms after they came.
+/// moment after its caller has left. Connections of a process that ends break within a millisecond of each other.
 const ENDED_TOGETHER: Duration = Duration::from_millis(300);
 /// Runs that ended without an answer are kept this long, since the end of a target may only show when its next life
-/// reports, some seconds later. Chosen by hand.
+/// reports, some seconds later.
 const KEPT: Duration = Duration::from_secs(15);
 /// Most runs that are kept; targets have some 20 slots.
 const MOST_RUNS: usize = 512;
--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -18,8 +18,8 @@
 /// From so many ends on it is refused although others were there at all of them too.
 const ENDS_TO_BE_SURE: usize = 3;
 /// How long a request is refused after two ends. The innocent come to a good end afterwards; the one to blame ends a third
-/// target, and all nodes know it before they may send it again. This span and those below are chosen by hand: they trade
-/// further ends of targets, a few seconds each, against what a wrong refusal costs one caller.
+/// target, and all nodes know it before they may send it again. A longer span spares targets further ends, and costs a
+/// caller that is refused wrongly more.
 const SUSPECT_FOR: Duration = Duration::from_secs(60);
 /// How long it is refused after three ends, and for each further one [`LONGER`] times as long as before.
 const SURE_FOR: Duration = Duration::from_secs(300);
--- a/crates/sidecar/src/main.rs
+++ b/crates/sidecar/src/main.rs
@@ -1,5 +1,5 @@
-//! The node by itself: a process without the operators' command line needs a quarter less memory when it rests (6.0
-//! instead of 7.9 MB, measured as its peak resident size), on machines that belong to the applications.
+//! The node by itself: on machines that belong to the applications, a process without the operators' command line needs a
+//! quarter less memory when it rests.
 
 use std::process::ExitCode;
 
--- a/crates/wingspar/tests/sidecar/soak/load.rs
+++ b/crates/wingspar/tests/sidecar/soak/load.rs
@@ -152,7 +152,7 @@
                 Kind::Keyed(key) => request("stock").header("x-wingspar-shard-key", key),
                 Kind::Crashing => continue,
             };
-            self.send(request, (id, node), kind, credential);
+            self.send(request, Answer::none(id, node, kind, credential));
         }
         for credential in faults.storming() {
             for _ in 0..STORM {
@@ -162,7 +162,8 @@
                 let path = format!("/orders/{id}");
                 let request = deployment.request_as(node, &path, &id, Some(credential));
                 let request = request.header("x-wingspar-deadline-ms", DEADLINE_MS);
-                self.send(request, (id, node), Kind::Repeatable, credential);
+                let unanswered = Answer::none(id, node, Kind::Repeatable, credential);
+                self.send(request, unanswered);
             }
         }
         if random.random_range(0..PIPELINED) == 0 {
@@ -204,18 +205,11 @@
         self.sent += 1;
         let id = format!("s{}-{}-crashing", self.seed, self.sent);
         let request = deployment.request(node, CRASHING_PATH, &id);
-        self.send(request, (id, node), Kind::Crashing, STEADY);
+        self.send(request, Answer::none(id, node, Kind::Crashing, STEADY));
     }
 
-    fn send(
-        &mut self,
-        request: reqwest::RequestBuilder,
-        (id, node): (String, usize),
-        kind: Kind,
-        credential: &'static str,
-    ) {
+    fn send(&mut self, request: reqwest::RequestBuilder, unanswered: Answer) {
         let request = request.timeout(PATIENCE);
-        let unanswered = Answer::none(id, node, kind, credential);
         self.running.push(tokio::spawn(ask(request, unanswered)));
     }
 
--- a/crates/wingspar/tests/sidecar/soak/mod.rs
+++ b/crates/wingspar/tests/sidecar/soak/mod.rs
@@ -1,13 +1,13 @@
 //! A soak of real processes with faults from outside them, and the promises checked while it runs.
 //!
 //! Each seed starts a deployment of four machines in two regions whose nodes reach the store and their targets through
-//! proxies, sends requests, and injects faults: a store that comes back from a copy some seconds old; connections that are delayed, reset, cut one way or silenced;
-//! processes that are paused, killed, stopped in order and started again; a store that is down, throttles or forgets;
-//! tenants whose credentials come and go, whose quotas are lowered, and that send many times their usual while the
+//! proxies, sends requests, and injects faults: a store that comes back from a copy some seconds old; connections that are
+//! delayed, reset, cut one way or silenced; processes that are paused, killed, stopped in order and started again; a store
+//! that is down, throttles or forgets; tenants whose credentials come and go, whose quotas are lowered, and that send many times their usual while the
 //! owner of their quota is paused or killed; regions that are lost; zones that are evacuated; targets that say that
-//! they are slow after their start, that name a limit on requests, or
-//! something that can't be read as one, and that say in their answers that they leave; a request under which targets end. Nodes aren't cut off from each other: they tell
-//! others the address that they listen on, so nothing can stand between them.
+//! they are slow after their start, that name a limit on requests, or something that can't be read as one, and that say in
+//! their answers that they leave; a request under which targets end. Nodes aren't cut off from each other: they tell others
+//! the address that they listen on, so nothing can stand between them.
 //!
 //! `SOAK_SEEDS=N SOAK_FIRST=S SOAK_SECONDS=T cargo test --release -p wingspar --test sidecar soak -- --nocapture` plays
 //! other seeds than the fixed ones.
