Registration: a late removal by an earlier process no longer removes a later registration

Cause: a stopping node removed its object in the store without a condition, and retried when the answer was lost. The first removal, executed seconds later, removed the object that the restarted node had written meanwhile. The next leader doesn't know that node, so it doesn't wait for its report, and assigns keys that its target holds.

A condition on the revision alone isn't enough: a process kept an object of its predecessor with the same content, whose revision the predecessor's delayed removal names.

* every write to the object names the revision that it replaces or removes;
* the object names the process that wrote it, and a process replaces the object of an earlier one;
* a stopping node doesn't register again, and removes only what it may have written (a node that the leader registers makes no call).

The steps are plain functions (ownership::registration) that the sidecar and the simulation share. The simulation now removes registrations at planned stops. The stand-in of the store checks the revision of a removal and can execute writes late.

Cost: a process that was killed makes one more call at its next start.

--- a/crates/ownership/src/fence.rs
+++ b/crates/ownership/src/fence.rs
@@ -20,6 +20,15 @@
 )]
 pub struct StoreEra(pub u64);
 
+/// A revision of the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+pub struct StorePosition {
+    /// The era in which the store assigned the revision.
+    pub era: StoreEra,
+    /// The revision within that era.
+    pub revision: u64,
+}
+
 /// Fencing token that orders the grants of a key: a target refuses a grant with a lower fence than
 /// one that it has seen.
 #[derive(
--- a/crates/ownership/src/lib.rs
+++ b/crates/ownership/src/lib.rs
@@ -31,13 +31,14 @@
 mod partition;
 mod plan;
 mod range;
+mod registration;
 mod shard_holder;
 pub mod step_function;
 mod table_log;
 mod time;
 
 pub use election::{Election, ElectionStep, PeerView};
-pub use fence::{Epoch, Fence, Incarnation, StoreEra};
+pub use fence::{Epoch, Fence, Incarnation, StoreEra, StorePosition};
 pub use fitness::{Fitness, LeaderWorkload};
 pub use holder::{Admission, Delivery, GrantResult, Holder, KeyAssignment, KeyReport, Order};
 pub use leader::{Leader, Member, RegisteredNodes, RegistryPage};
@@ -55,5 +56,8 @@
 };
 pub use plan::{Candidate, Plan};
 pub use range::KeyRange;
+pub use registration::{
+    RegisterStep, Registration, RegistrationCall, RemoveStep, StoredRegistration,
+};
 pub use shard_holder::ShardHolder;
 pub use time::{Time, Timing};
--- a/crates/ownership/tests/simulation/main.rs
+++ b/crates/ownership/tests/simulation/main.rs
@@ -139,6 +139,24 @@
         true));
 }
 
+/// A stopped process's removal of its registration is executed after the next process has
+/// registered, so the next leader doesn't wait for that node.
+#[test]
+fn the_checker_detects_removals_that_ignore_revisions() {
+    const STORE_FAULT_RATE: f64 = 0.1;
+    let with_removals = |removals_ignore_revisions| Options {
+        nodes_register_themselves: true,
+        store_fault_rate: STORE_FAULT_RATE,
+        removals_ignore_revisions,
+        ..Options::default()
+    };
+    let seed = (10_001..=10_400)
+        .find(|seed| has_two_owners(*seed, with_removals(true)))
+        .expect("a seed that shows the fault");
+    let with_mechanism = has_two_owners(seed, with_removals(false));
+    assert!(!with_mechanism, "seed {seed} shows another fault");
+}
+
 /// Returns options under which the store is repeatedly restored from earlier copies.
 fn with_restores() -> Options {
     Options {
--- a/crates/ownership/tests/simulation/world.rs
+++ b/crates/ownership/tests/simulation/world.rs
@@ -5,6 +5,7 @@
 mod faults;
 mod heartbeats;
 mod options;
+mod registration;
 mod store;
 
 pub use options::{FaultPlan, Options, Rule, Summary, Violation};
@@ -19,8 +20,8 @@
 use wingspar_ownership::{
     Action, Admission, ClaimResult, Datagram, Delivery, Fence, GrantResult, Incarnation,
     Leadership, NodeContext, NodeIdentity, NodeName, Order, OwnerZones, Participant,
-    RegisteredNode, RegisteredNodes, RegistryPage, StoreEra, Stored, TableAnswer, TargetState,
-    Time,
+    RegisteredNode, RegisteredNodes, Registration, RegistrationCall, RegistryPage, StoreEra,
+    StorePosition, Stored, StoredRegistration, TableAnswer, TargetState, Time,
 };
 
 use wingspar_quota::Shard;
@@ -67,7 +68,8 @@
     Claim(Time, Option<u64>, Leadership),
     Rewrite(u64, Leadership),
     List,
-    Register,
+    /// A call about the caller's own registration.
+    Registration(registration::Purpose, RegistrationCall, Registration),
     WritePage(RegistryPage),
     RemovePage(String),
 }
@@ -77,7 +79,7 @@
     Object(Stored),
     Claimed(ClaimResult),
     Listed(RegisteredNodes),
-    Registered,
+    Registration(StoredRegistration),
     Written,
 }
 
@@ -90,8 +92,10 @@
     frozen_until: u64,
     /// For each suspension: when it ended, and how long it lasted, in milliseconds.
     suspensions: Vec<(u64, u64)>,
-    registered: bool,
-    registered_in: StoreEra,
+    /// Whether the process registers its node.
+    registers_itself: bool,
+    /// Where the store acknowledged the process's registration.
+    registered_at: Option<StorePosition>,
     /// The store's era, as known to the process.
     known_era: StoreEra,
     leaving: bool,
@@ -118,7 +122,8 @@
     /// may still return them.
     earlier_objects: Vec<(u64, Stored)>,
     revision: u64,
-    registered: BTreeMap<NodeName, RegisteredNode>,
+    /// Revision and content of the objects of nodes that register themselves.
+    registered: BTreeMap<NodeName, (u64, Registration)>,
     /// Registry pages by name.
     pages: BTreeMap<String, RegistryPage>,
     era: StoreEra,
@@ -151,8 +156,8 @@
                 rate: 1.0 + rng.random_range(-1.0..1.0) * options.drift,
                 frozen_until: 0,
                 suspensions: Vec::new(),
-                registered: false,
-                registered_in: StoreEra::default(),
+                registers_itself: false,
+                registered_at: None,
                 known_era: StoreEra::default(),
                 leaving: false,
                 target: Target::new(format!("t{index}-0")),
@@ -236,7 +241,8 @@
         let now = self.clock(index);
         let machine = &mut self.machines[index];
         machine.life = life;
-        machine.registered = false;
+        machine.registers_itself = self.options.nodes_register_themselves;
+        machine.registered_at = None;
         machine.known_era = StoreEra::default();
         machine.leaving = false;
         machine.target_known = first;
@@ -323,6 +329,9 @@
 
     fn context(&self, index: usize) -> NodeContext {
         let machine = &self.machines[index];
+        let registered_at = machine
+            .registered_at
+            .filter(|at| at.era == machine.known_era);
         let state = TargetState {
             id: machine.target.id.clone(),
             service: self.service_of(index).to_owned(),
@@ -335,10 +344,8 @@
             leaving: machine.leaving,
             service: (!self.options.nodes_register_themselves)
                 .then(|| self.service_of(index).to_owned()),
-            registered_for: machine
-                .registered
-                .then(|| self.service_of(index).to_owned()),
-            registered_in: machine.registered_in,
+            registered_for: registered_at.map(|_| self.service_of(index).to_owned()),
+            registered_in: registered_at.unwrap_or_default().era,
             configuration_version: 1,
             configuration_bytes: 0,
             configuration_checked_ago: None,
--- a/crates/ownership/tests/simulation/world/actions.rs
+++ b/crates/ownership/tests/simulation/world/actions.rs
@@ -16,7 +16,7 @@
             Action::Rewrite(revision, leadership) => {
                 self.store_call(index, StoreCall::Rewrite(revision, leadership));
             }
-            Action::RegisterSelf => self.store_call(index, StoreCall::Register),
+            Action::RegisterSelf => self.registers_itself_from_now(index),
             Action::WriteRegistry(page) => self.store_call(index, StoreCall::WritePage(page)),
             Action::RemoveRegistry(name) => self.store_call(index, StoreCall::RemovePage(name)),
             Action::Order(order) => {
--- a/crates/ownership/tests/simulation/world/faults.rs
+++ b/crates/ownership/tests/simulation/world/faults.rs
@@ -126,14 +126,7 @@
                 };
                 self.suspend(index, span);
             }
-            9 => {
-                // A planned stop, followed by a restart.
-                self.machines[index].leaving = true;
-                self.schedule(3_000, move |world| {
-                    world.kill(index);
-                    world.schedule(300, move |world| world.start(index, false));
-                });
-            }
+            9 => self.stop(index),
             _ => {
                 for index in 0..NODES {
                     if self.rng.random_bool(0.6) {
--- a/crates/ownership/tests/simulation/world/options.rs
+++ b/crates/ownership/tests/simulation/world/options.rs
@@ -42,6 +42,8 @@
     pub leaders_dont_wait: bool,
     /// Nodes register themselves, like those of an earlier version.
     pub nodes_register_themselves: bool,
+    /// Disables a mechanism: the store removes a registration whatever its revision.
+    pub removals_ignore_revisions: bool,
     /// Disables a mechanism: the store acknowledges registry pages without keeping them.
     pub lose_registry_pages: bool,
     /// Maximum clock drift, as a fraction of the rate.
@@ -95,6 +97,7 @@
             agents_ignore_leases: false,
             leaders_dont_wait: false,
             nodes_register_themselves: false,
+            removals_ignore_revisions: false,
             lose_registry_pages: false,
             drift: 0.01,
             store_fault_rate: 0.03,
--- a/crates/ownership/tests/simulation/world/store.rs
+++ b/crates/ownership/tests/simulation/world/store.rs
@@ -15,7 +15,7 @@
 pub struct StoreCopy {
     object: Stored,
     revision: u64,
-    registered: BTreeMap<NodeName, RegisteredNode>,
+    registered: BTreeMap<NodeName, (u64, Registration)>,
     pages: BTreeMap<String, RegistryPage>,
 }
 
@@ -30,7 +30,7 @@
     }
 
     /// Keeps a copy of the state before a change.
-    fn keep_copy(&mut self) {
+    pub(super) fn keep_copy(&mut self) {
         if self.options.store_restores {
             self.copies.push((self.now, self.copy()));
         }
@@ -78,20 +78,12 @@
             return;
         }
         machine.known_era = era;
-        machine.registered = false;
         if let Some(participant) = &mut machine.participant {
             participant.set_store_era(now, era);
             self.register(index);
         }
     }
 
-    /// Registers a node if nodes register themselves.
-    pub(super) fn register(&mut self, index: usize) {
-        if self.options.nodes_register_themselves {
-            self.store_call(index, StoreCall::Register);
-        }
-    }
-
     pub(super) fn store_call(&mut self, index: usize, call: StoreCall) {
         let life = self.machines[index].life;
         let unreachable =
@@ -123,7 +115,6 @@
     }
 
     pub(super) fn store_arrives(&mut self, index: usize, life: u64, call: StoreCall) {
-        let name = self.machines[index].name.clone();
         let reply = match &call {
             StoreCall::Read(_) | StoreCall::Confirm(_) => StoreReply::Object(self.object.clone()),
             StoreCall::ReadCached => StoreReply::Object(self.cached_object()),
@@ -145,7 +136,7 @@
                 StoreReply::Listed(RegisteredNodes::default())
             }
             StoreCall::List => StoreReply::Listed(RegisteredNodes {
-                self_registered: self.registered.values().cloned().collect(),
+                self_registered: self.self_registered(),
                 pages: self.pages.values().cloned().collect(),
                 ..RegisteredNodes::default()
             }),
@@ -163,15 +154,8 @@
                 self.pages.remove(name);
                 StoreReply::Written
             }
-            StoreCall::Register => {
-                let known = RegisteredNode {
-                    node: name.clone(),
-                    address: self.machines[index].address,
-                    service: Some(self.service_of(index).to_owned()),
-                };
-                self.keep_copy();
-                self.registered.insert(name, known);
-                StoreReply::Registered
+            StoreCall::Registration(_, call, content) => {
+                StoreReply::Registration(self.execute_registration(index, *call, content))
             }
         };
         let delay = self.rng.random_range(1..20);
@@ -219,9 +203,13 @@
             self.set_store_era(index, era);
         }
         match (call, reply) {
-            (StoreCall::Register, StoreReply::Registered) if self.machines[index].life == life => {
-                self.machines[index].registered = true;
-                self.machines[index].registered_in = self.machines[index].known_era;
+            (StoreCall::Registration(purpose, call, content), reply) => {
+                let stored = if let StoreReply::Registration(stored) = reply {
+                    Some(stored)
+                } else {
+                    None
+                };
+                self.registration_answered(index, purpose, call, &content, stored);
             }
             (StoreCall::Rewrite(..) | StoreCall::RemovePage(_), _) => {}
             (StoreCall::WritePage(page), StoreReply::Written) => {
@@ -230,11 +218,6 @@
                 });
             }
             (StoreCall::WritePage(_), _) => {}
-            (StoreCall::Register, _) => {
-                if self.machines[index].life == life && life != 0 {
-                    self.store_call(index, StoreCall::Register);
-                }
-            }
             (StoreCall::Read(sent_at), reply) => {
                 let stored = if let StoreReply::Object(stored) = reply {
                     Ok(stored)
--- a/crates/sidecar/src/control.rs
+++ b/crates/sidecar/src/control.rs
@@ -109,15 +109,14 @@
             target.accepting &= !node.evacuations.borrow().is_own_zone_evacuated();
             target.starts_per_s = node.starts_per_s();
         }
+        let registered_at = node.registered_at();
         NodeContext {
             target,
             leaving: node.is_stopping(),
             service: (!node.settings.node.registers_itself)
                 .then(|| node.settings.node.service.clone()),
-            registered_for: node
-                .is_registered()
-                .then(|| node.settings.node.service.clone()),
-            registered_in: node.registered.get().unwrap_or_default(),
+            registered_for: registered_at.map(|_| node.settings.node.service.clone()),
+            registered_in: registered_at.unwrap_or_default().era,
             configuration_version: node.configuration_version(),
             configuration_bytes: node.configuration_bytes(),
             configuration_checked_ago: node.configuration_checked_ago(),
@@ -236,8 +235,7 @@
                     tokio::task::spawn_local(control.list_registered());
                 }
                 Action::RegisterSelf => {
-                    self.node.registers_itself.set(true);
-                    self.node.registration_wakeup.notify_waiters();
+                    self.node.registration.set_registers_itself();
                 }
                 Action::WriteRegistry(page) => {
                     tokio::task::spawn_local(control.write_registry(page));
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -10,7 +10,7 @@
 use tokio::sync::{Notify, watch};
 use wingspar_ownership::{
     EvacuatedZones, EvacuationReport, Incarnation, NodeIdentity, NodeName, Participant, StoreEra,
-    Time, Timing,
+    StorePosition, Time, Timing,
 };
 use wingspar_quarantine::{InFlight, Quarantine};
 use wingspar_routes::RouteTable;
@@ -33,6 +33,7 @@
 use crate::network_paths::Topology;
 use crate::outages::OutageTracker;
 use crate::quota::Quotas;
+use crate::registration::OwnRegistration;
 use crate::relay::Relays;
 use crate::request_limit::RequestLimit;
 use crate::retry_budget::RetryBudget;
@@ -87,12 +88,8 @@
     pub store_reachable: Cell<bool>,
     /// The latest known era of the store.
     pub store_era: Cell<StoreEra>,
-    /// Whether the node registers itself in the store.
-    pub registers_itself: Cell<bool>,
-    /// Notified when `registers_itself` or the store's era changes.
-    pub registration_wakeup: Notify,
-    /// Era of the store in which it acknowledged the node's registration; `None` if it hasn't.
-    pub registered: Cell<Option<StoreEra>>,
+    /// The node's registration in the store.
+    pub registration: OwnRegistration,
     /// The configuration in force; `None` before the first one.
     pub routes: RefCell<Option<Rc<RouteTable>>>,
     /// Encoded responses to other nodes' requests for the configuration.
@@ -205,9 +202,7 @@
             store: Store::new(settings.store.address),
             store_reachable: Cell::new(true),
             store_era: Cell::default(),
-            registers_itself: Cell::new(settings.node.registers_itself),
-            registration_wakeup: Notify::new(),
-            registered: Cell::default(),
+            registration: OwnRegistration::new(&settings, life),
             routes: RefCell::new(None),
             configuration_answers: RefCell::default(),
             configuration_doubts: ConfigurationChecks::default(),
@@ -476,14 +471,16 @@
             self.log.write(Event::StoreCameBack { era: era.0 });
             self.configuration_reads.store_came_back();
             self.participant.borrow_mut().set_store_era(self.now(), era);
-            self.registration_wakeup.notify_waiters();
+            self.registration.wake();
         }
         era >= known
     }
 
-    /// Whether the store has acknowledged the node's registration in its current era.
-    pub fn is_registered(&self) -> bool {
-        self.registered.get() == Some(self.store_era.get())
+    /// Where the store's current era begins to hold the node's registration; `None` if the store
+    /// hasn't acknowledged one in that era.
+    pub fn registered_at(&self) -> Option<StorePosition> {
+        let acknowledged = self.registration.acknowledged_at();
+        acknowledged.filter(|at| at.era == self.store_era.get())
     }
 
     /// Records whether a call to the store succeeded, and logs when that changes.
--- a/crates/sidecar/src/registration.rs
+++ b/crates/sidecar/src/registration.rs
@@ -2,19 +2,23 @@
 //! consists of pages that leaders write for all nodes, and of an object for each node that
 //! registers itself, as nodes of an earlier version do.
 
-use std::net::SocketAddr;
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
 use rand::RngExt;
 use serde::de::DeserializeOwned;
-use serde::{Deserialize, Serialize};
-use wingspar_ownership::{NodeName, RegisteredNode, RegisteredNodes, RegistryPage};
+use tokio::sync::Notify;
+use wingspar_ownership::{
+    Incarnation, NodeName, RegisterStep, RegisteredNode, RegisteredNodes, Registration,
+    RegistrationCall, RegistryPage, RemoveStep, StorePosition, StoredRegistration,
+};
 use wingspar_platform::FormatError;
 use wingspar_platform::objects::{self, Outcome};
 
 use crate::logs::Event;
 use crate::node::Node;
+use crate::settings::Settings;
 use crate::store::StoreError;
 
 /// Kind of the objects of nodes that register themselves.
@@ -23,95 +27,158 @@
 const PAGE_KIND: &str = "wingspar-registry";
 /// Mean pause before a failed registration is retried; the actual pause has jitter.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
+/// Maximum number of calls in a row for one registration or removal, in case other writers keep
+/// changing the object.
+const MAX_CALLS: usize = 5;
 
-/// Content of the object of a node that registers itself.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Registration {
-    /// The address at which other nodes reach the node.
-    pub address: SocketAddr,
-    /// Service of the node's target: the node holds keys of no other service. `None` if the object
-    /// doesn't name it.
-    #[serde(default)]
-    pub service: Option<String>,
+/// The node's own registration.
+pub struct OwnRegistration {
+    /// What this process writes.
+    content: Registration,
+    /// Whether the node registers itself in the store.
+    registers_itself: Cell<bool>,
+    /// Where the store acknowledged the registration; `None` if it hasn't.
+    acknowledged_at: Cell<Option<StorePosition>>,
+    /// Whether the store may hold the registration, acknowledged or not.
+    may_be_stored: Cell<bool>,
+    /// Notified when the registration may have to be written.
+    wakeup: Notify,
+}
+
+impl OwnRegistration {
+    /// The registration of the process with the incarnation `life`, which hasn't written it yet.
+    pub fn new(settings: &Settings, life: Incarnation) -> Self {
+        Self {
+            content: Registration {
+                address: settings.internal(),
+                service: Some(settings.node.service.clone()),
+                life: Some(life),
+            },
+            registers_itself: Cell::new(settings.node.registers_itself),
+            acknowledged_at: Cell::default(),
+            may_be_stored: Cell::default(),
+            wakeup: Notify::new(),
+        }
+    }
+
+    /// Where the store acknowledged the registration; `None` if it hasn't.
+    pub fn acknowledged_at(&self) -> Option<StorePosition> {
+        self.acknowledged_at.get()
+    }
+
+    /// Whether the store may hold the registration, acknowledged or not.
+    pub fn may_be_stored(&self) -> bool {
+        self.may_be_stored.get()
+    }
+
+    /// Makes the node register itself from now on.
+    pub fn set_registers_itself(&self) {
+        self.registers_itself.set(true);
+        self.wake();
+    }
+
+    /// Checks whether the registration has to be written again.
+    pub fn wake(&self) {
+        self.wakeup.notify_waiters();
+    }
 }
 
 /// Registers the node once it is to register itself, and again whenever the store was restored from
-/// a copy, which may lack the registration.
+/// a copy, which may lack the registration. A stopping node doesn't register.
 pub async fn keep_registered(node: Rc<Node>) {
     loop {
-        let wakeup = node.registration_wakeup.notified();
-        if node.registers_itself.get() && !node.is_registered() && !node.is_stopping() {
-            register(&node).await;
-        } else {
+        let wakeup = node.registration.wakeup.notified();
+        let is_due = node.registration.registers_itself.get() && node.registered_at().is_none();
+        if !is_due || node.is_stopping() {
             wakeup.await;
+            continue;
+        }
+        if let Err(error) = register(&node).await {
+            failed(&node, "write", &error);
+            let jitter = rand::rng().random_range(0.5..1.5);
+            tokio::time::sleep(RETRY_PAUSE.mul_f64(jitter)).await;
         }
     }
 }
 
-/// Writes the node's object, retrying until that succeeds.
-async fn register(node: &Node) {
-    let content = Registration {
-        address: node.settings.internal(),
-        service: Some(node.settings.node.service.clone()),
-    };
-    loop {
-        match write(node, &content).await {
-            Ok(()) => {
-                node.registered.set(Some(node.store_era.get()));
+/// Writes the node's object, replacing one of an earlier process.
+async fn register(node: &Node) -> Result<(), StoreError> {
+    let registration = &node.registration;
+    let mut call = RegistrationCall::Create;
+    for _ in 0..MAX_CALLS {
+        registration.may_be_stored.set(true);
+        let stored = perform(node, call).await?;
+        match registration.content.register_step(&stored) {
+            RegisterStep::Call(next) => call = next,
+            RegisterStep::Registered { revision } => {
+                let era = node.store_era.get();
+                let position = StorePosition { era, revision };
+                registration.acknowledged_at.set(Some(position));
+                registration.may_be_stored.set(true);
                 node.control_wakeup.notify_one();
-                return;
+                return Ok(());
             }
-            Err(error) => failed(node, "write", &error),
         }
-        let jitter = rand::rng().random_range(0.5..1.5);
-        tokio::time::sleep(RETRY_PAUSE.mul_f64(jitter)).await;
     }
+    Err(StoreError::Answered(Outcome::Conflict))
 }
 
-async fn write(node: &Node, content: &Registration) -> Result<(), StoreError> {
-    let create = objects::create(NODE_KIND, &node.name, content);
-    let created = node.call_store(&create, None).await?;
-    match created.outcome {
-        Outcome::Done => Ok(()),
-        Outcome::Conflict => replace(node, &created.body, content).await,
-        other => Err(StoreError::Answered(other)),
+/// Removes the node's object once the node holds no keys. If that fails, the object may still be
+/// stored.
+pub async fn unregister(node: Rc<Node>) {
+    let first = match node.registered_at() {
+        Some(StorePosition { revision, .. }) => RegistrationCall::Remove { revision },
+        None => RegistrationCall::Read,
+    };
+    match remove(&node, first).await {
+        Ok(()) => {
+            node.registration.acknowledged_at.set(None);
+            node.registration.may_be_stored.set(false);
+        }
+        Err(error) => failed(&node, "remove", &error),
     }
 }
 
-/// Replaces an object of an earlier process unless its content is the same.
-async fn replace(node: &Node, body: &[u8], content: &Registration) -> Result<(), StoreError> {
-    let existing = match objects::parse_object(body) {
-        Ok(object) => object,
-        // The response to a conflict doesn't have to contain the object.
-        Err(_) => {
-            let get = objects::get(NODE_KIND, &node.name);
-            objects::parse_object(&node.read_store(&get, None).await?)?
+async fn remove(node: &Node, first: RegistrationCall) -> Result<(), StoreError> {
+    let mut call = first;
+    for _ in 0..MAX_CALLS {
+        let stored = perform(node, call).await?;
+        match node.registration.content.remove_step(&stored) {
+            RemoveStep::Call(next) => call = next,
+            RemoveStep::Removed => return Ok(()),
         }
-    };
-    // An object that can't be read is replaced as well.
-    if serde_json::from_slice::<Registration>(&existing.content)
-        .is_ok_and(|known| known == *content)
-    {
-        return Ok(());
     }
-    let replace = objects::replace(NODE_KIND, &node.name, existing.revision, content);
-    node.read_store(&replace, None).await?;
-    Ok(())
+    Err(StoreError::Answered(Outcome::Conflict))
 }
 
-/// Removes the node's object once the node holds no keys. Returns whether the object is gone.
-pub async fn unregister(node: &Node) -> bool {
-    let remove = objects::remove(NODE_KIND, &node.name);
-    match node.call_store(&remove, None).await {
-        Ok(reply) if matches!(reply.outcome, Outcome::Done | Outcome::Missing) => true,
-        Ok(reply) => {
-            failed(node, "remove", &StoreError::Answered(reply.outcome));
-            false
-        }
-        Err(error) => {
-            failed(node, "remove", &error);
-            false
+/// Makes a call about the node's object.
+async fn perform(node: &Node, call: RegistrationCall) -> Result<StoredRegistration, StoreError> {
+    let (name, content) = (&node.name, &node.registration.content);
+    let request = match call {
+        RegistrationCall::Read => objects::get(NODE_KIND, name),
+        RegistrationCall::Create => objects::create(NODE_KIND, name, content),
+        RegistrationCall::Replace { revision } => {
+            objects::replace(NODE_KIND, name, revision, content)
         }
+        RegistrationCall::Remove { revision } => objects::remove_at(NODE_KIND, name, revision),
+    };
+    let reply = node.call_store(&request, None).await?;
+    let is_removal = matches!(call, RegistrationCall::Remove { .. });
+    match reply.outcome {
+        Outcome::Done if is_removal => Ok(StoredRegistration::Absent),
+        Outcome::Done | Outcome::Conflict => Ok(parse_stored(&reply.body)),
+        Outcome::Missing => Ok(StoredRegistration::Absent),
+        other => Err(StoreError::Answered(other)),
+    }
+}
+
+fn parse_stored(body: &[u8]) -> StoredRegistration {
+    match objects::parse_object(body) {
+        Ok(object) => StoredRegistration::Present {
+            revision: object.revision,
+            content: serde_json::from_slice(&object.content).ok(),
+        },
+        Err(_) => StoredRegistration::NotShown,
     }
 }
 
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -11,7 +11,7 @@
 use rand::RngExt;
 use tokio::net::UdpSocket;
 use tokio::signal::unix::{Signal, SignalKind, signal};
-use tokio::task::{LocalSet, spawn_local};
+use tokio::task::{JoinHandle, LocalSet, spawn_local};
 use wingspar_ownership::Incarnation;
 use wingspar_platform::paths;
 
@@ -240,15 +240,15 @@
     tokio::time::sleep(LEAVING_PHASE_DURATION.min(grace / 2)).await;
     node.stop.send_replace(StopPhase::Closing);
     let mut exit_condition = ExitCondition::default();
-    let mut unregistering = false;
+    let mut removal = None::<JoinHandle<()>>;
     while node.clock.uptime().saturating_sub(signalled_at) < grace {
         let remaining = remaining(node);
         if exit_condition.is_met(Instant::now(), remaining) {
             break;
         }
-        if !remaining.holds_keys && !unregistering {
-            unregistering = true;
-            spawn_local(unregister(node.clone()));
+        let is_removing = removal.as_ref().is_some_and(|task| !task.is_finished());
+        if !remaining.holds_keys && !is_removing && node.registration.may_be_stored() {
+            removal = Some(spawn_local(registration::unregister(node.clone())));
         }
         tokio::time::sleep(EXIT_CHECK_INTERVAL).await;
     }
@@ -263,14 +263,6 @@
         requests: node.in_flight.get() + node.slots.running(),
         holds_keys: participant.may_hold_any(node.now()),
         connections: node.connections.get(),
-        registered: node.registered.get().is_some(),
+        registered: node.registration.acknowledged_at().is_some(),
     }
 }
-
-/// Removes the node's registration, retrying until the store confirms it.
-async fn unregister(node: Rc<Node>) {
-    while !registration::unregister(&node).await {
-        tokio::time::sleep(EXIT_CHECK_INTERVAL).await;
-    }
-    node.registered.set(None);
-}
--- a/crates/standins/src/fleet/store.rs
+++ b/crates/standins/src/fleet/store.rs
@@ -33,6 +33,27 @@
     pub history_from: u64,
 }
 
+/// A write whose answer is lost and that the store executes late.
+#[derive(Debug)]
+struct HeldWrite {
+    method: Method,
+    kind: String,
+    name: String,
+    /// The call, once it has arrived.
+    arrived: Option<WriteCall>,
+}
+
+/// A writing call.
+#[derive(Debug)]
+struct WriteCall {
+    method: Method,
+    kind: String,
+    name: String,
+    /// The revision that the object must have; `None` for any.
+    expected: Option<u64>,
+    spec: Value,
+}
+
 /// All that the store holds at a moment.
 #[derive(Debug, Clone)]
 pub struct StoreCopy {
@@ -56,6 +77,7 @@
 struct Shared {
     objects: Mutex<Objects>,
     faults: Mutex<StoreFaults>,
+    held: Mutex<Vec<HeldWrite>>,
     changed: watch::Sender<u64>,
 }
 
@@ -75,6 +97,7 @@
         let shared = Arc::new(Shared {
             objects: Mutex::default(),
             faults: Mutex::default(),
+            held: Mutex::default(),
             changed: watch::Sender::new(0),
         });
         let handler = StoreHandler(Arc::clone(&shared));
@@ -94,6 +117,32 @@
         *lock(&self.shared.faults) = faults;
     }
 
+    /// Loses the answer to the next write of this method to an object, and executes that write only
+    /// in [`Self::execute_held`].
+    pub fn hold_next(&self, method: Method, kind: &str, name: &str) {
+        lock(&self.shared.held).push(HeldWrite {
+            method,
+            kind: kind.to_owned(),
+            name: name.to_owned(),
+            arrived: None,
+        });
+    }
+
+    /// Number of held writes that have arrived.
+    #[must_use]
+    pub fn held(&self) -> usize {
+        let held = lock(&self.shared.held);
+        held.iter().filter(|write| write.arrived.is_some()).count()
+    }
+
+    /// Executes the held writes that have arrived, if their conditions still hold.
+    pub fn execute_held(&self) {
+        let held = std::mem::take(&mut *lock(&self.shared.held));
+        for call in held.into_iter().filter_map(|write| write.arrived) {
+            let _unsent = self.shared.execute(&call);
+        }
+    }
+
     /// Writes an object as the operator does.
     pub fn write(&self, kind: &str, name: &str, spec: Value) {
         self.shared.put(kind, name, spec);
@@ -192,6 +241,45 @@
         true
     }
 
+    /// Keeps a call that is to be executed late. Returns the call if it is to be executed now.
+    fn hold(&self, call: WriteCall) -> Option<WriteCall> {
+        let mut held = lock(&self.held);
+        let matching = held.iter_mut().find(|write| {
+            write.arrived.is_none()
+                && (&write.method, &write.kind, &write.name)
+                    == (&call.method, &call.kind, &call.name)
+        });
+        match matching {
+            Some(write) => {
+                write.arrived = Some(call);
+                None
+            }
+            None => Some(call),
+        }
+    }
+
+    /// Executes a write. Returns the status and body of the answer.
+    fn execute(&self, call: &WriteCall) -> (u16, Value) {
+        let known = self.get(&call.kind, &call.name);
+        if call.method == Method::POST {
+            return match known {
+                Some((_, known)) => (409, known),
+                None => (200, self.put(&call.kind, &call.name, call.spec.clone())),
+            };
+        }
+        let Some((revision, known)) = known else {
+            return (404, Value::Null);
+        };
+        if call.expected.is_some_and(|expected| expected != revision) {
+            return (409, known);
+        }
+        if call.method == Method::DELETE {
+            self.remove(&call.kind, &call.name);
+            return (200, Value::Null);
+        }
+        (200, self.put(&call.kind, &call.name, call.spec.clone()))
+    }
+
     fn get(&self, kind: &str, name: &str) -> Option<(u64, Value)> {
         let objects = lock(&self.objects);
         let key = (kind.to_owned(), name.to_owned());
@@ -294,20 +382,51 @@
             ["objects", kind] if method == Method::GET => {
                 self.read_kind(kind, faults, request, response).await
             }
+            ["objects", kind, name] if method == Method::GET => match shared.get(kind, name) {
+                Some((_, known)) => answer(response, 200, &known),
+                None => answer(response, 404, &Value::Null),
+            },
             ["objects", kind] if method == Method::POST => {
-                let name = body["meta"]["name"].as_str().unwrap_or_default();
-                match shared.get(kind, name) {
-                    Some((_, known)) => answer(response, 409, &known),
-                    None => answer(response, 200, &shared.put(kind, name, body["spec"].clone())),
-                }
+                let name = body["meta"]["name"].as_str().unwrap_or_default().to_owned();
+                let call = write_call(method, kind, &name, request, &body);
+                self.write(call, response).await;
+            }
+            ["objects", kind, name] => {
+                let call = write_call(method, kind, name, request, &body);
+                self.write(call, response).await;
             }
-            ["objects", kind, name] => self.one(method, kind, name, &body, response),
             _ => answer(response, 404, &Value::Null),
         }
     }
 }
 
+/// The call in a request. The expected revision stands in the query or in the object's `meta`.
+fn write_call(
+    method: Method,
+    kind: &str,
+    name: &str,
+    request: &Request,
+    body: &Value,
+) -> WriteCall {
+    let in_query = query_value::<u64>(request, "rev").ok().flatten();
+    WriteCall {
+        method,
+        kind: kind.to_owned(),
+        name: name.to_owned(),
+        expected: in_query.or_else(|| body["meta"]["rev"].as_u64()),
+        spec: body["spec"].clone(),
+    }
+}
+
 impl StoreHandler {
+    async fn write(&self, call: WriteCall, response: &mut Response) {
+        let Some(call) = self.0.hold(call) else {
+            return std::future::pending().await;
+        };
+        let (status, body) = self.0.execute(&call);
+        answer(response, status, &body);
+    }
+
     async fn read_kind(
         &self,
         kind: &str,
@@ -334,23 +453,4 @@
         let changes = self.0.watch(kind, since, Duration::from_millis(wait)).await;
         answer(response, 200, &changes);
     }
-
-    fn one(&self, method: Method, kind: &str, name: &str, body: &Value, response: &mut Response) {
-        let shared = &self.0;
-        let known = shared.get(kind, name);
-        if method == Method::DELETE {
-            let status = if shared.remove(kind, name) { 200 } else { 404 };
-            return answer(response, status, &Value::Null);
-        }
-        let Some((revision, known)) = known else {
-            return answer(response, 404, &Value::Null);
-        };
-        if method == Method::GET {
-            return answer(response, 200, &known);
-        }
-        match body["meta"]["rev"].as_u64() {
-            Some(expected) if expected != revision => answer(response, 409, &known),
-            _ => answer(response, 200, &shared.put(kind, name, body["spec"].clone())),
-        }
-    }
 }
--- a/crates/wingspar/tests/sidecar/main.rs
+++ b/crates/wingspar/tests/sidecar/main.rs
@@ -21,6 +21,7 @@
 mod quota_failures;
 mod quotas;
 mod regions;
+mod registrations;
 mod requests;
 mod resting;
 mod restored_store;
