Leader: a node of the last table is awaited even if the store doesn't list it

So a new leader also awaits the nodes of the last table that it knows, until they report or their leases have expired. A stopping node that owns nothing is left out: it removes its registration and gets nothing more. They are also notified and reminded of the new leader. This takes no call to the store, and waits only for nodes that don't answer while some keys are reported by nobody. `leadership_taken` logs how many such nodes there are (`unlisted`).

--- a/crates/ownership/src/leader/confirmation.rs
+++ b/crates/ownership/src/leader/confirmation.rs
@@ -47,21 +47,20 @@
     /// Whether every node that may hold keys of a service has reported. Always false while the
     /// store may have lost registrations.
     pub(super) fn have_all_reported(&self, service: &str) -> bool {
-        let may_hold = |node: &NodeName| {
-            let known = self.registered.get(node).and_then(Option::as_deref);
-            known.is_none_or(|known| known == service)
-        };
-        self.are_registrations_complete() && !self.silent.iter().any(may_hold)
+        let mut silent = self.silent.values();
+        let may_hold = |known: &Option<String>| known.as_ref().is_none_or(|known| known == service);
+        self.are_registrations_complete() && !silent.any(may_hold)
     }
 
     /// Whether every node that may own shards has reported. Always false while the store may have
     /// lost registrations.
     pub(super) fn have_shard_owners_reported(&self) -> bool {
-        let may_own = |node: &NodeName| {
-            let known = self.registered.get(node).and_then(Option::as_deref);
+        let mut silent = self.silent.values();
+        let may_own = |known: &Option<String>| {
+            let known = known.as_deref();
             known.is_none_or(|service| self.may_own_shards(service))
         };
-        self.are_registrations_complete() && !self.silent.iter().any(may_own)
+        self.are_registrations_complete() && !silent.any(may_own)
     }
 
     /// Whether nodes whose registrations the store has lost can't hold anything any more.
--- a/crates/ownership/src/leader/mod.rs
+++ b/crates/ownership/src/leader/mod.rs
@@ -24,8 +24,8 @@
 use crate::plan::{Candidate, Plan};
 use crate::table_log::TableLog;
 use crate::{
-    Epoch, Fence, Leadership, LeaseReply, LoadReport, MemberView, NodeName, OwnerZones, Renewal,
-    StoreEra, Table, TableAnswer, TableChanges, TargetState, Time, Timing,
+    Epoch, Fence, Leadership, LeaseReply, LoadReport, MemberView, NodeName, OwnerZones,
+    RegisteredNode, Renewal, StoreEra, Table, TableAnswer, TableChanges, TargetState, Time, Timing,
 };
 
 /// Least time between two calls to a node about a changed assignment.
@@ -45,8 +45,9 @@
     /// Nodes that were registered when the leader was elected, with the service of each if it is
     /// known.
     registered: BTreeMap<NodeName, Option<String>>,
-    /// Registered nodes that haven't reported in this epoch.
-    silent: BTreeSet<NodeName>,
+    /// Nodes that haven't reported in this epoch and may hold keys or shards: registered ones, and
+    /// others in the table of the previous leader. Each with its service if that is known.
+    silent: BTreeMap<NodeName, Option<String>>,
     /// The node registrations that this leader writes to the store.
     registry: Registry,
     /// When the last registered node so far reported for the first time.
@@ -102,11 +103,13 @@
             .restored_ms_ago
             .map(|ago| leases_ended_at.before(Duration::from_millis(ago)));
         let unreadable = (registered.unreadable > 0).then_some(leases_ended_at);
-        let registered = registered
-            .all()
-            .iter()
-            .map(|known| (known.node.clone(), known.service.clone()))
-            .collect::<BTreeMap<_, _>>();
+        // A registration may be missing from the list although its node holds keys.
+        let unlisted = registered.unlisted(&previous_table);
+        let with_service = |known: RegisteredNode| (known.node, known.service);
+        let registered = registered.all().into_iter().map(with_service);
+        let registered = registered.collect::<BTreeMap<_, _>>();
+        let mut silent = registered.clone();
+        silent.extend(unlisted.into_iter().map(with_service));
         let epoch = leadership.leader.epoch;
         let earlier = leadership.earlier.as_ref();
         let is_first = earlier.is_some_and(Vec::is_empty);
@@ -127,7 +130,7 @@
             elected_at: now,
             confirmed_at: claimed_at,
             last_fence: Fence::first_of(epoch),
-            silent: registered.keys().cloned().collect(),
+            silent,
             last_report_at: now,
             registered,
             registry,
@@ -196,9 +199,9 @@
         &self.members
     }
 
-    /// Registered nodes that haven't reported in this epoch.
-    pub fn silent(&self) -> &BTreeSet<NodeName> {
-        &self.silent
+    /// Nodes that may hold keys or shards and haven't reported in this epoch.
+    pub fn silent(&self) -> impl ExactSizeIterator<Item = &NodeName> {
+        self.silent.keys()
     }
 
     /// The answer to a node that has a version of an epoch's table.
--- a/crates/ownership/src/leader/registry.rs
+++ b/crates/ownership/src/leader/registry.rs
@@ -18,7 +18,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::Leader;
-use crate::{Epoch, MemberView, NodeName, RegisteredNode, Time};
+use crate::{Epoch, MemberView, NodeName, RegisteredNode, Table, Time};
 
 /// Most nodes per page. A page has about 20 KB, which the slowest link transfers in about as many
 /// milliseconds.
@@ -98,6 +98,29 @@
         nodes.into_values().collect()
     }
 
+    /// The nodes in the last known table that the store doesn't list, although they may hold keys
+    /// or shards. The table may be outdated, so this isn't all of them. A stopping node that owns
+    /// nothing is left out: it removes its registration and gets nothing more.
+    pub fn unlisted(&self, table: &Table) -> Vec<RegisteredNode> {
+        let listed = self.all();
+        let listed = listed.iter().map(|known| &known.node);
+        let listed = listed.collect::<BTreeSet<_>>();
+        let owners = table.services.iter().flat_map(|service| &service.owners);
+        let owners = owners.filter_map(|(_, owner)| owner.as_ref());
+        let owners = owners.collect::<BTreeSet<_>>();
+        let may_hold = |member: &&MemberView| {
+            let is_owner = owners.contains(&member.node) || !member.quota_shards.is_empty();
+            !listed.contains(&member.node) && (is_owner || !member.leaving)
+        };
+        let unlisted = table.members.iter().filter(may_hold);
+        let unlisted = unlisted.map(|member| RegisteredNode {
+            node: member.node.clone(),
+            address: member.address,
+            service: member.target.as_ref().map(|target| target.service.clone()),
+        });
+        unlisted.collect()
+    }
+
     /// The names of the pages, earliest first.
     fn page_names(&self) -> VecDeque<String> {
         let readable = self.pages.iter().map(RegistryPage::name);
--- a/crates/ownership/src/leader/renewals.rs
+++ b/crates/ownership/src/leader/renewals.rs
@@ -25,7 +25,7 @@
         }
         // A new process that hasn't cleared its target can't report what the target still holds or
         // works on.
-        if renewal.clean && self.silent.remove(&renewal.node) {
+        if renewal.clean && self.silent.remove(&renewal.node).is_some() {
             self.last_report_at = now;
         }
         let no_lease_given = Duration::from_millis(renewal.no_lease_given_ms);
--- a/crates/ownership/src/participant/elections.rs
+++ b/crates/ownership/src/participant/elections.rs
@@ -218,12 +218,15 @@
         }
         self.follow(now, &leader, &mut actions);
         self.election.leader_answered(now);
-        let nodes = registered.all();
-        actions.push(Action::Log(LeadershipEvent::LeadershipTaken(
-            leader.epoch,
-            nodes.len(),
-        )));
+        let mut nodes = registered.all();
         let known = self.table.clone();
+        let unlisted = registered.unlisted(&known);
+        actions.push(Action::Log(LeadershipEvent::LeadershipTaken {
+            epoch: leader.epoch,
+            registered: nodes.len(),
+            unlisted: unlisted.len(),
+        }));
+        nodes.extend(unlisted);
         self.leader = Some(Leader::new(
             &leadership,
             self.timing,
@@ -239,7 +242,7 @@
                 actions.push(Action::Send(known.address, notice.clone()));
             }
         }
-        self.registered = nodes;
+        self.expected_nodes = nodes;
         self.next_reminders = now + REMINDER_INTERVAL;
         self.next_renewal = now;
         actions.extend(self.tick(now, context));
--- a/crates/ownership/src/participant/leadership.rs
+++ b/crates/ownership/src/participant/leadership.rs
@@ -58,8 +58,8 @@
         self.announce_changes(now, context, actions);
     }
 
-    /// Reminds silent nodes of who leads, a limited number at a time: nodes that were registered
-    /// before the election, and nodes that have renewed since but not lately.
+    /// Reminds silent nodes of who leads, a limited number at a time: nodes that were known before
+    /// the election, and nodes that have renewed since but not lately.
     fn remind_silent(&mut self, now: Time, context: &NodeContext, actions: &mut Vec<Action>) {
         if now < self.next_reminders {
             return;
@@ -75,7 +75,7 @@
             .filter(|member| now.since(member.renewed_at) >= self.timing.suspect_after)
             .map(|member| (&member.view.node, member.view.address));
         let never_heard = self
-            .registered
+            .expected_nodes
             .iter()
             .filter(|known| !members.contains_key(&known.node))
             .map(|known| (&known.node, known.address));
--- a/crates/ownership/src/participant/mod.rs
+++ b/crates/ownership/src/participant/mod.rs
@@ -143,8 +143,15 @@
 pub enum LeadershipEvent {
     /// The node follows another leader.
     LeaderKnown(LeaderReference),
-    /// This node leads the epoch; the number is that of registered nodes.
-    LeadershipTaken(Epoch, usize),
+    /// This node leads the epoch.
+    LeadershipTaken {
+        /// The new leader's epoch.
+        epoch: Epoch,
+        /// Number of registered nodes.
+        registered: usize,
+        /// Number of other nodes in the last table that may hold keys or shards.
+        unlisted: usize,
+    },
     /// This node no longer leads the epoch.
     LeadershipLost(Epoch),
 }
@@ -259,8 +266,8 @@
     rewritten_epoch: Epoch,
     /// Rises with each choice among nodes, so that the choice rotates.
     rotation: u64,
-    /// Nodes that were registered when this node was elected.
-    registered: Vec<RegisteredNode>,
+    /// Nodes that were registered or in the last table when this node was elected.
+    expected_nodes: Vec<RegisteredNode>,
     next_reminders: Time,
 }
 
@@ -298,7 +305,7 @@
             won_claim: None,
             rewritten_epoch: Epoch::default(),
             rotation: 0,
-            registered: Vec::new(),
+            expected_nodes: Vec::new(),
             next_reminders: now,
         }
     }
--- /dev/null
+++ b/crates/ownership/tests/missing_registrations.rs
@@ -0,0 +1,147 @@
+//! Guards against a new leader that assigns the keys of a silent node because the store's list of
+//! registered nodes lacks that node.
+
+mod support;
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use support::{SERVICE, address, leadership, name, renewal};
+use wingspar_ownership::{
+    Epoch, KeyRange, Leader, MemberView, NodeName, RegisteredNode, RegisteredNodes, ServiceTable,
+    Table, TargetState, Time, Timing,
+};
+
+const EPOCH: Epoch = Epoch(4);
+const ELECTED_AT: Time = Time(10_000);
+const STEP: Duration = Duration::from_millis(100);
+/// Last key of the range that node 0 owns in the last table.
+const FIRST_HALF: u16 = 32_767;
+/// Last key of the range that node 1 owns; nobody owns the rest.
+const THIRD_QUARTER: u16 = 49_151;
+
+fn registered(number: u8) -> RegisteredNode {
+    RegisteredNode {
+        node: name(number),
+        address: address(number),
+        service: Some(SERVICE.to_owned()),
+    }
+}
+
+fn listed(numbers: &[u8]) -> RegisteredNodes {
+    RegisteredNodes {
+        self_registered: numbers.iter().copied().map(registered).collect(),
+        ..RegisteredNodes::default()
+    }
+}
+
+fn member(number: u8, leaving: bool) -> MemberView {
+    MemberView {
+        node: name(number),
+        zone: "a".to_owned(),
+        address: address(number),
+        target: Some(TargetState {
+            id: format!("target-{number}"),
+            service: SERVICE.to_owned(),
+            accepting: true,
+            slots: 8,
+            starts_per_s: None,
+        }),
+        leaving,
+        quota_shards: Vec::new(),
+    }
+}
+
+/// Returns the last table, in which nodes 0 and 1 own keys if `owner` is node 1.
+fn table(second: MemberView, owner: Option<NodeName>) -> Table {
+    Table {
+        epoch: Epoch(3),
+        version: 7,
+        members: vec![member(0, false), second],
+        services: vec![ServiceTable {
+            service: SERVICE.to_owned(),
+            owners: vec![
+                (FIRST_HALF, Some(name(0))),
+                (THIRD_QUARTER, owner),
+                (u16::MAX, None),
+            ],
+            plan: vec![(FIRST_HALF, name(0)), (u16::MAX, name(1))],
+        }],
+    }
+}
+
+fn elected(registered: &RegisteredNodes, table: Table) -> Leader {
+    let leadership = leadership(EPOCH.0);
+    let timing = Timing::default();
+    let mut leader = Leader::new(
+        &leadership,
+        timing,
+        ELECTED_AT,
+        ELECTED_AT,
+        registered,
+        table,
+    );
+    leader.set_keyed_services(&BTreeSet::from([SERVICE.to_owned()]));
+    leader
+}
+
+/// Lets these nodes renew until the leader assigns keys of the second half to node 0. Returns how
+/// long after the election that was; `None` if it wasn't within 20 s.
+fn second_half_assigned_after(leader: &mut Leader, renewing: &[u8]) -> Option<Duration> {
+    let mut now = ELECTED_AT;
+    while now.since(ELECTED_AT) < Duration::from_secs(20) {
+        for number in renewing {
+            let renewal = renewal(*number, 1, EPOCH, now);
+            let reply = leader.renewal(now, &renewal).expect("a confirmed leader");
+            let mut ranges = reply.wanted.iter().map(|wanted| wanted.range);
+            if *number == 0 && ranges.any(|range: KeyRange| range.to > FIRST_HALF) {
+                return Some(now.since(ELECTED_AT));
+            }
+        }
+        now = now + STEP;
+        leader.confirm(now);
+        leader.tick(now);
+    }
+    None
+}
+
+/// When leases given by earlier leaders have expired.
+fn leases_expired_after() -> Duration {
+    let timing = Timing::default();
+    timing.leadership + timing.lease + timing.lease_margin
+}
+
+#[test]
+fn a_silent_owner_that_the_store_does_not_list_keeps_its_keys_until_its_lease_has_expired() {
+    let table = table(member(1, false), Some(name(1)));
+    let mut leader = elected(&listed(&[0]), table);
+    let assigned_after = second_half_assigned_after(&mut leader, &[0]);
+    let assigned_after = assigned_after.expect("assigned in the end");
+    assert!(
+        assigned_after >= leases_expired_after(),
+        "after {assigned_after:?}"
+    );
+}
+
+#[test]
+fn a_silent_member_that_owned_nothing_yet_is_awaited_too() {
+    let mut leader = elected(&listed(&[0]), table(member(1, false), None));
+    let assigned_after = second_half_assigned_after(&mut leader, &[0]);
+    assert!(assigned_after.is_some_and(|after| after >= leases_expired_after()));
+}
+
+#[test]
+fn a_stopping_owner_is_awaited_although_the_store_does_not_list_it() {
+    let table = table(member(1, true), Some(name(1)));
+    let mut leader = elected(&listed(&[0]), table);
+    let assigned_after = second_half_assigned_after(&mut leader, &[0]);
+    assert!(assigned_after.is_some_and(|after| after >= leases_expired_after()));
+}
+
+#[test]
+fn a_stopped_node_that_owned_nothing_is_not_awaited() {
+    let mut leader = elected(&listed(&[0]), table(member(1, true), None));
+    let assigned_after = second_half_assigned_after(&mut leader, &[0]);
+    let bound = Timing::default().settle_delay + 3 * STEP;
+    assert!(assigned_after.is_some_and(|after| after <= bound));
+}
--- a/crates/ownership/tests/simulation/world.rs
+++ b/crates/ownership/tests/simulation/world.rs
@@ -96,6 +96,8 @@
     registers_itself: bool,
     /// Where the store acknowledged the process's registration.
     registered_at: Option<StorePosition>,
+    /// Whether the process has begun to remove its registration.
+    removes_registration: bool,
     /// The store's era, as known to the process.
     known_era: StoreEra,
     leaving: bool,
@@ -158,6 +160,7 @@
                 suspensions: Vec::new(),
                 registers_itself: false,
                 registered_at: None,
+                removes_registration: false,
                 known_era: StoreEra::default(),
                 leaving: false,
                 target: Target::new(format!("t{index}-0")),
@@ -243,6 +246,7 @@
         machine.life = life;
         machine.registers_itself = self.options.nodes_register_themselves;
         machine.registered_at = None;
+        machine.removes_registration = false;
         machine.known_era = StoreEra::default();
         machine.leaving = false;
         machine.target_known = first;
--- a/crates/ownership/tests/simulation/world/checker.rs
+++ b/crates/ownership/tests/simulation/world/checker.rs
@@ -55,6 +55,26 @@
         if self.options.has_quotas {
             self.check_shards();
         }
+        self.check_registrations();
+    }
+
+    /// Checks that the store holds the registration of each process from its acknowledgement until
+    /// the process begins to remove it.
+    fn check_registrations(&mut self) {
+        for index in 0..NODES {
+            let machine = &self.machines[index];
+            let is_acknowledged = machine.participant.is_some()
+                && machine.registered_at.is_some_and(|at| at.era == self.era);
+            if !is_acknowledged || machine.removes_registration {
+                continue;
+            }
+            let stored = self.registered.get(&machine.name);
+            let life = Some(Incarnation(machine.life));
+            if stored.is_none_or(|(_, stored)| stored.life != life) {
+                let detail = format!("the store lacks the registration of node {index}");
+                self.fail(Rule::Registered, detail);
+            }
+        }
     }
 
     /// Checks that each shard has at most one owner, and at the end that each has one.
--- a/crates/ownership/tests/simulation/world/options.rs
+++ b/crates/ownership/tests/simulation/world/options.rs
@@ -129,6 +129,8 @@
 pub enum Rule {
     /// A key or a quota shard has at most one owner.
     OneOwner,
+    /// The store holds the registration of each process that counts as registered.
+    Registered,
     /// Every key and shard has an owner again after the faults.
     ServedAgain,
 }
--- a/crates/ownership/tests/simulation/world/registration.rs
+++ b/crates/ownership/tests/simulation/world/registration.rs
@@ -184,6 +184,7 @@
             }
             _ => RegistrationCall::Read,
         };
+        machine.removes_registration = true;
         let content = self.own_registration(index);
         self.call_registration(index, Purpose::Remove, call, &content);
     }
--- a/crates/sidecar/src/control.rs
+++ b/crates/sidecar/src/control.rs
@@ -286,12 +286,15 @@
                     epoch: leader.epoch.0,
                 });
             }
-            LeadershipEvent::LeadershipTaken(epoch, registered) => {
-                log.write(Event::LeadershipTaken {
-                    epoch: epoch.0,
-                    registered: *registered,
-                })
-            }
+            LeadershipEvent::LeadershipTaken {
+                epoch,
+                registered,
+                unlisted,
+            } => log.write(Event::LeadershipTaken {
+                epoch: epoch.0,
+                registered: *registered,
+                unlisted: *unlisted,
+            }),
             LeadershipEvent::LeadershipLost(epoch) => log.write(Event::LeadershipLost {
                 epoch: epoch.0,
                 detail: "a later epoch is known",
--- a/crates/sidecar/src/logs.rs
+++ b/crates/sidecar/src/logs.rs
@@ -202,6 +202,8 @@
         epoch: u64,
         /// Number of registered nodes that have yet to report.
         registered: usize,
+        /// Number of nodes that have yet to report and are in the last table but not registered.
+        unlisted: usize,
     },
     /// This node has stopped being the leader.
     LeadershipLost {
