Leader: the registration of a restarted process counts only after a confirmation

The leader took a node for registered at once if the list that it read at its election had the node, whichever process had written the object, and kept the time of the first proof over restarts. But the previous process may have removed that object, and a later leader may have listed the nodes before the new process registered. Then this leader, which hasn't noticed yet that it was replaced, assigns keys to a node that the later one doesn't await: two owners. Now an object in the list counts only for the process that wrote it, and a restarted process needs a confirmation of the leadership that was sent after its first renewal, like any other node that registers late.

With the former rule the new test a_restarted_process_gets_keys_only_after_a_confirmation fails (1 range assigned instead of 0).

Cost: a confirmation, one read of the leader's object, is due when processes restart; several share one.

--- a/crates/ownership/src/leader/mod.rs
+++ b/crates/ownership/src/leader/mod.rs
@@ -25,7 +25,7 @@
 use crate::table_log::TableLog;
 use crate::{
     Epoch, Fence, Leadership, LeaseReply, LoadReport, MemberView, NodeName, OwnerZones,
-    RegisteredNode, Renewal, StoreEra, Table, TableAnswer, TableChanges, TargetState, Time, Timing,
+    Registration, Renewal, StoreEra, Table, TableAnswer, TableChanges, TargetState, Time, Timing,
 };
 
 /// Least time between two calls to a node about a changed assignment.
@@ -42,9 +42,10 @@
     /// The last fence that was used in a grant; at first the epoch's first fence, which no grant
     /// uses.
     last_fence: Fence,
-    /// Nodes that were registered when the leader was elected, with the service of each if it is
-    /// known.
-    registered: BTreeMap<NodeName, Option<String>>,
+    /// Number of nodes that were registered when the leader was elected.
+    registered_count: usize,
+    /// The nodes among them that had registered themselves.
+    self_registered: BTreeMap<NodeName, Registration>,
     /// Nodes that haven't reported in this epoch and may hold keys or shards: registered ones, and
     /// others in the table of the previous leader. Each with its service if that is known.
     silent: BTreeMap<NodeName, Option<String>>,
@@ -105,11 +106,10 @@
         let unreadable = (registered.unreadable > 0).then_some(leases_ended_at);
         // A registration may be missing from the list although its node holds keys.
         let unlisted = registered.unlisted(&previous_table);
-        let with_service = |known: RegisteredNode| (known.node, known.service);
-        let registered = registered.all().into_iter().map(with_service);
-        let registered = registered.collect::<BTreeMap<_, _>>();
-        let mut silent = registered.clone();
-        silent.extend(unlisted.into_iter().map(with_service));
+        let listed = registered.all();
+        let registered_count = listed.len();
+        let may_hold = listed.into_iter().chain(unlisted);
+        let silent = may_hold.map(|known| (known.node, known.service)).collect();
         let epoch = leadership.leader.epoch;
         let earlier = leadership.earlier.as_ref();
         let is_first = earlier.is_some_and(Vec::is_empty);
@@ -132,7 +132,8 @@
             last_fence: Fence::first_of(epoch),
             silent,
             last_report_at: now,
-            registered,
+            registered_count,
+            self_registered: registered.self_registered.clone(),
             registry,
             members: BTreeMap::new(),
             partitions: BTreeMap::new(),
--- a/crates/ownership/src/leader/registry.rs
+++ b/crates/ownership/src/leader/registry.rs
@@ -18,7 +18,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::Leader;
-use crate::{Epoch, MemberView, NodeName, RegisteredNode, Table, Time};
+use crate::{Epoch, MemberView, NodeName, RegisteredNode, Registration, Table, Time};
 
 /// Most nodes per page. A page has about 20 KB, which the slowest link transfers in about as many
 /// milliseconds.
@@ -63,8 +63,8 @@
 /// The node registrations in the store.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct RegisteredNodes {
-    /// Nodes that have registered themselves.
-    pub self_registered: Vec<RegisteredNode>,
+    /// Nodes that have registered themselves, by name.
+    pub self_registered: BTreeMap<NodeName, Registration>,
     /// Pages that leaders have written.
     pub pages: Vec<RegistryPage>,
     /// Names of unreadable pages.
@@ -93,8 +93,14 @@
     /// All nodes that may hold keys.
     pub fn all(&self) -> Vec<RegisteredNode> {
         let mut nodes = self.in_pages();
-        let self_registered = self.self_registered.iter();
-        nodes.extend(self_registered.map(|known| (known.node.clone(), known.clone())));
+        for (node, registration) in &self.self_registered {
+            let known = RegisteredNode {
+                node: node.clone(),
+                address: registration.address,
+                service: registration.service.clone(),
+            };
+            nodes.insert(node.clone(), known);
+        }
         nodes.into_values().collect()
     }
 
@@ -341,10 +347,10 @@
 impl Leader {
     /// Who registers the nodes of a fleet of this size.
     pub(super) fn registrar(&self, now: Time) -> Registrar {
-        let nodes = self.members.len().max(self.registered.len());
+        let nodes = self.members.len().max(self.registered_count);
         if nodes >= self.timing.large_fleet_size {
             Registrar::Leader
-        } else if now < self.elected_at + NODE_COUNT_PERIOD && self.registered.is_empty() {
+        } else if now < self.elected_at + NODE_COUNT_PERIOD && self.registered_count == 0 {
             Registrar::Undecided
         } else {
             Registrar::EachNode
--- a/crates/ownership/src/leader/renewals.rs
+++ b/crates/ownership/src/leader/renewals.rs
@@ -119,6 +119,8 @@
     pub(super) fn update_member(&mut self, now: Time, renewal: &Renewal) -> bool {
         let lease_until = now + self.timing.lease;
         let registrar = self.registrar(now);
+        let registered_for = self.registered_for(renewal);
+        let is_listed = registered_for.is_some() && self.is_listed(renewal);
         let is_new = !self.members.contains_key(&renewal.node);
         if is_new {
             self.joined_at = now;
@@ -154,6 +156,8 @@
         if restarted {
             member.previous_life = Some(member.life);
             member.life_seen_at = now;
+            // The previous process may have removed its registration before this one registered.
+            member.registered_at = None;
         }
         member.newest_sent_at = renewal.sent_at;
         member.life = renewal.life;
@@ -163,17 +167,12 @@
         member.link_mbps = renewal.link_mbps;
         member.configuration_version = renewal.configuration_version;
         member.renewed_at = now;
-        let known_for = self.registered.get(&renewal.node);
-        // A registration that was acknowledged in an earlier era may be lost.
-        let is_stored = renewal.registered_in >= self.era;
-        let registered_for = renewal.registered_for.clone().filter(|_| is_stored);
-        let is_as_known = known_for.is_some_and(|service| *service == registered_for);
-        if is_as_known && registered_for.is_some() {
+        member.registered_at = match &registered_for {
+            None => None,
             // Any later leader reads this registration too.
-            member.registered_at = Some(Time::default());
-        } else if registered_for.is_some() && member.registered_at.is_none() {
-            member.registered_at = Some(now);
-        }
+            Some(_) if is_listed => Some(Time::default()),
+            Some(_) => member.registered_at.or(Some(now)),
+        };
         member.registered_for = registered_for;
         if member.registered_for.is_none()
             && let Some(service) = &renewal.service
@@ -190,6 +189,22 @@
         changed
     }
 
+    /// The service for which the store has a process registered, as the process reports it; `None`
+    /// if the registration may be lost because it was acknowledged in an earlier era.
+    fn registered_for(&self, renewal: &Renewal) -> Option<String> {
+        let is_stored = renewal.registered_in >= self.era;
+        renewal.registered_for.clone().filter(|_| is_stored)
+    }
+
+    /// Whether the list that this leader read contains a process's registration. That of another
+    /// process of the node proves nothing: it may have been removed since.
+    fn is_listed(&self, renewal: &Renewal) -> bool {
+        let listed = self.self_registered.get(&renewal.node);
+        listed.is_some_and(|listed| {
+            listed.life == Some(renewal.life) && listed.service == renewal.registered_for
+        })
+    }
+
     /// Revokes or frees the keys and shards of a node if its process has restarted or its target
     /// was replaced.
     fn end_earlier_process(&mut self, node: &NodeName, restarted: bool, replaced: bool) {
--- a/crates/ownership/tests/missing_registrations.rs
+++ b/crates/ownership/tests/missing_registrations.rs
@@ -8,8 +8,8 @@
 
 use support::{SERVICE, address, leadership, name, renewal};
 use wingspar_ownership::{
-    Epoch, KeyRange, Leader, MemberView, NodeName, RegisteredNode, RegisteredNodes, ServiceTable,
-    Table, TargetState, Time, Timing,
+    Epoch, Incarnation, KeyRange, Leader, MemberView, NodeName, RegisteredNodes, Registration,
+    Renewal, ServiceTable, Table, TargetState, Time, Timing,
 };
 
 const EPOCH: Epoch = Epoch(4);
@@ -20,17 +20,18 @@
 /// Last key of the range that node 1 owns; nobody owns the rest.
 const THIRD_QUARTER: u16 = 49_151;
 
-fn registered(number: u8) -> RegisteredNode {
-    RegisteredNode {
-        node: name(number),
-        address: address(number),
-        service: Some(SERVICE.to_owned()),
-    }
-}
-
+/// Returns the list of registrations by the first process of each of these nodes.
 fn listed(numbers: &[u8]) -> RegisteredNodes {
+    let registered = numbers.iter().map(|number| {
+        let registration = Registration {
+            address: address(*number),
+            service: Some(SERVICE.to_owned()),
+            life: Some(Incarnation(1)),
+        };
+        (name(*number), registration)
+    });
     RegisteredNodes {
-        self_registered: numbers.iter().copied().map(registered).collect(),
+        self_registered: registered.collect(),
         ..RegisteredNodes::default()
     }
 }
@@ -145,3 +146,37 @@
     let bound = Timing::default().settle_delay + 3 * STEP;
     assert!(assigned_after.is_some_and(|after| after <= bound));
 }
+
+/// Renews with these nodes once, then ticks. Returns how many ranges node 1 is assigned.
+fn ranges_of_second(leader: &mut Leader, now: Time, renewal: &Renewal) -> usize {
+    leader.renewal(now, renewal);
+    leader.tick(now);
+    let reply = leader.renewal(now, renewal);
+    reply.expect("a confirmed leader").wanted.len()
+}
+
+/// The previous process may have removed its registration after the leader had listed it, and a
+/// later leader may have listed the nodes before the new process registered.
+#[test]
+fn a_restarted_process_gets_keys_only_after_a_confirmation() {
+    let mut leader = elected(&listed(&[1]), Table::default());
+    let settled = ELECTED_AT + Timing::default().settle_delay;
+    leader.confirm(settled);
+    let first = renewal(1, 1, EPOCH, settled);
+    assert_eq!(ranges_of_second(&mut leader, settled, &first), 1);
+    let stopped_at = settled + STEP;
+    let stopping = Renewal {
+        applied: u64::MAX,
+        leaving: true,
+        ..renewal(1, 1, EPOCH, stopped_at)
+    };
+    assert_eq!(ranges_of_second(&mut leader, stopped_at, &stopping), 0);
+    let restarted_at = stopped_at + STEP;
+    let next = renewal(1, 2, EPOCH, restarted_at);
+    assert_eq!(ranges_of_second(&mut leader, restarted_at, &next), 0);
+    assert!(leader.needs_confirmation(restarted_at));
+    let confirmed_at = restarted_at + STEP;
+    leader.confirm(confirmed_at);
+    let next = renewal(1, 2, EPOCH, confirmed_at);
+    assert_eq!(ranges_of_second(&mut leader, confirmed_at, &next), 1);
+}
--- a/crates/ownership/tests/owner_zones.rs
+++ b/crates/ownership/tests/owner_zones.rs
@@ -5,7 +5,7 @@
 
 use wingspar_ownership::{
     Epoch, Fence, Holding, Incarnation, KeyRange, Leader, LeaderReference, Leadership, NodeName,
-    OwnerZones, RegisteredNode, RegisteredNodes, Released, Renewal, StoreEra, Table, TargetState,
+    OwnerZones, RegisteredNodes, Registration, Released, Renewal, StoreEra, Table, TargetState,
     Time, Timing, Wanted,
 };
 
@@ -61,10 +61,13 @@
             restored_ms_ago: None,
             nodes: 0,
         };
-        let registered = (0..ZONES.len()).map(|index| RegisteredNode {
-            node: name(index),
-            address: address(index),
-            service: Some(SERVICE.to_owned()),
+        let registered = (0..ZONES.len()).map(|index| {
+            let registration = Registration {
+                address: address(index),
+                service: Some(SERVICE.to_owned()),
+                life: Some(Incarnation(index as u64)),
+            };
+            (name(index), registration)
         });
         let registered = RegisteredNodes {
             self_registered: registered.collect(),
--- a/crates/ownership/tests/reminders.rs
+++ b/crates/ownership/tests/reminders.rs
@@ -5,7 +5,7 @@
 
 use wingspar_ownership::{
     Action, ClaimResult, Datagram, Incarnation, NodeContext, NodeIdentity, NodeName, Participant,
-    RegisteredNode, RegisteredNodes, Renewal, StoreEra, Time, Timing,
+    RegisteredNodes, Registration, Renewal, StoreEra, Time, Timing,
 };
 
 fn address(node: u8) -> SocketAddr {
@@ -58,10 +58,13 @@
     };
     let claimed = node.claim_ended(now, &context(), now, leadership.clone(), ClaimResult::Won);
     assert_eq!(claimed, [Action::ListRegistered]);
-    let registered = names.iter().map(|(name, last)| RegisteredNode {
-        node: NodeName::from(*name),
-        address: address(*last),
-        service: Some("s".to_owned()),
+    let registered = names.iter().map(|(name, last)| {
+        let registration = Registration {
+            address: address(*last),
+            service: Some("s".to_owned()),
+            life: Some(Incarnation(1)),
+        };
+        (NodeName::from(*name), registration)
     });
     let registered = RegisteredNodes {
         self_registered: registered.collect(),
--- a/crates/ownership/tests/shards.rs
+++ b/crates/ownership/tests/shards.rs
@@ -6,8 +6,8 @@
 
 use support::{address, name, shard_reply};
 use wingspar_ownership::{
-    Epoch, Incarnation, Leader, LeaderReference, Leadership, LeaseReply, RegisteredNode,
-    RegisteredNodes, Renewal, ShardHolder, ShardReport, StoreEra, Table, Time, Timing,
+    Epoch, Incarnation, Leader, LeaderReference, Leadership, LeaseReply, RegisteredNodes,
+    Registration, Renewal, ShardHolder, ShardReport, StoreEra, Table, Time, Timing,
 };
 use wingspar_quota::{SHARD_COUNT, Shard};
 
@@ -47,10 +47,13 @@
         restored_ms_ago: None,
         nodes: 0,
     };
-    let registered = registered.iter().map(|(number, service)| RegisteredNode {
-        node: name(*number),
-        address: address(*number),
-        service: Some((*service).to_owned()),
+    let registered = registered.iter().map(|(number, service)| {
+        let registration = Registration {
+            address: address(*number),
+            service: Some((*service).to_owned()),
+            life: Some(Incarnation(u64::from(*number))),
+        };
+        (name(*number), registration)
     });
     let registered = RegisteredNodes {
         self_registered: registered.collect(),
--- a/crates/ownership/tests/simulation/world.rs
+++ b/crates/ownership/tests/simulation/world.rs
@@ -20,8 +20,8 @@
 use wingspar_ownership::{
     Action, Admission, ClaimResult, Datagram, Delivery, Fence, GrantResult, Incarnation,
     Leadership, NodeContext, NodeIdentity, NodeName, Order, OwnerZones, Participant,
-    RegisteredNode, RegisteredNodes, Registration, RegistrationCall, RegistryPage, StoreEra,
-    StorePosition, Stored, StoredRegistration, TableAnswer, TargetState, Time,
+    RegisteredNodes, Registration, RegistrationCall, RegistryPage, StoreEra, StorePosition, Stored,
+    StoredRegistration, TableAnswer, TargetState, Time,
 };
 
 use wingspar_quota::Shard;
--- a/crates/ownership/tests/simulation/world/registration.rs
+++ b/crates/ownership/tests/simulation/world/registration.rs
@@ -48,13 +48,9 @@
         self.register(index);
     }
 
-    pub(super) fn self_registered(&self) -> Vec<RegisteredNode> {
+    pub(super) fn self_registered(&self) -> BTreeMap<NodeName, Registration> {
         let registered = self.registered.iter();
-        let registered = registered.map(|(name, (_, known))| RegisteredNode {
-            node: name.clone(),
-            address: known.address,
-            service: known.service.clone(),
-        });
+        let registered = registered.map(|(name, (_, known))| (name.clone(), known.clone()));
         registered.collect()
     }
 
--- a/crates/ownership/tests/take_over.rs
+++ b/crates/ownership/tests/take_over.rs
@@ -4,9 +4,8 @@
 use std::net::SocketAddr;
 
 use wingspar_ownership::{
-    Epoch, Incarnation, Leader, LeaderReference, Leadership, MemberView, NodeName, RegisteredNode,
-    RegisteredNodes, Renewal, ServiceTable, StoreEra, Table, TableAnswer, TargetState, Time,
-    Timing,
+    Epoch, Incarnation, Leader, LeaderReference, Leadership, MemberView, NodeName, RegisteredNodes,
+    Registration, Renewal, ServiceTable, StoreEra, Table, TableAnswer, TargetState, Time, Timing,
 };
 
 const SERVICE: &str = "s";
@@ -69,10 +68,13 @@
         restored_ms_ago: None,
         nodes: 0,
     };
-    let registered = (0..64).map(|number| RegisteredNode {
-        node: name(number),
-        address: address(number),
-        service: Some(SERVICE.to_owned()),
+    let registered = (0..64).map(|number| {
+        let registration = Registration {
+            address: address(number),
+            service: Some(SERVICE.to_owned()),
+            life: Some(Incarnation(u64::from(number))),
+        };
+        (name(number), registration)
     });
     let registered = RegisteredNodes {
         self_registered: registered.collect(),
--- a/crates/sidecar/src/registration.rs
+++ b/crates/sidecar/src/registration.rs
@@ -10,8 +10,8 @@
 use serde::de::DeserializeOwned;
 use tokio::sync::Notify;
 use wingspar_ownership::{
-    Incarnation, NodeName, RegisterStep, RegisteredNode, RegisteredNodes, Registration,
-    RegistrationCall, RegistryPage, RemoveStep, StorePosition, StoredRegistration,
+    Incarnation, NodeName, RegisterStep, RegisteredNodes, Registration, RegistrationCall,
+    RegistryPage, RemoveStep, StorePosition, StoredRegistration,
 };
 use wingspar_platform::FormatError;
 use wingspar_platform::objects::{self, Outcome};
@@ -228,14 +228,9 @@
     let pages = list_kind::<RegistryPage>(node, PAGE_KIND).await?;
     let self_registered = list_kind::<Registration>(node, NODE_KIND).await?;
     let unreadable = pages.unreadable() + self_registered.unreadable();
-    let self_registered = self_registered
-        .read
-        .into_iter()
-        .map(|(name, known)| RegisteredNode {
-            node: NodeName::from(name.as_str()),
-            address: known.address,
-            service: known.service,
-        });
+    let self_registered = self_registered.read.into_iter();
+    let self_registered =
+        self_registered.map(|(name, known)| (NodeName::from(name.as_str()), known));
     Ok(RegisteredNodes {
         self_registered: self_registered.collect(),
         pages: pages.read.into_iter().map(|(_, page)| page).collect(),
