Registration: a node whose registration a new leader finds missing registers again

A node never looked whether the store still held its registration: once lost, it was missing until the node's next restart, and every leader elected meanwhile didn't list the node. A new leader reads the list anyway, so it can tell: a node reports the revision of its registration until the leader has answered. If that revision is not later than the list and the list lacks the node, the registration has been removed since. The leader then counts the node as unregistered, so that it gets no more keys, and names the revision in its answer; the node writes its object anew (`registration_missing` in its log). Both fields are left out once checked, and by nodes of earlier versions. No call to the store is added while nothing is missing. Within one leader's term a loss still goes unnoticed.

The state machine's tests are in missing_registrations.

--- a/crates/ownership/src/leader/renewals.rs
+++ b/crates/ownership/src/leader/renewals.rs
@@ -81,6 +81,7 @@
             Duration::ZERO
         };
         let registers_itself = self.registrar(now) == Registrar::EachNode;
+        let missing_registration = self.missing_registration(renewal);
         let member = self.members.get_mut(&renewal.node)?;
         if renewal.clean {
             member.lease_until = now + lease;
@@ -107,6 +108,7 @@
             evacuations: None,
             quarantine: None,
             registers_itself,
+            missing_registration,
             quota_shards: self
                 .shards
                 .as_ref()
@@ -190,12 +192,23 @@
     }
 
     /// The service for which the store has a process registered, as the process reports it; `None`
-    /// if the registration may be lost because it was acknowledged in an earlier era.
+    /// if the registration is missing, or may be because it was acknowledged in an earlier era.
     fn registered_for(&self, renewal: &Renewal) -> Option<String> {
-        let is_stored = renewal.registered_in >= self.era;
+        let is_current = renewal.registered_in >= self.era;
+        let is_stored = is_current && self.missing_registration(renewal).is_none();
         renewal.registered_for.clone().filter(|_| is_stored)
     }
 
+    /// The revision of a process's registration if that was written before this leader listed the
+    /// registrations, and the list had none of the node.
+    fn missing_registration(&self, renewal: &Renewal) -> Option<u64> {
+        let was_listed = self.self_registered.contains_key(&renewal.node);
+        let is_comparable = renewal.registered_in == self.era;
+        let is_earlier = |revision: &u64| *revision <= self.self_registered_at;
+        let earlier = renewal.registered_revision.filter(is_earlier);
+        earlier.filter(|_| is_comparable && !was_listed)
+    }
+
     /// Whether the list that this leader read contains a process's registration. That of another
     /// process of the node proves nothing: it may have been removed since.
     fn is_listed(&self, renewal: &Renewal) -> bool {
--- a/crates/ownership/src/message.rs
+++ b/crates/ownership/src/message.rs
@@ -218,6 +218,10 @@
     /// The store era in which the store acknowledged the registration.
     #[serde(default)]
     pub registered_in: StoreEra,
+    /// Revision of the registration in that era; `None` once the leader has checked it, and from a
+    /// node of an earlier version.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub registered_revision: Option<u64>,
     /// Version of the node's configuration.
     pub configuration_version: u64,
     /// Whether the node's last call to the store succeeded.
@@ -272,6 +276,9 @@
     /// Whether the node has to register itself in the store; otherwise the leader registers it.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub registers_itself: bool,
+    /// Revision of the node's registration if the store no longer holds it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub missing_registration: Option<u64>,
     /// The shards of tenants' quotas that the node is assigned.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub quota_shards: Vec<Shard>,
--- a/crates/ownership/src/participant/mod.rs
+++ b/crates/ownership/src/participant/mod.rs
@@ -114,6 +114,8 @@
     RemoveRegistry(String),
     /// Register this node from now on, since in a small fleet the leader leaves that to each node.
     RegisterSelf,
+    /// The store no longer holds this node's registration with this revision: register again.
+    RegistrationMissing(u64),
     /// Read the leader's object; ends in [`Participant::confirmed`].
     Confirm,
     /// Make a call to the target.
@@ -171,6 +173,8 @@
     pub registered_for: Option<String>,
     /// The store era in which the store acknowledged the registration.
     pub registered_in: StoreEra,
+    /// Revision of the registration in that era.
+    pub registered_revision: u64,
     /// Version of the node's configuration.
     pub configuration_version: u64,
     /// Approximate size of the stored configuration in bytes; 0 if it isn't known.
@@ -244,6 +248,8 @@
     answered_by: Epoch,
     /// Whether the leader's last answer required the node to register itself.
     registers_itself: bool,
+    /// Whether the leader's last answer named the node's registration as missing.
+    registration_missing: bool,
     /// When the confirmation in flight was sent; `None` if none is.
     confirming_since: Option<Time>,
     /// When the last confirmation was sent.
@@ -296,6 +302,7 @@
             unanswered: 0,
             answered_by: Epoch::default(),
             registers_itself: false,
+            registration_missing: false,
             confirming_since: None,
             last_confirmation: Time::default(),
             next_take_over: now,
--- a/crates/ownership/src/participant/renewals.rs
+++ b/crates/ownership/src/participant/renewals.rs
@@ -8,6 +8,10 @@
         // A leader may have assigned shards to this node before the node received the quotas, and
         // waits for a report of which ones it has released.
         let reports_shards = context.has_quotas || shards != ShardReport::default();
+        // Each new leader checks the registration once.
+        let epoch = self.followed_leader().map(|leader| leader.epoch);
+        let is_checked = epoch == Some(self.answered_by) && !self.registration_missing;
+        let registered = context.registered_for.as_ref().filter(|_| !is_checked);
         Renewal {
             node: self.identity.node.clone(),
             life: self.identity.life,
@@ -25,6 +29,7 @@
             service: context.service.clone(),
             registered_for: context.registered_for.clone(),
             registered_in: context.registered_in,
+            registered_revision: registered.map(|_| context.registered_revision),
             configuration_version: context.configuration_version,
             store_reachable: context.store_reachable,
             link_mbps: context.link_mbps,
@@ -112,6 +117,10 @@
             self.registers_itself = true;
             actions.push(Action::RegisterSelf);
         }
+        self.registration_missing = reply.missing_registration.is_some();
+        if let Some(revision) = reply.missing_registration {
+            actions.push(Action::RegistrationMissing(revision));
+        }
         if reply.renewal_sent_at >= self.last_renewal {
             self.next_renewal = self.last_renewal + self.timing.renew_interval;
         }
--- a/crates/ownership/tests/missing_registrations.rs
+++ b/crates/ownership/tests/missing_registrations.rs
@@ -6,10 +6,11 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use support::{SERVICE, address, leadership, name, renewal};
+use support::{SERVICE, address, leadership, name, renewal, reply};
 use wingspar_ownership::{
-    Epoch, Incarnation, KeyRange, Leader, MemberView, NodeName, RegisteredNodes, Registration,
-    Renewal, ServiceTable, Table, TargetState, Time, Timing,
+    Action, Datagram, Epoch, Incarnation, KeyRange, Leader, LeaseReply, MemberView, NodeContext,
+    NodeIdentity, NodeName, Participant, RegisteredNodes, Registration, Renewal, ServiceTable,
+    Table, TargetState, Time, Timing,
 };
 
 const EPOCH: Epoch = Epoch(4);
@@ -180,3 +181,84 @@
     let next = renewal(1, 2, EPOCH, confirmed_at);
     assert_eq!(ranges_of_second(&mut leader, confirmed_at, &next), 1);
 }
+
+/// Another writer has removed the registration before the leader listed the nodes.
+#[test]
+fn a_node_whose_registration_is_missing_gets_keys_only_after_it_has_registered_again() {
+    const LISTED_AT: u64 = 50;
+    let registered = RegisteredNodes {
+        self_registered_at: LISTED_AT,
+        ..listed(&[0])
+    };
+    let mut leader = elected(&registered, Table::default());
+    let claim = |revision, now| Renewal {
+        registered_revision: Some(revision),
+        ..renewal(1, 1, EPOCH, now)
+    };
+    let mut now = ELECTED_AT;
+    let mut assigned = |revision| {
+        let until = now + Duration::from_secs(15);
+        while now < until {
+            let claim = claim(revision, now);
+            let reply = leader.renewal(now, &claim).expect("a confirmed leader");
+            if !reply.wanted.is_empty() {
+                return true;
+            }
+            let missing = (revision <= LISTED_AT).then_some(revision);
+            assert_eq!(reply.missing_registration, missing);
+            now = now + STEP;
+            leader.confirm(now);
+            leader.tick(now);
+        }
+        false
+    };
+    assert!(!assigned(LISTED_AT));
+    assert!(assigned(LISTED_AT + 1));
+}
+
+/// Returns the revisions that a node reports in its renewals.
+fn reported(actions: &[Action]) -> Vec<Option<u64>> {
+    let renewals = actions.iter().filter_map(|action| match action {
+        Action::Send(_, Datagram::Renew(renewal)) => Some(renewal.registered_revision),
+        _ => None,
+    });
+    renewals.collect()
+}
+
+#[test]
+fn a_node_reports_its_registration_until_the_leader_has_found_it() {
+    const REVISION: u64 = 40;
+    let now = ELECTED_AT;
+    let identity = NodeIdentity {
+        node: name(1),
+        life: Incarnation(1),
+        zone: "a".to_owned(),
+        address: address(1),
+    };
+    let mut node = Participant::new(identity, Timing::default(), true, now);
+    let context = NodeContext {
+        registered_for: Some(SERVICE.to_owned()),
+        registered_revision: REVISION,
+        ..NodeContext::default()
+    };
+    let leader = leadership(EPOCH.0).leader;
+    let notice = Datagram::Notice(leader.clone(), 0, 0);
+    let sent = node.receive(now, &context, leader.address, notice);
+    assert_eq!(reported(&sent), [Some(REVISION)]);
+    let mut answer = |missing_registration, at: Time| {
+        let reply = LeaseReply {
+            missing_registration,
+            ..reply(EPOCH.0, at.0, 0, &[], None)
+        };
+        let lease = Datagram::Lease(leader.clone(), Box::new(reply));
+        let mut actions = node.receive(at, &context, leader.address, lease);
+        let next = at + Timing::default().renew_interval;
+        actions.extend(node.tick(next, &context));
+        (actions, next)
+    };
+    let (actions, now) = answer(Some(REVISION), now);
+    assert!(actions.contains(&Action::RegistrationMissing(REVISION)));
+    assert_eq!(reported(&actions), [Some(REVISION)]);
+    let (actions, _) = answer(None, now);
+    assert_eq!(reported(&actions), [None]);
+}
--- a/crates/ownership/tests/owner_zones.rs
+++ b/crates/ownership/tests/owner_zones.rs
@@ -114,6 +114,7 @@
             service: None,
             registered_for: Some(SERVICE.to_owned()),
             registered_in: StoreEra::default(),
+            registered_revision: None,
             configuration_version: 1,
             store_reachable: true,
             link_mbps: None,
--- a/crates/ownership/tests/registry.rs
+++ b/crates/ownership/tests/registry.rs
@@ -45,6 +45,7 @@
         service: Some(SERVICE.to_owned()),
         registered_for: None,
         registered_in: StoreEra::default(),
+        registered_revision: None,
         configuration_version: 1,
         store_reachable: true,
         link_mbps: None,
--- a/crates/ownership/tests/shards.rs
+++ b/crates/ownership/tests/shards.rs
@@ -125,6 +125,7 @@
             service: None,
             registered_for: Some(self.services.get(&number).unwrap_or(&"s").to_string()),
             registered_in: StoreEra::default(),
+            registered_revision: None,
             configuration_version: 1,
             store_reachable: true,
             link_mbps: self.links.get(&number).copied(),
--- a/crates/ownership/tests/simulation/world.rs
+++ b/crates/ownership/tests/simulation/world.rs
@@ -350,6 +350,7 @@
                 .then(|| self.service_of(index).to_owned()),
             registered_for: registered_at.map(|_| self.service_of(index).to_owned()),
             registered_in: registered_at.unwrap_or_default().era,
+            registered_revision: registered_at.unwrap_or_default().revision,
             configuration_version: 1,
             configuration_bytes: 0,
             configuration_checked_ago: None,
--- a/crates/ownership/tests/simulation/world/actions.rs
+++ b/crates/ownership/tests/simulation/world/actions.rs
@@ -17,6 +17,7 @@
                 self.store_call(index, StoreCall::Rewrite(revision, leadership));
             }
             Action::RegisterSelf => self.registers_itself_from_now(index),
+            Action::RegistrationMissing(revision) => self.registration_missing(index, revision),
             Action::WriteRegistry(page) => self.store_call(index, StoreCall::WritePage(page)),
             Action::RemoveRegistry(name) => self.store_call(index, StoreCall::RemovePage(name)),
             Action::Order(order) => {
--- a/crates/ownership/tests/simulation/world/registration.rs
+++ b/crates/ownership/tests/simulation/world/registration.rs
@@ -48,6 +48,18 @@
         self.register(index);
     }
 
+    /// Registers a node again if the registration that a leader found missing is its latest.
+    pub(super) fn registration_missing(&mut self, index: usize, revision: u64) {
+        let machine = &mut self.machines[index];
+        if machine
+            .registered_at
+            .is_some_and(|at| at.revision == revision)
+        {
+            machine.registered_at = None;
+            self.register(index);
+        }
+    }
+
     pub(super) fn self_registered(&self) -> BTreeMap<NodeName, Registration> {
         let registered = self.registered.iter();
         let registered = registered.map(|(name, (_, known))| (name.clone(), known.clone()));
--- a/crates/ownership/tests/simulation/world/store.rs
+++ b/crates/ownership/tests/simulation/world/store.rs
@@ -137,6 +137,7 @@
             }
             StoreCall::List => StoreReply::Listed(RegisteredNodes {
                 self_registered: self.self_registered(),
+                self_registered_at: self.revision,
                 pages: self.pages.values().cloned().collect(),
                 ..RegisteredNodes::default()
             }),
--- a/crates/ownership/tests/support/mod.rs
+++ b/crates/ownership/tests/support/mod.rs
@@ -52,6 +52,7 @@
         evacuations: None,
         quarantine: Default::default(),
         registers_itself: false,
+        missing_registration: None,
         quota_shards: Vec::new(),
     }
 }
@@ -109,6 +110,7 @@
         service: None,
         registered_for: Some(SERVICE.to_owned()),
         registered_in: StoreEra::default(),
+        registered_revision: None,
         configuration_version: 1,
         store_reachable: true,
         link_mbps: None,
--- a/crates/sidecar/src/control.rs
+++ b/crates/sidecar/src/control.rs
@@ -117,6 +117,7 @@
                 .then(|| node.settings.node.service.clone()),
             registered_for: registered_at.map(|_| node.settings.node.service.clone()),
             registered_in: registered_at.unwrap_or_default().era,
+            registered_revision: registered_at.unwrap_or_default().revision,
             configuration_version: node.configuration_version(),
             configuration_bytes: node.configuration_bytes(),
             configuration_checked_ago: node.configuration_checked_ago(),
@@ -237,6 +238,9 @@
                 Action::RegisterSelf => {
                     self.node.registration.set_registers_itself();
                 }
+                Action::RegistrationMissing(revision) => {
+                    registration::report_missing(&self.node, revision);
+                }
                 Action::WriteRegistry(page) => {
                     tokio::task::spawn_local(control.write_registry(page));
                 }
--- a/crates/sidecar/src/logs.rs
+++ b/crates/sidecar/src/logs.rs
@@ -180,6 +180,11 @@
         /// Why the call failed.
         problem: String,
     },
+    /// The store lost the node's registration, which the node therefore writes again.
+    RegistrationMissing {
+        /// Revision of the registration.
+        revision: u64,
+    },
     /// The node has received a table of nodes for the first time.
     TableKnown {
         /// Epoch of the leader that published the table.
--- a/crates/sidecar/src/registration.rs
+++ b/crates/sidecar/src/registration.rs
@@ -41,6 +41,8 @@
     acknowledged_at: Cell<Option<StorePosition>>,
     /// Whether the store may hold the registration, acknowledged or not.
     may_be_stored: Cell<bool>,
+    /// Revision of the registration that a leader last found missing; 0 if none has.
+    missing_revision: Cell<u64>,
     /// Notified when the registration may have to be written.
     wakeup: Notify,
 }
@@ -57,6 +59,7 @@
             registers_itself: Cell::new(settings.node.registers_itself),
             acknowledged_at: Cell::default(),
             may_be_stored: Cell::default(),
+            missing_revision: Cell::default(),
             wakeup: Notify::new(),
         }
     }
@@ -101,6 +104,20 @@
     }
 }
 
+/// Has the node register again if the registration that a leader found missing is its latest.
+pub fn report_missing(node: &Node, revision: u64) {
+    let registration = &node.registration;
+    if node
+        .registered_at()
+        .is_some_and(|at| at.revision == revision)
+    {
+        node.log.write(Event::RegistrationMissing { revision });
+        registration.missing_revision.set(revision);
+        registration.acknowledged_at.set(None);
+        registration.wake();
+    }
+}
+
 /// Writes the node's object, replacing one of an earlier process.
 async fn register(node: &Node) -> Result<(), StoreError> {
     let registration = &node.registration;
@@ -110,6 +127,12 @@
         let stored = perform(node, call).await?;
         match registration.content.register_step(&stored) {
             RegisterStep::Call(next) => call = next,
+            // The object is there after all; only a later revision shows that to the leader.
+            RegisterStep::Registered { revision }
+                if revision == registration.missing_revision.get() =>
+            {
+                call = RegistrationCall::Replace { revision };
+            }
             RegisterStep::Registered { revision } => {
                 let era = node.store_era.get();
                 let position = StorePosition { era, revision };
@@ -228,11 +251,18 @@
     let pages = list_kind::<RegistryPage>(node, PAGE_KIND).await?;
     let self_registered = list_kind::<Registration>(node, NODE_KIND).await?;
     let unreadable = pages.unreadable() + self_registered.unreadable();
+    let is_complete = self_registered.unreadable() == 0;
+    let self_registered_at = if is_complete {
+        self_registered.revision
+    } else {
+        0
+    };
     let self_registered = self_registered.read.into_iter();
     let self_registered =
         self_registered.map(|(name, known)| (NodeName::from(name.as_str()), known));
     Ok(RegisteredNodes {
         self_registered: self_registered.collect(),
+        self_registered_at,
         pages: pages.read.into_iter().map(|(_, page)| page).collect(),
         unreadable_pages: pages.unreadable_names,
         unreadable,
@@ -247,6 +277,8 @@
     unreadable_names: Vec<String>,
     /// Number of objects of which not even the name can be read.
     unnamed: usize,
+    /// Revision of the store when the first page was read.
+    revision: u64,
 }
 
 impl<Content> Listed<Content> {
@@ -265,11 +297,15 @@
         read: Vec::new(),
         unreadable_names: Vec::new(),
         unnamed: 0,
+        revision: 0,
     };
     let mut after = None::<String>;
     loop {
         let call = objects::list(kind, after.as_deref());
         let page = objects::parse_page(&node.read_store(&call, None).await?)?;
+        if after.is_none() {
+            listed.revision = page.revision;
+        }
         for object in &page.objects {
             let name = object.name.clone();
             match serde_json::from_slice(&object.content) {
--- a/crates/wingspar/tests/sidecar/registrations.rs
+++ b/crates/wingspar/tests/sidecar/registrations.rs
@@ -64,6 +64,22 @@
     assert_eq!(deployment.store.read(KIND, NAME), Some(own));
 }
 
+#[tokio::test]
+async fn a_node_registers_again_if_a_new_leader_finds_its_registration_missing() {
+    let mut deployment = Deployment::start(86).await;
+    registered(&deployment).await;
+    deployment.nothing_changes().await;
+    let leader = deployment.leader();
+    let lost = (0..2).find(|node| *node != leader).expect("two nodes");
+    let name = format!("node-{lost}");
+    assert!(deployment.store.remove(KIND, &name));
+    deployment.kill(leader);
+    eventually("the node has registered again", || async {
+        deployment.store.read(KIND, &name).is_some()
+    })
+    .await;
+}
+
 #[tokio::test]
 async fn a_planned_stop_removes_the_registration() {
     let mut deployment = Deployment::start(85).await;
