Stop: a node removes its registration only once it can't hold anything any more

A stopping node removed its registration 2.5 s after the signal (half of the grace period if that is shorter) if its target held no keys. It could still own shards of tenants' quotas, get keys by a delayed answer to a renewal that didn't report the stop, or, shortly after its start, stand beside a target that it hadn't cleared of its predecessor's keys. A leader elected then doesn't await the node, and assigns all of that to others.

Now the node also waits until it owns no shards and until every lease from before the stop has expired (2.55 s after the signal). ownership::Participant::may_unregister decides; the simulation uses it too.

--- a/crates/ownership/src/participant/mod.rs
+++ b/crates/ownership/src/participant/mod.rs
@@ -395,6 +395,16 @@
         !self.holder.held(now).is_empty()
     }
 
+    /// Whether a node that has been stopping since `stopping_since` may remove its registration: it
+    /// holds no keys or shards, and gets none by a renewal that didn't report the stop, because
+    /// every lease from such a renewal has expired. So has every lease of an earlier process, whose
+    /// keys the target may still hold.
+    pub fn may_unregister(&mut self, now: Time, stopping_since: Time) -> bool {
+        let earlier_leases_until = stopping_since + self.timing.lease + self.timing.lease_margin;
+        let owns_shards = !self.owned_shards(now).is_empty();
+        now >= earlier_leases_until && !owns_shards && !self.may_hold_any(now)
+    }
+
     /// Records the id of the target's process. Returns whether it is new.
     pub fn observe_target(&mut self, id: &str) -> bool {
         self.holder.observe_target(id)
--- a/crates/ownership/tests/simulation/world/registration.rs
+++ b/crates/ownership/tests/simulation/world/registration.rs
@@ -154,13 +154,14 @@
     /// Stops a process as planned, and starts the next one.
     pub(super) fn stop(&mut self, index: usize) {
         self.machines[index].leaving = true;
+        let since = self.clock(index);
         let life = self.machines[index].life;
         if !self.machines[index].registers_itself {
             self.schedule(3_000, move |world| world.restart(index));
             return;
         }
         self.schedule(REMOVED_AFTER_MS, move |world| {
-            world.remove_registration(index, life)
+            world.remove_registration(index, life, since);
         });
         self.schedule(GRACE_MS, move |world| {
             if world.machines[index].life == life {
@@ -169,8 +170,9 @@
         });
     }
 
-    /// Removes the registration of a stopping process once its target holds no keys.
-    fn remove_registration(&mut self, index: usize, life: u64) {
+    /// Removes the registration of a process that has been stopping since `since`, once it can't
+    /// hold anything any more.
+    fn remove_registration(&mut self, index: usize, life: u64, since: Time) {
         let now = self.clock(index);
         let machine = &mut self.machines[index];
         let Some(participant) = &mut machine.participant else {
@@ -180,9 +182,9 @@
             return;
         }
         let is_frozen = self.now < machine.frozen_until;
-        if is_frozen || participant.may_hold_any(now) {
+        if is_frozen || !participant.may_unregister(now, since) {
             self.schedule(EXIT_CHECK_INTERVAL_MS, move |world| {
-                world.remove_registration(index, life);
+                world.remove_registration(index, life, since);
             });
             return;
         }
--- a/crates/sidecar/src/registration.rs
+++ b/crates/sidecar/src/registration.rs
@@ -146,8 +146,8 @@
     Err(StoreError::Answered(Outcome::Conflict))
 }
 
-/// Removes the node's object once the node holds no keys. If that fails, the object may still be
-/// stored.
+/// Removes the object of a stopping node that can't hold anything any more. If that fails, the
+/// object may still be stored.
 pub async fn unregister(node: Rc<Node>) {
     let first = match node.registered_at() {
         Some(StorePosition { revision, .. }) => RegistrationCall::Remove { revision },
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -233,6 +233,7 @@
 /// process exits.
 async fn stop(node: &Rc<Node>, signal: &str) {
     let signalled_at = node.clock.uptime();
+    let stopping_since = node.now();
     let grace = Duration::from_secs_f64(node.settings.bounds.grace_s).saturating_sub(EXIT_MARGIN);
     node.log.write(Event::Stopping { signal });
     node.stop.send_replace(StopPhase::Leaving);
@@ -247,7 +248,11 @@
             break;
         }
         let is_removing = removal.as_ref().is_some_and(|task| !task.is_finished());
-        if !remaining.holds_keys && !is_removing && node.registration.may_be_stored() {
+        let may_unregister = || {
+            let mut participant = node.participant.borrow_mut();
+            participant.may_unregister(node.now(), stopping_since)
+        };
+        if node.registration.may_be_stored() && !is_removing && may_unregister() {
             removal = Some(spawn_local(registration::unregister(node.clone())));
         }
         tokio::time::sleep(EXIT_CHECK_INTERVAL).await;
