Registration: calls from before a restore of the store can't touch a later registration

A store that comes back from a copy assigns revisions again. A restarted process repeats the writes of its predecessor, so a removal or replacement from before the restore, executed after it, could name just the revision that the current process's registration had been given: the condition held, and the registration was lost or replaced by an earlier process's content.

Now the object has another name in each era after the first, NAME.eraN, and says for which era it was written. In the first era names stay as they were. A leader counts all objects of a node, the one of the latest era first. Within an era revisions are unique, so the conditions hold.

A leader of an earlier version takes NAME.eraN for a node of that name and waits for it until leases have expired: slow, but safe. After a restore the objects of the earlier era stay in the store when their nodes leave for good; later leaders wait for these as for other machines that never come back.

--- a/crates/ownership/src/leader/registry.rs
+++ b/crates/ownership/src/leader/registry.rs
@@ -77,6 +77,15 @@
 }
 
 impl RegisteredNodes {
+    /// Adds the object with this name, unless another one of its node is of a later era.
+    pub fn add_self_registered(&mut self, object_name: &str, registration: Registration) {
+        let node = registration.node(object_name);
+        let known = self.self_registered.get(&node);
+        if known.is_none_or(|known| known.era <= registration.era) {
+            self.self_registered.insert(node, registration);
+        }
+    }
+
     /// The nodes that result from the pages.
     fn in_pages(&self) -> BTreeMap<NodeName, RegisteredNode> {
         let mut pages = self.pages.iter().collect::<Vec<_>>();
--- a/crates/ownership/src/leader/renewals.rs
+++ b/crates/ownership/src/leader/renewals.rs
@@ -200,13 +200,12 @@
     }
 
     /// The revision of a process's registration if that was written before this leader listed the
-    /// registrations, and the list had none of the node.
+    /// registrations, and the list lacked it.
     fn missing_registration(&self, renewal: &Renewal) -> Option<u64> {
-        let was_listed = self.self_registered.contains_key(&renewal.node);
         let is_comparable = renewal.registered_in == self.era;
         let is_earlier = |revision: &u64| *revision <= self.self_registered_at;
         let earlier = renewal.registered_revision.filter(is_earlier);
-        earlier.filter(|_| is_comparable && !was_listed)
+        earlier.filter(|_| is_comparable && !self.is_listed(renewal))
     }
 
     /// Whether the list that this leader read contains a process's registration. That of another
@@ -214,7 +213,9 @@
     fn is_listed(&self, renewal: &Renewal) -> bool {
         let listed = self.self_registered.get(&renewal.node);
         listed.is_some_and(|listed| {
-            listed.life == Some(renewal.life) && listed.service == renewal.registered_for
+            listed.life == Some(renewal.life)
+                && listed.era == Some(renewal.registered_in)
+                && listed.service == renewal.registered_for
         })
     }
 
--- a/crates/ownership/src/registration.rs
+++ b/crates/ownership/src/registration.rs
@@ -4,12 +4,15 @@
 //! registered. Therefore every write names the revision that it replaces or removes, and a process
 //! never adopts the object of an earlier one: it replaces that object, after which a delayed
 //! removal by the earlier process names an outdated revision.
+//!
+//! After the store was restored from a copy, it assigns revisions again. So the object has another
+//! name in each era, and a call from before the restore can't match an object written after it.
 
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
 
-use crate::Incarnation;
+use crate::{Incarnation, NodeName, StoreEra};
 
 /// Content of the object of a node that registers itself.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -23,6 +26,10 @@
     /// The process that wrote the object; `None` if that runs an earlier version.
     #[serde(default)]
     pub life: Option<Incarnation>,
+    /// The store era for which the object was written; `None` if the process runs an earlier
+    /// version, which uses the same object in all eras.
+    #[serde(default)]
+    pub era: Option<StoreEra>,
 }
 
 /// A call about the node's object.
@@ -81,7 +88,27 @@
     Call(RegistrationCall),
 }
 
+/// Ending of the names of objects that were written for this era; empty in the first one, in which
+/// all versions use the same names.
+fn name_suffix(era: Option<StoreEra>) -> String {
+    match era {
+        None | Some(StoreEra(0)) => String::new(),
+        Some(StoreEra(era)) => format!(".era{era}"),
+    }
+}
+
 impl Registration {
+    /// Name of the object that holds this registration of a node.
+    pub fn object_name(&self, node: &NodeName) -> String {
+        format!("{}{}", &**node, name_suffix(self.era))
+    }
+
+    /// The node whose registration the object with this name holds.
+    pub fn node(&self, object_name: &str) -> NodeName {
+        let node = object_name.strip_suffix(&name_suffix(self.era));
+        NodeName::from(node.unwrap_or(object_name))
+    }
+
     /// The next step towards this registration, given what the store holds.
     pub fn register_step(&self, stored: &StoredRegistration) -> RegisterStep {
         match stored {
--- a/crates/ownership/tests/missing_registrations.rs
+++ b/crates/ownership/tests/missing_registrations.rs
@@ -10,7 +10,7 @@
 use wingspar_ownership::{
     Action, Datagram, Epoch, Incarnation, KeyRange, Leader, LeaseReply, MemberView, NodeContext,
     NodeIdentity, NodeName, Participant, RegisteredNodes, Registration, Renewal, ServiceTable,
-    Table, TargetState, Time, Timing,
+    StoreEra, Table, TargetState, Time, Timing,
 };
 
 const EPOCH: Epoch = Epoch(4);
@@ -28,6 +28,7 @@
             address: address(*number),
             service: Some(SERVICE.to_owned()),
             life: Some(Incarnation(1)),
+            era: Some(StoreEra::default()),
         };
         (name(*number), registration)
     });
--- a/crates/ownership/tests/owner_zones.rs
+++ b/crates/ownership/tests/owner_zones.rs
@@ -66,6 +66,7 @@
                 address: address(index),
                 service: Some(SERVICE.to_owned()),
                 life: Some(Incarnation(index as u64)),
+                era: Some(StoreEra::default()),
             };
             (name(index), registration)
         });
--- a/crates/ownership/tests/registration.rs
+++ b/crates/ownership/tests/registration.rs
@@ -5,7 +5,8 @@
 
 use quickcheck::QuickCheck;
 use wingspar_ownership::{
-    Incarnation, RegisterStep, Registration, RegistrationCall, RemoveStep, StoredRegistration,
+    Incarnation, NodeName, RegisterStep, RegisteredNodes, Registration, RegistrationCall,
+    RemoveStep, StoreEra, StoredRegistration,
 };
 
 /// Most calls that a process makes to register or to remove its registration.
@@ -18,6 +19,7 @@
         address: SocketAddr::from(([10, 0, 0, 1], 7_000)),
         service: Some("stock".to_owned()),
         life: Some(Incarnation(life)),
+        era: Some(StoreEra::default()),
     }
 }
 
@@ -201,3 +203,44 @@
     let replace = RegisterStep::Call(RegistrationCall::Replace { revision: 3 });
     assert_eq!(registration(1).register_step(&stored), replace);
 }
+
+#[test]
+fn each_era_has_an_object_of_its_own() {
+    let node = NodeName::from("node-1");
+    let written_for = |era| Registration {
+        era,
+        ..registration(1)
+    };
+    let names = [
+        None,
+        Some(StoreEra(0)),
+        Some(StoreEra(1)),
+        Some(StoreEra(2)),
+    ]
+    .map(|era| written_for(era).object_name(&node));
+    assert_eq!(names, ["node-1", "node-1", "node-1.era1", "node-1.era2"]);
+    for era in [None, Some(StoreEra(0)), Some(StoreEra(7))] {
+        let registration = written_for(era);
+        let object_name = registration.object_name(&node);
+        assert_eq!(registration.node(&object_name), node);
+    }
+}
+
+#[test]
+fn the_object_of_the_latest_era_counts_whatever_the_order_of_the_list() {
+    let node = NodeName::from("node-1");
+    let eras = [StoreEra(9), StoreEra(10)].map(Some);
+    let written_for = |era| Registration {
+        era,
+        ..registration(1)
+    };
+    for order in [[0, 1], [1, 0]] {
+        let mut listed = RegisteredNodes::default();
+        for index in order {
+            let object = written_for(eras[index]);
+            listed.add_self_registered(&object.object_name(&node), object);
+        }
+        let known = listed.self_registered.into_iter().collect::<Vec<_>>();
+        assert_eq!(known, [(node.clone(), written_for(eras[1]))]);
+    }
+}
--- a/crates/ownership/tests/reminders.rs
+++ b/crates/ownership/tests/reminders.rs
@@ -64,6 +64,7 @@
             address: address(*last),
             service: Some("s".to_owned()),
             life: Some(Incarnation(1)),
+            era: Some(StoreEra::default()),
         };
         (NodeName::from(*name), registration)
     });
--- a/crates/ownership/tests/shards.rs
+++ b/crates/ownership/tests/shards.rs
@@ -52,6 +52,7 @@
             address: address(*number),
             service: Some((*service).to_owned()),
             life: Some(Incarnation(u64::from(*number))),
+            era: Some(StoreEra::default()),
         };
         (name(*number), registration)
     });
--- a/crates/ownership/tests/simulation/main.rs
+++ b/crates/ownership/tests/simulation/main.rs
@@ -176,6 +176,23 @@
     }
 }
 
+/// The store executes calls from before a restore after it, and assigns the revisions that they
+/// name again.
+#[test]
+fn registrations_survive_calls_from_before_a_restore() {
+    let options = |store_fault_rate| Options {
+        nodes_register_themselves: true,
+        store_fault_rate,
+        ..with_restores()
+    };
+    // A replacement and a removal by an earlier process took effect in the next era.
+    for (seed, store_fault_rate) in [(20_205, 0.10), (30_174, 0.04)] {
+        play(seed, options(store_fault_rate))
+            .unwrap_or_else(|violation| panic!("seed {seed}: {violation}"));
+    }
+    assert_no_violation(&options(Options::default().store_fault_rate));
+}
+
 #[test]
 fn each_shard_has_one_owner_while_the_store_is_restored_from_copies() {
     assert_no_violation(&Options {
--- a/crates/ownership/tests/simulation/world.rs
+++ b/crates/ownership/tests/simulation/world.rs
@@ -124,8 +124,8 @@
     /// may still return them.
     earlier_objects: Vec<(u64, Stored)>,
     revision: u64,
-    /// Revision and content of the objects of nodes that register themselves.
-    registered: BTreeMap<NodeName, (u64, Registration)>,
+    /// Revision and content of the objects of nodes that register themselves, by object name.
+    registered: BTreeMap<String, (u64, Registration)>,
     /// Registry pages by name.
     pages: BTreeMap<String, RegistryPage>,
     era: StoreEra,
--- a/crates/ownership/tests/simulation/world/checker.rs
+++ b/crates/ownership/tests/simulation/world/checker.rs
@@ -68,9 +68,9 @@
             if !is_acknowledged || machine.removes_registration {
                 continue;
             }
-            let stored = self.registered.get(&machine.name);
-            let life = Some(Incarnation(machine.life));
-            if stored.is_none_or(|(_, stored)| stored.life != life) {
+            let own = self.own_registration(index);
+            let stored = self.registered.get(&own.object_name(&machine.name));
+            if stored.is_none_or(|(_, stored)| *stored != own) {
                 let detail = format!("the store lacks the registration of node {index}");
                 self.fail(Rule::Registered, detail);
             }
--- a/crates/ownership/tests/simulation/world/registration.rs
+++ b/crates/ownership/tests/simulation/world/registration.rs
@@ -21,12 +21,13 @@
 }
 
 impl World {
-    fn own_registration(&self, index: usize) -> Registration {
+    pub(super) fn own_registration(&self, index: usize) -> Registration {
         let machine = &self.machines[index];
         Registration {
             address: machine.address,
             service: Some(self.service_of(index).to_owned()),
             life: Some(Incarnation(machine.life)),
+            era: Some(machine.known_era),
         }
     }
 
@@ -60,10 +61,16 @@
         }
     }
 
-    pub(super) fn self_registered(&self) -> BTreeMap<NodeName, Registration> {
-        let registered = self.registered.iter();
-        let registered = registered.map(|(name, (_, known))| (name.clone(), known.clone()));
-        registered.collect()
+    pub(super) fn registered_nodes(&self) -> RegisteredNodes {
+        let mut listed = RegisteredNodes {
+            self_registered_at: self.revision,
+            pages: self.pages.values().cloned().collect(),
+            ..RegisteredNodes::default()
+        };
+        for (name, (_, registration)) in &self.registered {
+            listed.add_self_registered(name, registration.clone());
+        }
+        listed
     }
 
     /// Returns what the store's answer to a call shows.
@@ -73,7 +80,7 @@
         call: RegistrationCall,
         content: &Registration,
     ) -> StoredRegistration {
-        let name = self.machines[index].name.clone();
+        let name = content.object_name(&self.machines[index].name);
         let known = self.registered.get(&name).map(|(revision, _)| *revision);
         let has_condition = !self.options.removals_ignore_revisions;
         let written = match call {
@@ -99,7 +106,7 @@
         self.shown_registration(&name)
     }
 
-    fn shown_registration(&self, name: &NodeName) -> StoredRegistration {
+    fn shown_registration(&self, name: &str) -> StoredRegistration {
         match self.registered.get(name) {
             Some((revision, content)) => StoredRegistration::Present {
                 revision: *revision,
@@ -118,6 +125,10 @@
         content: &Registration,
         stored: Option<StoredRegistration>,
     ) {
+        if content.era != Some(self.machines[index].known_era) {
+            // The node registers anew for the later era.
+            return;
+        }
         let Some(stored) = stored else {
             match purpose {
                 Purpose::Register => self.register(index),
--- a/crates/ownership/tests/simulation/world/store.rs
+++ b/crates/ownership/tests/simulation/world/store.rs
@@ -15,7 +15,7 @@
 pub struct StoreCopy {
     object: Stored,
     revision: u64,
-    registered: BTreeMap<NodeName, (u64, Registration)>,
+    registered: BTreeMap<String, (u64, Registration)>,
     pages: BTreeMap<String, RegistryPage>,
 }
 
@@ -135,12 +135,7 @@
             StoreCall::List if self.options.leaders_dont_wait => {
                 StoreReply::Listed(RegisteredNodes::default())
             }
-            StoreCall::List => StoreReply::Listed(RegisteredNodes {
-                self_registered: self.self_registered(),
-                self_registered_at: self.revision,
-                pages: self.pages.values().cloned().collect(),
-                ..RegisteredNodes::default()
-            }),
+            StoreCall::List => StoreReply::Listed(self.registered_nodes()),
             StoreCall::WritePage(page) => {
                 if !self.options.lose_registry_pages {
                     self.keep_copy();
--- a/crates/ownership/tests/take_over.rs
+++ b/crates/ownership/tests/take_over.rs
@@ -73,6 +73,7 @@
             address: address(number),
             service: Some(SERVICE.to_owned()),
             life: Some(Incarnation(u64::from(number))),
+            era: Some(StoreEra::default()),
         };
         (name(number), registration)
     });
--- a/crates/sidecar/src/registration.rs
+++ b/crates/sidecar/src/registration.rs
@@ -3,6 +3,7 @@
 //! registers itself, as nodes of an earlier version do.
 
 use std::cell::Cell;
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -10,8 +11,8 @@
 use serde::de::DeserializeOwned;
 use tokio::sync::Notify;
 use wingspar_ownership::{
-    Incarnation, NodeName, RegisterStep, RegisteredNodes, Registration, RegistrationCall,
-    RegistryPage, RemoveStep, StorePosition, StoredRegistration,
+    Incarnation, RegisterStep, RegisteredNodes, Registration, RegistrationCall, RegistryPage,
+    RemoveStep, StoreEra, StorePosition, StoredRegistration,
 };
 use wingspar_platform::FormatError;
 use wingspar_platform::objects::{self, Outcome};
@@ -33,7 +34,7 @@
 
 /// The node's own registration.
 pub struct OwnRegistration {
-    /// What this process writes.
+    /// What this process writes in the store's first era.
     content: Registration,
     /// Whether the node registers itself in the store.
     registers_itself: Cell<bool>,
@@ -55,6 +56,7 @@
                 address: settings.internal(),
                 service: Some(settings.node.service.clone()),
                 life: Some(life),
+                era: Some(StoreEra::default()),
             },
             registers_itself: Cell::new(settings.node.registers_itself),
             acknowledged_at: Cell::default(),
@@ -64,6 +66,14 @@
         }
     }
 
+    /// What this process writes in an era of the store.
+    fn content_in(&self, era: StoreEra) -> Registration {
+        Registration {
+            era: Some(era),
+            ..self.content.clone()
+        }
+    }
+
     /// Where the store acknowledged the registration; `None` if it hasn't.
     pub fn acknowledged_at(&self) -> Option<StorePosition> {
         self.acknowledged_at.get()
@@ -121,11 +131,13 @@
 /// Writes the node's object, replacing one of an earlier process.
 async fn register(node: &Node) -> Result<(), StoreError> {
     let registration = &node.registration;
+    let era = node.store_era.get();
+    let content = registration.content_in(era);
     let mut call = RegistrationCall::Create;
     for _ in 0..MAX_CALLS {
         registration.may_be_stored.set(true);
-        let stored = perform(node, call).await?;
-        match registration.content.register_step(&stored) {
+        let stored = perform(node, &content, call).await?;
+        match content.register_step(&stored) {
             RegisterStep::Call(next) => call = next,
             // The object is there after all; only a later revision shows that to the leader.
             RegisterStep::Registered { revision }
@@ -134,7 +146,6 @@
                 call = RegistrationCall::Replace { revision };
             }
             RegisterStep::Registered { revision } => {
-                let era = node.store_era.get();
                 let position = StorePosition { era, revision };
                 registration.acknowledged_at.set(Some(position));
                 registration.may_be_stored.set(true);
@@ -149,11 +160,12 @@
 /// Removes the object of a stopping node that can't hold anything any more. If that fails, the
 /// object may still be stored.
 pub async fn unregister(node: Rc<Node>) {
+    let content = node.registration.content_in(node.store_era.get());
     let first = match node.registered_at() {
         Some(StorePosition { revision, .. }) => RegistrationCall::Remove { revision },
         None => RegistrationCall::Read,
     };
-    match remove(&node, first).await {
+    match remove(&node, &content, first).await {
         Ok(()) => {
             node.registration.acknowledged_at.set(None);
             node.registration.may_be_stored.set(false);
@@ -162,11 +174,15 @@
     }
 }
 
-async fn remove(node: &Node, first: RegistrationCall) -> Result<(), StoreError> {
+async fn remove(
+    node: &Node,
+    content: &Registration,
+    first: RegistrationCall,
+) -> Result<(), StoreError> {
     let mut call = first;
     for _ in 0..MAX_CALLS {
-        let stored = perform(node, call).await?;
-        match node.registration.content.remove_step(&stored) {
+        let stored = perform(node, content, call).await?;
+        match content.remove_step(&stored) {
             RemoveStep::Call(next) => call = next,
             RemoveStep::Removed => return Ok(()),
         }
@@ -175,8 +191,12 @@
 }
 
 /// Makes a call about the node's object.
-async fn perform(node: &Node, call: RegistrationCall) -> Result<StoredRegistration, StoreError> {
-    let (name, content) = (&node.name, &node.registration.content);
+async fn perform(
+    node: &Node,
+    content: &Registration,
+    call: RegistrationCall,
+) -> Result<StoredRegistration, StoreError> {
+    let name = &content.object_name(&node.name);
     let request = match call {
         RegistrationCall::Read => objects::get(NODE_KIND, name),
         RegistrationCall::Create => objects::create(NODE_KIND, name, content),
@@ -257,16 +277,17 @@
     } else {
         0
     };
-    let self_registered = self_registered.read.into_iter();
-    let self_registered =
-        self_registered.map(|(name, known)| (NodeName::from(name.as_str()), known));
-    Ok(RegisteredNodes {
-        self_registered: self_registered.collect(),
+    let mut registered = RegisteredNodes {
+        self_registered: BTreeMap::new(),
         self_registered_at,
         pages: pages.read.into_iter().map(|(_, page)| page).collect(),
         unreadable_pages: pages.unreadable_names,
         unreadable,
-    })
+    };
+    for (name, registration) in self_registered.read {
+        registered.add_self_registered(&name, registration);
+    }
+    Ok(registered)
 }
 
 /// All objects of a kind.
--- a/crates/wingspar/tests/sidecar/registrations.rs
+++ b/crates/wingspar/tests/sidecar/registrations.rs
@@ -80,6 +80,21 @@
     .await;
 }
 
+/// Calls from before the restore name the object of the earlier era.
+#[tokio::test]
+async fn nodes_register_in_objects_of_their_own_after_a_restore_of_the_store() {
+    let deployment = Deployment::start(87).await;
+    registered(&deployment).await;
+    deployment.store.come_back(deployment.store.copy());
+    for node in 0..deployment.nodes.len() {
+        let name = format!("node-{node}.era1");
+        eventually("the node has registered again", || async {
+            deployment.store.read(KIND, &name).is_some()
+        })
+        .await;
+    }
+}
+
 #[tokio::test]
 async fn a_planned_stop_removes_the_registration() {
     let mut deployment = Deployment::start(85).await;
