--- a/crates/ownership/src/leader/mod.rs
+++ b/crates/ownership/src/leader/mod.rs
@@ -47,7 +47,7 @@
     /// The nodes among them that had registered themselves.
     self_registered: BTreeMap<NodeName, Registration>,
     /// Revision of the store at which these were listed; 0 if the list may be incomplete.
-    self_registered_at: u64,
+    self_registered_revision: u64,
     /// Nodes that haven't reported in this epoch and may hold keys or shards: registered ones, and
     /// others in the table of the previous leader. Each with its service if that is known.
     silent: BTreeMap<NodeName, Option<String>>,
@@ -136,7 +136,7 @@
             last_report_at: now,
             registered_count,
             self_registered: registered.self_registered.clone(),
-            self_registered_at: registered.self_registered_at,
+            self_registered_revision: registered.self_registered_revision,
             registry,
             members: BTreeMap::new(),
             partitions: BTreeMap::new(),
--- a/crates/ownership/src/leader/registry.rs
+++ b/crates/ownership/src/leader/registry.rs
@@ -66,7 +66,7 @@
     /// Nodes that have registered themselves, by name.
     pub self_registered: BTreeMap<NodeName, Registration>,
     /// Revision of the store at which `self_registered` was read; 0 if it may be incomplete.
-    pub self_registered_at: u64,
+    pub self_registered_revision: u64,
     /// Pages that leaders have written.
     pub pages: Vec<RegistryPage>,
     /// Names of unreadable pages.
--- a/crates/ownership/src/leader/renewals.rs
+++ b/crates/ownership/src/leader/renewals.rs
@@ -203,7 +203,7 @@
     /// registrations, and the list lacked it.
     fn missing_registration(&self, renewal: &Renewal) -> Option<u64> {
         let is_comparable = renewal.registered_in == self.era;
-        let is_earlier = |revision: &u64| *revision <= self.self_registered_at;
+        let is_earlier = |revision: &u64| *revision <= self.self_registered_revision;
         let earlier = renewal.registered_revision.filter(is_earlier);
         earlier.filter(|_| is_comparable && !self.is_listed(renewal))
     }
--- a/crates/ownership/tests/missing_registrations.rs
+++ b/crates/ownership/tests/missing_registrations.rs
@@ -188,7 +188,7 @@
 fn a_node_whose_registration_is_missing_gets_keys_only_after_it_has_registered_again() {
     const LISTED_AT: u64 = 50;
     let registered = RegisteredNodes {
-        self_registered_at: LISTED_AT,
+        self_registered_revision: LISTED_AT,
         ..listed(&[0])
     };
     let mut leader = elected(&registered, Table::default());
--- a/crates/ownership/tests/simulation/world/registration.rs
+++ b/crates/ownership/tests/simulation/world/registration.rs
@@ -63,7 +63,7 @@
 
     pub(super) fn registered_nodes(&self) -> RegisteredNodes {
         let mut listed = RegisteredNodes {
-            self_registered_at: self.revision,
+            self_registered_revision: self.revision,
             pages: self.pages.values().cloned().collect(),
             ..RegisteredNodes::default()
         };
--- a/crates/sidecar/src/control.rs
+++ b/crates/sidecar/src/control.rs
@@ -109,15 +109,15 @@
             target.accepting &= !node.evacuations.borrow().is_own_zone_evacuated();
             target.starts_per_s = node.starts_per_s();
         }
-        let registered_at = node.registered_at();
+        let registration = node.current_registration();
         NodeContext {
             target,
             leaving: node.is_stopping(),
             service: (!node.settings.node.registers_itself)
                 .then(|| node.settings.node.service.clone()),
-            registered_for: registered_at.map(|_| node.settings.node.service.clone()),
-            registered_in: registered_at.unwrap_or_default().era,
-            registered_revision: registered_at.unwrap_or_default().revision,
+            registered_for: registration.map(|_| node.settings.node.service.clone()),
+            registered_in: registration.unwrap_or_default().era,
+            registered_revision: registration.unwrap_or_default().revision,
             configuration_version: node.configuration_version(),
             configuration_bytes: node.configuration_bytes(),
             configuration_checked_ago: node.configuration_checked_ago(),
@@ -239,7 +239,7 @@
                     self.node.registration.set_registers_itself();
                 }
                 Action::RegistrationMissing(revision) => {
-                    registration::report_missing(&self.node, revision);
+                    registration::register_again(&self.node, revision);
                 }
                 Action::WriteRegistry(page) => {
                     tokio::task::spawn_local(control.write_registry(page));
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -476,11 +476,11 @@
         era >= known
     }
 
-    /// Where the store's current era begins to hold the node's registration; `None` if the store
-    /// hasn't acknowledged one in that era.
-    pub fn registered_at(&self) -> Option<StorePosition> {
-        let acknowledged = self.registration.acknowledged_at();
-        acknowledged.filter(|at| at.era == self.store_era.get())
+    /// The revision of the node's registration; `None` if the store hasn't acknowledged one in its
+    /// current era.
+    pub fn current_registration(&self) -> Option<StorePosition> {
+        let acknowledged = self.registration.acknowledged();
+        acknowledged.filter(|position| position.era == self.store_era.get())
     }
 
     /// Records whether a call to the store succeeded, and logs when that changes.
--- a/crates/sidecar/src/registration.rs
+++ b/crates/sidecar/src/registration.rs
@@ -38,8 +38,8 @@
     content: Registration,
     /// Whether the node registers itself in the store.
     registers_itself: Cell<bool>,
-    /// Where the store acknowledged the registration; `None` if it hasn't.
-    acknowledged_at: Cell<Option<StorePosition>>,
+    /// Revision of the registration that the store acknowledged last; `None` if it hasn't any.
+    acknowledged: Cell<Option<StorePosition>>,
     /// Whether the store may hold the registration, acknowledged or not.
     may_be_stored: Cell<bool>,
     /// Revision of the registration that a leader last found missing; 0 if none has.
@@ -59,7 +59,7 @@
                 era: Some(StoreEra::default()),
             },
             registers_itself: Cell::new(settings.node.registers_itself),
-            acknowledged_at: Cell::default(),
+            acknowledged: Cell::default(),
             may_be_stored: Cell::default(),
             missing_revision: Cell::default(),
             wakeup: Notify::new(),
@@ -74,9 +74,9 @@
         }
     }
 
-    /// Where the store acknowledged the registration; `None` if it hasn't.
-    pub fn acknowledged_at(&self) -> Option<StorePosition> {
-        self.acknowledged_at.get()
+    /// Revision of the registration that the store acknowledged last; `None` if it hasn't any.
+    pub fn acknowledged(&self) -> Option<StorePosition> {
+        self.acknowledged.get()
     }
 
     /// Whether the store may hold the registration, acknowledged or not.
@@ -101,7 +101,8 @@
 pub async fn keep_registered(node: Rc<Node>) {
     loop {
         let wakeup = node.registration.wakeup.notified();
-        let is_due = node.registration.registers_itself.get() && node.registered_at().is_none();
+        let is_due =
+            node.registration.registers_itself.get() && node.current_registration().is_none();
         if !is_due || node.is_stopping() {
             wakeup.await;
             continue;
@@ -115,15 +116,13 @@
 }
 
 /// Has the node register again if the registration that a leader found missing is its latest.
-pub fn report_missing(node: &Node, revision: u64) {
+pub fn register_again(node: &Node, revision: u64) {
     let registration = &node.registration;
-    if node
-        .registered_at()
-        .is_some_and(|at| at.revision == revision)
-    {
+    let current = node.current_registration();
+    if current.is_some_and(|current| current.revision == revision) {
         node.log.write(Event::RegistrationMissing { revision });
         registration.missing_revision.set(revision);
-        registration.acknowledged_at.set(None);
+        registration.acknowledged.set(None);
         registration.wake();
     }
 }
@@ -147,7 +146,7 @@
             }
             RegisterStep::Registered { revision } => {
                 let position = StorePosition { era, revision };
-                registration.acknowledged_at.set(Some(position));
+                registration.acknowledged.set(Some(position));
                 registration.may_be_stored.set(true);
                 node.control_wakeup.notify_one();
                 return Ok(());
@@ -161,13 +160,13 @@
 /// object may still be stored.
 pub async fn unregister(node: Rc<Node>) {
     let content = node.registration.content_in(node.store_era.get());
-    let first = match node.registered_at() {
+    let first = match node.current_registration() {
         Some(StorePosition { revision, .. }) => RegistrationCall::Remove { revision },
         None => RegistrationCall::Read,
     };
     match remove(&node, &content, first).await {
         Ok(()) => {
-            node.registration.acknowledged_at.set(None);
+            node.registration.acknowledged.set(None);
             node.registration.may_be_stored.set(false);
         }
         Err(error) => failed(&node, "remove", &error),
@@ -272,14 +271,14 @@
     let self_registered = list_kind::<Registration>(node, NODE_KIND).await?;
     let unreadable = pages.unreadable() + self_registered.unreadable();
     let is_complete = self_registered.unreadable() == 0;
-    let self_registered_at = if is_complete {
+    let self_registered_revision = if is_complete {
         self_registered.revision
     } else {
         0
     };
     let mut registered = RegisteredNodes {
         self_registered: BTreeMap::new(),
-        self_registered_at,
+        self_registered_revision,
         pages: pages.read.into_iter().map(|(_, page)| page).collect(),
         unreadable_pages: pages.unreadable_names,
         unreadable,
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -268,6 +268,6 @@
         requests: node.in_flight.get() + node.slots.running(),
         holds_keys: participant.may_hold_any(node.now()),
         connections: node.connections.get(),
-        registered: node.registration.acknowledged_at().is_some(),
+        registered: node.registration.acknowledged().is_some(),
     }
 }
