--- a/crates/ownership/tests/missing_registrations.rs
+++ b/crates/ownership/tests/missing_registrations.rs
@@ -6,11 +6,11 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use support::{SERVICE, address, leadership, name, renewal, reply};
+use support::{SERVICE, address, leadership, name, renewal, reply, target};
 use wingspar_ownership::{
     Action, Datagram, Epoch, Incarnation, KeyRange, Leader, LeaseReply, MemberView, NodeContext,
     NodeIdentity, NodeName, Participant, RegisteredNodes, Registration, Renewal, ServiceTable,
-    StoreEra, Table, TargetState, Time, Timing,
+    StoreEra, Table, Time, Timing,
 };
 
 const EPOCH: Epoch = Epoch(4);
@@ -43,13 +43,7 @@
         node: name(number),
         zone: "a".to_owned(),
         address: address(number),
-        target: Some(TargetState {
-            id: format!("target-{number}"),
-            service: SERVICE.to_owned(),
-            accepting: true,
-            slots: 8,
-            starts_per_s: None,
-        }),
+        target: Some(target(number)),
         leaving,
         quota_shards: Vec::new(),
     }
--- a/crates/ownership/tests/support/mod.rs
+++ b/crates/ownership/tests/support/mod.rs
@@ -85,6 +85,17 @@
     }
 }
 
+/// Returns the target beside a node.
+pub fn target(number: u8) -> TargetState {
+    TargetState {
+        id: format!("target-{number}"),
+        service: SERVICE.to_owned(),
+        accepting: true,
+        slots: 8,
+        starts_per_s: None,
+    }
+}
+
 /// Returns a renewal by a registered node whose target holds nothing.
 pub fn renewal(number: u8, life: u64, epoch: Epoch, sent_at: Time) -> Renewal {
     Renewal {
@@ -99,13 +110,7 @@
         clean: true,
         held: Vec::new(),
         released: Vec::new(),
-        target: Some(TargetState {
-            id: format!("target-{number}"),
-            service: SERVICE.to_owned(),
-            accepting: true,
-            slots: 8,
-            starts_per_s: None,
-        }),
+        target: Some(target(number)),
         leaving: false,
         service: None,
         registered_for: Some(SERVICE.to_owned()),
