Observability: which life of the target an order was sent to, and why keys became free

The logs couldn't tell the hypotheses about two owners apart: a successful grant left no line, no line named the life in whose belief an order was sent, and nothing said at the leader why keys became free.

* keys lines name the life that was known when the order was sent, the target that answered, and how long the order took.
A successful grant is logged if the life has changed meanwhile or another target answered.
* orders_across_lives counts these orders.
* target_changed names its evidence, the earlier life, and how many ranges that life may have held.
* keys_freed says at the leader which keys became free without a release, and why: one line a reason and tick.

The log's events move to a file of their own. No decision changes.

--- a/crates/ownership/src/holder/mod.rs
+++ b/crates/ownership/src/holder/mod.rs
@@ -223,12 +223,15 @@
     }
 
     /// Records the id of the target's process. A new process of the target holds nothing, so the
-    /// holder is clean then; the first id that is seen changes nothing else. Returns whether the id
-    /// is new.
-    pub fn observe_target(&mut self, id: &str) -> bool {
+    /// holder is clean then; the first id that is seen changes nothing else. `None` if the id is
+    /// known already; otherwise the number of key ranges that an earlier process held, or may have
+    /// held.
+    pub fn observe_target(&mut self, now: Time, id: &str) -> Option<usize> {
         if self.target.as_deref() == Some(id) {
-            return false;
+            return None;
         }
+        self.drop_stale(now);
+        let ranges = self.entries.len();
         if self.target.is_some() {
             self.entries.clear();
             self.released.clear();
@@ -239,7 +242,7 @@
             self.is_clearing = false;
         }
         self.target = Some(id.to_owned());
-        true
+        Some(ranges)
     }
 
     /// Obeys an epoch from now on; lower epochs are refused.
--- a/crates/ownership/src/leader/assignments.rs
+++ b/crates/ownership/src/leader/assignments.rs
@@ -34,7 +34,8 @@
             let all_reported =
                 self.have_all_reported(&service) && self.confirmed_at >= self.last_report_at;
             if all_reported || unknown_until <= now.min(self.confirmed_at) {
-                partition.free_unknown();
+                let keys = partition.free_unknown();
+                self.record_freed(FreeReason::Unreported, None, keys);
             }
             let settled = self.may_change_plan(&service, &partition, now);
             if settled {
@@ -97,9 +98,12 @@
             .collect::<Vec<_>>();
         for node in &ended {
             let mut freed = false;
-            for partition in self.partitions.values_mut() {
-                freed |= partition.free_all_of(node);
-            }
+            let partitions = self.partitions.values_mut();
+            let keys = partitions
+                .map(|partition| partition.free_all_of(node))
+                .sum();
+            self.record_freed(FreeReason::LeaseExpired, Some(node), keys);
+            freed |= keys > 0;
             if let Some(shards) = &mut self.shards {
                 freed |= shards.free_all_of(node);
             }
--- a/crates/ownership/src/leader/mod.rs
+++ b/crates/ownership/src/leader/mod.rs
@@ -2,6 +2,7 @@
 
 mod assignments;
 mod confirmation;
+mod freed;
 mod member;
 mod publish;
 mod registry;
@@ -9,6 +10,7 @@
 mod shard_scope;
 mod shards;
 
+pub use freed::{FreeReason, FreedKeys};
 pub use member::Member;
 pub use registry::{RegisteredNodes, RegistryPage};
 
@@ -85,6 +87,8 @@
     previous_table: Table,
     table: Table,
     table_log: TableLog,
+    /// Keys that were freed without a release since they were last logged.
+    freed: Vec<FreedKeys>,
 }
 
 impl Leader {
@@ -154,6 +158,7 @@
             },
             previous_table,
             table_log: TableLog::default(),
+            freed: Vec::new(),
         }
     }
 
--- a/crates/ownership/src/leader/renewals.rs
+++ b/crates/ownership/src/leader/renewals.rs
@@ -227,18 +227,20 @@
         {
             shards.revoke_all_of(node);
         }
+        let mut freed = 0;
         for partition in self.partitions.values_mut() {
             if restarted {
                 partition.revoke_all_of(node);
             }
             if replaced && !restarted {
                 // The target's earlier process has ended: another one answers at its address.
-                partition.free_all_of(node);
+                freed += partition.free_all_of(node);
             }
             if replaced {
                 partition.load.forget_service_time(node);
             }
         }
+        self.record_freed(FreeReason::TargetReplaced, Some(node), freed);
     }
 
     /// Records the load that an owner reports.
--- a/crates/ownership/src/lib.rs
+++ b/crates/ownership/src/lib.rs
@@ -41,7 +41,7 @@
 pub use fence::{Epoch, Fence, Incarnation, StoreEra, StorePosition};
 pub use fitness::{Fitness, LeaderWorkload};
 pub use holder::{Admission, Delivery, GrantResult, Holder, KeyAssignment, KeyReport, Order};
-pub use leader::{Leader, Member, RegisteredNodes, RegistryPage};
+pub use leader::{FreeReason, FreedKeys, Leader, Member, RegisteredNodes, RegistryPage};
 pub use load::{BUCKETS, KEYS_PER_BUCKET, Load, LoadReport, bucket_of};
 pub use message::{
     EvacuatedZones, EvacuationReport, Holding, LeaderReference, Leadership, LeaseReply, MemberView,
--- a/crates/ownership/src/participant/leadership.rs
+++ b/crates/ownership/src/participant/leadership.rs
@@ -16,6 +16,8 @@
             leader.set_quota_shards();
         }
         leader.tick(now);
+        let freed = leader.take_freed().into_iter();
+        actions.extend(freed.map(|freed| Action::Log(LeadershipEvent::KeysFreed(freed))));
         if let Some(page) = leader.registry_page(now) {
             actions.push(Action::WriteRegistry(page));
         }
--- a/crates/ownership/src/participant/mod.rs
+++ b/crates/ownership/src/participant/mod.rs
@@ -19,7 +19,7 @@
 
 use crate::{
     Admission, Delivery, Election, ElectionStep, Epoch, EvacuatedZones, EvacuationReport, Fitness,
-    GrantResult, Holder, Incarnation, KeyAssignment, KeyReport, Leader, LeaderReference,
+    FreedKeys, GrantResult, Holder, Incarnation, KeyAssignment, KeyReport, Leader, LeaderReference,
     LeaderWorkload, Leadership, LeaseReply, LoadReport, Member, NodeName, Order, OwnerZones,
     PeerView, RegisteredNode, RegisteredNodes, RegistryPage, Renewal, ShardHolder, ShardReport,
     StoreEra, Table, TableAnswer, TargetState, Time, Timing,
@@ -156,6 +156,8 @@
     },
     /// This node no longer leads the epoch.
     LeadershipLost(Epoch),
+    /// This node, the leader, has freed keys that their holders hadn't released.
+    KeysFreed(FreedKeys),
 }
 
 /// The node's state outside the state machine, passed in with inputs.
@@ -405,9 +407,10 @@
         now >= earlier_leases_until && !owns_shards && !self.may_hold_any(now)
     }
 
-    /// Records the id of the target's process. Returns whether it is new.
-    pub fn observe_target(&mut self, id: &str) -> bool {
-        self.holder.observe_target(id)
+    /// Records the id of the target's process. `None` if it is known already; otherwise the number
+    /// of key ranges that an earlier process held, or may have held.
+    pub fn observe_target(&mut self, now: Time, id: &str) -> Option<usize> {
+        self.holder.observe_target(now, id)
     }
 
     /// Handles the target's reply that it doesn't hold a key.
--- a/crates/ownership/src/partition.rs
+++ b/crates/ownership/src/partition.rs
@@ -144,17 +144,23 @@
     }
 
     /// Frees everything that a node may have held, because its lease has expired or its target's
-    /// process has ended.
-    pub fn free_all_of(&mut self, node: &NodeName) -> bool {
-        let mut changed = false;
+    /// process has ended. Returns the number of freed keys.
+    pub fn free_all_of(&mut self, node: &NodeName) -> u32 {
+        self.free_all(|state| state.holder() == Some(node))
+    }
+
+    fn free_all(&mut self, is_selected: impl Fn(&State) -> bool) -> u32 {
+        let mut freed = 0;
         for slice in &mut self.slices {
-            if slice.state.holder() == Some(node) {
+            if is_selected(&slice.state) {
                 slice.state = State::Free { handover: None };
-                changed = true;
+                freed += slice.range.count();
             }
         }
-        self.merge();
-        changed
+        if freed > 0 {
+            self.merge();
+        }
+        freed
     }
 
     /// Revokes what a node owned in an earlier process.
@@ -181,16 +187,9 @@
         self.plan.is_empty() && !self.has_unknown()
     }
 
-    /// Frees the ranges that no node has reported.
-    pub fn free_unknown(&mut self) -> bool {
-        let mut changed = false;
-        for slice in &mut self.slices {
-            if slice.state == State::Unknown {
-                slice.state = State::Free { handover: None };
-                changed = true;
-            }
-        }
-        changed
+    /// Frees the ranges that no node has reported. Returns the number of freed keys.
+    pub fn free_unknown(&mut self) -> u32 {
+        self.free_all(|state| *state == State::Unknown)
     }
 
     /// Updates the plan to the nodes that can own keys.
--- a/crates/ownership/src/range.rs
+++ b/crates/ownership/src/range.rs
@@ -18,6 +18,11 @@
         to: u16::MAX,
     };
 
+    /// Number of keys.
+    pub fn count(self) -> u32 {
+        u32::from(self.to) - u32::from(self.from) + 1
+    }
+
     /// Whether the range contains the key.
     pub fn contains(self, key: u16) -> bool {
         self.from <= key && key <= self.to
--- a/crates/ownership/tests/holder.rs
+++ b/crates/ownership/tests/holder.rs
@@ -18,7 +18,7 @@
 /// Returns a holder that was granted the range at time 1000.
 fn holding() -> Holder {
     let mut holder = Holder::new(Timing::default(), true);
-    holder.observe_target("t");
+    holder.observe_target(Time(1_000), "t");
     assert!(holder.lease(Time(1_000), &reply(1, 1_000, 1, &[(RANGE, 10)])));
     let orders = holder.orders(Time(1_000));
     let [
@@ -104,7 +104,7 @@
 #[test]
 fn a_stale_reply_grants_nothing() {
     let mut holder = Holder::new(Timing::default(), true);
-    holder.observe_target("t");
+    holder.observe_target(Time(1_000), "t");
     holder.lease(Time(1_510), &reply(1, 1_500, 1, &[]));
     // The leader has freed the range since, because the renewal sent at 1500 reported no ranges.
     holder.lease(Time(1_520), &reply(1, 1_400, 1, &[(RANGE, 10)]));
@@ -234,7 +234,7 @@
 #[test]
 fn a_new_target_incarnation_holds_nothing() {
     let mut holder = holding();
-    assert!(holder.observe_target("t2"));
+    assert_eq!(holder.observe_target(Time(1_010), "t2"), Some(1));
     assert_eq!(holder.admission(Time(1_010), 150), Admission::NotOwner);
     // A reply about the previous incarnation of the target grants nothing, not even a lease.
     holder.lease(Time(1_100), &reply(1, 1_100, 1, &[(RANGE, 10)]));
@@ -244,7 +244,7 @@
 #[test]
 fn a_new_process_clears_its_target_first() {
     let mut holder = Holder::new(Timing::default(), false);
-    holder.observe_target("t");
+    holder.observe_target(Time(1_000), "t");
     let mut answer = reply(1, 1_000, 1, &[(RANGE, 10)]);
     answer.clean_fence = Some(Fence(8));
     holder.lease(Time(1_000), &answer);
--- a/crates/ownership/tests/holder_heartbeats.rs
+++ b/crates/ownership/tests/holder_heartbeats.rs
@@ -32,7 +32,7 @@
 fn started(clean: bool) -> Holder {
     let mut holder =
         Holder::new(Timing::default(), clean).with_delivery(Delivery::HeartbeatAnswers);
-    holder.observe_target("t");
+    holder.observe_target(Time(1_000), "t");
     holder
 }
 
--- a/crates/ownership/tests/planned_stop.rs
+++ b/crates/ownership/tests/planned_stop.rs
@@ -22,7 +22,7 @@
         address: address(1),
     };
     let mut node = Participant::new(identity, Timing::default(), true, STARTED_AT);
-    node.observe_target("t");
+    node.observe_target(STARTED_AT, "t");
     node
 }
 
--- a/crates/ownership/tests/simulation/world.rs
+++ b/crates/ownership/tests/simulation/world.rs
@@ -260,7 +260,7 @@
         let mut participant = Participant::new(identity, self.options.timing, first, now)
             .with_delivery(self.options.delivery);
         if first {
-            participant.observe_target(&machine.target.id);
+            participant.observe_target(now, &machine.target.id);
         }
         machine.participant = Some(participant);
         self.after(0, Event::Tick(index, life));
@@ -286,8 +286,9 @@
         }
         machine.target_known = true;
         let id = machine.target.id.clone();
-        if let Some(participant) = &mut machine.participant {
-            participant.observe_target(&id);
+        let now = self.clock(index);
+        if let Some(participant) = &mut self.machines[index].participant {
+            participant.observe_target(now, &id);
         }
     }
 
--- a/crates/sidecar/src/announcements.rs
+++ b/crates/sidecar/src/announcements.rs
@@ -42,7 +42,7 @@
     }
     if parsed(node, parse_leaving(headers)) == Some(true) {
         let target_change = node.target.borrow_mut().announces_leaving(node.now());
-        apply_target_change(node, target_change);
+        apply_target_change(node, target_change, "answer");
     }
 }
 
--- a/crates/sidecar/src/control.rs
+++ b/crates/sidecar/src/control.rs
@@ -299,6 +299,12 @@
                 registered: *registered,
                 unlisted: *unlisted,
             }),
+            LeadershipEvent::KeysFreed(freed) => log.write(Event::KeysFreed {
+                reason: freed.reason.name(),
+                holder: freed.holder.as_deref().unwrap_or(""),
+                holders: freed.holders,
+                keys: freed.keys,
+            }),
             LeadershipEvent::LeadershipLost(epoch) => log.write(Event::LeadershipLost {
                 epoch: epoch.0,
                 detail: "a later epoch is known",
--- a/crates/sidecar/src/heartbeats.rs
+++ b/crates/sidecar/src/heartbeats.rs
@@ -39,7 +39,7 @@
         }
         Method::DELETE => {
             let target_change = node.target.borrow_mut().leave(node.now(), id);
-            apply_target_change(&node, target_change);
+            apply_target_change(&node, target_change, "deregistration");
             plain(StatusCode::OK, "application/json", acknowledgement(None))
         }
         _ => plain(
@@ -64,7 +64,7 @@
         .target
         .borrow_mut()
         .heartbeat(node.now(), &life, heartbeat);
-    apply_target_change(node, target_change);
+    apply_target_change(node, target_change, "heartbeat");
     let grants = if is_stale {
         None
     } else {
--- a/crates/sidecar/src/key_calls.rs
+++ b/crates/sidecar/src/key_calls.rs
@@ -5,8 +5,8 @@
 
 use http::header::CONTENT_TYPE;
 use http::{HeaderValue, Method, Request, Response, StatusCode};
-use wingspar_ownership::{GrantResult, KeyRange, Order};
-use wingspar_platform::{GrantOrder, ReleaseOrder, headers};
+use wingspar_ownership::{GrantResult, KeyRange, Order, Time};
+use wingspar_platform::{GrantOrder, ReleaseOrder, headers, id_of_life};
 
 use crate::announcements;
 use crate::body::Body;
@@ -20,9 +20,30 @@
 /// Timeout of a release call, after which it is retried. The target responds once the work on the keys has ended.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// An order that was sent to the target's address, for the log.
+struct SentOrder {
+    name: &'static str,
+    range: KeyRange,
+    fence: u64,
+    /// The target's life that was known when the order was sent.
+    life: String,
+    sent_at: Time,
+}
+
+impl SentOrder {
+    fn new(node: &Node, name: &'static str, range: KeyRange, fence: u64) -> Self {
+        Self {
+            name,
+            range,
+            fence,
+            life: node.target.borrow().life().unwrap_or_default().to_owned(),
+            sent_at: node.now(),
+        }
+    }
+}
+
 /// Executes an order about keys and reports the result to the participant.
 pub async fn execute_order(node: Rc<Node>, order: Order) {
-    let sent_at = node.now();
     match &order {
         Order::Grant {
             range,
@@ -37,6 +58,7 @@
                 hold: hold.as_secs_f64(),
                 handover: handover.clone(),
             };
+            let sent = SentOrder::new(&node, "grant", *range, fence.0);
             let answer = post(&node, GrantOrder::PATH, body.body(), GRANT_TIMEOUT).await;
             let (result, outcome) = match answer.as_ref().map(Response::status) {
                 Some(status) if status.is_success() => (GrantResult::Granted, "granted"),
@@ -46,8 +68,8 @@
             let now = node.now();
             node.participant
                 .borrow_mut()
-                .granted(now, &order, sent_at, result);
-            log_outcome(&node, "grant", *range, fence.0, outcome);
+                .granted(now, &order, sent.sent_at, result);
+            log_outcome(&node, &sent, answer.as_ref(), outcome);
         }
         Order::Release { range, fence } => release(&node, "release", &order, *range, fence.0).await,
         Order::Clear { fence } => release(&node, "clear", &order, KeyRange::ALL, fence.0).await,
@@ -61,6 +83,7 @@
         to: range.to,
         fence,
     };
+    let sent = SentOrder::new(node, name, range, fence);
     let answer = post(node, ReleaseOrder::PATH, body.body(), RELEASE_TIMEOUT).await;
     // A target that doesn't implement the call holds no keys.
     let answered = answer
@@ -73,33 +96,38 @@
     node.participant
         .borrow_mut()
         .released(now, order, answered, handover.map(str::to_owned));
-    log_outcome(
-        node,
-        name,
-        range,
-        fence,
-        if answered { "released" } else { "failed" },
-    );
+    let outcome = if answered { "released" } else { "failed" };
+    log_outcome(node, &sent, answer.as_ref(), outcome);
 }
 
 fn log_outcome(
     node: &Node,
-    order: &'static str,
-    range: KeyRange,
-    fence: u64,
+    sent: &SentOrder,
+    answer: Option<&Response<()>>,
     outcome: &'static str,
 ) {
     node.metrics.count(&node.metrics.key_orders, outcome);
-    if order == "grant" && outcome == "granted" {
+    let answered_by = answer
+        .and_then(|answer| answer.headers().get(headers::INSTANCE)?.to_str().ok())
+        .unwrap_or_default();
+    let is_of_current_life = node.target.borrow().life() == Some(&*sent.life);
+    let is_of_other_life =
+        !is_of_current_life || (!answered_by.is_empty() && answered_by != id_of_life(&sent.life));
+    if is_of_other_life {
+        node.metrics.orders_across_lives.inc();
+    } else if sent.name == "grant" && outcome == "granted" {
         // Successful renewals would flood the log. Failed grants and all releases are logged.
         return;
     }
     node.log.write(Event::Keys {
-        order,
-        from: range.from,
-        to: range.to,
-        fence,
+        order: sent.name,
+        from: sent.range.from,
+        to: sent.range.to,
+        fence: sent.fence,
         outcome,
+        target: &sent.life,
+        answered_by,
+        took_ms: whole_millis(node.now().since(sent.sent_at)),
         lease_left_ms: lease_left_ms(node),
     });
 }
--- a/crates/sidecar/src/logs.rs
+++ b/crates/sidecar/src/logs/event.rs
@@ -1,54 +1,10 @@
-//! Structured log lines: one JSON object per line on standard output.
-//!
-//! Lines pass through a bounded queue to a thread of their own. If standard output is read too
-//! slowly, lines are dropped and counted, so that logging never delays a request.
+//! The events that the log can contain.
 
-use std::cell::Cell;
 use std::collections::BTreeSet;
-use std::sync::Arc;
 
 use serde::Serialize;
-use spdlog::formatter::{PatternFormatter, pattern};
-use spdlog::sink::{AsyncPoolSink, OverflowPolicy, StdStream, StdStreamSink};
-use spdlog::{Level, LevelFilter, Logger, ThreadPool};
-
 use wingspar_routes::EntryList;
 
-use crate::clock::{Clock, whole_millis};
-
-/// Capacity of the queue in lines: as many as requests may cause in 25 seconds. The queue is
-/// allocated in full at the start, at some 170 bytes per line.
-const QUEUE_LINES: usize = 1024;
-
-/// Initializes the process's log.
-///
-/// Errors: the logger can't be built.
-pub fn setup() -> Result<(), spdlog::Error> {
-    let capacity = std::num::NonZeroUsize::new(QUEUE_LINES).unwrap_or(std::num::NonZeroUsize::MIN);
-    let pool = Arc::new(ThreadPool::builder().capacity(capacity).build()?);
-    let output = StdStreamSink::builder()
-        .std_stream(StdStream::Stdout)
-        .formatter(PatternFormatter::new(pattern!("{payload}{eol}")))
-        .build_arc()?;
-    let sink = AsyncPoolSink::builder()
-        .thread_pool(pool)
-        .overflow_policy(OverflowPolicy::DropIncoming)
-        .sink(output)
-        .build_arc()?;
-    let logger = Logger::builder()
-        .sink(sink)
-        .level_filter(LevelFilter::All)
-        .flush_level_filter(LevelFilter::Off)
-        .build_arc()?;
-    spdlog::set_default_logger(logger);
-    Ok(())
-}
-
-/// Writes out the queued lines; called once before the process exits.
-pub fn flush() {
-    spdlog::default_logger().flush();
-}
-
 /// The log events. The names of variants and fields are stable; `docs/OPERATIONS.md` lists them.
 #[derive(Debug, Clone, Serialize)]
 #[serde(tag = "event", rename_all = "snake_case")]
@@ -210,6 +166,17 @@
         /// Number of nodes that have yet to report and are in the last table but not registered.
         unlisted: usize,
     },
+    /// This node, the leader, has freed keys that their holders hadn't released.
+    KeysFreed {
+        /// Why the keys are free: lease_expired, target_replaced, unreported.
+        reason: &'a str,
+        /// The first of the nodes that held them; empty if no node had reported them.
+        holder: &'a str,
+        /// Number of nodes that held them.
+        holders: usize,
+        /// Number of keys.
+        keys: u32,
+    },
     /// This node has stopped being the leader.
     LeadershipLost {
         /// Epoch in which this node was the leader.
@@ -223,8 +190,12 @@
         target: &'a str,
         /// The kind of change: new_life, leaves, changed.
         change: &'a str,
-        /// Sequence number of the target's heartbeat.
-        sequence: u64,
+        /// The evidence: heartbeat, deregistration, health_check, answer.
+        evidence: &'a str,
+        /// The life that was known before, if it is another one; empty otherwise.
+        before: &'a str,
+        /// Number of key ranges that the earlier life held, or may have held.
+        ranges: usize,
     },
     /// The target announces another limit on the requests that it accepts from all nodes together.
     TargetLimit {
@@ -282,7 +253,8 @@
         /// Why the value couldn't be parsed.
         problem: String,
     },
-    /// A grant, release or clearing of keys at the target has ended.
+    /// A grant, release or clearing of keys at the target has ended. Successful grants are logged
+    /// only if the target's life has changed meanwhile, or another target answered.
     Keys {
         /// The operation: grant, release or clear.
         order: &'a str,
@@ -294,6 +266,12 @@
         fence: u64,
         /// How the operation ended.
         outcome: &'a str,
+        /// The target's life that was known when the order was sent; empty if none was.
+        target: &'a str,
+        /// Id of the target that the answer names; empty if it names none.
+        answered_by: &'a str,
+        /// Time from when the order was sent to its end, in milliseconds.
+        took_ms: u64,
         /// Remaining time of the node's lease, in milliseconds.
         lease_left_ms: u64,
     },
@@ -419,67 +397,3 @@
     /// Time for which the request had been running, in milliseconds.
     pub ran_ms: u64,
 }
-
-#[derive(Serialize)]
-struct Line<'a> {
-    at_ms: u64,
-    node: &'a str,
-    #[serde(flatten)]
-    event: Event<'a>,
-}
-
-/// Maximum number of lines about requests per second.
-const REQUEST_LINES_PER_SECOND: u64 = 40;
-
-/// The log of one node.
-pub struct Log {
-    node: String,
-    clock: Clock,
-    second: Cell<u64>,
-    lines: Cell<u64>,
-    suppressed: Cell<u64>,
-}
-
-impl Log {
-    /// Creates the log of a node.
-    pub fn new(node: &str, clock: Clock) -> Self {
-        Self {
-            node: node.to_owned(),
-            clock,
-            second: Cell::new(0),
-            lines: Cell::new(0),
-            suppressed: Cell::new(0),
-        }
-    }
-
-    /// Writes an event, without a rate limit.
-    pub fn write(&self, event: Event<'_>) {
-        let line = Line {
-            at_ms: whole_millis(self.clock.uptime()),
-            node: &self.node,
-            event,
-        };
-        if let Ok(text) = serde_json::to_string(&line) {
-            spdlog::log!(Level::Info, "{}", text);
-        }
-    }
-
-    /// Writes an event about a request, unless the limit for the current second has been reached.
-    pub fn write_request(&self, event: Event<'_>) {
-        let second = self.clock.uptime().as_secs();
-        if second != self.second.get() {
-            self.second.set(second);
-            self.lines.set(0);
-            let suppressed = self.suppressed.replace(0);
-            if suppressed > 0 {
-                self.write(Event::LinesLeftOut { count: suppressed });
-            }
-        }
-        if self.lines.get() >= REQUEST_LINES_PER_SECOND {
-            self.suppressed.set(self.suppressed.get() + 1);
-            return;
-        }
-        self.lines.set(self.lines.get() + 1);
-        self.write(event);
-    }
-}
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -102,6 +102,9 @@
     pub store_bytes: Family<OutcomeLabel, Counter>,
     /// Grants and releases of keys at the target, by outcome.
     pub key_orders: Family<OutcomeLabel, Counter>,
+    /// Orders about keys that ended after the target's life had changed, or that another target
+    /// answered.
+    pub orders_across_lives: Counter,
     /// Decisions about requests under which targets crash, by decision.
     pub quarantine: Family<OutcomeLabel, Counter>,
     /// Requests of tenants with a quota, by decision, and what became of their tokens.
@@ -161,6 +164,7 @@
             store_calls: Family::default(),
             store_bytes: Family::default(),
             key_orders: Family::default(),
+            orders_across_lives: Counter::default(),
             quarantine: Family::default(),
             quota: Family::default(),
             quota_shards: Gauge::default(),
@@ -278,6 +282,11 @@
             "Grants and releases at the target",
             self.key_orders.clone(),
         );
+        registry.register(
+            "orders_across_lives",
+            "Orders about keys that ended in another life of the target than they were sent in",
+            self.orders_across_lives.clone(),
+        );
     }
 
     /// Registers the metrics of traffic with other nodes and the store.
--- a/crates/sidecar/src/target_calls.rs
+++ b/crates/sidecar/src/target_calls.rs
@@ -282,8 +282,9 @@
     node.control_wakeup.notify_one();
 }
 
-/// Passes a change of the target on to everything that depends on it.
-pub fn apply_target_change(node: &Node, target_change: TargetChange) {
+/// Passes a change of the target on to everything that depends on it. `evidence` names for the log
+/// what has shown the change.
+pub fn apply_target_change(node: &Node, target_change: TargetChange, evidence: &'static str) {
     node.update_start_limit();
     if target_change == TargetChange::NewLife {
         node.untracked_work.borrow_mut().new_life();
@@ -304,12 +305,16 @@
     if let (TargetChange::NewLife, Some(past)) = (target_change, target.past_life()) {
         target_end::ended(node, past, "next_life");
     }
+    let ranges = node.participant.borrow_mut().observe_target(node.now(), id);
+    let is_new = target_change == TargetChange::NewLife;
     node.log.write(Event::TargetChanged {
         target: id,
         change,
-        sequence: 0,
+        evidence,
+        before: target.past_life().filter(|_| is_new).unwrap_or(""),
+        ranges: ranges.unwrap_or(0),
     });
-    if node.participant.borrow_mut().observe_target(id) {
+    if ranges.is_some() {
         node.target_connections.close_idle();
         node.target_orders.close_idle();
     }
@@ -360,7 +365,7 @@
         warmup_left: warmup_left(text(headers::WARMUP_LEFT_MS)),
     };
     let target_change = node.target.borrow_mut().probed(node.now(), id, health);
-    apply_target_change(node, target_change);
+    apply_target_change(node, target_change, "health_check");
     announcements::apply_from_node_call(node, answer.headers());
     apply_load(node, &answer, node.slots.running());
 }
--- a/crates/sidecar/tests/operations.rs
+++ b/crates/sidecar/tests/operations.rs
@@ -2,7 +2,7 @@
 //! logs.
 
 const OPERATIONS_PAGE: &str = include_str!("../../../docs/OPERATIONS.md");
-const LOGS_SOURCE: &str = include_str!("../src/logs.rs");
+const LOGS_SOURCE: &str = include_str!("../src/logs/event.rs");
 const ANSWER_SOURCE: &str = include_str!("../src/local_response.rs");
 const HOP_SOURCE: &str = include_str!("../src/hop.rs");
 
