Ownership: keys of a target's earlier life are released before they are free

Callers saw two targets that held the same keys, and both may have run requests on them.

Cause: orders name the target's address, not its life. A target that starts again takes the grants that are sent before its first heartbeat arrives, in the belief of its earlier life. With that heartbeat the node forgot all grants, called itself clean and reported nothing, and the leader freed the keys at once; nobody asked the new life to release them. A message that names another life was taken for proof that the keys are free.

Change: a change of life gives the entries up like any other: they are released at the address, after the grants that are still in flight, and reported as held until a release is answered or their hold has run out. The leader revokes the keys of a replaced target instead of freeing them. A change of life no longer shows that grants of an earlier process of the node are gone.

Targets that get their keys in answers to heartbeats are as before: an answer reaches only the process that sent the heartbeat.

The test of a new incarnation now also expects the release, and that the lease doesn't grow; its check that nothing is granted by an earlier assignment stays.

--- a/crates/ownership/src/holder/assignment.rs
+++ b/crates/ownership/src/holder/assignment.rs
@@ -20,8 +20,8 @@
         let until = reply.renewal_sent_at + Duration::from_millis(reply.lease_ms);
         self.lease_until = self.lease_until.max(until);
         // Keys in an overtaken reply may have another owner by now. So may keys in a reply whose
-        // renewal still reported keys that have expired since.
-        let is_overtaken = reply.renewal_sent_at < self.answered.max(self.expired_at);
+        // renewal still reported keys that have been dropped since.
+        let is_overtaken = reply.renewal_sent_at < self.answered.max(self.dropped_at);
         self.answered = self.answered.max(reply.renewal_sent_at);
         if let Some(fence) = reply.clean_fence
             && !self.clean
@@ -71,8 +71,12 @@
     }
 
     /// Adds entries for the parts of a wanted range that have none, unless they were already
-    /// released under its fence.
+    /// released under its fence, or an earlier process of the target was granted keys under it.
     pub(super) fn add_entries(&mut self, now: Time, want: &Wanted) {
+        if want.fence <= self.ended_fence {
+            return;
+        }
+        self.highest_fence = self.highest_fence.max(want.fence);
         let given_back = |range: KeyRange| {
             self.released
                 .iter()
--- a/crates/ownership/src/holder/mod.rs
+++ b/crates/ownership/src/holder/mod.rs
@@ -112,8 +112,9 @@
     lease_until: Time,
     /// When the latest answered renewal was sent.
     answered: Time,
-    /// When the lease last expired while there were entries.
-    expired_at: Time,
+    /// When entries were last dropped because the lease had expired or the target's process had
+    /// changed.
+    dropped_at: Time,
     /// Number of the last assignment that was applied.
     applied: u64,
     /// Whether the target holds nothing that an earlier process granted.
@@ -130,6 +131,11 @@
     released: Vec<(Released, Fence, Time)>,
     /// Grants that are in flight.
     grants_in_flight: Vec<(KeyRange, Fence)>,
+    /// The highest fence that was wanted for the target.
+    highest_fence: Fence,
+    /// The highest fence that was wanted for an earlier process of the target. A later process gets
+    /// keys only under higher fences.
+    ended_fence: Fence,
     /// Grants that the target refused because it had seen a higher fence; they aren't sent again.
     outranked: Vec<(KeyRange, Fence)>,
 }
@@ -144,7 +150,7 @@
             epoch: Epoch::default(),
             lease_until: Time::default(),
             answered: Time::default(),
-            expired_at: Time::default(),
+            dropped_at: Time::default(),
             applied: 0,
             clean,
             clear: None,
@@ -153,6 +159,8 @@
             entries: Vec::new(),
             released: Vec::new(),
             grants_in_flight: Vec::new(),
+            highest_fence: Fence::default(),
+            ended_fence: Fence::default(),
             outranked: Vec::new(),
         }
     }
@@ -187,7 +195,7 @@
     fn drop_expired(&mut self, now: Time) {
         if now >= self.lease_until && !self.entries.is_empty() {
             self.entries.clear();
-            self.expired_at = now;
+            self.dropped_at = now;
         }
     }
 
@@ -222,10 +230,9 @@
             .collect()
     }
 
-    /// Records the id of the target's process. A new process of the target holds nothing, so the
-    /// holder is clean then; the first id that is seen changes nothing else. `None` if the id is
-    /// known already; otherwise the number of key ranges that an earlier process held, or may have
-    /// held.
+    /// Records the id of the target's process, which shows that every earlier process has ended.
+    /// The first id that is seen changes nothing else. `None` if the id is known already; otherwise
+    /// the number of key ranges that an earlier process held, or may have held.
     pub fn observe_target(&mut self, now: Time, id: &str) -> Option<usize> {
         if self.target.as_deref() == Some(id) {
             return None;
@@ -233,18 +240,39 @@
         self.drop_stale(now);
         let ranges = self.entries.len();
         if self.target.is_some() {
-            self.entries.clear();
-            self.released.clear();
-            self.outranked.clear();
-            self.grants_in_flight.clear();
-            self.clean = true;
-            self.clear = None;
-            self.is_clearing = false;
+            self.end_earlier_process(now);
         }
         self.target = Some(id.to_owned());
         Some(ranges)
     }
 
+    /// Gives up the keys of the target's earlier process.
+    fn end_earlier_process(&mut self, now: Time) {
+        // Replies to renewals from before may list keys that have another owner by now.
+        self.dropped_at = now;
+        // A new leader may want the target to keep keys that this node reports until they are
+        // released.
+        self.ended_fence = self.highest_fence;
+        self.outranked.clear();
+        self.is_clearing = false;
+        match self.delivery {
+            // The new process may have taken grants that were sent before its id was known.
+            Delivery::Calls => {
+                let mut granted = std::mem::take(&mut self.entries);
+                granted.retain(|entry| entry.may_hold_until > Time::default());
+                self.entries = granted
+                    .into_iter()
+                    .map(|entry| match entry.phase {
+                        Phase::Releasing => entry,
+                        Phase::Granting | Phase::Held => entry.releasing(now, entry.range),
+                    })
+                    .collect();
+            }
+            // The answers to heartbeats reached only the process that had sent them.
+            Delivery::HeartbeatAnswers => self.entries.clear(),
+        }
+    }
+
     /// Obeys an epoch from now on; lower epochs are refused.
     pub fn promise(&mut self, epoch: Epoch) {
         if epoch > self.epoch {
--- a/crates/ownership/src/leader/freed.rs
+++ b/crates/ownership/src/leader/freed.rs
@@ -8,8 +8,6 @@
 pub enum FreeReason {
     /// The holder's lease has expired.
     LeaseExpired,
-    /// The target beside the node was replaced.
-    TargetReplaced,
     /// No node has reported the keys to a new leader.
     Unreported,
 }
@@ -19,7 +17,6 @@
     pub fn name(self) -> &'static str {
         match self {
             Self::LeaseExpired => "lease_expired",
-            Self::TargetReplaced => "target_replaced",
             Self::Unreported => "unreported",
         }
     }
--- a/crates/ownership/src/leader/renewals.rs
+++ b/crates/ownership/src/leader/renewals.rs
@@ -219,28 +219,23 @@
         })
     }
 
-    /// Revokes or frees the keys and shards of a node if its process has restarted or its target
-    /// was replaced.
+    /// Revokes the shards of a node if its process has restarted, and its keys also if its target
+    /// was replaced: the new process of the target may hold keys under grants that were sent before
+    /// the node knew it. They are free once the node no longer reports them.
     fn end_earlier_process(&mut self, node: &NodeName, restarted: bool, replaced: bool) {
         if let Some(shards) = &mut self.shards
             && restarted
         {
             shards.revoke_all_of(node);
         }
-        let mut freed = 0;
         for partition in self.partitions.values_mut() {
-            if restarted {
+            if restarted || replaced {
                 partition.revoke_all_of(node);
             }
-            if replaced && !restarted {
-                // The target's earlier process has ended: another one answers at its address.
-                freed += partition.free_all_of(node);
-            }
             if replaced {
                 partition.load.forget_service_time(node);
             }
         }
-        self.record_freed(FreeReason::TargetReplaced, Some(node), freed);
     }
 
     /// Records the load that an owner reports.
--- a/crates/ownership/src/partition.rs
+++ b/crates/ownership/src/partition.rs
@@ -143,8 +143,8 @@
         self.merge();
     }
 
-    /// Frees everything that a node may have held, because its lease has expired or its target's
-    /// process has ended. Returns the number of freed keys.
+    /// Frees everything that a node may have held, because its lease has expired. Returns the number
+    /// of freed keys.
     pub fn free_all_of(&mut self, node: &NodeName) -> u32 {
         self.free_all(|state| state.holder() == Some(node))
     }
@@ -163,7 +163,7 @@
         freed
     }
 
-    /// Revokes what a node owned in an earlier process.
+    /// Revokes what a node owned in an earlier process of its own or of its target.
     pub fn revoke_all_of(&mut self, node: &NodeName) {
         for slice in &mut self.slices {
             if matches!(&slice.state, State::Owned { node: owner, .. } if owner == node) {
--- a/crates/ownership/tests/holder.rs
+++ b/crates/ownership/tests/holder.rs
@@ -232,13 +232,22 @@
 }
 
 #[test]
-fn a_new_target_incarnation_holds_nothing() {
+fn a_new_target_incarnation_is_granted_nothing_by_earlier_assignments() {
     let mut holder = holding();
     assert_eq!(holder.observe_target(Time(1_010), "t2"), Some(1));
     assert_eq!(holder.admission(Time(1_010), 150), Admission::NotOwner);
     // A reply about the previous incarnation of the target grants nothing, not even a lease.
+    let lease_until = holder.lease_until();
     holder.lease(Time(1_100), &reply(1, 1_100, 1, &[(RANGE, 10)]));
-    assert!(holder.orders(Time(1_100)).is_empty());
+    assert_eq!(holder.lease_until(), lease_until);
+    let release = Order::Release {
+        range: RANGE,
+        fence: Fence(11),
+    };
+    assert_eq!(holder.orders(Time(1_100)), [release]);
+    holder.release_ended(Time(1_110), RANGE, Fence(11), true, None);
+    holder.lease(Time(1_200), &reply(1, 1_200, 1, &[(RANGE, 10)]));
+    assert!(holder.orders(Time(1_200)).is_empty());
 }
 
 #[test]
--- a/crates/ownership/tests/target_lives.rs
+++ b/crates/ownership/tests/target_lives.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use support::{SERVICE, leadership, renewal, target};
+use support::{LEASE_MS, SERVICE, leadership, renewal, target};
 use wingspar_ownership::{
     Epoch, Fence, GrantResult, Holder, KeyRange, Leader, Order, RegisteredNodes, Table,
     TargetState, Time, Timing,
@@ -14,6 +14,7 @@
 const EPOCH: Epoch = Epoch(4);
 const START: Time = Time(10_000);
 const STEP: Duration = Duration::from_millis(50);
+const RANGE: KeyRange = KeyRange { from: 100, to: 200 };
 
 /// What the target at an address holds: ranges with their fences and when the holds end.
 #[derive(Default)]
@@ -197,3 +198,96 @@
         );
     }
 }
+
+/// Returns a holder whose grant of the range to life `t` is in flight.
+fn granting() -> (Holder, Duration) {
+    let mut holder = Holder::new(Timing::default(), true);
+    holder.observe_target(START, "t");
+    let reply = support::reply(1, START.0, 1, &[(RANGE, 10)], None);
+    assert!(holder.lease(START, &reply));
+    let orders = holder.orders(START);
+    let [Order::Grant { hold, .. }] = orders.as_slice() else {
+        panic!("expected a grant, got {orders:?}");
+    };
+    (holder, *hold)
+}
+
+/// Guards against a release that is overtaken by a grant of the earlier life.
+#[test]
+fn keys_of_an_earlier_life_are_released_after_its_grants_have_ended() {
+    let (mut holder, hold) = granting();
+    let observed_at = START + STEP;
+    holder.observe_target(observed_at, "t2");
+    assert!(holder.orders(observed_at).is_empty());
+    assert_eq!(
+        holder.held(observed_at).len(),
+        1,
+        "the new life may hold it"
+    );
+    holder.granted(
+        observed_at,
+        RANGE,
+        Fence(10),
+        START,
+        hold,
+        GrantResult::Granted,
+    );
+    let release = Order::Release {
+        range: RANGE,
+        fence: Fence(11),
+    };
+    assert_eq!(holder.orders(observed_at), [release]);
+    holder.release_ended(observed_at, RANGE, Fence(11), true, None);
+    assert!(holder.held(observed_at).is_empty());
+}
+
+/// Guards against keys that stay unserved because a restarted target doesn't answer a release.
+#[test]
+fn keys_of_an_earlier_life_are_free_once_their_hold_has_run_out() {
+    let (mut holder, _) = granting();
+    holder.observe_target(START + STEP, "t2");
+    let expired_at = START + Duration::from_millis(LEASE_MS);
+    assert!(holder.held(expired_at).is_empty());
+}
+
+/// Guards against grants from a leader's reply to a renewal that was sent before the target's life
+/// was taken for another one.
+#[test]
+fn replies_from_before_a_change_of_life_grant_nothing() {
+    let mut holder = Holder::new(Timing::default(), true);
+    holder.observe_target(START, "t");
+    let renewed_at = START + STEP;
+    holder.observe_target(renewed_at + STEP, "t2");
+    holder.observe_target(renewed_at + STEP, "t");
+    let reply = support::reply(1, renewed_at.0, 1, &[(RANGE, 10)], None);
+    holder.lease(renewed_at + 2 * STEP, &reply);
+    assert!(holder.orders(renewed_at + 2 * STEP).is_empty());
+}
+
+/// Guards against grants of an earlier process of the node that a restarted target holds.
+#[test]
+fn a_change_of_life_does_not_show_that_the_target_was_cleared() {
+    let mut holder = Holder::new(Timing::default(), false);
+    holder.observe_target(START, "t");
+    holder.observe_target(START + STEP, "t2");
+    assert!(!holder.is_clean());
+}
+
+/// Guards against a grant to a restarted target under the fence of its earlier life, by a new
+/// leader that the node has reported the keys to before their hold ran out.
+#[test]
+fn a_life_is_granted_no_keys_under_the_fences_of_an_earlier_one() {
+    let (mut holder, _) = granting();
+    holder.observe_target(START + STEP, "t2");
+    let expired_at = START + Duration::from_millis(LEASE_MS);
+    assert!(holder.held(expired_at).is_empty());
+    let mut reply = support::reply(2, expired_at.0, 1, &[(RANGE, 10)], None);
+    reply.target = Some("t2".to_owned());
+    holder.lease(expired_at, &reply);
+    assert!(holder.orders(expired_at).is_empty());
+    let renewed_at = expired_at + STEP;
+    let mut reply = support::reply(2, renewed_at.0, 2, &[(RANGE, 20)], None);
+    reply.target = Some("t2".to_owned());
+    holder.lease(renewed_at, &reply);
+    assert_eq!(holder.orders(renewed_at).len(), 1);
+}
--- a/crates/sidecar/src/logs/event.rs
+++ b/crates/sidecar/src/logs/event.rs
@@ -168,7 +168,7 @@
     },
     /// This node, the leader, has freed keys that their holders hadn't released.
     KeysFreed {
-        /// Why the keys are free: lease_expired, target_replaced, unreported.
+        /// Why the keys are free: lease_expired, unreported.
         reason: &'a str,
         /// The first of the nodes that held them; empty if no node had reported them.
         holder: &'a str,
