Leader: keys that were reported before their service was known as keyed aren't free

A leader that received its configuration after its nodes had renewed, or one in which a service became keyed again, took the keys of that service for free at once: "all nodes have reported" was true, but their reports had been ignored while the service had no partition. It then granted the keys to the planned nodes while the targets of others held them. Before that, a leader without a configuration made all nodes release their keys.

Change: a partition remembers which nodes had renewed before it was created, each with its first assignment after that. Unknown keys are free only once each of these nodes has sent a report that applied this assignment, or its lease has expired. Until the leader has received a configuration, a report of held keys adds the service; keys are assigned only with a configuration.

--- a/crates/ownership/src/leader/assignments.rs
+++ b/crates/ownership/src/leader/assignments.rs
@@ -23,8 +23,9 @@
         let unknown_until = self.unknown_until();
         let rebalance_due = now.0 >= self.rebalanced_at.0 + REBALANCE_INTERVAL_MS;
         let mut rebalanced = false;
-        let services = self.partitions.keys().cloned().collect::<Vec<_>>();
-        for service in services {
+        // The configuration decides which keys are assigned, and to whom.
+        let configured = self.partitions.keys().filter(|_| self.is_configured);
+        for service in configured.cloned().collect::<Vec<_>>() {
             let candidates = self.candidates(&service, now);
             let Some(mut partition) = self.partitions.remove(&service) else {
                 continue;
@@ -33,7 +34,8 @@
             // otherwise a later leader may have renewed the silent node's lease in the meantime.
             let all_reported =
                 self.have_all_reported(&service) && self.confirmed_at >= self.last_report_at;
-            if all_reported || unknown_until <= now.min(self.confirmed_at) {
+            let none_silent = all_reported || unknown_until <= now.min(self.confirmed_at);
+            if none_silent && !partition.awaits_any() {
                 let keys = partition.free_unknown();
                 self.record_freed(FreeReason::Unreported, None, keys);
             }
--- a/crates/ownership/src/leader/confirmation.rs
+++ b/crates/ownership/src/leader/confirmation.rs
@@ -75,11 +75,10 @@
         if shards.is_some_and(|shards| shards.may_hold(node)) {
             return true;
         }
-        let mut slices = self
-            .partitions
-            .values()
-            .flat_map(|partition| &partition.slices);
-        slices.any(|slice| slice.state.holder() == Some(node))
+        self.partitions.values().any(|partition| {
+            let mut slices = partition.slices.iter();
+            partition.awaits(node) || slices.any(|slice| slice.state.holder() == Some(node))
+        })
     }
 
     /// An earlier leader that reports to this one no longer leads: it obeys this epoch, or is a new
--- a/crates/ownership/src/leader/mod.rs
+++ b/crates/ownership/src/leader/mod.rs
@@ -74,6 +74,8 @@
     members: BTreeMap<NodeName, Member>,
     /// The keys of each keyed service, by its name.
     partitions: BTreeMap<String, Partition>,
+    /// Whether the leader has received which services are keyed.
+    is_configured: bool,
     /// The zones in which keys may be owned.
     owner_zones: OwnerZones,
     /// The owners of the shards of tenants' quotas; `None` if no tenant has a quota.
@@ -144,6 +146,7 @@
             registry,
             members: BTreeMap::new(),
             partitions: BTreeMap::new(),
+            is_configured: false,
             owner_zones: OwnerZones::default(),
             shards: None,
             shard_scope: ShardScope::new(leadership.shards_anywhere, now),
@@ -251,22 +254,35 @@
 
     /// Sets the services whose keys have owners.
     pub fn set_keyed_services(&mut self, services: &BTreeSet<String>) {
+        self.is_configured = true;
         self.partitions
             .retain(|service, _| services.contains(service));
         for service in services {
-            if self.partitions.contains_key(service) {
-                continue;
-            }
-            let arcs = self
-                .previous_table
-                .services
-                .iter()
-                .find(|known| known.service == *service);
-            let plan = arcs
-                .map(|known| Plan::from_arcs(known.plan.clone()))
-                .unwrap_or_default();
-            self.partitions
-                .insert(service.clone(), Partition::new(plan));
+            self.add_partition(service);
         }
     }
+
+    /// Adds the partition of a service unless it exists. Every member may hold keys of it that the
+    /// leader ignored in earlier reports.
+    pub(super) fn add_partition(&mut self, service: &str) {
+        if self.partitions.contains_key(service) {
+            return;
+        }
+        let arcs = self
+            .previous_table
+            .services
+            .iter()
+            .find(|known| known.service == *service);
+        let plan = arcs
+            .map(|known| Plan::from_arcs(known.plan.clone()))
+            .unwrap_or_default();
+        let members = self.members.keys().cloned().collect::<Vec<_>>();
+        let unreported = members.into_iter().map(|node| {
+            let first = self.next_assignment(&node);
+            (node, first)
+        });
+        let unreported = unreported.collect();
+        self.partitions
+            .insert(service.to_owned(), Partition::new(plan, unreported));
+    }
 }
--- a/crates/ownership/src/leader/renewals.rs
+++ b/crates/ownership/src/leader/renewals.rs
@@ -34,6 +34,7 @@
             // An earlier leader had received the quotas, which this one hasn't yet.
             self.set_quota_shards();
         }
+        self.add_reported_service(renewal);
         let mut changed = self.update_member(now, renewal);
         let is_reliable = self
             .members
@@ -55,6 +56,17 @@
         }
     }
 
+    /// Adds the service of reported keys. An earlier leader had received that it is keyed, which
+    /// this one hasn't yet.
+    fn add_reported_service(&mut self, renewal: &Renewal) {
+        if let Some(target) = &renewal.target
+            && !self.is_configured
+            && !renewal.held.is_empty()
+        {
+            self.add_partition(&target.service);
+        }
+    }
+
     /// Applies a node's report of its keys and shards. Returns whether any became free.
     fn apply_report(&mut self, renewal: &Renewal) -> bool {
         let mut freed = false;
--- a/crates/ownership/src/partition.rs
+++ b/crates/ownership/src/partition.rs
@@ -1,5 +1,7 @@
 //! The leader's view of the keys of one service.
 
+use std::collections::BTreeMap;
+
 use crate::load::Load;
 use crate::plan::{Candidate, Plan};
 use crate::{Fence, KeyRange, NodeName, Renewal, step_function};
@@ -67,12 +69,17 @@
     pub plan: Plan,
     /// The load over the keys.
     pub load: Load,
+    /// Nodes that may hold unknown ranges although they have renewed with the leader: they haven't
+    /// reported since the leader knows that the service is keyed. Each with its first assignment
+    /// after that.
+    unreported: BTreeMap<NodeName, u64>,
 }
 
 impl Partition {
     /// A partition in which all owners are unknown, with the plan of an earlier leader.
-    pub fn new(plan: Plan) -> Self {
+    pub fn new(plan: Plan, unreported: BTreeMap<NodeName, u64>) -> Self {
         Self {
+            unreported,
             slices: vec![Slice {
                 range: KeyRange::ALL,
                 state: State::Unknown,
@@ -97,6 +104,11 @@
     /// which it no longer reports anything after its assignment changed are free. Returns whether
     /// any became free.
     pub fn report(&mut self, renewal: &Renewal) -> bool {
+        let first = self.unreported.get(&renewal.node);
+        let is_current = first.is_some_and(|first| renewal.applied >= *first);
+        if renewal.clean && is_current {
+            self.unreported.remove(&renewal.node);
+        }
         let is_affected = |slice: &Slice| slice.state.holder() == Some(&renewal.node);
         if renewal.held.is_empty() && !self.slices.iter().any(is_affected) {
             return false;
@@ -146,6 +158,7 @@
     /// Frees everything that a node may have held, because its lease has expired. Returns the number
     /// of freed keys.
     pub fn free_all_of(&mut self, node: &NodeName) -> u32 {
+        self.unreported.remove(node);
         self.free_all(|state| state.holder() == Some(node))
     }
 
@@ -182,6 +195,16 @@
         slices.any(|slice| slice.state == State::Unknown)
     }
 
+    /// Whether a node that has renewed with the leader may hold ranges that are still unknown.
+    pub fn awaits(&self, node: &NodeName) -> bool {
+        self.unreported.contains_key(node)
+    }
+
+    /// Whether any such node may hold ranges that are still unknown.
+    pub fn awaits_any(&self) -> bool {
+        !self.unreported.is_empty()
+    }
+
     /// Whether the owners of all keys are known and only the plan is missing.
     pub fn lacks_only_plan(&self) -> bool {
         self.plan.is_empty() && !self.has_unknown()
