Holder: a grant that the target refuses is released, not taken for free

What callers saw: nothing so far; found by reading. A target refuses a grant with 409 if it has seen a higher fence on one of its keys. It goes on holding the other keys, and all keys of an earlier copy of the grant until that runs out. The holder dropped the refused range at once, reported it as not held, and the leader granted it to another node.

Before the change, on the changed tests: an_outranked_grant_is_released_and_never_sent_again: held ranges after the refusal, left: 0, right: 1 an_outranked_part_releases_all_parts_of_its_grant, the_whole_of_a_partly_outranked_range_is_released: a release of the refused part is missing

Change: after a 409 every range under the fence is released and reported as held until the release has been answered. Targets that get their keys in heartbeat answers report what they hold; what they refused and don't report is free at once, as before.

Three tests expected that a refused range is free without a release, which no rule promises. They now expect the release and its answer first, and check the rest as before: the range is then free, and the refused fence is never tried again.

--- a/crates/ownership/src/holder/assignment.rs
+++ b/crates/ownership/src/holder/assignment.rs
@@ -118,9 +118,15 @@
             .any(|(refused, known)| *known == fence && refused.overlaps(range))
     }
 
-    /// The target has seen a higher fence on a range: the grant is abandoned, and everything else
-    /// under its fence is released, since the leader regrants the keys of one grant only together.
-    pub(super) fn abandon_outranked(&mut self, now: Time, range: KeyRange, fence: Fence) {
+    /// Abandons the grants under a fence that the target has refused because it has seen a higher
+    /// one. `is_free` tells for which entries the target has reported that it doesn't hold them;
+    /// everything else is released, since the leader regrants the keys of one grant only together.
+    pub(super) fn abandon_outranked(
+        &mut self,
+        now: Time,
+        fence: Fence,
+        is_free: impl Fn(&Entry) -> bool,
+    ) {
         let mut entries = Vec::with_capacity(self.entries.len());
         for entry in self.entries.drain(..) {
             if entry.fence != fence || entry.phase == Phase::Releasing {
@@ -128,8 +134,9 @@
                 continue;
             }
             self.outranked.push((entry.range, fence));
-            let rest = entry.range.without(range).into_iter();
-            entries.extend(rest.map(|range| entry.releasing(now, range)));
+            if !is_free(&entry) {
+                entries.push(entry.releasing(now, entry.range));
+            }
         }
         self.entries = entries;
         let surplus = self.outranked.len().saturating_sub(MAX_OUTRANKED_GRANTS);
--- a/crates/ownership/src/holder/calls.rs
+++ b/crates/ownership/src/holder/calls.rs
@@ -124,7 +124,9 @@
             self.grants_in_flight.swap_remove(ended);
         }
         if result == GrantResult::Outranked {
-            self.abandon_outranked(now, range, fence);
+            // The target refuses a grant because of one of its keys. It may hold the others, or all
+            // of them under an earlier copy of the grant.
+            self.abandon_outranked(now, fence, |_| false);
             return;
         }
         for entry in &mut self.entries {
--- a/crates/ownership/src/holder/heartbeats.rs
+++ b/crates/ownership/src/holder/heartbeats.rs
@@ -61,16 +61,14 @@
         self.abandon_refused(now);
     }
 
-    /// Abandons grants that the target keeps refusing.
+    /// Abandons grants that the target keeps refusing; its heartbeats show that it doesn't hold
+    /// them.
     fn abandon_refused(&mut self, now: Time) {
-        let refused = self
-            .entries
-            .iter()
-            .filter(|entry| entry.misses >= MAX_ROW_MISSES)
-            .map(|entry| (entry.range, entry.fence))
-            .collect::<Vec<_>>();
-        for (range, fence) in refused {
-            self.abandon_outranked(now, range, fence);
+        let is_refused = |entry: &Entry| entry.misses >= MAX_ROW_MISSES;
+        let refused = self.entries.iter().filter(|entry| is_refused(entry));
+        let fences = refused.map(|entry| entry.fence).collect::<Vec<_>>();
+        for fence in fences {
+            self.abandon_outranked(now, fence, is_refused);
         }
     }
 
--- a/crates/ownership/tests/holder.rs
+++ b/crates/ownership/tests/holder.rs
@@ -160,18 +160,28 @@
     assert_eq!(holder.orders(Time(2_100)), first);
 }
 
+/// Sends a renewed grant of the range, which the target refuses because of a higher fence.
+fn outranked(holder: &mut Holder, sent_at: Time, now: Time, range: KeyRange) {
+    let hold = Duration::from_millis(LEASE_MS);
+    holder.granted(now, range, Fence(10), sent_at, hold, GrantResult::Outranked);
+}
+
+/// Guards against keys that count as free although the target, which refused to renew a grant
+/// because of one key, still holds the others under it.
 #[test]
-fn an_outranked_grant_is_dropped() {
+fn an_outranked_grant_is_released_and_never_sent_again() {
     let mut holder = holding();
-    holder.granted(
-        Time(1_900),
-        RANGE,
-        Fence(10),
-        Time(1_890),
-        Duration::from_secs(1),
-        GrantResult::Outranked,
-    );
-    assert!(holder.held(Time(1_900)).is_empty());
+    outranked(&mut holder, Time(1_890), Time(1_900), RANGE);
+    assert_eq!(holder.admission(Time(1_900), 150), Admission::NotOwner);
+    assert_eq!(holder.held(Time(1_900)).len(), 1, "the target may hold it");
+    let fence = Fence(11);
+    let release = Order::Release {
+        range: RANGE,
+        fence,
+    };
+    assert_eq!(holder.orders(Time(1_900)), [release]);
+    holder.release_ended(Time(1_910), RANGE, fence, true, None);
+    assert!(holder.held(Time(1_910)).is_empty());
     // The leader keeps naming the same fence, which is never tried again.
     for now in (2_000..9_000).step_by(400) {
         holder.lease(Time(now), &reply(1, now, 2, &[(RANGE, 10)]));
@@ -185,7 +195,7 @@
 }
 
 #[test]
-fn an_outranked_part_releases_the_other_parts_of_its_grant() {
+fn an_outranked_part_releases_all_parts_of_its_grant() {
     let mut holder = holding();
     let parts = [
         KeyRange { from: 100, to: 150 },
@@ -195,36 +205,26 @@
         Time(1_100),
         &reply(1, 1_100, 2, &parts.map(|part| (part, 10))),
     );
-    let hold = Duration::from_millis(LEASE_MS);
     let now = Time(2_000);
-    holder.granted(now, parts[1], Fence(10), now, hold, GrantResult::Outranked);
-    let orders = holder.orders(now);
-    assert!(
-        matches!(orders.as_slice(), [Order::Release { range, .. }] if *range == parts[0]),
-        "{orders:?}"
-    );
+    outranked(&mut holder, now, now, parts[1]);
+    let fence = Fence(11);
+    let releases = parts.map(|range| Order::Release { range, fence });
+    assert_eq!(holder.orders(now), releases);
 }
 
 #[test]
-fn the_rest_of_a_partly_outranked_range_is_released() {
+fn the_whole_of_a_partly_outranked_range_is_released() {
     let mut holder = holding();
     let upper = KeyRange { from: 150, to: 200 };
-    holder.granted(
-        Time(1_900),
-        upper,
-        Fence(10),
-        Time(1_890),
-        Duration::from_secs(1),
-        GrantResult::Outranked,
-    );
+    outranked(&mut holder, Time(1_890), Time(1_900), upper);
     holder.lease(Time(2_000), &reply(1, 2_000, 2, &[(RANGE, 10)]));
-    let rest = KeyRange { from: 100, to: 149 };
     let fence = Fence(11);
-    assert_eq!(
-        holder.orders(Time(2_000)),
-        [Order::Release { range: rest, fence }]
-    );
-    holder.release_ended(Time(2_050), rest, fence, true, None);
+    let release = Order::Release {
+        range: RANGE,
+        fence,
+    };
+    assert_eq!(holder.orders(Time(2_000)), [release]);
+    holder.release_ended(Time(2_050), RANGE, fence, true, None);
     // The leader sees that nothing is held, and grants the whole range again under a higher fence.
     assert!(holder.held(Time(2_100)).is_empty());
     holder.lease(Time(2_400), &reply(1, 2_400, 2, &[(RANGE, 10)]));
