Holder: a heartbeat of an unkeyed service doesn't end what an earlier process granted

What callers saw: nothing so far; found by reading. A target that gets its keys in heartbeat answers counted as cleared as soon as a heartbeat named an unkeyed service. After a restart of the node process, a late heartbeat of an earlier life with another service is enough (an address may be given to a target of another service), or a configuration in which the service is unkeyed for a moment: the node reports as clean, and the leader takes the keys that the earlier process granted for free.

Before the change, a_heartbeat_of_an_unkeyed_service_does_not_show_that_earlier_grants_have_ended: assertion failed: !holder.is_clean()

Change: such a heartbeat makes the holder clean only once every lease of an earlier process has expired, counted from the start of this one.

--- a/crates/ownership/src/holder/heartbeats.rs
+++ b/crates/ownership/src/holder/heartbeats.rs
@@ -72,9 +72,11 @@
         }
     }
 
-    /// The target's service is unkeyed, so no earlier process can have granted the target anything.
-    pub fn set_unkeyed(&mut self) {
-        self.clean = true;
+    /// A heartbeat names an unkeyed service, whose targets hold no keys. The heartbeat may be a late
+    /// one of an earlier life, so what an earlier process granted counts as gone only once its
+    /// lease has expired.
+    pub fn set_unkeyed(&mut self, now: Time) {
+        self.clean |= now >= self.earlier_leases_until;
     }
 
     /// An earlier process may have answered the target's last heartbeats. So a report counts only
--- a/crates/ownership/src/holder/mod.rs
+++ b/crates/ownership/src/holder/mod.rs
@@ -119,6 +119,8 @@
     applied: u64,
     /// Whether the target holds nothing that an earlier process granted.
     clean: bool,
+    /// When every lease of an earlier process of the node has expired.
+    earlier_leases_until: Time,
     /// The fence under which the target is to be cleared, and whether that call is in flight.
     clear: Option<(Fence, bool)>,
     /// Whether an answer to a heartbeat has been sent that makes the target release what an earlier
@@ -153,6 +155,7 @@
             dropped_at: Time::default(),
             applied: 0,
             clean,
+            earlier_leases_until: Time::default(),
             clear: None,
             is_clearing: false,
             target: None,
@@ -165,6 +168,15 @@
         }
     }
 
+    /// Sets when the process started, which is when any earlier process had ended.
+    pub fn with_start(self, started_at: Time) -> Self {
+        let earlier_leases_until = started_at + self.timing.lease + self.timing.lease_margin;
+        Self {
+            earlier_leases_until,
+            ..self
+        }
+    }
+
     /// Sets how keys reach the target; calls to the target are the default.
     pub fn with_delivery(self, delivery: Delivery) -> Self {
         Self { delivery, ..self }
--- a/crates/ownership/src/participant/mod.rs
+++ b/crates/ownership/src/participant/mod.rs
@@ -291,7 +291,7 @@
             identity,
             timing,
             gave_lease_at: now,
-            holder: Holder::new(timing, clean),
+            holder: Holder::new(timing, clean).with_start(now),
             shards: ShardHolder::default(),
             election,
             store_era: StoreEra::default(),
@@ -330,9 +330,9 @@
         self.holder.reported(now, report);
     }
 
-    /// The target belongs to an unkeyed service.
-    pub fn set_unkeyed_target(&mut self) {
-        self.holder.set_unkeyed();
+    /// The target belongs to an unkeyed service, according to a heartbeat.
+    pub fn set_unkeyed_target(&mut self, now: Time) {
+        self.holder.set_unkeyed(now);
     }
 
     /// Whether an answer to the target's heartbeat would change what the target holds.
--- a/crates/ownership/tests/holder_heartbeats.rs
+++ b/crates/ownership/tests/holder_heartbeats.rs
@@ -220,6 +220,20 @@
     assert_eq!(holder.released().len(), 1);
 }
 
+/// Guards against a late heartbeat of an earlier life with another service, which made keys that an
+/// earlier process granted count as free.
+#[test]
+fn a_heartbeat_of_an_unkeyed_service_does_not_show_that_earlier_grants_have_ended() {
+    let mut holder = started(false).with_start(Time(1_000));
+    holder.set_unkeyed(Time(1_000));
+    assert!(!holder.is_clean());
+    holder.set_unkeyed(Time(1_000 + LEASE_MS));
+    assert!(!holder.is_clean(), "the leader waits for the margin too");
+    let margin = Timing::default().lease_margin;
+    holder.set_unkeyed(Time(1_000 + LEASE_MS) + margin);
+    assert!(holder.is_clean(), "every lease from before has expired");
+}
+
 #[test]
 fn a_response_without_a_lease_assigns_no_keys() {
     let mut holder = held();
--- a/crates/sidecar/src/key_exchange.rs
+++ b/crates/sidecar/src/key_exchange.rs
@@ -47,7 +47,8 @@
         return None;
     }
     if !node.is_keyed(&heartbeat.service) {
-        node.participant.borrow_mut().set_unkeyed_target();
+        let now = node.now();
+        node.participant.borrow_mut().set_unkeyed_target(now);
         return None;
     }
     let arrived_at = node.now();
