Key orders: only an answer of the release itself shows that a target holds nothing

What callers saw: nothing so far; found by reading. Any answer under 500 to a release, or to the call that clears the target after a restart of the node, counted as done: also 408, 421 and 429, which say that the call wasn't executed, and 400. The keys were reported as free while the target held them.

By the protocol a release is never refused, so a target that may hold keys answers with success or has not executed the call. A target of an unkeyed service doesn't implement the call and holds nothing; it rejects the call with a status of its own choice.

Change: the decision is a function of the status and of whether the target's service is keyed. For a keyed service, and while no configuration is known, only 2xx counts. For an unkeyed one every client error but 408, 421 and 429 counts too.

Evidence, with the former rule in its place: only_a_success_shows_that_a_target_has_released_its_keys: assertion failed: released.clone().all(|status| status.is_success()) a_target_without_keys_has_nothing_to_release_if_it_rejects_the_call: 408 Request Timeout

--- a/crates/sidecar/src/key_calls.rs
+++ b/crates/sidecar/src/key_calls.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use http::header::CONTENT_TYPE;
+use http::header::{CONTENT_TYPE, HOST};
 use http::{HeaderValue, Method, Request, Response, StatusCode};
 use wingspar_ownership::{GrantResult, KeyRange, Order, Time};
 use wingspar_platform::{GrantOrder, ReleaseOrder, headers, id_of_life};
@@ -11,6 +11,7 @@
 use crate::announcements;
 use crate::body::Body;
 use crate::clock::whole_millis;
+use crate::key_release;
 use crate::logs::Event;
 use crate::node::Node;
 use crate::target_calls::call;
@@ -59,7 +60,9 @@
                 handover: handover.clone(),
             };
             let sent = SentOrder::new(&node, "grant", *range, fence.0);
-            let answer = post(&node, GrantOrder::PATH, body.body(), GRANT_TIMEOUT).await;
+            let request = post(&node, GrantOrder::PATH, body.body());
+            let answer = call(&node, request, GRANT_TIMEOUT).await;
+            apply_announcements(&node, answer.as_ref());
             let (result, outcome) = match answer.as_ref().map(Response::status) {
                 Some(status) if status.is_success() => (GrantResult::Granted, "granted"),
                 Some(StatusCode::CONFLICT) => (GrantResult::Outranked, "outranked"),
@@ -84,11 +87,12 @@
         fence,
     };
     let sent = SentOrder::new(node, name, range, fence);
-    let answer = post(node, ReleaseOrder::PATH, body.body(), RELEASE_TIMEOUT).await;
-    // A target that doesn't implement the call holds no keys.
+    let request = post(node, ReleaseOrder::PATH, body.body());
+    let answer = call(node, request, RELEASE_TIMEOUT).await;
+    apply_announcements(node, answer.as_ref());
     let answered = answer
         .as_ref()
-        .is_some_and(|answer| !answer.status().is_server_error());
+        .is_some_and(|answer| key_release::is_released(answer.status(), may_hold_keys(node)));
     let handover = answer
         .as_ref()
         .and_then(|answer| answer.headers().get(headers::HANDOVER)?.to_str().ok());
@@ -138,19 +142,25 @@
     whole_millis(left)
 }
 
-async fn post(
-    node: &Rc<Node>,
-    path: &'static str,
-    body: bytes::Bytes,
-    time: Duration,
-) -> Option<Response<()>> {
+/// Whether the target may hold keys: its service is keyed, or not known to be unkeyed.
+fn may_hold_keys(node: &Node) -> bool {
+    node.configuration_version() == 0 || node.is_keyed(node.target.borrow().service())
+}
+
+fn post(node: &Node, path: &'static str, body: bytes::Bytes) -> Request<Body> {
     let mut request = Request::new(Body::whole(body));
     *request.method_mut() = Method::POST;
     *request.uri_mut() = http::Uri::from_static(path);
+    let headers = request.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    if let Ok(host) = HeaderValue::from_str(&node.settings.node.target.to_string()) {
+        headers.insert(HOST, host);
+    }
     request
-        .headers_mut()
-        .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-    let answer = call(node, request, time).await?;
-    announcements::apply_from_node_call(node, answer.headers());
-    Some(answer)
+}
+
+fn apply_announcements(node: &Rc<Node>, answer: Option<&Response<()>>) {
+    if let Some(answer) = answer {
+        announcements::apply_from_node_call(node, answer.headers());
+    }
 }
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -34,6 +34,7 @@
 mod key_calls;
 mod key_exchange;
 mod key_load;
+pub mod key_release;
 pub mod leaving_targets;
 pub mod length_limit;
 pub mod link;
