Key orders: a surplus answer to an earlier call doesn't count as a release's answer

What callers saw: nothing so far; found by reading. Orders carry no request id, and releases used kept connections. A target may send an answer twice, the copy late and in the place where the next answer is due: a copy of a grant's 200 then showed that keys were released while the target held them.

Change: each release has a connection of its own, on which no other answer can come. Grants and health checks keep theirs: a surplus answer to a grant lets the node believe that a target holds keys, and the target then rejects the requests.

Not measured: the price of the additional connections; one for each release and each retry of it.

--- a/crates/sidecar/src/key_calls.rs
+++ b/crates/sidecar/src/key_calls.rs
@@ -88,7 +88,7 @@
     };
     let sent = SentOrder::new(node, name, range, fence);
     let request = post(node, ReleaseOrder::PATH, body.body());
-    let answer = call(node, request, RELEASE_TIMEOUT).await;
+    let answer = key_release::send(node.settings.node.target, request, RELEASE_TIMEOUT).await;
     apply_announcements(node, answer.as_ref());
     let answered = answer
         .as_ref()
--- a/crates/sidecar/src/key_release.rs
+++ b/crates/sidecar/src/key_release.rs
@@ -1,6 +1,31 @@
-//! Which answers to a release prove that the target holds nothing any more.
+//! Release calls to the target, and which answers prove that the target holds nothing any more.
 
-use http::StatusCode;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use http::{Request, Response, StatusCode};
+use http_body_util::BodyExt;
+use tokio::time::timeout;
+
+use crate::body::Body;
+use crate::connections::ConnectionPool;
+
+/// Sends a release; `None` if there is no complete answer in time. Each call has a connection of its own, since a
+/// kept one may deliver a surplus answer to an earlier call, which can't be told from the release's.
+pub async fn send(
+    address: SocketAddr,
+    request: Request<Body>,
+    time: Duration,
+) -> Option<Response<()>> {
+    let connections = ConnectionPool::new(address, time);
+    let exchange = async {
+        let response = connections.send(request).await.ok()?;
+        let (parts, body) = response.into_parts();
+        let _rest = body.collect().await.ok()?;
+        Some(Response::from_parts(parts, ()))
+    };
+    timeout(time, exchange).await.ok().flatten()
+}
 
 /// Whether the answer to a release proves that the target no longer holds the keys. A target that may hold keys never
 /// refuses a release, so any other status than success shows that the call wasn't executed. A target of an unkeyed
