Leader: late renewals of any earlier process of a node are recognized

What callers saw: nothing so far; found by reading. The leader remembered one earlier process of a node. A late renewal of the last process but one counted as the first renewal of a new process: the leader then ignored the renewals of the running process as those of an earlier one, until the process restarted or another leader was elected, and revoked its keys and shards.

Change: the leader remembers the last 16 processes of a node.

--- a/crates/ownership/src/leader/confirmation.rs
+++ b/crates/ownership/src/leader/confirmation.rs
@@ -41,7 +41,7 @@
     /// epoch its predecessor obeyed; that may have been a later one, unless the store has confirmed
     /// this leader since the first renewal of the new process.
     pub(super) fn is_report_reliable(&self, member: &Member) -> bool {
-        member.previous_life.is_none() || self.confirmed_at >= member.life_seen_at
+        member.past_lives.is_empty() || self.confirmed_at >= member.life_seen_at
     }
 
     /// Whether every node that may hold keys of a service has reported. Always false while the
--- a/crates/ownership/src/leader/member.rs
+++ b/crates/ownership/src/leader/member.rs
@@ -2,6 +2,9 @@
 
 use crate::{Incarnation, MemberView, Renewal, Time};
 
+/// Most earlier processes of a node whose late renewals are recognized.
+const MAX_PAST_LIVES: usize = 16;
+
 /// A node that renews with the leader.
 #[derive(Debug, Clone)]
 pub struct Member {
@@ -31,8 +34,9 @@
     pub configuration_version: u64,
     /// When the node's last renewal arrived, on the leader's clock.
     pub renewed_at: Time,
-    /// The incarnation of the node's previous process, whose late renewals are ignored.
-    pub(super) previous_life: Option<Incarnation>,
+    /// The incarnations of the node's earlier processes, the last one last. Their late renewals are
+    /// ignored.
+    pub(super) past_lives: Vec<Incarnation>,
     /// When the first renewal of the current process arrived.
     pub(super) life_seen_at: Time,
     /// When the node sent its newest renewal, on its own clock.
@@ -45,6 +49,16 @@
         if renewal.life == self.life {
             return renewal.sent_at < self.newest_sent_at;
         }
-        self.previous_life == Some(renewal.life)
+        self.past_lives.contains(&renewal.life)
+    }
+
+    /// Records that a new process of the node has sent its first renewal.
+    pub(super) fn begin_life(&mut self, now: Time, life: Incarnation) {
+        if self.past_lives.len() >= MAX_PAST_LIVES {
+            self.past_lives.remove(0);
+        }
+        self.past_lives.push(self.life);
+        self.life = life;
+        self.life_seen_at = now;
     }
 }
--- a/crates/ownership/src/leader/renewals.rs
+++ b/crates/ownership/src/leader/renewals.rs
@@ -155,7 +155,7 @@
                 link_mbps: renewal.link_mbps,
                 configuration_version: 0,
                 renewed_at: now,
-                previous_life: None,
+                past_lives: Vec::new(),
                 life_seen_at: now,
                 newest_sent_at: renewal.sent_at,
             });
@@ -168,13 +168,11 @@
             _ => false,
         };
         if restarted {
-            member.previous_life = Some(member.life);
-            member.life_seen_at = now;
+            member.begin_life(now, renewal.life);
             // The previous process may have removed its registration before this one registered.
             member.registered_at = None;
         }
         member.newest_sent_at = renewal.sent_at;
-        member.life = renewal.life;
         member.view = view;
         member.clean = renewal.clean;
         member.store_reachable = renewal.store_reachable;
