Leader: a failing test of a late first renewal of an earlier process

If the only renewal of an earlier process that the leader has received arrives after one of its successor, it counts as one of a new process. The running process then counts as an earlier one and gets no lease until it restarts or another leader is elected.

a_late_first_renewal_of_an_earlier_process_does_not_displace_the_current_one fails: late_renewals.rs:71:5: the running process

--- a/crates/ownership/tests/late_renewals.rs
+++ b/crates/ownership/tests/late_renewals.rs
@@ -60,3 +60,13 @@
     assert_eq!(deployment.current_process(), Some(Incarnation(5)));
     assert!(deployment.is_answered(5));
 }
+
+/// Guards against a node that gets no lease any more because the only renewal of an earlier process
+/// that the leader has received arrived after those of the current process.
+#[test]
+fn a_late_first_renewal_of_an_earlier_process_does_not_displace_the_current_one() {
+    let mut deployment = Deployment::elected();
+    assert!(deployment.is_answered(2));
+    let _ended = deployment.is_answered(1);
+    assert!(deployment.is_answered(2), "the running process");
+}
