Leader: a late first renewal of an earlier process displaces the running one only for a moment

If the only renewal of an earlier process that the leader has received arrives after one of its successor, it counts as one of a new process. The running process then got no lease until it restarted or another leader was elected.

Change: the leader answers a process that counts as an earlier one, without a lease and with a new assignment. A renewal that has applied this assignment shows that the process is still running: it then counts as a new process of the node, and as with any other its report counts only after a confirmation by the store. A process that has ended can't send such a renewal; the answer to its late ones names its incarnation, so the running process ignores it.

--- a/crates/ownership/src/leader/member.rs
+++ b/crates/ownership/src/leader/member.rs
@@ -37,6 +37,9 @@
     /// The incarnations of the node's earlier processes, the last one last. Their late renewals are
     /// ignored.
     pub(super) past_lives: Vec<Incarnation>,
+    /// A process that counts as an earlier one, and the first assignment that it can have applied
+    /// only if it is still running.
+    pub(super) challenged: Option<(Incarnation, u64)>,
     /// When the first renewal of the current process arrived.
     pub(super) life_seen_at: Time,
     /// When the node sent its newest renewal, on its own clock.
@@ -44,12 +47,19 @@
 }
 
 impl Member {
-    /// Whether a newer renewal has overtaken this one.
+    /// Whether a newer renewal of the same process has overtaken this one.
     pub(super) fn is_overtaken(&self, renewal: &Renewal) -> bool {
-        if renewal.life == self.life {
-            return renewal.sent_at < self.newest_sent_at;
-        }
-        self.past_lives.contains(&renewal.life)
+        renewal.life == self.life && renewal.sent_at < self.newest_sent_at
+    }
+
+    /// Whether a renewal is one of a process that counts as an earlier one. It doesn't if the
+    /// renewal shows that the process is still running: then a late renewal of another process has
+    /// displaced it.
+    pub(super) fn is_past(&self, renewal: &Renewal) -> bool {
+        let is_running = self
+            .challenged
+            .is_some_and(|(life, first)| life == renewal.life && renewal.applied >= first);
+        self.past_lives.contains(&renewal.life) && !is_running
     }
 
     /// Records that a new process of the node has sent its first renewal.
@@ -57,7 +67,9 @@
         if self.past_lives.len() >= MAX_PAST_LIVES {
             self.past_lives.remove(0);
         }
+        self.past_lives.retain(|past| *past != life);
         self.past_lives.push(self.life);
+        self.challenged = None;
         self.life = life;
         self.life_seen_at = now;
     }
--- a/crates/ownership/src/leader/renewals.rs
+++ b/crates/ownership/src/leader/renewals.rs
@@ -16,12 +16,14 @@
         if renewal.epoch != self.epoch {
             return None;
         }
-        if self
-            .members
-            .get(&renewal.node)
-            .is_some_and(|member| member.is_overtaken(renewal))
-        {
-            return None;
+        if let Some(member) = self.members.get(&renewal.node) {
+            if member.is_overtaken(renewal) {
+                return None;
+            }
+            if member.is_past(renewal) {
+                let challenged = self.may_lease(now).then(|| self.challenge(renewal));
+                return challenged.flatten();
+            }
         }
         // A new process that hasn't cleared its target can't report what the target still holds or
         // works on.
@@ -56,6 +58,43 @@
         }
     }
 
+    /// Answers a process that counts as an earlier one, without a lease. If it is still running, its
+    /// next renewal has applied the assignment in this answer.
+    fn challenge(&mut self, renewal: &Renewal) -> Option<LeaseReply> {
+        let first = self.next_assignment(&renewal.node);
+        let clean_fence = (!renewal.clean).then(|| self.take_fence());
+        let member = self.members.get_mut(&renewal.node)?;
+        member.challenged = Some((renewal.life, first));
+        Some(LeaseReply {
+            target: renewal.target.as_ref().map(|target| target.id.clone()),
+            clean_fence,
+            ..self.reply_without_lease(renewal, first)
+        })
+    }
+
+    /// An answer that assigns nothing.
+    fn reply_without_lease(&self, renewal: &Renewal, assignment: u64) -> LeaseReply {
+        LeaseReply {
+            epoch: self.epoch,
+            life: renewal.life,
+            renewal_sent_at: renewal.sent_at,
+            lease_ms: 0,
+            assignment,
+            wanted: Vec::new(),
+            target: None,
+            clean_fence: None,
+            table_version: self.table.version,
+            configuration_version: 0,
+            configuration_checked_ms_ago: None,
+            store_era: self.era,
+            evacuations: None,
+            quarantine: None,
+            registers_itself: false,
+            missing_registration: None,
+            quota_shards: Vec::new(),
+        }
+    }
+
     /// Adds the service of reported keys. An earlier leader had received that it is keyed, which
     /// this one hasn't yet.
     fn add_reported_service(&mut self, renewal: &Renewal) {
@@ -103,28 +142,19 @@
         let target = member.view.target.as_ref().map(|target| target.id.clone());
         let clean_fence = (!renewal.clean).then(|| self.take_fence());
         Some(LeaseReply {
-            epoch: self.epoch,
-            life: renewal.life,
-            renewal_sent_at: renewal.sent_at,
             lease_ms: u64::try_from(lease.as_millis()).unwrap_or(0),
-            assignment,
             wanted: target
                 .as_ref()
                 .map_or_else(Vec::new, |target| self.wanted(&renewal.node, target)),
             target,
             clean_fence,
-            table_version: self.table.version,
-            configuration_version: 0,
-            configuration_checked_ms_ago: None,
-            store_era: self.era,
-            evacuations: None,
-            quarantine: None,
             registers_itself,
             missing_registration,
             quota_shards: self
                 .shards
                 .as_ref()
                 .map_or_else(Vec::new, |shards| shards.owned_by(&renewal.node)),
+            ..self.reply_without_lease(renewal, assignment)
         })
     }
 
@@ -156,6 +186,7 @@
                 configuration_version: 0,
                 renewed_at: now,
                 past_lives: Vec::new(),
+                challenged: None,
                 life_seen_at: now,
                 newest_sent_at: renewal.sent_at,
             });
