Target: a heartbeat of another target counts once the address has named that target

Callers saw keys that stayed unserved after targets and node processes had restarted, and a running target whose keys were given away.

Cause: any heartbeat with an id that this process had never seen, or had forgotten when it restarted, began a new life. A heartbeat that was delayed past its sender's end displaced the running target: that one counted as ended from then on, and its own heartbeats were ignored until the node's process restarted. So did a heartbeat of another writer.

Change: if a target is known, a heartbeat of another id changes nothing until a health check over a new connection has named that id. If the known target answers, the other one is remembered as ended; without an answer the heartbeat isn't acknowledged, and a target that is there sends another one. A later birth under the same id is a new life as before. Only a target that has deregistered stays ended if it answers at the address: what was only taken for ended may answer again. An answer of another target counts only if the target that was known when the request was sent is still the known one; the keys of the known one are released at once then.

target_unconfirmed lines name such heartbeats.

The existing tests of new lives now confirm the life first and expect that the heartbeat alone is unconfirmed; their other checks stay.

--- a/crates/sidecar/src/heartbeats.rs
+++ b/crates/sidecar/src/heartbeats.rs
@@ -12,7 +12,8 @@
 use crate::local_response::plain;
 use crate::logs::Event;
 use crate::node::Node;
-use crate::target_calls::apply_target_change;
+use crate::target::TargetChange;
+use crate::target_calls::{apply_target_change, confirm_life};
 
 /// Maximum length of a heartbeat, in bytes.
 const MAX_HEARTBEAT_BYTES: usize = 64 * 1024;
@@ -59,11 +60,24 @@
         return plain(StatusCode::BAD_REQUEST, "text/plain", "no such service");
     }
     let life = life_name(id, heartbeat.born);
-    let is_stale = node.target.borrow().is_stale(&life, heartbeat.sequence);
-    let target_change = node
-        .target
-        .borrow_mut()
-        .heartbeat(node.now(), &life, heartbeat);
+    let apply = || {
+        let mut target = node.target.borrow_mut();
+        let is_stale = target.is_stale(&life, heartbeat.sequence);
+        (is_stale, target.heartbeat(node.now(), &life, heartbeat))
+    };
+    let (mut is_stale, mut target_change) = apply();
+    if target_change == TargetChange::Unconfirmed {
+        confirm_life(node, &life).await;
+        (is_stale, target_change) = apply();
+    }
+    if target_change == TargetChange::Unconfirmed {
+        // Without an acknowledgement, a target that is there sends another heartbeat.
+        return plain(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "text/plain",
+            "another target is known at this address, and the health check gave no answer",
+        );
+    }
     apply_target_change(node, target_change, "heartbeat");
     let grants = if is_stale {
         None
--- a/crates/sidecar/src/logs/event.rs
+++ b/crates/sidecar/src/logs/event.rs
@@ -197,6 +197,15 @@
         /// Number of key ranges that the earlier life held, or may have held.
         ranges: usize,
     },
+    /// A heartbeat named another target than the known one, and a health check didn't find it at the target's address.
+    TargetUnconfirmed {
+        /// The target that the heartbeat names.
+        target: &'a str,
+        /// Id of the known target.
+        known: &'a str,
+        /// Id of the target that answered the health check; empty if none did.
+        answered_by: &'a str,
+    },
     /// The target announces another limit on the requests that it accepts from all nodes together.
     TargetLimit {
         /// The target's id.
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -177,7 +177,7 @@
 /// acknowledged that the target is leaving.
 async fn probe(node: Rc<Node>) {
     for _ in 0..MAX_PROBES {
-        target_calls::probe(&node, &node.health_path()).await;
+        target_calls::probe(&node).await;
         if node.target.borrow().id().is_some() {
             return;
         }
@@ -189,7 +189,7 @@
 async fn check_target(node: Rc<Node>) {
     loop {
         node.target_check.notified().await;
-        target_calls::probe(&node, &node.health_path()).await;
+        target_calls::probe(&node).await;
     }
 }
 
--- a/crates/sidecar/src/target.rs
+++ b/crates/sidecar/src/target.rs
@@ -8,7 +8,7 @@
 use wingspar_ownership::{TargetState, Time};
 use wingspar_platform::{Heartbeat, LifecycleState, born, id_of_life};
 
-/// Number of past lives that are remembered, so that delayed heartbeats from them are ignored.
+/// Number of ended lives of each kind that are remembered, so that delayed heartbeats from them are ignored.
 const MAX_PAST_LIVES: usize = 16;
 
 /// The state of the local target.
@@ -20,7 +20,10 @@
     /// then, since other nodes already use it.
     reported_birth: Option<u64>,
     service: String,
+    /// Lives that have ended, as far as this process knows.
     past: Vec<String>,
+    /// Targets that have deregistered. They may still answer for a while.
+    deregistered: Vec<String>,
     sequence: u64,
     /// When the latest heartbeat arrived.
     last_heartbeat_at: Time,
@@ -67,6 +70,9 @@
     None,
     /// A new life of the target has begun.
     NewLife,
+    /// The heartbeat names another target than the known one. It is applied once a health check of the target's
+    /// address has shown that the other one is up.
+    Unconfirmed,
     /// The target is leaving.
     Leaves,
     /// Any other change that is reported to other nodes.
@@ -93,7 +99,7 @@
         self.life.as_deref()
     }
 
-    /// Name of the previous life; `None` if there is none.
+    /// Name of the life that was known to have ended last; `None` if there is none.
     pub fn past_life(&self) -> Option<&str> {
         self.past.last().map(String::as_str)
     }
@@ -130,7 +136,8 @@
         let is_earlier = born(life)
             .zip(self.born())
             .is_some_and(|(it, own)| it < own);
-        self.past.iter().any(|past| past == life) || (is_same && is_earlier)
+        let ended = self.past.iter().chain(&self.deregistered);
+        ended.into_iter().any(|ended| ended == life) || (is_same && is_earlier)
     }
 
     /// Whether this is the latest heartbeat of the current life.
@@ -147,6 +154,9 @@
         if !new_life && heartbeat.sequence <= self.sequence {
             return TargetChange::None;
         }
+        if self.id().is_some_and(|known| known != id_of_life(life)) {
+            return TargetChange::Unconfirmed;
+        }
         if new_life {
             self.begin_life(life);
         }
@@ -189,10 +199,10 @@
     pub fn leave(&mut self, now: Time, id: &str) -> TargetChange {
         let present = self.life.clone().filter(|_| self.id() == Some(id));
         let Some(present) = present else {
-            self.remember(id);
+            add_bounded(&mut self.deregistered, id);
             return TargetChange::None;
         };
-        self.remember(&present);
+        add_bounded(&mut self.deregistered, &present);
         self.leaving_since.get_or_insert(now);
         TargetChange::Leaves
     }
@@ -202,10 +212,11 @@
         self.probe_until = None;
         // The response doesn't contain the target's start time; a heartbeat will.
         let new_life = self.id() != Some(id);
-        if new_life && self.is_past(id) {
-            return TargetChange::None;
-        }
         if new_life {
+            self.answered(id);
+            if self.is_past(id) {
+                return TargetChange::None;
+            }
             self.begin_life(id);
         }
         if let Some(slots) = health.slots {
@@ -256,15 +267,27 @@
         }
     }
 
-    /// A target with another ID answered at the address, so the known one has ended. The other one's service is
-    /// unknown until its heartbeat, so nothing is started until then.
-    pub fn other_instance_answered(&mut self, id: &str) {
+    /// The target with this ID answered at the address, so every other one has ended. If it isn't the known one, its
+    /// service is unknown until its heartbeat, so nothing is started until then. Returns whether the known target has
+    /// ended.
+    pub fn answered(&mut self, id: &str) -> bool {
         if self.id() == Some(id) {
-            return;
+            return false;
         }
-        if let Some(before) = self.life.take() {
-            self.remember(&before);
+        self.past.retain(|past| id_of_life(past) != id);
+        let before = self.life.take();
+        if let Some(before) = &before {
+            self.remember(before);
+        }
+        before.is_some()
+    }
+
+    /// A health check that was sent after a heartbeat of `life` has shown the target `id` at the address.
+    pub fn confirmed(&mut self, life: &str, id: &str) {
+        if id_of_life(life) != id {
+            self.remember(life);
         }
+        self.answered(id);
     }
 
     /// Whether routers should send new requests to the target.
@@ -314,11 +337,17 @@
     }
 
     fn remember(&mut self, life: &str) {
-        if self.past.len() >= MAX_PAST_LIVES {
-            self.past.remove(0);
-        }
-        if !self.past.iter().any(|past| past == life) {
-            self.past.push(life.to_owned());
-        }
+        add_bounded(&mut self.past, life);
+    }
+}
+
+/// Adds a life to a list unless it contains it; the oldest is dropped if the list is full.
+fn add_bounded(lives: &mut Vec<String>, life: &str) {
+    if lives.iter().any(|known| known == life) {
+        return;
+    }
+    if lives.len() >= MAX_PAST_LIVES {
+        lives.remove(0);
     }
+    lives.push(life.to_owned());
 }
--- a/crates/sidecar/src/target_calls.rs
+++ b/crates/sidecar/src/target_calls.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use http::header::{CONTENT_ENCODING, HOST};
-use http::{HeaderValue, Request, Response, StatusCode};
+use http::{HeaderName, HeaderValue, Request, Response, StatusCode};
 use http_body_util::BodyExt;
 use tokio::time::timeout;
 use wingspar_platform::{TargetLoad, headers, id_of_life, parse_load};
@@ -233,12 +233,7 @@
     if let Some(instance) = instance
         && instance != expected
     {
-        node.target.borrow_mut().other_instance_answered(instance);
-        node.log.write(Event::Lost {
-            dependency: "target",
-            detail: format!("another instance answers at its address: {instance}"),
-        });
-        node.control_wakeup.notify_one();
+        other_target_answered(node, expected, instance);
     } else if let (true, Some(key)) = (misdirected, key) {
         node.participant
             .borrow_mut()
@@ -269,6 +264,21 @@
     }
 }
 
+/// The target `id` answered at the address while `known` was taken to be there.
+fn other_target_answered(node: &Node, known: &str, id: &str) {
+    if node.target.borrow().id() != Some(known) {
+        // The answer may be older than what is known now.
+        return;
+    }
+    node.target.borrow_mut().answered(id);
+    node.log.write(Event::Lost {
+        dependency: "target",
+        detail: format!("another instance answers at its address: {id}"),
+    });
+    node.participant.borrow_mut().observe_target(node.now(), id);
+    node.control_wakeup.notify_one();
+}
+
 /// A connection to the target failed: other nodes shouldn't send it requests until its next heartbeat.
 pub fn mark_target_unreachable(node: &Node) {
     if node.target.borrow().accepting(node.now()) {
@@ -294,7 +304,7 @@
     }
     let target = node.target.borrow();
     let change = match target_change {
-        TargetChange::None => return,
+        TargetChange::None | TargetChange::Unconfirmed => return,
         TargetChange::NewLife => "new_life",
         TargetChange::Leaves => "leaves",
         TargetChange::Changed => "changed",
@@ -339,30 +349,61 @@
     timeout(time, exchange).await.ok().flatten()
 }
 
-/// Makes a health check and applies the response.
-pub async fn probe(node: &Rc<Node>, path: &str) {
-    let Ok(uri) = path.parse() else {
+/// Makes a health check; `None` if there is no complete response in time.
+async fn check_health(node: &Rc<Node>) -> Option<Response<()>> {
+    let mut request = Request::new(Body::empty());
+    *request.uri_mut() = node.health_path().parse().ok()?;
+    call(node, request, PROBE_TIMEOUT).await
+}
+
+/// The text of a response's header; `None` if there is none.
+fn header<Bytes>(response: &Response<Bytes>, name: HeaderName) -> Option<&str> {
+    response.headers().get(name)?.to_str().ok()
+}
+
+/// After a heartbeat of `life`, which isn't the known one, finds out which of them is at the address. Heartbeats may
+/// come late, so a heartbeat alone doesn't show that.
+pub async fn confirm_life(node: &Rc<Node>, life: &str) {
+    let known = node.target.borrow().id().map(str::to_owned);
+    // A connection to an earlier target may not have been closed yet.
+    node.target_orders.close_idle();
+    let answer = check_health(node).await;
+    let id = answer
+        .as_ref()
+        .and_then(|answer| header(answer, headers::INSTANCE));
+    if id != Some(id_of_life(life)) {
+        node.log.write_request(Event::TargetUnconfirmed {
+            target: life,
+            known: known.as_deref().unwrap_or(""),
+            answered_by: id.unwrap_or(""),
+        });
+    }
+    let (Some(known), Some(id)) = (known, id) else {
         return;
     };
-    let mut request = Request::new(Body::empty());
-    *request.uri_mut() = uri;
-    let Some(answer) = call(node, request, PROBE_TIMEOUT).await else {
+    if node.target.borrow().id() != Some(&*known) {
+        // Something else has shown meanwhile which target is there.
+        return;
+    }
+    node.target.borrow_mut().confirmed(life, id);
+    if id != known && id != id_of_life(life) {
+        node.participant.borrow_mut().observe_target(node.now(), id);
+    }
+}
+
+/// Makes a health check and applies the response.
+pub async fn probe(node: &Rc<Node>) {
+    let Some(answer) = check_health(node).await else {
         return;
     };
     let load = load_of(node, &answer);
-    let text = |name| {
-        answer
-            .headers()
-            .get(name)
-            .and_then(|value: &HeaderValue| value.to_str().ok())
-    };
-    let Some(id) = text(headers::INSTANCE) else {
+    let Some(id) = header(&answer, headers::INSTANCE) else {
         return;
     };
     let health = Health {
         takes_work: answer.status().is_success(),
         slots: load.map(|load| load.slots),
-        warmup_left: warmup_left(text(headers::WARMUP_LEFT_MS)),
+        warmup_left: warmup_left(header(&answer, headers::WARMUP_LEFT_MS)),
     };
     let target_change = node.target.borrow_mut().probed(node.now(), id, health);
     apply_target_change(node, target_change, "health_check");
@@ -391,12 +432,7 @@
 
 /// Requests the target's load. An overloaded target may not respond; the last known load stays in force then.
 async fn request_load(node: &Rc<Node>) {
-    let Ok(uri) = node.health_path().parse() else {
-        return;
-    };
-    let mut request = Request::new(Body::empty());
-    *request.uri_mut() = uri;
-    if let Some(answer) = call(node, request, PROBE_TIMEOUT).await {
+    if let Some(answer) = check_health(node).await {
         announcements::apply_from_node_call(node, answer.headers());
         apply_load(node, &answer, node.slots.running());
     }
--- a/crates/sidecar/tests/target.rs
+++ b/crates/sidecar/tests/target.rs
@@ -24,6 +24,13 @@
 const START: Time = Time(10_000);
 const DRAIN_GRACE: Duration = Duration::from_millis(700);
 
+/// Applies the first heartbeat of another target, which a health check has shown at the address.
+fn confirmed_heartbeat(target: &mut Target, now: Time, id: &str, first: &Heartbeat) {
+    assert_eq!(target.heartbeat(now, id, first), TargetChange::Unconfirmed);
+    target.confirmed(id, id);
+    assert_eq!(target.heartbeat(now, id, first), TargetChange::NewLife);
+}
+
 fn ready() -> Target {
     let mut target = Target::unknown("s", None);
     assert_eq!(
@@ -38,7 +45,8 @@
     let mut target = ready();
     assert!(target.is_latest("a", 1) && !target.is_stale("a", 2));
     assert!(target.is_stale("a", 1), "a copy is ignored");
-    target.heartbeat(START, "b", &heartbeat(LifecycleState::Ready, 1));
+    let first = heartbeat(LifecycleState::Ready, 1);
+    confirmed_heartbeat(&mut target, START, "b", &first);
     assert!(!target.is_latest("a", 1) && target.is_latest("b", 1));
     assert!(target.is_stale("a", 9), "its life has ended");
 }
@@ -115,10 +123,8 @@
 #[test]
 fn an_earlier_life_does_not_come_back() {
     let mut target = ready();
-    assert_eq!(
-        target.heartbeat(START, "b", &heartbeat(LifecycleState::Ready, 1)),
-        TargetChange::NewLife
-    );
+    let first = heartbeat(LifecycleState::Ready, 1);
+    confirmed_heartbeat(&mut target, START, "b", &first);
     assert_eq!(
         target.heartbeat(START, "a", &heartbeat(LifecycleState::Ready, 7)),
         TargetChange::None
@@ -165,7 +171,7 @@
 #[test]
 fn another_target_at_the_address_gets_nothing_before_its_heartbeat() {
     let mut target = ready();
-    target.other_instance_answered("other");
+    assert!(target.answered("other"));
     assert!(!target.accepting(START) && !target.may_start(START, DRAIN_GRACE));
     let late = target.heartbeat(START, "a", &heartbeat(LifecycleState::Ready, 9));
     assert_eq!(late, TargetChange::None, "the previous target has ended");
@@ -189,7 +195,7 @@
 fn a_target_warms_up_for_the_time_it_reports() {
     let mut target = ready();
     assert_eq!(target.warmup_state(START), WarmupState::Warm);
-    target.heartbeat(START, "b", &warming_for(1, 3.0));
+    confirmed_heartbeat(&mut target, START, "b", &warming_for(1, 3.0));
     let until = START + Duration::from_secs(3);
     assert_eq!(target.warmup_state(START), WarmupState::WarmingUntil(until));
     assert_eq!(target.warmup_state(until), WarmupState::Warm);
@@ -313,6 +319,77 @@
     let later = START + Duration::from_secs(2);
     target.heartbeat(later, "a", &heartbeat(LifecycleState::Ready, 2));
     assert!(!target.accepting(later) && !target.may_start(later, DRAIN_GRACE));
-    target.heartbeat(later, "b", &heartbeat(LifecycleState::Ready, 1));
+    let first = heartbeat(LifecycleState::Ready, 1);
+    confirmed_heartbeat(&mut target, later, "b", &first);
     assert!(target.accepting(later) && !target.is_leaving());
 }
+
+/// Guards against a late heartbeat of an earlier life, unknown to this process, that displaces the current one.
+#[test]
+fn a_heartbeat_of_a_life_that_does_not_answer_at_the_address_changes_nothing() {
+    let mut target = ready();
+    let late = heartbeat(LifecycleState::Draining, 30);
+    assert_eq!(
+        target.heartbeat(START, "earlier", &late),
+        TargetChange::Unconfirmed
+    );
+    assert!(target.id() == Some("a") && target.accepting(START));
+    target.confirmed("earlier", "a");
+    assert!(target.is_stale("earlier", 31));
+    assert_eq!(
+        target.heartbeat(START, "earlier", &late),
+        TargetChange::None
+    );
+    assert!(target.id() == Some("a") && target.accepting(START));
+    target.heartbeat(START, "a", &heartbeat(LifecycleState::Ready, 2));
+    assert!(target.is_latest("a", 2));
+}
+
+/// Guards against a late heartbeat that names a life while neither it nor the known one is at the address.
+#[test]
+fn a_third_target_that_answers_ends_the_known_life_and_the_one_of_the_heartbeat() {
+    let mut target = ready();
+    let first = heartbeat(LifecycleState::Ready, 1);
+    target.heartbeat(START, "b", &first);
+    target.confirmed("b", "c");
+    assert_eq!(target.id(), None);
+    for ended in ["a", "b"] {
+        assert_eq!(target.heartbeat(START, ended, &first), TargetChange::None);
+    }
+    assert_eq!(target.heartbeat(START, "c", &first), TargetChange::NewLife);
+}
+
+/// Guards against a running target whose heartbeats are ignored for good, because it was taken for ended.
+#[test]
+fn a_life_that_answers_at_the_address_has_not_ended() {
+    let beat = heartbeat(LifecycleState::Ready, 2);
+    let mut target = ready();
+    assert!(target.answered("b"));
+    assert_eq!(target.heartbeat(START, "a", &beat), TargetChange::None);
+    assert!(!target.answered("a"), "none was known");
+    assert_eq!(target.heartbeat(START, "a", &beat), TargetChange::NewLife);
+    confirmed_heartbeat(&mut target, START, "b", &beat);
+    let health = Health {
+        takes_work: true,
+        slots: Some(18),
+        warmup_left: Duration::ZERO,
+    };
+    assert_eq!(target.probed(START, "a", health), TargetChange::NewLife);
+    assert_eq!(target.id(), Some("a"));
+}
+
+/// Guards against work for a target that has deregistered and still answers health checks.
+#[test]
+fn a_deregistered_target_that_answers_gets_nothing() {
+    let mut target = Target::unknown("s", None);
+    assert_eq!(target.leave(START, "a"), TargetChange::None);
+    let health = Health {
+        takes_work: true,
+        slots: Some(18),
+        warmup_left: Duration::ZERO,
+    };
+    assert_eq!(target.probed(START, "a", health), TargetChange::None);
+    let beat = heartbeat(LifecycleState::Ready, 2);
+    assert_eq!(target.heartbeat(START, "a", &beat), TargetChange::None);
+    assert!(!target.accepting(START));
+}
