Control: a renewal that reports a change doesn't wait for the next tick

Keys that a target has released are free once the node's next renewal says so. A renewal that followed another one by less than 40 ms was put off to the next tick, up to 100 ms later. The keys of a restarted target, which are released since, waited for it at each restart.

The control loop now also wakes when such a renewal is due. Other renewals are sent at ticks as before.

--- a/crates/ownership/src/participant/mod.rs
+++ b/crates/ownership/src/participant/mod.rs
@@ -446,6 +446,13 @@
         self.tick(now, context)
     }
 
+    /// When a renewal is due that reports a change and waits only for the least time between two
+    /// renewals; `None` if there is none.
+    pub fn urgent_renewal(&self) -> Option<Time> {
+        let is_urgent = self.next_renewal <= self.last_renewal + MIN_RENEWAL_GAP;
+        is_urgent.then_some(self.next_renewal)
+    }
+
     /// Performs what is due at `now`: renewals, elections and the work of a leader.
     pub fn tick(&mut self, now: Time, context: &NodeContext) -> Vec<Action> {
         let mut actions = Vec::new();
--- a/crates/sidecar/src/control.rs
+++ b/crates/sidecar/src/control.rs
@@ -67,6 +67,7 @@
         let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
         let mut next_load = self.node.now();
         loop {
+            let urgent_renewal = self.time_until_urgent_renewal();
             tokio::select! {
                 received = self.socket.recv_from(&mut buffer) => {
                     if let Ok((length, from)) = received {
@@ -75,10 +76,18 @@
                 }
                 _ = ticks.tick() => self.tick(&mut next_load),
                 () = self.node.control_wakeup.notified() => self.run_now(),
+                () = tokio::time::sleep(urgent_renewal.unwrap_or_default()),
+                    if urgent_renewal.is_some() => self.run_now(),
             }
         }
     }
 
+    /// Time until a renewal that reports a change is due: it doesn't wait for the next tick.
+    fn time_until_urgent_renewal(&self) -> Option<Duration> {
+        let due_at = self.node.participant.borrow().urgent_renewal()?;
+        Some(due_at.since(self.node.now()))
+    }
+
     /// The zones in which keys may be owned. They are needed for each datagram, so they are only
     /// recomputed when the configuration's version changes.
     fn owner_zones(&self) -> Rc<OwnerZones> {
