Leader: keys aren't awaited for good from a node that knows no target

A report counts once the node has applied its next assignment, which a node without a target never does: the keys that nobody holds would have stayed unserved until its target came back.

A node without a target whose report lists no keys isn't awaited any more once the leases from before have expired: it keeps no keys beyond its lease, and replies without a target extend none.

keys_are_free_although_a_node_without_a_target_renews fails without this: they stay unserved

set_keyed_services takes the time; the tests pass theirs, no check changed.

--- a/crates/ownership/src/leader/mod.rs
+++ b/crates/ownership/src/leader/mod.rs
@@ -253,18 +253,18 @@
     }
 
     /// Sets the services whose keys have owners.
-    pub fn set_keyed_services(&mut self, services: &BTreeSet<String>) {
+    pub fn set_keyed_services(&mut self, now: Time, services: &BTreeSet<String>) {
         self.is_configured = true;
         self.partitions
             .retain(|service, _| services.contains(service));
         for service in services {
-            self.add_partition(service);
+            self.add_partition(now, service);
         }
     }
 
     /// Adds the partition of a service unless it exists. Every member may hold keys of it that the
     /// leader ignored in earlier reports.
-    pub(super) fn add_partition(&mut self, service: &str) {
+    pub(super) fn add_partition(&mut self, now: Time, service: &str) {
         if self.partitions.contains_key(service) {
             return;
         }
@@ -282,7 +282,8 @@
             (node, first)
         });
         let unreported = unreported.collect();
-        self.partitions
-            .insert(service.to_owned(), Partition::new(plan, unreported));
+        let earlier_leases_until = now + self.timing.lease + self.timing.lease_margin;
+        let partition = Partition::new(plan, unreported, earlier_leases_until);
+        self.partitions.insert(service.to_owned(), partition);
     }
 }
--- a/crates/ownership/src/leader/renewals.rs
+++ b/crates/ownership/src/leader/renewals.rs
@@ -34,14 +34,14 @@
             // An earlier leader had received the quotas, which this one hasn't yet.
             self.set_quota_shards();
         }
-        self.add_reported_service(renewal);
+        self.add_reported_service(now, renewal);
         let mut changed = self.update_member(now, renewal);
         let is_reliable = self
             .members
             .get(&renewal.node)
             .is_some_and(|member| self.is_report_reliable(member));
         if is_reliable {
-            changed |= self.apply_report(renewal);
+            changed |= self.apply_report(now, renewal);
         }
         // With many members, not every renewal may cost a pass over all of them. The next tick
         // handles whatever depends on time alone.
@@ -58,20 +58,20 @@
 
     /// Adds the service of reported keys. An earlier leader had received that it is keyed, which
     /// this one hasn't yet.
-    fn add_reported_service(&mut self, renewal: &Renewal) {
+    fn add_reported_service(&mut self, now: Time, renewal: &Renewal) {
         if let Some(target) = &renewal.target
             && !self.is_configured
             && !renewal.held.is_empty()
         {
-            self.add_partition(&target.service);
+            self.add_partition(now, &target.service);
         }
     }
 
     /// Applies a node's report of its keys and shards. Returns whether any became free.
-    fn apply_report(&mut self, renewal: &Renewal) -> bool {
+    fn apply_report(&mut self, now: Time, renewal: &Renewal) -> bool {
         let mut freed = false;
         for partition in self.partitions.values_mut() {
-            freed |= partition.report(renewal);
+            freed |= partition.report(now, renewal);
         }
         if let Some(shards) = &mut self.shards {
             let report = renewal.quota_shards.clone().unwrap_or_default();
--- a/crates/ownership/src/partition.rs
+++ b/crates/ownership/src/partition.rs
@@ -4,7 +4,7 @@
 
 use crate::load::Load;
 use crate::plan::{Candidate, Plan};
-use crate::{Fence, KeyRange, NodeName, Renewal, step_function};
+use crate::{Fence, KeyRange, NodeName, Renewal, Time, step_function};
 
 /// The plan isn't rebalanced while more than one range in this number is moving.
 const MIN_RANGES_PER_MOVE: usize = 4;
@@ -73,13 +73,20 @@
     /// reported since the leader knows that the service is keyed. Each with its first assignment
     /// after that.
     unreported: BTreeMap<NodeName, u64>,
+    /// When every lease has expired that was given before the leader knew that the service is keyed.
+    earlier_leases_until: Time,
 }
 
 impl Partition {
     /// A partition in which all owners are unknown, with the plan of an earlier leader.
-    pub fn new(plan: Plan, unreported: BTreeMap<NodeName, u64>) -> Self {
+    pub fn new(
+        plan: Plan,
+        unreported: BTreeMap<NodeName, u64>,
+        earlier_leases_until: Time,
+    ) -> Self {
         Self {
             unreported,
+            earlier_leases_until,
             slices: vec![Slice {
                 range: KeyRange::ALL,
                 state: State::Unknown,
@@ -103,9 +110,12 @@
     /// Applies a node's report: it owns the unknown ranges that it reports as held, and ranges of
     /// which it no longer reports anything after its assignment changed are free. Returns whether
     /// any became free.
-    pub fn report(&mut self, renewal: &Renewal) -> bool {
+    pub fn report(&mut self, now: Time, renewal: &Renewal) -> bool {
         let first = self.unreported.get(&renewal.node);
-        let is_current = first.is_some_and(|first| renewal.applied >= *first);
+        // A node that knows no target applies no assignment and keeps no keys beyond a lease.
+        let has_no_target =
+            renewal.target.is_none() && renewal.held.is_empty() && now >= self.earlier_leases_until;
+        let is_current = first.is_some_and(|first| renewal.applied >= *first) || has_no_target;
         if renewal.clean && is_current {
             self.unreported.remove(&renewal.node);
         }
--- a/crates/ownership/tests/late_configuration.rs
+++ b/crates/ownership/tests/late_configuration.rs
@@ -70,19 +70,19 @@
     /// service is unkeyed, followed by one in which it is keyed.
     fn keyed_again() -> Self {
         let mut deployment = Self::elected();
-        deployment.set_keyed(true);
+        deployment.set_keyed(START, true);
         deployment.renew_both(START);
         deployment.tick(START);
-        deployment.set_keyed(false);
+        deployment.set_keyed(START, false);
         deployment.tick(START);
-        deployment.set_keyed(true);
+        deployment.set_keyed(START, true);
         deployment
     }
 
-    fn set_keyed(&mut self, is_keyed: bool) {
+    fn set_keyed(&mut self, now: Time, is_keyed: bool) {
         let services = is_keyed.then(|| SERVICE.to_owned());
         let services = services.into_iter().collect::<BTreeSet<_>>();
-        self.leader.set_keyed_services(&services);
+        self.leader.set_keyed_services(now, &services);
     }
 
     fn tick(&mut self, now: Time) {
@@ -141,7 +141,7 @@
 fn keys_reported_before_the_first_configuration_stay_with_their_holders() {
     let mut deployment = Deployment::elected();
     deployment.check_owners(START);
-    deployment.set_keyed(true);
+    deployment.set_keyed(START + STEP * 100, true);
     deployment.check_owners(START + STEP * 100);
 }
 
@@ -186,3 +186,31 @@
     }
     assert_eq!(freed_keys, HELD[1].count());
 }
+
+/// Guards against keys that stay unserved because a node that renewed before the configuration knows
+/// no target, so that it never applies an assignment.
+#[test]
+fn keys_are_free_although_a_node_without_a_target_renews() {
+    let mut deployment = Deployment::elected();
+    let renew_without_target = |deployment: &mut Deployment, now| {
+        let mut renewal = renewal(1, 1, EPOCH, now);
+        renewal.target = None;
+        deployment.leader.renewal(now, &renewal);
+    };
+    deployment.renew_with(START, 0, &[]);
+    renew_without_target(&mut deployment, START);
+    deployment.set_keyed(START, true);
+    let timing = Timing::default();
+    let leases_until = START + timing.lease + timing.lease_margin;
+    let mut now = START;
+    let mut freed = Vec::new();
+    while freed.is_empty() {
+        now = now + STEP;
+        deployment.renew(now, 0);
+        renew_without_target(&mut deployment, now);
+        deployment.tick(now);
+        freed = deployment.leader.take_freed();
+        assert!(now <= leases_until + 2 * STEP, "they stay unserved");
+    }
+    assert_eq!(freed[0].keys, HELD[1].count());
+}
