Simulation: orders reach whichever life is up, and nodes learn of lives by messages

The simulation couldn't show that two targets hold the same keys after one of them has started again. An order was executed only by the life of the target that was up when the order was sent, and each node knew every new life at once.

Change: * An order reaches the life that is at the target's address when it arrives. * What a node's process knows of its target's lives is a state of its own. Grants that arrive after their caller has given them up don't count, as before. * A renewal that was sent in the belief of an earlier life and is taken by the next life of the same target has the fence of the earlier one. The checker accepts exactly that; under any other fence, or beside another target, the next life still needs a higher one. No simulated order could cross lives before, so no case that was checked is left out.

--- a/crates/ownership/tests/simulation/main.rs
+++ b/crates/ownership/tests/simulation/main.rs
@@ -2,10 +2,12 @@
 //! faults and a checker.
 //!
 //! The checker observes the targets. At no time may two of them be given work on the same key, and
-//! no target may acquire a key under a fence lower than one that another target held it under.
+//! they may not both hold it for longer than a moment. No target may acquire a key under a fence
+//! lower than one that another target held it under.
 //! After the faults have ended, every key must be served again. `SEEDS` and `FIRST_SEED` select
 //! seeds other than the default ones.
 
+mod lives;
 mod rows;
 mod target;
 mod world;
--- a/crates/ownership/tests/simulation/world/options.rs
+++ b/crates/ownership/tests/simulation/world/options.rs
@@ -57,6 +57,9 @@
     /// Fraction of orders to targets that get no answer and are carried out seconds later; also the
     /// fraction of heartbeats that arrive late, and of heartbeat responses that are lost.
     pub late_order_rate: f64,
+    /// Whether nodes learn of the lives of their targets only by heartbeats, many of which are lost
+    /// or late, and by health checks. Targets start again more often and more quickly then.
+    pub late_heartbeats: bool,
     /// Number of machines, counted from the first, whose targets belong to a service without key
     /// owners.
     pub unkeyed_nodes: usize,
@@ -104,6 +107,7 @@
             store_restores: false,
             hide_store_eras: false,
             late_order_rate: 0.02,
+            late_heartbeats: false,
             unkeyed_nodes: 0,
             delivery: Delivery::Calls,
             process_late_heartbeats: false,
