--- a/crates/ownership/tests/simulation/lives.rs
+++ b/crates/ownership/tests/simulation/lives.rs
@@ -2,8 +2,8 @@
 
 use wingspar_ownership::Delivery;
 
-use crate::assert_no_violation;
 use crate::world::Options;
+use crate::{assert_no_violation, has_two_owners, play};
 
 /// Returns options under which nodes learn late that their targets have started again.
 fn with_late_heartbeats(delivery: Delivery) -> Options {
@@ -26,3 +26,29 @@
 fn each_key_has_one_owner_while_heartbeats_that_assign_keys_are_late() {
     assert_no_violation(&with_late_heartbeats(Delivery::HeartbeatAnswers));
 }
+
+#[test]
+fn the_checker_detects_nodes_that_take_a_new_life_to_hold_nothing() {
+    let broken = (1..=400).any(|seed| {
+        let options = Options {
+            new_lives_hold_nothing: true,
+            ..with_late_heartbeats(Delivery::Calls)
+        };
+        has_two_owners(seed, options)
+    });
+    assert!(broken);
+}
+
+#[test]
+fn the_checker_detects_heartbeats_of_unknown_lives_that_are_believed() {
+    for delivery in [Delivery::Calls, Delivery::HeartbeatAnswers] {
+        let broken = (1..=400).any(|seed| {
+            let options = Options {
+                believe_unknown_lives: true,
+                ..with_late_heartbeats(delivery)
+            };
+            play(seed, options).is_err()
+        });
+        assert!(broken, "{delivery:?}");
+    }
+}
--- a/crates/ownership/tests/simulation/world/actions.rs
+++ b/crates/ownership/tests/simulation/world/actions.rs
@@ -21,6 +21,9 @@
             Action::WriteRegistry(page) => self.store_call(index, StoreCall::WritePage(page)),
             Action::RemoveRegistry(name) => self.store_call(index, StoreCall::RemovePage(name)),
             Action::Order(order) => {
+                if self.counts_as_released(index, life, &order) {
+                    return;
+                }
                 let late = self.rng.random_bool(self.options.late_order_rate);
                 let delay = if late {
                     self.rng.random_range(2_000..12_000)
@@ -73,6 +76,26 @@
         }
     }
 
+    /// Whether the order is a release that the node takes to be done without asking the target.
+    fn counts_as_released(&mut self, index: usize, life: u64, order: &Order) -> bool {
+        let lives = &mut self.machines[index].lives;
+        let is_skipped = match order {
+            Order::Grant { fence, .. } => {
+                lives.granted(*fence);
+                false
+            }
+            Order::Release { fence, .. } => lives.is_of_earlier_life(*fence),
+            Order::Clear { .. } => false,
+        };
+        if !is_skipped || !self.options.new_lives_hold_nothing {
+            return false;
+        }
+        let sent_at = self.clock(index);
+        let ended = Event::OrderAnswers(index, life, order.clone(), sent_at, true, None);
+        self.after(0, ended);
+        true
+    }
+
     pub(super) fn index_of(&self, address: SocketAddr) -> Option<usize> {
         self.machines
             .iter()
--- a/crates/ownership/tests/simulation/world/heartbeats.rs
+++ b/crates/ownership/tests/simulation/world/heartbeats.rs
@@ -130,7 +130,8 @@
         if machine.participant.is_none() || !(self.options.late_heartbeats || is_of_current_life) {
             return;
         }
-        if machine.lives.is_unconfirmed(&heartbeat.id) {
+        let is_unconfirmed = machine.lives.is_unconfirmed(&heartbeat.id);
+        if is_unconfirmed && !self.options.believe_unknown_lives {
             self.check_health(heartbeat);
         } else {
             self.receive_heartbeat(heartbeat);
--- a/crates/ownership/tests/simulation/world/lives.rs
+++ b/crates/ownership/tests/simulation/world/lives.rs
@@ -29,6 +29,12 @@
     ended: BTreeSet<String>,
     /// Whether requests have failed to reach the target since its last heartbeat.
     pub is_unreachable: bool,
+    /// Id that was last passed to the participant.
+    observed: Option<String>,
+    /// The highest fence of a grant that the process sent.
+    granted: Fence,
+    /// The highest fence of a grant that was sent in the belief of an earlier life.
+    granted_earlier: Fence,
 }
 
 impl KnownLives {
@@ -43,6 +49,15 @@
         let known = self.current.as_deref();
         known.is_some_and(|known| known != id) && !self.has_ended(id)
     }
+
+    pub fn granted(&mut self, fence: Fence) {
+        self.granted = self.granted.max(fence);
+    }
+
+    /// Whether a release takes back keys that were granted in the belief of an earlier life.
+    pub fn is_of_earlier_life(&self, release: Fence) -> bool {
+        release <= self.granted_earlier.for_release()
+    }
 }
 
 impl World {
@@ -95,9 +110,16 @@
     fn observe(&mut self, index: usize, id: &str) {
         let now = self.clock(index);
         self.trace(|| format!("node {index}: observes {id}"));
-        if let Some(participant) = &mut self.machines[index].participant {
-            participant.observe_target(now, id);
+        let machine = &mut self.machines[index];
+        let Some(participant) = &mut machine.participant else {
+            return;
+        };
+        let is_new = participant.observe_target(now, id).is_some();
+        let lives = &mut machine.lives;
+        if is_new && lives.observed.is_some() {
+            lives.granted_earlier = lives.granted;
         }
+        lives.observed = Some(id.to_owned());
     }
 
     /// Contacts the target of a process that has just started.
--- a/crates/ownership/tests/simulation/world/options.rs
+++ b/crates/ownership/tests/simulation/world/options.rs
@@ -60,6 +60,12 @@
     /// Whether nodes learn of the lives of their targets only by heartbeats, many of which are lost
     /// or late, and by health checks. Targets start again more often and more quickly then.
     pub late_heartbeats: bool,
+    /// Disables a mechanism: heartbeats of lives that the node doesn't know are believed without a
+    /// health check.
+    pub believe_unknown_lives: bool,
+    /// Disables a mechanism: nodes take keys that they granted in the belief of an earlier life as
+    /// released, without an order to the target.
+    pub new_lives_hold_nothing: bool,
     /// Number of machines, counted from the first, whose targets belong to a service without key
     /// owners.
     pub unkeyed_nodes: usize,
@@ -108,6 +114,8 @@
             hide_store_eras: false,
             late_order_rate: 0.02,
             late_heartbeats: false,
+            believe_unknown_lives: false,
+            new_lives_hold_nothing: false,
             unkeyed_nodes: 0,
             delivery: Delivery::Calls,
             process_late_heartbeats: false,
