--- a/crates/ownership/tests/simulation/lives.rs
+++ b/crates/ownership/tests/simulation/lives.rs
@@ -27,6 +27,16 @@
     assert_no_violation(&with_late_heartbeats(Delivery::HeartbeatAnswers));
 }
 
+/// Guards against keys that are free at once when their target is known to have started again: the
+/// new life had taken them under renewals that were sent before.
+#[test]
+fn regression_seeds_of_restarted_targets_pass() {
+    for seed in [1, 12, 86, 105, 120, 139, 151, 191, 231, 258, 278] {
+        play(seed, with_late_heartbeats(Delivery::Calls))
+            .unwrap_or_else(|violation| panic!("seed {seed}: {violation}"));
+    }
+}
+
 #[test]
 fn the_checker_detects_nodes_that_take_a_new_life_to_hold_nothing() {
     let broken = (1..=400).any(|seed| {
