Simulation: a failing test of late heartbeats that a restarted node takes for a release

Targets that get their keys in answers to heartbeats: a node's process that has started again has forgotten which heartbeats the earlier process had handled. A heartbeat that its target sent before it was granted keys, and that arrives late, reports that the target holds nothing. If the new process has answered another late heartbeat before, it takes this report for the effect of its answer (`Holder::confirm_cleared`), calls itself clean and reports that nothing is held. The leader frees the keys while the target holds them under the last answer of the earlier process.

--- a/crates/ownership/tests/simulation/lives.rs
+++ b/crates/ownership/tests/simulation/lives.rs
@@ -37,6 +37,21 @@
     }
 }
 
+/// Guards against keys that are free while their target holds them: the process of its node has
+/// started again, and takes late heartbeats from before that for reports that the target has
+/// released everything.
+#[test]
+fn late_heartbeats_from_before_a_restart_of_the_node_show_no_release() {
+    let options = |store_restores| Options {
+        store_restores,
+        ..with_late_heartbeats(Delivery::HeartbeatAnswers)
+    };
+    for (seed, store_restores) in [(100_785, false), (110_032, true)] {
+        play(seed, options(store_restores))
+            .unwrap_or_else(|violation| panic!("seed {seed}: {violation}"));
+    }
+}
+
 #[test]
 fn the_checker_detects_nodes_that_take_a_new_life_to_hold_nothing() {
     let broken = (1..=400).any(|seed| {
