Holder: late heartbeats from before a restart of the node show no release

Callers may have seen two targets that held the same keys, where targets get their keys in answers to heartbeats.

Cause: a node process that has started again makes its target release everything, and counted the target as clear with the first empty report after its first answer. It has forgotten which heartbeats its predecessor had handled. Two late ones, sent before the predecessor's last grants, are enough: the first is answered, the second lists no keys. The node then reported that nothing is held, and the leader freed the keys.

Change: a report counts only once every lease of an earlier process has expired, counted from the start of this one. Nothing in a heartbeat tells when it was sent, so time is the only proof.

--- a/crates/ownership/src/holder/heartbeats.rs
+++ b/crates/ownership/src/holder/heartbeats.rs
@@ -80,12 +80,14 @@
     }
 
     /// An earlier process may have answered the target's last heartbeats. So a report counts only
-    /// once the target has processed an answer of this process.
+    /// once the target may have processed an answer of this process, and the leases of the earlier
+    /// one have expired: before that, the heartbeat may be a late one from before its last grants.
     fn confirm_cleared(&mut self, now: Time, report: &KeyReport) {
         let released = report.released.iter().cloned();
         self.released
             .extend(released.map(|released| (released, Fence::default(), now)));
-        if self.is_clearing && report.holds.is_empty() {
+        let have_leases_expired = now >= self.earlier_leases_until;
+        if self.is_clearing && have_leases_expired && report.holds.is_empty() {
             self.is_clearing = false;
             self.clean = true;
         }
--- a/crates/ownership/tests/holder_heartbeats.rs
+++ b/crates/ownership/tests/holder_heartbeats.rs
@@ -3,6 +3,8 @@
 
 mod support;
 
+use std::time::Duration;
+
 use support::LEASE_MS;
 use wingspar_ownership::{
     Admission, Delivery, Fence, Holder, Holding, KeyRange, KeyReport, LeaseReply, Released, Time,
@@ -220,6 +222,23 @@
     assert_eq!(holder.released().len(), 1);
 }
 
+/// Guards against late heartbeats, sent before an earlier process of the node granted keys, that pass
+/// for reports that the target has released everything.
+#[test]
+fn reports_show_no_release_while_leases_of_an_earlier_process_are_valid() {
+    let timing = Timing::default();
+    let started_at = Time(1_000);
+    let mut holder = started(false).with_start(started_at);
+    let expired_at = started_at + timing.lease + timing.lease_margin;
+    for late in [started_at, started_at + Duration::from_millis(100)] {
+        holder.reported(late, &report(&[]));
+        holder.answer(late, late);
+        assert!(!holder.is_clean());
+    }
+    holder.reported(expired_at, &report(&[]));
+    assert!(holder.is_clean());
+}
+
 /// Guards against a late heartbeat of an earlier life with another service, which made keys that an
 /// earlier process granted count as free.
 #[test]
