Key orders: grants name the life that they are meant for

By the protocol a key passes to another life of a target under a higher fence. A grant that is renewed between the start of a life and its first heartbeat has the fence of the earlier life, and named only the address.

Grants now carry X-Wingspar-Expect-Instance, as requests do. The protocol says of requests that another target answers 421 and doesn't run them; it doesn't say so of grants. So this only prevents what the release of an earlier life's keys makes good, and nothing relies on it. An answer of another target than the expected one to a grant ends the expected one's life, like the same answer to a request.

--- a/crates/sidecar/src/key_calls.rs
+++ b/crates/sidecar/src/key_calls.rs
@@ -14,7 +14,7 @@
 use crate::key_release;
 use crate::logs::Event;
 use crate::node::Node;
-use crate::target_calls::call;
+use crate::target_calls::{call, other_target_answered};
 
 /// Timeout of a grant call, after which the grant is retried.
 const GRANT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -60,9 +60,20 @@
                 handover: handover.clone(),
             };
             let sent = SentOrder::new(&node, "grant", *range, fence.0);
-            let request = post(&node, GrantOrder::PATH, body.body());
+            let mut request = post(&node, GrantOrder::PATH, body.body());
+            let expected = id_of_life(&sent.life).to_owned();
+            if let Ok(expected) = HeaderValue::from_str(&expected)
+                && !expected.is_empty()
+            {
+                // A target that checks this takes no grant that is meant for another life.
+                let own_headers = request.headers_mut();
+                own_headers.insert(headers::EXPECT_INSTANCE, expected);
+            }
             let answer = call(&node, request, GRANT_TIMEOUT).await;
             apply_announcements(&node, answer.as_ref());
+            if let Some(answer) = &answer {
+                check_misdirected(&node, answer, &expected);
+            }
             let (result, outcome) = match answer.as_ref().map(Response::status) {
                 Some(status) if status.is_success() => (GrantResult::Granted, "granted"),
                 Some(StatusCode::CONFLICT) => (GrantResult::Outranked, "outranked"),
@@ -80,6 +91,18 @@
     node.control_wakeup.notify_one();
 }
 
+/// If another target than the expected one answered that an order isn't its own, the expected one has ended.
+fn check_misdirected(node: &Node, answer: &Response<()>, expected: &str) {
+    let instance = answer.headers().get(headers::INSTANCE);
+    let instance = instance.and_then(|instance| instance.to_str().ok());
+    if let Some(id) = instance
+        && answer.status() == StatusCode::MISDIRECTED_REQUEST
+        && id != expected
+    {
+        other_target_answered(node, expected, id);
+    }
+}
+
 async fn release(node: &Rc<Node>, name: &'static str, order: &Order, range: KeyRange, fence: u64) {
     let body = ReleaseOrder {
         from: range.from,
--- a/crates/sidecar/src/target_calls.rs
+++ b/crates/sidecar/src/target_calls.rs
@@ -265,7 +265,7 @@
 }
 
 /// The target `id` answered at the address while `known` was taken to be there.
-fn other_target_answered(node: &Node, known: &str, id: &str) {
+pub fn other_target_answered(node: &Node, known: &str, id: &str) {
     if node.target.borrow().id() != Some(known) {
         // The answer may be older than what is known now.
         return;
