Stand-ins: a target's lives begin and end at a test's wish, and what they hold is recorded

Tests could end a target only by a request that crashes it, and could see only what it holds at the moment. Nothing showed whether two targets had held the same keys.

Change: `end_life` and `begin_life` (under a new id or the same). Each grant, release, first acknowledged heartbeat and end of a life is recorded; `holdings` makes from it what each life held under which fence and for how long. `overlaps` finds keys that two targets held for longer than is allowed, `low_fences` grants under a fence that isn't above all that other targets held the key under, `fences_of_earlier_lives` the same for lives of one target, once the later one is known. A life refuses a grant below a fence that it has seen on one of the keys, released ones included; a new life has seen none. A request that a life has read and that it ended under is answered no more.

--- a/crates/standins/src/fleet/mod.rs
+++ b/crates/standins/src/fleet/mod.rs
@@ -5,7 +5,10 @@
 mod target;
 
 pub use store::{FleetStore, StoreCopy, StoreFaults};
-pub use target::{FleetTarget, Seen, TargetCall, TargetFaults, TargetKeys};
+pub use target::{
+    FleetTarget, Holding, KeyChange, KeyEvent, KeySpan, LowFence, Overlap, Seen, TargetCall,
+    TargetFaults, TargetKeys, fences_of_earlier_lives, holdings, low_fences, overlaps,
+};
 
 use salvo::http::StatusCode;
 
--- a/crates/standins/src/fleet/target/grants.rs
+++ b/crates/standins/src/fleet/target/grants.rs
@@ -5,15 +5,40 @@
 
 use serde_json::{Value, json};
 
+use super::record::KeySpan;
 use super::state::{Shared, lock};
 
 /// A range of keys that a target may hold for a while.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Grant {
-    from: u64,
-    to: u64,
-    fence: u64,
-    until: Instant,
+    pub(super) span: KeySpan,
+    pub(super) until: Instant,
+}
+
+/// The highest fence that a life of the target has been granted each key under.
+#[derive(Debug)]
+pub(super) struct SeenFences(Vec<u64>);
+
+impl Default for SeenFences {
+    fn default() -> Self {
+        Self(vec![0; usize::from(u16::MAX) + 1])
+    }
+}
+
+impl SeenFences {
+    /// Takes a fence for its keys; `false` if a higher one was seen on one of them.
+    fn take(&mut self, span: KeySpan) -> bool {
+        let last = self.0.len() - 1;
+        let index = |key: u64| usize::try_from(key).unwrap_or(last).min(last);
+        let Some(keys) = self.0.get_mut(index(span.from)..=index(span.to)) else {
+            return false;
+        };
+        if keys.iter().any(|seen| *seen > span.fence) {
+            return false;
+        }
+        keys.fill(span.fence);
+        true
+    }
 }
 
 /// The keys of a target that takes them in the answers to its heartbeats.
@@ -27,7 +52,7 @@
         let grants = lock(&self.0.grants);
         let holds = grants.iter().filter(|grant| now < grant.until);
         heartbeat["holds"] = holds
-            .map(|grant| json!([grant.from, grant.to, grant.fence]))
+            .map(|grant| json!([grant.span.from, grant.span.to, grant.span.fence]))
             .collect();
         heartbeat["released"] = lock(&self.0.let_go)
             .iter()
@@ -43,30 +68,38 @@
         else {
             return false;
         };
+        let until = sent_at + Duration::from_secs_f64(hold);
         let row = |row: &Value| {
-            Some(Grant {
+            let span = KeySpan {
                 from: row[0].as_u64()?,
                 to: row[1].as_u64()?,
                 fence: row[2].as_u64()?,
-                until: sent_at + Duration::from_secs_f64(hold),
-            })
+            };
+            Some(Grant { span, until })
         };
-        let next = rows.iter().filter_map(row).collect::<Vec<_>>();
+        let mut seen = lock(&self.0.seen_fences);
+        let next = rows.iter().filter_map(row);
+        let next = next
+            .filter(|grant| seen.take(grant.span))
+            .collect::<Vec<_>>();
         let mut grants = lock(&self.0.grants);
         let mut left_out = grants.clone();
         for kept in &next {
-            left_out = left_out
-                .iter()
-                .flat_map(|grant| grant.outside(kept.from, kept.to))
-                .collect();
+            left_out = outside(&left_out, kept.span.from, kept.span.to);
         }
-        *grants = next;
-        let mut let_go = lock(&self.0.let_go);
-        *let_go = left_out
+        let left_out = left_out
             .iter()
-            .map(|grant| (grant.from, grant.to))
-            .collect();
-        !let_go.is_empty()
+            .map(|grant| (grant.span.from, grant.span.to));
+        let left_out = left_out.collect::<Vec<_>>();
+        let mut record = lock(&self.0.record);
+        next.iter().for_each(|grant| record.granted(grant));
+        for (from, to) in &left_out {
+            record.released(*from, *to);
+        }
+        *grants = next;
+        let lets_go = !left_out.is_empty();
+        *lock(&self.0.let_go) = left_out;
+        lets_go
     }
 }
 
@@ -81,8 +114,8 @@
         let now = Instant::now();
         lock(&self.grants)
             .iter()
-            .find(|grant| grant.from <= key && key <= grant.to && now < grant.until)
-            .map(|grant| grant.fence)
+            .find(|grant| grant.span.from <= key && key <= grant.span.to && now < grant.until)
+            .map(|grant| grant.span.fence)
     }
 
     pub(super) fn grant(&self, order: &Value) -> u16 {
@@ -94,20 +127,18 @@
         ) else {
             return 400;
         };
-        let mut grants = lock(&self.grants);
-        if grants
-            .iter()
-            .any(|grant| grant.from <= to && from <= grant.to && grant.fence > fence)
-        {
+        let span = KeySpan { from, to, fence };
+        if !lock(&self.seen_fences).take(span) {
             return 409;
         }
-        grants.retain(|grant| grant.from < from || grant.to > to);
-        grants.push(Grant {
-            from,
-            to,
-            fence,
+        let grant = Grant {
+            span,
             until: Instant::now() + Duration::from_secs_f64(hold),
-        });
+        };
+        let mut grants = lock(&self.grants);
+        *grants = outside(&grants, from, to);
+        grants.push(grant);
+        lock(&self.record).granted(&grant);
         200
     }
 
@@ -116,31 +147,24 @@
             return;
         };
         let mut grants = lock(&self.grants);
-        let kept = grants
-            .iter()
-            .flat_map(|grant| grant.outside(from, to))
-            .collect();
-        *grants = kept;
+        *grants = outside(&grants, from, to);
+        lock(&self.record).released(from, to);
     }
-}
 
-impl Grant {
-    /// The parts of the grant before and behind a range.
-    fn outside(&self, from: u64, to: u64) -> Vec<Self> {
-        let before = (self.from, self.to.min(from.wrapping_sub(1)));
-        let behind = (self.from.max(to + 1), self.to);
-        let part = |(first, last): (u64, u64)| Self {
-            from: first,
-            to: last,
-            ..*self
-        };
-        let mut parts = Vec::new();
-        if self.from < from {
-            parts.push(part(before));
-        }
-        if self.to > to {
-            parts.push(part(behind));
-        }
-        parts
+    /// Forgets all keys: a life that begins holds nothing and has seen no fence.
+    pub(super) fn forget_keys(&self) {
+        lock(&self.record).ended();
+        lock(&self.grants).clear();
+        lock(&self.let_go).clear();
+        *lock(&self.seen_fences) = SeenFences::default();
     }
 }
+
+/// What is left of grants outside a range.
+fn outside(grants: &[Grant], from: u64, to: u64) -> Vec<Grant> {
+    let parts = grants.iter().flat_map(|grant| {
+        let spans = grant.span.outside(from, to).into_iter();
+        spans.map(|span| Grant { span, ..*grant })
+    });
+    parts.collect()
+}
--- a/crates/standins/src/fleet/target/handler.rs
+++ b/crates/standins/src/fleet/target/handler.rs
@@ -12,8 +12,21 @@
 /// Bytes of the largest body that a target takes.
 const LARGEST_BODY: usize = 8 * 1024 * 1024;
 
-/// Answers the requests to a target.
-pub(super) struct TargetHandler(pub(super) Arc<Shared>);
+/// Answers the requests to one life of a target.
+pub(super) struct TargetHandler {
+    shared: Arc<Shared>,
+    life: u32,
+}
+
+impl TargetHandler {
+    /// Answers for the life that begins.
+    pub(super) fn new(shared: &Arc<Shared>) -> Self {
+        Self {
+            shared: Arc::clone(shared),
+            life: *lock(&shared.past_lives),
+        }
+    }
+}
 
 fn text(request: &Request, name: &str) -> String {
     request.header::<String>(name).unwrap_or_default()
@@ -36,7 +49,7 @@
         response: &mut Response,
         _control: &mut FlowCtrl,
     ) {
-        let shared = &self.0;
+        let shared = &self.shared;
         let _id = response.add_header("x-wingspar-instance-id", shared.id(), true);
         let path = request.uri().path().to_owned();
         shared.announce(&path, response);
@@ -44,6 +57,9 @@
             // A request that isn't whole isn't run.
             return answer(response, 400, &Value::Null);
         };
+        if *lock(&shared.past_lives) != self.life {
+            std::future::pending::<()>().await;
+        }
         match path.as_str() {
             HEALTH_PATH => {
                 if !shared.has_room() {
@@ -72,7 +88,7 @@
 impl TargetHandler {
     /// Works to the end, whether or not its caller still waits.
     async fn work_on(&self, time: Duration) {
-        let shared = Arc::clone(&self.0);
+        let shared = Arc::clone(&self.shared);
         *lock(&shared.at_work) += 1;
         let work = tokio::spawn(async move {
             tokio::time::sleep(time).await;
@@ -83,7 +99,7 @@
 
     /// Makes the target's own call for a request, unless the request is such a call.
     async fn call_for(&self, request: &Request, id: &str) {
-        let call = lock(&self.0.call).clone();
+        let call = lock(&self.shared.call).clone();
         let Some(call) = call.filter(|call| call.path != request.uri().path()) else {
             return;
         };
@@ -91,11 +107,11 @@
             Ok(line) => line,
             Err(error) => error.to_string(),
         };
-        lock(&self.0.calls_answered).push(answered);
+        lock(&self.shared.calls_answered).push(answered);
     }
 
     async fn run(&self, request: &Request, response: &mut Response, body: &[u8]) {
-        let shared = &self.0;
+        let shared = &self.shared;
         let faults = *lock(&shared.faults);
         let key = text(request, "x-wingspar-shard-key").parse::<u16>().ok();
         let expected = text(request, "x-wingspar-expect-instance");
--- a/crates/standins/src/fleet/target/mod.rs
+++ b/crates/standins/src/fleet/target/mod.rs
@@ -3,10 +3,17 @@
 mod call;
 mod grants;
 mod handler;
+mod holdings;
+mod lives;
+mod record;
 mod state;
 
 pub use call::TargetCall;
 pub use grants::TargetKeys;
+pub use holdings::{
+    Holding, LowFence, Overlap, fences_of_earlier_lives, holdings, low_fences, overlaps,
+};
+pub use record::{KeyChange, KeyEvent, KeySpan};
 pub use state::{Seen, TargetFaults};
 
 use std::io::Result;
@@ -14,24 +21,16 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use salvo::Router;
 use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 
-use crate::net::{ConnectionSettings, RunningServer};
-use handler::TargetHandler;
+use lives::Lives;
 use state::{Shared, lock};
 
-/// Time from the beginning of a request that ends the target to its end.
-const CRASHES_AFTER: Duration = Duration::from_millis(60);
-/// Time from there until the target is back.
-const BACK_AFTER: Duration = Duration::from_millis(500);
-
 /// A running target.
 #[derive(Debug)]
 pub struct FleetTarget {
-    local_addr: SocketAddr,
-    server: Arc<Mutex<Option<RunningServer>>>,
+    lives: Lives,
     shared: Arc<Shared>,
     /// Ends it and starts it again when a request crashes it.
     keeper: JoinHandle<()>,
@@ -52,9 +51,12 @@
         let shared = Arc::new(Shared {
             first_id: id.to_owned(),
             keyed,
+            id: Mutex::new(id.to_owned()),
             past_lives: Mutex::default(),
             crash: Notify::new(),
             grants: Mutex::default(),
+            seen_fences: Mutex::default(),
+            record: Mutex::default(),
             let_go: Mutex::default(),
             seen: Mutex::default(),
             faults: Mutex::default(),
@@ -63,13 +65,10 @@
             call: Mutex::default(),
             calls_answered: Mutex::default(),
         });
-        let server = serve(address, &shared).await?;
-        let local_addr = server.local_addr();
-        let server = Arc::new(Mutex::new(Some(server)));
-        let keeper = tokio::spawn(keep(local_addr, Arc::clone(&server), Arc::clone(&shared)));
+        let lives = Lives::begin_first(address, Arc::clone(&shared)).await?;
+        let keeper = tokio::spawn(lives.clone().restart_after_crashes());
         Ok(Self {
-            local_addr,
-            server,
+            lives,
             shared,
             keeper,
         })
@@ -78,13 +77,13 @@
     /// Where it listens.
     #[must_use]
     pub fn local_addr(&self) -> SocketAddr {
-        self.local_addr
+        self.lives.address()
     }
 
     /// Whether it is up.
     #[must_use]
     pub fn is_up(&self) -> bool {
-        lock(&self.server).is_some()
+        self.lives.is_up()
     }
 
     /// Its id; each life has its own, unless it keeps it.
@@ -99,7 +98,7 @@
         1_700_000_000_000 + u64::from(self.crashes())
     }
 
-    /// How often a request has ended it.
+    /// How often it has ended.
     #[must_use]
     pub fn crashes(&self) -> u32 {
         *lock(&self.shared.past_lives)
@@ -110,6 +109,27 @@
         self.shared.crash.notify_one();
     }
 
+    /// Ends its life at once, with its connections; it stays away until [`Self::begin_life`].
+    pub async fn end_life(&self) {
+        self.lives.end().await;
+    }
+
+    /// Begins its next life at the same address, under a new id or the one that it had, unless it is up.
+    pub async fn begin_life(&self, keeps_id: bool) {
+        self.lives.begin_next(keeps_id).await;
+    }
+
+    /// Notes that a heartbeat of a life was acknowledged; lives are counted from zero.
+    pub fn note_acknowledged(&self, life: u32) {
+        lock(&self.shared.record).acknowledged(life);
+    }
+
+    /// What its lives were granted and let go.
+    #[must_use]
+    pub fn key_events(&self) -> Vec<KeyEvent> {
+        lock(&self.shared.record).events()
+    }
+
     /// Requests that came while it had no room.
     #[must_use]
     pub fn without_room(&self) -> usize {
@@ -159,44 +179,12 @@
     /// Connections that are open.
     #[must_use]
     pub fn open_connections(&self) -> u64 {
-        let server = lock(&self.server);
-        server.as_ref().map_or(0, RunningServer::open_connections)
+        self.lives.open_connections()
     }
 
     /// Ends it, with its connections.
     pub async fn shutdown(self) {
         self.keeper.abort();
-        let server = lock(&self.server).take();
-        if let Some(server) = server {
-            server.shutdown().await;
-        }
-    }
-}
-
-async fn serve(address: SocketAddr, shared: &Arc<Shared>) -> Result<RunningServer> {
-    let router = Router::with_path("{**rest}").goal(TargetHandler(Arc::clone(shared)));
-    RunningServer::start(address, ConnectionSettings::default(), router).await
-}
-
-/// Ends the target at each request that crashes it, and starts its next life a little later.
-async fn keep(address: SocketAddr, server: Arc<Mutex<Option<RunningServer>>>, shared: Arc<Shared>) {
-    loop {
-        shared.crash.notified().await;
-        tokio::time::sleep(CRASHES_AFTER).await;
-        let ended = lock(&server).take();
-        if let Some(ended) = ended {
-            ended.shutdown().await;
-        }
-        *lock(&shared.past_lives) += 1;
-        lock(&shared.grants).clear();
-        lock(&shared.let_go).clear();
-        tokio::time::sleep(BACK_AFTER).await;
-        let next = loop {
-            match serve(address, &shared).await {
-                Ok(next) => break next,
-                Err(_still_bound) => tokio::time::sleep(CRASHES_AFTER).await,
-            }
-        };
-        *lock(&server) = Some(next);
+        self.lives.end().await;
     }
 }
--- a/crates/standins/src/fleet/target/state.rs
+++ b/crates/standins/src/fleet/target/state.rs
@@ -7,7 +7,8 @@
 use tokio::sync::Notify;
 
 use super::call::TargetCall;
-use super::grants::Grant;
+use super::grants::{Grant, SeenFences};
+use super::record::Record;
 
 /// What the target does wrong.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -82,10 +83,14 @@
 pub(super) struct Shared {
     pub(super) first_id: String,
     pub(super) keyed: bool,
+    /// Id of the present life.
+    pub(super) id: Mutex<String>,
     /// Lives before this one.
     pub(super) past_lives: Mutex<u32>,
     pub(super) crash: Notify,
     pub(super) grants: Mutex<Vec<Grant>>,
+    pub(super) seen_fences: Mutex<SeenFences>,
+    pub(super) record: Mutex<Record>,
     /// Ranges let go since the last acknowledged heartbeat.
     pub(super) let_go: Mutex<Vec<(u64, u64)>>,
     pub(super) seen: Mutex<Vec<Seen>>,
@@ -104,10 +109,14 @@
 
 impl Shared {
     pub(super) fn id(&self) -> String {
-        match *lock(&self.past_lives) {
-            _ if lock(&self.faults).keeps_id => self.first_id.clone(),
-            0 => self.first_id.clone(),
-            past => format!("{}-{past}", self.first_id),
+        lock(&self.id).clone()
+    }
+
+    /// Names the life that begins.
+    pub(super) fn name_life(&self, keeps_id: bool) {
+        if !keeps_id {
+            let past = *lock(&self.past_lives);
+            *lock(&self.id) = format!("{}-{past}", self.first_id);
         }
     }
 
