Tests: targets that restart before their first heartbeat, late and foreign heartbeats

Callers saw two targets that held the same keys. These tests play the incident on real processes.

The target's first heartbeat said that it leaves, the keys were free at once, and the restarted target held them until its hold ran out.

--- a/crates/wingspar/tests/sidecar/deployment.rs
+++ b/crates/wingspar/tests/sidecar/deployment.rs
@@ -39,14 +39,12 @@
     pub bounds: &'static str,
     /// Whether zones `a` and `b` lie in regions of their own, `north` and `south`.
     pub two_regions: bool,
+    /// Whether heartbeats leave out when the target's life began.
+    pub without_births: bool,
 }
 
 /// How long a node's read-out for operators may take: it may be stopped.
 const READ_OUT: Duration = Duration::from_millis(300);
-/// Time between two heartbeats of a target that takes its keys in the answers.
-const HEARTBEAT: Duration = Duration::from_millis(300);
-/// The same while it lets go of keys.
-const LETTING_GO: Duration = Duration::from_millis(60);
 
 /// One machine.
 pub struct Machine {
@@ -98,7 +96,10 @@
     pub nodes: Vec<Machine>,
     /// The credential of its clients' requests, unless a request names its own.
     pub credential: Option<&'static str>,
-    client: reqwest::Client,
+    /// Whether heartbeats say when the target's life began.
+    pub names_births: bool,
+    /// Sends everything that targets, clients and operators send.
+    pub client: reqwest::Client,
     folder: PathBuf,
     _network: TcpListener,
 }
@@ -183,6 +184,7 @@
             store_way,
             nodes,
             credential: None,
+            names_births: !wiring.without_births,
             client,
             folder,
             _network: network,
@@ -329,80 +331,6 @@
         targets.flat_map(FleetTarget::seen).collect()
     }
 
-    /// Sends a heartbeat for a machine's target.
-    pub async fn heartbeat(&self, node: usize, state: &str, sequence: u64) {
-        let Some((url, body)) = self.heartbeat_call(node, state, sequence) else {
-            return;
-        };
-        eventually("the heartbeat is acknowledged", || async {
-            let sent = self.client.put(&url).body(body.clone()).send().await;
-            sent.is_ok_and(|answer| answer.status() == 200)
-        })
-        .await;
-    }
-
-    /// Sends a target's heartbeats, and has it take the answers, until the machine is dropped.
-    fn send_heartbeats(&mut self, node: usize) {
-        let (url, body) = self.heartbeat_call(node, "ready", 0).expect("a target");
-        let target = self.nodes[node].target.as_ref().expect("a target");
-        let keys = (self.nodes[node].service == KEYED).then(|| target.keys());
-        let client = self.client.clone();
-        let sending = tokio::spawn(async move {
-            let mut body = serde_json::from_str::<Value>(&body).expect("a heartbeat");
-            for sequence in 1_u64.. {
-                body["status"]["seq"] = json!(sequence);
-                if let Some(keys) = &keys {
-                    keys.tell(&mut body);
-                }
-                let sent_at = std::time::Instant::now();
-                let call = client.put(&url).body(body.to_string());
-                let call = call.timeout(Duration::from_secs(1));
-                let answer = async { call.send().await?.bytes().await };
-                let answer = answer.await.unwrap_or_default();
-                let answer = serde_json::from_slice(&answer).unwrap_or(Value::Null);
-                let lets_go = keys
-                    .as_ref()
-                    .is_some_and(|keys| keys.take(sent_at, &answer));
-                tokio::time::sleep(if lets_go { LETTING_GO } else { HEARTBEAT }).await;
-            }
-        });
-        self.nodes[node].sending = Some(sending.abort_handle());
-    }
-
-    /// Address and body of a heartbeat; nothing if the machine's target is gone.
-    fn heartbeat_call(&self, node: usize, state: &str, sequence: u64) -> Option<(String, String)> {
-        let machine = &self.nodes[node];
-        let target = machine.target.as_ref().filter(|target| target.is_up())?;
-        let body = json!({
-            "born": target.born(),
-            "address": target.local_addr().to_string(),
-            "info": {"service": machine.service, "version": "v1", "zone": machine.zone, "capacity": 8},
-            "status": {"state": state, "seq": sequence, "warmup_left_s": target.warmup().as_secs_f64()},
-        });
-        let url = format!("http://{}/instances/{}", machine.heartbeats, target.id());
-        Some((url, body.to_string()))
-    }
-
-    /// Sends a heartbeat for each target.
-    pub async fn heartbeats(&self, sequence: u64) {
-        for node in 0..self.nodes.len() {
-            self.heartbeat(node, "ready", sequence).await;
-        }
-    }
-
-    /// Sends a heartbeat for each target, as far as its node takes it.
-    pub async fn try_heartbeats(&self) {
-        let since_epoch = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
-        let sequence = since_epoch.map_or(0, |since| u64::try_from(since.as_millis()).unwrap_or(0));
-        for node in 0..self.nodes.len() {
-            if let Some((url, body)) = self.heartbeat_call(node, "ready", sequence) {
-                let call = self.client.put(url).body(body);
-                let call = call.timeout(Duration::from_millis(60));
-                let _taken = call.send().await;
-            }
-        }
-    }
-
     /// Whether a node says within a short time that it is ready.
     pub async fn is_ready(&self, node: usize) -> bool {
         let asked = self
