Soak: targets restart, and their heartbeats are lost, late or of another writer

The soak ended targets only under a request that crashes them, and every heartbeat arrived. It could not show two targets that hold the same keys.

Change: targets end and start again at random, under a new id or the same; their first heartbeats may be lost. Heartbeats are lost, arrive 0.2 to 8 s late, after their sender's end too, or another writer sends some for the same address. All of it overlaps with the faults that were there.

--- a/crates/standins/src/fleet/target/grants.rs
+++ b/crates/standins/src/fleet/target/grants.rs
@@ -41,11 +41,16 @@
     }
 }
 
-/// The keys of a target that takes them in the answers to its heartbeats.
+/// The keys of a target, for whoever sends its heartbeats.
 #[derive(Debug, Clone)]
 pub struct TargetKeys(pub(super) Arc<Shared>);
 
 impl TargetKeys {
+    /// Notes that a heartbeat of a life was acknowledged; lives are counted from zero.
+    pub fn note_acknowledged(&self, life: u32) {
+        lock(&self.0.record).acknowledged(life);
+    }
+
     /// Adds the keys that the target holds, or has let go, to a heartbeat.
     pub fn tell(&self, heartbeat: &mut Value) {
         let now = Instant::now();
--- a/crates/standins/src/fleet/target/mod.rs
+++ b/crates/standins/src/fleet/target/mod.rs
@@ -119,11 +119,6 @@
         self.lives.begin_next(keeps_id).await;
     }
 
-    /// Notes that a heartbeat of a life was acknowledged; lives are counted from zero.
-    pub fn note_acknowledged(&self, life: u32) {
-        lock(&self.shared.record).acknowledged(life);
-    }
-
     /// What its lives were granted and let go.
     #[must_use]
     pub fn key_events(&self) -> Vec<KeyEvent> {
--- a/crates/wingspar/tests/sidecar/deployment.rs
+++ b/crates/wingspar/tests/sidecar/deployment.rs
@@ -104,8 +104,23 @@
     _network: TcpListener,
 }
 
+/// Where logs of nodes are kept beyond a test: in a folder that the tester names.
+pub fn kept_logs() -> Option<PathBuf> {
+    std::env::var_os("KEEP_LOGS").map(PathBuf::from)
+}
+
 impl Drop for Deployment {
     fn drop(&mut self) {
+        let logs = self.nodes.iter().filter_map(|node| node.log.as_ref());
+        for (log, kept) in logs.zip(std::iter::repeat(kept_logs())) {
+            let name = log.strip_prefix(std::env::temp_dir());
+            let Some((kept, name)) = kept.zip(name.ok()) else {
+                continue;
+            };
+            let kept = kept.join(name);
+            let _folder = kept.parent().map(std::fs::create_dir_all);
+            let _kept = std::fs::copy(log, kept);
+        }
         let _removed = std::fs::remove_dir_all(&self.folder);
     }
 }
--- a/crates/wingspar/tests/sidecar/soak/announcements.rs
+++ b/crates/wingspar/tests/sidecar/soak/announcements.rs
@@ -109,7 +109,7 @@
         self.change(deployment, node, |faults| faults.says_leaving = false);
     }
 
-    /// The link to a machine's target was harmed or healed.
+    /// The link to a machine's target was harmed or healed, or the target became known anew.
     pub fn link_changed(&mut self, node: usize) {
         self.disturbed.push((node, Instant::now()));
     }
--- a/crates/wingspar/tests/sidecar/soak/checks.rs
+++ b/crates/wingspar/tests/sidecar/soak/checks.rs
@@ -7,6 +7,7 @@
 use super::announcements::Announcements;
 use super::credentials::{Credentials, LISTED};
 use super::faults::Faults;
+use super::holders::Holders;
 use super::leaving::{self, Interruptions};
 use super::load::{Answer, Kind};
 use super::quotas;
@@ -24,6 +25,7 @@
     credentials: &'a Credentials,
     announcements: &'a Announcements,
     interruptions: &'a Interruptions,
+    holders: &'a Holders,
     log: &'a [String],
 }
 
@@ -48,6 +50,7 @@
             credentials: faults.credentials(),
             announcements: faults.announcements(),
             interruptions: faults.interruptions(),
+            holders: faults.holders(),
             log: faults.log(),
         }
     }
@@ -84,6 +87,7 @@
             self.not_run_is_true(),
             self.own_whole_answer(),
             self.one_owner(),
+            self.holders.check(self.deployment),
             self.innocents_are_run(),
             self.tenant_is_told(),
             self.who_is_listed_is_not_turned_away(),
--- a/crates/wingspar/tests/sidecar/soak/faults.rs
+++ b/crates/wingspar/tests/sidecar/soak/faults.rs
@@ -11,6 +11,8 @@
 
 use super::announcements::Announcements;
 use super::credentials::Credentials;
+use super::heartbeats::{HeartbeatHarm, Heartbeats};
+use super::holders::Holders;
 use super::leaving::Interruptions;
 use super::quotas::{METERED, VARIED};
 use crate::deployment::{Deployment, route};
@@ -38,6 +40,10 @@
 /// What a target that is slow after its start tells of it, until it is told otherwise.
 const SLOW_FOR: Duration = Duration::from_secs(3);
 
+/// How long a target that ends is away, and how long its first heartbeats are lost then, in milliseconds.
+const AWAY_MS: std::ops::Range<u64> = 0..1_500;
+const FIRST_LOST_MS: std::ops::Range<u64> = 200..3_000;
+
 /// How a fault ends.
 #[derive(Debug)]
 enum End {
@@ -50,6 +56,9 @@
     SlowTarget(usize),
     Limit(usize),
     Leaving(usize),
+    /// A target begins its next life; whether under the same id.
+    TargetAway(usize, bool),
+    Heartbeats(usize),
     Storm(&'static str),
     /// The store is away, and comes back from a copy.
     StoreAway(StoreCopy),
@@ -66,6 +75,8 @@
     credentials: Credentials,
     announcements: Announcements,
     interruptions: Interruptions,
+    heartbeats: Heartbeats,
+    holders: Holders,
     /// Copies of the store of the last seconds.
     copies: VecDeque<(Instant, StoreCopy)>,
     /// The last configuration, as the store holds it.
@@ -85,6 +96,8 @@
             credentials: Credentials::new(seed),
             announcements: Announcements::default(),
             interruptions: Interruptions::default(),
+            heartbeats: Heartbeats::default(),
+            holders: Holders::new(now),
             copies: VecDeque::new(),
             written: Value::Null,
             log: Vec::new(),
@@ -111,6 +124,16 @@
         &self.interruptions
     }
 
+    /// What targets held, with the delays of grants to them.
+    pub fn holders(&self) -> &Holders {
+        &self.holders
+    }
+
+    /// Sends the heartbeats of targets, as far as they aren't lost.
+    pub fn send_heartbeats(&mut self, deployment: &Deployment, random: &mut ChaCha8Rng) {
+        self.heartbeats.send(deployment, random);
+    }
+
     /// A credential for a request.
     pub fn draw_credential(&mut self) -> &'static str {
         self.credentials.draw()
@@ -246,7 +269,11 @@
         until: Instant,
     ) {
         let away = self.is_away(node);
-        match random.random_range(0..22) {
+        match random.random_range(0..28) {
+            22 | 23 => self.restart_target(deployment, random, node).await,
+            24 => self.harm_heartbeats(node, HeartbeatHarm::Lost, until),
+            25 | 26 => self.harm_heartbeats(node, HeartbeatHarm::Late, until),
+            27 => self.harm_heartbeats(node, HeartbeatHarm::Foreign, until),
             21 => {
                 self.announcements.begin_leaving(deployment, node);
                 self.note(&format!("the target of {node} says that it leaves"));
@@ -268,6 +295,7 @@
                 let harm = draw_harm(random);
                 deployment.nodes[node].target_link.set(harm);
                 self.announcements.link_changed(node);
+                self.holders.link_harmed(node);
                 self.note(&format!("target link of {node}: {harm:?}"));
                 self.ends.push((until, End::TargetLink(node)));
             }
@@ -327,6 +355,30 @@
         }
     }
 
+    /// A target ends, and begins its next life a little later; its first heartbeats may be lost.
+    async fn restart_target(
+        &mut self,
+        deployment: &Deployment,
+        random: &mut ChaCha8Rng,
+        node: usize,
+    ) {
+        let keeps_id = random.random_range(0..2) == 0 && deployment.names_births;
+        let back_at = Instant::now() + Duration::from_millis(random.random_range(AWAY_MS));
+        deployment.target(node).end_life().await;
+        self.note(&format!("the target of {node} ends"));
+        self.ends.push((back_at, End::TargetAway(node, keeps_id)));
+        if random.random_range(0..2) == 0 {
+            let lost = Duration::from_millis(random.random_range(FIRST_LOST_MS));
+            self.harm_heartbeats(node, HeartbeatHarm::Lost, back_at + lost);
+        }
+    }
+
+    fn harm_heartbeats(&mut self, node: usize, harm: HeartbeatHarm, until: Instant) {
+        self.heartbeats.harm(node, harm);
+        self.note(&format!("heartbeats of {node}: {harm:?}"));
+        self.ends.push((until, End::Heartbeats(node)));
+    }
+
     fn pause(&mut self, deployment: &Deployment, node: usize, until: Instant) {
         deployment.signal(node, "-STOP");
         self.interruptions.note(node);
@@ -355,11 +407,21 @@
             End::TargetLink(node) => {
                 deployment.nodes[node].target_link.set(Harm::None);
                 self.announcements.link_changed(node);
+                self.holders.link_healed(node);
+            }
+            End::TargetAway(node, keeps_id) => {
+                deployment.target(node).begin_life(keeps_id).await;
+                self.announcements.link_changed(node);
+            }
+            End::Heartbeats(node) => {
+                self.heartbeats.heal(node);
+                self.announcements.link_changed(node);
             }
             End::Store => deployment.store.set_faults(StoreFaults::default()),
             End::Resume(node) => {
                 deployment.signal(node, "-CONT");
                 self.interruptions.note(node);
+                self.holders.went_on(node);
             }
             End::Start(node) => {
                 deployment.start_process(node);
--- a/crates/wingspar/tests/sidecar/soak/load.rs
+++ b/crates/wingspar/tests/sidecar/soak/load.rs
@@ -100,6 +100,15 @@
     }
 }
 
+/// The keys that requests ask for.
+pub fn keys() -> impl Iterator<Item = u16> {
+    (0..KEYS).map(key)
+}
+
+fn key(number: u16) -> u16 {
+    number * (u16::MAX / KEYS)
+}
+
 /// All requests of a run.
 pub struct Load {
     seed: u64,
@@ -133,7 +142,7 @@
             let kind = match random.random_range(0..3) {
                 0 => Kind::Once,
                 1 => Kind::Repeatable,
-                _ => Kind::Keyed(random.random_range(0..KEYS) * (u16::MAX / KEYS)),
+                _ => Kind::Keyed(key(random.random_range(0..KEYS))),
             };
             let thing = if random.random_range(0..SHARED) == 0 {
                 "shared"
--- a/crates/wingspar/tests/sidecar/soak/mod.rs
+++ b/crates/wingspar/tests/sidecar/soak/mod.rs
@@ -6,23 +6,26 @@
 //! that is down, throttles or forgets; tenants whose credentials come and go, whose quotas are lowered, and that send many times their usual while the
 //! owner of their quota is paused or killed; regions that are lost; zones that are evacuated; targets that say that
 //! they are slow after their start, that name a limit on requests, or something that can't be read as one, and that say in
-//! their answers that they leave; a request under which targets end. Nodes aren't cut off from each other: they tell others
+//! their answers that they leave; a request under which targets end; targets that end and start again under a new id or the
+//! same, heartbeats that are lost, that arrive late, after their sender's end too, or that another writer sends. Nodes aren't cut off from each other: they tell others
 //! the address that they listen on, so nothing can stand between them.
 //!
 //! `SOAK_SEEDS=N SOAK_FIRST=S SOAK_SECONDS=T cargo test --release -p wingspar --test sidecar soak -- --nocapture` plays
-//! other seeds than the fixed ones.
+//! other seeds than the fixed ones. `KEEP_LOGS=FOLDER` keeps the logs of nodes there.
 
 mod announcements;
 mod checks;
 mod credentials;
 mod faults;
+mod heartbeats;
+mod holders;
 mod leaving;
 mod load;
 mod quotas;
 
 use std::time::{Duration, Instant};
 
-use crate::deployment::{Deployment, Wiring, eventually};
+use crate::deployment::{Deployment, Wiring, eventually, kept_logs};
 use crate::evacuations::{BOUND, ZONE_B};
 use crate::quota_bound;
 use rand::SeedableRng;
@@ -35,8 +38,11 @@
 use serde_json::json;
 use wingspar_standins::fleet::TargetFaults;
 
-/// Seeds that are always played: those that once failed, each with its cause, and one that never did.
-const SEEDS: [(u64, &str); 1] = [(1, "never failed")];
+/// Seeds that are always played: those that once failed, each with its cause, and others that never did.
+const SEEDS: [(u64, &str); 2] = [
+    (1, "never failed"),
+    (2, "never failed; heartbeats name no births"),
+];
 /// Length of the fixed seeds.
 const SECONDS: u64 = 12;
 /// Tries of the request under which targets end, after the faults.
@@ -45,6 +51,8 @@
 const TRY_PAUSE: Duration = Duration::from_millis(800);
 /// Targets that may end under them: three until all nodes must know.
 const MOST_ENDS: u32 = 3;
+/// All keys are served again this long after the faults.
+const RECOVERY: Duration = Duration::from_secs(12);
 /// Network of the first seed; the tests of the sidecar use those below.
 const FIRST_NETWORK: u8 = 100;
 
@@ -69,6 +77,8 @@
         two_zones: true,
         two_regions: true,
         bounds: quota_bound::SETTINGS,
+        without_births: seed.is_multiple_of(2),
+        keeps_logs: kept_logs().is_some(),
         ..Wiring::default()
     };
     let mut deployment = Deployment::start_with(network, &wiring).await;
@@ -91,7 +101,7 @@
     while Instant::now() < ends_at {
         load.send_some(&deployment, &mut faults, &mut random);
         faults.step(&mut deployment, &mut random).await;
-        deployment.try_heartbeats().await;
+        faults.send_heartbeats(&deployment, &mut random);
         tokio::time::sleep(Duration::from_millis(60)).await;
     }
     faults.heal(&mut deployment).await;
@@ -103,19 +113,40 @@
         deployment.try_heartbeats().await;
         deployment.ready(node).await;
     }
-    eventually("all keys are served again", || async {
-        deployment.try_heartbeats().await;
-        let first = deployment.keyed(0, 100, &format!("end-a-{seed}")).await;
-        let last = deployment.keyed(3, 65_000, &format!("end-b-{seed}")).await;
-        first.status() == 200 && last.status() == 200
-    })
-    .await;
+    serves_all_keys(&deployment, &format!("healed-{seed}")).await?;
     the_last_version_holds(&deployment, &mut faults, seed).await?;
     refuses_what_ends_targets(&deployment, seed).await?;
+    // By now the last late heartbeat has arrived.
+    serves_all_keys(&deployment, &format!("late-{seed}")).await?;
     evacuates_still(&deployment, seed).await?;
+    faults.holders().check(&deployment)?;
     Ok(summary)
 }
 
+/// After all that, all keys are served again.
+async fn serves_all_keys(deployment: &Deployment, name: &str) -> Result<(), String> {
+    let healed_at = Instant::now();
+    let mut unserved = load::keys().collect::<Vec<_>>();
+    for tries in 0.. {
+        if unserved.is_empty() {
+            break;
+        }
+        if healed_at.elapsed() > RECOVERY {
+            return Err(format!("keys {unserved:?} aren't served again"));
+        }
+        deployment.try_heartbeats().await;
+        let key = unserved[0];
+        let id = format!("{name}-{key}-{tries}");
+        let node = tries % deployment.nodes.len();
+        if deployment.keyed(node, key, &id).await.status() == 200 {
+            unserved.remove(0);
+        } else {
+            tokio::time::sleep(Duration::from_millis(60)).await;
+        }
+    }
+    Ok(())
+}
+
 /// After all that the request under which targets end reaches few more of them, through whichever node it comes.
 async fn refuses_what_ends_targets(deployment: &Deployment, seed: u64) -> Result<(), String> {
     let before = deployment.crashes();
--- a/crates/wingspar/tests/sidecar/target_heartbeats.rs
+++ b/crates/wingspar/tests/sidecar/target_heartbeats.rs
@@ -39,7 +39,7 @@
 
     fn note_acknowledged(&self, node: usize, life: u32) {
         if let Some(target) = &self.nodes[node].target {
-            target.note_acknowledged(life);
+            target.keys().note_acknowledged(life);
         }
     }
 
