--- a/crates/ownership/src/holder/heartbeats.rs
+++ b/crates/ownership/src/holder/heartbeats.rs
@@ -61,22 +61,22 @@
         self.abandon_refused(now);
     }
 
-    /// Abandons grants that the target keeps refusing.
+    /// Abandons grants that the target keeps refusing; its heartbeats show that it doesn't hold
+    /// them.
     fn abandon_refused(&mut self, now: Time) {
-        let refused = self
-            .entries
-            .iter()
-            .filter(|entry| entry.misses >= MAX_ROW_MISSES)
-            .map(|entry| (entry.range, entry.fence))
-            .collect::<Vec<_>>();
-        for (range, fence) in refused {
-            self.abandon_outranked(now, range, fence);
+        let is_refused = |entry: &Entry| entry.misses >= MAX_ROW_MISSES;
+        let refused = self.entries.iter().filter(|entry| is_refused(entry));
+        let fences = refused.map(|entry| entry.fence).collect::<Vec<_>>();
+        for fence in fences {
+            self.abandon_outranked(now, fence, is_refused);
         }
     }
 
-    /// The target's service is unkeyed, so no earlier process can have granted the target anything.
-    pub fn set_unkeyed(&mut self) {
-        self.clean = true;
+    /// A heartbeat names an unkeyed service, whose targets hold no keys. The heartbeat may be a late
+    /// one of an earlier life, so what an earlier process granted counts as gone only once its
+    /// lease has expired.
+    pub fn set_unkeyed(&mut self, now: Time) {
+        self.clean |= now >= self.earlier_leases_until;
     }
 
     /// An earlier process may have answered the target's last heartbeats. So a report counts only
--- a/crates/ownership/src/leader/renewals.rs
+++ b/crates/ownership/src/leader/renewals.rs
@@ -34,6 +34,7 @@
             // An earlier leader had received the quotas, which this one hasn't yet.
             self.set_quota_shards();
         }
+        self.add_reported_service(renewal);
         let mut changed = self.update_member(now, renewal);
         let is_reliable = self
             .members
@@ -55,6 +56,17 @@
         }
     }
 
+    /// Adds the service of reported keys. An earlier leader had received that it is keyed, which
+    /// this one hasn't yet.
+    fn add_reported_service(&mut self, renewal: &Renewal) {
+        if let Some(target) = &renewal.target
+            && !self.is_configured
+            && !renewal.held.is_empty()
+        {
+            self.add_partition(&target.service);
+        }
+    }
+
     /// Applies a node's report of its keys and shards. Returns whether any became free.
     fn apply_report(&mut self, renewal: &Renewal) -> bool {
         let mut freed = false;
@@ -143,7 +155,7 @@
                 link_mbps: renewal.link_mbps,
                 configuration_version: 0,
                 renewed_at: now,
-                previous_life: None,
+                past_lives: Vec::new(),
                 life_seen_at: now,
                 newest_sent_at: renewal.sent_at,
             });
@@ -156,13 +168,11 @@
             _ => false,
         };
         if restarted {
-            member.previous_life = Some(member.life);
-            member.life_seen_at = now;
+            member.begin_life(now, renewal.life);
             // The previous process may have removed its registration before this one registered.
             member.registered_at = None;
         }
         member.newest_sent_at = renewal.sent_at;
-        member.life = renewal.life;
         member.view = view;
         member.clean = renewal.clean;
         member.store_reachable = renewal.store_reachable;
--- a/crates/ownership/src/participant/mod.rs
+++ b/crates/ownership/src/participant/mod.rs
@@ -291,7 +291,7 @@
             identity,
             timing,
             gave_lease_at: now,
-            holder: Holder::new(timing, clean),
+            holder: Holder::new(timing, clean).with_start(now),
             shards: ShardHolder::default(),
             election,
             store_era: StoreEra::default(),
@@ -330,9 +330,9 @@
         self.holder.reported(now, report);
     }
 
-    /// The target belongs to an unkeyed service.
-    pub fn set_unkeyed_target(&mut self) {
-        self.holder.set_unkeyed();
+    /// The target belongs to an unkeyed service, according to a heartbeat.
+    pub fn set_unkeyed_target(&mut self, now: Time) {
+        self.holder.set_unkeyed(now);
     }
 
     /// Whether an answer to the target's heartbeat would change what the target holds.
@@ -446,6 +446,13 @@
         self.tick(now, context)
     }
 
+    /// When a renewal is due that reports a change and waits only for the least time between two
+    /// renewals; `None` if there is none.
+    pub fn urgent_renewal(&self) -> Option<Time> {
+        let is_urgent = self.next_renewal <= self.last_renewal + MIN_RENEWAL_GAP;
+        is_urgent.then_some(self.next_renewal)
+    }
+
     /// Performs what is due at `now`: renewals, elections and the work of a leader.
     pub fn tick(&mut self, now: Time, context: &NodeContext) -> Vec<Action> {
         let mut actions = Vec::new();
