--- a/crates/ownership/tests/simulation/world/actions.rs
+++ b/crates/ownership/tests/simulation/world/actions.rs
@@ -21,7 +21,9 @@
             Action::WriteRegistry(page) => self.store_call(index, StoreCall::WritePage(page)),
             Action::RemoveRegistry(name) => self.store_call(index, StoreCall::RemovePage(name)),
             Action::Order(order) => {
-                let id = self.machines[index].target.id.clone();
+                if self.counts_as_released(index, life, &order) {
+                    return;
+                }
                 let late = self.rng.random_bool(self.options.late_order_rate);
                 let delay = if late {
                     self.rng.random_range(2_000..12_000)
@@ -38,7 +40,12 @@
                         Event::OrderAnswers(index, life, order.clone(), sent_at, false, failed),
                     );
                 }
-                self.after(delay, Event::OrderArrives(index, life, id, order, sent_at));
+                let sent = SentOrder {
+                    order,
+                    sent_at,
+                    meant_for: self.machines[index].lives.current.clone(),
+                };
+                self.after(delay, Event::OrderArrives(index, life, sent));
             }
             Action::FetchTable(from) => {
                 let other = self.index_of(from);
@@ -69,6 +76,26 @@
         }
     }
 
+    /// Whether the order is a release that the node takes to be done without asking the target.
+    fn counts_as_released(&mut self, index: usize, life: u64, order: &Order) -> bool {
+        let lives = &mut self.machines[index].lives;
+        let is_skipped = match order {
+            Order::Grant { fence, .. } => {
+                lives.granted(*fence);
+                false
+            }
+            Order::Release { fence, .. } => lives.is_of_earlier_life(*fence),
+            Order::Clear { .. } => false,
+        };
+        if !is_skipped || !self.options.new_lives_hold_nothing {
+            return false;
+        }
+        let sent_at = self.clock(index);
+        let ended = Event::OrderAnswers(index, life, order.clone(), sent_at, true, None);
+        self.after(0, ended);
+        true
+    }
+
     pub(super) fn index_of(&self, address: SocketAddr) -> Option<usize> {
         self.machines
             .iter()
@@ -97,20 +124,19 @@
         self.after(delay, Event::Datagram(other, sender, Box::new(datagram)));
     }
 
-    pub(super) fn order_arrives(
-        &mut self,
-        index: usize,
-        life: u64,
-        id: &str,
-        order: Order,
-        sent_at: Time,
-    ) {
+    pub(super) fn order_arrives(&mut self, index: usize, life: u64, sent: SentOrder) {
+        let SentOrder {
+            order,
+            sent_at,
+            meant_for,
+        } = sent;
         let now = self.now;
         let late = self.clock(index).0.saturating_sub(sent_at.0) > 1_500;
-        let target = &self.machines[index].target;
-        let reached = target.up && target.id == id;
         self.trace(|| format!("node {index}: {order:?} sent {sent_at:?}"));
+        // An order names the target's address, not the life.
         let target = &mut self.machines[index].target;
+        let reached = target.up;
+        let id = target.id.clone();
         let is_grant = matches!(order, Order::Grant { .. });
         let mut result = is_grant.then_some(GrantResult::Failed);
         let mut acquired = Vec::new();
@@ -119,7 +145,7 @@
                 Order::Grant {
                     range, fence, hold, ..
                 } => {
-                    let taken = target.grant(now, *range, *fence, hold.as_millis() as u64);
+                    let taken = target.grant(now, *range, *fence, hold.as_millis() as u64, late);
                     result = Some(if taken.is_some() {
                         GrantResult::Granted
                     } else {
@@ -135,12 +161,14 @@
                 Order::Clear { .. } => target.release(wingspar_ownership::KeyRange::ALL),
             }
         }
-        for (key, fence) in acquired {
-            self.acquired(key, id, fence, late);
-        }
         if late {
+            // Grants that arrive late don't count, because no requests are sent to such a target.
             return;
         }
+        let is_renewal_across_lives = meant_for.is_some_and(|life| life != id);
+        for (key, fence) in acquired {
+            self.acquired(index, key, fence, is_renewal_across_lives);
+        }
         let delay = self.rng.random_range(1..60);
         self.after(
             delay,
