Tests: answers of targets that are cut at any byte

An interceptor between a node and its target answers with raw bytes and closes or resets the connection after each byte of a short answer (with a length, in chunks, ended by the connection), and at some places of answers too long to be buffered: for requests without a key, keyed ones, uploads, pipelined ones, ones that are repeated, and at another node than the target's.

A body without a length that ends early but in order isn't among the cases, since nothing tells it from a whole one.

--- a/crates/standins/src/net/mod.rs
+++ b/crates/standins/src/net/mod.rs
@@ -3,6 +3,7 @@
 
 mod acceptor;
 mod gate;
+mod interceptor;
 mod proxy;
 mod respond;
 mod server;
@@ -11,6 +12,7 @@
 
 pub use acceptor::{ConnectionSettings, StandInAcceptor};
 pub use gate::Gate;
+pub use interceptor::{AnswerEnd, EndlessAnswer, InterceptedRequest, Interceptor, RawAnswer};
 pub use proxy::{Harm, Proxy};
 pub use respond::{ErrorBody, connection, query_value, read_json, render_error, render_json};
 pub use server::RunningServer;
--- a/crates/wingspar/tests/sidecar/deployment.rs
+++ b/crates/wingspar/tests/sidecar/deployment.rs
@@ -8,7 +8,7 @@
 
 use serde_json::{Value, json};
 use wingspar_standins::fleet::{FleetStore, FleetTarget, Seen, TargetFaults};
-use wingspar_standins::net::{Proxy, SharedLink};
+use wingspar_standins::net::{Interceptor, Proxy, SharedLink};
 
 use crate::machine::machine;
 use crate::network::claim_network;
@@ -39,6 +39,8 @@
     pub bounds: &'static str,
     /// Whether zones `a` and `b` lie in regions of their own, `north` and `south`.
     pub two_regions: bool,
+    /// Whether nodes reach their targets through interceptors.
+    pub intercepted: bool,
 }
 
 /// How long a node's read-out for operators may take: it may be stopped.
@@ -62,6 +64,8 @@
     pub store_link: Proxy,
     /// Between its node and its target.
     pub target_link: Proxy,
+    /// Between its node and its target, if the deployment is intercepted.
+    pub target_interceptor: Interceptor,
     /// Where its node tells whether it is ready.
     pub ready: SocketAddr,
     /// Where its target sends heartbeats.
--- a/crates/wingspar/tests/sidecar/main.rs
+++ b/crates/wingspar/tests/sidecar/main.rs
@@ -3,6 +3,7 @@
 mod announced_leaving;
 mod configuration;
 mod crashing_request;
+mod cut_answers;
 mod deployment;
 mod evacuations;
 mod full_target;
@@ -20,6 +21,7 @@
 mod quota_bound;
 mod quota_failures;
 mod quotas;
+mod raw_client;
 mod regions;
 mod registrations;
 mod requests;
