Sidecar: a connection on which a response makes no progress is closed

Callers saw a node stand still for seconds, and answers seconds after their deadline, while a target sent bytes without end that aren't part of a body.

The HTTP library takes any number of informational responses before a head, and any number of zeros or blanks in the line that names a chunk's size. It reads on as long as bytes are there, so its task gives up the event loop only after tens of megabytes, and no timer fires meanwhile.

Connections to targets, other nodes and the store now fail once 2 MB have been read without a head or a part of a body. That is more than what the library reads ahead, so that no proper response is affected.

--- a/crates/sidecar/src/connections.rs
+++ b/crates/sidecar/src/connections.rs
@@ -20,6 +20,7 @@
 use tokio::time::timeout;
 
 use crate::body::{Body, BodyError};
+use crate::bounded_reads::{BoundedReads, ReadAllowance};
 use crate::clock::since_boot;
 
 /// An idle connection isn't reused after this time; the server's `Keep-Alive` header can shorten this time.
@@ -55,6 +56,7 @@
 struct Connection {
     sender: SendRequest<Body>,
     driver: JoinHandle<()>,
+    allowance: ReadAllowance,
     /// Time since the machine booted when the connection became idle. Boot time also counts while the machine is
     /// suspended; the server may have closed the connection meanwhile.
     idle_since: Duration,
@@ -132,6 +134,7 @@
                 Some(connection) => (connection, true),
                 None => (self.open().await?, false),
             };
+            connection.allowance.renew();
             match connection.sender.try_send_request(request).await {
                 Ok(response) => return Ok(self.wrap(response, connection, is_kept)),
                 Err(mut failure) => match failure.take_message() {
@@ -170,6 +173,8 @@
             .map_err(|_| SendError::NotSent("connecting timed out".to_owned()))?
             .map_err(|error| not_sent(&error))?;
         set_options(&stream);
+        let allowance = ReadAllowance::default();
+        let stream = BoundedReads::new(stream, allowance.clone());
         let (sender, driver) = http1::Builder::new()
             .handshake::<_, Body>(TokioIo::new(stream))
             .await
@@ -180,6 +185,7 @@
         Ok(Connection {
             sender,
             driver,
+            allowance,
             idle_since: since_boot(),
             max_idle: MAX_IDLE_TIME,
         })
@@ -266,6 +272,9 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         let polled = Pin::new(&mut self.incoming).poll_frame(context);
+        if let (Poll::Ready(_), Some(connection)) = (&polled, &self.connection) {
+            connection.allowance.renew();
+        }
         match &polled {
             Poll::Ready(None) => self.end(),
             Poll::Ready(Some(Ok(_))) if self.incoming.is_end_stream() => self.end(),
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -11,6 +11,7 @@
 mod agent;
 mod announcements;
 pub mod body;
+mod bounded_reads;
 pub mod breaker;
 pub mod buffer_budget;
 pub mod caller_age;
--- /dev/null
+++ b/crates/sidecar/tests/endless_answers.rs
@@ -0,0 +1,106 @@
+//! Answers of other processes without end.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
+use std::sync::mpsc::{Receiver, channel};
+use std::time::Duration;
+
+use http_body_util::BodyExt;
+use tokio::task::LocalSet;
+use wingspar_sidecar::body::Body;
+use wingspar_sidecar::connections::ConnectionPool;
+
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// What the stand-in sends in all, far more than sockets hold.
+const ALL: usize = 64 * 1024 * 1024;
+/// What it may have sent when the caller has given up: a limit of two megabytes, and what sockets hold.
+const MOST: usize = 24 * 1024 * 1024;
+const CHUNKED: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+/// Answers one request with `start` and then `repeated` again and again; tells how many bytes it could send.
+fn answer_without_end(
+    start: &'static str,
+    repeated: &'static str,
+) -> (SocketAddr, Receiver<usize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let (sender, sent) = channel();
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        let mut buffer = [0; 1024];
+        assert!(stream.read(&mut buffer).expect("a request") > 0);
+        let piece = repeated.repeat(64 * 1024 / repeated.len());
+        let mut length = 0;
+        let started = stream.write_all(start.as_bytes());
+        while started.is_ok() && length < ALL && stream.write_all(piece.as_bytes()).is_ok() {
+            length += piece.len();
+        }
+        let _told = sender.send(length);
+    });
+    (address, sent)
+}
+
+fn request() -> http::Request<Body> {
+    let mut request = http::Request::new(Body::empty());
+    *request.uri_mut() = http::Uri::from_static("/");
+    request
+}
+
+/// Runs a test on a single thread, so that its tasks needn't be `Send`.
+fn run_locally<Output>(test: impl Future<Output = Output>) -> Output {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime");
+    LocalSet::new().block_on(&runtime, test)
+}
+
+/// Sends a request and reads the whole body of its answer.
+async fn call(pool: &Rc<ConnectionPool>) -> bool {
+    match pool.send(request()).await {
+        Ok(response) => response.into_body().collect().await.is_ok(),
+        Err(_) => false,
+    }
+}
+
+/// Bytes without end that aren't part of a body kept the event loop busy for as long as they came.
+#[test]
+fn a_connection_without_progress_is_closed_after_a_bounded_number_of_bytes() {
+    let trailer = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nx-line: ";
+    let spaces = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4";
+    let extension = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4;";
+    for (start, repeated) in [
+        ("", "nonsense"),
+        ("", "\r\n"),
+        ("", "HTTP/1.1 100 Continue\r\n\r\n"),
+        ("HTTP/1.1 200 ", "O"),
+        ("HTTP/1.1 200 OK\r\nx-line: ", "a"),
+        ("HTTP/1.1 200 OK\r\n", "x-line: a\r\n"),
+        (CHUNKED, "0"),
+        (spaces, " "),
+        (extension, "e"),
+        (trailer, "t"),
+    ] {
+        let (address, sent) = answer_without_end(start, repeated);
+        let pool = ConnectionPool::new(address, CONNECT_TIMEOUT);
+        assert!(!run_locally(call(&pool)), "{start:?} {repeated:?}");
+        drop(pool);
+        let sent = sent.recv().expect("a length");
+        assert!(sent <= MOST, "{start:?} {repeated:?}: {sent} bytes");
+    }
+}
+
+/// Bytes behind an answer don't spoil it, and end its connection.
+#[test]
+fn bytes_without_end_behind_an_answer_close_its_connection() {
+    let start = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody";
+    let (address, sent) = answer_without_end(start, "z");
+    let pool = ConnectionPool::new(address, CONNECT_TIMEOUT);
+    run_locally(async {
+        assert!(call(&pool).await);
+        tokio::time::sleep(Duration::from_millis(200)).await;
+    });
+    let sent = sent.recv().expect("a length");
+    assert!(sent <= MOST, "{sent} bytes");
+}
