Sidecar: responses to a node's own calls have a maximum length

While a target, the store or another node answered a call with a body without end, the node's memory grew with it until the call's timeout: by 0.5 GB in a grant or health check, by 0.8 GB in another node's answer that is no agent's, by 1.8 GB in a read of the store.

Timeouts bounded these responses, but nothing bounded their length. Now the connection is closed and the call fails after 64 KB from the target, 16 KB of the rest of another node's answer, and 4 MB from the store or another node's table or configuration.

--- a/crates/sidecar/src/connections.rs
+++ b/crates/sidecar/src/connections.rs
@@ -29,6 +29,9 @@
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(1_500);
 /// A connection is closed if sent bytes stay unacknowledged for this long.
 const USER_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Maximum length of a response to a call, in bytes: what the target responds to orders and health checks is much
+/// shorter.
+pub const MAX_CALL_RESPONSE: u64 = 64 * 1024;
 
 /// Why a request got no complete response head.
 #[derive(Debug, thiserror::Error)]
@@ -47,6 +50,8 @@
     connect_timeout: Duration,
     /// A connection isn't reused after a request body of more than this many bytes; `None` means no limit.
     reuse_limit: Option<u64>,
+    /// Response bodies that are longer than this, in bytes, fail; `None` means no limit.
+    response_limit: Option<u64>,
     idle: RefCell<Vec<Connection>>,
     /// Whether the node at the address reads compact headers.
     accepts_compact_headers: Cell<bool>,
@@ -72,7 +77,7 @@
 impl ConnectionPool {
     /// A pool for an address. Opening a connection may take up to `connect_timeout`.
     pub fn new(address: SocketAddr, connect_timeout: Duration) -> Rc<Self> {
-        Self::build(address, connect_timeout, None)
+        Rc::new(Self::build(address, connect_timeout))
     }
 
     /// Like [`Self::new`], but a connection isn't reused after a request body of more than `bytes` bytes, or of
@@ -83,17 +88,30 @@
         connect_timeout: Duration,
         bytes: u64,
     ) -> Rc<Self> {
-        Self::build(address, connect_timeout, Some(bytes))
+        Rc::new(Self {
+            reuse_limit: Some(bytes),
+            ..Self::build(address, connect_timeout)
+        })
     }
 
-    fn build(address: SocketAddr, connect_timeout: Duration, reuse_limit: Option<u64>) -> Rc<Self> {
+    /// Like [`Self::new`], for calls with short responses: a body of more than [`MAX_CALL_RESPONSE`] bytes fails and
+    /// closes its connection.
+    pub fn for_calls(address: SocketAddr, connect_timeout: Duration) -> Rc<Self> {
         Rc::new(Self {
+            response_limit: Some(MAX_CALL_RESPONSE),
+            ..Self::build(address, connect_timeout)
+        })
+    }
+
+    fn build(address: SocketAddr, connect_timeout: Duration) -> Self {
+        Self {
             address,
             connect_timeout,
-            reuse_limit,
+            reuse_limit: None,
+            response_limit: None,
             idle: RefCell::new(Vec::new()),
             accepts_compact_headers: Cell::new(false),
-        })
+        }
     }
 
     /// Closes all idle connections.
@@ -207,6 +225,7 @@
             incoming,
             connection: Some(connection),
             pool: reusable.then(|| self.clone()),
+            left: self.response_limit,
             ended: false,
         })
     }
@@ -251,10 +270,27 @@
     incoming: Incoming,
     connection: Option<Connection>,
     pool: Option<Rc<ConnectionPool>>,
+    /// Bytes that the body may still have; `None` means no limit.
+    left: Option<u64>,
     ended: bool,
 }
 
 impl PooledBody {
+    /// Counts a frame against the length limit; closes the connection and fails if the limit is exceeded.
+    fn count(&mut self, frame: &Frame<Bytes>) -> Result<(), BodyError> {
+        let Some(left) = self.left else {
+            return Ok(());
+        };
+        let length = frame.data_ref().map_or(0, Bytes::len) as u64;
+        self.left = left.checked_sub(length);
+        if self.left.is_some() {
+            return Ok(());
+        }
+        self.ended = true;
+        self.connection = None;
+        Err("the response is too long".into())
+    }
+
     fn end(&mut self) {
         self.ended = true;
         if let (Some(connection), Some(pool)) = (self.connection.take(), self.pool.take()) {
@@ -275,6 +311,11 @@
         if let (Poll::Ready(_), Some(connection)) = (&polled, &self.connection) {
             connection.allowance.renew();
         }
+        if let Poll::Ready(Some(Ok(frame))) = &polled
+            && let Err(error) = self.count(frame)
+        {
+            return Poll::Ready(Some(Err(error)));
+        }
         match &polled {
             Poll::Ready(None) => self.end(),
             Poll::Ready(Some(Ok(_))) if self.incoming.is_end_stream() => self.end(),
--- a/crates/sidecar/src/hop.rs
+++ b/crates/sidecar/src/hop.rs
@@ -9,7 +9,7 @@
 };
 use http::uri::PathAndQuery;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode};
-use http_body_util::BodyExt;
+use http_body_util::{BodyExt, Limited};
 use prometheus_client::metrics::counter::Counter;
 use tokio::time::{Instant, timeout_at};
 use wingspar_platform::headers;
@@ -52,6 +52,8 @@
 const LOAD: HeaderName = HeaderName::from_static("wingspar-load");
 /// Answers of other nodes up to this length, in bytes, are buffered completely before they are forwarded.
 const MAX_BUFFERED_ANSWER: u64 = 256 * 1024;
+/// The rest of an answer is read up to this length, in bytes, so that its connection can be reused.
+const MAX_REST: usize = 16 * 1024;
 /// Outcome of a request that was in flight when the target ended.
 const TARGET_ENDED: &str = "target_ended";
 /// Prefix of the names of headers that only nodes set.
@@ -393,7 +395,8 @@
         None => HopAnswer::MayHaveRun("the answer isn't of an agent".to_owned()),
     };
     // The small rest of the answer is read, so that its connection can be reused.
-    let _rest = timeout_at(deadline, response.into_body().collect()).await;
+    let rest = Limited::new(response.into_body(), MAX_REST);
+    let _rest = timeout_at(deadline, rest.collect()).await;
     (answer, occupancy)
 }
 
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -51,7 +51,7 @@
 pub mod pipelining;
 mod quarantine;
 pub mod quota;
-mod receive;
+pub mod receive;
 mod registration;
 pub mod relay;
 pub mod request_limit;
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -215,7 +215,7 @@
                 TARGET_CONNECT_TIMEOUT,
                 LARGE_BODY_BYTES,
             ),
-            target_orders: ConnectionPool::new(settings.node.target, TARGET_CONNECT_TIMEOUT),
+            target_orders: ConnectionPool::for_calls(settings.node.target, TARGET_CONNECT_TIMEOUT),
             runs: RefCell::default(),
             quarantine: RefCell::default(),
             quotas: Quotas::new(life, Duration::from_millis(now.0), &settings.bounds),
--- a/crates/sidecar/src/receive.rs
+++ b/crates/sidecar/src/receive.rs
@@ -1,5 +1,5 @@
-//! Receives a response body with an idle and a total timeout, and counts the bytes received, so that a timeout can be
-//! explained.
+//! Receives a response body with an idle and a total timeout and a maximum length, and counts the bytes received, so that
+//! a timeout can be explained.
 
 use std::cell::Cell;
 use std::time::Duration;
@@ -11,6 +11,10 @@
 use crate::body::BodyError;
 use crate::connections::PooledBody;
 
+/// Maximum length of a body. An object of the store and a page of a listing have about 1 MB at most; what other nodes
+/// respond is shorter.
+pub const MAX_LENGTH: usize = 4 * 1024 * 1024;
+
 /// Timeouts for receiving a body. With a total timeout alone, every large response on a shared link would be aborted,
 /// and each retry would load that link again.
 #[derive(Debug, Clone, Copy)]
@@ -27,6 +31,9 @@
     /// The next bytes didn't arrive in time. The value is the number of bytes received.
     #[error("timed out after {0} bytes of the response")]
     Late(usize),
+    /// The body is longer than [`MAX_LENGTH`].
+    #[error("the response has more than {MAX_LENGTH} bytes")]
+    TooLong,
     /// The connection failed.
     #[error(transparent)]
     Broken(#[from] BodyError),
@@ -47,6 +54,9 @@
             return Ok(bytes.freeze());
         };
         if let Ok(data) = frame?.into_data() {
+            if data.len() > MAX_LENGTH - bytes.len() {
+                return Err(ReceiveError::TooLong);
+            }
             bytes.extend_from_slice(&data);
             received.set(bytes.len());
         }
--- a/crates/sidecar/src/store.rs
+++ b/crates/sidecar/src/store.rs
@@ -94,7 +94,7 @@
         match receive::whole(response.into_body(), BODY_TIMEOUTS, received).await {
             Ok(body) => Ok(Reply { outcome, body, era }),
             Err(ReceiveError::Late(bytes)) => Err(self.late(bytes)),
-            Err(ReceiveError::Broken(error)) => Err(StoreError::NoAnswer(error.to_string())),
+            Err(error) => Err(StoreError::NoAnswer(error.to_string())),
         }
     }
 
--- a/crates/sidecar/tests/endless_answers.rs
+++ b/crates/sidecar/tests/endless_answers.rs
@@ -1,5 +1,6 @@
 //! Answers of other processes without end.
 
+use std::cell::Cell;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
@@ -9,12 +10,13 @@
 use http_body_util::BodyExt;
 use tokio::task::LocalSet;
 use wingspar_sidecar::body::Body;
-use wingspar_sidecar::connections::ConnectionPool;
+use wingspar_sidecar::connections::{ConnectionPool, MAX_CALL_RESPONSE};
+use wingspar_sidecar::receive::{self, BodyTimeouts, MAX_LENGTH, ReceiveError};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// What the stand-in sends in all, far more than sockets hold.
 const ALL: usize = 64 * 1024 * 1024;
-/// What it may have sent when the caller has given up: a limit of two megabytes, and what sockets hold.
+/// What it may have sent when the caller has given up: two limits of four and two megabytes, and what sockets hold.
 const MOST: usize = 24 * 1024 * 1024;
 const CHUNKED: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
@@ -91,6 +93,50 @@
     }
 }
 
+/// The body of an answer to an order was kept in memory for as long as it came.
+#[test]
+fn a_long_response_to_a_call_fails_and_closes_its_connection() {
+    for start in ["HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 409 Conflict\r\n\r\n"] {
+        let (address, sent) = answer_without_end(start, "body");
+        let pool = ConnectionPool::for_calls(address, CONNECT_TIMEOUT);
+        assert!(!run_locally(call(&pool)));
+        let sent = sent.recv().expect("a length");
+        assert!(sent <= MOST, "{sent} bytes");
+    }
+}
+
+/// The limit of a call's response is for all of its frames together, and takes its full length.
+#[test]
+fn a_response_to_a_call_may_be_as_long_as_the_limit() {
+    for (surplus, expected) in [(0, true), (1, false)] {
+        let length = MAX_CALL_RESPONSE + surplus;
+        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n");
+        let (address, _sent) = answer_without_end(head.leak(), "body");
+        let pool = ConnectionPool::for_calls(address, CONNECT_TIMEOUT);
+        assert_eq!(run_locally(call(&pool)), expected, "{length} bytes");
+    }
+}
+
+/// The answer of the store or of another node was kept in memory for as long as it came.
+#[test]
+fn a_body_that_is_too_long_is_not_received() {
+    const TIMEOUTS: BodyTimeouts = BodyTimeouts {
+        idle: Duration::from_secs(20),
+        whole: Duration::from_secs(20),
+    };
+    let (address, sent) = answer_without_end("HTTP/1.1 200 OK\r\n\r\n", "body");
+    let pool = ConnectionPool::new(address, CONNECT_TIMEOUT);
+    let received = Cell::new(0);
+    let result = run_locally(async {
+        let response = pool.send(request()).await.expect("a head");
+        receive::whole(response.into_body(), TIMEOUTS, &received).await
+    });
+    assert!(matches!(result, Err(ReceiveError::TooLong)), "{result:?}");
+    assert!(received.get() <= MAX_LENGTH);
+    let sent = sent.recv().expect("a length");
+    assert!(sent <= MOST, "{sent} bytes");
+}
+
 /// Bytes behind an answer don't spoil it, and end its connection.
 #[test]
 fn bytes_without_end_behind_an_answer_close_its_connection() {
