Tests: answers without end, by real processes

Targets, the store and another node answer with bytes without end: nonsense, in the status line, in headers, as informational answers, in a body, in the line of a chunk's size, in a trailer, behind a whole answer. Each test checks that the connection is closed within the request's deadline, or the call's timeout, and half a second, that other requests through the same nodes are served meanwhile, that the nodes' memory stays bounded, and that a grant, release or health check that is answered so doesn't count as done.

--- a/crates/wingspar/tests/sidecar/deployment.rs
+++ b/crates/wingspar/tests/sidecar/deployment.rs
@@ -39,7 +39,7 @@
     pub bounds: &'static str,
     /// Whether zones `a` and `b` lie in regions of their own, `north` and `south`.
     pub two_regions: bool,
-    /// Whether nodes reach their targets through interceptors.
+    /// Whether nodes reach the store and their targets through interceptors.
     pub intercepted: bool,
 }
 
@@ -64,6 +64,8 @@
     pub store_link: Proxy,
     /// Between its node and its target.
     pub target_link: Proxy,
+    /// Between its node and the store, if the deployment is intercepted.
+    pub store_interceptor: Interceptor,
     /// Between its node and its target, if the deployment is intercepted.
     pub target_interceptor: Interceptor,
     /// Where its node tells whether it is ready.
--- a/crates/wingspar/tests/sidecar/machine.rs
+++ b/crates/wingspar/tests/sidecar/machine.rs
@@ -45,10 +45,11 @@
     let store_link = Proxy::start_over(socket(0), store.local_addr(), store_way.clone());
     let store_link = store_link.await.expect("a free port");
     let target_link = link(target.local_addr()).await;
-    let target_interceptor = Interceptor::start(socket(0), Some(target.local_addr()));
-    let target_interceptor = target_interceptor.expect("a free port");
-    let through = |link: &Proxy, interceptor: Option<&Interceptor>, server| {
-        if let Some(interceptor) = interceptor.filter(|_| wiring.intercepted) {
+    let interceptor = |server| Interceptor::start(socket(0), Some(server)).expect("a free port");
+    let store_interceptor = interceptor(store.local_addr());
+    let target_interceptor = interceptor(target.local_addr());
+    let through = |link: &Proxy, interceptor: &Interceptor, server| {
+        if wiring.intercepted {
             interceptor.local_addr()
         } else if wiring.through_proxies {
             link.local_addr()
@@ -77,12 +78,12 @@
          [listen]\noutbound = \"{}\"\nready = \"{}\"\nheartbeats = \"{}\"\ninternal_port = 7620\nmetrics_port = 7621\n\
          [store]\naddress = \"{}\"\n\
          [bounds]\ndrain_s = 2\ngrace_s = 6\nbudget_ratio = 0.2\nbudget_window_s = 10\nbudget_extra = 60\nmax_hold_s = 10\n{more_bounds}{}{zones}",
-        through(&target_link, Some(&target_interceptor), target.local_addr()),
+        through(&target_link, &target_interceptor, target.local_addr()),
         wiring.node_settings,
         socket(7600),
         socket(7601),
         socket(7602),
-        through(&store_link, None, store.local_addr()),
+        through(&store_link, &store_interceptor, store.local_addr()),
         wiring.bounds,
     );
     let settings = folder.join(format!("node-{index}.toml"));
@@ -94,6 +95,7 @@
         target: Some(target),
         store_link,
         target_link,
+        store_interceptor,
         target_interceptor,
         ready: socket(7601),
         heartbeats: socket(7602),
--- a/crates/wingspar/tests/sidecar/main.rs
+++ b/crates/wingspar/tests/sidecar/main.rs
@@ -5,6 +5,7 @@
 mod crashing_request;
 mod cut_answers;
 mod deployment;
+mod endless_answers;
 mod evacuations;
 mod full_target;
 mod heartbeats_of_others;
--- a/crates/wingspar/tests/sidecar/raw_client.rs
+++ b/crates/wingspar/tests/sidecar/raw_client.rs
@@ -48,7 +48,7 @@
 }
 
 /// The answers in what a connection brought until its end.
-fn replies(mut bytes: &[u8], ended_in_order: bool) -> Vec<RawReply> {
+pub fn replies(mut bytes: &[u8], ended_in_order: bool) -> Vec<RawReply> {
     let mut replies = Vec::new();
     while !bytes.is_empty() {
         let head_end = bytes.windows(4).position(|four| four == b"\r\n\r\n");
