Sidecar: a load report has a maximum length

A node that reports its load without end made the leader keep all of it in memory. The body is now read up to 1 MB, which is more than a report that names every bucket has; a longer one gets 400, and its connection is closed.

Before, the new test fails:

the memory of node 0 has grown by 265924 KB all of it was taken

--- a/crates/sidecar/src/internal.rs
+++ b/crates/sidecar/src/internal.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use http::{Method, Request, Response, StatusCode};
-use http_body_util::BodyExt;
+use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -38,6 +38,8 @@
 /// Suffix of a configuration request's query that has the other node verify that its version is the latest.
 const VERIFY_SUFFIX: &str = "&sure";
 const LOAD_PATH: &str = "/load";
+/// Maximum length of a load report, in bytes. One that names every bucket is shorter.
+const MAX_LOAD_REPORT_BYTES: usize = 1024 * 1024;
 /// Timeout for the start of a response from another node, and for a pause in its body.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
 /// Timeouts for the body of a response. A complete configuration with thousands of routes has about 60 KB, and one
@@ -81,8 +83,9 @@
             answer_configuration(&node, request.uri().query()).await
         }
         (&Method::POST, LOAD_PATH) => {
-            let Ok(body) = request.into_body().collect().await else {
-                return plain(StatusCode::BAD_REQUEST, "text/plain", "cut");
+            let body = Limited::new(request.into_body(), MAX_LOAD_REPORT_BYTES);
+            let Ok(body) = body.collect().await else {
+                return plain(StatusCode::BAD_REQUEST, "text/plain", "cut, or too long");
             };
             let Ok(report) = ciborium::from_reader::<LoadReport, _>(body.to_bytes().as_ref())
             else {
--- a/crates/wingspar/tests/sidecar/endless_answers.rs
+++ b/crates/wingspar/tests/sidecar/endless_answers.rs
@@ -495,3 +495,26 @@
     check_closed(&peer, Duration::from_secs(2), &findings).await;
     findings.check();
 }
+
+#[tokio::test]
+async fn a_load_report_without_end_is_refused() {
+    /// Far more than a node takes and sockets hold.
+    const ALL: usize = 256 * 1024 * 1024;
+    let deployment = intercepted(167).await;
+    let findings = Findings::default();
+    let address = SocketAddr::new(deployment.nodes[0].ready.ip(), INTERNAL_PORT);
+    let mut sent = 0;
+    let all = async {
+        let mut stream = TcpStream::connect(address).await.expect("a connection");
+        let head = "POST /load HTTP/1.1\r\nHost: node\r\nTransfer-Encoding: chunked\r\n\r\n";
+        let chunk = format!("{KEPT:x}\r\n{}\r\n", "r".repeat(KEPT));
+        let mut going_on = stream.write_all(head.as_bytes()).await.is_ok();
+        while going_on && sent < ALL {
+            sent += chunk.len();
+            going_on = stream.write_all(chunk.as_bytes()).await.is_ok();
+        }
+    };
+    beside_others(&deployment, &[0], &findings, all).await;
+    findings.expect(sent < ALL, || "all of it was taken".to_owned());
+    findings.check();
+}
