--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -11,6 +11,7 @@
 mod agent;
 mod announcements;
 pub mod body;
+mod bounded_reads;
 pub mod breaker;
 pub mod buffer_budget;
 pub mod caller_age;
@@ -51,7 +52,7 @@
 pub mod pipelining;
 mod quarantine;
 pub mod quota;
-mod receive;
+pub mod receive;
 mod registration;
 pub mod relay;
 pub mod request_limit;
--- a/crates/wingspar/tests/sidecar/deployment.rs
+++ b/crates/wingspar/tests/sidecar/deployment.rs
@@ -8,7 +8,7 @@
 
 use serde_json::{Value, json};
 use wingspar_standins::fleet::{FleetStore, FleetTarget, Seen, TargetFaults};
-use wingspar_standins::net::{Proxy, SharedLink};
+use wingspar_standins::net::{Interceptor, Proxy, SharedLink};
 
 use crate::machine::machine;
 use crate::network::claim_network;
@@ -41,6 +41,8 @@
     pub two_regions: bool,
     /// Whether heartbeats leave out when the target's life began.
     pub without_births: bool,
+    /// Whether nodes reach the store and their targets through interceptors.
+    pub intercepted: bool,
 }
 
 /// How long a node's read-out for operators may take: it may be stopped.
@@ -60,6 +62,10 @@
     pub store_link: Proxy,
     /// Between its node and its target.
     pub target_link: Proxy,
+    /// Between its node and the store, if the deployment is intercepted.
+    pub store_interceptor: Interceptor,
+    /// Between its node and its target, if the deployment is intercepted.
+    pub target_interceptor: Interceptor,
     /// Where its node tells whether it is ready.
     pub ready: SocketAddr,
     /// Where its target sends heartbeats.
--- a/crates/wingspar/tests/sidecar/main.rs
+++ b/crates/wingspar/tests/sidecar/main.rs
@@ -3,7 +3,9 @@
 mod announced_leaving;
 mod configuration;
 mod crashing_request;
+mod cut_answers;
 mod deployment;
+mod endless_answers;
 mod evacuations;
 mod full_target;
 mod heartbeats_of_others;
@@ -21,6 +23,7 @@
 mod quota_bound;
 mod quota_failures;
 mod quotas;
+mod raw_client;
 mod regions;
 mod registrations;
 mod requests;
