Sidecar: the body behind a rejection has a maximum length

A target that rejected a request with an endless body behind the head made its node keep all that came within half a second in memory: 0.5 GB for each such request. The rest of a rejection is now read up to 16 KB.

Before, the new test fails:

the memory of node 2 has grown by 484172 KB the memory of node 3 has grown by 478436 KB

--- a/crates/sidecar/src/target_calls.rs
+++ b/crates/sidecar/src/target_calls.rs
@@ -5,7 +5,7 @@
 
 use http::header::{CONTENT_ENCODING, HOST};
 use http::{HeaderName, HeaderValue, Request, Response, StatusCode};
-use http_body_util::BodyExt;
+use http_body_util::{BodyExt, Limited};
 use tokio::time::timeout;
 use wingspar_platform::{TargetLoad, headers, id_of_life, parse_load};
 
@@ -30,6 +30,8 @@
 /// While the buffer budget is used up, only responses up to this length, in bytes, are buffered. The number of such
 /// responses is bounded by the slots.
 const MIN_BUFFERED_RESPONSE: u64 = 32 * 1024;
+/// The rest of a rejection is read up to this length, in bytes, so that its connection can be reused.
+const MAX_REST: usize = 16 * 1024;
 /// Timeout of a health check.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 /// How often the target's load is requested while other work takes its slots: a slot is usable again within about
@@ -241,7 +243,8 @@
         key_exchange::wake_pending_response(node, node.now());
         node.control_wakeup.notify_one();
     }
-    let _rest = timeout(PROBE_TIMEOUT, response.into_body().collect()).await;
+    let rest = Limited::new(response.into_body(), MAX_REST);
+    let _rest = timeout(PROBE_TIMEOUT, rest.collect()).await;
     HopAnswer::Refused(Refusal::Rejected)
 }
 
--- a/crates/wingspar/tests/sidecar/endless_answers.rs
+++ b/crates/wingspar/tests/sidecar/endless_answers.rs
@@ -103,6 +103,13 @@
 /// A whole answer, with bytes without end behind it.
 const BEHIND: Endless = endless("behind", signed!("Content-Length: 4\r\n\r\nbody"), "z");
 
+/// An answer that says that the request hasn't run.
+const REJECTION: Endless = endless(
+    "rejection",
+    "HTTP/1.1 503 Service Unavailable\r\nX-Wingspar-Not-Executed: 1\r\n\r\n",
+    "b",
+);
+
 impl Endless {
     fn answer(&self) -> RawAnswer {
         RawAnswer {
@@ -309,6 +316,33 @@
     check_requests(161, 0).await;
 }
 
+/// The body of a rejection was kept in memory for as long as it came.
+#[tokio::test]
+async fn an_endless_body_behind_a_rejection_takes_no_memory() {
+    let deployment = intercepted(168).await;
+    let findings = Findings::default();
+    for node in &deployment.nodes {
+        node.target_interceptor.answer_by(|request| {
+            let rejected = request.path.starts_with("/book/");
+            rejected.then(|| REJECTION.answer())
+        });
+    }
+    let all = async {
+        let sent = request("GET", "/book/1", "rejected", "Connection: close\r\n");
+        let received = receive(deployment.nodes[2].outbound, &sent).await;
+        let whole = received.is_success();
+        findings.expect(!whole, || "it was a success".to_owned());
+    };
+    beside_others(&deployment, &[2, 3], &findings, all).await;
+    let mut played = 0;
+    for node in &deployment.nodes {
+        check_closed(&node.target_interceptor, GRANT_TIMEOUT, &findings).await;
+        played += node.target_interceptor.endless_answers().len();
+    }
+    findings.expect(played > 0, || "none was played".to_owned());
+    findings.check();
+}
+
 /// Answers requests to paths that begin so, each with the next part.
 fn each_part_in_turn(interceptor: &Interceptor, prefix: &'static str) {
     answer_in_turn(interceptor, prefix, 0);
