Soak: targets of a service restart together, and some check the life that grants name

Where both owners of keys start again, one joins while the first heartbeat of the other is late; the soak restarted one at a time. Grants name the life that they are meant for, and no stand-in checked that.

Change: half of the restarts are of targets whose keys have owners, a quarter of both of them.

--- a/crates/standins/src/fleet/target/handler.rs
+++ b/crates/standins/src/fleet/target/handler.rs
@@ -1,6 +1,7 @@
 //! How a target answers.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use salvo::{Depot, FlowCtrl, Handler, Request, Response, async_trait};
@@ -32,6 +33,12 @@
     request.header::<String>(name).unwrap_or_default()
 }
 
+/// Whether a call is meant for another life or target.
+fn is_misdirected(shared: &Shared, request: &Request) -> bool {
+    let expected = text(request, "x-wingspar-expect-instance");
+    !expected.is_empty() && expected != shared.id()
+}
+
 /// Each value of a header.
 fn texts(request: &Request, name: &str) -> Vec<String> {
     let values = request.headers().get_all(name).iter();
@@ -71,6 +78,9 @@
                 return answer(response, 200, &Value::Null);
             }
             GRANT_PATH => {
+                if shared.checks_grants.load(Ordering::Relaxed) && is_misdirected(shared, request) {
+                    return answer(response, 421, &Value::Null);
+                }
                 let order = serde_json::from_slice(&body).unwrap_or(Value::Null);
                 return answer(response, shared.grant(&order), &Value::Null);
             }
@@ -114,8 +124,7 @@
         let shared = &self.shared;
         let faults = *lock(&shared.faults);
         let key = text(request, "x-wingspar-shard-key").parse::<u16>().ok();
-        let expected = text(request, "x-wingspar-expect-instance");
-        let misdirected = !expected.is_empty() && expected != shared.id();
+        let misdirected = is_misdirected(shared, request);
         let foreign = shared.keyed && !key.is_some_and(|key| shared.holds(key));
         if misdirected || foreign {
             let _not_run = response.add_header("x-wingspar-not-executed", "1", true);
--- a/crates/standins/src/fleet/target/mod.rs
+++ b/crates/standins/src/fleet/target/mod.rs
@@ -18,6 +18,7 @@
 
 use std::io::Result;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -58,6 +59,7 @@
             seen_fences: Mutex::default(),
             record: Mutex::default(),
             let_go: Mutex::default(),
+            checks_grants: AtomicBool::default(),
             seen: Mutex::default(),
             faults: Mutex::default(),
             at_work: Mutex::default(),
@@ -119,6 +121,11 @@
         self.lives.begin_next(keeps_id).await;
     }
 
+    /// From now on it takes no grant that names another life than the present one.
+    pub fn check_grants(&self) {
+        self.shared.checks_grants.store(true, Ordering::Relaxed);
+    }
+
     /// What its lives were granted and let go.
     #[must_use]
     pub fn key_events(&self) -> Vec<KeyEvent> {
--- a/crates/standins/src/fleet/target/state.rs
+++ b/crates/standins/src/fleet/target/state.rs
@@ -1,5 +1,6 @@
 //! What a target does wrong, what it has run and what it works on.
 
+use std::sync::atomic::AtomicBool;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -93,6 +94,8 @@
     pub(super) record: Mutex<Record>,
     /// Ranges let go since the last acknowledged heartbeat.
     pub(super) let_go: Mutex<Vec<(u64, u64)>>,
+    /// Whether it takes no grant that names another life than the present one.
+    pub(super) checks_grants: AtomicBool,
     pub(super) seen: Mutex<Vec<Seen>>,
     pub(super) faults: Mutex<TargetFaults>,
     /// Requests that it works on, while its room is bounded.
--- a/crates/wingspar/tests/sidecar/deployment.rs
+++ b/crates/wingspar/tests/sidecar/deployment.rs
@@ -41,6 +41,8 @@
     pub two_regions: bool,
     /// Whether heartbeats leave out when the target's life began.
     pub without_births: bool,
+    /// Whether targets take no grants that name another life than the present one.
+    pub checks_grants: bool,
 }
 
 /// How long a node's read-out for operators may take: it may be stopped.
--- a/crates/wingspar/tests/sidecar/machine.rs
+++ b/crates/wingspar/tests/sidecar/machine.rs
@@ -40,6 +40,9 @@
     let target = FleetTarget::start(SocketAddr::new(ip, 0), &id, keyed)
         .await
         .expect("a target");
+    if wiring.checks_grants {
+        target.check_grants();
+    }
     let socket = |port| SocketAddr::new(ip, port);
     let link = async |server| Proxy::start(socket(0), server).await.expect("a free port");
     let store_link = Proxy::start_over(socket(0), store.local_addr(), store_way.clone());
--- a/crates/wingspar/tests/sidecar/restarted_targets.rs
+++ b/crates/wingspar/tests/sidecar/restarted_targets.rs
@@ -14,6 +14,8 @@
 const LONGER_THAN_A_HOLD: Duration = Duration::from_secs(6);
 /// All keys are served this long after the last disruption.
 const RECOVERY: Duration = Duration::from_secs(12);
+/// How late a restarted target's first heartbeat is.
+const FIRST_HEARTBEAT_LATE: Duration = Duration::from_secs(2);
 /// Rounds in which all keys are served, one after the other, before that counts as lasting.
 const SERVED_ROUNDS: usize = 5;
 /// Time between two rounds.
@@ -23,6 +25,25 @@
     KEYS.iter().all(|key| deployment.target(node).holds(*key))
 }
 
+/// Guards against keys staying unserved where a restarted target takes no grant that is meant for its earlier life.
+#[tokio::test]
+async fn a_restarted_target_that_checks_grants_gets_its_keys_again() {
+    let began_at = Instant::now();
+    let wiring = Wiring {
+        checks_grants: true,
+        ..Wiring::default()
+    };
+    let deployment = Deployment::start_with(186, &wiring).await;
+    deployment.target(RESTARTED).end_life().await;
+    deployment.target(RESTARTED).begin_life(false).await;
+    tokio::time::sleep(FIRST_HEARTBEAT_LATE).await;
+    let arrived_at = Instant::now();
+    deployment.heartbeat(RESTARTED, "ready", 1).await;
+    recovers(&deployment, arrived_at).await;
+    pass(&deployment, LONGER_THAN_A_HOLD).await;
+    check_holders(&deployment, began_at);
+}
+
 /// Lets time pass while the targets whose keys have owners send heartbeats.
 async fn pass(deployment: &Deployment, time: Duration) {
     let until = Instant::now() + time;
--- a/crates/wingspar/tests/sidecar/soak/faults.rs
+++ b/crates/wingspar/tests/sidecar/soak/faults.rs
@@ -270,7 +270,11 @@
     ) {
         let away = self.is_away(node);
         match random.random_range(0..28) {
-            22 | 23 => self.restart_target(deployment, random, node).await,
+            22 | 23 => {
+                for node in draw_restarted(random, node) {
+                    self.restart_target(deployment, random, node).await;
+                }
+            }
             24 => self.harm_heartbeats(node, HeartbeatHarm::Lost, until),
             25 | 26 => self.harm_heartbeats(node, HeartbeatHarm::Late, until),
             27 => self.harm_heartbeats(node, HeartbeatHarm::Foreign, until),
@@ -460,6 +464,16 @@
     ])
 }
 
+/// The machines whose targets start again together: any, or those whose keys have owners.
+fn draw_restarted(random: &mut ChaCha8Rng, any: usize) -> Vec<usize> {
+    match random.random_range(0..4) {
+        0 => vec![any],
+        1 => vec![0],
+        2 => vec![1],
+        _ => vec![0, 1],
+    }
+}
+
 fn draw_harm(random: &mut ChaCha8Rng) -> Harm {
     match random.random_range(0..4) {
         0 => Harm::Delay(Duration::from_millis(random.random_range(20..400))),
--- a/crates/wingspar/tests/sidecar/soak/mod.rs
+++ b/crates/wingspar/tests/sidecar/soak/mod.rs
@@ -39,9 +39,10 @@
 use wingspar_standins::fleet::TargetFaults;
 
 /// Seeds that are always played: those that once failed, each with its cause, and others that never did.
-const SEEDS: [(u64, &str); 2] = [
+const SEEDS: [(u64, &str); 3] = [
     (1, "never failed"),
     (2, "never failed; heartbeats name no births"),
+    (3, "never failed; targets check the life that grants name"),
 ];
 /// Length of the fixed seeds.
 const SECONDS: u64 = 12;
@@ -78,6 +79,7 @@
         two_regions: true,
         bounds: quota_bound::SETTINGS,
         without_births: seed.is_multiple_of(2),
+        checks_grants: seed.is_multiple_of(3),
         keeps_logs: kept_logs().is_some(),
         ..Wiring::default()
     };
