--- a/crates/standins/tests/holdings.rs
+++ b/crates/standins/tests/holdings.rs
@@ -138,10 +138,16 @@
 }
 
 async fn order(target: &FleetTarget, path: &str, order: &Value) -> u16 {
+    order_for(target, path, order, "").await
+}
+
+/// Sends an order that is meant for a life; for any, if that is empty.
+async fn order_for(target: &FleetTarget, path: &str, order: &Value, life: &str) -> u16 {
     let client = reqwest::Client::builder().no_proxy();
     let client = client.build().expect("a client");
     let url = format!("http://{}{path}", target.local_addr());
-    let sent = client.post(url).body(order.to_string()).send();
+    let call = client.post(url).header("x-wingspar-expect-instance", life);
+    let sent = call.body(order.to_string()).send();
     sent.await.expect("an answer").status().as_u16()
 }
 
@@ -173,3 +179,16 @@
     let lives = lives.iter().map(|held| held.life).collect::<Vec<_>>();
     assert_eq!(lives, [0, 0, 1]);
 }
+
+#[tokio::test]
+async fn only_a_target_that_checks_grants_refuses_those_meant_for_another_life() {
+    let address = SocketAddr::from(([127, 0, 0, 1], 0));
+    let target = FleetTarget::start(address, "t", true).await;
+    let target = target.expect("a target");
+    let grant = grant(0, 99, 7);
+    assert_eq!(order_for(&target, "/grant", &grant, "other").await, 200);
+    target.check_grants();
+    assert_eq!(order_for(&target, "/grant", &grant, "other").await, 421);
+    assert_eq!(order_for(&target, "/grant", &grant, "t").await, 200);
+    assert_eq!(order(&target, "/grant", &grant).await, 200);
+}
