--- a/crates/wingspar/tests/sidecar/deployment.rs
+++ b/crates/wingspar/tests/sidecar/deployment.rs
@@ -43,6 +43,8 @@
     pub without_births: bool,
     /// Whether nodes reach the store and their targets through interceptors.
     pub intercepted: bool,
+    /// Whether targets take no grants that name another life than the present one.
+    pub checks_grants: bool,
 }
 
 /// How long a node's read-out for operators may take: it may be stopped.
