Target: a failing test of a heartbeat that lacks the birth of the target it names

A heartbeat with the known target's id and no birth counts as one of a new life, without a health check. The running target's keys are given away, and its own heartbeats, which name the birth, count as those of an ended life from then on.

--- a/crates/sidecar/tests/ended_lives.rs
+++ b/crates/sidecar/tests/ended_lives.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use wingspar_ownership::Time;
-use wingspar_platform::{Heartbeat, LifecycleState};
+use wingspar_platform::{Heartbeat, LifecycleState, life_name};
 use wingspar_sidecar::target::{Target, TargetChange};
 
 const START: Time = Time(10_000);
@@ -50,3 +50,15 @@
     target.failed(START + INTERVAL);
     assert!(is_noticed(&mut target, "b"));
 }
+
+/// Guards against a heartbeat without a birth, of another writer or a faulty target, that ends the life which it names:
+/// the running target's keys are given away, and its own heartbeats are ignored.
+#[test]
+fn a_heartbeat_without_a_birth_does_not_end_the_known_life() {
+    let (now, life) = (START + INTERVAL, &*life_name("a", Some(5_000)));
+    let mut target = known(life);
+    let change = target.heartbeat(now, "a", &heartbeat(2));
+    target.heartbeat(now + INTERVAL, life, &heartbeat(3));
+    assert!(target.is_latest(life, 3), "the running target is ignored");
+    assert_ne!(change, TargetChange::NewLife);
+}
