Leader: reports count for their own service, and absent targets don't keep keys

* A report of held keys was applied to the partitions of all keyed services.
With two of them, a new leader took one service's keys for held by a target of the other: they stayed unserved, or were given away while their holder held them (several_services: "unserved: [65536, 0, 0]", "held by node 1 at Time(10400)").
Unknown keys are now adopted for the service of the reporting node's target only.
* A node that knows no target applies no assignment, so keys that were assigned to it before were never free while it renewed (absent_targets: "the keys are served by the other target", after 20 s).
Once such a node has reported no target for a lease and its margin, a report without keys shows that it holds none.
This takes the place of the same rule for keys that a leader awaits reports of.

A leader that learns that a service is keyed awaits only nodes that may hold keys of that service: with thousands of nodes, calling all of them at once would be a burst. set_keyed_services no longer takes the time.

--- a/crates/ownership/src/leader/member.rs
+++ b/crates/ownership/src/leader/member.rs
@@ -42,11 +42,21 @@
     pub(super) challenged: Option<(Incarnation, u64)>,
     /// When the first renewal of the current process arrived.
     pub(super) life_seen_at: Time,
+    /// Since when the node has reported no target; `None` if it reports one.
+    pub(super) no_target_since: Option<Time>,
     /// When the node sent its newest renewal, on its own clock.
     pub(super) newest_sent_at: Time,
 }
 
 impl Member {
+    /// Whether the node's target may hold keys of a service.
+    pub(super) fn may_hold_keys_of(&self, service: &str) -> bool {
+        let registered = self.registered_for.as_deref();
+        let target = self.view.target.as_ref();
+        registered.is_none_or(|registered| registered == service)
+            || target.is_none_or(|target| target.service == service)
+    }
+
     /// Whether a newer renewal of the same process has overtaken this one.
     pub(super) fn is_overtaken(&self, renewal: &Renewal) -> bool {
         renewal.life == self.life && renewal.sent_at < self.newest_sent_at
--- a/crates/ownership/src/leader/mod.rs
+++ b/crates/ownership/src/leader/mod.rs
@@ -18,7 +18,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::partition::{Partition, State};
+use crate::partition::{Partition, ReportScope, State};
 use registry::Registry;
 use shard_scope::ShardScope;
 use shards::ShardAssignments;
@@ -253,18 +253,18 @@
     }
 
     /// Sets the services whose keys have owners.
-    pub fn set_keyed_services(&mut self, now: Time, services: &BTreeSet<String>) {
+    pub fn set_keyed_services(&mut self, services: &BTreeSet<String>) {
         self.is_configured = true;
         self.partitions
             .retain(|service, _| services.contains(service));
         for service in services {
-            self.add_partition(now, service);
+            self.add_partition(service);
         }
     }
 
-    /// Adds the partition of a service unless it exists. Every member may hold keys of it that the
-    /// leader ignored in earlier reports.
-    pub(super) fn add_partition(&mut self, now: Time, service: &str) {
+    /// Adds the partition of a service unless it exists. Every member of the service may hold keys of
+    /// it that the leader ignored in earlier reports.
+    pub(super) fn add_partition(&mut self, service: &str) {
         if self.partitions.contains_key(service) {
             return;
         }
@@ -276,14 +276,15 @@
         let plan = arcs
             .map(|known| Plan::from_arcs(known.plan.clone()))
             .unwrap_or_default();
-        let members = self.members.keys().cloned().collect::<Vec<_>>();
-        let unreported = members.into_iter().map(|node| {
+        let members = self.members.iter();
+        let may_hold = members.filter(|(_, member)| member.may_hold_keys_of(service));
+        let may_hold = may_hold.map(|(node, _)| node.clone()).collect::<Vec<_>>();
+        let unreported = may_hold.into_iter().map(|node| {
             let first = self.next_assignment(&node);
             (node, first)
         });
         let unreported = unreported.collect();
-        let earlier_leases_until = now + self.timing.lease + self.timing.lease_margin;
-        let partition = Partition::new(plan, unreported, earlier_leases_until);
+        let partition = Partition::new(plan, unreported);
         self.partitions.insert(service.to_owned(), partition);
     }
 }
--- a/crates/ownership/src/leader/renewals.rs
+++ b/crates/ownership/src/leader/renewals.rs
@@ -36,7 +36,7 @@
             // An earlier leader had received the quotas, which this one hasn't yet.
             self.set_quota_shards();
         }
-        self.add_reported_service(now, renewal);
+        self.add_reported_service(renewal);
         let mut changed = self.update_member(now, renewal);
         let is_reliable = self
             .members
@@ -97,20 +97,35 @@
 
     /// Adds the service of reported keys. An earlier leader had received that it is keyed, which
     /// this one hasn't yet.
-    fn add_reported_service(&mut self, now: Time, renewal: &Renewal) {
+    fn add_reported_service(&mut self, renewal: &Renewal) {
         if let Some(target) = &renewal.target
             && !self.is_configured
             && !renewal.held.is_empty()
         {
-            self.add_partition(now, &target.service);
+            self.add_partition(&target.service);
         }
     }
 
+    /// Whether a node can't hold any keys: it reports none, and has known no target for so long that
+    /// every lease from before has expired. Such a node applies no assignment.
+    fn is_without_keys(&self, now: Time, renewal: &Renewal) -> bool {
+        let member = self.members.get(&renewal.node);
+        let no_target_since = member.and_then(|member| member.no_target_since);
+        let wait = self.timing.lease + self.timing.lease_margin;
+        renewal.held.is_empty() && no_target_since.is_some_and(|since| now >= since + wait)
+    }
+
     /// Applies a node's report of its keys and shards. Returns whether any became free.
     fn apply_report(&mut self, now: Time, renewal: &Renewal) -> bool {
         let mut freed = false;
-        for partition in self.partitions.values_mut() {
-            freed |= partition.report(now, renewal);
+        let is_without_keys = self.is_without_keys(now, renewal);
+        for (service, partition) in &mut self.partitions {
+            let target = renewal.target.as_ref();
+            let scope = ReportScope {
+                is_of_service: target.is_some_and(|target| target.service == *service),
+                is_without_keys,
+            };
+            freed |= partition.report(renewal, scope);
         }
         if let Some(shards) = &mut self.shards {
             let report = renewal.quota_shards.clone().unwrap_or_default();
@@ -187,6 +202,7 @@
                 renewed_at: now,
                 past_lives: Vec::new(),
                 challenged: None,
+                no_target_since: None,
                 life_seen_at: now,
                 newest_sent_at: renewal.sent_at,
             });
@@ -204,6 +220,10 @@
             member.registered_at = None;
         }
         member.newest_sent_at = renewal.sent_at;
+        member.no_target_since = match renewal.target {
+            Some(_) => None,
+            None => member.no_target_since.or(Some(now)),
+        };
         member.view = view;
         member.clean = renewal.clean;
         member.store_reachable = renewal.store_reachable;
--- a/crates/ownership/src/participant/leadership.rs
+++ b/crates/ownership/src/participant/leadership.rs
@@ -9,7 +9,7 @@
             return;
         };
         if context.configuration_version > 0 {
-            leader.set_keyed_services(now, &context.keyed_services);
+            leader.set_keyed_services(&context.keyed_services);
             leader.set_owner_zones(&context.owner_zones);
         }
         if context.has_quotas {
--- a/crates/ownership/src/partition.rs
+++ b/crates/ownership/src/partition.rs
@@ -4,7 +4,7 @@
 
 use crate::load::Load;
 use crate::plan::{Candidate, Plan};
-use crate::{Fence, KeyRange, NodeName, Renewal, Time, step_function};
+use crate::{Fence, KeyRange, NodeName, Renewal, step_function};
 
 /// The plan isn't rebalanced while more than one range in this number is moving.
 const MIN_RANGES_PER_MOVE: usize = 4;
@@ -73,20 +73,23 @@
     /// reported since the leader knows that the service is keyed. Each with its first assignment
     /// after that.
     unreported: BTreeMap<NodeName, u64>,
-    /// When every lease has expired that was given before the leader knew that the service is keyed.
-    earlier_leases_until: Time,
+}
+
+/// What a report says about the keys of one service.
+#[derive(Debug, Clone, Copy)]
+pub struct ReportScope {
+    /// Whether the node's target belongs to the service.
+    pub is_of_service: bool,
+    /// Whether the node can't hold keys although it may not have applied its last assignment: it
+    /// has known no target for so long that every earlier lease has expired.
+    pub is_without_keys: bool,
 }
 
 impl Partition {
     /// A partition in which all owners are unknown, with the plan of an earlier leader.
-    pub fn new(
-        plan: Plan,
-        unreported: BTreeMap<NodeName, u64>,
-        earlier_leases_until: Time,
-    ) -> Self {
+    pub fn new(plan: Plan, unreported: BTreeMap<NodeName, u64>) -> Self {
         Self {
             unreported,
-            earlier_leases_until,
             slices: vec![Slice {
                 range: KeyRange::ALL,
                 state: State::Unknown,
@@ -110,25 +113,22 @@
     /// Applies a node's report: it owns the unknown ranges that it reports as held, and ranges of
     /// which it no longer reports anything after its assignment changed are free. Returns whether
     /// any became free.
-    pub fn report(&mut self, now: Time, renewal: &Renewal) -> bool {
+    pub fn report(&mut self, renewal: &Renewal, scope: ReportScope) -> bool {
         let first = self.unreported.get(&renewal.node);
-        // A node that knows no target applies no assignment and keeps no keys beyond a lease.
-        let has_no_target =
-            renewal.target.is_none() && renewal.held.is_empty() && now >= self.earlier_leases_until;
-        let is_current = first.is_some_and(|first| renewal.applied >= *first) || has_no_target;
-        if renewal.clean && is_current {
+        let is_current = first.is_some_and(|first| renewal.applied >= *first);
+        if renewal.clean && (is_current || scope.is_without_keys) {
             self.unreported.remove(&renewal.node);
         }
         let is_affected = |slice: &Slice| slice.state.holder() == Some(&renewal.node);
         if renewal.held.is_empty() && !self.slices.iter().any(is_affected) {
             return false;
         }
-        if let Some(target) = &renewal.target {
+        if let Some(target) = renewal.target.as_ref().filter(|_| scope.is_of_service) {
             self.adopt_reported(renewal, &target.id);
         }
         let mut freed = false;
         for slice in &mut self.slices {
-            if let Some(handover) = released_handover(slice, renewal) {
+            if let Some(handover) = released_handover(slice, renewal, scope.is_without_keys) {
                 slice.state = State::Free { handover };
                 freed = true;
             }
@@ -331,7 +331,11 @@
 
 /// The state that a node handed over for a slice, if the node's report shows that it no longer
 /// holds it; the outer `None` if the node may still hold the slice or never did.
-fn released_handover(slice: &Slice, renewal: &Renewal) -> Option<Option<String>> {
+fn released_handover(
+    slice: &Slice,
+    renewal: &Renewal,
+    is_without_keys: bool,
+) -> Option<Option<String>> {
     let since = match &slice.state {
         State::Owned { node, since, .. } | State::Revoked { node, since }
             if *node == renewal.node =>
@@ -344,7 +348,8 @@
         .held
         .iter()
         .any(|holding| holding.range.overlaps(slice.range));
-    if !renewal.clean || renewal.applied < since || still_held {
+    let is_current = renewal.applied >= since || is_without_keys;
+    if !renewal.clean || !is_current || still_held {
         return None;
     }
     let handover = renewal
--- a/crates/ownership/tests/absent_targets.rs
+++ b/crates/ownership/tests/absent_targets.rs
@@ -38,7 +38,7 @@
             &RegisteredNodes::default(),
             Table::default(),
         );
-        leader.set_keyed_services(START, &BTreeSet::from([SERVICE.to_owned()]));
+        leader.set_keyed_services(&BTreeSet::from([SERVICE.to_owned()]));
         let nodes = [0, 1].map(|number| {
             let target = target(number);
             let mut holder = Holder::new(Timing::default(), true);
--- a/crates/ownership/tests/late_configuration.rs
+++ b/crates/ownership/tests/late_configuration.rs
@@ -70,19 +70,19 @@
     /// service is unkeyed, followed by one in which it is keyed.
     fn keyed_again() -> Self {
         let mut deployment = Self::elected();
-        deployment.set_keyed(START, true);
+        deployment.set_keyed(true);
         deployment.renew_both(START);
         deployment.tick(START);
-        deployment.set_keyed(START, false);
+        deployment.set_keyed(false);
         deployment.tick(START);
-        deployment.set_keyed(START, true);
+        deployment.set_keyed(true);
         deployment
     }
 
-    fn set_keyed(&mut self, now: Time, is_keyed: bool) {
+    fn set_keyed(&mut self, is_keyed: bool) {
         let services = is_keyed.then(|| SERVICE.to_owned());
         let services = services.into_iter().collect::<BTreeSet<_>>();
-        self.leader.set_keyed_services(now, &services);
+        self.leader.set_keyed_services(&services);
     }
 
     fn tick(&mut self, now: Time) {
@@ -141,7 +141,7 @@
 fn keys_reported_before_the_first_configuration_stay_with_their_holders() {
     let mut deployment = Deployment::elected();
     deployment.check_owners(START);
-    deployment.set_keyed(START + STEP * 100, true);
+    deployment.set_keyed(true);
     deployment.check_owners(START + STEP * 100);
 }
 
@@ -199,7 +199,7 @@
     };
     deployment.renew_with(START, 0, &[]);
     renew_without_target(&mut deployment, START);
-    deployment.set_keyed(START, true);
+    deployment.set_keyed(true);
     let timing = Timing::default();
     let leases_until = START + timing.lease + timing.lease_margin;
     let mut now = START;
--- a/crates/ownership/tests/late_renewals.rs
+++ b/crates/ownership/tests/late_renewals.rs
@@ -30,7 +30,7 @@
             &RegisteredNodes::default(),
             Table::default(),
         );
-        leader.set_keyed_services(START, &BTreeSet::from([SERVICE.to_owned()]));
+        leader.set_keyed_services(&BTreeSet::from([SERVICE.to_owned()]));
         Self {
             leader,
             now: START,
--- a/crates/ownership/tests/missing_registrations.rs
+++ b/crates/ownership/tests/missing_registrations.rs
@@ -78,7 +78,7 @@
         registered,
         table,
     );
-    leader.set_keyed_services(ELECTED_AT, &BTreeSet::from([SERVICE.to_owned()]));
+    leader.set_keyed_services(&BTreeSet::from([SERVICE.to_owned()]));
     leader
 }
 
--- a/crates/ownership/tests/owner_zones.rs
+++ b/crates/ownership/tests/owner_zones.rs
@@ -76,7 +76,7 @@
         };
         let (timing, known) = (Timing::default(), Table::default());
         let mut leader = Leader::new(&leadership, timing, now, now, &registered, known);
-        leader.set_keyed_services(now, &BTreeSet::from([SERVICE.to_owned()]));
+        leader.set_keyed_services(&BTreeSet::from([SERVICE.to_owned()]));
         leader.set_owner_zones(owner_zones);
         let nodes = (0..ZONES.len()).map(|index| (index, Node::default()));
         Self {
--- a/crates/ownership/tests/registry.rs
+++ b/crates/ownership/tests/registry.rs
@@ -160,7 +160,7 @@
         ..Timing::default()
     };
     let mut leader = Leader::new(&leadership, timing, now, now, registered, Table::default());
-    leader.set_keyed_services(now, &BTreeSet::from([SERVICE.to_owned()]));
+    leader.set_keyed_services(&BTreeSet::from([SERVICE.to_owned()]));
     leader
 }
 
--- a/crates/ownership/tests/several_services.rs
+++ b/crates/ownership/tests/several_services.rs
@@ -55,7 +55,7 @@
             Table::default(),
         );
         let keyed = BTreeSet::from([SERVICE, OTHER_SERVICE].map(str::to_owned));
-        leader.set_keyed_services(START, &keyed);
+        leader.set_keyed_services(&keyed);
         Self {
             now: START,
             leader,
--- a/crates/ownership/tests/shards.rs
+++ b/crates/ownership/tests/shards.rs
@@ -235,7 +235,7 @@
     fleet.holders.remove(&3);
     let keyed = BTreeSet::from(["keyed".to_owned()]);
     fleet.leader = leader(&[(1, "keyed"), (2, "keyed"), (3, "other"), (4, "other")]);
-    fleet.leader.set_keyed_services(Time(fleet.now), &keyed);
+    fleet.leader.set_keyed_services(&keyed);
     fleet.leader.set_quota_shards();
     fleet.services = BTreeMap::from([(1, "keyed"), (2, "keyed"), (4, "other")]);
     fleet.run(1_000);
@@ -254,7 +254,7 @@
     fleet.leader = leader(&[(1, "keyed"), (2, "keyed"), (3, "keyed"), (4, "other")]);
     fleet
         .leader
-        .set_keyed_services(Time(fleet.now), &BTreeSet::from(["keyed".to_owned()]));
+        .set_keyed_services(&BTreeSet::from(["keyed".to_owned()]));
     fleet.leader.set_quota_shards();
     fleet.services = BTreeMap::from([(1, "keyed"), (2, "keyed"), (4, "other")]);
     fleet.run(8_000);
@@ -371,7 +371,7 @@
     fleet.leader = leader_with_shard_scope(shards_anywhere, &[9], &registered);
     fleet
         .leader
-        .set_keyed_services(Time(fleet.now), &BTreeSet::from(["keyed".to_owned()]));
+        .set_keyed_services(&BTreeSet::from(["keyed".to_owned()]));
     fleet.leader.set_quota_shards();
     fleet.services = BTreeMap::from(registered);
     fleet
--- a/crates/ownership/tests/take_over.rs
+++ b/crates/ownership/tests/take_over.rs
@@ -82,7 +82,7 @@
         ..RegisteredNodes::default()
     };
     let mut leader = Leader::new(&leadership, Timing::default(), now, now, &registered, known);
-    leader.set_keyed_services(now, &BTreeSet::from([SERVICE.to_owned()]));
+    leader.set_keyed_services(&BTreeSet::from([SERVICE.to_owned()]));
     leader.tick(now);
     leader
 }
