Target: heartbeats without a birth, and lives that were taken for ended

* A heartbeat without a birth under the id of the known life, whose birth is known, began a new life without a health check; the running target was ignored from then on ("the running target is ignored").
It now counts as one of the known life.
* A target whose first heartbeat came while the one before it still answered health checks was taken for ended and ignored for good.
If no target is known, or the known one leaves or is unreachable, a heartbeat of a life that was taken for ended leads to another health check.
* The health check asks the path of the service that the heartbeat names.
* Connections to an earlier life are closed also if an answer has shown the new one.

Target::answered and confirmed are found_at_address and health_checked_for.

--- a/crates/sidecar/src/heartbeats.rs
+++ b/crates/sidecar/src/heartbeats.rs
@@ -13,7 +13,7 @@
 use crate::logs::Event;
 use crate::node::Node;
 use crate::target::TargetChange;
-use crate::target_calls::{apply_target_change, confirm_life};
+use crate::target_calls::{apply_target_change, check_heartbeats_life};
 
 /// Maximum length of a heartbeat, in bytes.
 const MAX_HEARTBEAT_BYTES: usize = 64 * 1024;
@@ -67,7 +67,7 @@
     };
     let (mut is_stale, mut target_change) = apply();
     if target_change == TargetChange::Unconfirmed {
-        confirm_life(node, &life).await;
+        check_heartbeats_life(node, &life, &heartbeat.service).await;
         (is_stale, target_change) = apply();
     }
     if target_change == TargetChange::Unconfirmed {
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -261,12 +261,12 @@
         })
     }
 
-    /// Path of the target's health check.
-    pub fn health_path(&self) -> String {
+    /// Path of the health check of a service's targets.
+    pub fn health_path(&self, service: &str) -> String {
         let routes = self.routes.borrow();
         let service = routes
             .as_ref()
-            .and_then(|routes| routes.configuration().service(&self.settings.node.service));
+            .and_then(|routes| routes.configuration().service(service));
         service
             .map(|service| service.health_path.clone())
             .filter(|path| path.starts_with('/'))
--- a/crates/sidecar/src/target.rs
+++ b/crates/sidecar/src/target.rs
@@ -127,7 +127,9 @@
     /// Whether `life` is the current life, as far as the target has reported.
     fn is_current(&self, life: &str) -> bool {
         let is_same = self.id() == Some(id_of_life(life));
-        is_same && (self.born().is_none() || self.born() == born(life))
+        // A heartbeat without a birth says nothing of when the life began.
+        let births = self.born().zip(born(life));
+        is_same && births.is_none_or(|(own, its)| own == its)
     }
 
     /// Whether `life` has ended: the target reported that, or a later life of it is known.
@@ -136,8 +138,14 @@
         let is_earlier = born(life)
             .zip(self.born())
             .is_some_and(|(it, own)| it < own);
-        let ended = self.past.iter().chain(&self.deregistered);
-        ended.into_iter().any(|ended| ended == life) || (is_same && is_earlier)
+        let mut ended = self.past.iter().chain(&self.deregistered);
+        ended.any(|ended| ended == life) || (is_same && is_earlier)
+    }
+
+    /// Whether a life that was taken for ended may run after all, as nothing shows that another target takes work.
+    fn may_be_back(&self, life: &str) -> bool {
+        let is_replaced = self.life.is_some() && self.leaving_since.is_none() && !self.unreachable;
+        !is_replaced && self.past.iter().any(|past| past == life)
     }
 
     /// Whether this is the latest heartbeat of the current life.
@@ -148,7 +156,11 @@
     /// Applies a heartbeat.
     pub fn heartbeat(&mut self, now: Time, life: &str, heartbeat: &Heartbeat) -> TargetChange {
         if self.is_past(life) {
-            return TargetChange::None;
+            return if self.may_be_back(life) {
+                TargetChange::Unconfirmed
+            } else {
+                TargetChange::None
+            };
         }
         let new_life = !self.is_current(life);
         if !new_life && heartbeat.sequence <= self.sequence {
@@ -213,7 +225,7 @@
         // The response doesn't contain the target's start time; a heartbeat will.
         let new_life = self.id() != Some(id);
         if new_life {
-            self.answered(id);
+            self.found_at_address(id);
             if self.is_past(id) {
                 return TargetChange::None;
             }
@@ -267,10 +279,10 @@
         }
     }
 
-    /// The target with this ID answered at the address, so every other one has ended. If it isn't the known one, its
+    /// The target with this ID has answered at the address, so every other one has ended. If it isn't the known one, its
     /// service is unknown until its heartbeat, so nothing is started until then. Returns whether the known target has
     /// ended.
-    pub fn answered(&mut self, id: &str) -> bool {
+    pub fn found_at_address(&mut self, id: &str) -> bool {
         if self.id() == Some(id) {
             return false;
         }
@@ -283,11 +295,11 @@
     }
 
     /// A health check that was sent after a heartbeat of `life` has shown the target `id` at the address.
-    pub fn confirmed(&mut self, life: &str, id: &str) {
+    pub fn health_checked_for(&mut self, life: &str, id: &str) {
         if id_of_life(life) != id {
             self.remember(life);
         }
-        self.answered(id);
+        self.found_at_address(id);
     }
 
     /// Whether routers should send new requests to the target.
--- a/crates/sidecar/src/target_calls.rs
+++ b/crates/sidecar/src/target_calls.rs
@@ -273,15 +273,27 @@
         // The answer may be older than what is known now.
         return;
     }
-    node.target.borrow_mut().answered(id);
+    node.target.borrow_mut().found_at_address(id);
     node.log.write(Event::Lost {
         dependency: "target",
         detail: format!("another instance answers at its address: {id}"),
     });
-    node.participant.borrow_mut().observe_target(node.now(), id);
+    observe_life(node, id);
     node.control_wakeup.notify_one();
 }
 
+/// Passes the target's life on to the participant; `None` if the life isn't new. Connections to an earlier life aren't
+/// used any more.
+fn observe_life(node: &Node, life: &str) -> Option<usize> {
+    let mut participant = node.participant.borrow_mut();
+    let ranges = participant.observe_target(node.now(), life);
+    if ranges.is_some() {
+        node.target_connections.close_idle();
+        node.target_orders.close_idle();
+    }
+    ranges
+}
+
 /// A connection to the target failed: other nodes shouldn't send it requests until its next heartbeat.
 pub fn mark_target_unreachable(node: &Node) {
     if node.target.borrow().accepting(node.now()) {
@@ -318,7 +330,7 @@
     if let (TargetChange::NewLife, Some(past)) = (target_change, target.past_life()) {
         target_end::ended(node, past, "next_life");
     }
-    let ranges = node.participant.borrow_mut().observe_target(node.now(), id);
+    let ranges = observe_life(node, id);
     let is_new = target_change == TargetChange::NewLife;
     node.log.write(Event::TargetChanged {
         target: id,
@@ -327,10 +339,6 @@
         before: target.past_life().filter(|_| is_new).unwrap_or(""),
         ranges: ranges.unwrap_or(0),
     });
-    if ranges.is_some() {
-        node.target_connections.close_idle();
-        node.target_orders.close_idle();
-    }
     node.update_slot_capacity();
     node.control_wakeup.notify_one();
 }
@@ -353,24 +361,24 @@
 }
 
 /// Makes a health check; `None` if there is no complete response in time.
-async fn check_health(node: &Rc<Node>) -> Option<Response<()>> {
+async fn check_health(node: &Rc<Node>, service: &str) -> Option<Response<()>> {
     let mut request = Request::new(Body::empty());
-    *request.uri_mut() = node.health_path().parse().ok()?;
+    *request.uri_mut() = node.health_path(service).parse().ok()?;
     call(node, request, PROBE_TIMEOUT).await
 }
 
 /// The text of a response's header; `None` if there is none.
-fn header<Bytes>(response: &Response<Bytes>, name: HeaderName) -> Option<&str> {
+fn header(response: &Response<()>, name: HeaderName) -> Option<&str> {
     response.headers().get(name)?.to_str().ok()
 }
 
 /// After a heartbeat of `life`, which isn't the known one, finds out which of them is at the address. Heartbeats may
-/// come late, so a heartbeat alone doesn't show that.
-pub async fn confirm_life(node: &Rc<Node>, life: &str) {
+/// come late, so a heartbeat alone doesn't show that. `service` is the service that the heartbeat names.
+pub async fn check_heartbeats_life(node: &Rc<Node>, life: &str, service: &str) {
     let known = node.target.borrow().id().map(str::to_owned);
     // A connection to an earlier target may not have been closed yet.
     node.target_orders.close_idle();
-    let answer = check_health(node).await;
+    let answer = check_health(node, service).await;
     let id = answer
         .as_ref()
         .and_then(|answer| header(answer, headers::INSTANCE));
@@ -381,22 +389,22 @@
             answered_by: id.unwrap_or(""),
         });
     }
-    let (Some(known), Some(id)) = (known, id) else {
+    let Some(id) = id else {
         return;
     };
-    if node.target.borrow().id() != Some(&*known) {
+    if node.target.borrow().id() != known.as_deref() {
         // Something else has shown meanwhile which target is there.
         return;
     }
-    node.target.borrow_mut().confirmed(life, id);
-    if id != known && id != id_of_life(life) {
-        node.participant.borrow_mut().observe_target(node.now(), id);
+    node.target.borrow_mut().health_checked_for(life, id);
+    if Some(id) != known.as_deref() && id != id_of_life(life) {
+        observe_life(node, id);
     }
 }
 
 /// Makes a health check and applies the response.
 pub async fn probe(node: &Rc<Node>) {
-    let Some(answer) = check_health(node).await else {
+    let Some(answer) = check_health(node, &node.settings.node.service).await else {
         return;
     };
     let load = load_of(node, &answer);
@@ -435,7 +443,7 @@
 
 /// Requests the target's load. An overloaded target may not respond; the last known load stays in force then.
 async fn request_load(node: &Rc<Node>) {
-    if let Some(answer) = check_health(node).await {
+    if let Some(answer) = check_health(node, &node.settings.node.service).await {
         announcements::apply_from_node_call(node, answer.headers());
         apply_load(node, &answer, node.slots.running());
     }
