Soak: what a target said when it left binds its own life, not the next one under the same id

The target had started again under its id in between. By the node's log, life 0 left at 12386 ms, life 1 was known at 15266 ms and said at 15336 ms that it leaves; the request was sent some 0.2 to 0.5 s after that, within the 2 s that life allows. The check took two lives for one because it compared ids.

Change: targets name the number of their life in answers and records of runs, and the check compares id and life. It is as strict for each life as before.

--- a/crates/standins/src/fleet/target/handler.rs
+++ b/crates/standins/src/fleet/target/handler.rs
@@ -142,6 +142,7 @@
         lock(&shared.seen).push(Seen {
             id: id.clone(),
             target: shared.id(),
+            life: self.life,
             key,
             caller: text(request, "x-wingspar-caller-service"),
             tenants: texts(request, "x-wingspar-tenant"),
@@ -178,6 +179,10 @@
             let _written = response.write_body(vec![b'w'; faults.answer_bytes]);
             return;
         }
-        answer(response, 200, &json!({"ran_at": shared.id()}));
+        answer(
+            response,
+            200,
+            &json!({"ran_at": shared.id(), "ran_in_life": self.life}),
+        );
     }
 }
--- a/crates/standins/src/fleet/target/state.rs
+++ b/crates/standins/src/fleet/target/state.rs
@@ -61,6 +61,8 @@
     pub id: String,
     /// The id of the target's life that ran it.
     pub target: String,
+    /// Number of that life, from zero; two lives may have the same id.
+    pub life: u32,
     /// Its key.
     pub key: Option<u16>,
     /// Who called.
--- a/crates/wingspar/tests/sidecar/soak/leaving.rs
+++ b/crates/wingspar/tests/sidecar/soak/leaving.rs
@@ -35,7 +35,7 @@
     let told = answers
         .iter()
         .filter_map(|answer| Some((answer, answer.leaving_target()?, answer.answered_at?)));
-    for (answer, target, at) in told {
+    for (answer, (target, life), at) in told {
         let late = answers.iter().filter(|later| {
             later.node == answer.node
                 && later.sent_at > at + DRAIN
@@ -44,7 +44,7 @@
         for late in late {
             let ran_there = runs
                 .iter()
-                .any(|(_, seen)| seen.id == late.id && seen.target == target);
+                .any(|(_, seen)| seen.id == late.id && seen.target == target && seen.life == life);
             if ran_there {
                 return Err(format!(
                     "{} ran at {target} though {} had told node {} that it leaves, {:?} before it was sent",
--- a/crates/wingspar/tests/sidecar/soak/load.rs
+++ b/crates/wingspar/tests/sidecar/soak/load.rs
@@ -92,11 +92,12 @@
         }
     }
 
-    /// The life of the target that says in the answer that it leaves.
-    pub fn leaving_target(&self) -> Option<String> {
+    /// The id and the number of the target's life that says in the answer that it leaves.
+    pub fn leaving_target(&self) -> Option<(String, u32)> {
         let body = self.body.as_ref().filter(|_| self.says_leaving)?;
         let body = serde_json::from_str::<serde_json::Value>(body).ok()?;
-        Some(body["ran_at"].as_str()?.to_owned())
+        let life = u32::try_from(body["ran_in_life"].as_u64()?).ok()?;
+        Some((body["ran_at"].as_str()?.to_owned(), life))
     }
 }
 
