Heartbeats: every field is required, and the address must be the target's

What callers saw: one heartbeat of another writer, with version, zone and warmup_left_s missing, an address elsewhere and another service, was acknowledged with 200. On it counted as a new life of the target: its keys were given to other targets while it held them, and its own heartbeats were ignored from then on. Since a heartbeat under another id counts only after a health check, so the keys stay; but it was still acknowledged, and under the target's own id such a heartbeat was applied.

Cause: the parser took version, zone and warmup_left_s as optional, any text as an address and any number as a warm-up time; nothing compared the address with that of the machine's target.

Change: a heartbeat lacks no field, none is of another type or out of range (ports, warm-up times, whole numbers above 2^53, key ranges), and its address is the one in the settings. Otherwise it changes nothing: 400 with the field's name, a metric by reason, one rate-limited log line of bounded length.

In the tests with proxies, heartbeats now name the address in the node's settings, as targets on the platform do.

--- a/crates/sidecar/src/heartbeats.rs
+++ b/crates/sidecar/src/heartbeats.rs
@@ -1,11 +1,14 @@
 //! Handles heartbeats of the local target.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use wingspar_platform::{Heartbeat, acknowledgement, life_name, parse_heartbeat, paths};
+use wingspar_platform::{
+    FormatError, Heartbeat, acknowledgement, life_name, parse_heartbeat, paths,
+};
 
 use crate::body::Body;
 use crate::key_exchange;
@@ -17,6 +20,8 @@
 
 /// Maximum length of a heartbeat, in bytes.
 const MAX_HEARTBEAT_BYTES: usize = 64 * 1024;
+/// Maximum length of the description of a rejected heartbeat, in characters.
+const MAX_PROBLEM_CHARS: usize = 200;
 
 /// Handles a heartbeat (`PUT`) or a deregistration (`DELETE`).
 pub async fn answer(node: Rc<Node>, request: Request<Incoming>) -> Response<Body> {
@@ -33,9 +38,10 @@
                     "too large, or cut",
                 );
             };
-            match parse_heartbeat(&body.to_bytes()) {
+            let heartbeat = parse_heartbeat(&body.to_bytes()).map_err(HeartbeatError::from);
+            match heartbeat.and_then(|heartbeat| check_sender(&node, heartbeat)) {
                 Ok(heartbeat) => handle_heartbeat(&node, id, &heartbeat).await,
-                Err(error) => plain(StatusCode::BAD_REQUEST, "text/plain", error.to_string()),
+                Err(error) => reject(&node, id, &error),
             }
         }
         Method::DELETE => {
@@ -51,14 +57,62 @@
     }
 }
 
-async fn handle_heartbeat(node: &Rc<Node>, id: &str, heartbeat: &Heartbeat) -> Response<Body> {
+/// Why a heartbeat can't be the target's own.
+#[derive(Debug, thiserror::Error)]
+enum HeartbeatError {
+    /// A field is missing, of another type or out of range.
+    #[error(transparent)]
+    Unreadable(#[from] FormatError),
+    /// It names another address than that of the target.
+    #[error("address: {0} isn't the address of this machine's target")]
+    OtherAddress(SocketAddr),
+    /// It names a service that neither the settings nor the configuration have.
+    #[error("info.service: {0:?} is not a known service")]
+    UnknownService(String),
+}
+
+impl HeartbeatError {
+    /// Stable name for metrics.
+    fn name(&self) -> &'static str {
+        match self {
+            Self::Unreadable(_) => "unreadable",
+            Self::OtherAddress(_) => "other_address",
+            Self::UnknownService(_) => "unknown_service",
+        }
+    }
+}
+
+/// Rejects a heartbeat that another sender has written; it changes nothing.
+fn reject(node: &Node, id: &str, error: &HeartbeatError) -> Response<Body> {
+    let metrics = &node.metrics;
+    metrics.count(&metrics.rejected_heartbeats, error.name());
+    let problem = bounded(format!("{id}: {error}"));
+    node.log.write_request(Event::TargetUnreadable {
+        what: "heartbeat",
+        problem: problem.clone(),
+    });
+    plain(StatusCode::BAD_REQUEST, "text/plain", problem)
+}
+
+/// Shortens a text that quotes what another sender wrote.
+fn bounded(mut text: String) -> String {
+    if let Some((end, _)) = text.char_indices().nth(MAX_PROBLEM_CHARS) {
+        text.truncate(end);
+    }
+    text
+}
+
+fn check_sender(node: &Node, heartbeat: Heartbeat) -> Result<Heartbeat, HeartbeatError> {
+    if heartbeat.address != node.settings.node.target {
+        return Err(HeartbeatError::OtherAddress(heartbeat.address));
+    }
     if !is_known_service(node, &heartbeat.service) {
-        node.log.write(Event::TargetUnreadable {
-            what: "heartbeat",
-            problem: format!("unknown service {:?}", heartbeat.service),
-        });
-        return plain(StatusCode::BAD_REQUEST, "text/plain", "no such service");
+        return Err(HeartbeatError::UnknownService(heartbeat.service));
     }
+    Ok(heartbeat)
+}
+
+async fn handle_heartbeat(node: &Rc<Node>, id: &str, heartbeat: &Heartbeat) -> Response<Body> {
     let life = life_name(id, heartbeat.born);
     let apply = || {
         let mut target = node.target.borrow_mut();
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -116,6 +116,8 @@
     pub request_limit: Gauge<f64, AtomicU64>,
     /// Headers of the target's responses that couldn't be parsed.
     pub unreadable_announcements: Counter,
+    /// Heartbeats that can't be the target's own, by reason.
+    pub rejected_heartbeats: Family<OutcomeLabel, Counter>,
     /// Times that the target ended with requests in flight.
     pub target_ends: Counter,
     /// Datagrams of other nodes that couldn't be parsed.
@@ -170,6 +172,7 @@
             quota_shards: Gauge::default(),
             request_limit: Gauge::default(),
             unreadable_announcements: Counter::default(),
+            rejected_heartbeats: Family::default(),
             target_ends: Counter::default(),
             unreadable_datagrams: Counter::default(),
             running: Gauge::default(),
@@ -282,6 +285,11 @@
             "Grants and releases at the target",
             self.key_orders.clone(),
         );
+        registry.register(
+            "rejected_heartbeats",
+            "Heartbeats that can't be the target's own",
+            self.rejected_heartbeats.clone(),
+        );
         registry.register(
             "orders_across_lives",
             "Orders about keys that ended in another life of the target than they were sent in",
--- a/crates/sidecar/tests/ended_lives.rs
+++ b/crates/sidecar/tests/ended_lives.rs
@@ -12,7 +12,7 @@
 fn heartbeat(sequence: u64) -> Heartbeat {
     Heartbeat {
         born: None,
-        address: "10.0.0.1:80".to_owned(),
+        address: "10.0.0.1:80".parse().expect("an address"),
         service: "s".to_owned(),
         slots: 18,
         state: LifecycleState::Ready,
--- a/crates/sidecar/tests/target.rs
+++ b/crates/sidecar/tests/target.rs
@@ -10,7 +10,7 @@
 fn heartbeat(state: LifecycleState, sequence: u64) -> Heartbeat {
     Heartbeat {
         born: None,
-        address: "10.0.0.1:80".to_owned(),
+        address: "10.0.0.1:80".parse().expect("an address"),
         service: "s".to_owned(),
         slots: 18,
         state,
--- a/crates/wingspar/tests/sidecar/deployment.rs
+++ b/crates/wingspar/tests/sidecar/deployment.rs
@@ -68,6 +68,8 @@
     pub store_interceptor: Interceptor,
     /// Between its node and its target, if the deployment is intercepted.
     pub target_interceptor: Interceptor,
+    /// The address of its target in its node's settings.
+    pub target_address: SocketAddr,
     /// Where its node tells whether it is ready.
     pub ready: SocketAddr,
     /// Where its target sends heartbeats.
--- a/crates/wingspar/tests/sidecar/machine.rs
+++ b/crates/wingspar/tests/sidecar/machine.rs
@@ -75,13 +75,13 @@
     } else {
         ""
     };
+    let target_address = through(&target_link, &target_interceptor, target.local_addr());
     let text = format!(
         "[node]\nname = \"node-{index}\"\nzone = \"{zone}\"\nservice = \"{service}\"\naddress = \"{ip}\"\n\
-         target = \"{}\"\nfirst_start = true\n{}\n\
+         target = \"{target_address}\"\nfirst_start = true\n{}\n\
          [listen]\noutbound = \"{}\"\nready = \"{}\"\nheartbeats = \"{}\"\ninternal_port = 7620\nmetrics_port = 7621\n\
          [store]\naddress = \"{}\"\n\
          [bounds]\ndrain_s = 2\ngrace_s = 6\nbudget_ratio = 0.2\nbudget_window_s = 10\nbudget_extra = 60\nmax_hold_s = 10\n{more_bounds}{}{zones}",
-        through(&target_link, &target_interceptor, target.local_addr()),
         wiring.node_settings,
         socket(7600),
         socket(7601),
@@ -100,6 +100,7 @@
         target_link,
         store_interceptor,
         target_interceptor,
+        target_address,
         ready: socket(7601),
         heartbeats: socket(7602),
         settings,
--- a/crates/wingspar/tests/sidecar/target_heartbeats.rs
+++ b/crates/wingspar/tests/sidecar/target_heartbeats.rs
@@ -76,7 +76,7 @@
         let machine = &self.nodes[node];
         let target = machine.target.as_ref().filter(|target| target.is_up())?;
         let mut body = json!({
-            "address": target.local_addr().to_string(),
+            "address": machine.target_address.to_string(),
             "info": {"service": machine.service, "version": "v1", "zone": machine.zone, "capacity": 8},
             "status": {"state": state, "seq": sequence, "warmup_left_s": target.warmup().as_secs_f64()},
         });
