Target: a leave counts in any order, and a wrong sequence number or birth is forgotten

What callers saw: after a heartbeat of another writer under the target's own id with the sequence number 2^64-1, everything that the target said itself was acknowledged and ignored. The same holds for a birth later than the target's own. It lasted until the target or the node started again.

Cause: sequence numbers and births only rise, so one that is believed wrongly is believed for good, and a leave was dropped with the heartbeat that was taken for late.

Change: a target that is leaving doesn't take work again, so its leave counts whatever its sequence number is. A heartbeat arrives 10 s after it was sent at the latest; one that arrives more than that after the latest one was sent after it, whatever its number or birth says, and counts.

Not covered: a leave or a deregistration that another writer sends under the target's own id is believed until the target's next life.

--- a/crates/sidecar/src/heartbeats.rs
+++ b/crates/sidecar/src/heartbeats.rs
@@ -116,8 +116,18 @@
     let life = life_name(id, heartbeat.born);
     let apply = || {
         let mut target = node.target.borrow_mut();
-        let is_stale = target.is_stale(&life, heartbeat.sequence);
-        (is_stale, target.heartbeat(node.now(), &life, heartbeat))
+        let (now, before) = (node.now(), target.sequence());
+        let is_stale = target.is_stale(now, &life, heartbeat.sequence);
+        let target_change = target.heartbeat(now, &life, heartbeat);
+        let is_same_life = target_change != TargetChange::NewLife;
+        if is_same_life && target.sequence() < before {
+            node.log.write(Event::SequenceReset {
+                target: &life,
+                before,
+                sequence: target.sequence(),
+            });
+        }
+        (is_stale, target_change)
     };
     let (mut is_stale, mut target_change) = apply();
     if target_change == TargetChange::Unconfirmed {
--- a/crates/sidecar/src/logs/event.rs
+++ b/crates/sidecar/src/logs/event.rs
@@ -206,6 +206,15 @@
         /// Id of the target that answered the health check; empty if none did.
         answered_by: &'a str,
     },
+    /// The target's heartbeats go on below the highest known sequence number, which was therefore not the target's.
+    SequenceReset {
+        /// The target's life.
+        target: &'a str,
+        /// The highest sequence number until then.
+        before: u64,
+        /// The sequence number of the heartbeat that is now the latest.
+        sequence: u64,
+    },
     /// The target announces another limit on the requests that it accepts from all nodes together.
     TargetLimit {
         /// The target's id.
--- a/crates/sidecar/src/target.rs
+++ b/crates/sidecar/src/target.rs
@@ -10,6 +10,9 @@
 
 /// Number of ended lives of each kind that are remembered, so that delayed heartbeats from them are ignored.
 const MAX_PAST_LIVES: usize = 16;
+/// Maximum time between the sending of a heartbeat and its arrival. One that arrives this long after another was sent
+/// after it, whatever their sequence numbers and births say.
+pub const MAX_HEARTBEAT_DELAY: Duration = Duration::from_secs(10);
 
 /// The state of the local target.
 #[derive(Debug, Default)]
@@ -114,9 +117,32 @@
         self.slots
     }
 
+    /// Sequence number of the latest heartbeat of the current life.
+    pub fn sequence(&self) -> u64 {
+        self.sequence
+    }
+
     /// Whether a heartbeat was overtaken by a later one of the same life, or comes from a life that has ended.
-    pub fn is_stale(&self, life: &str, sequence: u64) -> bool {
-        self.is_past(life) || (self.is_current(life) && sequence <= self.sequence)
+    pub fn is_stale(&self, now: Time, life: &str, sequence: u64) -> bool {
+        if self.is_past(life) {
+            !self.goes_on(now, life)
+        } else {
+            self.is_current(life) && self.is_overtaken(now, sequence)
+        }
+    }
+
+    /// Whether a heartbeat of the current life was sent before the latest one.
+    fn is_overtaken(&self, now: Time, sequence: u64) -> bool {
+        sequence <= self.sequence && !self.is_silent(now, MAX_HEARTBEAT_DELAY)
+    }
+
+    /// Whether an earlier life under the current one's id still sends heartbeats although those of the current one have
+    /// stopped. The current one is then an error: another sender has named a wrong birth.
+    fn goes_on(&self, now: Time, life: &str) -> bool {
+        let is_deregistered = self.deregistered.iter().any(|ended| ended == life);
+        self.id() == Some(id_of_life(life))
+            && !is_deregistered
+            && self.is_silent(now, MAX_HEARTBEAT_DELAY)
     }
 
     /// When the current life began, if the target has reported it.
@@ -155,7 +181,8 @@
 
     /// Applies a heartbeat.
     pub fn heartbeat(&mut self, now: Time, life: &str, heartbeat: &Heartbeat) -> TargetChange {
-        if self.is_past(life) {
+        let goes_on = self.is_past(life) && self.goes_on(now, life);
+        if self.is_past(life) && !goes_on {
             return if self.may_be_back(life) {
                 TargetChange::Unconfirmed
             } else {
@@ -163,13 +190,20 @@
             };
         }
         let new_life = !self.is_current(life);
-        if !new_life && heartbeat.sequence <= self.sequence {
-            return TargetChange::None;
+        if !new_life && self.is_overtaken(now, heartbeat.sequence) {
+            // A target that is leaving doesn't take work again, so the order of its heartbeats doesn't matter.
+            let says_leaving = heartbeat.state == LifecycleState::Draining;
+            return if says_leaving && born(life) == self.born() {
+                self.announces_leaving(now)
+            } else {
+                TargetChange::None
+            };
         }
         if self.id().is_some_and(|known| known != id_of_life(life)) {
             return TargetChange::Unconfirmed;
         }
         if new_life {
+            self.past.retain(|past| past != life);
             self.begin_life(life);
         }
         self.reported_birth = self.born().or(born(life));
--- a/crates/sidecar/tests/target.rs
+++ b/crates/sidecar/tests/target.rs
@@ -43,12 +43,12 @@
 #[test]
 fn a_heartbeat_is_stale_after_a_later_one_or_a_new_life() {
     let mut target = ready();
-    assert!(target.is_latest("a", 1) && !target.is_stale("a", 2));
-    assert!(target.is_stale("a", 1), "a copy is ignored");
+    assert!(target.is_latest("a", 1) && !target.is_stale(START, "a", 2));
+    assert!(target.is_stale(START, "a", 1), "a copy is ignored");
     let first = heartbeat(LifecycleState::Ready, 1);
     confirmed_heartbeat(&mut target, START, "b", &first);
     assert!(!target.is_latest("a", 1) && target.is_latest("b", 1));
-    assert!(target.is_stale("a", 9), "its life has ended");
+    assert!(target.is_stale(START, "a", 9), "its life has ended");
 }
 
 #[test]
@@ -260,7 +260,7 @@
     );
     assert_eq!(target.id(), Some("a"));
     assert!(target.is_latest(&life(9), 1));
-    assert!(target.is_stale(&life(5), 41), "its life has ended");
+    assert!(target.is_stale(START, &life(5), 41), "its life has ended");
     assert_eq!(
         target.heartbeat(START, &life(5), &beat(41)),
         TargetChange::None
@@ -273,7 +273,7 @@
     let mut target = Target::unknown("s", None);
     let beat = heartbeat(LifecycleState::Ready, 1);
     target.heartbeat(START, &life(9), &beat);
-    assert!(target.is_stale(&life(7), 80));
+    assert!(target.is_stale(START, &life(7), 80));
     assert_eq!(target.heartbeat(START, &life(7), &beat), TargetChange::None);
 }
 
@@ -305,7 +305,7 @@
         TargetChange::NewLife
     );
     assert_eq!(target.life(), Some("a"));
-    assert!(target.is_stale(&life(5), 3));
+    assert!(target.is_stale(START, &life(5), 3));
     assert_eq!(
         target.heartbeat(START, &life(8), &heartbeat(LifecycleState::Ready, 1)),
         TargetChange::NewLife
@@ -339,7 +339,7 @@
     );
     assert!(target.id() == Some("a") && target.accepting(START));
     target.health_checked_for("earlier", "a");
-    assert!(target.is_stale("earlier", 31));
+    assert!(target.is_stale(START, "earlier", 31));
     assert_eq!(
         target.heartbeat(START, "earlier", &late),
         TargetChange::None
--- a/crates/wingspar/tests/sidecar/heartbeats_of_others.rs
+++ b/crates/wingspar/tests/sidecar/heartbeats_of_others.rs
@@ -150,3 +150,25 @@
     })
     .await;
 }
+
+/// Guards against new work for a target that has said that it leaves, after another writer's heartbeat under the
+/// target's own id with a larger sequence number.
+#[tokio::test]
+async fn a_leave_counts_despite_a_foreign_heartbeat_with_a_larger_sequence_number() {
+    let deployment = Deployment::start(59).await;
+    let key = 100;
+    let owner = key_owned_by(&deployment, key).expect("an owner");
+    deployment.heartbeat(owner, "ready", 1 << 50).await;
+    deployment.heartbeat(owner, "draining", 100).await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    eventually("its keys move to the other target", || async {
+        deployment.target(1 - owner).holds(key)
+    })
+    .await;
+    for step in 0..10 {
+        let id = format!("left-{step}");
+        assert_eq!(deployment.keyed(2, key, &id).await.status(), 200);
+        let seen = deployment.target(owner).seen();
+        assert!(seen.iter().all(|seen| seen.id != id), "{id} ran there");
+    }
+}
