--- a/crates/wingspar/tests/sidecar/unreadable_entries.rs
+++ b/crates/wingspar/tests/sidecar/unreadable_entries.rs
@@ -1,4 +1,5 @@
-//! A configuration with an entry that can't be read: all others are served, at a start and beside a version in force.
+//! Entries that can't be read: in a configuration, where all others are served, at a start and beside a version in force,
+//! and among the registered nodes.
 
 use serde_json::{Value, json};
 
@@ -60,3 +61,79 @@
         serves_all_others(&deployment, node).await;
     }
 }
+
+/// Values that no node writes: nested deeply, numbers that are too large, ports out of range.
+fn odd_values(registration: &Value) -> Vec<Value> {
+    let nested = (0..120).fold(json!(1), |inner, _| json!([inner]));
+    let mut values = vec![
+        nested.clone(),
+        json!(null),
+        json!("not a registration"),
+        json!([1e308, u64::MAX]),
+    ];
+    let fields = registration.as_object().expect("a table").keys();
+    let odd = [
+        nested,
+        json!(1e308),
+        json!(-1),
+        json!("127.0.0.1:99999"),
+        json!("127.0.0.1:-1"),
+    ];
+    for field in fields {
+        for value in &odd {
+            let mut registration = registration.clone();
+            registration[field] = value.clone();
+            values.push(registration);
+        }
+    }
+    values
+}
+
+/// Guards against an odd entry of another writer in the lists of nodes that ends the processes which read them, or makes
+/// them stop following the store.
+#[tokio::test]
+async fn odd_entries_among_the_nodes_end_no_process() {
+    let mut deployment = Deployment::start(124).await;
+    let registration = deployment.store.read("wingspar-nodes", "node-0");
+    let odd = odd_values(&registration.expect("it is registered"));
+    for kind in ["wingspar-nodes", "wingspar-registry"] {
+        for (number, value) in odd.iter().enumerate() {
+            let name = format!("odd-{number}");
+            deployment.store.write(kind, &name, value.clone());
+        }
+    }
+    // Each new leader reads the lists.
+    for round in 0..2 {
+        let leader = deployment.leader();
+        deployment.kill(leader);
+        eventually("another node leads", || async {
+            deployment.leader() != leader
+        })
+        .await;
+        deployment.start_process(leader);
+        deployment.try_heartbeats().await;
+        let version = 9 + round;
+        deployment.configure(
+            version,
+            json!([route("orders", "/orders/", "idempotent", PLAIN)]),
+        );
+        for node in 0..deployment.nodes.len() {
+            deployment.ready(node).await;
+            eventually("the configuration is in force", || async {
+                deployment.configuration_version(node).await == Some(version)
+            })
+            .await;
+        }
+    }
+    for (number, node) in deployment.nodes.iter_mut().enumerate() {
+        let process = node.process.as_mut().expect("a process");
+        let ended = process.try_wait().expect("a status");
+        assert!(ended.is_none(), "node {number} has ended: {ended:?}");
+    }
+    deployment.try_heartbeats().await;
+    eventually("requests are served", || async {
+        deployment.try_heartbeats().await;
+        status(&deployment, 2, "/orders/1").await == 200
+    })
+    .await;
+}
