Planned stop: waits for responses that are still to be written

What callers could see: a client that reads slowly loses the end of a response around a planned stop.

Cause: a request counts as finished once its response's last piece is in the HTTP server's buffer (up to 1 MB); from then on a stopping process waits for open connections for 0.6 s, whether or not the rest has been written.

Change: connections whose writes are blocked by the client count as remaining work until the grace time ends. The flag that idle detection used for this moves into a wrapper of the stream, which counts such connections.

Evidence: unit test a_client_that_reads_slowly_delays_the_exit, with the new field.

Cost: a client that doesn't read at all holds a planned stop up to the grace time, or until its unacknowledged bytes time out (1.5 s).

--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -10,6 +10,7 @@
 
 mod agent;
 mod announcements;
+mod blocked_writes;
 pub mod body;
 mod bounded_reads;
 pub mod breaker;
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -176,6 +176,8 @@
     pub in_flight: Cell<usize>,
     /// Number of open incoming connections.
     pub connections: Cell<usize>,
+    /// Number of incoming connections of which a part of a response is still to be written.
+    pub blocked_writes: Cell<usize>,
 }
 
 impl Node {
@@ -255,6 +257,7 @@
             stop: watch::Sender::new(StopPhase::Serving),
             in_flight: Cell::new(0),
             connections: Cell::new(0),
+            blocked_writes: Cell::new(0),
             name,
             clock,
             settings,
--- a/crates/sidecar/src/pipelining/client.rs
+++ b/crates/sidecar/src/pipelining/client.rs
@@ -24,6 +24,7 @@
 use super::read_ahead::{ReadAhead, StopReason};
 use super::server_side::ServerSide;
 use super::started::{BufferedBytes, GuardedResponse, StartedRequest};
+use crate::blocked_writes::{TrackedWrites, WriteState};
 use crate::body::Body;
 use crate::listen::{CountGuard, HeadLimits};
 use crate::logs::Event;
@@ -117,7 +118,8 @@
             Ok::<_, JoinError>(client.finish_response(answer))
         }
     });
-    let io = TokioIo::new(ServerSide(client.clone()));
+    let writes = TrackedWrites::new(ServerSide(client.clone()), client.writes.clone());
+    let io = TokioIo::new(writes);
     // Boxed, so that the future of an idle connection doesn't reserve space for it.
     let mut connection = Box::new(limits.builder().serve_connection(io, service));
     let mut announced = false;
@@ -189,12 +191,13 @@
     has_started_any: Cell<bool>,
     /// The process is closing its connections: no more requests are started ahead.
     is_closing: Cell<bool>,
-    /// Whether the last write returned `Pending` because the client doesn't read.
-    write_is_blocked: Cell<bool>,
+    /// Whether writes are blocked because the client doesn't read.
+    writes: Rc<WriteState>,
 }
 
 impl Client {
     fn new(node: Rc<Node>, stream: TcpStream, max_prefetched: usize) -> Rc<Self> {
+        let writes = WriteState::new(node.clone());
         Rc::new(Self {
             node,
             stream: RefCell::new(stream),
@@ -207,7 +210,7 @@
             held: Rc::default(),
             has_started_any: Cell::new(false),
             is_closing: Cell::new(false),
-            write_is_blocked: Cell::new(false),
+            writes,
         })
     }
 
@@ -222,7 +225,7 @@
     /// tried to read more.
     fn is_idle(&self) -> bool {
         self.server_wants_data.get()
-            && !self.write_is_blocked.get()
+            && !self.writes.is_blocked()
             && !self.is_closing.get()
             && self.early.borrow().is_empty()
             && self.read_ahead.borrow().is_idle()
@@ -256,12 +259,6 @@
         .await
     }
 
-    /// Records whether a write of the HTTP server is blocked by the client.
-    pub(super) fn record_write(&self, polled: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
-        self.write_is_blocked.set(polled.is_pending());
-        polled
-    }
-
     /// Called when the HTTP server has read a request. Returns the matching request if it was started ahead.
     fn take_started(&self, request: &Request<Incoming>) -> Option<StartedRequest> {
         let has_no_body = request.body().is_end_stream();
--- a/crates/sidecar/src/pipelining/server_side.rs
+++ b/crates/sidecar/src/pipelining/server_side.rs
@@ -41,8 +41,7 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         let mut stream = self.0.stream.borrow_mut();
-        self.0
-            .record_write(Pin::new(&mut *stream).poll_write(context, bytes))
+        Pin::new(&mut *stream).poll_write(context, bytes)
     }
 
     fn poll_write_vectored(
@@ -51,8 +50,7 @@
         buffers: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let mut stream = self.0.stream.borrow_mut();
-        self.0
-            .record_write(Pin::new(&mut *stream).poll_write_vectored(context, buffers))
+        Pin::new(&mut *stream).poll_write_vectored(context, buffers)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -267,6 +267,7 @@
     RemainingWork {
         requests: node.in_flight.get() + node.slots.running(),
         holds_keys: participant.may_hold_any(node.now()),
+        blocked_writes: node.blocked_writes.get(),
         connections: node.connections.get(),
         registered: node.registration.acknowledged().is_some(),
     }
--- a/crates/sidecar/src/stop.rs
+++ b/crates/sidecar/src/stop.rs
@@ -26,6 +26,8 @@
     pub requests: usize,
     /// Whether the target still holds keys.
     pub holds_keys: bool,
+    /// Number of connections of which a part of a response is still to be written.
+    pub blocked_writes: usize,
     /// Number of open incoming connections.
     pub connections: usize,
     /// Whether the store still contains the node's registration.
@@ -46,7 +48,7 @@
 impl ExitCondition {
     /// Whether the process may exit now.
     pub fn is_met(&mut self, now: Instant, remaining: RemainingWork) -> bool {
-        if remaining.requests > 0 || remaining.holds_keys {
+        if remaining.requests > 0 || remaining.blocked_writes > 0 || remaining.holds_keys {
             self.idle_since = None;
             return false;
         }
--- a/crates/sidecar/tests/stop.rs
+++ b/crates/sidecar/tests/stop.rs
@@ -7,6 +7,7 @@
 const NOTHING: RemainingWork = RemainingWork {
     requests: 0,
     holds_keys: false,
+    blocked_writes: 0,
     connections: 0,
     registered: false,
 };
@@ -68,3 +69,19 @@
     assert!(!exit_condition.is_met(after(start, 5_000), registered));
     assert!(exit_condition.is_met(after(start, 5_000), NOTHING));
 }
+
+/// Guards against a process that exits while a part of a response is still to be written.
+#[test]
+fn a_client_that_reads_slowly_delays_the_exit() {
+    let start = Instant::now();
+    let mut exit_condition = ExitCondition::default();
+    let blocked = RemainingWork {
+        blocked_writes: 1,
+        ..OPEN
+    };
+    for millis in (0..3_000).step_by(25) {
+        assert!(!exit_condition.is_met(after(start, millis), blocked));
+    }
+    assert!(!exit_condition.is_met(after(start, 3_000), OPEN));
+    assert!(exit_condition.is_met(after(start, 3_600), OPEN));
+}
