Connections: lingering close after the last response

Without any stop, a rejection (404, 413, 400) of a request whose body the client is still sending was lost to clients that stop reading when writing fails.

Cause: when the HTTP server had finished a connection, the socket was closed at once. Bytes that the client had sent and the node hadn't read (the body of a pipelined request, the rest of a rejected one) make the kernel send a reset, as does every byte that arrives later; the reset discards what the client hasn't received, and fails its writes.

Change: the sending side is shut down first; then the peer's bytes are read and discarded until it closes too. A stopping process waits for connections that were closed after a response: until 0.6 s have passed without any bytes from a peer, at most until the grace time ends. It holds for all listeners: clients, nodes, heartbeats, readiness, metrics. A discarded request is neither passed on nor answered. Counted by outcome; a close that a limit forces writes a log line.

--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod key_release;
 pub mod leaving_targets;
 pub mod length_limit;
+mod lingering_close;
 pub mod link;
 mod listen;
 mod local_response;
--- a/crates/sidecar/src/listen.rs
+++ b/crates/sidecar/src/listen.rs
@@ -15,8 +15,10 @@
 use socket2::{Domain, Protocol, Socket, Type};
 use tokio::net::{TcpListener, TcpStream};
 
+use crate::blocked_writes::{TrackedWrites, WriteState};
 use crate::body::Body;
 use crate::connections::set_options;
+use crate::lingering_close;
 use crate::node::Node;
 use crate::pipelining::client;
 use crate::stop::StopPhase;
@@ -109,15 +111,18 @@
     }
 }
 
-/// Limits on request heads, from the configuration in force.
-pub struct HeadLimits {
-    /// Maximum time between two heads on a connection.
+/// Limits of a connection, from the configuration in force.
+pub struct ConnectionLimits {
+    /// Maximum time between two request heads.
     pub idle_timeout: Duration,
     /// Size limit of the read buffer, in bytes.
     pub buffer_bytes: usize,
+    /// Maximum number of bytes that are discarded while the connection is being closed: twice the maximum length of a
+    /// body, so that a rejection also reaches clients whose body is too long.
+    pub max_discarded_bytes: u64,
 }
 
-impl HeadLimits {
+impl ConnectionLimits {
     fn of(node: &Node) -> Self {
         let routes = node.routes.borrow();
         let limits = routes
@@ -127,6 +132,7 @@
         Self {
             idle_timeout: limits.idle_time.max(limits.header_time) + IDLE_MARGIN,
             buffer_bytes: limits.header_bytes.saturating_mul(2).max(MIN_BUFFER_BYTES),
+            max_discarded_bytes: limits.body_bytes.saturating_mul(2),
         }
     }
 
@@ -141,10 +147,21 @@
     }
 }
 
+/// How a connection is to be closed.
+pub enum Close {
+    /// At once: the peer has disconnected, or the last response is incomplete and must not look whole.
+    AtOnce,
+    /// No request was in progress.
+    Idle(TcpStream),
+    /// The last response has been written.
+    AfterResponse(TcpStream),
+}
+
 async fn client_connection(node: Rc<Node>, stream: TcpStream) {
-    let limits = HeadLimits::of(&node);
-    let _open = CountGuard::new(&node, |node| &node.connections);
-    client::serve(node, stream, limits).await;
+    let limits = ConnectionLimits::of(&node);
+    let open = CountGuard::new(&node, |node| &node.connections);
+    let close = client::serve(node.clone(), stream, &limits).await;
+    close_connection(&node, close, open, &limits).await;
 }
 
 async fn connection<Handler, ResponseFuture>(node: Rc<Node>, stream: TcpStream, handler: Handler)
@@ -152,23 +169,77 @@
     Handler: Fn(Rc<Node>, Request<Incoming>) -> ResponseFuture + Copy + 'static,
     ResponseFuture: Future<Output = Response<Body>> + 'static,
 {
-    let builder = HeadLimits::of(&node).builder();
+    let limits = ConnectionLimits::of(&node);
+    let open = CountGuard::new(&node, |node| &node.connections);
+    let close = serve_requests(&node, stream, &limits, handler).await;
+    close_connection(&node, close, open, &limits).await;
+}
+
+/// Closes a connection. `open` counts it; a stopping process doesn't wait for connections that were idle.
+async fn close_connection(
+    node: &Rc<Node>,
+    close: Close,
+    open: CountGuard,
+    limits: &ConnectionLimits,
+) {
+    let (stream, _open) = match close {
+        Close::AtOnce => return,
+        Close::Idle(stream) => (stream, None),
+        Close::AfterResponse(stream) => (stream, Some(open)),
+    };
+    lingering_close::close(node, stream, limits.max_discarded_bytes).await;
+}
+
+/// Serves the requests of a connection one after the other.
+async fn serve_requests<Handler, ResponseFuture>(
+    node: &Rc<Node>,
+    mut stream: TcpStream,
+    limits: &ConnectionLimits,
+    handler: Handler,
+) -> Close
+where
+    Handler: Fn(Rc<Node>, Request<Incoming>) -> ResponseFuture + Copy + 'static,
+    ResponseFuture: Future<Output = Response<Body>> + 'static,
+{
     let mut stop = node.stop.subscribe();
-    let _open = CountGuard::new(&node, |node| &node.connections);
-    let service = service_fn(move |request| {
-        let in_flight = CountGuard::new(&node, |node| &node.in_flight);
+    // Each request in progress holds a clone.
+    let in_progress = Rc::new(());
+    let service = service_fn(|request| {
+        let guards = (
+            CountGuard::new(node, |node| &node.in_flight),
+            in_progress.clone(),
+        );
         let answer = handler(node.clone(), request);
         async move {
             let response = answer.await;
-            Ok::<_, std::convert::Infallible>(response.map(|body| body.with_guard(in_flight)))
+            Ok::<_, std::convert::Infallible>(response.map(|body| body.with_guard(guards)))
         }
     });
-    let mut connection = std::pin::pin!(builder.serve_connection(TokioIo::new(stream), service));
-    tokio::select! {
-        _ended = connection.as_mut() => return,
-        _ = stop.wait_for(|stop| *stop == StopPhase::Closing) => {}
+    let writes = TrackedWrites::new(&mut stream, WriteState::new(node.clone()));
+    let connection = limits
+        .builder()
+        .serve_connection(TokioIo::new(writes), service);
+    let mut was_idle = false;
+    let served = {
+        let mut connection = std::pin::pin!(connection);
+        tokio::select! {
+            served = connection.as_mut() => served,
+            _ = stop.wait_for(|stop| *stop == StopPhase::Closing) => {
+                was_idle = Rc::strong_count(&in_progress) == 1;
+                // The response in progress announces the close; an idle connection is closed at once.
+                connection.as_mut().graceful_shutdown();
+                connection.await
+            }
+        }
+    };
+    match served {
+        Err(error) if !is_rejected_head(&error) => Close::AtOnce,
+        _ if was_idle => Close::Idle(stream),
+        _ => Close::AfterResponse(stream),
     }
-    // The response in progress announces the close; an idle connection is closed at once.
-    connection.as_mut().graceful_shutdown();
-    let _ended = connection.await;
+}
+
+/// Whether the HTTP server has itself rejected a malformed or too long request head, with a response.
+pub fn is_rejected_head(error: &hyper::Error) -> bool {
+    error.is_parse()
 }
--- a/crates/sidecar/src/logs/event.rs
+++ b/crates/sidecar/src/logs/event.rs
@@ -317,6 +317,14 @@
         /// Number of requests that were abandoned.
         dropped: usize,
     },
+    /// A connection was closed after its last response although the peer may still have been sending, so the peer may
+    /// not receive all of that response.
+    CloseForced {
+        /// The limit that was reached: time_limit, byte_limit, connection_limit.
+        reason: &'a str,
+        /// Number of bytes that were discarded.
+        discarded: u64,
+    },
     /// This node has completed or refused a client's request.
     Request {
         /// The request's id, as sent by the client.
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -95,6 +95,9 @@
     /// Connections on which pipelined requests were abandoned or could no longer be started, by
     /// reason.
     pub pipelines_cut: Family<OutcomeLabel, Counter>,
+    /// Incoming connections that were closed after their last response, by what ended the wait for the peer's own
+    /// close.
+    pub closed_connections: Family<OutcomeLabel, Counter>,
     /// Calls to the store, by operation and outcome.
     pub store_calls: Family<StoreCallLabels, Counter>,
     /// Bytes of the store's responses, counted as `whole` for complete responses and `given_up`
@@ -163,6 +166,7 @@
             repeats: Counter::default(),
             started_ahead: Counter::default(),
             pipelines_cut: Family::default(),
+            closed_connections: Family::default(),
             store_calls: Family::default(),
             store_bytes: Family::default(),
             key_orders: Family::default(),
@@ -226,6 +230,11 @@
             "Connections on which requests begun ahead were given up",
             self.pipelines_cut.clone(),
         );
+        registry.register(
+            "closed_connections",
+            "Connections closed after their last response, by how the wait for the peer's close ended",
+            self.closed_connections.clone(),
+        );
         registry.register(
             "quarantine",
             "Decisions on requests under which targets end",
@@ -275,6 +284,11 @@
             "Headers of the target's answers that can't be read",
             self.unreadable_announcements.clone(),
         );
+        registry.register(
+            "rejected_heartbeats",
+            "Heartbeats that can't be the target's own",
+            self.rejected_heartbeats.clone(),
+        );
         registry.register(
             "target_ends",
             "Ends of the target with requests in flight",
@@ -285,11 +299,6 @@
             "Grants and releases at the target",
             self.key_orders.clone(),
         );
-        registry.register(
-            "rejected_heartbeats",
-            "Heartbeats that can't be the target's own",
-            self.rejected_heartbeats.clone(),
-        );
         registry.register(
             "orders_across_lives",
             "Orders about keys that ended in another life of the target than they were sent in",
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -174,10 +174,14 @@
     pub stop: watch::Sender<StopPhase>,
     /// Requests of clients and other nodes whose responses haven't ended.
     pub in_flight: Cell<usize>,
-    /// Number of open incoming connections.
+    /// Number of open incoming connections, without those that were idle when they began to be closed.
     pub connections: Cell<usize>,
     /// Number of incoming connections of which a part of a response is still to be written.
     pub blocked_writes: Cell<usize>,
+    /// Number of connections that are being closed and whose peer may still be sending.
+    pub lingering: Cell<usize>,
+    /// Total number of bytes that were discarded from connections that are being closed.
+    pub discarded_bytes: Cell<u64>,
 }
 
 impl Node {
@@ -258,6 +262,8 @@
             in_flight: Cell::new(0),
             connections: Cell::new(0),
             blocked_writes: Cell::new(0),
+            lingering: Cell::new(0),
+            discarded_bytes: Cell::new(0),
             name,
             clock,
             settings,
--- a/crates/sidecar/src/pipelining/client.rs
+++ b/crates/sidecar/src/pipelining/client.rs
@@ -26,7 +26,7 @@
 use super::started::{BufferedBytes, GuardedResponse, StartedRequest};
 use crate::blocked_writes::{TrackedWrites, WriteState};
 use crate::body::Body;
-use crate::listen::{CountGuard, HeadLimits};
+use crate::listen::{Close, ConnectionLimits, CountGuard, is_rejected_head};
 use crate::logs::Event;
 use crate::node::Node;
 use crate::router;
@@ -43,6 +43,8 @@
 enum End {
     /// Closed in the regular way.
     Closed,
+    /// The HTTP server has rejected a malformed request head.
+    HeadRejected,
     /// A response body failed after part of the response had been sent.
     AnswerCut,
     /// The client disconnected, or reading from it failed.
@@ -56,6 +58,7 @@
             Ok(()) => Self::Closed,
             // On the server side only response bodies can cause user errors.
             Err(error) if error.is_user() => Self::AnswerCut,
+            Err(error) if is_rejected_head(error) => Self::HeadRejected,
             Err(_) => Self::Broken,
         }
     }
@@ -70,18 +73,18 @@
     Ended(End),
 }
 
-/// Serves a client connection until it ends.
+/// Serves a client connection until it ends. Returns how it is to be closed.
 ///
 /// The HTTP server keeps 16 KB of buffers for each connection. Where clients hold hundreds of idle connections, these
 /// buffers are most of the process's memory. The HTTP server's state is therefore dropped each time the connection
 /// becomes idle, and created again when more bytes arrive, which costs a few allocations per request.
-pub async fn serve(node: Rc<Node>, stream: TcpStream, limits: HeadLimits) {
+pub async fn serve(node: Rc<Node>, stream: TcpStream, limits: &ConnectionLimits) -> Close {
     let mut stop = node.stop.subscribe();
     let mut closing = pin!(stop.wait_for(|stop| *stop == StopPhase::Closing));
     let client = Client::new(node, stream, limits.buffer_bytes);
-    let end = loop {
-        match serve_until_idle(&client, &limits, closing.as_mut()).await {
-            Pause::Ended(end) => break end,
+    let (end, was_idle) = loop {
+        match serve_until_idle(&client, limits, closing.as_mut()).await {
+            Pause::Ended(end) => break (end, false),
             Pause::Idle => {}
         }
         let next = timeout(
@@ -92,19 +95,26 @@
             Ok(IdleEnd::Readable) => {}
             Ok(IdleEnd::Closing) => {
                 if !client.has_unread_data().await {
-                    break End::Closed;
+                    break (End::Closed, true);
                 }
             }
-            Err(_) => break End::Closed,
+            Err(_) => break (End::Closed, true),
         }
     };
     client.ended(end);
+    match (end, Rc::into_inner(client)) {
+        (End::Closed, Some(client)) if was_idle => Close::Idle(client.stream.into_inner()),
+        (End::Closed | End::HeadRejected, Some(client)) => {
+            Close::AfterResponse(client.stream.into_inner())
+        }
+        _ => Close::AtOnce,
+    }
 }
 
 /// Runs the HTTP server until every request received so far is answered or the connection ends.
 async fn serve_until_idle(
     client: &Rc<Client>,
-    limits: &HeadLimits,
+    limits: &ConnectionLimits,
     mut closing: Pin<&mut impl Future>,
 ) -> Pause {
     let service = service_fn(|request| {
@@ -408,6 +418,7 @@
         if dropped > 0 {
             let reason = match end {
                 End::Closed => "answer_closed",
+                End::HeadRejected => "broken_head",
                 End::AnswerCut => "answer_cut",
                 End::Broken => "client_left",
             };
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -269,6 +269,7 @@
         holds_keys: participant.may_hold_any(node.now()),
         blocked_writes: node.blocked_writes.get(),
         connections: node.connections.get(),
+        discarded_bytes: node.discarded_bytes.get(),
         registered: node.registration.acknowledged().is_some(),
     }
 }
--- a/crates/sidecar/src/stop.rs
+++ b/crates/sidecar/src/stop.rs
@@ -16,7 +16,7 @@
 }
 
 /// Maximum time that the process waits for open connections to close after the last response has
-/// ended, so that the bytes already written to them can be sent.
+/// ended and their peers have stopped sending, so that the bytes already written to them can be sent.
 const FLUSH_TIME: Duration = Duration::from_millis(600);
 
 /// The work that a stopping process still has to finish.
@@ -30,6 +30,8 @@
     pub blocked_writes: usize,
     /// Number of open incoming connections.
     pub connections: usize,
+    /// Total number of bytes that were discarded from connections that are being closed.
+    pub discarded_bytes: u64,
     /// Whether the store still contains the node's registration.
     pub registered: bool,
 }
@@ -43,15 +45,23 @@
 pub struct ExitCondition {
     /// Since when nothing but open connections has been left; `None` while other work remains.
     idle_since: Option<Instant>,
+    /// Number of bytes that had been discarded at the last check.
+    discarded_bytes: u64,
 }
 
 impl ExitCondition {
     /// Whether the process may exit now.
     pub fn is_met(&mut self, now: Instant, remaining: RemainingWork) -> bool {
+        // Bytes that arrive once the process has exited reset their connection.
+        let is_receiving = remaining.discarded_bytes != self.discarded_bytes;
+        self.discarded_bytes = remaining.discarded_bytes;
         if remaining.requests > 0 || remaining.blocked_writes > 0 || remaining.holds_keys {
             self.idle_since = None;
             return false;
         }
+        if is_receiving {
+            self.idle_since = None;
+        }
         let idle_since = *self.idle_since.get_or_insert(now);
         let is_flushed = now.duration_since(idle_since) >= FLUSH_TIME;
         (remaining.connections == 0 || is_flushed) && !remaining.registered
--- a/crates/sidecar/tests/stop.rs
+++ b/crates/sidecar/tests/stop.rs
@@ -9,6 +9,7 @@
     holds_keys: false,
     blocked_writes: 0,
     connections: 0,
+    discarded_bytes: 0,
     registered: false,
 };
 const OPEN: RemainingWork = RemainingWork {
@@ -85,3 +86,19 @@
     assert!(!exit_condition.is_met(after(start, 3_000), OPEN));
     assert!(exit_condition.is_met(after(start, 3_600), OPEN));
 }
+
+/// Guards against a process that exits while clients still send: what arrives afterwards resets their connections.
+#[test]
+fn a_client_that_is_still_sending_delays_the_exit() {
+    let start = Instant::now();
+    let mut exit_condition = ExitCondition::default();
+    let receiving = |discarded_bytes| RemainingWork {
+        discarded_bytes,
+        ..OPEN
+    };
+    for millis in (0..3_000).step_by(25) {
+        assert!(!exit_condition.is_met(after(start, millis), receiving(millis + 1)));
+    }
+    assert!(!exit_condition.is_met(after(start, 3_500), receiving(2_976)));
+    assert!(exit_condition.is_met(after(start, 3_600), receiving(2_976)));
+}
--- a/crates/wingspar/tests/sidecar/deployment.rs
+++ b/crates/wingspar/tests/sidecar/deployment.rs
@@ -267,14 +267,22 @@
         self.configure_tenants(version, routes, json!([]));
     }
 
+    /// Writes a configuration with a maximum length of bodies, in bytes.
+    pub fn configure_with_bodies(&self, version: u64, routes: Value, max_body_bytes: u64) {
+        self.configure_with(version, routes, json!([]), max_body_bytes);
+    }
+
     /// Writes a configuration.
     pub fn configure_tenants(&self, version: u64, routes: Value, tenants: Value) {
+        self.configure_with(version, routes, tenants, 1_048_576);
+    }
+
+    fn configure_with(&self, version: u64, routes: Value, tenants: Value, max_body_bytes: u64) {
         let service = |name: &str, keyed: bool| {
             json!({"name": name, "health_path": "/healthz", "max_conns": 100, "protocol": "h1", "tls": false,
                 "sharded": keyed, "warm_s": 3.0, "warmup_s": 3.0, "warmup_per_s": 8.0})
         };
-        let limits =
-            json!({"header_bytes": 16384, "max_body_bytes": 1048576, "header_s": 3, "idle_s": 15});
+        let limits = json!({"header_bytes": 16384, "max_body_bytes": max_body_bytes, "header_s": 3, "idle_s": 15});
         let services = [service(KEYED, true), service(PLAIN, false)];
         let spec = json!({"version": version, "routes": routes, "services": services, "limits": limits, "tenants": tenants});
         self.store.write("config", "main", spec);
--- a/crates/wingspar/tests/sidecar/main.rs
+++ b/crates/wingspar/tests/sidecar/main.rs
@@ -1,6 +1,7 @@
 //! The sidecar as real processes on loopback, against stand-ins of the users' platform.
 
 mod announced_leaving;
+mod closing_connections;
 mod configuration;
 mod crashing_request;
 mod cut_answers;
