Connections: a cut response leaves the response before it whole

What callers could see: of several requests on one connection, the end of a whole answer is lost because the target cuts the next one.

Cause: a connection on which a response had failed was closed at once. With unread bytes behind it, the reset discards what the client hasn't received of the responses before.

--- a/crates/sidecar/src/listen.rs
+++ b/crates/sidecar/src/listen.rs
@@ -149,11 +149,11 @@
 
 /// How a connection is to be closed.
 pub enum Close {
-    /// At once: the peer has disconnected, or the last response is incomplete and must not look whole.
+    /// At once: the peer has disconnected.
     AtOnce,
     /// No request was in progress.
     Idle(TcpStream),
-    /// The last response has been written.
+    /// The last response has been written, or as much of it as there is. Its framing shows whether it is whole.
     AfterResponse(TcpStream),
 }
 
@@ -233,12 +233,18 @@
         }
     };
     match served {
-        Err(error) if !is_rejected_head(&error) => Close::AtOnce,
+        Err(error) if !is_rejected_head(&error) && !is_cut_response(&error) => Close::AtOnce,
         _ if was_idle => Close::Idle(stream),
         _ => Close::AfterResponse(stream),
     }
 }
 
+/// Whether a response ended early.
+pub fn is_cut_response(error: &hyper::Error) -> bool {
+    // On the server side only response bodies can cause user errors.
+    error.is_user()
+}
+
 /// Whether the HTTP server has itself rejected a malformed or too long request head, with a response.
 pub fn is_rejected_head(error: &hyper::Error) -> bool {
     error.is_parse()
--- a/crates/sidecar/src/pipelining/client.rs
+++ b/crates/sidecar/src/pipelining/client.rs
@@ -26,7 +26,7 @@
 use super::started::{BufferedBytes, GuardedResponse, StartedRequest};
 use crate::blocked_writes::{TrackedWrites, WriteState};
 use crate::body::Body;
-use crate::listen::{Close, ConnectionLimits, CountGuard, is_rejected_head};
+use crate::listen::{Close, ConnectionLimits, CountGuard, is_cut_response, is_rejected_head};
 use crate::logs::Event;
 use crate::node::Node;
 use crate::router;
@@ -56,8 +56,7 @@
     fn of(served: &hyper::Result<()>) -> Self {
         match served {
             Ok(()) => Self::Closed,
-            // On the server side only response bodies can cause user errors.
-            Err(error) if error.is_user() => Self::AnswerCut,
+            Err(error) if is_cut_response(error) => Self::AnswerCut,
             Err(error) if is_rejected_head(error) => Self::HeadRejected,
             Err(_) => Self::Broken,
         }
@@ -104,10 +103,8 @@
     client.ended(end);
     match (end, Rc::into_inner(client)) {
         (End::Closed, Some(client)) if was_idle => Close::Idle(client.stream.into_inner()),
-        (End::Closed | End::HeadRejected, Some(client)) => {
-            Close::AfterResponse(client.stream.into_inner())
-        }
-        _ => Close::AtOnce,
+        (End::Broken, _) | (_, None) => Close::AtOnce,
+        (_, Some(client)) => Close::AfterResponse(client.stream.into_inner()),
     }
 }
 
--- a/crates/wingspar/tests/sidecar/closing_connections.rs
+++ b/crates/wingspar/tests/sidecar/closing_connections.rs
@@ -9,8 +9,9 @@
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::timeout;
 use wingspar_standins::fleet::TargetFaults;
+use wingspar_standins::net::{AnswerEnd, InterceptedRequest, RawAnswer};
 
-use crate::deployment::{Deployment, PLAIN, eventually, route};
+use crate::deployment::{Deployment, PLAIN, Wiring, eventually, route};
 use crate::raw_client::{RawReply, replies};
 
 /// The machine whose node the clients are connected to.
@@ -160,6 +161,54 @@
     }
 }
 
+/// The answer to a request by its id: a whole one, or one that ends early.
+fn whole_or_cut(request: &InterceptedRequest) -> Option<RawAnswer> {
+    let id = request.header("x-wingspar-request-id")?;
+    let length = match id.split('-').next()? {
+        "whole" => LARGE_ANSWER,
+        "cut" => 4 * LARGE_ANSWER,
+        _ => return None,
+    };
+    let head = format!(
+        "HTTP/1.1 200 OK\r\nX-Wingspar-Request-Id: {id}\r\nX-Wingspar-Response-Signature: s\r\n\
+         Content-Length: {length}\r\n\r\n"
+    );
+    let sent = length.min(3 * LARGE_ANSWER);
+    Some(RawAnswer {
+        start: [head.into_bytes(), vec![b'a'; sent]].concat(),
+        end: AnswerEnd::Close,
+    })
+}
+
+/// Guards against an answer that a target cuts, and that takes the end of the whole answer before it away.
+#[tokio::test]
+async fn a_cut_answer_leaves_the_answer_before_it_whole() {
+    let wiring = Wiring {
+        intercepted: true,
+        ..Wiring::default()
+    };
+    let deployment = Deployment::start_with(137, &wiring).await;
+    for node in &deployment.nodes {
+        node.target_interceptor.answer_by(whole_or_cut);
+    }
+    let clients = (0..4).map(|number| {
+        let node = deployment.nodes[NODE].outbound;
+        async move {
+            let mut stream = slow_connection(node).await;
+            let first = format!("{}\r\n", head("GET /orders/1", &format!("whole-{number}")));
+            let second = format!("{}\r\n", head("GET /orders/1", &format!("cut-{number}")));
+            let behind = Framing::Length.request("POST /orders/1", "behind", 60_000);
+            let bytes = [first.into_bytes(), second.into_bytes(), behind].concat();
+            stream.write_all(&bytes).await.expect("it is sent");
+            read_slowly(stream).await
+        }
+    });
+    for replies in join_all(clients).await {
+        let whole = replies.iter().map(RawReply::is_success);
+        assert_eq!(whole.collect::<Vec<_>>(), [true, false]);
+    }
+}
+
 /// Guards against rejections that are lost because the node closes the connection before the client has sent the body.
 #[tokio::test]
 async fn a_rejection_reaches_a_client_that_is_still_sending_a_body() {
