Soak: planned stops in overlapping series beside clients that go on using their connections

Nodes stop and start again, two at a time at most, beside changes of the configuration. Clients use each connection until it ends: some read slowly, some send bodies behind a request that is being answered, some are rejected while they send, with a length or in chunks. An answer to a request that a target has run must arrive whole, and so must a rejection.

--- a/crates/wingspar/tests/sidecar/main.rs
+++ b/crates/wingspar/tests/sidecar/main.rs
@@ -34,6 +34,7 @@
 mod soak;
 mod stale_configuration;
 mod steady_load;
+mod stop_soak;
 mod target_heartbeats;
 mod tenants;
 mod unreadable_entries;
