Ownership: tests of deeply nested datagrams and of the largest numbers

Other operators report machines that ended on deeply nested entries and on numbers that are too large. Datagrams between nodes do no harm so: 60,000 levels of arrays, maps, tags and endless arrays, alone and in the place of each byte of a valid notice, and a notice with the largest epoch, life and versions.

--- a/crates/ownership/tests/bad_datagrams.rs
+++ b/crates/ownership/tests/bad_datagrams.rs
@@ -64,3 +64,38 @@
         true
     }
 }
+
+/// Guards against a datagram that exhausts the stack of its receiver: arrays, maps and tags that are nested deeply, alone
+/// and in the place of each byte of a valid one.
+#[test]
+fn a_deeply_nested_datagram_is_rejected() {
+    const LEVELS: usize = 60_000;
+    const ARRAY_OF_ONE: u8 = 0x81;
+    const MAP_OF_ONE: u8 = 0xa1;
+    const TAG: u8 = 0xc1;
+    const ENDLESS_ARRAY: u8 = 0x9f;
+    let valid = notice();
+    for level in [ARRAY_OF_ONE, MAP_OF_ONE, TAG, ENDLESS_ARRAY] {
+        let nested = vec![level; LEVELS];
+        assert!(ciborium::from_reader::<Datagram, _>(&*nested).is_err());
+        for place in 0..valid.len() {
+            let bytes = [&valid[..place], &nested].concat();
+            decode_and_receive(&bytes);
+        }
+    }
+}
+
+/// Guards against numbers that are too large for what the receiver computes with them.
+#[test]
+fn a_notice_with_the_largest_numbers_is_harmless() {
+    let largest = LeaderReference {
+        epoch: Epoch(u64::MAX),
+        node: NodeName::from("node-2"),
+        life: Incarnation(u64::MAX),
+        address: address(2),
+    };
+    let mut bytes = Vec::new();
+    ciborium::into_writer(&Datagram::Notice(largest, u64::MAX, u64::MAX), &mut bytes)
+        .expect("notices can be encoded");
+    decode_and_receive(&bytes);
+}
