Sidecar: the last log line of a planned stop tells what it waited for

What was seen: with 71 processes stopped in turn, each took 4.4 s (median) and logged `unfinished` 0, while one to three requests ended without an answer. The log didn't tell whether a process had waited for requests, keys, connections or the removal of its registration.

Change: `stopped` has the time until which each kind of work remained.

--- a/crates/sidecar/src/logs/event.rs
+++ b/crates/sidecar/src/logs/event.rs
@@ -27,6 +27,15 @@
     Stopped {
         /// Number of requests that were still running.
         unfinished: usize,
+        /// Time from the signal until no request was in progress, in milliseconds; 0 if none was when connections
+        /// began to be closed.
+        requests_ms: u64,
+        /// Time from the signal until the target held no keys, in milliseconds; 0 likewise.
+        keys_ms: u64,
+        /// Time from the signal until all responses had been written and received, in milliseconds; 0 likewise.
+        connections_ms: u64,
+        /// Time from the signal until the node's registration was removed, in milliseconds; 0 likewise.
+        registration_ms: u64,
     },
     /// The settings were read again.
     Reloaded {
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -16,12 +16,13 @@
 use wingspar_platform::paths;
 
 use crate::body::Body;
+use crate::clock::whole_millis;
 use crate::control::Control;
 use crate::local_response::plain;
 use crate::logs::{self, Event};
 use crate::node::Node;
 use crate::settings::{Settings, SettingsError};
-use crate::stop::{ExitCondition, RemainingWork, StopPhase};
+use crate::stop::{ExitCondition, RemainingWork, StopPhase, WorkDurations};
 use crate::store_sync::Subject;
 use crate::{heartbeats, internal, listen, operations, registration, store_sync, target_calls};
 
@@ -241,9 +242,11 @@
     tokio::time::sleep(LEAVING_PHASE_DURATION.min(grace / 2)).await;
     node.stop.send_replace(StopPhase::Closing);
     let mut exit_condition = ExitCondition::default();
+    let mut work = WorkDurations::default();
     let mut removal = None::<JoinHandle<()>>;
     while node.clock.uptime().saturating_sub(signalled_at) < grace {
         let remaining = remaining(node);
+        work.observe(node.clock.uptime().saturating_sub(signalled_at), remaining);
         if exit_condition.is_met(Instant::now(), remaining) {
             break;
         }
@@ -259,6 +262,10 @@
     }
     node.log.write(Event::Stopped {
         unfinished: remaining(node).requests,
+        requests_ms: whole_millis(work.requests),
+        keys_ms: whole_millis(work.keys),
+        connections_ms: whole_millis(work.connections),
+        registration_ms: whole_millis(work.registration),
     });
 }
 
--- a/crates/sidecar/src/stop.rs
+++ b/crates/sidecar/src/stop.rs
@@ -36,6 +36,36 @@
     pub registered: bool,
 }
 
+/// How long each kind of work kept a stopping process from exiting, for the log.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct WorkDurations {
+    /// Until when requests were in progress.
+    pub requests: Duration,
+    /// Until when the target held keys.
+    pub keys: Duration,
+    /// Until when connections were open on which a response was still to be written or on its way.
+    pub connections: Duration,
+    /// Until when the store contained the node's registration.
+    pub registration: Duration,
+}
+
+impl WorkDurations {
+    /// Records the work that remains at a time after the stop signal.
+    pub fn observe(&mut self, since_signal: Duration, remaining: RemainingWork) {
+        let has_connections = remaining.connections > 0 || remaining.blocked_writes > 0;
+        for (remains, duration) in [
+            (remaining.requests > 0, &mut self.requests),
+            (remaining.holds_keys, &mut self.keys),
+            (has_connections, &mut self.connections),
+            (remaining.registered, &mut self.registration),
+        ] {
+            if remains {
+                *duration = since_signal;
+            }
+        }
+    }
+}
+
 /// Decides when a process in [`StopPhase::Closing`] may exit.
 ///
 /// While connections are open, a request that was sent before the peer noticed the stop may still
