Sidecar: connections that wait to be accepted aren't reset by a planned stop

What callers saw: a connection that had been opened, and on which a request had been sent, was reset when the node closed its listener, 2.5 s after SIGTERM.

Cause: the accept loop ended as soon as the phase changed. Closing a listening socket resets the connections that the kernel has opened but that haven't been accepted.

Change: the queue is emptied before the socket is closed. What arrives between the last accept and the close is still reset; its bytes are then unread.

--- a/crates/sidecar/src/listen.rs
+++ b/crates/sidecar/src/listen.rs
@@ -1,10 +1,11 @@
 //! Listening sockets and the connections accepted on them.
 
 use std::cell::Cell;
-use std::future::Future;
+use std::future::{Future, poll_fn};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
 
 use http::{Request, Response};
@@ -14,6 +15,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use socket2::{Domain, Protocol, Socket, Type};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::task::yield_now;
 
 use crate::blocked_writes::{TrackedWrites, WriteState};
 use crate::body::Body;
@@ -64,7 +66,7 @@
     .await;
 }
 
-/// Accepts connections until the process closes and serves each in its own task.
+/// Accepts connections until the process closes them and serves each in its own task.
 async fn accept<Serve, Served>(node: Rc<Node>, listener: TcpListener, serve: Serve)
 where
     Serve: Fn(Rc<Node>, TcpStream) -> Served,
@@ -74,7 +76,7 @@
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = stop.wait_for(|stop| *stop == StopPhase::Closing) => return,
+            _ = stop.wait_for(|stop| *stop >= StopPhase::Closing) => break,
         };
         match accepted {
             Ok((stream, _)) => {
@@ -84,6 +86,14 @@
             Err(_) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
         }
     }
+    // Closing the socket resets the connections that are still queued, whose clients may have sent requests.
+    yield_now().await;
+    while let Poll::Ready(Ok((stream, _))) =
+        poll_fn(|context| Poll::Ready(listener.poll_accept(context))).await
+    {
+        set_options(&stream);
+        tokio::task::spawn_local(serve(node.clone(), stream));
+    }
 }
 
 /// Increments a counter of the node until dropped.
