Sidecar: a stopping node answers what arrives on its connections until it exits

What callers saw around a planned stop: a request behind the one in progress had been read and got no answer (8 of 8), and a request on a kept connection that had been idle 2.5 s after SIGTERM was read, discarded and got no answer either (6 of 6). A request that can't be repeated is sent again only if it hasn't been read.

Cause: at the beginning of the closing phase a connection was closed by the state of the HTTP server alone: after the response in progress, or at once. What had been read ahead of the server, or was about to arrive, wasn't considered.

Change: a response announces the close only if nothing has arrived behind its request. Idle connections, of clients and of other nodes, stay open until the process exits, and the next response on them announces the close. Only connections in use delay the exit.

Not covered: a request behind a body in chunks, whose end the scanner can't see.

--- a/crates/sidecar/src/listen.rs
+++ b/crates/sidecar/src/listen.rs
@@ -8,7 +8,8 @@
 use std::task::Poll;
 use std::time::Duration;
 
-use http::{Request, Response};
+use http::header::CONNECTION;
+use http::{HeaderValue, Request, Response};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -161,7 +162,7 @@
 pub enum Close {
     /// At once: the peer has disconnected.
     AtOnce,
-    /// No request was in progress.
+    /// No request was in progress, and the connection has been idle for too long.
     Idle(TcpStream),
     /// The last response has been written, or as much of it as there is. Its framing shows whether it is whole.
     AfterResponse(TcpStream),
@@ -169,9 +170,8 @@
 
 async fn client_connection(node: Rc<Node>, stream: TcpStream) {
     let limits = ConnectionLimits::of(&node);
-    let open = CountGuard::new(&node, |node| &node.connections);
     let close = client::serve(node.clone(), stream, &limits).await;
-    close_connection(&node, close, open, &limits).await;
+    close_connection(&node, close, &limits).await;
 }
 
 async fn connection<Handler, ResponseFuture>(node: Rc<Node>, stream: TcpStream, handler: Handler)
@@ -180,24 +180,22 @@
     ResponseFuture: Future<Output = Response<Body>> + 'static,
 {
     let limits = ConnectionLimits::of(&node);
-    let open = CountGuard::new(&node, |node| &node.connections);
     let close = serve_requests(&node, stream, &limits, handler).await;
-    close_connection(&node, close, open, &limits).await;
+    close_connection(&node, close, &limits).await;
 }
 
-/// Closes a connection. `open` counts it; a stopping process doesn't wait for connections that were idle.
-async fn close_connection(
-    node: &Rc<Node>,
-    close: Close,
-    open: CountGuard,
-    limits: &ConnectionLimits,
-) {
-    let (stream, _open) = match close {
-        Close::AtOnce => return,
-        Close::Idle(stream) => (stream, None),
-        Close::AfterResponse(stream) => (stream, Some(open)),
-    };
-    lingering_close::close(node, stream, limits.max_discarded_bytes).await;
+/// Closes a connection. A stopping process waits for those whose last response may still be on its way.
+async fn close_connection(node: &Rc<Node>, close: Close, limits: &ConnectionLimits) {
+    match close {
+        Close::AtOnce => {}
+        Close::Idle(stream) => {
+            lingering_close::close(node, stream, limits.max_discarded_bytes).await;
+        }
+        Close::AfterResponse(stream) => {
+            let _open = CountGuard::new(node, |node| &node.connections);
+            lingering_close::close(node, stream, limits.max_discarded_bytes).await;
+        }
+    }
 }
 
 /// Serves the requests of a connection one after the other.
@@ -211,40 +209,25 @@
     Handler: Fn(Rc<Node>, Request<Incoming>) -> ResponseFuture + Copy + 'static,
     ResponseFuture: Future<Output = Response<Body>> + 'static,
 {
-    let mut stop = node.stop.subscribe();
-    // Each request in progress holds a clone.
-    let in_progress = Rc::new(());
     let service = service_fn(|request| {
-        let guards = (
-            CountGuard::new(node, |node| &node.in_flight),
-            in_progress.clone(),
-        );
+        let in_flight = CountGuard::new(node, |node| &node.in_flight);
         let answer = handler(node.clone(), request);
+        let node = node.clone();
         async move {
-            let response = answer.await;
-            Ok::<_, std::convert::Infallible>(response.map(|body| body.with_guard(guards)))
+            let mut response = answer.await;
+            if node.is_closing() {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(CONNECTION, close);
+            }
+            Ok::<_, std::convert::Infallible>(response.map(|body| body.with_guard(in_flight)))
         }
     });
     let writes = TrackedWrites::new(&mut stream, WriteState::new(node.clone()));
     let connection = limits
         .builder()
         .serve_connection(TokioIo::new(writes), service);
-    let mut was_idle = false;
-    let served = {
-        let mut connection = std::pin::pin!(connection);
-        tokio::select! {
-            served = connection.as_mut() => served,
-            _ = stop.wait_for(|stop| *stop == StopPhase::Closing) => {
-                was_idle = Rc::strong_count(&in_progress) == 1;
-                // The response in progress announces the close; an idle connection is closed at once.
-                connection.as_mut().graceful_shutdown();
-                connection.await
-            }
-        }
-    };
-    match served {
+    match connection.await {
         Err(error) if !is_rejected_head(&error) && !is_cut_response(&error) => Close::AtOnce,
-        _ if was_idle => Close::Idle(stream),
         _ => Close::AfterResponse(stream),
     }
 }
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -174,7 +174,8 @@
     pub stop: watch::Sender<StopPhase>,
     /// Requests of clients and other nodes whose responses haven't ended.
     pub in_flight: Cell<usize>,
-    /// Number of open incoming connections, without those that were idle when they began to be closed.
+    /// Number of incoming connections on which a request of a client is being received or answered, or whose last
+    /// response may still be on its way.
     pub connections: Cell<usize>,
     /// Number of incoming connections of which a part of a response is still to be written.
     pub blocked_writes: Cell<usize>,
@@ -292,6 +293,11 @@
         *self.stop.borrow() != StopPhase::Serving
     }
 
+    /// Whether connections are closed after their next response.
+    pub fn is_closing(&self) -> bool {
+        *self.stop.borrow() >= StopPhase::Closing
+    }
+
     /// Closes idle connections to other nodes.
     pub fn close_idle_peers(&self) {
         for peer in self.peers.borrow().values() {
--- a/crates/sidecar/src/pipelining/client.rs
+++ b/crates/sidecar/src/pipelining/client.rs
@@ -5,7 +5,8 @@
 use std::collections::VecDeque;
 use std::future::{Future, poll_fn};
 use std::io;
-use std::pin::{Pin, pin};
+use std::mem::MaybeUninit;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
 
@@ -16,9 +17,10 @@
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use socket2::SockRef;
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
-use tokio::task::{JoinError, spawn_local, yield_now};
+use tokio::task::{JoinError, spawn_local};
 use tokio::time::timeout;
 
 use super::read_ahead::{ReadAhead, StopReason};
@@ -30,7 +32,6 @@
 use crate::logs::Event;
 use crate::node::Node;
 use crate::router;
-use crate::stop::StopPhase;
 
 /// While the completed responses that wait for their turn on one connection hold this many bytes, no further request
 /// is started ahead. This bounds the memory that a client which reads slowly can take up.
@@ -77,27 +78,20 @@
 /// The HTTP server keeps 16 KB of buffers for each connection. Where clients hold hundreds of idle connections, these
 /// buffers are most of the process's memory. The HTTP server's state is therefore dropped each time the connection
 /// becomes idle, and created again when more bytes arrive, which costs a few allocations per request.
+///
+/// A stopping process leaves idle connections open until it exits: a request that is already on its way when the
+/// connection is closed can't be answered any more.
 pub async fn serve(node: Rc<Node>, stream: TcpStream, limits: &ConnectionLimits) -> Close {
-    let mut stop = node.stop.subscribe();
-    let mut closing = pin!(stop.wait_for(|stop| *stop == StopPhase::Closing));
     let client = Client::new(node, stream, limits.buffer_bytes);
     let (end, was_idle) = loop {
-        match serve_until_idle(&client, limits, closing.as_mut()).await {
+        let in_use = CountGuard::new(&client.node, |node| &node.connections);
+        match serve_until_idle(&client, limits).await {
             Pause::Ended(end) => break (end, false),
-            Pause::Idle => {}
+            Pause::Idle => drop(in_use),
         }
-        let next = timeout(
-            limits.idle_timeout,
-            poll_fn(|context| client.poll_idle_end(context, closing.as_mut())),
-        );
-        match next.await {
-            Ok(IdleEnd::Readable) => {}
-            Ok(IdleEnd::Closing) => {
-                if !client.has_unread_data().await {
-                    break (End::Closed, true);
-                }
-            }
-            Err(_) => break (End::Closed, true),
+        let readable = poll_fn(|context| client.poll_readable(context));
+        if timeout(limits.idle_timeout, readable).await.is_err() {
+            break (End::Closed, true);
         }
     };
     client.ended(end);
@@ -109,11 +103,7 @@
 }
 
 /// Runs the HTTP server until every request received so far is answered or the connection ends.
-async fn serve_until_idle(
-    client: &Rc<Client>,
-    limits: &ConnectionLimits,
-    mut closing: Pin<&mut impl Future>,
-) -> Pause {
+async fn serve_until_idle(client: &Rc<Client>, limits: &ConnectionLimits) -> Pause {
     let service = service_fn(|request| {
         let started = client.take_started(&request);
         let client = client.clone();
@@ -129,22 +119,12 @@
     let io = TokioIo::new(writes);
     // Boxed, so that the future of an idle connection doesn't reserve space for it.
     let mut connection = Box::new(limits.builder().serve_connection(io, service));
-    let mut announced = false;
     let pause = poll_fn(|context| {
-        client.poll_closing(context, closing.as_mut());
         loop {
             client.server_wants_data.set(false);
             if let Poll::Ready(served) = Pin::new(&mut *connection).poll(context) {
                 return Poll::Ready(Pause::Ended(End::of(&served)));
             }
-            if client.is_last_response() && !announced {
-                // The response in progress announces the close; an idle connection is closed at once. This must not
-                // happen before the HTTP server was polled: a server that hasn't yet tried to read a request would
-                // close the connection although a request has arrived.
-                announced = true;
-                Pin::new(&mut *connection).graceful_shutdown();
-                continue;
-            }
             if client.poll_read_ahead(context).is_ready() {
                 return Poll::Ready(Pause::Ended(End::Broken));
             }
@@ -164,14 +144,6 @@
     pause
 }
 
-/// Why a connection stops being idle.
-enum IdleEnd {
-    /// There are bytes to read, or the client has closed the connection.
-    Readable,
-    /// The process is closing its connections.
-    Closing,
-}
-
 /// The parts of the current request that route selection needs.
 struct CurrentRequest {
     uri: Uri,
@@ -196,8 +168,6 @@
     /// Bytes of completed responses that wait for their turn.
     held: Rc<Cell<u64>>,
     has_started_any: Cell<bool>,
-    /// The process is closing its connections: no more requests are started ahead.
-    is_closing: Cell<bool>,
     /// Whether writes are blocked because the client doesn't read.
     writes: Rc<WriteState>,
 }
@@ -216,54 +186,22 @@
             started: RefCell::new(VecDeque::new()),
             held: Rc::default(),
             has_started_any: Cell::new(false),
-            is_closing: Cell::new(false),
             writes,
         })
     }
 
-    /// Sets `is_closing` once the process closes its connections.
-    fn poll_closing(&self, context: &mut Context<'_>, closing: Pin<&mut impl Future>) {
-        if !self.is_closing.get() && closing.poll(context).is_ready() {
-            self.is_closing.set(true);
-        }
-    }
-
     /// Whether every request received so far is answered and every response is written. The HTTP server must have
     /// tried to read more.
     fn is_idle(&self) -> bool {
         self.server_wants_data.get()
             && !self.writes.is_blocked()
-            && !self.is_closing.get()
             && self.early.borrow().is_empty()
             && self.read_ahead.borrow().is_idle()
     }
 
-    /// Waits until the connection is no longer idle. Requests that have arrived are answered before the process
-    /// closes the connection.
-    fn poll_idle_end(
-        &self,
-        context: &mut Context<'_>,
-        closing: Pin<&mut impl Future>,
-    ) -> Poll<IdleEnd> {
-        self.poll_closing(context, closing);
-        if self.stream.borrow().poll_read_ready(context).is_ready() {
-            Poll::Ready(IdleEnd::Readable)
-        } else if self.is_closing.get() {
-            Poll::Ready(IdleEnd::Closing)
-        } else {
-            Poll::Pending
-        }
-    }
-
-    /// Whether bytes, or the client's close, have arrived that the runtime had not yet reported when the process
-    /// began to close its connections.
-    async fn has_unread_data(&self) -> bool {
-        yield_now().await;
-        poll_fn(|context| {
-            let polled = self.stream.borrow().poll_read_ready(context);
-            Poll::Ready(polled.is_ready())
-        })
-        .await
+    /// Ready when there are bytes to read, or the client has closed the connection.
+    fn poll_readable(&self, context: &mut Context<'_>) -> Poll<()> {
+        self.stream.borrow().poll_read_ready(context).map(|_| ())
     }
 
     /// Called when the HTTP server has read a request. Returns the matching request if it was started ahead.
@@ -309,14 +247,29 @@
         response.map(|body| body.with_guard(guards))
     }
 
-    /// Whether the response in progress is the last one on this connection.
+    /// Whether the response in progress is the last one on this connection: the process closes its connections, and
+    /// nothing has arrived behind this request that would remain unanswered.
     fn is_last_response(&self) -> bool {
-        self.is_closing.get() && self.started.borrow().is_empty()
+        self.node.is_closing() && self.started.borrow().is_empty() && !self.has_more_requests()
+    }
+
+    /// Whether another request, or a part of one, has arrived.
+    fn has_more_requests(&self) -> bool {
+        let read_ahead = self.read_ahead.borrow();
+        let is_between_requests = read_ahead.wants_more();
+        is_between_requests && (read_ahead.has_unscanned() || self.has_unread_bytes())
+    }
+
+    /// Whether the socket has bytes that haven't been read.
+    fn has_unread_bytes(&self) -> bool {
+        let stream = self.stream.borrow();
+        let peeked = SockRef::from(&*stream).peek(&mut [MaybeUninit::uninit()]);
+        peeked.is_ok_and(|length| length > 0)
     }
 
     /// Starts requests ahead of their turn, as many as the limits allow.
     fn start_ahead(&self) {
-        if self.is_closing.get() || !self.read_ahead.borrow().may_start() {
+        if self.node.is_closing() || !self.read_ahead.borrow().may_start() {
             return;
         }
         if let Some(current) = self.current.take()
--- a/crates/sidecar/src/pipelining/read_ahead.rs
+++ b/crates/sidecar/src/pipelining/read_ahead.rs
@@ -163,6 +163,11 @@
         self.unanswered > 0 && self.body_left == 0 && self.stopped.is_none()
     }
 
+    /// Whether bytes have arrived behind the last request that was found.
+    pub fn has_unscanned(&self) -> bool {
+        !self.unscanned.is_empty()
+    }
+
     /// Whether everything that has arrived belongs to answered requests.
     pub fn is_idle(&self) -> bool {
         self.unanswered == 0
--- a/crates/sidecar/src/stop.rs
+++ b/crates/sidecar/src/stop.rs
@@ -10,8 +10,7 @@
     /// The readiness check fails, but requests that still arrive are served. The node's keys are
     /// moved to other nodes.
     Leaving,
-    /// No new connections are accepted, and kept-alive connections are closed as soon as they are
-    /// idle.
+    /// No new connections are accepted, and each connection is closed after its next response.
     Closing,
 }
 
@@ -28,7 +27,7 @@
     pub holds_keys: bool,
     /// Number of connections of which a part of a response is still to be written.
     pub blocked_writes: usize,
-    /// Number of open incoming connections.
+    /// Number of incoming connections that are in use, or whose last response may still be on its way.
     pub connections: usize,
     /// Total number of bytes that were discarded from connections that are being closed.
     pub discarded_bytes: u64,
@@ -68,9 +67,9 @@
 
 /// Decides when a process in [`StopPhase::Closing`] may exit.
 ///
-/// While connections are open, a request that was sent before the peer noticed the stop may still
-/// arrive on one of them. Exiting without waiting for it would cut the request off: this happened
-/// to one request in seven runs of half a minute at 194 machines.
+/// While connections are in use, the rest of a request may still arrive on one of them, and the last
+/// bytes of a response may still be on their way. Connections that are idle don't delay the exit: a
+/// request that crosses it hasn't been read.
 #[derive(Debug, Default)]
 pub struct ExitCondition {
     /// Since when nothing but open connections has been left; `None` while other work remains.
