Sidecar: the idle time of a connection follows the configuration in force

What callers saw: after the operator had configured a longer idle time, clients found connections closed that had rested for less than that.

Cause: the idle time was read from the configuration when the connection was accepted.

Evidence: with 1 s, then 15 s configured, a connection was closed after 7 s.

Change: the time is read when the connection becomes idle and checked again when it is over.

--- a/crates/sidecar/src/listen.rs
+++ b/crates/sidecar/src/listen.rs
@@ -17,6 +17,7 @@
 use socket2::{Domain, Protocol, Socket, Type};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::yield_now;
+use wingspar_routes::Limits;
 
 use crate::blocked_writes::{TrackedWrites, WriteState};
 use crate::body::Body;
@@ -135,13 +136,9 @@
 
 impl ConnectionLimits {
     fn of(node: &Node) -> Self {
-        let routes = node.routes.borrow();
-        let limits = routes
-            .as_ref()
-            .map(|routes| routes.configuration().limits.clone());
-        let limits = limits.unwrap_or_default();
+        let limits = limits_in_force(node);
         Self {
-            idle_timeout: limits.idle_time.max(limits.header_time) + IDLE_MARGIN,
+            idle_timeout: idle_timeout(node),
             buffer_bytes: limits.header_bytes.saturating_mul(2).max(MIN_BUFFER_BYTES),
             max_discarded_bytes: limits.body_bytes.saturating_mul(2),
         }
@@ -158,6 +155,21 @@
     }
 }
 
+/// The limits in the configuration in force.
+fn limits_in_force(node: &Node) -> Limits {
+    let routes = node.routes.borrow();
+    let limits = routes
+        .as_ref()
+        .map(|routes| routes.configuration().limits.clone());
+    limits.unwrap_or_default()
+}
+
+/// Maximum time between two request heads of a connection, by the configuration in force.
+pub fn idle_timeout(node: &Node) -> Duration {
+    let limits = limits_in_force(node);
+    limits.idle_time.max(limits.header_time) + IDLE_MARGIN
+}
+
 /// How a connection is to be closed.
 pub enum Close {
     /// At once: the peer has disconnected.
--- a/crates/sidecar/src/pipelining/client.rs
+++ b/crates/sidecar/src/pipelining/client.rs
@@ -21,14 +21,14 @@
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
 use tokio::task::{JoinError, spawn_local};
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout_at};
 
 use super::read_ahead::{ReadAhead, StopReason};
 use super::server_side::ServerSide;
 use super::started::{BufferedBytes, GuardedResponse, StartedRequest};
 use crate::blocked_writes::{TrackedWrites, WriteState};
 use crate::body::Body;
-use crate::listen::{Close, ConnectionLimits, CountGuard, is_cut_response, is_rejected_head};
+use crate::listen::{self, Close, ConnectionLimits, CountGuard, is_cut_response, is_rejected_head};
 use crate::logs::Event;
 use crate::node::Node;
 use crate::router;
@@ -89,8 +89,7 @@
             Pause::Ended(end) => break (end, false),
             Pause::Idle => drop(in_use),
         }
-        let readable = poll_fn(|context| client.poll_readable(context));
-        if timeout(limits.idle_timeout, readable).await.is_err() {
+        if !client.becomes_readable_in_time().await {
             break (End::Closed, true);
         }
     };
@@ -199,6 +198,22 @@
             && self.read_ahead.borrow().is_idle()
     }
 
+    /// Waits until there are bytes to read, or the client has closed the connection. Returns false if neither happens
+    /// within the idle timeout of the configuration in force, which may change meanwhile.
+    async fn becomes_readable_in_time(&self) -> bool {
+        let idle_since = Instant::now();
+        loop {
+            let until = idle_since + listen::idle_timeout(&self.node);
+            if until <= Instant::now() {
+                return false;
+            }
+            let readable = poll_fn(|context| self.poll_readable(context));
+            if timeout_at(until, readable).await.is_ok() {
+                return true;
+            }
+        }
+    }
+
     /// Ready when there are bytes to read, or the client has closed the connection.
     fn poll_readable(&self, context: &mut Context<'_>) -> Poll<()> {
         self.stream.borrow().poll_read_ready(context).map(|_| ())
