Sidecar: a request that crosses the close of an idle connection isn't read

What callers saw: a request on a connection that the node was just closing, because it had been idle for too long, got no answer and wasn't sent again: requests that can't be repeated are sent again only if the node hasn't read them.

Cause: the lingering close, which protects a response on its way, also read and discarded what arrived on connections without any response in progress.

Evidence: the bytes of such a request were accepted for 2 s more after the close.

Change: such a connection is shut down and then dropped as soon as bytes arrive, unread, which resets it. Its last response has been delivered long before.

--- a/crates/sidecar/src/lingering_close.rs
+++ b/crates/sidecar/src/lingering_close.rs
@@ -12,7 +12,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::task::yield_now;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::listen::CountGuard;
 use crate::logs::Event;
@@ -44,6 +44,8 @@
     ByteLimit,
     /// Too many other connections are being closed.
     ConnectionLimit,
+    /// A request arrived on a connection that was closed because it was idle.
+    RequestArrived,
 }
 
 impl Outcome {
@@ -56,6 +58,7 @@
             Self::TimeLimit => "time_limit",
             Self::ByteLimit => "byte_limit",
             Self::ConnectionLimit => "connection_limit",
+            Self::RequestArrived => "request_arrived",
         }
     }
 
@@ -63,7 +66,7 @@
     fn is_forced(self) -> bool {
         matches!(
             self,
-            Self::TimeLimit | Self::ByteLimit | Self::ConnectionLimit
+            Self::TimeLimit | Self::ByteLimit | Self::ConnectionLimit | Self::RequestArrived
         )
     }
 }
@@ -79,6 +82,28 @@
         let _lingering = CountGuard::new(node, |node| &node.lingering);
         discard(node, &stream, max_bytes, &mut discarded).await
     };
+    report(node, outcome, discarded);
+}
+
+/// Closes a connection on which no request is in progress. A request that arrives meanwhile isn't read, so that its
+/// client learns by the reset that it hasn't been processed.
+pub async fn close_idle(node: &Rc<Node>, mut stream: TcpStream) {
+    let outcome = if stream.shutdown().await.is_err() {
+        Outcome::Failed
+    } else {
+        let _lingering = CountGuard::new(node, |node| &node.lingering);
+        match timeout(MAX_QUIET_TIME, stream.peek(&mut [0])).await {
+            Ok(Ok(0)) => Outcome::PeerClosed,
+            Ok(Ok(_)) => Outcome::RequestArrived,
+            Ok(Err(_)) => Outcome::Failed,
+            Err(_) => Outcome::Quiet,
+        }
+    };
+    report(node, outcome, 0);
+}
+
+/// Counts how a connection was closed, and logs it if that was forced.
+fn report(node: &Node, outcome: Outcome, discarded: u64) {
     node.metrics
         .count(&node.metrics.closed_connections, outcome.name());
     if outcome.is_forced() {
--- a/crates/sidecar/src/listen.rs
+++ b/crates/sidecar/src/listen.rs
@@ -200,9 +200,7 @@
 async fn close_connection(node: &Rc<Node>, close: Close, limits: &ConnectionLimits) {
     match close {
         Close::AtOnce => {}
-        Close::Idle(stream) => {
-            lingering_close::close(node, stream, limits.max_discarded_bytes).await;
-        }
+        Close::Idle(stream) => lingering_close::close_idle(node, stream).await,
         Close::AfterResponse(stream) => {
             let _open = CountGuard::new(node, |node| &node.connections);
             lingering_close::close(node, stream, limits.max_discarded_bytes).await;
--- a/crates/sidecar/src/logs/event.rs
+++ b/crates/sidecar/src/logs/event.rs
@@ -329,7 +329,8 @@
     /// A connection was closed after its last response although the peer may still have been sending, so the peer may
     /// not receive all of that response.
     CloseForced {
-        /// The limit that was reached: time_limit, byte_limit, connection_limit.
+        /// The limit that was reached: time_limit, byte_limit, connection_limit; request_arrived if a request crossed the
+        /// close of an idle connection and hasn't been read.
         reason: &'a str,
         /// Number of bytes that were discarded.
         discarded: u64,
