Sidecar: a stopping node sends only requests that end before it exits

What callers saw: requests whose last bytes came late in the grace time were read, sent to a target, run there, and cut without an answer when the process exited, also such that can't be repeated.

Cause: nothing asked how much of the grace time was left before a request was sent. A connection with a begun head isn't idle, so it stays open, and its request was handled like any other. Requests that waited (for a slot here or at another node, for a key's owner, for the rest of their body, for a repeat) were sent whenever the wait was over.

Change: until connections begin to be closed, after at most half of the grace time, nothing changes. After that, a request is sent only if its own deadline lies before the last responses must be ready: it then ends, whatever its target does. Any other request is refused at once, which is true ("not run"), with the time until the exit as Retry-After, and the connection is closed by agreement. The check stands before each send of the router, so it covers every wait and every repeat; a request that could outlast the process waits for a slot at another node only until the closing phase begins, and one that waits for a slot here is refused when it does.

--- a/crates/sidecar/src/agent.rs
+++ b/crates/sidecar/src/agent.rs
@@ -65,7 +65,13 @@
     if node.breaker.borrow().refuses(node.now()) {
         return HopAnswer::Refused(Refusal::Full);
     }
-    let Ok(slot) = wait_for_slot(node, &hop).await else {
+    let slot = tokio::select! {
+        biased;
+        slot = wait_for_slot(node, &hop) => slot,
+        // It would be refused once it had a slot. Other nodes can still run it.
+        () = node.stop_reaches(StopPhase::Closing) => return HopAnswer::Refused(Refusal::Leaving),
+    };
+    let Ok(slot) = slot else {
         return HopAnswer::Refused(Refusal::Full);
     };
     // The conditions may have changed while the request waited, so everything is checked again.
@@ -138,7 +144,7 @@
         return Err(Refusal::NoTarget);
     }
     let drain_grace = node.settings.bounds.drain_grace();
-    if !target.may_start(now, drain_grace) || *node.stop.borrow() == StopPhase::Closing {
+    if !target.may_start(now, drain_grace) || node.is_closing() {
         return Err(Refusal::Leaving);
     }
     if !node.evacuations.borrow().may_start(now, hop.key.is_some()) {
--- a/crates/sidecar/src/local_response.rs
+++ b/crates/sidecar/src/local_response.rs
@@ -33,6 +33,8 @@
     Quarantined,
     /// The key currently has no owner.
     NoOwner,
+    /// The node is stopping, and the request might not end before the process does.
+    Stopping,
     /// The deadline passed before the request was sent.
     NotSentInTime,
     /// The deadline passed after the request was sent.
@@ -60,6 +62,7 @@
             Self::Full => "full",
             Self::Quarantined => "quarantined",
             Self::NoOwner => "no_owner",
+            Self::Stopping => "stopping",
             Self::NotSentInTime => "not_sent_in_time",
             Self::NoAnswerInTime => "no_answer_in_time",
             Self::MayHaveRun => "may_have_run",
@@ -83,6 +86,7 @@
             | Self::Full
             | Self::Quarantined
             | Self::NoOwner
+            | Self::Stopping
             | Self::NotSentInTime => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoAnswerInTime => StatusCode::GATEWAY_TIMEOUT,
             Self::MayHaveRun => StatusCode::BAD_GATEWAY,
--- a/crates/sidecar/src/logs/event.rs
+++ b/crates/sidecar/src/logs/event.rs
@@ -27,6 +27,8 @@
     Stopped {
         /// Number of requests that were still running.
         unfinished: usize,
+        /// Number of requests that were refused since they might not have ended before the exit.
+        refused: usize,
         /// Time from the signal until no request was in progress, in milliseconds; 0 if none was when connections
         /// began to be closed.
         requests_ms: u64,
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -22,6 +22,7 @@
 use crate::configuration::ConfigurationAnswers;
 use crate::configuration_doubts::ConfigurationChecks;
 use crate::connections::ConnectionPool;
+use crate::deadline::Deadline;
 use crate::directory::Directory;
 use crate::evacuation::{Evacuations, OwnZoneChange};
 use crate::inbound::InboundLimiter;
@@ -41,7 +42,7 @@
 use crate::settings::Settings;
 use crate::slots::{Slots, StartLimit};
 use crate::spill_over::SpillOver;
-use crate::stop::StopPhase;
+use crate::stop::{StopPhase, StopSchedule};
 use crate::store::Store;
 use crate::stored_configuration::ConfigurationReads;
 use crate::target::{Target, WarmupState};
@@ -172,6 +173,10 @@
     pub retry_budget: RefCell<RetryBudget>,
     /// The phase of a planned stop.
     pub stop: watch::Sender<StopPhase>,
+    /// The times of the planned stop; `None` until it begins.
+    pub stop_schedule: Cell<Option<StopSchedule>>,
+    /// Number of requests that were refused since they might not have ended before the exit of this process.
+    pub stop_refusals: Cell<usize>,
     /// Requests of clients and other nodes whose responses haven't ended.
     pub in_flight: Cell<usize>,
     /// Number of incoming connections on which a request of a client is being received or answered, or whose last
@@ -260,6 +265,8 @@
                 settings.bounds.budget_extra,
             )),
             stop: watch::Sender::new(StopPhase::Serving),
+            stop_schedule: Cell::new(None),
+            stop_refusals: Cell::new(0),
             in_flight: Cell::new(0),
             connections: Cell::new(0),
             blocked_writes: Cell::new(0),
@@ -298,6 +305,21 @@
         *self.stop.borrow() >= StopPhase::Closing
     }
 
+    /// Waits until a planned stop has reached a phase.
+    pub async fn stop_reaches(&self, phase: StopPhase) {
+        let mut stop = self.stop.subscribe();
+        // It fails only if the sender is gone, and this node holds it.
+        drop(stop.wait_for(|reached| *reached >= phase).await);
+    }
+
+    /// Whether a request with this deadline may still be sent to a target, in view of a planned stop.
+    pub fn may_send_before_exit(&self, deadline: Deadline) -> bool {
+        let phase = *self.stop.borrow();
+        self.stop_schedule
+            .get()
+            .is_none_or(|schedule| schedule.may_send(phase, deadline))
+    }
+
     /// Closes idle connections to other nodes.
     pub fn close_idle_peers(&self) {
         for peer in self.peers.borrow().values() {
--- a/crates/sidecar/src/router/mod.rs
+++ b/crates/sidecar/src/router/mod.rs
@@ -45,20 +45,29 @@
 /// Routes a request and returns its final answer: the target's, or an error of this node.
 pub async fn answer(node: Rc<Node>, request: Request<Body>) -> Response<Body> {
     let arrived = Instant::now();
-    let table = table_for(&node, &request).await;
     let mut record = Record::new(&request);
-    let response = match table {
-        Some(table) => {
-            record.configuration = table.configuration().version;
-            handle_within_body_limit(&node, &table, request, arrived, &mut record).await
-        }
-        None => Err(Reason::NoConfiguration),
-    };
+    let response = route(&node, request, arrived, &mut record).await;
+    if matches!(response, Err(Reason::Stopping)) {
+        node.stop_refusals.set(node.stop_refusals.get() + 1);
+    }
     record.finish(&node, arrived, response.as_ref().err().copied());
     response
         .unwrap_or_else(|reason| own(reason, retry_after::record_refusal(&node, reason, &record)))
 }
 
+/// Routes a request by the configuration in force.
+async fn route(
+    node: &Rc<Node>,
+    request: Request<Body>,
+    arrived: Instant,
+    record: &mut Record,
+) -> Result<Response<Body>, Reason> {
+    let table = table_for(node, &request).await;
+    let table = table.ok_or(Reason::NoConfiguration)?;
+    record.configuration = table.configuration().version;
+    handle_within_body_limit(node, &table, request, arrived, record).await
+}
+
 /// Whether a pipelined request may run concurrently with others of its connection: its route is idempotent, which also
 /// means that its answer is small enough to be held until the answers before it are sent.
 pub fn may_run_concurrently(node: &Node, uri: &Uri, host: Option<&HeaderValue>) -> bool {
@@ -157,6 +166,9 @@
         .borrow_mut()
         .request(node.now(), resolved.service);
     let times = request_times(node, resolved.route, &parts.headers, arrived, record);
+    if !node.may_send_before_exit(times.deadline) {
+        return Err(Reason::Stopping);
+    }
     check_length(&parts.headers, table.configuration().limits.body_bytes)?;
     let permit = admit(node, resolved.tenant.as_ref(), record).await?;
     let path = parts
--- a/crates/sidecar/src/router/retry_after.rs
+++ b/crates/sidecar/src/router/retry_after.rs
@@ -28,6 +28,7 @@
             None => return record.retry_after.or(Some(FULL_RETRY_AFTER)),
         },
         Reason::OverQuota => return record.retry_after,
+        Reason::Stopping => return time_until_exit(node),
         _ => return None,
     };
     let cause = record.missing.unwrap_or(default_cause);
@@ -49,6 +50,12 @@
     Some(outages.retry_after(now, wanted, cause, caller_wait, leader_contact_at))
 }
 
+/// Time until this process has exited; `None` if it isn't stopping. A retry at the same address reaches its successor.
+fn time_until_exit(node: &Node) -> Option<Duration> {
+    let schedule = node.stop_schedule.get()?;
+    Some(schedule.giving_up_at.left())
+}
+
 /// Records what a node's answer shows about whether requests for that service or key can run, and sets
 /// [`Record::missing`]. `occupancy` is `None` if the node sent no answer.
 pub fn record_answer(
--- a/crates/sidecar/src/router/send.rs
+++ b/crates/sidecar/src/router/send.rs
@@ -62,6 +62,9 @@
 ) -> Result<Response<Body>, Reason> {
     let mut tried = TriedNodes::default();
     loop {
+        if !node.may_send_before_exit(routed.times.deadline) {
+            return Err(reason_unless_run(routed, record, Reason::Stopping));
+        }
         if quarantine::refuses(node, routed.fingerprint) {
             return Err(quarantined_reason(routed, record));
         }
@@ -81,7 +84,7 @@
         record.node = destination.node.to_string();
         record.left_region |= routed.key.is_none() && destination.relation == Relation::OtherRegion;
         let wait = wait_at_next_node(node, routed, tried.refusals);
-        let until = wait.until(routed);
+        let until = limit_wait_to_stop(node, routed, wait.until(routed));
         let answer = send_to(node, routed, &destination, until, record).await;
         let next = match answer {
             HopAnswer::Answered(response) => {
@@ -296,6 +299,13 @@
     }
 }
 
+/// Shortens the time for which a request may wait at the next node so that a planned stop of this node doesn't cut it off.
+fn limit_wait_to_stop(node: &Node, routed: &Routed<'_>, until: Instant) -> Instant {
+    node.stop_schedule.get().map_or(until, |schedule| {
+        schedule.limit_wait(routed.times.deadline, until)
+    })
+}
+
 /// How long a request may wait at the node that is tried next, after `refusals` nodes have refused it.
 fn wait_at_next_node(node: &Node, routed: &Routed<'_>, refusals: usize) -> Wait {
     let directory = node.directory.borrow();
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -18,11 +18,12 @@
 use crate::body::Body;
 use crate::clock::whole_millis;
 use crate::control::Control;
+use crate::deadline::Deadline;
 use crate::local_response::plain;
 use crate::logs::{self, Event};
 use crate::node::Node;
 use crate::settings::{Settings, SettingsError};
-use crate::stop::{ExitCondition, RemainingWork, StopPhase, WorkDurations};
+use crate::stop::{ExitCondition, RemainingWork, StopPhase, StopSchedule, WorkDurations};
 use crate::store_sync::Subject;
 use crate::{heartbeats, internal, listen, operations, registration, store_sync, target_calls};
 
@@ -47,6 +48,8 @@
 const LEAVING_PHASE_DURATION: Duration = Duration::from_millis(2_500);
 /// Safety margin: the process exits this long before the platform would kill it.
 const EXIT_MARGIN: Duration = Duration::from_millis(450);
+/// Time before the exit in which the last responses are written.
+const LAST_RESPONSES_TIME: Duration = Duration::from_millis(150);
 /// How often a stopping process checks whether it may exit, and the pause between attempts to
 /// remove the registration.
 const EXIT_CHECK_INTERVAL: Duration = Duration::from_millis(25);
@@ -236,10 +239,12 @@
     let signalled_at = node.clock.uptime();
     let stopping_since = node.now();
     let grace = Duration::from_secs_f64(node.settings.bounds.grace_s).saturating_sub(EXIT_MARGIN);
+    let schedule = schedule_stop(grace);
+    node.stop_schedule.set(Some(schedule));
     node.log.write(Event::Stopping { signal });
     node.stop.send_replace(StopPhase::Leaving);
     node.control_wakeup.notify_one();
-    tokio::time::sleep(LEAVING_PHASE_DURATION.min(grace / 2)).await;
+    tokio::time::sleep_until(schedule.closing_at).await;
     node.stop.send_replace(StopPhase::Closing);
     let mut exit_condition = ExitCondition::default();
     let mut work = WorkDurations::default();
@@ -262,6 +267,7 @@
     }
     node.log.write(Event::Stopped {
         unfinished: remaining(node).requests,
+        refused: node.stop_refusals.get(),
         requests_ms: whole_millis(work.requests),
         keys_ms: whole_millis(work.keys),
         connections_ms: whole_millis(work.connections),
@@ -269,6 +275,15 @@
     });
 }
 
+/// The times of a planned stop that begins now and takes `grace` at most.
+fn schedule_stop(grace: Duration) -> StopSchedule {
+    let now = tokio::time::Instant::now();
+    StopSchedule {
+        closing_at: now + LEAVING_PHASE_DURATION.min(grace / 2),
+        giving_up_at: Deadline::at(now + grace.saturating_sub(LAST_RESPONSES_TIME)),
+    }
+}
+
 fn remaining(node: &Node) -> RemainingWork {
     let mut participant = node.participant.borrow_mut();
     RemainingWork {
--- a/crates/sidecar/src/stop.rs
+++ b/crates/sidecar/src/stop.rs
@@ -1,7 +1,10 @@
-//! The phases of a planned stop, and the condition under which the process may exit.
+//! The phases of a planned stop, which requests are still sent in them, and the condition under which the process may
+//! exit.
 
 use std::time::{Duration, Instant};
 
+use crate::deadline::Deadline;
+
 /// The phases of a planned stop, in order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum StopPhase {
@@ -10,10 +13,48 @@
     /// The readiness check fails, but requests that still arrive are served. The node's keys are
     /// moved to other nodes.
     Leaving,
-    /// No new connections are accepted, and each connection is closed after its next response.
+    /// No new connections are accepted, and each connection is closed after its next response. Only requests that end
+    /// before the process does are still sent.
     Closing,
 }
 
+/// The times of a planned stop.
+#[derive(Debug, Clone, Copy)]
+pub struct StopSchedule {
+    /// When [`StopPhase::Closing`] begins.
+    pub closing_at: tokio::time::Instant,
+    /// When the last responses must be ready.
+    pub giving_up_at: Deadline,
+}
+
+impl StopSchedule {
+    /// Whether a request with this deadline certainly ends before it would be given up.
+    pub fn outlasts(&self, deadline: Deadline) -> bool {
+        deadline.left() <= self.giving_up_at.left()
+    }
+
+    /// Whether a request with this deadline may still be sent to a target. Until [`StopPhase::Closing`] begins, every
+    /// request may: the rest of the grace period is left for it. After that, a request that may take longer than the
+    /// process lives would be cut off while it runs.
+    pub fn may_send(&self, phase: StopPhase, deadline: Deadline) -> bool {
+        phase < StopPhase::Closing || self.outlasts(deadline)
+    }
+
+    /// Until when a request with this deadline may wait for a slot at another node, which starts it without asking
+    /// again; at most until `wait_until`.
+    pub fn limit_wait(
+        &self,
+        deadline: Deadline,
+        wait_until: tokio::time::Instant,
+    ) -> tokio::time::Instant {
+        if self.outlasts(deadline) {
+            wait_until
+        } else {
+            wait_until.min(self.closing_at)
+        }
+    }
+}
+
 /// Maximum time that the process waits for open connections to close after the last response has
 /// ended and their peers have stopped sending, so that the bytes already written to them can be sent.
 const FLUSH_TIME: Duration = Duration::from_millis(600);
--- a/crates/sidecar/tests/stop.rs
+++ b/crates/sidecar/tests/stop.rs
@@ -1,8 +1,10 @@
-//! When a stopping process may exit.
+//! Which requests a stopping process still sends, and when it may exit.
 
 use std::time::{Duration, Instant};
 
-use wingspar_sidecar::stop::{ExitCondition, RemainingWork};
+use quickcheck::quickcheck;
+use wingspar_sidecar::deadline::Deadline;
+use wingspar_sidecar::stop::{ExitCondition, RemainingWork, StopPhase, StopSchedule};
 
 const NOTHING: RemainingWork = RemainingWork {
     requests: 0,
@@ -102,3 +104,39 @@
     assert!(!exit_condition.is_met(after(start, 3_500), receiving(2_976)));
     assert!(exit_condition.is_met(after(start, 3_600), receiving(2_976)));
 }
+
+/// A stop that closes connections after 2.5 s and gives requests up after 5.4 s.
+fn schedule(now: tokio::time::Instant) -> StopSchedule {
+    StopSchedule {
+        closing_at: now + Duration::from_millis(2_500),
+        giving_up_at: Deadline::at(now + Duration::from_millis(5_400)),
+    }
+}
+
+quickcheck! {
+    /// Guards against requests that are sent late in a planned stop and cut when the process exits.
+    fn a_request_that_is_sent_while_connections_are_closed_ends_before_the_exit(left_ms: u16) -> bool {
+        let now = tokio::time::Instant::now();
+        let schedule = schedule(now);
+        let left = Duration::from_millis(u64::from(left_ms));
+        let deadline = Deadline::at(now + left);
+        let ends_in_time = left <= Duration::from_millis(5_400);
+        schedule.may_send(StopPhase::Serving, deadline)
+            && schedule.may_send(StopPhase::Leaving, deadline)
+            && schedule.may_send(StopPhase::Closing, deadline) == ends_in_time
+    }
+
+    /// Guards against requests that start at another node so late that the exit cuts them.
+    fn a_request_waits_elsewhere_only_until_it_would_start_too_late(left_ms: u16, wait_ms: u16) -> bool {
+        let now = tokio::time::Instant::now();
+        let schedule = schedule(now);
+        let deadline = Deadline::at(now + Duration::from_millis(u64::from(left_ms)));
+        let wait_until = now + Duration::from_millis(u64::from(wait_ms));
+        let limited = schedule.limit_wait(deadline, wait_until);
+        if schedule.outlasts(deadline) {
+            limited == wait_until
+        } else {
+            limited == wait_until.min(schedule.closing_at)
+        }
+    }
+}
