Sidecar: requests that outlast the grace time are answered before the exit

What callers saw: a request whose target was still at work when the grace time was over ended with its connection, without any answer; so did one that still waited for a slot at another node.

Cause: the process exited whatever was still in progress.

Evidence: with work of 9 s, 4 of 4 requests were cut.

Change: shortly before the exit, requests in progress are given up: 503 if they certainly haven't run, 502 otherwise. The stop takes no longer for it.

--- a/crates/sidecar/src/logs/event.rs
+++ b/crates/sidecar/src/logs/event.rs
@@ -29,6 +29,8 @@
         unfinished: usize,
         /// Number of requests that were refused since they might not have ended before the exit.
         refused: usize,
+        /// Number of requests that were given up right before the exit.
+        given_up: usize,
         /// Time from the signal until no request was in progress, in milliseconds; 0 if none was when connections
         /// began to be closed.
         requests_ms: u64,
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -177,6 +177,8 @@
     pub stop_schedule: Cell<Option<StopSchedule>>,
     /// Number of requests that were refused since they might not have ended before the exit of this process.
     pub stop_refusals: Cell<usize>,
+    /// Number of requests that were given up right before the exit of this process.
+    pub stop_given_up: Cell<usize>,
     /// Requests of clients and other nodes whose responses haven't ended.
     pub in_flight: Cell<usize>,
     /// Number of incoming connections on which a request of a client is being received or answered, or whose last
@@ -267,6 +269,7 @@
             stop: watch::Sender::new(StopPhase::Serving),
             stop_schedule: Cell::new(None),
             stop_refusals: Cell::new(0),
+            stop_given_up: Cell::new(0),
             in_flight: Cell::new(0),
             connections: Cell::new(0),
             blocked_writes: Cell::new(0),
--- a/crates/sidecar/src/router/mod.rs
+++ b/crates/sidecar/src/router/mod.rs
@@ -37,16 +37,25 @@
 use crate::node::Node;
 use crate::quota::{self, Permit};
 use crate::slots::TenantScheduling;
+use crate::stop::StopPhase;
 use crate::tenants::{RequestTenant, authenticate, is_unknown_credential};
 
 /// Bodies up to this many bytes are buffered, so that a retry can send them again after a node has read them.
 const MAX_BUFFERED_BODY: u64 = 64 * 1024;
 
-/// Routes a request and returns its final answer: the target's, or an error of this node.
+/// Routes a request and returns its final answer: the target's, or an error of this node. A request that is still in
+/// progress when the process is about to exit is given up.
 pub async fn answer(node: Rc<Node>, request: Request<Body>) -> Response<Body> {
     let arrived = Instant::now();
     let mut record = Record::new(&request);
-    let response = route(&node, request, arrived, &mut record).await;
+    let response = tokio::select! {
+        biased;
+        response = route(&node, request, arrived, &mut record) => response,
+        () = node.stop_reaches(StopPhase::GivingUp) => {
+            node.stop_given_up.set(node.stop_given_up.get() + 1);
+            Err(record.reason_at_exit())
+        }
+    };
     if matches!(response, Err(Reason::Stopping)) {
         node.stop_refusals.set(node.stop_refusals.get() + 1);
     }
--- a/crates/sidecar/src/router/record.rs
+++ b/crates/sidecar/src/router/record.rs
@@ -37,6 +37,8 @@
     pub sends: u32,
     /// Whether one of these sends may have run.
     pub may_have_run: bool,
+    /// Whether the request has been sent to a node that hasn't answered yet.
+    pub is_sent: bool,
     /// Targets whose process ended while the request ran there.
     pub targets_ended: u32,
     /// Why the last node that didn't answer the request failed to; empty if there was none.
@@ -70,6 +72,7 @@
             left_region: false,
             sends: 0,
             may_have_run: false,
+            is_sent: false,
             targets_ended: 0,
             detail: String::new(),
             tenant: String::new(),
@@ -79,6 +82,15 @@
         }
     }
 
+    /// Why a request is given up that is still in progress when the process is about to exit.
+    pub fn reason_at_exit(&self) -> Reason {
+        if self.is_sent || self.may_have_run {
+            Reason::MayHaveRun
+        } else {
+            Reason::Stopping
+        }
+    }
+
     /// Counts the request; logs it unless a single send within the region answered it. `reason` is why it was refused.
     pub fn finish(&self, node: &Node, arrived: Instant, reason: Option<Reason>) {
         let took = arrived.elapsed();
--- a/crates/sidecar/src/router/send.rs
+++ b/crates/sidecar/src/router/send.rs
@@ -85,7 +85,9 @@
         record.left_region |= routed.key.is_none() && destination.relation == Relation::OtherRegion;
         let wait = wait_at_next_node(node, routed, tried.refusals);
         let until = limit_wait_to_stop(node, routed, wait.until(routed));
+        record.is_sent = true;
         let answer = send_to(node, routed, &destination, until, record).await;
+        record.is_sent = false;
         let next = match answer {
             HopAnswer::Answered(response) => {
                 record.sends += 1;
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -255,6 +255,11 @@
         if exit_condition.is_met(Instant::now(), remaining) {
             break;
         }
+        if schedule.giving_up_at.has_passed() {
+            node.stop.send_if_modified(|phase| {
+                std::mem::replace(phase, StopPhase::GivingUp) != StopPhase::GivingUp
+            });
+        }
         let is_removing = removal.as_ref().is_some_and(|task| !task.is_finished());
         let may_unregister = || {
             let mut participant = node.participant.borrow_mut();
@@ -268,6 +273,7 @@
     node.log.write(Event::Stopped {
         unfinished: remaining(node).requests,
         refused: node.stop_refusals.get(),
+        given_up: node.stop_given_up.get(),
         requests_ms: whole_millis(work.requests),
         keys_ms: whole_millis(work.keys),
         connections_ms: whole_millis(work.connections),
--- a/crates/sidecar/src/stop.rs
+++ b/crates/sidecar/src/stop.rs
@@ -16,6 +16,8 @@
     /// No new connections are accepted, and each connection is closed after its next response. Only requests that end
     /// before the process does are still sent.
     Closing,
+    /// Requests that are still in progress are given up, so that they get a response before the process exits.
+    GivingUp,
 }
 
 /// The times of a planned stop.
@@ -23,7 +25,7 @@
 pub struct StopSchedule {
     /// When [`StopPhase::Closing`] begins.
     pub closing_at: tokio::time::Instant,
-    /// When the last responses must be ready.
+    /// When [`StopPhase::GivingUp`] begins.
     pub giving_up_at: Deadline,
 }
 
--- a/crates/sidecar/tests/stop.rs
+++ b/crates/sidecar/tests/stop.rs
@@ -124,6 +124,7 @@
         schedule.may_send(StopPhase::Serving, deadline)
             && schedule.may_send(StopPhase::Leaving, deadline)
             && schedule.may_send(StopPhase::Closing, deadline) == ends_in_time
+            && schedule.may_send(StopPhase::GivingUp, deadline) == ends_in_time
     }
 
     /// Guards against requests that start at another node so late that the exit cuts them.
