--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -255,10 +255,9 @@
         if exit_condition.is_met(Instant::now(), remaining) {
             break;
         }
-        if schedule.giving_up_at.has_passed() {
-            node.stop.send_if_modified(|phase| {
-                std::mem::replace(phase, StopPhase::GivingUp) != StopPhase::GivingUp
-            });
+        let phase = *node.stop.borrow();
+        if phase != StopPhase::GivingUp && schedule.giving_up_at.has_passed() {
+            node.stop.send_replace(StopPhase::GivingUp);
         }
         let is_removing = removal.as_ref().is_some_and(|task| !task.is_finished());
         let may_unregister = || {
--- a/crates/sidecar/src/stop.rs
+++ b/crates/sidecar/src/stop.rs
@@ -30,8 +30,8 @@
 }
 
 impl StopSchedule {
-    /// Whether a request with this deadline certainly ends before it would be given up.
-    pub fn outlasts(&self, deadline: Deadline) -> bool {
+    /// Whether requests are given up only after this deadline.
+    pub fn ends_after(&self, deadline: Deadline) -> bool {
         deadline.left() <= self.giving_up_at.left()
     }
 
@@ -39,7 +39,7 @@
     /// request may: the rest of the grace period is left for it. After that, a request that may take longer than the
     /// process lives would be cut off while it runs.
     pub fn may_send(&self, phase: StopPhase, deadline: Deadline) -> bool {
-        phase < StopPhase::Closing || self.outlasts(deadline)
+        phase < StopPhase::Closing || self.ends_after(deadline)
     }
 
     /// Until when a request with this deadline may wait for a slot at another node, which starts it without asking
@@ -49,7 +49,7 @@
         deadline: Deadline,
         wait_until: tokio::time::Instant,
     ) -> tokio::time::Instant {
-        if self.outlasts(deadline) {
+        if self.ends_after(deadline) {
             wait_until
         } else {
             wait_until.min(self.closing_at)
