Sidecar: requests that wait for their body are refused when it is too late to send them

What callers saw: a request that came before a stopping node closes its connections, and whose body or quota answer was still due then, was held until the end of the grace time and refused only there. The stop took that long, too.

Cause: whether a request may still be sent was checked when it arrived and right before each send, but not while it waited for what comes before the send.

Evidence: a request with half of its body was refused 5.4 s after SIGTERM instead of 2.5 s.

Change: these waits end when the closing phase begins, unless the request's own deadline lies before the exit.

Test: a_request_whose_body_is_incomplete_is_refused_when_it_can_no_longer_be_sent (failed before). Two more tests keep what held already: a late request that ends in time is served, and a client that keeps requests under way is told of the close. The test of an idle connection waits for its close instead of a time.

--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -323,6 +323,15 @@
             .is_none_or(|schedule| schedule.may_send(phase, deadline))
     }
 
+    /// Waits until a request with this deadline may no longer be sent because of a planned stop; forever if it may be
+    /// until its deadline.
+    pub async fn may_no_longer_send(&self, deadline: Deadline) {
+        self.stop_reaches(StopPhase::Closing).await;
+        if self.may_send_before_exit(deadline) {
+            std::future::pending().await
+        }
+    }
+
     /// Closes idle connections to other nodes.
     pub fn close_idle_peers(&self) {
         for peer in self.peers.borrow().values() {
--- a/crates/sidecar/src/router/mod.rs
+++ b/crates/sidecar/src/router/mod.rs
@@ -16,6 +16,7 @@
 use send::send;
 use timing::{Times, times};
 
+use std::future::Future;
 use std::rc::Rc;
 
 use http::header::{EXPECT, HOST};
@@ -179,13 +180,14 @@
         return Err(Reason::Stopping);
     }
     check_length(&parts.headers, table.configuration().limits.body_bytes)?;
-    let permit = admit(node, resolved.tenant.as_ref(), record).await?;
+    let permit = admit(node, resolved.tenant.as_ref(), record);
+    let permit = unless_stopping(node, &times, permit).await?;
     let path = parts
         .uri
         .path_and_query()
         .cloned()
         .ok_or(Reason::Malformed)?;
-    let body = read_body(node, received, &times).await?;
+    let body = unless_stopping(node, &times, read_body(node, received, &times)).await?;
     let fingerprint = Fingerprint::of(&RequestContent {
         method: parts.method.as_str(),
         host: &host,
@@ -277,6 +279,20 @@
     times(route, caller_timeout, age, arrived)
 }
 
+/// Waits for what a request needs before it is sent; refuses it as soon as it may no longer be sent because of a planned
+/// stop.
+async fn unless_stopping<Output>(
+    node: &Node,
+    times: &Times,
+    wait: impl Future<Output = Result<Output, Reason>>,
+) -> Result<Output, Reason> {
+    tokio::select! {
+        biased;
+        outcome = wait => outcome,
+        () = node.may_no_longer_send(times.deadline) => Err(Reason::Stopping),
+    }
+}
+
 /// Takes a token from the tenant's quota, if it has one.
 async fn admit(
     node: &Rc<Node>,
--- a/crates/wingspar/tests/sidecar/idle_connections.rs
+++ b/crates/wingspar/tests/sidecar/idle_connections.rs
@@ -6,7 +6,7 @@
 use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::deployment::{Deployment, eventually};
 use crate::raw_client::replies;
@@ -83,11 +83,15 @@
     let deployment = Deployment::start(197).await;
     configure_idle_time(&deployment, 9, 1).await;
     let mut stream = used_connection(&deployment, "before").await;
-    sleep(SHORTEST_IDLE_TIME + Duration::from_millis(500)).await;
+    let mut nothing = [0; 16];
+    let closed = stream.read(&mut nothing);
+    let closed = timeout(2 * SHORTEST_IDLE_TIME, closed).await;
+    assert_eq!(closed.expect("it is closed").ok(), Some(0));
+    // The request of a client that hasn't seen the close yet.
     stream
         .write_all(request("crossing").as_bytes())
         .await
-        .expect("the client hasn't noticed the close");
+        .expect("the client may still send");
     sleep(Duration::from_millis(300)).await;
     // The reset of a connection whose bytes weren't read makes the next write fail.
     let next = stream.write_all(b"\r\n").await;
--- a/crates/wingspar/tests/sidecar/late_requests.rs
+++ b/crates/wingspar/tests/sidecar/late_requests.rs
@@ -426,3 +426,90 @@
     let outcomes = outcomes.map(|outcome| outcome.expect("no panic"));
     check(&deployment, &outcomes.collect::<Vec<_>>(), exited);
 }
+
+/// Guards against requests that are held until the end of the grace time although they can't be sent any more: their
+/// bodies are incomplete when the node begins to close its connections.
+#[tokio::test]
+async fn a_request_whose_body_is_incomplete_is_refused_when_it_can_no_longer_be_sent() {
+    let mut deployment = deployment(198, Duration::from_millis(100)).await;
+    let node = deployment.nodes[NODE].outbound;
+    let signalled = Instant::now();
+    deployment.terminate(NODE);
+    sleep(CLOSING - Duration::from_millis(500)).await;
+    for path in PATHS {
+        let mut client = Client::connect(node).await;
+        let id = format!("incomplete-{}", &path[1..3]);
+        let bytes = request(&format!("POST {path}"), &id);
+        client.send(&bytes[..bytes.len() - 10]).await;
+        let reply = client.answers(1).await.pop().expect("an answer");
+        let took = signalled.elapsed();
+        assert_eq!(reply.status, 503, "{path}");
+        assert_eq!(reply.header("connection"), Some("close"), "{path}");
+        assert!(took < CLOSING + READ_TIME, "{path}: refused after {took:?}");
+        assert!(deployment.seen(&id).is_empty(), "{path}");
+    }
+    exit_time(&mut deployment, signalled).await;
+}
+
+/// Guards against refusing requests that certainly end before the process does.
+#[tokio::test]
+async fn a_late_request_that_ends_before_the_exit_is_served() {
+    let mut deployment = deployment(199, Duration::from_millis(300)).await;
+    let node = deployment.nodes[NODE].outbound;
+    let mut clients = Vec::new();
+    for path in PATHS {
+        let id = format!("short-{}", &path[1..3]);
+        let bytes = request_within(&format!("POST {path}"), &id, 1_500);
+        let mut client = Client::connect(node).await;
+        client.send(&bytes[..30]).await;
+        clients.push((client, bytes));
+    }
+    let signalled = Instant::now();
+    deployment.terminate(NODE);
+    sleep(CLOSING + Duration::from_millis(300)).await;
+    for (client, bytes) in &mut clients {
+        client.send(&bytes[30..]).await;
+    }
+    for (client, _) in &mut clients {
+        let reply = client.answers(1).await.pop().expect("an answer");
+        assert_eq!(reply.status, 200);
+        assert_eq!(reply.header("connection"), Some("close"));
+    }
+    exit_time(&mut deployment, signalled).await;
+}
+
+/// Guards against a client that always sends another request before it has the answer, and so keeps the node from
+/// announcing the close until the exit cuts a request.
+#[tokio::test]
+async fn a_client_that_keeps_requests_under_way_is_told_of_the_close() {
+    let mut deployment = deployment(200, Duration::from_millis(50)).await;
+    let node = deployment.nodes[NODE].outbound;
+    let mut stream = TcpStream::connect(node).await.expect("a connection");
+    let flood = tokio::spawn(async move {
+        let (mut reader, mut writer) = stream.split();
+        let send = async {
+            for number in 0.. {
+                let id = format!("flood-{number}");
+                let bytes = request_within("GET /orders/1", &id, 400);
+                if writer.write_all(&bytes).await.is_err() {
+                    break;
+                }
+                sleep(Duration::from_millis(20)).await;
+            }
+        };
+        let mut received = Vec::new();
+        let receive = reader.read_to_end(&mut received);
+        tokio::select! {
+            () = send => {}
+            _ = receive => {}
+        }
+        replies(&received, false)
+    });
+    let signalled = Instant::now();
+    deployment.terminate(NODE);
+    exit_time(&mut deployment, signalled).await;
+    let received = flood.await.expect("no panic");
+    let last = received.last().expect("answers");
+    assert!(last.whole, "cut: {last:?}");
+    assert_eq!(last.header("connection"), Some("close"));
+}
