--- a/crates/sidecar/src/router/retry_after.rs
+++ b/crates/sidecar/src/router/retry_after.rs
@@ -28,7 +28,7 @@
             None => return record.retry_after.or(Some(FULL_RETRY_AFTER)),
         },
         Reason::OverQuota => return record.retry_after,
-        Reason::Stopping => return time_until_exit(node),
+        Reason::Stopping => return time_until_exit(node).map(|wait| wait.min(caller_wait(record))),
         _ => return None,
     };
     let cause = record.missing.unwrap_or(default_cause);
@@ -41,13 +41,17 @@
     if record.missing.is_none() || record.key.is_none() {
         outages.refused(now, wanted, cause, None);
     }
-    let caller_wait = record.caller_waits_until.map_or(Duration::MAX, |until| {
-        let left = until.saturating_duration_since(Instant::now());
-        left.div_f64(MAX_RETRY_AFTER_FACTOR)
-    });
     let lease_until = node.participant.borrow().lease_until();
     let leader_contact_at = lease_until.before(outages.timing().lease);
-    Some(outages.retry_after(now, wanted, cause, caller_wait, leader_contact_at))
+    Some(outages.retry_after(now, wanted, cause, caller_wait(record), leader_contact_at))
+}
+
+/// How long the request's caller still waits, less what jitter may add to the time that it is told.
+fn caller_wait(record: &Record) -> Duration {
+    record.caller_waits_until.map_or(Duration::MAX, |until| {
+        let left = until.saturating_duration_since(Instant::now());
+        left.div_f64(MAX_RETRY_AFTER_FACTOR)
+    })
 }
 
 /// Time until this process has exited; `None` if it isn't stopping. A retry at the same address reaches its successor.
