Sidecar: closing idle connections doesn't take the places of those with a response

Cause: connections that were closed because they were idle counted as lingering, so 256 of them made a connection with a last response on its way be closed at once. They are counted and limited apart now. Found by a review; not reproduced, no test of its own.

--- a/crates/sidecar/src/lingering_close.rs
+++ b/crates/sidecar/src/lingering_close.rs
@@ -88,10 +88,12 @@
 /// Closes a connection on which no request is in progress. A request that arrives meanwhile isn't read, so that its
 /// client learns by the reset that it hasn't been processed.
 pub async fn close_idle(node: &Rc<Node>, mut stream: TcpStream) {
-    let outcome = if stream.shutdown().await.is_err() {
+    let outcome = if node.closing_idle.get() >= MAX_CONNECTIONS {
+        Outcome::ConnectionLimit
+    } else if stream.shutdown().await.is_err() {
         Outcome::Failed
     } else {
-        let _lingering = CountGuard::new(node, |node| &node.lingering);
+        let _closing = CountGuard::new(node, |node| &node.closing_idle);
         match timeout(MAX_QUIET_TIME, stream.peek(&mut [0])).await {
             Ok(Ok(0)) => Outcome::PeerClosed,
             Ok(Ok(_)) => Outcome::RequestArrived,
--- a/crates/sidecar/src/logs/event.rs
+++ b/crates/sidecar/src/logs/event.rs
@@ -330,8 +330,8 @@
         /// Number of requests that were abandoned.
         dropped: usize,
     },
-    /// A connection was closed after its last response although the peer may still have been sending, so the peer may
-    /// not receive all of that response.
+    /// A connection was closed although the peer may still have been sending. If that was after a response, the peer may
+    /// not receive all of it.
     CloseForced {
         /// The limit that was reached: time_limit, byte_limit, connection_limit; request_arrived if a request crossed the
         /// close of an idle connection and hasn't been read.
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -188,6 +188,8 @@
     pub blocked_writes: Cell<usize>,
     /// Number of connections that are being closed and whose peer may still be sending.
     pub lingering: Cell<usize>,
+    /// Number of connections that were idle for too long and whose peer hasn't closed its side yet.
+    pub closing_idle: Cell<usize>,
     /// Total number of bytes that were discarded from connections that are being closed.
     pub discarded_bytes: Cell<u64>,
 }
@@ -274,6 +276,7 @@
             connections: Cell::new(0),
             blocked_writes: Cell::new(0),
             lingering: Cell::new(0),
+            closing_idle: Cell::new(0),
             discarded_bytes: Cell::new(0),
             name,
             clock,
