Sidecar: a connection that becomes idle late in a stop is flushed before the exit

Cause: a response whose head was sent before connections are closed doesn't announce the close. When its body had ended, its connection counted as idle, and the process could exit before the last bytes had arrived. Found by a review; not reproduced, no test of its own.

Change: while connections are being closed, a connection counts as in use for the time for which the exit waits for the last bytes of any response.

The test of incomplete bodies opens its connections at once: the listener is closed when the first one is refused.

--- a/crates/sidecar/src/pipelining/client.rs
+++ b/crates/sidecar/src/pipelining/client.rs
@@ -21,7 +21,7 @@
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
 use tokio::task::{JoinError, spawn_local};
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 
 use super::read_ahead::{ReadAhead, StopReason};
 use super::server_side::ServerSide;
@@ -32,6 +32,7 @@
 use crate::logs::Event;
 use crate::node::Node;
 use crate::router;
+use crate::stop::FLUSH_TIME;
 
 /// While the completed responses that wait for their turn on one connection hold this many bytes, no further request
 /// is started ahead. This bounds the memory that a client which reads slowly can take up.
@@ -87,8 +88,14 @@
         let in_use = CountGuard::new(&client.node, |node| &node.connections);
         match serve_until_idle(&client, limits).await {
             Pause::Ended(end) => break (end, false),
-            Pause::Idle => drop(in_use),
+            Pause::Idle => {}
         }
+        if client.node.is_closing() {
+            // The end of a response that didn't announce the close may still be on its way.
+            let readable = poll_fn(|context| client.poll_readable(context));
+            let _is_readable = timeout(FLUSH_TIME, readable).await;
+        }
+        drop(in_use);
         if !client.becomes_readable_in_time().await {
             break (End::Closed, true);
         }
--- a/crates/sidecar/src/stop.rs
+++ b/crates/sidecar/src/stop.rs
@@ -59,7 +59,7 @@
 
 /// Maximum time that the process waits for open connections to close after the last response has
 /// ended and their peers have stopped sending, so that the bytes already written to them can be sent.
-const FLUSH_TIME: Duration = Duration::from_millis(600);
+pub const FLUSH_TIME: Duration = Duration::from_millis(600);
 
 /// The work that a stopping process still has to finish.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/wingspar/tests/sidecar/late_requests.rs
+++ b/crates/wingspar/tests/sidecar/late_requests.rs
@@ -436,17 +436,21 @@
     let signalled = Instant::now();
     deployment.terminate(NODE);
     sleep(CLOSING - Duration::from_millis(500)).await;
+    let mut clients = Vec::new();
     for path in PATHS {
-        let mut client = Client::connect(node).await;
         let id = format!("incomplete-{}", &path[1..3]);
         let bytes = request(&format!("POST {path}"), &id);
+        let mut client = Client::connect(node).await;
         client.send(&bytes[..bytes.len() - 10]).await;
+        clients.push((path, id, client));
+    }
+    for (path, id, client) in &mut clients {
         let reply = client.answers(1).await.pop().expect("an answer");
         let took = signalled.elapsed();
         assert_eq!(reply.status, 503, "{path}");
         assert_eq!(reply.header("connection"), Some("close"), "{path}");
         assert!(took < CLOSING + READ_TIME, "{path}: refused after {took:?}");
-        assert!(deployment.seen(&id).is_empty(), "{path}");
+        assert!(deployment.seen(id).is_empty(), "{path}");
     }
     exit_time(&mut deployment, signalled).await;
 }
