Sidecar: a request behind a body in chunks is answered before the close

What callers saw around a planned stop: a request behind one whose body has chunks was read, discarded and got no answer.

Cause: the scanner of a connection's bytes didn't see where chunks end, stopped there, and so the response in progress counted as the last one: it announced the close with a request behind it.

Change: the scanner follows the chunks to their end, so such connections are like all others: they may become idle, which frees the HTTP server's buffers, and what is behind them is answered. The HTTP server alone still decodes the chunks. Malformed ones stop the scanner as before. Nothing is started ahead behind a body.

Not covered: a request behind one with `Upgrade`, of HTTP/1.0, or with another transfer encoding than `chunked`.

Tests: a_request_behind_a_body_in_chunks_is_answered_before_its_connection_is_closed (failed before), requests_behind_chunks_are_found_for_any_segmentation; the property of the scanner has bodies in chunks, too. In the test of unknown lengths the case of chunks, whose bytes were malformed, is kept, and four are added.

--- a/crates/sidecar/src/pipelining/head.rs
+++ b/crates/sidecar/src/pipelining/head.rs
@@ -25,7 +25,9 @@
 pub enum AfterHead {
     /// A body of this many bytes (0 if there is none), then another head.
     Body(u64),
-    /// Unknown: a body without a declared length, another protocol, or the end of the connection.
+    /// A body in chunks, then another head.
+    Chunks,
+    /// Unknown: a body in another encoding, another protocol, or the end of the connection.
     Unknown,
 }
 
@@ -60,10 +62,17 @@
 fn behind(parsed: &httparse::Request<'_, '_>) -> AfterHead {
     let is_last = parsed.version != Some(1) || parsed.method == Some("CONNECT");
     let mut length = None;
+    let mut is_chunked = false;
     for header in parsed.headers.iter() {
-        if is(header, &TRANSFER_ENCODING) || is(header, &UPGRADE) || requests_close(header) {
+        if is(header, &UPGRADE) || requests_close(header) {
             return AfterHead::Unknown;
         }
+        if is(header, &TRANSFER_ENCODING) {
+            if is_chunked || !header.value.trim_ascii().eq_ignore_ascii_case(b"chunked") {
+                return AfterHead::Unknown;
+            }
+            is_chunked = true;
+        }
         if is(header, &CONTENT_LENGTH) {
             let told = std::str::from_utf8(header.value).ok();
             let told = told.and_then(|text| text.trim().parse::<u64>().ok());
@@ -73,10 +82,11 @@
             length = told;
         }
     }
-    if is_last {
-        AfterHead::Unknown
-    } else {
-        AfterHead::Body(length.unwrap_or(0))
+    match (is_chunked, length) {
+        _ if is_last => AfterHead::Unknown,
+        (false, length) => AfterHead::Body(length.unwrap_or(0)),
+        (true, None) => AfterHead::Chunks,
+        (true, Some(_)) => AfterHead::Unknown,
     }
 }
 
--- a/crates/sidecar/src/pipelining/mod.rs
+++ b/crates/sidecar/src/pipelining/mod.rs
@@ -5,6 +5,7 @@
 //! there and hands over their responses when the server reaches them. The server's request must equal the one that
 //! was started. If the two parse the bytes differently, a request runs in vain, but no client gets a wrong response.
 
+mod chunks;
 pub(crate) mod client;
 mod head;
 pub mod read_ahead;
--- a/crates/sidecar/src/pipelining/read_ahead.rs
+++ b/crates/sidecar/src/pipelining/read_ahead.rs
@@ -7,6 +7,7 @@
 use bytes::{Buf, BytesMut};
 use http::Request;
 
+use super::chunks::{ChunkedBody, Skipped};
 use super::head::{AfterHead, HeadError, scan};
 
 /// Maximum number of requests of one connection that run at once behind the current one. A page of a client
@@ -26,13 +27,26 @@
     OutOfStep,
 }
 
+/// The part of a body that hasn't arrived yet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum BodyLeft {
+    /// This many bytes.
+    Bytes(u64),
+    /// More chunks.
+    Chunks(ChunkedBody),
+}
+
+impl BodyLeft {
+    const NONE: Self = Self::Bytes(0);
+}
+
 /// The requests of one connection that have arrived and aren't answered yet.
 #[derive(Debug)]
 pub struct ReadAhead {
     /// Bytes received after the last request that was found.
     unscanned: BytesMut,
-    /// Bytes of the body of the last request that was found which haven't arrived yet.
-    body_left: u64,
+    /// What hasn't arrived yet of the body of the last request that was found.
+    body_left: BodyLeft,
     /// Number of requests that were found and aren't answered.
     unanswered: usize,
     /// How many of `unanswered` were started ahead and not yet taken by the HTTP server.
@@ -51,7 +65,7 @@
     pub fn new(max_head_bytes: usize) -> Self {
         Self {
             unscanned: BytesMut::new(),
-            body_left: 0,
+            body_left: BodyLeft::NONE,
             unanswered: 0,
             ahead: 0,
             current_untaken: false,
@@ -160,7 +174,7 @@
 
     /// Whether more bytes could reveal another request, or the client's close, while a request is in progress.
     pub fn wants_more(&self) -> bool {
-        self.unanswered > 0 && self.body_left == 0 && self.stopped.is_none()
+        self.unanswered > 0 && self.body_left == BodyLeft::NONE && self.stopped.is_none()
     }
 
     /// Whether bytes have arrived behind the last request that was found.
@@ -171,7 +185,7 @@
     /// Whether everything that has arrived belongs to answered requests.
     pub fn is_idle(&self) -> bool {
         self.unanswered == 0
-            && self.body_left == 0
+            && self.body_left == BodyLeft::NONE
             && self.unscanned.is_empty()
             && self.stopped.is_none()
     }
@@ -190,11 +204,25 @@
             && self.ahead < MAX_STARTED_AHEAD
     }
 
+    /// Returns what follows the rest of the current body in `bytes`.
     fn skip_body<'bytes>(&mut self, bytes: &'bytes [u8]) -> &'bytes [u8] {
-        let skipped = bytes
-            .len()
-            .min(usize::try_from(self.body_left).unwrap_or(usize::MAX));
-        self.body_left -= skipped as u64;
+        let (skipped, left) = match &mut self.body_left {
+            BodyLeft::Bytes(left) => {
+                let skipped = bytes
+                    .len()
+                    .min(usize::try_from(*left).unwrap_or(usize::MAX));
+                (skipped, BodyLeft::Bytes(*left - skipped as u64))
+            }
+            BodyLeft::Chunks(chunks) => match chunks.skip(bytes) {
+                Skipped::All => (bytes.len(), BodyLeft::Chunks(*chunks)),
+                Skipped::Until(end) => (end, BodyLeft::NONE),
+                Skipped::Broken => {
+                    self.stop(StopReason::EndUnknown);
+                    return &[];
+                }
+            },
+        };
+        self.body_left = left;
         &bytes[skipped..]
     }
 
@@ -227,6 +255,9 @@
             return;
         }
         let behind = self.skip_body(&bytes[length..]);
+        if self.stopped.is_some() {
+            return;
+        }
         let skipped = bytes.len() - behind.len();
         self.unscanned = bytes;
         self.unscanned.advance(skipped);
@@ -237,7 +268,8 @@
     /// Sets the remaining body length from what follows a head.
     fn set_remaining_body(&mut self, behind: AfterHead) {
         match behind {
-            AfterHead::Body(length) => self.body_left = length,
+            AfterHead::Body(length) => self.body_left = BodyLeft::Bytes(length),
+            AfterHead::Chunks => self.body_left = BodyLeft::Chunks(ChunkedBody::new()),
             AfterHead::Unknown => self.stop(StopReason::EndUnknown),
         }
     }
--- a/crates/sidecar/tests/pipelining.rs
+++ b/crates/sidecar/tests/pipelining.rs
@@ -15,6 +15,8 @@
     Order,
     /// Has a body of this many bytes, at least one.
     Upload(u8),
+    /// Has a body of this many bytes, in chunks.
+    Chunks(u8),
 }
 
 impl Sent {
@@ -25,24 +27,51 @@
             Self::Upload(length) => {
                 format!("PUT /lookup/{number} HTTP/1.1\r\ncontent-length: {length}\r\n\r\n")
             }
+            Self::Chunks(_) => {
+                format!("PUT /lookup/{number} HTTP/1.1\r\ntransfer-encoding: Chunked\r\n\r\n")
+            }
         }
     }
 
     /// A body that consists of request heads, which must not be taken for requests.
     fn body(self) -> Vec<u8> {
-        let length = match self {
-            Self::Upload(length) => usize::from(length),
-            Self::Lookup | Self::Order => 0,
-        };
         let heads = Self::Lookup.head(999);
-        heads.bytes().cycle().take(length).collect()
+        let heads = |length| {
+            heads
+                .bytes()
+                .cycle()
+                .take(usize::from(length))
+                .collect::<Vec<_>>()
+        };
+        match self {
+            Self::Upload(length) => heads(length),
+            Self::Chunks(length) => in_chunks(&heads(length)),
+            Self::Lookup | Self::Order => Vec::new(),
+        }
+    }
+}
+
+/// Encodes a body in chunks, with an extension and trailers.
+fn in_chunks(body: &[u8]) -> Vec<u8> {
+    const CHUNK: usize = 100;
+    let mut encoded = Vec::new();
+    for chunk in body.chunks(CHUNK) {
+        encoded.extend(format!("{:X};extension=0\r\n", chunk.len()).bytes());
+        encoded.extend([chunk, b"\r\n"].concat());
     }
+    encoded.extend(b"0\r\n");
+    if body.len().is_multiple_of(2) {
+        encoded.extend(b"x-trailer: GET /lookup/999 HTTP/1.1\r\nx-other: 5\r\n");
+    }
+    encoded.extend(b"\r\n");
+    encoded
 }
 
 impl Arbitrary for Sent {
     fn arbitrary(generator: &mut Gen) -> Self {
-        match u8::arbitrary(generator) % 4 {
+        match u8::arbitrary(generator) % 5 {
             0 => Self::Order,
+            2 => Self::Chunks(u8::arbitrary(generator)),
             1 => Self::Upload(u8::arbitrary(generator).max(1)),
             _ => Self::Lookup,
         }
@@ -221,6 +250,26 @@
     assert_eq!(connection.read_ahead.ahead(), 1);
 }
 
+/// Guards against requests behind a body in chunks that go unnoticed, so that their connection is closed before they are
+/// answered.
+#[test]
+fn requests_behind_chunks_are_found_for_any_segmentation() {
+    let sent = [
+        Sent::Chunks(250),
+        Sent::Chunks(0),
+        Sent::Order,
+        Sent::Lookup,
+    ];
+    for step in 1..400 {
+        let mut connection = Connection::new(&sent);
+        while connection.arrived < connection.bytes.len() {
+            connection.arrive(step);
+        }
+        assert!(connection.read_ahead.has_unscanned(), "in steps of {step}");
+        assert_eq!(connection.finish(), Vec::<usize>::new());
+    }
+}
+
 #[test]
 fn nothing_starts_behind_a_request_of_unknown_length() {
     let heads = [
@@ -228,6 +277,10 @@
         "GET /lookup/0 HTTP/1.1\r\nConnection: keep-alive, Close\r\n\r\n",
         "GET /lookup/0 HTTP/1.0\r\n\r\n",
         "GET /lookup/0 HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "GET /lookup/0 HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n\r\n",
+        "GET /lookup/0 HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n11111111111111111\r\n",
+        "GET /lookup/0 HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+        "GET /lookup/0 HTTP/1.1\r\nTransfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n0\r\n\r\n",
         "GET /lookup/0 HTTP/1.1\r\nUpgrade: other\r\n\r\n",
         "GET /lookup/0 HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
         "GET /lookup/0 HTTP/1.1\r\nContent-Length: many\r\n\r\n",
--- a/crates/wingspar/tests/sidecar/late_requests.rs
+++ b/crates/wingspar/tests/sidecar/late_requests.rs
@@ -59,6 +59,16 @@
     .into_bytes()
 }
 
+/// A request with a short body in chunks.
+fn in_chunks(method_and_path: &str, id: &str) -> Vec<u8> {
+    format!(
+        "{method_and_path} HTTP/1.1\r\nHost: shop.example\r\nX-Wingspar-Request-Id: {id}\r\n\
+         X-Wingspar-Deadline-Ms: {DEADLINE_MS}\r\nTransfer-Encoding: chunked\r\n\r\n\
+         5\r\nbbbbb\r\n0\r\n\r\n"
+    )
+    .into_bytes()
+}
+
 /// What became of a request.
 #[derive(Debug)]
 struct Outcome {
@@ -351,6 +361,36 @@
     assert_eq!(unanswered.count(), 0, "{outcomes:#?}");
 }
 
+/// Guards against the same behind a request whose body has chunks, so that its end isn't known from its head.
+#[tokio::test]
+async fn a_request_behind_a_body_in_chunks_is_answered_before_its_connection_is_closed() {
+    let mut deployment = deployment(231, Duration::from_millis(800)).await;
+    let node = deployment.nodes[NODE].outbound;
+    deployment.terminate(NODE);
+    let signalled = Instant::now();
+    sleep(CLOSING - Duration::from_millis(500)).await;
+    let clients = (0..4).map(|number| async move {
+        let mut client = Client::connect(node).await;
+        let behind = format!("behind-chunks-{number}");
+        let mut bytes = in_chunks("PUT /orders/1", &format!("chunks-{number}"));
+        bytes.extend(request(&format!("POST {}", PATHS[number % 2]), &behind));
+        client.send(&bytes).await;
+        let sent = signalled.elapsed();
+        let mut answers = client.answers(2).await;
+        Outcome {
+            id: behind,
+            description: number.to_string(),
+            sent: Some(sent),
+            reply: (answers.len() == 2).then(|| answers.remove(1)),
+        }
+    });
+    let outcomes = join_all(clients).await;
+    let exited = exit_time(&mut deployment, signalled).await;
+    check(&deployment, &outcomes, exited);
+    let unanswered = outcomes.iter().filter(|outcome| outcome.reply.is_none());
+    assert_eq!(unanswered.count(), 0, "{outcomes:#?}");
+}
+
 /// Guards against a request on a kept connection that a stopping node reads and discards, because it has already closed
 /// its side.
 #[tokio::test]
