Sidecar: a hop that waits for its body is refused when its agent's node stops

What callers could see: a request that another node had passed on, and whose body came late in the grace time, was sent to the target however late, and cut when the process exited. Its router can then only answer 502, or send it again.

Cause: an agent checks whether a request may start before it waits for the body, not after it.

Change: the wait ends when that phase begins, as the wait for a slot does, and the hop is refused as not run.

Test: a_hop_whose_body_comes_late_in_a_planned_stop_is_refused (failed before).

--- a/crates/sidecar/src/agent.rs
+++ b/crates/sidecar/src/agent.rs
@@ -85,7 +85,13 @@
         return HopAnswer::Refused(Refusal::Full);
     };
     let _expected_response = hop.transfer.map(|_| node.link.expect());
-    let Some(hop) = await_body_start(hop).await else {
+    let hop = tokio::select! {
+        biased;
+        hop = await_body_start(hop) => hop,
+        // It would start so late that it might not end before the process does.
+        () = node.stop_reaches(StopPhase::Closing) => return HopAnswer::Refused(Refusal::Leaving),
+    };
+    let Some(hop) = hop else {
         return HopAnswer::Refused(Refusal::Late);
     };
     run(node, hop, slot, number).await
--- a/crates/wingspar/tests/sidecar/late_requests.rs
+++ b/crates/wingspar/tests/sidecar/late_requests.rs
@@ -22,6 +22,8 @@
 const CLOSING: Duration = Duration::from_millis(2_500);
 /// How long clients wait for an answer in all, in milliseconds.
 const DEADLINE_MS: u64 = 6_000;
+/// Where nodes listen for each other.
+const INTERNAL_PORT: u16 = 7620;
 /// How long a node may take to read bytes that have been sent.
 const READ_TIME: Duration = Duration::from_millis(200);
 
@@ -391,6 +393,30 @@
     assert_eq!(unanswered.count(), 0, "{outcomes:#?}");
 }
 
+/// Guards against a request of another node that is sent to the target so late in a planned stop that the exit cuts it,
+/// because it waited for its body.
+#[tokio::test]
+async fn a_hop_whose_body_comes_late_in_a_planned_stop_is_refused() {
+    let mut deployment = deployment(232, Duration::from_millis(100)).await;
+    let internal = SocketAddr::new(deployment.nodes[NODE].ready.ip(), INTERNAL_PORT);
+    let mut client = Client::connect(internal).await;
+    let head = format!(
+        "POST /patient/1 HTTP/1.1\r\nHost: shop.example\r\nX-Wingspar-Request-Id: late-hop\r\n\
+         Wingspar-Service: {PLAIN}\r\nWingspar-Left-Ms: 20000\r\nWingspar-Patience-Ms: 1000\r\n\
+         Wingspar-Priority: 0\r\nWingspar-Due-Ms: 1000\r\n\
+         Wingspar-Fingerprint: 1\r\nContent-Length: 4\r\n\r\n"
+    );
+    client.send(head.as_bytes()).await;
+    let signalled = Instant::now();
+    deployment.terminate(NODE);
+    sleep(CLOSING + Duration::from_millis(300)).await;
+    client.send(b"body").await;
+    let reply = client.answers(1).await.pop().expect("an answer");
+    assert_eq!(reply.header("wingspar-outcome"), Some("leaving"));
+    assert!(deployment.seen("late-hop").is_empty());
+    exit_time(&mut deployment, signalled).await;
+}
+
 /// Guards against a request on a kept connection that a stopping node reads and discards, because it has already closed
 /// its side.
 #[tokio::test]
