--- a/crates/wingspar/tests/sidecar/late_requests.rs
+++ b/crates/wingspar/tests/sidecar/late_requests.rs
@@ -393,6 +393,46 @@
     assert_eq!(unanswered.count(), 0, "{outcomes:#?}");
 }
 
+/// Guards against requests that get no answer, or run twice, because the node that they were passed on to exits while
+/// they run at its target.
+#[tokio::test]
+async fn requests_at_another_node_that_exits_are_answered_by_their_own() {
+    let mut deployment = deployment(233, Duration::from_secs(9)).await;
+    let router = deployment.nodes[0].outbound;
+    let clients = (0..8).map(|number| async move {
+        let id = format!("elsewhere-{number}");
+        let mut client = Client::connect(router).await;
+        client
+            .send(&request_within("POST /patient/1", &id, 20_000))
+            .await;
+        Outcome {
+            description: id.clone(),
+            id,
+            sent: Some(Duration::ZERO),
+            reply: client.answers(1).await.pop(),
+        }
+    });
+    let clients = clients.map(tokio::spawn).collect::<Vec<_>>();
+    sleep(Duration::from_millis(400)).await;
+    deployment.terminate(NODE);
+    let exited = exit_time(&mut deployment, Instant::now()).await;
+    let outcomes = join_all(clients).await.into_iter();
+    let outcomes = outcomes
+        .map(|outcome| outcome.expect("no panic"))
+        .collect::<Vec<_>>();
+    check(&deployment, &outcomes, exited);
+    let statuses = outcomes
+        .iter()
+        .filter_map(|outcome| outcome.reply.as_ref())
+        .map(|reply| reply.status)
+        .collect::<Vec<_>>();
+    assert!(statuses.contains(&502), "some ran there: {statuses:?}");
+    assert!(
+        statuses.iter().all(|status| matches!(status, 200 | 502)),
+        "{statuses:?}"
+    );
+}
+
 /// Guards against a request of another node that is sent to the target so late in a planned stop that the exit cuts it,
 /// because it waited for its body.
 #[tokio::test]
