--- a/crates/wingspar/tests/sidecar/late_requests.rs
+++ b/crates/wingspar/tests/sidecar/late_requests.rs
@@ -22,6 +22,8 @@
 const CLOSING: Duration = Duration::from_millis(2_500);
 /// How long clients wait for an answer in all, in milliseconds.
 const DEADLINE_MS: u64 = 6_000;
+/// Where nodes listen for each other.
+const INTERNAL_PORT: u16 = 7620;
 /// How long a node may take to read bytes that have been sent.
 const READ_TIME: Duration = Duration::from_millis(200);
 
@@ -59,6 +61,16 @@
     .into_bytes()
 }
 
+/// A request with a short body in chunks.
+fn in_chunks(method_and_path: &str, id: &str) -> Vec<u8> {
+    format!(
+        "{method_and_path} HTTP/1.1\r\nHost: shop.example\r\nX-Wingspar-Request-Id: {id}\r\n\
+         X-Wingspar-Deadline-Ms: {DEADLINE_MS}\r\nTransfer-Encoding: chunked\r\n\r\n\
+         5\r\nbbbbb\r\n0\r\n\r\n"
+    )
+    .into_bytes()
+}
+
 /// What became of a request.
 #[derive(Debug)]
 struct Outcome {
@@ -351,6 +363,100 @@
     assert_eq!(unanswered.count(), 0, "{outcomes:#?}");
 }
 
+/// Guards against the same behind a request whose body has chunks, so that its end isn't known from its head.
+#[tokio::test]
+async fn a_request_behind_a_body_in_chunks_is_answered_before_its_connection_is_closed() {
+    let mut deployment = deployment(231, Duration::from_millis(800)).await;
+    let node = deployment.nodes[NODE].outbound;
+    deployment.terminate(NODE);
+    let signalled = Instant::now();
+    sleep(CLOSING - Duration::from_millis(500)).await;
+    let clients = (0..4).map(|number| async move {
+        let mut client = Client::connect(node).await;
+        let behind = format!("behind-chunks-{number}");
+        let mut bytes = in_chunks("PUT /orders/1", &format!("chunks-{number}"));
+        bytes.extend(request(&format!("POST {}", PATHS[number % 2]), &behind));
+        client.send(&bytes).await;
+        let sent = signalled.elapsed();
+        let mut answers = client.answers(2).await;
+        Outcome {
+            id: behind,
+            description: number.to_string(),
+            sent: Some(sent),
+            reply: (answers.len() == 2).then(|| answers.remove(1)),
+        }
+    });
+    let outcomes = join_all(clients).await;
+    let exited = exit_time(&mut deployment, signalled).await;
+    check(&deployment, &outcomes, exited);
+    let unanswered = outcomes.iter().filter(|outcome| outcome.reply.is_none());
+    assert_eq!(unanswered.count(), 0, "{outcomes:#?}");
+}
+
+/// Guards against requests that get no answer, or run twice, because the node that they were passed on to exits while
+/// they run at its target.
+#[tokio::test]
+async fn requests_at_another_node_that_exits_are_answered_by_their_own() {
+    let mut deployment = deployment(233, Duration::from_secs(9)).await;
+    let router = deployment.nodes[0].outbound;
+    let clients = (0..8).map(|number| async move {
+        let id = format!("elsewhere-{number}");
+        let mut client = Client::connect(router).await;
+        client
+            .send(&request_within("POST /patient/1", &id, 20_000))
+            .await;
+        Outcome {
+            description: id.clone(),
+            id,
+            sent: Some(Duration::ZERO),
+            reply: client.answers(1).await.pop(),
+        }
+    });
+    let clients = clients.map(tokio::spawn).collect::<Vec<_>>();
+    sleep(Duration::from_millis(400)).await;
+    deployment.terminate(NODE);
+    let exited = exit_time(&mut deployment, Instant::now()).await;
+    let outcomes = join_all(clients).await.into_iter();
+    let outcomes = outcomes
+        .map(|outcome| outcome.expect("no panic"))
+        .collect::<Vec<_>>();
+    check(&deployment, &outcomes, exited);
+    let statuses = outcomes
+        .iter()
+        .filter_map(|outcome| outcome.reply.as_ref())
+        .map(|reply| reply.status)
+        .collect::<Vec<_>>();
+    assert!(statuses.contains(&502), "some ran there: {statuses:?}");
+    assert!(
+        statuses.iter().all(|status| matches!(status, 200 | 502)),
+        "{statuses:?}"
+    );
+}
+
+/// Guards against a request of another node that is sent to the target so late in a planned stop that the exit cuts it,
+/// because it waited for its body.
+#[tokio::test]
+async fn a_hop_whose_body_comes_late_in_a_planned_stop_is_refused() {
+    let mut deployment = deployment(232, Duration::from_millis(100)).await;
+    let internal = SocketAddr::new(deployment.nodes[NODE].ready.ip(), INTERNAL_PORT);
+    let mut client = Client::connect(internal).await;
+    let head = format!(
+        "POST /patient/1 HTTP/1.1\r\nHost: shop.example\r\nX-Wingspar-Request-Id: late-hop\r\n\
+         Wingspar-Service: {PLAIN}\r\nWingspar-Left-Ms: 20000\r\nWingspar-Patience-Ms: 1000\r\n\
+         Wingspar-Priority: 0\r\nWingspar-Due-Ms: 1000\r\n\
+         Wingspar-Fingerprint: 1\r\nContent-Length: 4\r\n\r\n"
+    );
+    client.send(head.as_bytes()).await;
+    let signalled = Instant::now();
+    deployment.terminate(NODE);
+    sleep(CLOSING + Duration::from_millis(300)).await;
+    client.send(b"body").await;
+    let reply = client.answers(1).await.pop().expect("an answer");
+    assert_eq!(reply.header("wingspar-outcome"), Some("leaving"));
+    assert!(deployment.seen("late-hop").is_empty());
+    exit_time(&mut deployment, signalled).await;
+}
+
 /// Guards against a request on a kept connection that a stopping node reads and discards, because it has already closed
 /// its side.
 #[tokio::test]
