Sidecar: the answer to a release isn't kept in memory

What callers saw: a target that answered a release of its keys with a body without end filled the memory of the machine's node for up to 1.5 s, and again with each repeat of the release. A node that ran out of memory so ended, and with it the requests of all its clients.

Cause: releases have a connection of their own, which had no limit for the length of an answer, and the whole body was collected. The limit on bytes without progress doesn't apply, since each part of a body is progress.

Evidence: the memory of a node grew by 1,484,420 KB (1,505,689,600 bytes of one answer were taken); in the test without processes, all 67,108,864 bytes were.

Change: an answer to a release has the limit of other calls (64 KB; a longer one is no answer and ends its connection), and what is read of the body of an order's answer is discarded at once.

Tests: a_long_answer_to_a_release_fails_and_closes_its_connection and an_endless_body_behind_a_release_takes_no_memory; both failed before.

--- a/crates/sidecar/src/connections.rs
+++ b/crates/sidecar/src/connections.rs
@@ -11,6 +11,7 @@
 use http::header::CONNECTION;
 use http::{HeaderMap, Request, Response};
 use http_body::{Body as HttpBody, Frame, SizeHint};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -276,6 +277,14 @@
 }
 
 impl PooledBody {
+    /// Reads the rest of the body and discards it.
+    pub async fn read_to_end(mut self) -> Result<(), BodyError> {
+        while let Some(frame) = self.frame().await {
+            frame?;
+        }
+        Ok(())
+    }
+
     /// Counts a frame against the length limit; closes the connection and fails if the limit is exceeded.
     fn count(&mut self, frame: &Frame<Bytes>) -> Result<(), BodyError> {
         let Some(left) = self.left else {
--- a/crates/sidecar/src/key_release.rs
+++ b/crates/sidecar/src/key_release.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use http::{Request, Response, StatusCode};
-use http_body_util::BodyExt;
 use tokio::time::timeout;
 
 use crate::body::Body;
@@ -17,11 +16,11 @@
     request: Request<Body>,
     time: Duration,
 ) -> Option<Response<()>> {
-    let connections = ConnectionPool::new(address, time);
+    let connections = ConnectionPool::for_calls(address, time);
     let exchange = async {
         let response = connections.send(request).await.ok()?;
         let (parts, body) = response.into_parts();
-        let _rest = body.collect().await.ok()?;
+        body.read_to_end().await.ok()?;
         Some(Response::from_parts(parts, ()))
     };
     timeout(time, exchange).await.ok().flatten()
--- a/crates/sidecar/src/target_calls.rs
+++ b/crates/sidecar/src/target_calls.rs
@@ -354,7 +354,7 @@
     let exchange = async {
         let response = node.target_orders.send(request).await.ok()?;
         let (parts, body) = response.into_parts();
-        let _rest = body.collect().await.ok()?;
+        body.read_to_end().await.ok()?;
         Some(Response::from_parts(parts, ()))
     };
     timeout(time, exchange).await.ok().flatten()
--- a/crates/sidecar/tests/endless_answers.rs
+++ b/crates/sidecar/tests/endless_answers.rs
@@ -11,6 +11,7 @@
 use tokio::task::LocalSet;
 use wingspar_sidecar::body::Body;
 use wingspar_sidecar::connections::{ConnectionPool, MAX_CALL_RESPONSE};
+use wingspar_sidecar::key_release;
 use wingspar_sidecar::receive::{self, BodyTimeouts, MAX_LENGTH, ReceiveError};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -105,6 +106,23 @@
     }
 }
 
+/// Guards against a release whose answer is kept in memory for as long as it comes.
+#[test]
+fn a_long_answer_to_a_release_fails_and_closes_its_connection() {
+    const RELEASE_TIME: Duration = Duration::from_secs(20);
+    for (start, repeated) in [
+        ("HTTP/1.1 200 OK\r\n\r\n", "body"),
+        ("HTTP/1.1 409 Conflict\r\n\r\n", "body"),
+        (CHUNKED, "4\r\nbody\r\n"),
+    ] {
+        let (address, sent) = answer_without_end(start, repeated);
+        let answer = run_locally(key_release::send(address, request(), RELEASE_TIME));
+        let sent = sent.recv().expect("a length");
+        assert!(sent <= MOST, "{start:?}: {sent} bytes");
+        assert!(answer.is_none(), "{start:?}: {answer:?}");
+    }
+}
+
 /// The limit of a call's response is for all of its frames together, and takes its full length.
 #[test]
 fn a_response_to_a_call_may_be_as_long_as_the_limit() {
--- a/crates/wingspar/tests/sidecar/endless_answers.rs
+++ b/crates/wingspar/tests/sidecar/endless_answers.rs
@@ -427,6 +427,36 @@
     findings.check();
 }
 
+/// Guards against answers to releases whose bodies are kept in memory for as long as they come.
+#[tokio::test]
+async fn an_endless_body_behind_a_release_takes_no_memory() {
+    let deployment = intercepted(169).await;
+    let findings = Findings::default();
+    let node = key_owned_by(&deployment, 77).expect("an owner");
+    let interceptor = &deployment.nodes[node].target_interceptor;
+    interceptor.answer_by(|request| {
+        let part = PARTS
+            .iter()
+            .find(|part| part.part == "body without a length");
+        let applies = request.path.starts_with("/release");
+        part.filter(|_| applies).map(Endless::answer)
+    });
+    let all = async {
+        deployment.heartbeat(node, "draining", 500).await;
+        tokio::time::sleep(2 * RELEASE_TIMEOUT).await;
+    };
+    beside_others(&deployment, &[node, 2], &findings, all).await;
+    let taken = interceptor.endless_answers();
+    let taken = taken.iter().map(|answer| answer.bytes).max();
+    findings.expect(
+        taken.is_some_and(|taken| taken <= MEMORY_GROWTH * 1024),
+        || format!("{taken:?} bytes of an answer were taken"),
+    );
+    interceptor.pass_all();
+    check_closed(interceptor, RELEASE_TIMEOUT, &findings).await;
+    findings.check();
+}
+
 #[tokio::test]
 async fn a_health_check_with_an_endless_answer_shows_no_target() {
     const NODE: usize = 2;
