Tests: requests of another node that end late in a planned stop

Bodies that pass through another node and end late, and requests to the agent of the stopping node whose heads or bodies end late, are answered or refused, and run at most once.

--- a/crates/wingspar/tests/sidecar/late_requests.rs
+++ b/crates/wingspar/tests/sidecar/late_requests.rs
@@ -1,6 +1,7 @@
 //! Guards against requests that a stopping node has read and whose connections end without an answer: requests that come
 //! late in the grace time, outlast it, or wait behind others on their connection.
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -20,6 +21,8 @@
 const GRACE: Duration = Duration::from_secs(6);
 /// When a stopping node begins to close its connections.
 const CLOSING: Duration = Duration::from_millis(2_500);
+/// Where nodes answer other nodes.
+const INTERNAL_PORT: u16 = 7620;
 /// How long clients wait for an answer in all, in milliseconds.
 const DEADLINE_MS: u64 = 6_000;
 /// How long a node may take to read bytes that have been sent.
@@ -426,3 +429,101 @@
     let outcomes = outcomes.map(|outcome| outcome.expect("no panic"));
     check(&deployment, &outcomes.collect::<Vec<_>>(), exited);
 }
+
+/// A request as another node forwards it to the agent of the stopping node.
+fn forwarded(method_and_path: &str, id: &str) -> Vec<u8> {
+    format!(
+        "{method_and_path} HTTP/1.1\r\nHost: node\r\nwingspar-service: {PLAIN}\r\n\
+         wingspar-left-ms: {DEADLINE_MS}\r\nwingspar-patience-ms: 500\r\nwingspar-priority: 0\r\n\
+         wingspar-due-ms: {DEADLINE_MS}\r\nwingspar-fingerprint: 0000000000000000\r\n\
+         X-Wingspar-Request-Id: {id}\r\nContent-Length: 20\r\n\r\nbbbbbbbbbbbbbbbbbbbb"
+    )
+    .into_bytes()
+}
+
+/// Sends a large body through another node, which forwards it as it arrives; its end is sent `late` after the signal.
+async fn upload_late(
+    node: SocketAddr,
+    (path, late): (&str, Duration),
+    signalled: Instant,
+) -> Outcome {
+    const LENGTH: usize = 200 * 1024;
+    let id = format!("upload-{}-{}", &path[1..3], late.as_millis());
+    let head = format!(
+        "POST {path} HTTP/1.1\r\nHost: shop.example\r\nX-Wingspar-Request-Id: {id}\r\n\
+         X-Wingspar-Deadline-Ms: {DEADLINE_MS}\r\nContent-Length: {LENGTH}\r\n\r\n"
+    );
+    let mut client = Client::connect(node).await;
+    let half = vec![b'b'; LENGTH / 2];
+    client.send(head.as_bytes()).await;
+    client.send(&half).await;
+    sleep((signalled + late).saturating_duration_since(Instant::now())).await;
+    client.send(&half).await;
+    Outcome {
+        description: format!("upload to {path} at {late:?}"),
+        sent: Some(signalled.elapsed()),
+        reply: client.answers(1).await.pop(),
+        id,
+    }
+}
+
+/// Sends the stopping node's agent a request of which the head or the body ends `late` after the signal.
+async fn forward_late(
+    agent: SocketAddr,
+    (kind, path, late): (Late, &str, Duration),
+    signalled: Instant,
+) -> Outcome {
+    let id = format!("forwarded-{kind:?}-{}-{}", &path[1..3], late.as_millis());
+    let bytes = forwarded(&format!("POST {path}"), &id);
+    let early = match kind {
+        Late::Body => bytes.len() - 10,
+        _ => 30,
+    };
+    let mut client = Client::connect(agent).await;
+    client.send(&bytes[..early]).await;
+    sleep((signalled + late).saturating_duration_since(Instant::now())).await;
+    let was_open = client.send(&bytes[early..]).await;
+    Outcome {
+        description: format!("forwarded {kind:?} of {path} at {late:?}"),
+        sent: was_open.then(|| signalled.elapsed()),
+        reply: client.answers(1).await.pop(),
+        id,
+    }
+}
+
+/// Guards against requests that another node forwards, that end late in a planned stop and are cut when the process
+/// exits.
+#[tokio::test]
+async fn requests_of_another_node_that_end_late_in_a_planned_stop_are_answered() {
+    let mut deployment = deployment(198, Duration::from_millis(1_000)).await;
+    let other = deployment.nodes[0].outbound;
+    let agent = SocketAddr::new(deployment.nodes[NODE].ready.ip(), INTERNAL_PORT);
+    let signalled = Instant::now() + Duration::from_millis(500);
+    let mut clients = Vec::new();
+    for late in LATE_MS.map(Duration::from_millis) {
+        for path in PATHS {
+            clients.push(tokio::spawn(upload_late(other, (path, late), signalled)));
+            for kind in [Late::Head, Late::Body] {
+                let late = (kind, path, late);
+                clients.push(tokio::spawn(forward_late(agent, late, signalled)));
+            }
+        }
+    }
+    sleep(signalled.saturating_duration_since(Instant::now())).await;
+    deployment.terminate(NODE);
+    let exited = exit_time(&mut deployment, signalled).await;
+    let outcomes = join_all(clients).await.into_iter();
+    let outcomes = outcomes.map(|outcome| outcome.expect("no panic"));
+    let outcomes = outcomes.collect::<Vec<_>>();
+    check(&deployment, &outcomes, exited);
+    let forwarded = outcomes
+        .iter()
+        .filter(|outcome| outcome.id.starts_with("forwarded-"));
+    let statuses = forwarded.filter_map(|outcome| Some(outcome.reply.as_ref()?.status));
+    let statuses = statuses.collect::<HashSet<_>>();
+    assert_eq!(
+        statuses,
+        HashSet::from([200, 503]),
+        "some run, some come too late"
+    );
+}
