Tests: a short body of another node that decodes to a large value

Not seen by callers. What a node inflates of another node's table or configuration is limited to 64 MB, but not what the decoded value takes: empty names of one byte take 56 bytes each. A body of 38,343 bytes took 469,409,792 bytes, and only a node with a bug would send it. The received body is limited to 4 MB, so nothing of this grows with what a target or a client sends.

Not fixed: a limit that refuses no table or configuration needs a count of the decoded items beside that of the bytes.

--- a/crates/sidecar/tests/compressed_cbor.rs
+++ b/crates/sidecar/tests/compressed_cbor.rs
@@ -91,3 +91,26 @@
     let more = peak_memory().saturating_sub(before);
     assert!(more < 4 << 20, "{more} bytes");
 }
+
+/// Guards against a short body of a faulty node that decodes to a value which fills the memory. The bound is the share of
+/// buffers in the memory of the smallest class of machines.
+#[test]
+fn a_short_body_does_not_decode_to_a_large_value() {
+    const MOST: usize = 32_000_000;
+    let mut names = vec![0x60; 8 << 20];
+    names[0] = 0x9f;
+    names.push(0xff);
+    let mut encoder = DeflateEncoder::new(Vec::new(), Compression::fast());
+    encoder.write_all(&names).expect("an encoded value");
+    let bytes = encoder.finish().expect("an encoded value");
+    assert!(bytes.len() < 1 << 20);
+    let before = peak_memory();
+    let decoded = decompress::<Vec<NodeName>>(&bytes);
+    let more = peak_memory().saturating_sub(before);
+    assert!(
+        more < MOST,
+        "{more} bytes for {} names of {} bytes",
+        decoded.map_or(0, |names| names.len()),
+        bytes.len()
+    );
+}
