Sidecar: another node's planned stop closes no connection of a client

What callers saw: a node that wasn't stopping announced "Connection: close" in an answer and closed its client's connection; a request that it had read behind that one got no answer.

Cause: a stopping node announces the close of its own connection to the node that sent it a request. That node passed the header on to its client, although it concerns one connection only.

Change: hop-by-hop headers are removed from answers of other nodes, as they are from targets' answers.

Test: another_nodes_planned_stop_closes_no_connection_of_a_client, which failed before.

--- a/crates/sidecar/src/hop.rs
+++ b/crates/sidecar/src/hop.rs
@@ -418,8 +418,7 @@
     deadline: Instant,
 ) -> HopAnswer {
     let (mut parts, body) = response.into_parts();
-    parts.headers.remove(OUTCOME);
-    parts.headers.remove(LOAD);
+    remove_hop_headers(&mut parts.headers);
     let keep = node.buffer_budget.allowance(MAX_BUFFERED_ANSWER);
     match buffer_or_stream(body, keep, &node.buffer_budget, deadline).await {
         Ok(body) => HopAnswer::Answered(Response::from_parts(parts, body)),
--- a/crates/wingspar/tests/sidecar/late_requests.rs
+++ b/crates/wingspar/tests/sidecar/late_requests.rs
@@ -426,3 +426,32 @@
     let outcomes = outcomes.map(|outcome| outcome.expect("no panic"));
     check(&deployment, &outcomes.collect::<Vec<_>>(), exited);
 }
+
+/// Guards against a node that closes its client's connection, and drops a request behind, because the node that it had
+/// sent the request to is stopping.
+#[tokio::test]
+async fn another_nodes_planned_stop_closes_no_connection_of_a_client() {
+    let mut deployment = deployment(196, Duration::from_secs(3)).await;
+    let node = deployment.nodes[0].outbound;
+    let clients = (0..8).map(|number| async move {
+        let mut client = Client::connect(node).await;
+        client
+            .send(&request("GET /orders/1", &format!("first-{number}")))
+            .await;
+        sleep(Duration::from_millis(100)).await;
+        client
+            .send(&request("POST /patient/1", &format!("behind-{number}")))
+            .await;
+        client.answers(2).await
+    });
+    let clients = clients.map(tokio::spawn).collect::<Vec<_>>();
+    // The responses come once the other node has begun to close its connections.
+    sleep(Duration::from_millis(300)).await;
+    deployment.terminate(NODE);
+    for client in clients {
+        let answers = client.await.expect("no panic");
+        let connections = answers.iter().map(|reply| reply.header("connection"));
+        assert_eq!(connections.collect::<Vec<_>>(), [None, None]);
+    }
+    assert!(deployment.exited_well(NODE).await);
+}
