Sidecar: a rejection that comes before the body announces the close

What callers could see: after a rejection that came while its body was still being sent, the next request on the connection was read, discarded and got no answer.

Cause: the HTTP server closes a connection if the request's body hasn't arrived when its response ends, without saying so, and the lingering close discards what is behind the body.

Change: such a response has it. If something of a short body, or of chunks, waits to be read, the response is as before, since the HTTP server reads once more and then may keep the connection.

Test: a_rejection_that_comes_before_the_body_announces_the_close (failed before).

--- a/crates/sidecar/src/pipelining/client.rs
+++ b/crates/sidecar/src/pipelining/client.rs
@@ -38,6 +38,9 @@
 const MAX_BUFFERED_RESPONSE_BYTES: u64 = 256 * 1024;
 /// Bytes that are read at a time while a request is in progress: enough for a few request heads.
 const READ_CHUNK_BYTES: usize = 2048;
+/// Bytes of a body that nobody reads which may still arrive in the HTTP server's last read, so that it keeps the
+/// connection.
+const DRAINED_BYTES: u64 = 8 * 1024;
 
 /// How a connection ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -254,7 +257,7 @@
     /// Turns a response into the one for the HTTP server and attaches the guards that end with its body.
     fn finish_response(self: &Rc<Self>, answer: GuardedResponse) -> Response<Body> {
         let mut response = answer.response;
-        if self.is_last_response() {
+        if self.is_last_response() || self.lacks_body() {
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(CONNECTION, close);
         }
@@ -268,6 +271,13 @@
         self.node.is_closing() && self.started.borrow().is_empty() && !self.has_more_requests()
     }
 
+    /// Whether a part of the request's body is missing that the HTTP server doesn't wait for: it reads once more, and
+    /// closes the connection after the response if the body doesn't end there.
+    fn lacks_body(&self) -> bool {
+        let read_ahead = self.read_ahead.borrow();
+        read_ahead.lacks_body(DRAINED_BYTES) || read_ahead.lacks_body(0) && !self.has_unread_bytes()
+    }
+
     /// Whether another request, or a part of one, has arrived.
     fn has_more_requests(&self) -> bool {
         let read_ahead = self.read_ahead.borrow();
--- a/crates/sidecar/src/pipelining/read_ahead.rs
+++ b/crates/sidecar/src/pipelining/read_ahead.rs
@@ -177,6 +177,15 @@
         self.unanswered > 0 && self.body_left == BodyLeft::NONE && self.stopped.is_none()
     }
 
+    /// Whether more than `length` bytes of the last request's body are certainly missing.
+    pub fn lacks_body(&self, length: u64) -> bool {
+        match self.body_left {
+            BodyLeft::Bytes(left) => left > length,
+            // At least the end of the last line is missing.
+            BodyLeft::Chunks(_) => length == 0,
+        }
+    }
+
     /// Whether bytes have arrived behind the last request that was found.
     pub fn has_unscanned(&self) -> bool {
         !self.unscanned.is_empty()
--- a/crates/wingspar/tests/sidecar/closing_connections.rs
+++ b/crates/wingspar/tests/sidecar/closing_connections.rs
@@ -237,7 +237,29 @@
     assert!(lost.is_empty(), "{} lost: {:#?}", lost.len(), lost.first());
 }
 
-/// Guards against the same where the HTTP server itself rejects a head.
+/// Guards against a request that is read and discarded behind a rejected one: the node closes the connection after a
+/// rejection that comes before the body, so it has to say so.
+#[tokio::test]
+async fn a_rejection_that_comes_before_the_body_announces_the_close() {
+    let deployment = Deployment::start(234).await;
+    for framing in [Framing::Length, Framing::Chunks] {
+        let bytes = framing.request("POST /nowhere/1", &format!("{framing:?}"), LARGE_BODY);
+        let mut stream = TcpStream::connect(deployment.nodes[NODE].outbound)
+            .await
+            .expect("a connection");
+        stream.write_all(&bytes[..1_000]).await.expect("it is open");
+        let mut received = Vec::new();
+        stream
+            .read_to_end(&mut received)
+            .await
+            .expect("the connection isn't reset");
+        let replies = replies(&received, true);
+        let told = replies.iter().map(|reply| reply.header("connection"));
+        assert_eq!(told.collect::<Vec<_>>(), [Some("close")], "{framing:?}");
+    }
+}
+
+/// Guards against rejections that are lost where the HTTP server itself rejects a head.
 #[tokio::test]
 async fn a_rejection_of_a_malformed_head_reaches_a_client_that_is_still_sending() {
     let deployment = Deployment::start(132).await;
