Tests: a request in progress outlasts its route and SIGHUP

Of the places that could end a request without an answer, a change of configuration and SIGHUP had no test of a request in progress.

--- a/crates/wingspar/tests/sidecar/late_requests.rs
+++ b/crates/wingspar/tests/sidecar/late_requests.rs
@@ -532,3 +532,24 @@
     let outcomes = outcomes.map(|outcome| outcome.expect("no panic"));
     check(&deployment, &outcomes.collect::<Vec<_>>(), exited);
 }
+
+/// Guards against requests in progress that end without an answer when their route is removed, or on SIGHUP.
+#[tokio::test]
+async fn a_request_in_progress_is_answered_though_its_route_is_removed() {
+    let work = Duration::from_secs(3);
+    let deployment = deployment(235, work).await;
+    let began_at = Instant::now();
+    let mut client = Client::connect(deployment.nodes[NODE].outbound).await;
+    client.send(&request("POST /patient/1", "removed")).await;
+    sleep(Duration::from_millis(200)).await;
+    deployment.configure(10, json!([route("other", "/other/", "idempotent", PLAIN)]));
+    deployment.signal(NODE, "-HUP");
+    eventually("the configuration is in force", || async {
+        deployment.configuration_version(NODE).await == Some(10)
+    })
+    .await;
+    assert!(began_at.elapsed() < work, "it is no longer in progress");
+    let reply = client.answers(1).await.pop().expect("an answer");
+    assert_eq!((reply.status, reply.whole), (200, true));
+    assert_eq!(deployment.seen("removed").len(), 1);
+}
