Sidecar: a stopping node accepts connections until it exits

What callers saw: between 2.5 s after SIGTERM and the exit, new connections were refused although the process still had something to finish; and forwarded requests on connections that another node had just opened were reset, so that their callers got 502 though nothing had run.

Cause: the listeners were closed when connections began to be closed. The queue was emptied before, but what arrives between the last accept and the close is reset.

Change: listeners stay open until the exit. Requests that end in time are served, others are refused at once and are told when to come back. What crosses the exit is reset unread.

Test: a_stopping_node_accepts_connections_until_it_exits (connections were refused before).

--- a/crates/sidecar/src/listen.rs
+++ b/crates/sidecar/src/listen.rs
@@ -1,11 +1,10 @@
 //! Listening sockets and the connections accepted on them.
 
 use std::cell::Cell;
-use std::future::{Future, poll_fn};
+use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::task::Poll;
 use std::time::Duration;
 
 use http::header::CONNECTION;
@@ -16,7 +15,6 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use socket2::{Domain, Protocol, Socket, Type};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::task::yield_now;
 use wingspar_routes::Limits;
 
 use crate::blocked_writes::{TrackedWrites, WriteState};
@@ -25,7 +23,6 @@
 use crate::lingering_close;
 use crate::node::Node;
 use crate::pipelining::client;
-use crate::stop::StopPhase;
 
 /// Maximum number of connections that wait to be accepted.
 const ACCEPT_BACKLOG: i32 = 1024;
@@ -51,12 +48,12 @@
     TcpListener::from_std(socket.into())
 }
 
-/// Serves client connections until the process closes.
+/// Serves client connections.
 pub async fn serve_clients(node: Rc<Node>, listener: TcpListener) {
     accept(node, listener, client_connection).await;
 }
 
-/// Serves the connections of a socket until the process closes, passing each request to `handler`.
+/// Serves the connections of a socket, passing each request to `handler`.
 pub async fn serve<Handler, ResponseFuture>(node: Rc<Node>, listener: TcpListener, handler: Handler)
 where
     Handler: Fn(Rc<Node>, Request<Incoming>) -> ResponseFuture + Copy + 'static,
@@ -68,19 +65,16 @@
     .await;
 }
 
-/// Accepts connections until the process closes them and serves each in its own task.
+/// Accepts connections and serves each in its own task. A stopping process accepts them until it exits: closing the
+/// socket resets the connections that wait to be accepted, whose clients or nodes may have sent requests. Requests that
+/// come too late are refused.
 async fn accept<Serve, Served>(node: Rc<Node>, listener: TcpListener, serve: Serve)
 where
     Serve: Fn(Rc<Node>, TcpStream) -> Served,
     Served: Future<Output = ()> + 'static,
 {
-    let mut stop = node.stop.subscribe();
     loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            _ = stop.wait_for(|stop| *stop >= StopPhase::Closing) => break,
-        };
-        match accepted {
+        match listener.accept().await {
             Ok((stream, _)) => {
                 set_options(&stream);
                 tokio::task::spawn_local(serve(node.clone(), stream));
@@ -88,14 +82,6 @@
             Err(_) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
         }
     }
-    // Closing the socket resets the connections that are still queued, whose clients may have sent requests.
-    yield_now().await;
-    while let Poll::Ready(Ok((stream, _))) =
-        poll_fn(|context| Poll::Ready(listener.poll_accept(context))).await
-    {
-        set_options(&stream);
-        tokio::task::spawn_local(serve(node.clone(), stream));
-    }
 }
 
 /// Increments a counter of the node until dropped.
--- a/crates/sidecar/src/stop.rs
+++ b/crates/sidecar/src/stop.rs
@@ -13,8 +13,8 @@
     /// The readiness check fails, but requests that still arrive are served. The node's keys are
     /// moved to other nodes.
     Leaving,
-    /// No new connections are accepted, and each connection is closed after its next response. Only requests that end
-    /// before the process does are still sent.
+    /// Each connection is closed after its next response. Only requests that end before the process does are still sent;
+    /// others are refused.
     Closing,
     /// Requests that are still in progress are given up, so that they get a response before the process exits.
     GivingUp,
--- a/crates/wingspar/tests/sidecar/late_requests.rs
+++ b/crates/wingspar/tests/sidecar/late_requests.rs
@@ -504,7 +504,35 @@
     assert_eq!(busy.await.expect("no panic"), 1);
 }
 
-/// Guards against connections that are reset because the node hasn't accepted them when it closes its listener.
+/// Guards against connections that are refused while the process still has something to finish.
+#[tokio::test]
+async fn a_stopping_node_accepts_connections_until_it_exits() {
+    let mut deployment = deployment(201, Duration::from_millis(300)).await;
+    let node = deployment.nodes[NODE].outbound;
+    let agent = SocketAddr::new(deployment.nodes[NODE].ready.ip(), INTERNAL_PORT);
+    let signalled = Instant::now();
+    deployment.terminate(NODE);
+    sleep(CLOSING - Duration::from_millis(100)).await;
+    let mut busy = Client::connect(node).await;
+    // It is answered before the exit.
+    busy.send(&request_within("POST /patient/1", "busy", 1_500))
+        .await;
+    sleep(Duration::from_millis(200)).await;
+    for (deadline_ms, status) in [(1_500, 200), (DEADLINE_MS, 503)] {
+        let mut client = Client::connect(node).await;
+        let id = format!("new-{deadline_ms}");
+        client
+            .send(&request_within("POST /orders/1", &id, deadline_ms))
+            .await;
+        let reply = client.answers(1).await.pop().expect("an answer");
+        assert_eq!(reply.status, status);
+        assert_eq!(reply.header("connection"), Some("close"));
+    }
+    assert!(TcpStream::connect(agent).await.is_ok(), "for other nodes");
+    exit_time(&mut deployment, signalled).await;
+}
+
+/// Guards against connections that are reset because the node hasn't accepted them when it begins to close connections.
 #[tokio::test]
 async fn connections_that_wait_to_be_accepted_are_served_before_the_listener_is_closed() {
     let mut deployment = deployment(195, Duration::from_millis(100)).await;
