Tests: the stop soak accepts no cut answer where no work outlasts the grace time

The soak's new check let an answer that had begun and was cut pass late in any stop, also in the test without long work, which had accepted none before. The allowance is for work that outlasts the grace time only. Compiled; not run since.

--- a/crates/wingspar/tests/sidecar/stop_soak/exchange.rs
+++ b/crates/wingspar/tests/sidecar/stop_soak/exchange.rs
@@ -148,7 +148,7 @@
             Habit::Endless => false,
             _ if self.is_whole() => false,
             _ if events.plan.has_long_work() && self.is_past_deadline() => self.is_silent(),
-            _ if begun => !self.may_be_given_up(events),
+            _ if begun => !(events.plan.has_long_work() && self.may_be_given_up(events)),
             _ => has_run || self.was_read(events),
         }
     }
