--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -3,6 +3,7 @@
 
 mod crashing_request;
 mod deployment;
+mod half_answer;
 mod http;
 mod json;
 mod record;
@@ -37,6 +38,7 @@
     };
     let played = match case.as_str() {
         "crashing-request" => crashing_request::play(&record, trouble),
+        "half-answer" => half_answer::play(&record, trouble),
         _ => Err(std::io::Error::other("no such case")),
     };
     let (code, text) = match played {
