--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -5,6 +5,7 @@
 mod deployment;
 mod half_answer;
 mod http;
+mod impatient_caller;
 mod json;
 mod record;
 mod store;
@@ -39,6 +40,7 @@
     let played = match case.as_str() {
         "crashing-request" => crashing_request::play(&record, trouble),
         "half-answer" => half_answer::play(&record, trouble),
+        "impatient-caller" => impatient_caller::play(&record, trouble),
         _ => Err(std::io::Error::other("no such case")),
     };
     let (code, text) = match played {
