--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -7,6 +7,7 @@
 mod http;
 mod impatient_caller;
 mod json;
+mod late_start;
 mod record;
 mod store;
 mod target;
@@ -41,6 +42,7 @@
         "crashing-request" => crashing_request::play(&record, trouble),
         "half-answer" => half_answer::play(&record, trouble),
         "impatient-caller" => impatient_caller::play(&record, trouble),
+        "late-start" => late_start::play(&record, trouble),
         _ => Err(std::io::Error::other("no such case")),
     };
     let (code, text) = match played {
