--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -8,6 +8,7 @@
 mod impatient_caller;
 mod json;
 mod late_start;
+mod other_caller;
 mod record;
 mod store;
 mod target;
@@ -40,6 +41,7 @@
     };
     let played = match case.as_str() {
         "crashing-request" => crashing_request::play(&record, trouble),
+        "other-caller" => other_caller::play(&record, trouble),
         "half-answer" => half_answer::play(&record, trouble),
         "impatient-caller" => impatient_caller::play(&record, trouble),
         "late-start" => late_start::play(&record, trouble),
