--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -10,6 +10,7 @@
 mod late_start;
 mod other_caller;
 mod record;
+mod second_answer;
 mod store;
 mod target;
 
@@ -41,6 +42,7 @@
     };
     let played = match case.as_str() {
         "crashing-request" => crashing_request::play(&record, trouble),
+        "second-answer" => second_answer::play(&record, trouble),
         "other-caller" => other_caller::play(&record, trouble),
         "half-answer" => half_answer::play(&record, trouble),
         "impatient-caller" => impatient_caller::play(&record, trouble),
