Logs: target_ended lines tell whether the end counts against each suspect

The lines named the suspects of an end, but not whether the end counted against them. Hypotheses that they left apart by nothing:

1. the ends of a target that keeps its id pass for one end 2. a success of another request with the same fingerprint protects it 3. a request whose answer has begun is no longer known as in flight

Each suspect now has the number of ends that count against it.

--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -111,6 +111,12 @@
             .collect()
     }
 
+    /// Returns the number of terminations that count against a request, as far as this node knows.
+    pub fn ends(&self, fingerprint: Fingerprint) -> usize {
+        let suspicion = self.suspicions.get(&fingerprint);
+        suspicion.map_or(0, Suspicion::ends)
+    }
+
     /// Records that a request completed successfully at this node's target. Releases it if it was
     /// refused.
     pub fn good_end(&mut self, now: Duration, fingerprint: Fingerprint) -> Option<VerdictChange> {
--- a/crates/quarantine/tests/quarantine.rs
+++ b/crates/quarantine/tests/quarantine.rs
@@ -32,6 +32,7 @@
     let mut node = Quarantine::default();
     node.target_ended(at(10.0), TargetEnd(1), &[CRASHING]);
     assert!(!node.refuses(at(10.0), CRASHING));
+    assert_eq!(node.ends(CRASHING), 1);
     node.target_ended(at(10.1), TargetEnd(1), &[CRASHING]);
     assert!(
         !node.refuses(at(10.1), CRASHING),
--- a/crates/sidecar/src/logs/event.rs
+++ b/crates/sidecar/src/logs/event.rs
@@ -436,4 +436,7 @@
     pub fingerprint: String,
     /// Time for which the request had been running, in milliseconds.
     pub ran_ms: u64,
+    /// Number of targets' ends that count against the request now, as far as this node knows. It
+    /// stays the same if this end doesn't count.
+    pub ends: usize,
 }
--- a/crates/sidecar/src/target_end.rs
+++ b/crates/sidecar/src/target_end.rs
@@ -86,11 +86,6 @@
         return;
     }
     node.metrics.target_ends.inc();
-    node.log.write(Event::TargetEnded {
-        target,
-        evidence,
-        suspects: suspects.iter().map(suspect_line).collect(),
-    });
     let fingerprints = suspects
         .iter()
         .map(|suspect| suspect.fingerprint)
@@ -101,14 +96,23 @@
         .quarantine
         .borrow_mut()
         .target_ended(now, end, &fingerprints);
+    node.log.write(Event::TargetEnded {
+        target,
+        evidence,
+        suspects: suspects
+            .iter()
+            .map(|suspect| suspect_line(node, suspect))
+            .collect(),
+    });
     quarantine::log_changes(node, changes, "target");
     node.control_wakeup.notify_one();
 }
 
-fn suspect_line(suspect: &Suspect) -> SuspectLine {
+fn suspect_line(node: &Node, suspect: &Suspect) -> SuspectLine {
     SuspectLine {
         id: suspect.request.clone(),
         fingerprint: suspect.fingerprint.to_string(),
         ran_ms: whole_millis(suspect.ran_for),
+        ends: node.quarantine.borrow().ends(suspect.fingerprint),
     }
 }
