Quarantine: terminations of a target that keeps its id count separately

Cause: a termination was identified by the target's id where a broken connection showed it, and by the whole life where the next life's report did. All terminations of a target that keeps its id thus were one, and the suspicion takes an equal one for a copy of the same report.

The node beside the target now decides whether a report is of a new termination, and identifies it by the time at which it recorded it. A report that connections are refused is of a new one only if a connection has broken since the last; so a life that ends before its first heartbeat counts too, and a late break doesn't count twice. The next life's report is of a new one unless the life before is already recorded as ended. Runs at the next life are no longer dropped with those of the life before. Idle connections are closed once the target refuses new ones, so that no later request is sent on a connection to the dead life.

Tests: two of sidecar crashing_request (a target that keeps its id; the same without births) failed before: "it reached targets 8 times more, 11 ended in all".

--- a/crates/quarantine/src/in_flight.rs
+++ b/crates/quarantine/src/in_flight.rs
@@ -1,9 +1,9 @@
-//! Requests in flight at one target, and recent ones that got no answer.
+//! Requests in flight at one target, and recent ones that got no answer; and which terminations of the target they show.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use crate::Fingerprint;
+use crate::{Fingerprint, TargetEnd};
 
 /// A run that got no answer is a suspect if the target terminated at most this long afterwards: the
 /// target may continue working for a moment after the caller has left. The connections of a
@@ -30,6 +30,32 @@
     pub ran_for: Duration,
 }
 
+/// What has shown that the target terminated.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EndEvidence {
+    /// A connection broke, and the target's address refuses new ones.
+    RefusesConnections,
+    /// Another incarnation of the target has reported.
+    NextIncarnation,
+}
+
+/// A termination of the target.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Termination {
+    /// Identifies the termination.
+    pub end: TargetEnd,
+    /// The requests that were in flight.
+    pub suspects: Vec<Suspect>,
+}
+
+/// The last termination that was recorded.
+#[derive(Debug)]
+struct RecordedEnd {
+    /// The incarnation that was known when it was recorded.
+    incarnation: String,
+    at: Duration,
+}
+
 /// How and when a run ended without an answer.
 #[derive(Debug, Clone, Copy)]
 enum Lost {
@@ -47,7 +73,7 @@
     }
 }
 
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Run {
     fingerprint: Fingerprint,
     request: String,
@@ -80,6 +106,7 @@
     runs: BTreeMap<RunId, Run>,
     /// Time of the target's last answer; it had not terminated before.
     answered_at: Option<Duration>,
+    recorded_end: Option<RecordedEnd>,
 }
 
 impl InFlight {
@@ -128,11 +155,55 @@
         }
     }
 
-    /// Removes all runs and returns those that were in flight when the target terminated. `now` may
-    /// be long after the termination.
-    pub fn target_ended(&mut self, now: Duration) -> Vec<Suspect> {
+    /// Records that the target has terminated. `incarnation` names the one that is known to have run, which has ended if
+    /// `evidence` is that the next one reported. `now` may be long after the termination.
+    ///
+    /// Returns `None` if this termination has been recorded before. An incarnation may terminate before anything has
+    /// told its name, and incarnations may share a name, so two terminations of one name can be different ones.
+    pub fn target_ended(
+        &mut self,
+        now: Duration,
+        incarnation: &str,
+        evidence: EndEvidence,
+    ) -> Option<Termination> {
+        if self.is_recorded(incarnation, evidence) {
+            return None;
+        }
+        let suspects = self.take_suspects(now, evidence);
+        self.recorded_end = Some(RecordedEnd {
+            incarnation: incarnation.to_owned(),
+            at: now,
+        });
+        Some(Termination {
+            end: TargetEnd::of(incarnation, now),
+            suspects,
+        })
+    }
+
+    /// Returns whether the evidence shows no termination after the last recorded one.
+    fn is_recorded(&self, incarnation: &str, evidence: EndEvidence) -> bool {
+        let Some(recorded) = &self.recorded_end else {
+            return false;
+        };
+        match evidence {
+            // A request that reached the target since then met a later incarnation.
+            EndEvidence::RefusesConnections => !self.runs.values().any(|run| {
+                run.connection_broke_at()
+                    .is_some_and(|connection_broke_at| connection_broke_at > recorded.at)
+            }),
+            EndEvidence::NextIncarnation => recorded.incarnation == incarnation,
+        }
+    }
+
+    /// Returns the requests that were in flight when the target terminated, and removes the runs of that incarnation.
+    fn take_suspects(&mut self, now: Duration, evidence: EndEvidence) -> Vec<Suspect> {
         let ended_at = self.ended_at(now);
         let runs = std::mem::take(&mut self.runs);
+        if evidence == EndEvidence::NextIncarnation {
+            // Some of the pending ones may be in flight at the next incarnation.
+            let pending = runs.iter().filter(|(_, run)| run.lost.is_none());
+            self.runs = pending.map(|(id, run)| (*id, run.clone())).collect();
+        }
         runs.into_values()
             .filter(|run| run.was_in_flight(ended_at))
             .map(|run| Suspect {
@@ -146,13 +217,14 @@
             .collect()
     }
 
-    /// Returns when the target terminated: at the first connection break after its last answer.
-    /// Runs started later found no target.
+    /// Returns when the target terminated: at the first connection break after its last answer and the termination
+    /// before. Runs started later found no target.
     fn ended_at(&self, now: Duration) -> Duration {
-        let answered_at = self.answered_at.unwrap_or_default();
+        let recorded_at = self.recorded_end.as_ref().map(|recorded| recorded.at);
+        let was_up_at = self.answered_at.max(recorded_at).unwrap_or_default();
         let connection_breaks = self.runs.values().filter_map(Run::connection_broke_at);
         let first = connection_breaks
-            .filter(|connection_broke_at| *connection_broke_at > answered_at)
+            .filter(|connection_broke_at| *connection_broke_at > was_up_at)
             .min();
         let lost_last = self.runs.values().filter_map(|run| run.lost.map(Lost::at));
         first.or(lost_last.max()).unwrap_or(now)
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -19,7 +19,7 @@
 mod verdict;
 
 pub use fingerprint::{Fingerprint, RequestContent};
-pub use in_flight::{InFlight, RunId, Suspect};
+pub use in_flight::{EndEvidence, InFlight, RunId, Suspect, Termination};
 pub use message::{Observation, QuarantineSnapshot, Reply, Report, TargetEnd};
 pub use quarantine::{Quarantine, VerdictChange};
 pub use verdict::{Standing, Verdict};
--- a/crates/quarantine/src/message.rs
+++ b/crates/quarantine/src/message.rs
@@ -1,19 +1,25 @@
 //! Messages between nodes, carried in lease renewals and their replies.
 
+use std::time::Duration;
+
 use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::Xxh3;
 
 use crate::{Fingerprint, Verdict};
 
-/// Identifies the termination of one incarnation of a target.
+/// Identifies a termination of a target, as its node has recorded it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct TargetEnd(pub u64);
 
 impl TargetEnd {
-    /// Returns the termination of the target incarnation with this id.
-    pub fn of(target: &str) -> Self {
-        Self(xxh3_64(target.as_bytes()))
+    /// Returns the termination that a node has recorded at this time, in an incarnation of this name. Incarnations may
+    /// share a name.
+    pub(crate) fn of(incarnation: &str, recorded_at: Duration) -> Self {
+        let mut hash = Xxh3::new();
+        hash.update(incarnation.as_bytes());
+        hash.update(&recorded_at.as_nanos().to_le_bytes());
+        Self(hash.digest())
     }
 }
 
--- a/crates/sidecar/src/target_calls.rs
+++ b/crates/sidecar/src/target_calls.rs
@@ -8,6 +8,7 @@
 use http_body_util::{BodyExt, Limited};
 use tokio::time::timeout;
 use wingspar_platform::{TargetLoad, headers, id_of_life, parse_load};
+use wingspar_quarantine::EndEvidence;
 
 use crate::announcements;
 use crate::body::{Body, Guarded};
@@ -67,7 +68,7 @@
         }
         Ok(Err(SendError::MayHaveRun(detail))) => {
             pending.ended();
-            return broken(node, run, &expected, detail).await;
+            return broken(node, run, detail).await;
         }
         Ok(Ok(response)) => response,
     };
@@ -93,9 +94,7 @@
     slot.mark_answered();
     update_breaker(node, |breaker| breaker.accepted(number));
     match forward_response(node, response, deadline, slot).await {
-        HopAnswer::MayHaveRun(detail) if !deadline.has_passed() => {
-            broken(node, run, &expected, detail).await
-        }
+        HopAnswer::MayHaveRun(detail) if !deadline.has_passed() => broken(node, run, detail).await,
         HopAnswer::Answered(response) => {
             if response.status().is_success() {
                 run.succeeded();
@@ -161,9 +160,9 @@
 }
 
 /// The connection of a run failed, or the response was incomplete.
-async fn broken(node: &Rc<Node>, run: Run, target: &str, detail: String) -> HopAnswer {
+async fn broken(node: &Rc<Node>, run: Run, detail: String) -> HopAnswer {
     run.connection_broke();
-    if target_end::check_ended(node, target).await {
+    if target_end::check_ended(node).await {
         HopAnswer::TargetEnded
     } else {
         HopAnswer::MayHaveRun(detail)
@@ -328,7 +327,7 @@
         return;
     };
     if let (TargetChange::NewLife, Some(past)) = (target_change, target.past_life()) {
-        target_end::ended(node, past, "next_life");
+        target_end::ended(node, past, EndEvidence::NextIncarnation);
     }
     let ranges = observe_life(node, id);
     let is_new = target_change == TargetChange::NewLife;
--- a/crates/sidecar/src/target_end.rs
+++ b/crates/sidecar/src/target_end.rs
@@ -7,7 +7,7 @@
 
 use http::HeaderValue;
 use wingspar_platform::headers;
-use wingspar_quarantine::{Fingerprint, RunId, Suspect, TargetEnd};
+use wingspar_quarantine::{EndEvidence, Fingerprint, RunId, Suspect};
 
 use crate::clock::whole_millis;
 use crate::hop::HopRequest;
@@ -70,35 +70,43 @@
 }
 
 /// Checks after a failed connection whether the target has ended.
-pub async fn check_ended(node: &Rc<Node>, target: &str) -> bool {
+pub async fn check_ended(node: &Rc<Node>) -> bool {
     if !node.target_connections.refuses_connections().await {
         return false;
     }
+    // Any connection opened from now on is one to the target's next life.
+    node.target_connections.close_idle();
     target_calls::mark_target_unreachable(node);
-    ended(node, target, "refuses_connections");
+    let life = node.target.borrow().life().unwrap_or_default().to_owned();
+    ended(node, &life, EndEvidence::RefusesConnections);
     true
 }
 
-/// Records that the target has ended; the requests in flight become suspects.
-pub fn ended(node: &Node, target: &str, evidence: &str) {
-    let suspects = node.runs.borrow_mut().target_ended(node.clock.uptime());
-    if suspects.is_empty() {
+/// Records that the target has ended; the requests in flight become suspects. `life` is the last one that is known to
+/// have run.
+pub fn ended(node: &Node, life: &str, evidence: EndEvidence) {
+    let now = node.clock.uptime();
+    let termination = node.runs.borrow_mut().target_ended(now, life, evidence);
+    let Some(termination) = termination.filter(|termination| !termination.suspects.is_empty())
+    else {
         return;
-    }
+    };
     node.metrics.target_ends.inc();
+    let suspects = termination.suspects;
     let fingerprints = suspects
         .iter()
         .map(|suspect| suspect.fingerprint)
         .collect::<Vec<_>>();
-    let now = node.clock.uptime();
-    let end = TargetEnd::of(target);
     let changes = node
         .quarantine
         .borrow_mut()
-        .target_ended(now, end, &fingerprints);
+        .target_ended(now, termination.end, &fingerprints);
     node.log.write(Event::TargetEnded {
-        target,
-        evidence,
+        target: life,
+        evidence: match evidence {
+            EndEvidence::RefusesConnections => "refuses_connections",
+            EndEvidence::NextIncarnation => "next_life",
+        },
         suspects: suspects
             .iter()
             .map(|suspect| suspect_line(node, suspect))
--- a/crates/wingspar/tests/sidecar/crashing_request.rs
+++ b/crates/wingspar/tests/sidecar/crashing_request.rs
@@ -10,7 +10,7 @@
 
 use wingspar_standins::fleet::TargetFaults;
 
-use crate::deployment::Deployment;
+use crate::deployment::{Deployment, Wiring};
 
 /// All nodes must know of the third target's end after this long.
 const IN_TOUCH: Duration = Duration::from_secs(3);
@@ -55,23 +55,21 @@
     seen.filter(|seen| seen.id.starts_with(name)).count()
 }
 
-async fn is_refused_by_every_node(test: u8, path: &'static str) {
-    let deployment = Deployment::start(test).await;
-    deployment.all_targets_do(TargetFaults {
-        crashes_on: Some(path),
-        ..TargetFaults::default()
-    });
+/// Whether requests of a path that crashes targets cease to reach them.
+async fn is_refused_by_every_node(deployment: &Deployment, faults: TargetFaults) {
+    let path = faults.crashes_on.expect("a path that crashes targets");
+    deployment.all_targets_do(faults);
     for round in 0..8 {
         if deployment.crashes() >= ENDS_UNKNOWN {
             break;
         }
-        send_it(&deployment, path, &format!("before-{round}"), 2).await;
+        send_it(deployment, path, &format!("before-{round}"), 2).await;
     }
-    pass(&deployment, IN_TOUCH).await;
+    pass(deployment, IN_TOUCH).await;
     let ended = deployment.crashes();
     assert!(ended <= ENDS_UNKNOWN, "{ended} targets ended");
-    let statuses = send_it(&deployment, path, "after", 16).await;
-    let sends = runs(&deployment, "after");
+    let statuses = send_it(deployment, path, "after", 16).await;
+    let sends = runs(deployment, "after");
     assert!(
         sends <= SENDS_AFTERWARDS,
         "it reached targets {sends} times more, {} ended in all: {statuses:?}",
@@ -94,10 +92,7 @@
 async fn a_request_that_is_refused_is_told_so_and_others_are_served() {
     let path = "/orders/crashing";
     let deployment = Deployment::start(36).await;
-    deployment.all_targets_do(TargetFaults {
-        crashes_on: Some(path),
-        ..TargetFaults::default()
-    });
+    deployment.all_targets_do(crashing_on(path));
     until_refused(&deployment, path).await;
     pass(&deployment, IN_TOUCH).await;
     for node in 0..deployment.nodes.len() {
@@ -118,10 +113,7 @@
 async fn an_operator_lets_a_refused_request_through() {
     let path = "/orders/crashing";
     let deployment = Deployment::start(37).await;
-    deployment.all_targets_do(TargetFaults {
-        crashes_on: Some(path),
-        ..TargetFaults::default()
-    });
+    deployment.all_targets_do(crashing_on(path));
     until_refused(&deployment, path).await;
     deployment.all_targets_do(TargetFaults::default());
     pass(&deployment, IN_TOUCH).await;
@@ -142,12 +134,50 @@
     }
 }
 
+/// Faults of targets that end under each request of a path.
+fn crashing_on(path: &'static str) -> TargetFaults {
+    TargetFaults {
+        crashes_on: Some(path),
+        ..TargetFaults::default()
+    }
+}
+
 #[tokio::test]
 async fn a_request_under_which_targets_end_is_refused_by_every_node() {
-    is_refused_by_every_node(34, "/orders/crashing").await;
+    let deployment = Deployment::start(34).await;
+    is_refused_by_every_node(&deployment, crashing_on("/orders/crashing")).await;
 }
 
 #[tokio::test]
 async fn a_request_for_a_key_under_which_its_owners_end_is_refused_by_every_node() {
-    is_refused_by_every_node(35, "/stock/crashing").await;
+    let deployment = Deployment::start(35).await;
+    is_refused_by_every_node(&deployment, crashing_on("/stock/crashing")).await;
+}
+
+/// Guards against a request that is never refused because the only target that it crashes comes back under its id.
+#[tokio::test]
+async fn a_request_under_which_a_target_that_keeps_its_id_ends_is_refused_by_every_node() {
+    let deployment = Deployment::start(88).await;
+    deployment.target(3).end_life().await;
+    let faults = TargetFaults {
+        keeps_id: true,
+        ..crashing_on("/orders/crashing")
+    };
+    is_refused_by_every_node(&deployment, faults).await;
+}
+
+/// As above, where heartbeats don't tell lives apart.
+#[tokio::test]
+async fn a_request_under_which_a_target_without_births_ends_is_refused_by_every_node() {
+    let wiring = Wiring {
+        without_births: true,
+        ..Wiring::default()
+    };
+    let deployment = Deployment::start_with(89, &wiring).await;
+    deployment.target(3).end_life().await;
+    let faults = TargetFaults {
+        keeps_id: true,
+        ..crashing_on("/orders/crashing")
+    };
+    is_refused_by_every_node(&deployment, faults).await;
 }
