Sidecar: a request is in flight at its target until its answer has ended

Cause: the run of a request ended when the response was handed on. For a response that is streamed (longer than 1 MiB, without a declared length after 64 KB, or while the buffer budget is used up) that is its beginning. It counted as a success, which cleared what earlier crashes had shown and protected the request for 30 s; the broken connection afterwards was noticed by nobody. It isn't the missing length: with a declared length of 3 MB the same is seen.

The body of the response (TargetBody) now holds the run. Its end, its failure or its drop ends the run: success, broken connection with a check whether the target has ended, or given up. A caller that leaves midway clears nothing. Each part of an answer shows that the target was up, so an end is dated after it.

--- a/crates/quarantine/src/in_flight.rs
+++ b/crates/quarantine/src/in_flight.rs
@@ -104,7 +104,7 @@
 pub struct InFlight {
     next: u64,
     runs: BTreeMap<RunId, Run>,
-    /// Time of the target's last answer; it had not terminated before.
+    /// When the last part of an answer arrived; the target had not terminated before.
     answered_at: Option<Duration>,
     recorded_end: Option<RecordedEnd>,
 }
@@ -128,6 +128,13 @@
         id
     }
 
+    /// Records that a part of the request's answer has arrived.
+    pub fn responding(&mut self, now: Duration, id: RunId) {
+        if self.runs.get(&id).is_some_and(|run| run.lost.is_none()) {
+            self.answered_at = Some(now);
+        }
+    }
+
     /// Records that the target answered the request or reported that it did not run it.
     pub fn answered(&mut self, now: Duration, id: RunId) {
         self.runs.remove(&id);
--- a/crates/quarantine/tests/in_flight.rs
+++ b/crates/quarantine/tests/in_flight.rs
@@ -156,3 +156,19 @@
     let seen = ended.iter().map(|suspect| suspect.fingerprint.0);
     assert!(seen.eq([3]), "{ended:?}");
 }
+
+/// Guards against a termination that is dated by a reset while an answer was still arriving: the request that caused it
+/// began later and was no suspect.
+#[test]
+fn a_part_of_an_answer_shows_that_the_target_is_up() {
+    let mut in_flight = InFlight::default();
+    let download = in_flight.start(at(0), Fingerprint(1), "download");
+    in_flight.responding(at(40), download);
+    let reset = in_flight.start(at(50), Fingerprint(2), "reset alone");
+    in_flight.connection_broke(at(60), reset);
+    in_flight.responding(at(5_000), download);
+    let crashing = in_flight.start(at(5_100), Fingerprint(3), "crashing");
+    in_flight.connection_broke(at(5_101), crashing);
+    in_flight.connection_broke(at(5_102), download);
+    assert_eq!(fingerprints(&mut in_flight, at(5_103)), [1, 3]);
+}
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -72,6 +72,7 @@
 mod store_sync;
 pub mod stored_configuration;
 pub mod target;
+mod target_body;
 mod target_calls;
 mod target_end;
 pub mod tenant_counts;
--- a/crates/sidecar/src/target_calls.rs
+++ b/crates/sidecar/src/target_calls.rs
@@ -23,6 +23,7 @@
 use crate::response_body::buffer_or_stream;
 use crate::slots::Slot;
 use crate::target::{Health, TargetChange};
+use crate::target_body::{TargetBody, TargetEndedError};
 use crate::target_end::{self, Run};
 
 /// Responses up to this length, in bytes, are buffered before they are forwarded, which frees the target's slot
@@ -43,7 +44,7 @@
 const LIMITED_LOAD_POLL_INTERVAL: Duration = Duration::from_secs(2);
 
 /// Sends a request to the target as the breaker's send `number`. The caller has checked that the request may start.
-/// The slot stays in use until the response has ended.
+/// The request counts as in flight and its slot stays in use until the response has ended.
 pub async fn run(node: &Rc<Node>, hop: HopRequest, slot: Slot, number: SendNumber) -> HopAnswer {
     let Some(life) = node.target.borrow().life().map(str::to_owned) else {
         return HopAnswer::Refused(Refusal::NoTarget);
@@ -93,18 +94,7 @@
     }
     slot.mark_answered();
     update_breaker(node, |breaker| breaker.accepted(number));
-    match forward_response(node, response, deadline, slot).await {
-        HopAnswer::MayHaveRun(detail) if !deadline.has_passed() => broken(node, run, detail).await,
-        HopAnswer::Answered(response) => {
-            if response.status().is_success() {
-                run.succeeded();
-            } else {
-                run.answered();
-            }
-            HopAnswer::Answered(response)
-        }
-        answer => answer,
-    }
+    forward_response(node, response, run, deadline, slot).await
 }
 
 /// A request that is running at the target. If this is dropped before the end of the request is known, the target may
@@ -247,21 +237,24 @@
     HopAnswer::Refused(Refusal::Rejected)
 }
 
+/// Buffers or streams the response. The run and the slot are in use until its body has ended.
 async fn forward_response(
-    node: &Node,
+    node: &Rc<Node>,
     response: Response<PooledBody>,
+    run: Run,
     deadline: Deadline,
     slot: Slot,
 ) -> HopAnswer {
     let (mut parts, body) = response.into_parts();
+    let body = Guarded::new(TargetBody::new(node, &parts, body, run), slot);
     crate::hop::remove_hop_headers(&mut parts.headers);
-    let body = Guarded::new(body, slot);
     let keep = node
         .buffer_budget
         .allowance(MAX_BUFFERED_RESPONSE)
         .max(MIN_BUFFERED_RESPONSE);
     match buffer_or_stream(body, keep, &node.buffer_budget, deadline.timer()).await {
         Ok(body) => HopAnswer::Answered(Response::from_parts(parts, body)),
+        Err(error) if error.is::<TargetEndedError>() => HopAnswer::TargetEnded,
         Err(error) => HopAnswer::MayHaveRun(error.to_string()),
     }
 }
--- a/crates/sidecar/src/target_end.rs
+++ b/crates/sidecar/src/target_end.rs
@@ -38,9 +38,17 @@
         }
     }
 
-    /// The request completed successfully.
-    pub fn succeeded(self) {
-        quarantine::good_end(&self.node, self.fingerprint);
+    /// The target has begun to respond, or goes on with its response.
+    pub fn responding(&self) {
+        let now = self.node.clock.uptime();
+        self.node.runs.borrow_mut().responding(now, self.id);
+    }
+
+    /// The whole response has been received. A successful one clears the request of suspicion.
+    pub fn ended(self, is_success: bool) {
+        if is_success {
+            quarantine::good_end(&self.node, self.fingerprint);
+        }
         self.answered();
     }
 
@@ -55,8 +63,8 @@
         self.node.runs.borrow_mut().not_sent(self.id);
     }
 
-    /// The connection failed before the target responded.
-    pub fn connection_broke(self) {
+    /// The connection ended before the whole response was received.
+    pub fn connection_broke(&self) {
         let now = self.node.clock.uptime();
         self.node.runs.borrow_mut().connection_broke(now, self.id);
     }
--- a/crates/standins/src/net/interceptor.rs
+++ b/crates/standins/src/net/interceptor.rs
@@ -14,6 +14,8 @@
 
 /// How often a blocked read or write checks whether the interceptor has been dropped.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// How long connections are refused after an [`AnswerEnd::Crash`].
+const DOWN_TIME: Duration = Duration::from_millis(500);
 /// Bytes that are read or written at a time.
 const PIECE: usize = 64 * 1024;
 
@@ -56,6 +58,9 @@
     Close,
     /// The connection is reset.
     Reset,
+    /// The connection is closed in order, and for a short time no other is accepted: as if the server's process had ended
+    /// and begun again.
+    Crash,
     /// These bytes, again and again until the other side closes the connection.
     Endless(&'static str),
 }
@@ -77,11 +82,16 @@
 type Rule = Arc<dyn Fn(&InterceptedRequest) -> Option<RawAnswer> + Send + Sync>;
 
 struct Shared {
+    address: SocketAddr,
     server: Option<SocketAddr>,
     rule: Mutex<Option<Rule>>,
     answered: AtomicUsize,
     endless: Mutex<Vec<EndlessAnswer>>,
     dropped: AtomicBool,
+    /// Connections are to be refused for a while.
+    crashing: AtomicBool,
+    /// Connections are accepted.
+    listening: AtomicBool,
 }
 
 /// A running interceptor.
@@ -108,14 +118,17 @@
         let listener = TcpListener::bind(listen)?;
         let address = listener.local_addr()?;
         let shared = Arc::new(Shared {
+            address,
             server,
             rule: Mutex::default(),
             answered: AtomicUsize::new(0),
             endless: Mutex::default(),
             dropped: AtomicBool::new(false),
+            crashing: AtomicBool::new(false),
+            listening: AtomicBool::new(true),
         });
         let accepting = Arc::clone(&shared);
-        thread::spawn(move || accept(&listener, &accepting));
+        thread::spawn(move || accept(listener, &accepting));
         Ok(Self { address, shared })
     }
 
@@ -155,15 +168,36 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-fn accept(listener: &TcpListener, shared: &Arc<Shared>) {
+fn accept(mut listener: TcpListener, shared: &Arc<Shared>) {
     while let Ok((client, _)) = listener.accept()
         && !shared.dropped.load(Ordering::Relaxed)
     {
+        if shared.crashing.swap(false, Ordering::SeqCst) {
+            drop(listener);
+            shared.listening.store(false, Ordering::SeqCst);
+            thread::sleep(DOWN_TIME);
+            listener = match TcpListener::bind(shared.address) {
+                Ok(listener) => listener,
+                Err(error) => panic!("{} can't be bound again: {error}", shared.address),
+            };
+            shared.listening.store(true, Ordering::SeqCst);
+            continue;
+        }
         let shared = Arc::clone(shared);
         thread::spawn(move || serve(client, &shared));
     }
 }
 
+/// Waits until connections are refused.
+fn crash(shared: &Shared) {
+    shared.crashing.store(true, Ordering::SeqCst);
+    // Ends the wait for the next connection.
+    let _woken = TcpStream::connect(shared.address);
+    while shared.listening.load(Ordering::SeqCst) && !shared.dropped.load(Ordering::Relaxed) {
+        thread::sleep(Duration::from_millis(1));
+    }
+}
+
 /// Answers the requests of one connection.
 fn serve(client: TcpStream, shared: &Shared) -> Option<()> {
     let mut client = Stream::new(client, shared).ok()?;
@@ -176,6 +210,7 @@
     client.write(&answer.start).ok()?;
     match answer.end {
         AnswerEnd::Close => {}
+        AnswerEnd::Crash => crash(shared),
         AnswerEnd::Reset => {
             let socket = SockRef::from(&client.stream);
             socket.set_linger(Some(Duration::ZERO)).ok()?;
--- a/crates/wingspar/tests/sidecar/main.rs
+++ b/crates/wingspar/tests/sidecar/main.rs
@@ -3,6 +3,7 @@
 mod announced_leaving;
 mod closing_connections;
 mod configuration;
+mod crashing_answer;
 mod crashing_request;
 mod cut_answers;
 mod deployment;
