Sidecar: an answer that ends with its connection is cut if the target ended

Callers got half an answer as a whole one: if a target crashed during an answer without a length, which finishes together with its connection, the node passed the part on as complete.

Cause: a terminated process closes its connections in the same way as one that has finished such an answer. The node now checks at that moment whether the target refuses connections. If so, the answer is incomplete: one that hasn't been forwarded counts as lost with its target, a stream fails, and the run ends as one whose connection broke. A target that has announced to leave finishes its answers first, so nothing is checked.

Limit: a process that is back before the check looks like one that finished; nothing on the connection tells them apart.

--- a/crates/sidecar/src/target_body.rs
+++ b/crates/sidecar/src/target_body.rs
@@ -6,6 +6,7 @@
 use std::task::{Context, Poll, ready};
 
 use bytes::Bytes;
+use http::header::TRANSFER_ENCODING;
 use http::response::Parts;
 use http_body::{Body as HttpBody, Frame, SizeHint};
 
@@ -23,6 +24,8 @@
     inner: Inner,
     node: Rc<Node>,
     is_success: bool,
+    /// Whether only the end of the connection shows the end of the body.
+    ends_with_connection: bool,
     state: State,
 }
 
@@ -36,8 +39,10 @@
 }
 
 struct Check {
-    /// Why the body is incomplete.
-    error: BodyError,
+    run: Run,
+    /// Why the body is incomplete; `None` if the connection was closed in order, which ends a body without a length.
+    /// A terminated process closes its connections in the same way.
+    error: Option<BodyError>,
     target_ended: Pin<Box<dyn Future<Output = bool>>>,
 }
 
@@ -48,10 +53,12 @@
     /// The body of the response with this head to the request of `run`.
     pub fn new(node: &Rc<Node>, head: &Parts, inner: Inner, run: Run) -> Self {
         run.responding();
+        let has_length = inner.size_hint().exact().is_some();
         Self {
             inner,
             node: node.clone(),
             is_success: head.status.is_success(),
+            ends_with_connection: !has_length && !head.headers.contains_key(TRANSFER_ENCODING),
             state: State::Receiving(run),
         }
     }
@@ -71,7 +78,11 @@
                 Poll::Ready(Some(Ok(frame)))
             }
             Some(Err(error)) => {
-                self.begin_check(error);
+                self.begin_check(Some(error));
+                self.poll_check(context)
+            }
+            None if self.may_be_cut() => {
+                self.begin_check(None);
                 self.poll_check(context)
             }
             None => {
@@ -81,6 +92,11 @@
         }
     }
 
+    /// Whether the body would look whole although the target had ended. One that leaves ends its responses first.
+    fn may_be_cut(&self) -> bool {
+        self.ends_with_connection && !self.node.target.borrow().is_leaving()
+    }
+
     /// The whole body has been received.
     fn finish(&mut self) {
         if let State::Receiving(run) = std::mem::replace(&mut self.state, State::Ended) {
@@ -88,11 +104,12 @@
         }
     }
 
-    fn begin_check(&mut self, error: BodyError) {
+    fn begin_check(&mut self, error: Option<BodyError>) {
         if let State::Receiving(run) = std::mem::replace(&mut self.state, State::Ended) {
             run.connection_broke();
             let node = self.node.clone();
             self.state = State::Checking(Check {
+                run,
                 error,
                 target_ended: Box::pin(async move { target_end::check_ended(&node).await }),
             });
@@ -114,7 +131,13 @@
         if has_ended {
             return Poll::Ready(Some(Err(TargetEndedError.into())));
         }
-        Poll::Ready(Some(Err(check.error)))
+        match check.error {
+            Some(error) => Poll::Ready(Some(Err(error))),
+            None => {
+                check.run.ended(self.is_success);
+                Poll::Ready(None)
+            }
+        }
     }
 }
 
--- a/crates/wingspar/tests/sidecar/crashing_answer.rs
+++ b/crates/wingspar/tests/sidecar/crashing_answer.rs
@@ -29,10 +29,11 @@
     let half = "h".repeat(length / 2);
     let (framing, half) = match framing {
         "length" => (format!("Content-Length: {length}\r\n"), half),
-        _ => (
+        "chunks" => (
             "Transfer-Encoding: chunked\r\n".to_owned(),
             format!("{:x}\r\n{half}\r\n", half.len()),
         ),
+        _ => (String::new(), half),
     };
     let id = request.header("x-wingspar-request-id")?;
     let head = format!(
@@ -133,7 +134,17 @@
     is_refused_by_every_node(98, "chunks/240000").await;
 }
 
+#[tokio::test]
+async fn a_request_that_crashes_targets_during_a_long_answer_without_a_length_is_refused() {
+    is_refused_by_every_node(99, "connection-end/240000").await;
+}
+
 #[tokio::test]
 async fn a_request_that_crashes_targets_during_a_short_answer_is_refused() {
     is_refused_by_every_node(100, "length/2000").await;
 }
+
+#[tokio::test]
+async fn a_request_that_crashes_targets_during_a_short_answer_without_a_length_is_refused() {
+    is_refused_by_every_node(101, "connection-end/2000").await;
+}
