Quarantine: requests of different tenants are different requests

Cause: a fingerprint was made of method, host, path and body. The caller had been left out because one crashing request came from machines of several services; a tenant is proved by a credential and doesn't change with the machine.

The fingerprint of a request now includes the name of its tenant, so a replaced credential leaves it the same. Between nodes the digest of the content travels as before, and the agent adds the tenant from its header: so nodes of both versions read each other's requests, and the new ones agree on the fingerprint. Until all are replaced, what old and new nodes report of one request counts apart. Without tenants nothing changes.

--- a/crates/quarantine/src/fingerprint.rs
+++ b/crates/quarantine/src/fingerprint.rs
@@ -1,4 +1,4 @@
-//! Fingerprints identify requests with the same content, independent of the request id.
+//! Fingerprints identify requests of one tenant with the same content, independent of the request id.
 
 use std::fmt;
 use std::str::FromStr;
@@ -26,8 +26,8 @@
     pub body_length: Option<u64>,
 }
 
-/// 64-bit hash of a request's content. Requests with different content have different fingerprints
-/// except for hash collisions.
+/// 64-bit hash of a request's content, or of its content and tenant. Requests that differ in these have different
+/// fingerprints except for hash collisions.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Fingerprint(pub u64);
@@ -49,6 +49,22 @@
     }
 }
 
+impl Fingerprint {
+    /// Returns the fingerprint of a request with this content and tenant; it is that of the content if there is no tenant.
+    /// A tenant is authenticated, so a request can't change it when it is sent again. Requests of other tenants with the
+    /// same content are others: they may be served where this one isn't, and must not be refused for it.
+    #[must_use]
+    pub fn of_tenant(self, tenant: Option<&[u8]>) -> Self {
+        let Some(tenant) = tenant else {
+            return self;
+        };
+        let mut hash = Xxh3::new();
+        hash.update(&self.0.to_le_bytes());
+        hash.update(tenant);
+        Self(hash.digest())
+    }
+}
+
 impl fmt::Display for Fingerprint {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(formatter, "{:016x}", self.0)
--- a/crates/quarantine/tests/fingerprint.rs
+++ b/crates/quarantine/tests/fingerprint.rs
@@ -53,6 +53,18 @@
     }
 }
 
+/// Guards against requests of one tenant that clear, or are refused for, what another tenant's have done.
+#[test]
+fn tenants_change_the_fingerprint() {
+    let content = Fingerprint::of(&LOOKUP);
+    let north = content.of_tenant(Some(b"north"));
+    assert_eq!(north, content.of_tenant(Some(b"north")));
+    assert_ne!(north, content.of_tenant(Some(b"south")));
+    assert_ne!(north, content.of_tenant(Some(b"")));
+    assert_ne!(north, content);
+    assert_eq!(content, content.of_tenant(None));
+}
+
 #[test]
 fn invalid_fingerprints_are_rejected() {
     for text in ["", "xyz", "-1", "11112222333344445"] {
--- a/crates/sidecar/src/hop.rs
+++ b/crates/sidecar/src/hop.rs
@@ -81,8 +81,10 @@
     pub scheduling: Scheduling,
     /// The request's key; `None` if it has none or its service isn't keyed.
     pub key: Option<u16>,
-    /// Digest of the request's content, independent of its id.
+    /// Digest of the request's content and tenant, independent of its id.
     pub fingerprint: Fingerprint,
+    /// Digest of the content alone, which is sent to other nodes: they know the tenant from its header.
+    pub content: Fingerprint,
     /// The target's rate limit as reported to the router, in requests per second; `None` if none was reported.
     pub reported_limit: Option<f64>,
 }
@@ -227,7 +229,7 @@
     }
     let objective = whole_millis(request.scheduling.objective);
     insert_number(&mut headers, OBJECTIVE_MS, objective);
-    if let Ok(fingerprint) = HeaderValue::from_str(&request.fingerprint.to_string()) {
+    if let Ok(fingerprint) = HeaderValue::from_str(&request.content.to_string()) {
         headers.insert(FINGERPRINT, fingerprint);
     }
     if let Some(limit) = request.reported_limit
@@ -261,13 +263,9 @@
     // Nodes of an earlier version don't send it.
     let objective = read_number(&parts.headers, &OBJECTIVE_MS).unwrap_or(0);
     let transfer = read_number(&parts.headers, &TRANSFER_MS);
-    let fingerprint = parts
-        .headers
-        .get(FINGERPRINT)?
-        .to_str()
-        .ok()?
-        .parse()
-        .ok()?;
+    let content = parts.headers.get(FINGERPRINT)?.to_str().ok()?;
+    let content = content.parse::<Fingerprint>().ok()?;
+    let fingerprint = content.of_tenant(tenant_of(&parts.headers));
     let tenant = read_tenant_scheduling(&parts.headers);
     let reported_limit = read_reported_limit(&parts.headers);
     let mut headers = parts.headers;
@@ -296,10 +294,16 @@
         },
         key,
         fingerprint,
+        content,
         reported_limit,
     })
 }
 
+/// Name of the request's tenant in the headers that a router forwards; `None` if it has none.
+pub fn tenant_of(headers: &HeaderMap) -> Option<&[u8]> {
+    headers.get(headers::TENANT).map(HeaderValue::as_bytes)
+}
+
 /// The target's rate limit as reported to another node's router, in requests per second; `None` if the header is
 /// missing or malformed.
 fn read_reported_limit(headers: &HeaderMap) -> Option<f64> {
--- a/crates/sidecar/src/router/mod.rs
+++ b/crates/sidecar/src/router/mod.rs
@@ -127,6 +127,7 @@
     body: RequestBody,
     times: Times,
     fingerprint: Fingerprint,
+    content: Fingerprint,
     permit: Permit,
     allowed_regions: AllowedRegions<'a>,
     tenant: Option<TenantScheduling>,
@@ -188,25 +189,28 @@
         .cloned()
         .ok_or(Reason::Malformed)?;
     let body = unless_stopping(node, &times, read_body(node, received, &times)).await?;
-    let fingerprint = Fingerprint::of(&RequestContent {
+    let content = Fingerprint::of(&RequestContent {
         method: parts.method.as_str(),
         host: &host,
         path: path.as_str(),
         body: body.prefix(),
         body_length: body_length(&body, &parts.headers),
     });
-    record.fingerprint = Some(fingerprint);
     let tenant = resolved.tenant.as_ref();
+    let headers = forwarded_headers(node, parts.headers, &host, tenant);
+    let fingerprint = content.of_tenant(hop::tenant_of(&headers));
+    record.fingerprint = Some(fingerprint);
     let mut routed = Routed {
         route: resolved.route,
         service: resolved.service,
         key: resolved.key,
         method: parts.method,
         path,
-        headers: forwarded_headers(node, parts.headers, &host, tenant),
+        headers,
         body,
         times,
         fingerprint,
+        content,
         permit,
         allowed_regions: AllowedRegions::new(resolved.route, tenant),
         tenant: tenant.map(|tenant| TenantScheduling::new(&tenant.name, tenant.priority)),
--- a/crates/sidecar/src/router/send.rs
+++ b/crates/sidecar/src/router/send.rs
@@ -368,6 +368,7 @@
         },
         key: routed.key,
         fingerprint: routed.fingerprint,
+        content: routed.content,
         reported_limit: node.selection.reported_limit(node.now(), destination),
     };
     routed.permit.mark_sent();
--- a/crates/standins/src/fleet/target/handler.rs
+++ b/crates/standins/src/fleet/target/handler.rs
@@ -153,7 +153,10 @@
             fence: key.and_then(|key| shared.fence_of(key)),
         });
         self.call_for(request, &id).await;
-        if faults.crashes_on == Some(request.uri().path()) {
+        let tenant = text(request, "x-wingspar-tenant");
+        if faults.crashes_on == Some(request.uri().path())
+            && faults.crashes_for.is_none_or(|crashes| crashes == tenant)
+        {
             shared.crash.notify_one();
             std::future::pending::<()>().await;
         }
--- a/crates/wingspar/tests/sidecar/main.rs
+++ b/crates/wingspar/tests/sidecar/main.rs
@@ -4,6 +4,7 @@
 mod closing_connections;
 mod configuration;
 mod crashing_answer;
+mod crashing_caller;
 mod crashing_request;
 mod cut_answers;
 mod deployment;
