Sidecar: a response with an invalid status is no response

Clients got answers of a target in trouble whose status was 600 or 999, or 101 although nothing asked for another protocol (the connection then closed). 000, other numbers below 100 and words already gave 502, as the HTTP library doesn't read them; no test kept that.

Cause: the library accepts each status from 100 to 999. The pool of connections, through which all calls to targets, other nodes and the store go, now takes a response only with a status from 200 to 599 (RFC 9110, section 15). With any other the request may have run: the client gets 502, an idempotent request goes to another target, and the connection is closed.

--- a/crates/sidecar/src/connections.rs
+++ b/crates/sidecar/src/connections.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use http::header::CONNECTION;
-use http::{HeaderMap, Request, Response};
+use http::{HeaderMap, Request, Response, StatusCode};
 use http_body::{Body as HttpBody, Frame, SizeHint};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -40,7 +40,7 @@
     /// The connection couldn't be opened, or was closed before the request was written. The request has not run.
     #[error("not sent: {0}")]
     NotSent(String),
-    /// The connection failed after the request was written. The request may have run.
+    /// The connection failed after the request was written, or the response is invalid. The request may have run.
     #[error("may have run: {0}")]
     MayHaveRun(String),
 }
@@ -155,6 +155,12 @@
             };
             connection.allowance.renew();
             match connection.sender.try_send_request(request).await {
+                Ok(response) if !is_final(response.status()) => {
+                    return Err(SendError::MayHaveRun(format!(
+                        "the response has the status {}, which no response can have",
+                        response.status().as_u16()
+                    )));
+                }
                 Ok(response) => return Ok(self.wrap(response, connection, is_kept)),
                 Err(mut failure) => match failure.take_message() {
                     // The server closed this idle connection meanwhile; retry on another one.
@@ -244,6 +250,12 @@
     let _user_timeout = socket.set_tcp_user_timeout(Some(USER_TIMEOUT));
 }
 
+/// Whether a response can end with this status (RFC 9110, section 15). Switching protocols is none, since no request asks
+/// for it.
+fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Whether the headers contain `Connection: close`.
 fn requests_close(headers: &HeaderMap) -> bool {
     headers
--- a/crates/sidecar/tests/connections.rs
+++ b/crates/sidecar/tests/connections.rs
@@ -8,7 +8,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::{LocalSet, spawn_local};
 use wingspar_sidecar::body::Body;
-use wingspar_sidecar::connections::ConnectionPool;
+use wingspar_sidecar::connections::{ConnectionPool, SendError};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -101,3 +101,36 @@
         assert_eq!(*heads.borrow(), [0, 0, 0, 1]);
     });
 }
+
+/// Guards against a status that no response can have and that passes for a response of a target, another node or the store.
+#[test]
+fn an_invalid_status_is_no_response() {
+    run_locally(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let statuses = ["000", "099", "0", "600", "999", "101", "199", "200", "599"];
+        spawn_local(async move {
+            for status in statuses {
+                let (mut stream, _) = listener.accept().await.expect("a connection");
+                let mut buffer = [0; 1024];
+                let read = stream.read(&mut buffer).await.expect("a request");
+                assert!(read > 0);
+                let answer = format!("HTTP/1.1 {status} X\r\nContent-Length: 0\r\n\r\n");
+                stream
+                    .write_all(answer.as_bytes())
+                    .await
+                    .expect("an answer");
+            }
+        });
+        for status in statuses {
+            let connections = ConnectionPool::for_calls(address, CONNECT_TIMEOUT);
+            let mut request = http::Request::new(Body::empty());
+            *request.uri_mut() = http::Uri::from_static("/");
+            let sent = connections.send(request).await;
+            let is_valid = ["200", "599"].contains(&status);
+            assert_eq!(sent.is_ok(), is_valid, "{status}");
+            let may_have_run = matches!(sent, Err(SendError::MayHaveRun(_)));
+            assert_eq!(may_have_run, !is_valid, "{status}");
+        }
+    });
+}
