--- a/crates/quarantine/src/in_flight.rs
+++ b/crates/quarantine/src/in_flight.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use crate::{Fingerprint, TargetEnd};
+use crate::{CallerRequest, TargetEnd};
 
 /// A run that got no answer is a suspect if the target terminated at most this long afterwards: the
 /// target may continue working for a moment after the caller has left. The connections of a
@@ -22,10 +22,10 @@
 /// A request that was in flight when its target terminated.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Suspect {
-    /// Fingerprint of the request.
-    pub fingerprint: Fingerprint,
+    /// The request.
+    pub request: CallerRequest,
     /// Request id given by the caller; empty if there was none.
-    pub request: String,
+    pub request_id: String,
     /// How long the request had run.
     pub ran_for: Duration,
 }
@@ -75,8 +75,8 @@
 
 #[derive(Debug, Clone)]
 struct Run {
-    fingerprint: Fingerprint,
-    request: String,
+    request: CallerRequest,
+    request_id: String,
     started_at: Duration,
     lost: Option<Lost>,
 }
@@ -110,14 +110,14 @@
 }
 
 impl InFlight {
-    /// Records that a request is sent to the target. `request` is the caller's id of it.
-    pub fn start(&mut self, now: Duration, fingerprint: Fingerprint, request: &str) -> RunId {
+    /// Records that a request is sent to the target. `request_id` is the caller's id of it.
+    pub fn start(&mut self, now: Duration, request: CallerRequest, request_id: &str) -> RunId {
         self.remove_expired(now);
         let id = RunId(self.next);
         self.next += 1;
         let run = Run {
-            fingerprint,
-            request: request.to_owned(),
+            request,
+            request_id: request_id.to_owned(),
             started_at: now,
             lost: None,
         };
@@ -214,8 +214,8 @@
         runs.into_values()
             .filter(|run| run.was_in_flight(ended_at))
             .map(|run| Suspect {
-                fingerprint: run.fingerprint,
                 request: run.request,
+                request_id: run.request_id,
                 ran_for: run
                     .lost
                     .map_or(now, Lost::at)
--- a/crates/quarantine/src/message.rs
+++ b/crates/quarantine/src/message.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::Xxh3;
 
-use crate::{Fingerprint, Verdict};
+use crate::{Caller, Callers, Fingerprint, Verdict};
 
 /// Identifies a termination of a target, as its node has recorded it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -32,9 +32,15 @@
     pub end: TargetEnd,
     /// Time since the termination, in milliseconds.
     pub ms_ago: u64,
-    /// Time since the request last completed successfully at the observing node, in milliseconds;
+    /// Time since the request of this caller last completed successfully at the observing node, in milliseconds;
     /// `None` if it did not, as far as the node remembers.
     pub good_ms_ago: Option<u64>,
+    /// The caller whose request was in flight; unknown if a node of an earlier version reports it.
+    #[serde(default)]
+    pub caller: Caller,
+    /// Callers whose same request was lately served by the target of the observing node.
+    #[serde(default, skip_serializing_if = "Callers::is_empty")]
+    pub served: Callers,
 }
 
 /// Sent by a node to its leader.
--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -9,7 +9,8 @@
 use crate::suspicion::Suspicion;
 use crate::verdict::{LocalVerdict, whole_millis};
 use crate::{
-    Fingerprint, Observation, QuarantineSnapshot, Reply, Report, Standing, TargetEnd, Verdict,
+    CallerRequest, Callers, Fingerprint, Observation, QuarantineSnapshot, Reply, Report, Standing,
+    TargetEnd, Verdict,
 };
 
 /// Number of terminations since a request's last successful completion from which it is refused, if
@@ -54,8 +55,8 @@
 const MAX_VERDICTS: usize = 256;
 /// Maximum number of own observations kept for the next leader.
 const MAX_OBSERVATIONS: usize = 256;
-/// Maximum number of verdicts and of observations in one datagram; that many take about 700 and 500
-/// bytes.
+/// Maximum number of verdicts and of observations in one datagram; that many take about 700 and 600
+/// bytes, and up to 300 bytes more each if callers are exempt.
 const MAX_PER_DATAGRAM: usize = 8;
 
 /// A change of the verdict on a request.
@@ -69,6 +70,8 @@
     pub ends: u8,
     /// Time until the verdict expires.
     pub left: Duration,
+    /// Callers whose requests aren't refused.
+    pub served: Callers,
 }
 
 /// A termination seen by this node, with a request that was in flight.
@@ -77,7 +80,8 @@
     number: u64,
     at: Duration,
     succeeded_at: Option<Duration>,
-    fingerprint: Fingerprint,
+    request: CallerRequest,
+    served: Callers,
     end: TargetEnd,
 }
 
@@ -95,18 +99,27 @@
 }
 
 impl Quarantine {
-    /// Returns whether requests with this fingerprint are refused.
-    pub fn refuses(&self, now: Duration, fingerprint: Fingerprint) -> bool {
-        self.verdicts
-            .get(&fingerprint)
-            .is_some_and(|kept| kept.standing == Standing::Refused && now < kept.until)
+    /// Returns whether a caller's requests with this fingerprint are refused.
+    pub fn refuses(&self, now: Duration, request: CallerRequest) -> bool {
+        self.refusal(now, request.fingerprint)
+            .is_some_and(|kept| !kept.served.contains(request.caller))
+    }
+
+    /// Returns whether requests with this fingerprint are refused, unless their caller is served.
+    pub fn is_refused(&self, now: Duration, fingerprint: Fingerprint) -> bool {
+        self.refusal(now, fingerprint).is_some()
+    }
+
+    fn refusal(&self, now: Duration, fingerprint: Fingerprint) -> Option<LocalVerdict> {
+        let kept = self.verdicts.get(&fingerprint).copied()?;
+        (kept.standing == Standing::Refused && now < kept.until).then_some(kept)
     }
 
     /// Returns the verdicts on all refused requests.
     pub fn refused(&self, now: Duration) -> Vec<Verdict> {
         self.verdicts
             .iter()
-            .filter(|(fingerprint, _)| self.refuses(now, **fingerprint))
+            .filter(|(fingerprint, _)| self.is_refused(now, **fingerprint))
             .map(|(fingerprint, kept)| kept.told(now, *fingerprint))
             .collect()
     }
@@ -117,21 +130,65 @@
         suspicion.map_or(0, Suspicion::ends)
     }
 
-    /// Records that a request completed successfully at this node's target. Releases it if it was
-    /// refused.
-    pub fn good_end(&mut self, now: Duration, fingerprint: Fingerprint) -> Option<VerdictChange> {
-        self.recent_successes.add(now, fingerprint);
-        if let Some(suspicion) = self.suspicions.get_mut(&fingerprint) {
-            suspicion.good_end(now);
+    /// Records that a caller's request completed successfully at this node's target. If it was refused, this caller's
+    /// requests are exempt from now on.
+    pub fn good_end(&mut self, now: Duration, request: CallerRequest) -> Option<VerdictChange> {
+        self.recent_successes.add(now, request);
+        let fingerprint = request.fingerprint;
+        let served = Callers::from_iter([request.caller]);
+        match self.refusal(now, fingerprint) {
+            Some(kept) => self.exempt(now, fingerprint, kept, served),
+            None => {
+                if let Some(suspicion) = self.suspicions.get_mut(&fingerprint) {
+                    suspicion.good_end(request.caller, now);
+                }
+                None
+            }
+        }
+    }
+
+    /// Exempts callers that have been served from a refusal; releases the request if nothing speaks against it any more.
+    /// `None` if they were exempt before.
+    fn exempt(
+        &mut self,
+        now: Duration,
+        fingerprint: Fingerprint,
+        mut kept: LocalVerdict,
+        served: Callers,
+    ) -> Option<VerdictChange> {
+        if self.is_cleared_by(now, fingerprint, &kept, served) {
+            return Some(self.release(now, fingerprint));
+        }
+        if !kept.served.insert_all(served) {
+            return None;
+        }
+        kept.revision = kept.revision.saturating_add(1);
+        Some(self.insert_verdict(now, fingerprint, kept))
+    }
+
+    /// Clears the evidence against served callers. Returns whether none is left of all that the verdict is based on; a node
+    /// that has seen a part of it can't tell.
+    fn is_cleared_by(
+        &mut self,
+        now: Duration,
+        fingerprint: Fingerprint,
+        verdict: &LocalVerdict,
+        served: Callers,
+    ) -> bool {
+        let Some(suspicion) = self.suspicions.get_mut(&fingerprint) else {
+            return false;
+        };
+        let knows_all = suspicion.ends() >= usize::from(verdict.ends.max(1));
+        for caller in served.iter() {
+            suspicion.good_end(caller, now);
         }
-        self.refuses(now, fingerprint)
-            .then(|| self.release(now, fingerprint))
+        knows_all && suspicion.ends() == 0
     }
 
-    /// Releases a request, so that it runs again.
+    /// Releases a request, so that it runs again for all callers.
     pub fn release(&mut self, now: Duration, fingerprint: Fingerprint) -> VerdictChange {
         let suspicion = self.suspicions.entry(fingerprint).or_default();
-        suspicion.good_end(now);
+        suspicion.release(now);
         suspicion.keep_until = now + SUSPICION_RETENTION;
         let before = self.verdicts.get(&fingerprint);
         let revision = before.map_or(0, |kept| kept.revision);
@@ -142,6 +199,7 @@
             ends: 0,
             first_end_at: now,
             until: now + RELEASE_RETENTION,
+            served: Callers::default(),
         };
         self.insert_verdict(now, fingerprint, kept)
     }
@@ -151,11 +209,12 @@
         &mut self,
         now: Duration,
         end: TargetEnd,
-        suspects: &[Fingerprint],
+        suspects: &[CallerRequest],
     ) -> Vec<VerdictChange> {
         let mut observations = Vec::with_capacity(suspects.len());
-        for &fingerprint in suspects {
-            let succeeded_at = self.recent_successes.last(fingerprint);
+        let served_since = now.saturating_sub(SUCCESS_PROTECTION_PERIOD);
+        for &request in suspects {
+            let succeeded_at = self.recent_successes.last(request);
             if succeeded_at.is_some_and(|succeeded_at| {
                 now.saturating_sub(succeeded_at) <= SUCCESS_PROTECTION_PERIOD
             }) {
@@ -166,7 +225,10 @@
                 number: self.newest,
                 at: now,
                 succeeded_at,
-                fingerprint,
+                request,
+                served: self
+                    .recent_successes
+                    .callers_since(served_since, request.fingerprint),
                 end,
             };
             self.own.push_back(own);
@@ -192,11 +254,17 @@
                 .map(|ago| now.saturating_sub(Duration::from_millis(ago)));
             let suspicion = self.suspicions.entry(observation.fingerprint).or_default();
             if let Some(succeeded_at) = succeeded_at {
-                suspicion.good_end(succeeded_at);
+                suspicion.good_end(observation.caller, succeeded_at);
             }
             let at = now.saturating_sub(ago);
+            for caller in observation.served.iter() {
+                // At the latest; an end that counts against this caller may have come since.
+                suspicion.good_end(caller, at.saturating_sub(SUCCESS_PROTECTION_PERIOD));
+            }
             suspicion.keep_until = suspicion.keep_until.max(at + SUSPICION_RETENTION);
-            if suspicion.add(observation.end, at) && suspicion.ends() >= ENDS_TO_REFUSE {
+            if suspicion.add(observation.end, observation.caller, at)
+                && suspicion.ends() >= ENDS_TO_REFUSE
+            {
                 to_judge.push((observation.fingerprint, observation.end));
             }
         }
@@ -247,6 +315,7 @@
             ends: u8::try_from(suspicion.ends()).unwrap_or(u8::MAX),
             first_end_at: suspicion.first_end_at()?,
             until: now + span,
+            served: suspicion.served(),
         };
         Some(self.insert_verdict(now, fingerprint, kept))
     }
@@ -309,26 +378,31 @@
         let mut told = LocalVerdict::from_wire(now, verdict);
         told.until = told.until.min(now + MAX_REFUSAL_DURATION);
         let fingerprint = verdict.fingerprint;
-        let outranked = self
-            .verdicts
-            .get(&fingerprint)
-            .is_some_and(|known| !told.outranks(known));
-        if outranked || told.until < now + MIN_REMAINING_VALIDITY {
+        let known = self.verdicts.get(&fingerprint).copied();
+        if told.until < now + MIN_REMAINING_VALIDITY {
             return None;
         }
-        let succeeded_at = self.recent_successes.last(fingerprint);
-        let succeeded_since =
-            succeeded_at.is_some_and(|succeeded_at| succeeded_at > told.first_end_at);
-        if told.standing == Standing::Released
-            && let Some(suspicion) = self.suspicions.get_mut(&fingerprint)
-        {
-            suspicion.good_end(now);
+        if let Some(mut known) = known.filter(|known| !told.outranks(known)) {
+            // Two nodes may have exempted different callers at the same time.
+            let differs = told.ranks_like(&known) && known.served.insert_all(told.served);
+            return differs.then(|| self.insert_verdict(now, fingerprint, known));
         }
-        let change = self.insert_verdict(now, fingerprint, told);
-        if told.standing == Standing::Refused && succeeded_since {
-            return Some(self.release(now, fingerprint));
+        if told.standing == Standing::Released {
+            if let Some(suspicion) = self.suspicions.get_mut(&fingerprint) {
+                suspicion.release(now);
+            }
+            return Some(self.insert_verdict(now, fingerprint, told));
         }
-        Some(change)
+        let change = self.insert_verdict(now, fingerprint, told);
+        let mut served = told.served;
+        served.insert_all(
+            self.recent_successes
+                .callers_since(told.first_end_at, fingerprint),
+        );
+        Some(
+            self.exempt(now, fingerprint, told, served)
+                .unwrap_or(change),
+        )
     }
 
     fn insert_verdict(
@@ -349,6 +423,7 @@
             standing: kept.standing,
             ends: kept.ends,
             left: kept.until.saturating_sub(now),
+            served: kept.served,
         }
     }
 
@@ -400,7 +475,9 @@
 impl OwnObservation {
     fn told(&self, now: Duration) -> Observation {
         Observation {
-            fingerprint: self.fingerprint,
+            fingerprint: self.request.fingerprint,
+            caller: self.request.caller,
+            served: self.served,
             end: self.end,
             ms_ago: whole_millis(now.saturating_sub(self.at)),
             good_ms_ago: self
--- a/crates/quarantine/src/recent_successes.rs
+++ b/crates/quarantine/src/recent_successes.rs
@@ -3,36 +3,60 @@
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
-use crate::Fingerprint;
+use crate::{Caller, CallerRequest, Callers, Fingerprint};
 
-/// Maximum number of completions remembered, about 0.5 MB. At a node that serves 130 requests per
+/// Maximum number of completions remembered, about 1 MB. At a node that serves 130 requests per
 /// second these are the completions of one minute, at 2,000 requests per second of four seconds.
 const MAX_COMPLETIONS: usize = 8_192;
 
-/// Time of the last successful completion of each recent request.
+/// Time of the last successful completion of each recent request, for each of its callers.
 #[derive(Debug, Default)]
 pub(crate) struct RecentSuccesses {
-    at: HashMap<Fingerprint, Duration>,
-    order: VecDeque<(Duration, Fingerprint)>,
+    at: HashMap<Fingerprint, Vec<(Caller, Duration)>>,
+    order: VecDeque<(Duration, CallerRequest)>,
 }
 
 impl RecentSuccesses {
     /// Records a successful completion.
-    pub fn add(&mut self, now: Duration, fingerprint: Fingerprint) {
-        self.at.insert(fingerprint, now);
-        self.order.push_back((now, fingerprint));
+    pub fn add(&mut self, now: Duration, request: CallerRequest) {
+        let callers = self.at.entry(request.fingerprint).or_default();
+        match callers
+            .iter_mut()
+            .find(|(caller, _)| *caller == request.caller)
+        {
+            Some((_, at)) => *at = now,
+            None => callers.push((request.caller, now)),
+        }
+        self.order.push_back((now, request));
         while self.order.len() > MAX_COMPLETIONS {
             let Some((at, oldest)) = self.order.pop_front() else {
                 return;
             };
-            if self.at.get(&oldest) == Some(&at) {
-                self.at.remove(&oldest);
-            }
+            self.remove(at, oldest);
+        }
+    }
+
+    fn remove(&mut self, at: Duration, request: CallerRequest) {
+        let Some(callers) = self.at.get_mut(&request.fingerprint) else {
+            return;
+        };
+        callers.retain(|known| *known != (request.caller, at));
+        if callers.is_empty() {
+            self.at.remove(&request.fingerprint);
         }
     }
 
-    /// Returns when a request last completed successfully, if it is remembered.
-    pub fn last(&self, fingerprint: Fingerprint) -> Option<Duration> {
-        self.at.get(&fingerprint).copied()
+    /// Returns when a caller's request last completed successfully, if it is remembered.
+    pub fn last(&self, request: CallerRequest) -> Option<Duration> {
+        let callers = self.at.get(&request.fingerprint)?;
+        let found = callers.iter().find(|(caller, _)| *caller == request.caller);
+        found.map(|(_, at)| *at)
+    }
+
+    /// Returns the callers whose request has completed successfully after this time.
+    pub fn callers_since(&self, since: Duration, fingerprint: Fingerprint) -> Callers {
+        let callers = self.at.get(&fingerprint).into_iter().flatten();
+        let recent = callers.filter(|(_, at)| *at > since);
+        recent.map(|(caller, _)| *caller).collect()
     }
 }
--- a/crates/quarantine/src/suspicion.rs
+++ b/crates/quarantine/src/suspicion.rs
@@ -3,17 +3,31 @@
 
 use std::time::Duration;
 
-use crate::TargetEnd;
+use crate::{Caller, Callers, TargetEnd};
 
-/// Maximum number of terminations kept per request; the oldest is dropped first.
-const MAX_ENDS: usize = 8;
+/// Maximum number of terminations kept per request, counted for each of its callers; the oldest is dropped first.
+const MAX_ENDS: usize = 16;
+/// Maximum number of callers whose last successful completion is kept; the oldest is dropped first.
+const MAX_SUCCESSES: usize = 16;
 
-/// Evidence against one request.
+/// A termination at which a caller's request was in flight.
+#[derive(Debug, Clone, Copy)]
+struct CountedEnd {
+    end: TargetEnd,
+    caller: Caller,
+    at: Duration,
+}
+
+/// Evidence against one request. A successful completion speaks for the requests of its caller only: another caller's may
+/// be served where this one's terminate targets.
 #[derive(Debug, Default)]
 pub(crate) struct Suspicion {
-    /// Terminations since the last successful completion, with their times.
-    ends: Vec<(TargetEnd, Duration)>,
-    succeeded_at: Option<Duration>,
+    /// Terminations since the last successful completion.
+    ends: Vec<CountedEnd>,
+    /// The last successful completion of each caller.
+    successes: Vec<(Caller, Duration)>,
+    /// When the request was released for all callers.
+    released_at: Option<Duration>,
     /// How often the request was refused for at least three terminations since its last successful
     /// completion.
     pub refusals: u32,
@@ -24,51 +38,101 @@
 }
 
 impl Suspicion {
-    /// Adds a termination at which the request was in flight. Returns whether it is new and counts
-    /// against the request.
-    pub fn add(&mut self, end: TargetEnd, at: Duration) -> bool {
-        let known = self.ends.iter().any(|(known, _)| *known == end);
-        if known
-            || self
-                .succeeded_at
-                .is_some_and(|succeeded_at| at <= succeeded_at)
-        {
+    /// Adds a termination at which a caller's request was in flight. Returns whether it is new and counts against the
+    /// request.
+    pub fn add(&mut self, end: TargetEnd, caller: Caller, at: Duration) -> bool {
+        let is_known = self.was_in_flight_at(end);
+        if self.is_cleared(caller, at) || self.has(end, caller) {
             return false;
         }
         if self.ends.len() == MAX_ENDS {
             self.ends.remove(0);
         }
-        self.ends.push((end, at));
-        true
+        self.ends.push(CountedEnd { end, caller, at });
+        !is_known
+    }
+
+    fn has(&self, end: TargetEnd, caller: Caller) -> bool {
+        let mut ends = self.ends.iter();
+        ends.any(|known| known.end == end && known.caller == caller)
+    }
+
+    /// Returns whether a successful completion or a release has cleared what happened at this time.
+    fn is_cleared(&self, caller: Caller, at: Duration) -> bool {
+        let mut successes = self.successes.iter();
+        self.released_at
+            .is_some_and(|released_at| at <= released_at)
+            || successes.any(|(known, succeeded_at)| {
+                (*known == caller || caller == Caller::UNKNOWN) && at <= *succeeded_at
+            })
     }
 
-    /// Records a successful completion, which clears the evidence up to that time.
-    pub fn good_end(&mut self, at: Duration) {
-        if self.succeeded_at >= Some(at) {
-            return;
+    /// Records a caller's successful completion, which clears the evidence against its requests up to that time.
+    pub fn good_end(&mut self, caller: Caller, at: Duration) {
+        match self
+            .successes
+            .iter_mut()
+            .find(|(known, _)| *known == caller)
+        {
+            Some((_, succeeded_at)) if *succeeded_at >= at => return,
+            Some((_, succeeded_at)) => *succeeded_at = at,
+            None => {
+                if self.successes.len() == MAX_SUCCESSES {
+                    self.successes.remove(0);
+                }
+                self.successes.push((caller, at));
+            }
         }
-        self.succeeded_at = Some(at);
-        self.ends.retain(|(_, ended_at)| *ended_at > at);
+        self.ends.retain(|known| {
+            let is_other = known.caller != caller && known.caller != Caller::UNKNOWN;
+            is_other || known.at > at
+        });
+        if self.ends.is_empty() {
+            self.refusals = 0;
+        }
+    }
+
+    fn has_later_end(&self, caller: Caller, at: Duration) -> bool {
+        let mut ends = self.ends.iter();
+        ends.any(|known| known.caller == caller && known.at > at)
+    }
+
+    /// Clears the evidence up to this time, whoever the caller was.
+    pub fn release(&mut self, at: Duration) {
+        self.released_at = self.released_at.max(Some(at));
+        self.ends.retain(|known| known.at > at);
         self.refusals = 0;
     }
 
+    /// Returns the callers whose requests have completed successfully, with no termination that counts since.
+    pub fn served(&self) -> Callers {
+        let successes = self.successes.iter();
+        let served = successes.filter(|(caller, at)| !self.has_later_end(*caller, *at));
+        served.map(|(caller, _)| *caller).collect()
+    }
+
     /// Returns the number of terminations that count against the request.
     pub fn ends(&self) -> usize {
-        self.ends.len()
+        let is_first = |(number, end): &(usize, &CountedEnd)| {
+            !self.ends[..*number]
+                .iter()
+                .any(|known| known.end == end.end)
+        };
+        self.ends.iter().enumerate().filter(is_first).count()
     }
 
     /// Returns whether the request was in flight at this termination.
     pub fn was_in_flight_at(&self, end: TargetEnd) -> bool {
-        self.ends.iter().any(|(known, _)| *known == end)
+        self.ends.iter().any(|known| known.end == end)
     }
 
     /// Returns the time of the first termination.
     pub fn first_end_at(&self) -> Option<Duration> {
-        self.ends.iter().map(|(_, at)| *at).min()
+        self.ends.iter().map(|known| known.at).min()
     }
 
     /// Returns the time of the last termination.
     pub fn last_end_at(&self) -> Option<Duration> {
-        self.ends.iter().map(|(_, at)| *at).max()
+        self.ends.iter().map(|known| known.at).max()
     }
 }
--- a/crates/quarantine/src/verdict.rs
+++ b/crates/quarantine/src/verdict.rs
@@ -3,9 +3,9 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::Xxh3;
 
-use crate::Fingerprint;
+use crate::{Callers, Fingerprint};
 
 /// The decision on a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -31,6 +31,9 @@
     pub first_end_ms_ago: u64,
     /// Time until the verdict expires, in milliseconds.
     pub left_ms: u64,
+    /// Callers whose requests aren't refused, because they have been served.
+    #[serde(default, skip_serializing_if = "Callers::is_empty")]
+    pub served: Callers,
 }
 
 /// A verdict as stored on a node, with times on its own clock.
@@ -41,6 +44,7 @@
     pub ends: u8,
     pub first_end_at: Duration,
     pub until: Duration,
+    pub served: Callers,
 }
 
 impl LocalVerdict {
@@ -52,6 +56,7 @@
             ends: told.ends,
             first_end_at: now.saturating_sub(Duration::from_millis(told.first_end_ms_ago)),
             until: now + Duration::from_millis(told.left_ms),
+            served: told.served,
         }
     }
 
@@ -64,6 +69,7 @@
             ends: self.ends,
             first_end_ms_ago: whole_millis(now.saturating_sub(self.first_end_at)),
             left_ms: whole_millis(self.until.saturating_sub(now)),
+            served: self.served,
         }
     }
 
@@ -72,13 +78,23 @@
         (self.revision, self.standing) > (other.revision, other.standing)
     }
 
+    /// Returns whether this is the same decision as another one, apart from the callers that are served.
+    pub fn ranks_like(&self, other: &Self) -> bool {
+        (self.revision, self.standing) == (other.revision, other.standing)
+    }
+
     /// Returns the contribution of this verdict to the digest of all verdicts.
     pub fn digest(&self, fingerprint: Fingerprint) -> u64 {
         let mut bytes = [0; 13];
         bytes[..8].copy_from_slice(&fingerprint.0.to_le_bytes());
         bytes[8..12].copy_from_slice(&self.revision.to_le_bytes());
         bytes[12] = u8::from(self.standing == Standing::Released);
-        xxh3_64(&bytes)
+        let mut hash = Xxh3::new();
+        hash.update(&bytes);
+        for caller in self.served.iter() {
+            hash.update(&caller.0.to_le_bytes());
+        }
+        hash.digest()
     }
 }
 
--- a/crates/quarantine/tests/in_flight.rs
+++ b/crates/quarantine/tests/in_flight.rs
@@ -2,12 +2,21 @@
 
 use std::time::Duration;
 
-use wingspar_quarantine::{EndEvidence, Fingerprint, InFlight, Suspect, TargetEnd};
+use wingspar_quarantine::{
+    Caller, CallerRequest, EndEvidence, Fingerprint, InFlight, Suspect, TargetEnd,
+};
 
 fn at(millis: u64) -> Duration {
     Duration::from_millis(millis)
 }
 
+fn request(fingerprint: u64) -> CallerRequest {
+    CallerRequest {
+        fingerprint: Fingerprint(fingerprint),
+        caller: Caller(1),
+    }
+}
+
 const LIFE: &str = "target";
 
 fn suspects(in_flight: &mut InFlight, now: Duration, evidence: EndEvidence) -> Vec<Suspect> {
@@ -19,32 +28,32 @@
     let suspects = suspects(in_flight, now, EndEvidence::NextIncarnation);
     suspects
         .into_iter()
-        .map(|suspect| suspect.fingerprint.0)
+        .map(|suspect| suspect.request.fingerprint.0)
         .collect()
 }
 
 /// A request whose connection breaks while the target's address refuses connections; returns the termination.
-fn crash(in_flight: &mut InFlight, millis: u64, request: &str) -> Option<TargetEnd> {
-    let run = in_flight.start(at(millis), Fingerprint(1), request);
+fn crash(in_flight: &mut InFlight, millis: u64, request_id: &str) -> Option<TargetEnd> {
+    let run = in_flight.start(at(millis), request(1), request_id);
     in_flight.connection_broke(at(millis + 1), run);
     let ended = in_flight.target_ended(at(millis + 2), LIFE, EndEvidence::RefusesConnections)?;
-    let requests = ended.suspects.iter().map(|suspect| &suspect.request);
-    assert!(requests.eq([request]), "{ended:?}");
+    let requests = ended.suspects.iter().map(|suspect| &suspect.request_id);
+    assert!(requests.eq([request_id]), "{ended:?}");
     Some(ended.end)
 }
 
 #[test]
 fn an_answered_request_is_no_suspect() {
     let mut in_flight = InFlight::default();
-    let answered = in_flight.start(at(0), Fingerprint(1), "a");
-    let _running = in_flight.start(at(10), Fingerprint(2), "b");
-    let broken = in_flight.start(at(20), Fingerprint(3), "c");
+    let answered = in_flight.start(at(0), request(1), "a");
+    let _running = in_flight.start(at(10), request(2), "b");
+    let broken = in_flight.start(at(20), request(3), "c");
     in_flight.answered(at(50), answered);
     in_flight.connection_broke(at(90), broken);
     let ended = suspects(&mut in_flight, at(91), EndEvidence::RefusesConnections);
     let seen = ended
         .iter()
-        .map(|suspect| (suspect.request.as_str(), suspect.ran_for));
+        .map(|suspect| (suspect.request_id.as_str(), suspect.ran_for));
     assert_eq!(seen.collect::<Vec<_>>(), [("b", at(81)), ("c", at(70))]);
     let again = in_flight.target_ended(at(92), LIFE, EndEvidence::RefusesConnections);
     assert_eq!(again, None, "suspects are returned once");
@@ -53,9 +62,9 @@
 #[test]
 fn a_request_lost_long_before_the_end_is_no_suspect() {
     let mut in_flight = InFlight::default();
-    let left = in_flight.start(at(0), Fingerprint(1), "left");
+    let left = in_flight.start(at(0), request(1), "left");
     in_flight.given_up(at(100), left);
-    let broken = in_flight.start(at(5_000), Fingerprint(2), "broken");
+    let broken = in_flight.start(at(5_000), request(2), "broken");
     in_flight.connection_broke(at(5_060), broken);
     // The next incarnation reports seconds after the termination.
     assert_eq!(fingerprints(&mut in_flight, at(9_000)), [2]);
@@ -64,9 +73,9 @@
 #[test]
 fn the_end_of_an_idle_target_has_no_suspects() {
     let mut in_flight = InFlight::default();
-    let left = in_flight.start(at(0), Fingerprint(1), "left");
+    let left = in_flight.start(at(0), request(1), "left");
     in_flight.given_up(at(100), left);
-    let later = in_flight.start(at(16_000), Fingerprint(2), "later");
+    let later = in_flight.start(at(16_000), request(2), "later");
     in_flight.answered(at(16_100), later);
     assert!(fingerprints(&mut in_flight, at(17_000)).is_empty());
 }
@@ -74,16 +83,16 @@
 #[test]
 fn a_request_sent_after_the_end_is_no_suspect() {
     let mut in_flight = InFlight::default();
-    let reset = in_flight.start(at(0), Fingerprint(1), "reset alone");
+    let reset = in_flight.start(at(0), request(1), "reset alone");
     in_flight.connection_broke(at(10), reset);
-    let served = in_flight.start(at(20), Fingerprint(2), "served");
+    let served = in_flight.start(at(20), request(2), "served");
     in_flight.answered(at(60), served);
-    let crashing = in_flight.start(at(70), Fingerprint(3), "crashing");
-    let beside = in_flight.start(at(90), Fingerprint(4), "beside it");
+    let crashing = in_flight.start(at(70), request(3), "crashing");
+    let beside = in_flight.start(at(90), request(4), "beside it");
     in_flight.connection_broke(at(130), crashing);
     in_flight.connection_broke(at(130), beside);
     for number in 0..5 {
-        let too_late = in_flight.start(at(140 + number), Fingerprint(10 + number), "too late");
+        let too_late = in_flight.start(at(140 + number), request(10 + number), "too late");
         in_flight.connection_broke(at(141 + number), too_late);
     }
     // A connection reset shortly before may have been the first sign of the termination.
@@ -131,8 +140,8 @@
 #[test]
 fn a_run_that_ends_after_its_termination_was_recorded_shows_no_other_one() {
     let mut in_flight = InFlight::default();
-    let late = in_flight.start(at(0), Fingerprint(2), "late");
-    let crashing = in_flight.start(at(10), Fingerprint(1), "crashing");
+    let late = in_flight.start(at(0), request(2), "late");
+    let crashing = in_flight.start(at(10), request(1), "crashing");
     in_flight.connection_broke(at(20), crashing);
     let ended = suspects(&mut in_flight, at(21), EndEvidence::RefusesConnections);
     assert_eq!(ended.len(), 2);
@@ -146,14 +155,14 @@
 #[test]
 fn a_run_at_the_next_incarnation_is_a_suspect_when_that_one_terminates() {
     let mut in_flight = InFlight::default();
-    let first = in_flight.start(at(0), Fingerprint(1), "first");
+    let first = in_flight.start(at(0), request(1), "first");
     in_flight.connection_broke(at(5), first);
-    let second = in_flight.start(at(300), Fingerprint(3), "second");
+    let second = in_flight.start(at(300), request(3), "second");
     // The address never refused connections, so only the next incarnation's report shows the termination.
     assert_eq!(fingerprints(&mut in_flight, at(310)), [1]);
     in_flight.connection_broke(at(340), second);
     let ended = suspects(&mut in_flight, at(341), EndEvidence::RefusesConnections);
-    let seen = ended.iter().map(|suspect| suspect.fingerprint.0);
+    let seen = ended.iter().map(|suspect| suspect.request.fingerprint.0);
     assert!(seen.eq([3]), "{ended:?}");
 }
 
@@ -162,12 +171,12 @@
 #[test]
 fn a_part_of_an_answer_shows_that_the_target_is_up() {
     let mut in_flight = InFlight::default();
-    let download = in_flight.start(at(0), Fingerprint(1), "download");
+    let download = in_flight.start(at(0), request(1), "download");
     in_flight.responding(at(40), download);
-    let reset = in_flight.start(at(50), Fingerprint(2), "reset alone");
+    let reset = in_flight.start(at(50), request(2), "reset alone");
     in_flight.connection_broke(at(60), reset);
     in_flight.responding(at(5_000), download);
-    let crashing = in_flight.start(at(5_100), Fingerprint(3), "crashing");
+    let crashing = in_flight.start(at(5_100), request(3), "crashing");
     in_flight.connection_broke(at(5_101), crashing);
     in_flight.connection_broke(at(5_102), download);
     assert_eq!(fingerprints(&mut in_flight, at(5_103)), [1, 3]);
--- a/crates/quarantine/tests/quarantine.rs
+++ b/crates/quarantine/tests/quarantine.rs
@@ -2,14 +2,24 @@
 
 use std::time::Duration;
 
+use ciborium::cbor;
 use quickcheck::quickcheck;
 use wingspar_quarantine::{
-    Fingerprint, Observation, Quarantine, Report, Standing, TargetEnd, Verdict,
+    Caller, CallerRequest, Callers, Fingerprint, Observation, Quarantine, Report, Standing,
+    TargetEnd, Verdict,
 };
 
-const CRASHING: Fingerprint = Fingerprint(1);
-const INNOCENT: Fingerprint = Fingerprint(2);
-const OTHERS: Fingerprint = Fingerprint(3);
+const CRASHING: CallerRequest = request(1);
+const INNOCENT: CallerRequest = request(2);
+const OTHERS: CallerRequest = request(3);
+
+/// A request with this fingerprint of one caller.
+const fn request(fingerprint: u64) -> CallerRequest {
+    CallerRequest {
+        fingerprint: Fingerprint(fingerprint),
+        caller: Caller(1),
+    }
+}
 
 fn at(seconds: f64) -> Duration {
     Duration::from_secs_f64(seconds)
@@ -32,7 +42,7 @@
     let mut node = Quarantine::default();
     node.target_ended(at(10.0), TargetEnd(1), &[CRASHING]);
     assert!(!node.refuses(at(10.0), CRASHING));
-    assert_eq!(node.ends(CRASHING), 1);
+    assert_eq!(node.ends(CRASHING.fingerprint), 1);
     node.target_ended(at(10.1), TargetEnd(1), &[CRASHING]);
     assert!(
         !node.refuses(at(10.1), CRASHING),
@@ -168,7 +178,7 @@
     renew(at(10.1), &mut node, &mut leader);
     renew(at(10.5), &mut node, &mut leader);
     assert!(leader.refuses(at(10.5), CRASHING));
-    leader.release(at(11.0), CRASHING);
+    leader.release(at(11.0), CRASHING.fingerprint);
     renew(at(11.4), &mut node, &mut leader);
     assert!(!node.refuses(at(11.4), CRASHING));
     renew(at(11.8), &mut node, &mut leader);
@@ -189,7 +199,7 @@
 fn many_verdicts_reach_all_nodes_in_bounded_datagrams() {
     let [mut node, mut leader] = [(); 2].map(|()| Quarantine::default());
     for number in 0..100 {
-        let fingerprint = Fingerprint(1_000 + number);
+        let fingerprint = request(1_000 + number);
         for end in 0..3 {
             node.target_ended(at(10.0), TargetEnd(number * 3 + end), &[fingerprint]);
         }
@@ -210,7 +220,7 @@
     let [mut node, mut leader] = [(); 2].map(|()| Quarantine::default());
     for number in 0..16 {
         for end in 0..3 {
-            let fingerprint = Fingerprint(1_000 + number);
+            let fingerprint = request(1_000 + number);
             leader.target_ended(at(10.0), TargetEnd(number * 3 + end), &[fingerprint]);
         }
     }
@@ -242,9 +252,9 @@
     node.target_ended(at(2.0), TargetEnd(1), &[CRASHING]);
     for number in 0..20_000 {
         let now = at(3.0) + Duration::from_millis(number);
-        let fingerprints = [Fingerprint(10_000 + number)];
+        let fingerprints = [request(10_000 + number)];
         node.target_ended(now, TargetEnd(10 + number), &fingerprints);
-        node.good_end(now, Fingerprint(100_000 + number));
+        node.good_end(now, request(100_000 + number));
     }
     assert!(
         node.refuses(at(30.0), CRASHING),
@@ -254,10 +264,107 @@
     node.target_ended(
         at(30.0),
         TargetEnd(50_000),
-        &[Fingerprint(10_000), Fingerprint(29_999)],
+        &[request(10_000), request(29_999)],
     );
-    assert!(!node.refuses(at(30.0), Fingerprint(10_000)));
-    assert!(node.refuses(at(30.0), Fingerprint(29_999)));
+    assert!(!node.refuses(at(30.0), request(10_000)));
+    assert!(node.refuses(at(30.0), request(29_999)));
+}
+
+/// The request of [`CRASHING`], which another caller sends.
+const SERVED: CallerRequest = CallerRequest {
+    caller: Caller(2),
+    ..CRASHING
+};
+
+/// Guards against a request that is never refused because another caller's same request is served.
+#[test]
+fn a_success_of_another_caller_clears_nothing() {
+    let [mut first, mut second, mut leader] = [(); 3].map(|()| Quarantine::default());
+    let mut now = at(100.0);
+    for (number, node) in [&mut first, &mut second].into_iter().enumerate() {
+        node.good_end(now, SERVED);
+        let end = TargetEnd(u64::try_from(number).expect("small"));
+        node.target_ended(now + at(1.0), end, &[SERVED, CRASHING]);
+        now += at(5.0);
+        renew(now, node, &mut leader);
+    }
+    renew(now, &mut first, &mut leader);
+    renew(now, &mut second, &mut leader);
+    for node in [&mut first, &mut second, &mut leader] {
+        assert!(node.refuses(now, CRASHING));
+        assert!(!node.refuses(now, SERVED), "it was served");
+        let third = CallerRequest {
+            caller: Caller(3),
+            ..CRASHING
+        };
+        assert!(node.refuses(now, third), "it may come from another one");
+        node.good_end(now, SERVED);
+        assert!(node.refuses(now, CRASHING), "the other one's success");
+    }
+}
+
+/// Guards against a caller that stays exempt although its requests terminate targets too.
+#[test]
+fn a_caller_that_was_served_is_refused_once_it_terminates_targets() {
+    let mut node = Quarantine::default();
+    node.good_end(at(10.0), SERVED);
+    for end in 0..2 {
+        node.target_ended(at(20.0), TargetEnd(end), &[CRASHING]);
+    }
+    assert!(!node.refuses(at(21.0), SERVED));
+    node.target_ended(at(60.0), TargetEnd(2), &[SERVED]);
+    assert!(node.refuses(at(61.0), SERVED));
+    assert!(node.refuses(at(61.0), CRASHING));
+}
+
+/// A request that is sent by another caller each time is the same one.
+#[test]
+fn terminations_count_whoever_the_caller_is() {
+    let mut node = Quarantine::default();
+    for number in 0..2 {
+        let suspect = CallerRequest {
+            caller: Caller(10 + number),
+            ..CRASHING
+        };
+        node.target_ended(at(10.0), TargetEnd(u64::from(number)), &[suspect]);
+    }
+    assert!(node.refuses(at(11.0), CRASHING));
+}
+
+/// What is left of the evidence against one caller isn't cleared by another's success; its own clears all.
+#[test]
+fn a_success_of_the_only_suspected_caller_releases_the_request() {
+    let mut node = Quarantine::default();
+    for end in 0..2 {
+        node.target_ended(at(10.0), TargetEnd(end), &[CRASHING]);
+    }
+    assert!(node.refuses(at(11.0), SERVED));
+    let change = node.good_end(at(12.0), CRASHING).expect("a change");
+    assert_eq!(change.standing, Standing::Released);
+    assert!(!node.refuses(at(12.0), SERVED));
+}
+
+/// Observations and verdicts of earlier versions, which know no callers.
+#[test]
+fn messages_without_callers_are_read() {
+    let observation = cbor!({"fingerprint" => 1, "end" => 7, "ms_ago" => 5, "good_ms_ago" => null});
+    let observation = observation.and_then(|value| value.deserialized::<Observation>());
+    let observation = observation.expect("an observation");
+    assert_eq!(observation.caller, Caller::UNKNOWN);
+    let verdict = cbor!({
+        "fingerprint" => 1, "revision" => 1, "standing" => "Refused", "ends" => 2,
+        "first_end_ms_ago" => 9, "left_ms" => 9_000,
+    });
+    let verdict = verdict.and_then(|value| value.deserialized::<Verdict>());
+    let verdict = verdict.expect("a verdict");
+    let mut node = Quarantine::default();
+    let report = Report {
+        verdicts: vec![verdict],
+        observations: vec![observation],
+        ..Report::default()
+    };
+    node.reported(at(10.0), &report);
+    assert!(node.refuses(at(10.0), CRASHING) && node.refuses(at(10.0), SERVED));
 }
 
 quickcheck! {
@@ -271,12 +378,15 @@
             ends: u8::MAX,
             first_end_ms_ago: *ago,
             left_ms: *left,
+            served: [Caller(1), Caller(9)].into_iter().collect(),
         };
         let observation = |(fingerprint, end, ago, good): &(u64, u64, u64, u64)| Observation {
             fingerprint: Fingerprint(*fingerprint),
             end: TargetEnd(*end),
             ms_ago: *ago,
             good_ms_ago: Some(*good),
+            caller: Caller(u32::from(good % 2 == 0)),
+            served: Callers::default(),
         };
         let report = Report {
             digest: u64::MAX,
@@ -300,9 +410,17 @@
             let node = if is_left { &mut left } else { &mut right };
             // Each termination is seen by one node only.
             let end = TargetEnd(u64::from(end % 8) * 2 + u64::from(is_left));
-            node.target_ended(now, end, &[Fingerprint(u64::from(fingerprint % 5))]);
+            let suspect = CallerRequest {
+                caller: Caller(1 + u32::from(fingerprint % 3)),
+                ..request(u64::from(fingerprint % 5))
+            };
+            node.target_ended(now, end, &[suspect]);
             if good % 3 == 0 {
-                node.good_end(now, Fingerprint(u64::from(good % 5)));
+                let served = CallerRequest {
+                    caller: Caller(1 + u32::from(good % 2)),
+                    ..request(u64::from(good % 5))
+                };
+                node.good_end(now, served);
             }
             if good % 4 == 0 {
                 renew(now, node, &mut leader);
@@ -313,9 +431,13 @@
             renew(now, &mut left, &mut leader);
             renew(now, &mut right, &mut leader);
         }
-        let fingerprints = (0..5).map(Fingerprint);
-        fingerprints.into_iter().all(|fingerprint| {
-            let decisions = [&left, &right, &leader].map(|node| node.refuses(now, fingerprint));
+        let fingerprints = (0..5).map(request);
+        let callers = (1..4).map(Caller);
+        let requests = fingerprints.flat_map(|request| {
+            callers.clone().map(move |caller| CallerRequest { caller, ..request })
+        });
+        requests.into_iter().all(|request| {
+            let decisions = [&left, &right, &leader].map(|node| node.refuses(now, request));
             decisions[0] == decisions[1] && decisions[1] == decisions[2]
         })
     }
--- a/crates/sidecar/src/agent.rs
+++ b/crates/sidecar/src/agent.rs
@@ -27,7 +27,7 @@
 /// Runs a request at the target, or returns why it wasn't run, and logs and counts a refusal.
 pub async fn serve(node: &Rc<Node>, hop: HopRequest) -> HopAnswer {
     let id = hop.headers.get(headers::REQUEST_ID).cloned();
-    let fingerprint = hop.fingerprint;
+    let fingerprint = hop.request.fingerprint;
     if let Some(key) = hop.key {
         node.key_load.borrow_mut().record_arrival(key);
     }
@@ -142,7 +142,7 @@
     if hop.deadline.has_passed() {
         return Err(Refusal::Late);
     }
-    if quarantine::refuses(node, hop.fingerprint) {
+    if quarantine::refuses(node, hop.request) {
         return Err(Refusal::Quarantined);
     }
     let target = node.target.borrow();
--- a/crates/sidecar/src/hop.rs
+++ b/crates/sidecar/src/hop.rs
@@ -13,7 +13,7 @@
 use prometheus_client::metrics::counter::Counter;
 use tokio::time::{Instant, timeout_at};
 use wingspar_platform::headers;
-use wingspar_quarantine::Fingerprint;
+use wingspar_quarantine::{Caller, CallerRequest, Fingerprint};
 
 use crate::body::Body;
 use crate::clock::whole_millis;
@@ -81,9 +81,9 @@
     pub scheduling: Scheduling,
     /// The request's key; `None` if it has none or its service isn't keyed.
     pub key: Option<u16>,
-    /// Digest of the request's content and tenant, independent of its id.
-    pub fingerprint: Fingerprint,
-    /// Digest of the content alone, which is sent to other nodes: they know the tenant from its header.
+    /// Identifies the request when it is sent again.
+    pub request: CallerRequest,
+    /// Digest of the content alone, which is sent to other nodes: they know tenant and caller from the headers.
     pub content: Fingerprint,
     /// The target's rate limit as reported to the router, in requests per second; `None` if none was reported.
     pub reported_limit: Option<f64>,
@@ -265,7 +265,7 @@
     let transfer = read_number(&parts.headers, &TRANSFER_MS);
     let content = parts.headers.get(FINGERPRINT)?.to_str().ok()?;
     let content = content.parse::<Fingerprint>().ok()?;
-    let fingerprint = content.of_tenant(tenant_of(&parts.headers));
+    let request = identify(content, &parts.headers);
     let tenant = read_tenant_scheduling(&parts.headers);
     let reported_limit = read_reported_limit(&parts.headers);
     let mut headers = parts.headers;
@@ -293,15 +293,19 @@
             objective: Duration::from_millis(objective),
         },
         key,
-        fingerprint,
+        request,
         content,
         reported_limit,
     })
 }
 
-/// Name of the request's tenant in the headers that a router forwards; `None` if it has none.
-pub fn tenant_of(headers: &HeaderMap) -> Option<&[u8]> {
-    headers.get(headers::TENANT).map(HeaderValue::as_bytes)
+/// Identifies a request by its content and by its tenant and caller in the headers that a router forwards.
+pub fn identify(content: Fingerprint, headers: &HeaderMap) -> CallerRequest {
+    let value = |name| headers.get(name).map(HeaderValue::as_bytes);
+    CallerRequest {
+        fingerprint: content.of_tenant(value(headers::TENANT)),
+        caller: value(headers::CALLER_SERVICE).map_or(Caller::UNKNOWN, Caller::of),
+    }
 }
 
 /// The target's rate limit as reported to another node's router, in requests per second; `None` if the header is
--- a/crates/sidecar/src/logs/event.rs
+++ b/crates/sidecar/src/logs/event.rs
@@ -255,6 +255,8 @@
         ends: u8,
         /// Remaining time of the quarantine, in milliseconds.
         left_ms: u64,
+        /// Number of callers whose requests aren't refused, since they have been served.
+        served_callers: usize,
         /// The source of the decision: this node's target, another node, the leader, a successful
         /// run, an operator.
         source: &'a str,
--- a/crates/sidecar/src/operations.rs
+++ b/crates/sidecar/src/operations.rs
@@ -67,7 +67,7 @@
             "a fingerprint has 16 hexadecimal digits",
         );
     };
-    if !quarantine::refuses(node, fingerprint) {
+    if !quarantine::is_refused(node, fingerprint) {
         return plain(StatusCode::NOT_FOUND, "text/plain", "it isn't refused");
     }
     quarantine::release(node, fingerprint);
--- a/crates/sidecar/src/quarantine.rs
+++ b/crates/sidecar/src/quarantine.rs
@@ -2,22 +2,28 @@
 
 use std::rc::Rc;
 
-use wingspar_quarantine::{Fingerprint, Reply, Report, Standing, VerdictChange};
+use wingspar_quarantine::{CallerRequest, Fingerprint, Reply, Report, Standing, VerdictChange};
 
 use crate::clock::whole_millis;
 use crate::logs::Event;
 use crate::node::Node;
 
-/// Returns whether requests with this fingerprint are refused.
-pub fn refuses(node: &Node, fingerprint: Fingerprint) -> bool {
+/// Returns whether a caller's requests with this fingerprint are refused.
+pub fn refuses(node: &Node, request: CallerRequest) -> bool {
     let now = node.clock.uptime();
-    node.quarantine.borrow().refuses(now, fingerprint)
+    node.quarantine.borrow().refuses(now, request)
+}
+
+/// Returns whether requests with this fingerprint are refused, unless their caller is served.
+pub fn is_refused(node: &Node, fingerprint: Fingerprint) -> bool {
+    let now = node.clock.uptime();
+    node.quarantine.borrow().is_refused(now, fingerprint)
 }
 
 /// Records that a request was completed successfully by the node's target.
-pub fn good_end(node: &Node, fingerprint: Fingerprint) {
+pub fn good_end(node: &Node, request: CallerRequest) {
     let now = node.clock.uptime();
-    let change = node.quarantine.borrow_mut().good_end(now, fingerprint);
+    let change = node.quarantine.borrow_mut().good_end(now, request);
     log_changes(node, change, "good_end");
 }
 
@@ -59,6 +65,7 @@
             standing,
             ends: change.ends,
             left_ms: whole_millis(change.left),
+            served_callers: change.served.len(),
             source,
         });
     }
--- a/crates/sidecar/src/router/mod.rs
+++ b/crates/sidecar/src/router/mod.rs
@@ -26,7 +26,7 @@
 use http_body::Body as HttpBody;
 use tokio::time::{Instant, timeout_at};
 use wingspar_platform::headers;
-use wingspar_quarantine::{Fingerprint, RequestContent};
+use wingspar_quarantine::{CallerRequest, Fingerprint, RequestContent};
 use wingspar_routes::{Repeatability, Route, RouteTable};
 
 use crate::body::{Body, RequestBody};
@@ -126,7 +126,7 @@
     headers: HeaderMap,
     body: RequestBody,
     times: Times,
-    fingerprint: Fingerprint,
+    request: CallerRequest,
     content: Fingerprint,
     permit: Permit,
     allowed_regions: AllowedRegions<'a>,
@@ -198,8 +198,8 @@
     });
     let tenant = resolved.tenant.as_ref();
     let headers = forwarded_headers(node, parts.headers, &host, tenant);
-    let fingerprint = content.of_tenant(hop::tenant_of(&headers));
-    record.fingerprint = Some(fingerprint);
+    let request = hop::identify(content, &headers);
+    record.fingerprint = Some(request.fingerprint);
     let mut routed = Routed {
         route: resolved.route,
         service: resolved.service,
@@ -209,7 +209,7 @@
         headers,
         body,
         times,
-        fingerprint,
+        request,
         content,
         permit,
         allowed_regions: AllowedRegions::new(resolved.route, tenant),
--- a/crates/sidecar/src/router/send.rs
+++ b/crates/sidecar/src/router/send.rs
@@ -65,7 +65,7 @@
         if !node.may_send_before_exit(routed.times.deadline) {
             return Err(reason_unless_run(routed, record, Reason::Stopping));
         }
-        if quarantine::refuses(node, routed.fingerprint) {
+        if quarantine::refuses(node, routed.request) {
             return Err(quarantined_reason(routed, record));
         }
         let Some(destination) = choose(node, routed, &tried.nodes) else {
@@ -367,7 +367,7 @@
             objective: routed.times.objective,
         },
         key: routed.key,
-        fingerprint: routed.fingerprint,
+        request: routed.request,
         content: routed.content,
         reported_limit: node.selection.reported_limit(node.now(), destination),
     };
--- a/crates/sidecar/src/target_end.rs
+++ b/crates/sidecar/src/target_end.rs
@@ -7,7 +7,7 @@
 
 use http::HeaderValue;
 use wingspar_platform::headers;
-use wingspar_quarantine::{EndEvidence, Fingerprint, RunId, Suspect};
+use wingspar_quarantine::{CallerRequest, EndEvidence, RunId, Suspect};
 
 use crate::clock::whole_millis;
 use crate::hop::HopRequest;
@@ -20,21 +20,21 @@
 pub struct Run {
     node: Rc<Node>,
     id: RunId,
-    fingerprint: Fingerprint,
+    request: CallerRequest,
 }
 
 impl Run {
     /// Records that a request is being sent to the target.
     pub fn begin(node: &Rc<Node>, hop: &HopRequest) -> Self {
-        let request = hop.headers.get(headers::REQUEST_ID);
-        let request = request.and_then(|id: &HeaderValue| id.to_str().ok());
+        let request_id = hop.headers.get(headers::REQUEST_ID);
+        let request_id = request_id.and_then(|id: &HeaderValue| id.to_str().ok());
         let now = node.clock.uptime();
         let mut runs = node.runs.borrow_mut();
-        let id = runs.start(now, hop.fingerprint, request.unwrap_or(""));
+        let id = runs.start(now, hop.request, request_id.unwrap_or(""));
         Self {
             node: node.clone(),
             id,
-            fingerprint: hop.fingerprint,
+            request: hop.request,
         }
     }
 
@@ -47,7 +47,7 @@
     /// The whole response has been received. A successful one clears the request of suspicion.
     pub fn ended(self, is_success: bool) {
         if is_success {
-            quarantine::good_end(&self.node, self.fingerprint);
+            quarantine::good_end(&self.node, self.request);
         }
         self.answered();
     }
@@ -101,14 +101,14 @@
     };
     node.metrics.target_ends.inc();
     let suspects = termination.suspects;
-    let fingerprints = suspects
+    let requests = suspects
         .iter()
-        .map(|suspect| suspect.fingerprint)
+        .map(|suspect| suspect.request)
         .collect::<Vec<_>>();
     let changes = node
         .quarantine
         .borrow_mut()
-        .target_ended(now, termination.end, &fingerprints);
+        .target_ended(now, termination.end, &requests);
     node.log.write(Event::TargetEnded {
         target: life,
         evidence: match evidence {
@@ -126,9 +126,9 @@
 
 fn suspect_line(node: &Node, suspect: &Suspect) -> SuspectLine {
     SuspectLine {
-        id: suspect.request.clone(),
-        fingerprint: suspect.fingerprint.to_string(),
+        id: suspect.request_id.clone(),
+        fingerprint: suspect.request.fingerprint.to_string(),
         ran_ms: whole_millis(suspect.ran_for),
-        ends: node.quarantine.borrow().ends(suspect.fingerprint),
+        ends: node.quarantine.borrow().ends(suspect.request.fingerprint),
     }
 }
--- a/crates/standins/src/fleet/target/handler.rs
+++ b/crates/standins/src/fleet/target/handler.rs
@@ -7,7 +7,7 @@
 use salvo::{Depot, FlowCtrl, Handler, Request, Response, async_trait};
 use serde_json::{Value, json};
 
-use super::state::{GRANT_PATH, HEALTH_PATH, RELEASE_PATH, Seen, Shared, lock};
+use super::state::{GRANT_PATH, HEALTH_PATH, RELEASE_PATH, Seen, Shared, TargetFaults, lock};
 use crate::fleet::answer;
 
 /// Bytes of the largest body that a target takes.
@@ -47,6 +47,17 @@
         .collect()
 }
 
+/// Whether the target ends under a request.
+fn ends_target(faults: &TargetFaults, request: &Request) -> bool {
+    let tenant = text(request, "x-wingspar-tenant");
+    let service = text(request, "x-wingspar-caller-service");
+    faults.crashes_on == Some(request.uri().path())
+        && faults.crashes_for.is_none_or(|crashes| crashes == tenant)
+        && faults
+            .crashes_for_service
+            .is_none_or(|crashes| crashes == service)
+}
+
 #[async_trait]
 impl Handler for TargetHandler {
     async fn handle(
@@ -153,10 +164,7 @@
             fence: key.and_then(|key| shared.fence_of(key)),
         });
         self.call_for(request, &id).await;
-        let tenant = text(request, "x-wingspar-tenant");
-        if faults.crashes_on == Some(request.uri().path())
-            && faults.crashes_for.is_none_or(|crashes| crashes == tenant)
-        {
+        if ends_target(&faults, request) {
             shared.crash.notify_one();
             std::future::pending::<()>().await;
         }
--- a/crates/standins/src/fleet/target/state.rs
+++ b/crates/standins/src/fleet/target/state.rs
@@ -35,6 +35,8 @@
     pub crashes_on: Option<&'static str>,
     /// Ends under such a request only if this tenant sends it.
     pub crashes_for: Option<&'static str>,
+    /// Ends under such a request only if this service sends it.
+    pub crashes_for_service: Option<&'static str>,
     /// It starts again under the id that it had.
     pub keeps_id: bool,
     /// Names this many requests a second, in this text, as the most that it takes from all nodes together, in all its
--- a/crates/wingspar/tests/sidecar/crashing_caller.rs
+++ b/crates/wingspar/tests/sidecar/crashing_caller.rs
@@ -7,7 +7,7 @@
 use serde_json::json;
 use wingspar_standins::fleet::TargetFaults;
 
-use crate::deployment::{Deployment, PLAIN, eventually, route};
+use crate::deployment::{Deployment, KEYED, PLAIN, eventually, route};
 
 /// The path of both callers' requests.
 const PATH: &str = "/orders/statement";
@@ -85,13 +85,14 @@
 }
 
 /// Plays both callers; the targets crash under the requests of one of them.
-async fn only_one_is_refused(test: u8, crashing: Caller, served: Caller, faults: TargetFaults) {
+async fn only_one_is_refused(
+    test: u8,
+    tenants: serde_json::Value,
+    [crashing, served]: [Caller; 2],
+    faults: TargetFaults,
+) {
     let deployment = Deployment::start(test).await;
     let routes = json!([route("orders", "/orders/", "idempotent", PLAIN)]);
-    let tenants = json!([
-        {"name": "north", "api_keys": ["n-1"], "priority": 1},
-        {"name": "south", "api_keys": ["s-1"], "priority": 1},
-    ]);
     deployment.configure_tenants(10, routes, tenants);
     for node in 0..deployment.nodes.len() {
         eventually("the tenants are in force", || async {
@@ -120,15 +121,50 @@
     assert_eq!(refused, 0, "requests of the other caller refused");
 }
 
+/// Two tenants, with a credential each.
+fn two_tenants() -> serde_json::Value {
+    json!([
+        {"name": "north", "api_keys": ["n-1"], "priority": 1},
+        {"name": "south", "api_keys": ["s-1"], "priority": 1},
+    ])
+}
+
 #[tokio::test]
 async fn a_request_that_crashes_targets_is_refused_while_another_tenants_is_served() {
     let faults = TargetFaults {
         crashes_for: Some("north"),
         ..TargetFaults::default()
     };
-    let caller = |credential| Caller {
+    let callers = ["n-1", "s-1"].map(|credential| Caller {
         node: 0,
         credential,
+    });
+    only_one_is_refused(102, two_tenants(), callers, faults).await;
+}
+
+#[tokio::test]
+async fn a_request_that_crashes_targets_is_refused_while_another_services_is_served() {
+    let faults = TargetFaults {
+        crashes_for_service: Some(KEYED),
+        ..TargetFaults::default()
+    };
+    let callers = [0, 2].map(|node| Caller {
+        node,
+        credential: "n-1",
+    });
+    only_one_is_refused(107, two_tenants(), callers, faults).await;
+}
+
+#[tokio::test]
+async fn a_request_that_crashes_targets_is_refused_while_another_services_is_served_without_tenants()
+ {
+    let faults = TargetFaults {
+        crashes_for_service: Some(KEYED),
+        ..TargetFaults::default()
     };
-    only_one_is_refused(102, caller("n-1"), caller("s-1"), faults).await;
+    let callers = [0, 2].map(|node| Caller {
+        node,
+        credential: "",
+    });
+    only_one_is_refused(108, json!([]), callers, faults).await;
 }
