Sidecar: an error after the end of a target's body isn't dropped; tests share their set-up

Found in reading: TargetBody turned an error into an end if its run had ended before. No body is known that fails so late. Three test modules built the same deployment with answers of their own; it is one function.

--- a/crates/sidecar/src/target_body.rs
+++ b/crates/sidecar/src/target_body.rs
@@ -77,10 +77,11 @@
                 }
                 Poll::Ready(Some(Ok(frame)))
             }
-            Some(Err(error)) => {
+            Some(Err(error)) if matches!(self.state, State::Receiving(_)) => {
                 self.begin_check(Some(error));
                 self.poll_check(context)
             }
+            Some(Err(error)) => Poll::Ready(Some(Err(error))),
             None if self.may_be_cut() => {
                 self.begin_check(None);
                 self.poll_check(context)
--- a/crates/wingspar/tests/sidecar/crashing_answer.rs
+++ b/crates/wingspar/tests/sidecar/crashing_answer.rs
@@ -6,7 +6,8 @@
 use serde_json::json;
 use wingspar_standins::net::{AnswerEnd, InterceptedRequest, RawAnswer};
 
-use crate::deployment::{Deployment, PLAIN, Wiring, eventually, route};
+use crate::deployment::{Deployment, PLAIN, route};
+use crate::intercepted::{answered, with_answers};
 use crate::pipelined_client::request;
 use crate::raw_client::exchange;
 
@@ -19,7 +20,7 @@
 /// Time between two tries of its caller, in which a target is back.
 const CALLER_PAUSE: Duration = Duration::from_millis(900);
 
-/// How a target begins an answer of `length` bytes. The rest of the path is the framing and the length.
+/// Path of requests under which targets crash halfway through the answer. Its framing and its length in bytes follow.
 const PREFIX: &str = "/download/crashing/";
 
 /// Half of the answer that the path asks for, then the target crashes.
@@ -47,30 +48,11 @@
 
 /// A deployment whose targets crash halfway through an answer below [`PREFIX`].
 async fn with_crashing_answers(test: u8) -> Deployment {
-    let wiring = Wiring {
-        intercepted: true,
-        ..Wiring::default()
-    };
-    let deployment = Deployment::start_with(test, &wiring).await;
     let routes = json!([
         route("download", "/download/", "download", PLAIN),
         route("orders", "/orders/", "idempotent", PLAIN),
     ]);
-    deployment.configure(9, routes);
-    for (index, node) in deployment.nodes.iter().enumerate() {
-        node.target_interceptor.answer_by(half_answer);
-        eventually("the routes are in force", || async {
-            deployment.configuration_version(index).await == Some(9)
-        })
-        .await;
-    }
-    deployment
-}
-
-/// How often targets have crashed.
-fn crashes(deployment: &Deployment) -> usize {
-    let nodes = deployment.nodes.iter();
-    nodes.map(|node| node.target_interceptor.answered()).sum()
+    with_answers(test, routes, half_answer).await
 }
 
 /// Lets time pass while targets report.
@@ -105,16 +87,16 @@
     let deployment = with_crashing_answers(test).await;
     let path = format!("{PREFIX}{answer}");
     for round in 0..8 {
-        if crashes(&deployment) >= ENDS_BEFORE {
+        if answered(&deployment) >= ENDS_BEFORE {
             break;
         }
         send_it(&deployment, &path, &format!("before-{round}"), 1).await;
     }
     pass(&deployment, IN_TOUCH).await;
-    let before = crashes(&deployment);
+    let before = answered(&deployment);
     assert!(before <= ENDS_BEFORE, "{before} targets ended");
     send_it(&deployment, &path, "after", 8).await;
-    let after = crashes(&deployment) - before;
+    let after = answered(&deployment) - before;
     assert!(
         after <= SENDS_AFTERWARDS,
         "{path}: it reached targets {after} times more"
--- a/crates/wingspar/tests/sidecar/cut_answers.rs
+++ b/crates/wingspar/tests/sidecar/cut_answers.rs
@@ -4,7 +4,8 @@
 use serde_json::json;
 use wingspar_standins::net::{AnswerEnd, InterceptedRequest, RawAnswer};
 
-use crate::deployment::{Deployment, KEYED, PLAIN, Wiring, eventually, route};
+use crate::deployment::{Deployment, KEYED, PLAIN, route};
+use crate::intercepted::{answered, with_answers};
 use crate::pipelined_client::request;
 use crate::raw_client::{RawReply, exchange};
 
@@ -176,11 +177,6 @@
 
 /// A deployment whose targets cut answers as the ids of requests say.
 async fn with_cut_answers(test: u8) -> Deployment {
-    let wiring = Wiring {
-        intercepted: true,
-        ..Wiring::default()
-    };
-    let deployment = Deployment::start_with(test, &wiring).await;
     let routes = json!([
         route("orders", "/orders/", "idempotent", PLAIN),
         route("book", "/book/", "non_idempotent", PLAIN),
@@ -188,15 +184,7 @@
         route("download", "/download/", "download", PLAIN),
         route("stock", "/stock/", "non_idempotent", KEYED),
     ]);
-    deployment.configure(9, routes);
-    for (index, node) in deployment.nodes.iter().enumerate() {
-        node.target_interceptor.answer_by(answer_cut);
-        eventually("the routes are in force", || async {
-            deployment.configuration_version(index).await == Some(9)
-        })
-        .await;
-    }
-    deployment
+    with_answers(test, routes, answer_cut).await
 }
 
 /// A request without a body that asks for the connection's end.
@@ -237,12 +225,6 @@
     assert!(answered(deployment) - answered_before >= cuts.len());
 }
 
-/// How many answers of targets were the test's own.
-fn answered(deployment: &Deployment) -> usize {
-    let nodes = deployment.nodes.iter();
-    nodes.map(|node| node.target_interceptor.answered()).sum()
-}
-
 #[tokio::test]
 async fn an_answer_cut_at_any_byte_is_no_success() {
     let deployment = with_cut_answers(150).await;
--- a/crates/wingspar/tests/sidecar/invalid_statuses.rs
+++ b/crates/wingspar/tests/sidecar/invalid_statuses.rs
@@ -4,7 +4,8 @@
 use serde_json::json;
 use wingspar_standins::net::{AnswerEnd, InterceptedRequest, RawAnswer};
 
-use crate::deployment::{Deployment, KEYED, PLAIN, Wiring, eventually, route};
+use crate::deployment::{Deployment, KEYED, PLAIN, route};
+use crate::intercepted::{answered, with_answers};
 use crate::pipelined_client::request;
 use crate::raw_client::{RawReply, exchange};
 
@@ -40,26 +41,13 @@
 
 /// A deployment whose targets answer with such statuses as the ids of requests say.
 async fn with_odd_answers(test: u8) -> Deployment {
-    let wiring = Wiring {
-        intercepted: true,
-        ..Wiring::default()
-    };
-    let deployment = Deployment::start_with(test, &wiring).await;
     let routes = json!([
         route("orders", "/orders/", "idempotent", PLAIN),
         route("book", "/book/", "non_idempotent", PLAIN),
         route("upload", "/upload/", "upload", PLAIN),
         route("stock", "/stock/", "non_idempotent", KEYED),
     ]);
-    deployment.configure(9, routes);
-    for (index, node) in deployment.nodes.iter().enumerate() {
-        node.target_interceptor.answer_by(answer_oddly);
-        eventually("the routes are in force", || async {
-            deployment.configuration_version(index).await == Some(9)
-        })
-        .await;
-    }
-    deployment
+    with_answers(test, routes, answer_oddly).await
 }
 
 /// Panics unless the client is told that the request may have run.
@@ -79,9 +67,7 @@
             check(status, &replies[0]);
         }
     }
-    let answered = deployment.nodes.iter();
-    let answered = answered.map(|node| node.target_interceptor.answered());
-    assert!(answered.sum::<usize>() >= nodes.len() * STATUSES.len());
+    assert!(answered(&deployment) >= nodes.len() * STATUSES.len());
 }
 
 #[tokio::test]
--- a/crates/wingspar/tests/sidecar/main.rs
+++ b/crates/wingspar/tests/sidecar/main.rs
@@ -13,6 +13,7 @@
 mod full_target;
 mod heartbeats_of_others;
 mod idle_connections;
+mod intercepted;
 mod invalid_statuses;
 mod kept_connection;
 mod key_heartbeats;
