Quarantine: two ends don't refuse a request whose content is served to others

Cause: a popular request is in flight when two targets crash by themselves within seconds. Before, a success of any tenant or service with the same content spoke for it. Since successes speak for their own tenant and service only, each of them has less that protects it.

Such successes are weak evidence again: an observation tells whether the content was lately served there to anyone. If so, two ends don't refuse the request, three do. A request that does crash its targets takes one target more, which the limit of three allows.

The process tests of crashing_caller hold as they were.

--- a/crates/quarantine/src/caller.rs
+++ b/crates/quarantine/src/caller.rs
@@ -28,6 +28,8 @@
 pub struct CallerRequest {
     /// Fingerprint of the request.
     pub fingerprint: Fingerprint,
+    /// Fingerprint of its content alone, which requests of other tenants may share.
+    pub content: Fingerprint,
     /// The service that sends it.
     pub caller: Caller,
 }
--- a/crates/quarantine/src/message.rs
+++ b/crates/quarantine/src/message.rs
@@ -41,6 +41,9 @@
     /// Callers whose same request was lately served by the target of the observing node.
     #[serde(default, skip_serializing_if = "Callers::is_empty")]
     pub served: Callers,
+    /// Whether a request of any tenant and caller with the same content was lately served there.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_content_served: bool,
 }
 
 /// Sent by a node to its leader.
--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -6,7 +6,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::recent_successes::RecentSuccesses;
-use crate::suspicion::Suspicion;
+use crate::suspicion::{CountedEnd, Suspicion};
 use crate::verdict::{LocalVerdict, whole_millis};
 use crate::{
     CallerRequest, Callers, Fingerprint, Observation, QuarantineSnapshot, Reply, Report, Standing,
@@ -14,7 +14,7 @@
 };
 
 /// Number of terminations since a request's last successful completion from which it is refused, if
-/// no other request with as many was in flight at the latest one. One termination is no proof,
+/// no other request with as many was in flight at the latest one, and none with the same content was served. One termination is no proof,
 /// because up to all of the target's slots were in use then.
 ///
 /// In runs on three deployments with repeated lookups, hot keys and impatient callers, 427 requests
@@ -23,7 +23,7 @@
 /// after one would have refused 19.
 const ENDS_TO_REFUSE: usize = 2;
 /// Number of terminations from which a request is refused even if other requests were in flight at
-/// all of them too.
+/// all of them too, or if a request of another caller or tenant with the same content was lately served.
 const ENDS_TO_BE_CERTAIN: usize = 3;
 /// How long a request is refused after two terminations. An innocent request completes successfully
 /// afterwards; a crashing one terminates a third target, and all nodes have the verdict before it
@@ -82,6 +82,7 @@
     succeeded_at: Option<Duration>,
     request: CallerRequest,
     served: Callers,
+    is_content_served: bool,
     end: TargetEnd,
 }
 
@@ -229,6 +230,9 @@
                 served: self
                     .recent_successes
                     .callers_since(served_since, request.fingerprint),
+                is_content_served: self
+                    .recent_successes
+                    .is_content_served(served_since, request.content),
                 end,
             };
             self.own.push_back(own);
@@ -262,9 +266,13 @@
                 suspicion.good_end(caller, at.saturating_sub(SUCCESS_PROTECTION_PERIOD));
             }
             suspicion.keep_until = suspicion.keep_until.max(at + SUSPICION_RETENTION);
-            if suspicion.add(observation.end, observation.caller, at)
-                && suspicion.ends() >= ENDS_TO_REFUSE
-            {
+            let counted = CountedEnd {
+                end: observation.end,
+                caller: observation.caller,
+                at,
+                is_content_served: observation.is_content_served,
+            };
+            if suspicion.add(counted) && suspicion.ends() >= ENDS_TO_REFUSE {
                 to_judge.push((observation.fingerprint, observation.end));
             }
         }
@@ -291,7 +299,8 @@
         let known = self.verdicts.get(&fingerprint).copied();
         let suspicion = self.suspicions.get_mut(&fingerprint)?;
         let certain = suspicion.ends() >= ENDS_TO_BE_CERTAIN;
-        if suspects_of_end > 1 && !certain {
+        let may_be_innocent = suspects_of_end > 1 || suspicion.is_content_served();
+        if may_be_innocent && !certain {
             return None;
         }
         let span = if certain {
@@ -478,6 +487,7 @@
             fingerprint: self.request.fingerprint,
             caller: self.request.caller,
             served: self.served,
+            is_content_served: self.is_content_served,
             end: self.end,
             ms_ago: whole_millis(now.saturating_sub(self.at)),
             good_ms_ago: self
--- a/crates/quarantine/src/recent_successes.rs
+++ b/crates/quarantine/src/recent_successes.rs
@@ -13,6 +13,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct RecentSuccesses {
     at: HashMap<Fingerprint, Vec<(Caller, Duration)>>,
+    /// The same for requests with the same content, whoever sent them.
+    content_at: HashMap<Fingerprint, Duration>,
     order: VecDeque<(Duration, CallerRequest)>,
 }
 
@@ -27,6 +29,7 @@
             Some((_, at)) => *at = now,
             None => callers.push((request.caller, now)),
         }
+        self.content_at.insert(request.content, now);
         self.order.push_back((now, request));
         while self.order.len() > MAX_COMPLETIONS {
             let Some((at, oldest)) = self.order.pop_front() else {
@@ -37,6 +40,9 @@
     }
 
     fn remove(&mut self, at: Duration, request: CallerRequest) {
+        if self.content_at.get(&request.content) == Some(&at) {
+            self.content_at.remove(&request.content);
+        }
         let Some(callers) = self.at.get_mut(&request.fingerprint) else {
             return;
         };
@@ -53,6 +59,11 @@
         found.map(|(_, at)| *at)
     }
 
+    /// Returns whether a request with this content has completed successfully after this time, whoever sent it.
+    pub fn is_content_served(&self, since: Duration, content: Fingerprint) -> bool {
+        self.content_at.get(&content).is_some_and(|at| *at > since)
+    }
+
     /// Returns the callers whose request has completed successfully after this time.
     pub fn callers_since(&self, since: Duration, fingerprint: Fingerprint) -> Callers {
         let callers = self.at.get(&fingerprint).into_iter().flatten();
--- a/crates/quarantine/src/suspicion.rs
+++ b/crates/quarantine/src/suspicion.rs
@@ -12,10 +12,15 @@
 
 /// A termination at which a caller's request was in flight.
 #[derive(Debug, Clone, Copy)]
-struct CountedEnd {
-    end: TargetEnd,
-    caller: Caller,
-    at: Duration,
+pub(crate) struct CountedEnd {
+    /// The termination.
+    pub end: TargetEnd,
+    /// The caller whose request was in flight.
+    pub caller: Caller,
+    /// When the target terminated.
+    pub at: Duration,
+    /// Whether a request with the same content was lately served there, whoever sent it.
+    pub is_content_served: bool,
 }
 
 /// Evidence against one request. A successful completion speaks for the requests of its caller only: another caller's may
@@ -40,15 +45,15 @@
 impl Suspicion {
     /// Adds a termination at which a caller's request was in flight. Returns whether it is new and counts against the
     /// request.
-    pub fn add(&mut self, end: TargetEnd, caller: Caller, at: Duration) -> bool {
-        let is_known = self.was_in_flight_at(end);
-        if self.is_cleared(caller, at) || self.has(end, caller) {
+    pub fn add(&mut self, new: CountedEnd) -> bool {
+        let is_known = self.was_in_flight_at(new.end);
+        if self.is_cleared(new.caller, new.at) || self.has(new.end, new.caller) {
             return false;
         }
         if self.ends.len() == MAX_ENDS {
             self.ends.remove(0);
         }
-        self.ends.push(CountedEnd { end, caller, at });
+        self.ends.push(new);
         !is_known
     }
 
@@ -111,6 +116,11 @@
         served.map(|(caller, _)| *caller).collect()
     }
 
+    /// Returns whether a request with the same content was lately served where one of the terminations was seen.
+    pub fn is_content_served(&self) -> bool {
+        self.ends.iter().any(|known| known.is_content_served)
+    }
+
     /// Returns the number of terminations that count against the request.
     pub fn ends(&self) -> usize {
         let is_first = |(number, end): &(usize, &CountedEnd)| {
--- a/crates/quarantine/tests/in_flight.rs
+++ b/crates/quarantine/tests/in_flight.rs
@@ -13,6 +13,7 @@
 fn request(fingerprint: u64) -> CallerRequest {
     CallerRequest {
         fingerprint: Fingerprint(fingerprint),
+        content: Fingerprint(fingerprint),
         caller: Caller(1),
     }
 }
--- a/crates/sidecar/src/hop.rs
+++ b/crates/sidecar/src/hop.rs
@@ -83,8 +83,6 @@
     pub key: Option<u16>,
     /// Identifies the request when it is sent again.
     pub request: CallerRequest,
-    /// Digest of the content alone, which is sent to other nodes: they know tenant and caller from the headers.
-    pub content: Fingerprint,
     /// The target's rate limit as reported to the router, in requests per second; `None` if none was reported.
     pub reported_limit: Option<f64>,
 }
@@ -229,7 +227,7 @@
     }
     let objective = whole_millis(request.scheduling.objective);
     insert_number(&mut headers, OBJECTIVE_MS, objective);
-    if let Ok(fingerprint) = HeaderValue::from_str(&request.content.to_string()) {
+    if let Ok(fingerprint) = HeaderValue::from_str(&request.request.content.to_string()) {
         headers.insert(FINGERPRINT, fingerprint);
     }
     if let Some(limit) = request.reported_limit
@@ -294,7 +292,6 @@
         },
         key,
         request,
-        content,
         reported_limit,
     })
 }
@@ -304,6 +301,7 @@
     let value = |name| headers.get(name).map(HeaderValue::as_bytes);
     CallerRequest {
         fingerprint: content.of_tenant(value(headers::TENANT)),
+        content,
         caller: value(headers::CALLER_SERVICE).map_or(Caller::UNKNOWN, Caller::of),
     }
 }
--- a/crates/sidecar/src/router/send.rs
+++ b/crates/sidecar/src/router/send.rs
@@ -368,7 +368,6 @@
         },
         key: routed.key,
         request: routed.request,
-        content: routed.content,
         reported_limit: node.selection.reported_limit(node.now(), destination),
     };
     routed.permit.mark_sent();
